Add the design, the shared types and the wire protocol

Cause: nothing existed. Ruled out: thriftpy2's own servers and clients, which serve one call at a time on a connection; only its codec is used. Conclusion: packages can be written against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: setup demo test format lint bench bench-full binary ci
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: setup
+	$(BIN)/python -m wagtailspread.testing.demonstration
+
+test: setup
+	$(BIN)/python -m pytest
+
+format: setup
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 wagtailspread benchmarks
+	$(BIN)/mypy
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+bench-full: setup
+	$(BIN)/python -m benchmarks --full
+
+binary: setup
+	$(BIN)/pex . -r requirements.txt -c wagtailspread -o dist/wagtailspread
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by ``make bench``."""
--- /dev/null
+++ b/wagtailspread/allocation/__init__.py
@@ -0,0 +1,1 @@
+"""Allocation of upstream slots to requests, for one service in one region."""
--- /dev/null
+++ b/wagtailspread/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/wagtailspread/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Base file and overlays: parsing, checks, differences, approvals."""
--- /dev/null
+++ b/wagtailspread/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log among a few replicas with disks."""
--- /dev/null
+++ b/wagtailspread/core/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, states, failures and clocks that all packages share."""
--- /dev/null
+++ b/wagtailspread/core/clocks.py
@@ -0,0 +1,52 @@
+"""Clocks: the system's own and one that tests set by hand."""
+
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Source of time in seconds."""
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+
+class ManualClock:
+    """A clock that stands still until it is advanced.
+
+    >>> clock = ManualClock()
+    >>> clock.advance(1.5)
+    >>> clock.now()
+    1.5
+    """
+
+    def __init__(self, start: float = 0.0) -> None:
+        """Start at ``start`` seconds."""
+        self._seconds = start
+
+    def now(self) -> float:
+        """Return the seconds set so far."""
+        return self._seconds
+
+    def wall(self) -> float:
+        """Return the seconds set so far."""
+        return self._seconds
+
+    def advance(self, seconds: float) -> None:
+        """Move forward by ``seconds``."""
+        self._seconds += seconds
--- /dev/null
+++ b/wagtailspread/core/failures.py
@@ -0,0 +1,72 @@
+"""Base class of failures, and failures that several packages share.
+
+A function that can fail returns ``returns.result.Result`` with one of these
+types on its failure side. Packages define their own subclasses beside the
+code that produces them.
+"""
+
+import dataclasses
+
+from wagtailspread.core import identifiers, outcomes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A typed failure. Subclasses add the fields that explain it."""
+
+    def describe(self) -> str:
+        """Return one line for logs and error messages."""
+        name = type(self).__name__
+        shown = [
+            f'{field.name}={getattr(self, field.name)}'
+            for field in dataclasses.fields(self)
+        ]
+        return ' '.join((name, *shown))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal(Failure):
+    """A request was refused and did not run.
+
+    :param retry_after: seconds after which a retry makes sense.
+    """
+
+    request: identifiers.RequestId
+    reason: outcomes.RefusalReason
+    retry_after: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotLeader(Failure):
+    """The replica is not the leader.
+
+    :param leader: address of the leader, if known.
+    """
+
+    leader: identifiers.Address | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable(Failure):
+    """A peer could not be reached; nothing was sent to it."""
+
+    address: identifiers.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallTimeout(Failure):
+    """A call was sent, and no answer came in time. It may have been run."""
+
+    address: identifiers.Address
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRejected(Failure):
+    """A peer refused a call.
+
+    :param reason: name of the failure type at the peer.
+    """
+
+    address: identifiers.Address
+    reason: str
--- /dev/null
+++ b/wagtailspread/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host process."""
--- /dev/null
+++ b/wagtailspread/health/__init__.py
@@ -0,0 +1,1 @@
+"""Judgement of upstreams by evidence from real work."""
--- /dev/null
+++ b/wagtailspread/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, so that a request runs at most once."""
--- /dev/null
+++ b/wagtailspread/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive: gossip with incarnation numbers."""
--- /dev/null
+++ b/wagtailspread/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, metrics and traces."""
--- /dev/null
+++ b/wagtailspread/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica process and its client."""
--- /dev/null
+++ b/wagtailspread/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Fake upstreams, load generators and in-memory networks for tests."""
--- /dev/null
+++ b/wagtailspread/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated, pipelined connections between the fleet's processes."""
--- /dev/null
+++ b/wagtailspread/wire/listeners.py
@@ -0,0 +1,193 @@
+"""Server side of the fleet's own protocol."""
+
+import asyncio
+import dataclasses
+import typing
+
+from returns import result
+
+from wagtailspread.core import failures, identifiers
+from wagtailspread.wire import credentials, frames, handshakes, messages
+
+#: Longest time a peer may take to authenticate, in seconds.
+HANDSHAKE_SECONDS = 2.0
+#: Most calls of one connection that are handled at a time.
+MAX_CONCURRENT_CALLS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call from an authenticated peer.
+
+    :param timeout: seconds that the caller waits for the answer.
+    """
+
+    peer: credentials.Peer
+    timeout: float
+    trace: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MissingHandler(failures.Failure):
+    """The process does not serve this method."""
+
+    method: str
+
+
+HandlerResult = result.Result[typing.Any, failures.Failure]
+Handler = typing.Callable[
+    [Call, typing.Any],
+    typing.Awaitable[HandlerResult],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A handler and the type of its request."""
+
+    request_type: typing.Any
+    handler: Handler
+
+
+class Listener:
+    """Serves calls from authenticated peers.
+
+    :param routes: handlers by method; may be extended before :meth:`start`.
+    """
+
+    def __init__(
+        self,
+        own: credentials.Credentials,
+        directory: credentials.MemberDirectory,
+    ) -> None:
+        """Start with no handlers."""
+        self.routes: dict[int, Route] = {}
+        self._own = own
+        self._directory = directory
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+
+    def add(
+        self,
+        method: int,
+        request_type: typing.Any,
+        handler: Handler,
+    ) -> None:
+        """Serve ``method`` with ``handler``."""
+        self.routes[method] = Route(request_type, handler)
+
+    async def start(self, address: identifiers.Address) -> identifiers.Address:
+        """Listen on ``address`` and return it with the port in use."""
+        ip, _, port = address.rpartition(':')
+        self._server = await asyncio.start_server(self._accept, ip, int(port))
+        bound = self._server.sockets[0].getsockname()
+        return identifiers.Address(f'{bound[0]}:{bound[1]}')
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        connection = asyncio.current_task()
+        if connection is None:
+            return
+        self._connections.add(connection)
+        try:
+            await self._serve(reader, writer)
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            frames.FrameTooLarge,
+            messages.DecodeError,
+            handshakes.HandshakeRefused,
+        ):
+            writer.transport.abort()
+        finally:
+            self._connections.discard(connection)
+            writer.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        peer = await asyncio.wait_for(
+            handshakes.authenticate(
+                reader,
+                writer,
+                self._own,
+                self._directory,
+                is_dialer=False,
+            ),
+            HANDSHAKE_SECONDS,
+        )
+        limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                payload = await frames.read_frame(reader)
+                envelope = messages.decode(messages.structs.Envelope, payload)
+                await limit.acquire()
+                task = asyncio.create_task(
+                    self._answer(peer, envelope, writer),
+                )
+                calls.add(task)
+                task.add_done_callback(calls.discard)
+                task.add_done_callback(lambda _: limit.release())
+        finally:
+            for task in list(calls):
+                task.cancel()
+
+    async def _answer(
+        self,
+        peer: credentials.Peer,
+        envelope: messages.Struct,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        outcome = await self._handle(peer, envelope)
+        payload = b''
+        failure = ''
+        if isinstance(outcome, result.Success):
+            payload = messages.encode(outcome.unwrap())
+        else:
+            failure = type(outcome.failure()).__name__
+        reply = messages.structs.Envelope(
+            id=envelope.id,
+            method=envelope.method,
+            payload=payload,
+            deadline_ms=0,
+            trace='',
+            failure=failure,
+        )
+        if not writer.is_closing():
+            writer.write(frames.pack_frame(messages.encode(reply)))
+
+    async def _handle(
+        self,
+        peer: credentials.Peer,
+        envelope: messages.Struct,
+    ) -> HandlerResult:
+        route = self.routes.get(envelope.method)
+        if route is None:
+            name = messages.method_name(envelope.method)
+            return result.Failure(MissingHandler(name))
+        request = messages.decode(route.request_type, envelope.payload)
+        call = Call(peer, envelope.deadline_ms / 1000, envelope.trace)
+        return await route.handler(call, request)
+
+
+def create_listener(
+    own: credentials.Credentials,
+    directory: credentials.MemberDirectory,
+) -> Listener:
+    """Return a listener without handlers that is not started."""
+    return Listener(own, directory)
--- /dev/null
+++ b/wagtailspread/wire/tests/test_links.py
@@ -0,0 +1,112 @@
+"""Calls over authenticated connections, on real loopback sockets."""
+
+import asyncio
+
+from returns import result
+
+from wagtailspread.core import failures, identifiers
+from wagtailspread.wire import credentials, links, listeners, messages
+
+ANY_PORT = identifiers.Address('127.0.0.1:0')
+KEY = credentials.create_key()
+SITE = identifiers.MemberId('andino')
+
+
+def create_credentials(key=KEY, host='h1'):
+    peer = credentials.Peer(SITE, identifiers.HostId(host), 'entry')
+    return credentials.Credentials(peer, key)
+
+
+def create_directory():
+    return credentials.FixedDirectory({SITE: credentials.public_bytes(KEY)})
+
+
+async def start_listener(handler):
+    listener = listeners.create_listener(
+        create_credentials(host='server'),
+        create_directory(),
+    )
+    listener.add(
+        messages.methods.CANCEL,
+        messages.structs.CancelRequest,
+        handler,
+    )
+    return listener, await listener.start(ANY_PORT)
+
+
+async def call(link, request='r1', timeout=2.0):
+    return await link.call(
+        messages.methods.CANCEL,
+        messages.structs.CancelRequest(service_name='s', request=request),
+        messages.structs.CancelRequest,
+        timeout,
+    )
+
+
+async def test_answers_out_of_order_reach_their_own_call():
+    async def answer(_call, request):
+        await asyncio.sleep(0.05 if request.request == 'slow' else 0)
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    link = links.create_link(address, create_credentials(), create_directory())
+    answers = await asyncio.gather(call(link, 'slow'), call(link, 'fast'))
+    assert [one.unwrap().request for one in answers] == ['slow', 'fast']
+    await link.close()
+    await listener.close()
+
+
+async def test_handler_sees_the_proven_host():
+    seen = []
+
+    async def answer(one_call, request):
+        seen.append(one_call.peer.host)
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    link = links.create_link(address, create_credentials(), create_directory())
+    await call(link)
+    assert seen == ['h1']
+    await link.close()
+    await listener.close()
+
+
+async def test_peer_with_a_foreign_key_is_refused():
+    async def answer(_call, request):
+        raise AssertionError('an unapproved peer reached a handler')
+
+    listener, address = await start_listener(answer)
+    foreign = create_credentials(credentials.create_key())
+    link = links.create_link(address, foreign, create_directory())
+    outcome = await call(link)
+    assert isinstance(
+        outcome.failure(),
+        failures.Unreachable | failures.CallTimeout,
+    )
+    await link.close()
+    await listener.close()
+
+
+async def test_late_answer_is_a_timeout_and_not_matched_to_a_later_call():
+    async def answer(_call, request):
+        await asyncio.sleep(0.1 if request.request == 'late' else 0)
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    link = links.create_link(address, create_credentials(), create_directory())
+    late = await call(link, 'late', 0.02)
+    assert isinstance(late.failure(), failures.CallTimeout)
+    assert (await call(link, 'next')).unwrap().request == 'next'
+    await link.close()
+    await listener.close()
+
+
+async def test_closed_peer_is_unreachable():
+    async def answer(_call, request):
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    await listener.close()
+    link = links.create_link(address, create_credentials(), create_directory())
+    outcome = await call(link)
+    assert isinstance(outcome.failure(), failures.Unreachable)
--- /dev/null
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -0,0 +1,242 @@
+// Messages between the processes of the fleet.
+//
+// Times in messages are durations in milliseconds, never clock readings, since
+// the clocks of two hosts are not comparable.
+
+enum Method {
+  HELLO = 0
+  ACQUIRE = 1
+  RELEASE = 2
+  ANNOUNCE = 3
+  GOSSIP = 4
+  FETCH_CONFIGURATION = 5
+  SUBMIT = 6
+  CLAIM_KEY = 7
+  FINISH_KEY = 8
+  RELEASE_KEY = 9
+  CONSENSUS = 10
+  STATUS = 11
+  ADOPT = 12
+  CANCEL = 13
+  LIST_UPSTREAMS = 14
+}
+
+struct Envelope {
+  1: i64 id
+  2: i16 method
+  3: binary payload
+  4: i32 deadline_ms
+  5: string trace
+  // Name of the failure type; empty for a request and for a success.
+  6: string failure
+}
+
+// First frame of each side.
+struct Hello {
+  1: binary nonce
+  2: string member
+  3: string host
+  4: string role
+}
+
+// Second frame of each side: signature over both nonces and the own claim.
+struct Proof {
+  1: binary signature
+}
+
+struct AcquireSlot {
+  1: string request
+  2: string service_name
+  3: string host
+  4: string domain
+  5: i16 priority
+  6: i32 deadline_ms
+  7: i16 attempt
+  8: binary fingerprint
+  9: list<string> excluded
+}
+
+struct SlotDecision {
+  1: string request
+  // 0 when the request was refused.
+  2: i64 lease
+  3: string upstream
+  4: string address
+  5: i32 expires_ms
+  6: bool is_trial
+  // Value of RefusalReason; empty when granted.
+  7: string reason
+  8: i32 retry_after_ms
+}
+
+struct SlotCompletion {
+  1: i64 lease
+  2: i16 result
+  3: i32 micros
+}
+
+struct ReleaseSlots {
+  1: string service_name
+  2: string host
+  3: list<SlotCompletion> completions
+}
+
+struct CancelRequest {
+  1: string service_name
+  2: string request
+}
+
+// A host tells a new owner of a lease that another owner granted.
+struct AdoptLease {
+  1: string service_name
+  2: string host
+  3: i64 lease
+  4: string upstream
+  5: i32 expires_ms
+}
+
+struct AnnounceUpstream {
+  1: string service_name
+  2: string upstream
+  3: string address
+  4: string region
+  5: string domain
+  6: i32 slots
+  7: i32 connections
+  // Value of UpstreamState.
+  8: string state
+  9: i64 incarnation
+  // Milliseconds since the upstream sent it.
+  10: i32 age_ms
+}
+
+struct ListUpstreams {
+  1: string service_name
+  2: string host
+}
+
+struct UpstreamList {
+  1: list<AnnounceUpstream> upstreams
+  2: list<string> ejected
+}
+
+struct Empty {
+}
+
+struct GossipUpdate {
+  1: string host
+  2: string address
+  3: string region
+  4: string domain
+  5: i64 incarnation
+  // Value of HostState.
+  6: string state
+  7: string member
+}
+
+struct Gossip {
+  // ping, ack or ping-request.
+  1: string kind
+  2: i64 sequence
+  3: string sender
+  4: string subject
+  5: list<GossipUpdate> updates
+  6: i64 configuration_version
+}
+
+struct FetchConfiguration {
+  1: i64 known_version
+  2: i32 wait_ms
+}
+
+struct Section {
+  1: string file
+  2: string name
+  // Empty for a removed section.
+  3: string text
+  4: bool is_removed
+}
+
+struct ConfigurationDelta {
+  // 0 when the delta is the full text.
+  1: i64 from_version
+  2: i64 to_version
+  3: list<Section> sections
+}
+
+struct SubmittedFile {
+  1: string name
+  2: string text
+}
+
+struct Submission {
+  1: string id
+  2: i64 based_on
+  3: list<SubmittedFile> files
+  4: string member
+  5: binary signature
+}
+
+struct Finding {
+  1: string file
+  2: i32 line
+  3: string key
+  4: string expected
+  5: string kind
+}
+
+struct SubmissionAnswer {
+  // accepted, refused or conflict.
+  1: string status
+  2: i64 version
+  3: list<Finding> findings
+  4: list<string> differences
+}
+
+struct ClaimKey {
+  1: string service_name
+  2: string caller
+  3: string key
+  4: string attempt
+  5: string host
+  6: i32 deadline_ms
+  7: binary fingerprint
+}
+
+struct StoredAnswer {
+  1: i32 status
+  2: list<list<string>> headers
+  3: binary body
+  4: bool is_complete
+}
+
+struct ClaimAnswer {
+  // granted, running, finished, unknown, full or mismatch.
+  1: string state
+  2: StoredAnswer answer
+}
+
+struct FinishKey {
+  1: string service_name
+  2: string caller
+  3: string key
+  4: string attempt
+  // finished or unknown.
+  5: string state
+  6: StoredAnswer answer
+}
+
+struct ReleaseKey {
+  1: string service_name
+  2: string caller
+  3: string key
+  4: string attempt
+}
+
+struct StatusReport {
+  1: string json
+}
+
+struct ConsensusMessage {
+  1: binary payload
+}
