Rename the command module to program

Cause: mypy reported that the commands package has no attribute main. Removing its cache also cleared the report, so the cache was stale; the new name stays because a module named after its only function reads badly.

--- a/Makefile
+++ b/Makefile
@@ -32,4 +32,4 @@
 	$(BIN)/python -m benchmarks --full
 
 binary: setup
-	$(BIN)/pex . -r requirements.txt -c wagtailspread -o dist/wagtailspread
+	$(BIN)/pex . -r requirements.txt -m wagtailspread.commands.program:main -o dist/wagtailspread
--- a/wagtailspread/__main__.py
+++ b/wagtailspread/__main__.py
@@ -1,6 +1,6 @@
 """Runs the command line: ``python -m wagtailspread``."""
 
-from wagtailspread.commands import main
+from wagtailspread.commands import program
 
 if __name__ == '__main__':
-    main.main()
+    program.main()
