Add structured logs, scrape metrics and traces

Cause: the processes need one way to tell what they do before they are joined. Ruled out: hand-written exposition text; prometheus_client renders it, and hdrhistogram keeps the durations.

--- /dev/null
+++ b/wagtailspread/observability/logs.py
@@ -0,0 +1,133 @@
+"""Structured logs: one JSON line for each event.
+
+Events are logged with a fixed message and their details as ``extra`` fields,
+so that programs can filter them. A flood of equal events is limited: after
+the first ones of a window the rest is only counted, and the count is logged
+when the window ends.
+
+>>> import io
+>>> stream = io.StringIO()
+>>> handler = create_handler('h1', stream, clock=clocks.ManualClock())
+>>> with handler.applicationbound():
+...     get_logger('entry').info('started', extra={'port': 80})
+>>> fields = json.loads(stream.getvalue())
+>>> fields['event'], fields['host'], fields['port']
+('started', 'h1', 80)
+
+References: logbook's handlers and ``extra`` fields.
+"""
+
+import dataclasses
+import json
+import typing
+
+import logbook
+
+from wagtailspread.core import clocks
+
+#: Length of a window in which equal events are limited, in seconds.
+WINDOW_SECONDS = 10.0
+#: Equal events that are written in one window.
+EVENTS_PER_WINDOW = 20
+#: Kinds of events that are counted at a time; more are written unlimited.
+MAX_TRACKED_EVENTS = 1024
+
+
+@dataclasses.dataclass(slots=True)
+class _Window:
+    started: float
+    seen: int = 0
+
+
+class StructuredHandler(logbook.StreamHandler):
+    """Writes records as JSON lines and limits equal events."""
+
+    def __init__(
+        self,
+        host: str,
+        stream: typing.TextIO,
+        clock: clocks.Clock,
+        level: str,
+    ) -> None:
+        """Write to ``stream`` records of ``level`` and above."""
+        super().__init__(stream, level=level, bubble=False)
+        self._host = host
+        self._clock = clock
+        self._windows: dict[tuple[str, str], _Window] = {}
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write the record unless its window is full."""
+        now = self._clock.now()
+        key = (record.channel, record.message)
+        window = self._windows.get(key)
+        if window is not None and now - window.started >= WINDOW_SECONDS:
+            self._close_window(key, window)
+            window = None
+        if window is None:
+            window = _Window(now)
+            if len(self._windows) < MAX_TRACKED_EVENTS:
+                self._windows[key] = window
+        window.seen += 1
+        if window.seen <= EVENTS_PER_WINDOW:
+            self._write(self._describe(record))
+
+    def close_windows(self) -> None:
+        """Write the counts of all events that were limited so far."""
+        for key, window in list(self._windows.items()):
+            self._close_window(key, window)
+
+    def _close_window(self, key: tuple[str, str], window: _Window) -> None:
+        self._windows.pop(key)
+        suppressed = window.seen - EVENTS_PER_WINDOW
+        if suppressed <= 0:
+            return
+        channel, message = key
+        self._write(
+            {
+                'time': self._clock.wall(),
+                'level': 'NOTICE',
+                'channel': channel,
+                'event': 'equal events suppressed',
+                'host': self._host,
+                'of': message,
+                'suppressed': suppressed,
+            }
+        )
+
+    def _describe(self, record: logbook.LogRecord) -> dict[str, typing.Any]:
+        described = {
+            'time': self._clock.wall(),
+            'level': record.level_name,
+            'channel': record.channel,
+            'event': record.message,
+            'host': self._host,
+            **record.extra,
+        }
+        if record.formatted_exception:
+            described['exception'] = record.formatted_exception
+        return described
+
+    def _write(self, described: dict[str, typing.Any]) -> None:
+        line = json.dumps(described, default=str)
+        self.stream.write(f'{line}\n')
+        self.stream.flush()
+
+
+def create_handler(
+    host: str,
+    stream: typing.TextIO,
+    clock: clocks.Clock | None = None,
+    level: str = 'INFO',
+) -> StructuredHandler:
+    """Return a handler; activate it with ``push_application``.
+
+    :param host: name of the host, written into each line.
+    :param level: lowest level that is written.
+    """
+    used_clock = clock or clocks.SystemClock()
+    return StructuredHandler(host, stream, used_clock, level)
+
+
+def get_logger(name: str) -> logbook.Logger:
+    """Return the logger of a package."""
+    return logbook.Logger(name)
--- /dev/null
+++ b/wagtailspread/observability/metrics.py
@@ -0,0 +1,151 @@
+"""Metrics in the text format that monitoring systems scrape.
+
+Counters and gauges are those of ``prometheus_client``. Durations are kept in
+``hdrhistogram``, which has a fixed relative error at every quantile, and are
+exported as summaries.
+
+>>> host_metrics = create_metrics('h1')
+>>> host_metrics.count('requests', 'urgent', 'upstream')
+>>> host_metrics.record_seconds('urgent', 0.25)
+>>> 'wagtailspread_requests_total' in host_metrics.render().decode()
+True
+
+References: hdrhistogram; the Prometheus text exposition format.
+"""
+
+import typing
+
+from hdrh import histogram
+from prometheus_client import exposition, metrics, metrics_core, registry
+
+#: Longest duration that is told apart, in microseconds.
+MAX_MICROS = 120_000_000
+_SIGNIFICANT_DIGITS = 2
+_MICROS_PER_SECOND = 1_000_000
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_PREFIX = 'wagtailspread_'
+
+
+class DurationCollector(registry.Collector):
+    """Durations by priority, as summaries."""
+
+    def __init__(self, host: str) -> None:
+        """Start without durations."""
+        self._host = host
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, priority: str, seconds: float) -> None:
+        """Add one duration."""
+        kept = self._histograms.get(priority)
+        if kept is None:
+            kept = create_histogram()
+            self._histograms[priority] = kept
+        micros = int(seconds * _MICROS_PER_SECOND)
+        kept.record_value(min(max(micros, 1), MAX_MICROS))
+
+    def collect(self) -> typing.Iterator[metrics_core.Metric]:
+        """Return the summaries for a scrape."""
+        name = f'{_PREFIX}request_seconds'
+        family = metrics_core.Metric(name, 'Time to answer.', 'summary')
+        for priority, kept in sorted(self._histograms.items()):
+            labels = {'host': self._host, 'priority': priority}
+            for quantile in _QUANTILES:
+                micros = kept.get_value_at_percentile(quantile * 100)
+                family.add_sample(
+                    name,
+                    {**labels, 'quantile': str(quantile)},
+                    micros / _MICROS_PER_SECOND,
+                )
+            family.add_sample(f'{name}_count', labels, kept.get_total_count())
+        yield family
+
+
+class Metrics:
+    """The metrics of one process. Use :func:`create_metrics`."""
+
+    def __init__(self, host: str) -> None:
+        """Start with all counters at zero."""
+        self._host = host
+        self._registry = registry.CollectorRegistry()
+        self._durations = DurationCollector(host)
+        self._registry.register(self._durations)
+        self._counters = {
+            'requests': self._create_counter(
+                'requests',
+                'Requests by priority and outcome.',
+                ('priority', 'outcome'),
+            ),
+            'refusals': self._create_counter(
+                'refusals',
+                'Refused requests by priority and reason.',
+                ('priority', 'reason'),
+            ),
+            'exchanges': self._create_counter(
+                'exchanges',
+                'Exchanges with upstreams by service and result.',
+                ('service', 'result'),
+            ),
+            'ejections': self._create_counter(
+                'ejections',
+                'Ejections by service and reason.',
+                ('service', 'reason'),
+            ),
+            'region_bytes': self._create_counter(
+                'region_bytes',
+                'Bytes between regions by direction and priority.',
+                ('direction', 'priority'),
+            ),
+        }
+        self._gauges: dict[str, metrics.Gauge] = {}
+
+    def count(self, name: str, *labels: str, amount: float = 1) -> None:
+        """Raise a counter.
+
+        :param name: ``requests``, ``refusals``, ``exchanges``, ``ejections``
+            or ``region_bytes``.
+        """
+        self._counters[name].labels(self._host, *labels).inc(amount)
+
+    def set_gauge(self, name: str, reading: float) -> None:
+        """Set a gauge; it is created by its first reading."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = metrics.Gauge(
+                f'{_PREFIX}{name}',
+                name.replace('_', ' '),
+                ('host',),
+                registry=self._registry,
+            )
+            self._gauges[name] = gauge
+        gauge.labels(self._host).set(reading)
+
+    def record_seconds(self, priority: str, seconds: float) -> None:
+        """Add the time that one request took."""
+        self._durations.record(priority, seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return exposition.generate_latest(self._registry)
+
+    def _create_counter(
+        self,
+        name: str,
+        summary: str,
+        labels: tuple[str, ...],
+    ) -> metrics.Counter:
+        return metrics.Counter(
+            f'{_PREFIX}{name}',
+            summary,
+            ('host', *labels),
+            registry=self._registry,
+        )
+
+
+def create_metrics(host: str) -> Metrics:
+    """Return the metrics of the process on this host."""
+    return Metrics(host)
+
+
+def create_histogram() -> histogram.HdrHistogram:
+    """Return an empty histogram of durations in microseconds."""
+    return histogram.HdrHistogram(1, MAX_MICROS, _SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/wagtailspread/observability/traces.py
@@ -0,0 +1,130 @@
+"""Traces: a span for each hop, with W3C trace context in and out.
+
+Spans go to a file as JSON lines, to a collector over OTLP, or to both. The
+sampling ratio keeps their cost in bounds; a caller that asks for its request
+to be traced is always traced.
+
+>>> tracing = create_tracing(TraceSettings(host='h1', sample_ratio=1.0))
+>>> with tracing.start_span('entry', '') as span:
+...     header = span.header
+>>> header.startswith('00-')
+True
+
+References: W3C Trace Context; OpenTelemetry SDK.
+"""
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+import typing
+
+from opentelemetry import trace
+from opentelemetry.exporter.otlp.proto.http import trace_exporter
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export, sampling
+from opentelemetry.trace.propagation import tracecontext
+
+#: Header of the W3C trace context.
+TRACE_HEADER = 'traceparent'
+_PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TraceSettings:
+    """Where spans go.
+
+    :param sample_ratio: share of the requests that are traced, 0 to 1.
+    :param path: file for JSON lines; empty for none.
+    :param collector: OTLP over HTTP address of a collector; empty for none.
+    """
+
+    host: str
+    sample_ratio: float = 0.01
+    path: str = ''
+    collector: str = ''
+
+
+class Span:
+    """One hop of a request."""
+
+    __slots__ = ('_span', 'header')
+
+    def __init__(self, span: trace.Span) -> None:
+        """Wrap a span and compute the header for the next hop."""
+        self._span = span
+        carrier: dict[str, str] = {}
+        _PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
+        self.header = carrier.get(TRACE_HEADER, '')
+
+    def set_attribute(self, name: str, reading: str | int | float) -> None:
+        """Attach one detail to the span."""
+        self._span.set_attribute(name, reading)
+
+
+class Tracing:
+    """Creates the spans of one process. Use :func:`create_tracing`."""
+
+    def __init__(
+        self,
+        provider: sdk_trace.TracerProvider,
+        files: contextlib.ExitStack,
+    ) -> None:
+        """Take the spans' provider and the files to close at the end."""
+        self._provider = provider
+        self._files = files
+        self._tracer = provider.get_tracer('wagtailspread')
+
+    @contextlib.contextmanager
+    def start_span(
+        self,
+        name: str,
+        parent_header: str,
+    ) -> typing.Iterator[Span]:
+        """Open a span for the duration of a ``with`` block.
+
+        :param parent_header: ``traceparent`` of the previous hop, or empty.
+        """
+        context = None
+        if parent_header:
+            context = _PROPAGATOR.extract({TRACE_HEADER: parent_header})
+        span = self._tracer.start_span(name, context=context)
+        try:
+            yield Span(span)
+        finally:
+            span.end()
+
+    def close(self) -> None:
+        """Export what is left."""
+        self._provider.shutdown()
+        self._files.close()
+
+
+def create_tracing(settings: TraceSettings) -> Tracing:
+    """Return the tracing of one process."""
+    provider = sdk_trace.TracerProvider(
+        resource=resources.Resource({'host.name': settings.host}),
+        sampler=sampling.ParentBased(
+            sampling.TraceIdRatioBased(settings.sample_ratio),
+        ),
+        shutdown_on_exit=False,
+    )
+    files = contextlib.ExitStack()
+    if settings.path:
+        exporter = export.ConsoleSpanExporter(
+            out=files.enter_context(
+                pathlib.Path(settings.path).open('a', encoding='utf-8'),
+            ),
+            formatter=_format_span,
+        )
+        provider.add_span_processor(export.BatchSpanProcessor(exporter))
+    if settings.collector:
+        collector = trace_exporter.OTLPSpanExporter(settings.collector)
+        provider.add_span_processor(export.BatchSpanProcessor(collector))
+    return Tracing(provider, files)
+
+
+def _format_span(span: sdk_trace.ReadableSpan) -> str:
+    line = json.dumps(json.loads(span.to_json(indent=None)))
+    return f'{line}\n'
