--- a/wagtailspread/observability/metrics.py
+++ b/wagtailspread/observability/metrics.py
@@ -96,6 +96,8 @@
                 ('direction', 'priority'),
             ),
         }
+        # Looking up a child by labels costs more than raising it.
+        self._children: dict[tuple[str, ...], metrics.Counter] = {}
         self._gauges: dict[str, metrics.Gauge] = {}
 
     def count(self, name: str, *labels: str, amount: float = 1) -> None:
@@ -104,7 +106,11 @@
         :param name: ``requests``, ``refusals``, ``exchanges``, ``ejections``
             or ``region_bytes``.
         """
-        self._counters[name].labels(self._host, *labels).inc(amount)
+        child = self._children.get((name, *labels))
+        if child is None:
+            child = self._counters[name].labels(self._host, *labels)
+            self._children[name, *labels] = child
+        child.inc(amount)
 
     def set_gauge(self, name: str, reading: float) -> None:
         """Set a gauge; it is created by its first reading."""
--- a/wagtailspread/observability/traces.py
+++ b/wagtailspread/observability/traces.py
@@ -49,14 +49,18 @@
 class Span:
     """One hop of a request."""
 
-    __slots__ = ('_span', 'header')
+    __slots__ = ('_span',)
 
     def __init__(self, span: trace.Span) -> None:
-        """Wrap a span and compute the header for the next hop."""
+        """Wrap a span."""
         self._span = span
+
+    @property
+    def header(self) -> str:
+        """Return the ``traceparent`` for the next hop."""
         carrier: dict[str, str] = {}
-        _PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
-        self.header = carrier.get(TRACE_HEADER, '')
+        _PROPAGATOR.inject(carrier, trace.set_span_in_context(self._span))
+        return carrier.get(TRACE_HEADER, '')
 
     def set_attribute(self, name: str, reading: str | int | float) -> None:
         """Attach one detail to the span."""
