--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,14 @@
 bench-full: setup
 	$(BIN)/python -m benchmarks --full
 
-binary: setup
-	$(BIN)/pex . -r requirements.txt -m wagtailspread.commands.program:main -o dist/wagtailspread
+# Dependencies of the one-file program; they change less often than the code.
+build/site/.installed: requirements.txt | setup
+	rm -rf build/site
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps --target build/site -r requirements.txt
+	touch $@
+
+binary: setup build/site/.installed
+	rm -rf build/site/wagtailspread dist/wagtailspread
+	cp -r wagtailspread build/site/
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/site -e wagtailspread.commands.program:main -o dist/wagtailspread -p '/usr/bin/env python3'
