--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -93,6 +93,9 @@
   3: i64 lease
   4: string upstream
   5: i32 expires_ms
+  6: string domain
+  7: i16 priority
+  8: binary fingerprint
 }
 
 struct AnnounceUpstream {
