Judge upstreams by comparison with their peers

Cause: the allocator needs to know which upstreams and paths get work. After: results of real work decay in two windows for each upstream and failure domain. A G-test of failures and a Welch test of logarithms of times compare each upstream with the others; ejection needs votes of a majority and capacity above the floor; a fault of one domain blocks the path.

--- /dev/null
+++ b/wagtailspread/health/judges.py
@@ -0,0 +1,386 @@
+"""The judge of one service in one region.
+
+It records results of real work, ejects upstreams that do clearly worse than
+their peers, blocks paths that one failure domain cannot use, and brings both
+back by trials. See :mod:`wagtailspread.health.verdicts` for the detection and
+:mod:`wagtailspread.health.authority` for the votes.
+
+>>> import random
+>>> judge = create_judge(HealthPolicy(floor=0.5), random.Random(1))
+>>> judge.is_usable('v1', 'andes-bog', 0.0)
+True
+"""
+
+import dataclasses
+import random as random_module
+import typing
+
+from wagtailspread.core import identifiers, outcomes
+from wagtailspread.health import (
+    authority,
+    ejection,
+    evidence,
+    paths,
+    recovery,
+    reports,
+    verdicts,
+)
+
+#: Shortest time between two evaluations, in seconds.
+EVALUATION_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthPolicy:
+    """Limits of one service in one region.
+
+    :param floor: share of the slots that ejections must leave, 0 to 1.
+    :param host_count: configured hosts of the region.
+    :param tie_breaker: the region's lowest host id, if it is known.
+    """
+
+    floor: float = 0.5
+    host_count: int = 1
+    tie_breaker: identifiers.HostId | None = None
+
+
+class HealthJudge(typing.Protocol):
+    """What the allocator asks about the health of upstreams."""
+
+    def record(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        outcome: outcomes.ExchangeResult,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take the result of one exchange."""
+
+    def is_usable(
+        self,
+        upstream: identifiers.UpstreamId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> bool:
+        """Tell whether ordinary work may go to an upstream."""
+
+    def claim_trial(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> bool:
+        """Tell whether one trial request may go to an ejected upstream."""
+
+    def note_vote(self, host: identifiers.HostId, now: float) -> None:
+        """Renew the vote of a host."""
+
+    def adopt(
+        self,
+        ejected: typing.Iterable[identifiers.UpstreamId],
+        now: float,
+    ) -> None:
+        """Take over ejections that hosts report of an earlier owner."""
+
+    def tick(
+        self,
+        capacities: typing.Iterable[ejection.CapacityRow],
+        now: float,
+    ) -> list[reports.HealthChange]:
+        """Evaluate the evidence and return what changed."""
+
+
+class Judge:
+    """Implements :class:`HealthJudge`. Use :func:`create_judge`."""
+
+    def __init__(
+        self,
+        policy: HealthPolicy,
+        random: random_module.Random,
+        index: authority.HostIndex | None,
+    ) -> None:
+        """Start with no upstreams and no votes."""
+        self.authority = authority.create_authority(
+            policy.host_count,
+            policy.tie_breaker,
+            index,
+        )
+        self._table = ejection.UpstreamTable(policy.floor)
+        self._evidence = evidence.Evidence()
+        self._examiner = verdicts.Examiner(self._evidence)
+        self._paths = paths.PathTable()
+        self._flaps = recovery.FlapTable(random)
+        self._ejected: dict[int, ejection.Ejection] = {}
+        self._suspended: dict[int, ejection.Ejection] = {}
+        self._authority_until = 0.0
+        self._evaluated_at = float('-inf')
+        self._changes: list[reports.HealthChange] = []
+
+    def record(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        outcome: outcomes.ExchangeResult,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take the result of one exchange.
+
+        :param host: the host that made the exchange.
+        :param domain: the failure domain of that host.
+        :param seconds: time at the upstream.
+        """
+        row = self._table.ensure(upstream, now)
+        ejected = self._ejected.get(row)
+        if ejected is not None:
+            self._record_trial(row, ejected, outcome, seconds, now)
+        elif not evidence.is_neutral(outcome):
+            self._evidence.ensure_row(row)
+            self._evidence.record(row, host, domain, outcome, seconds, now)
+
+    def is_usable(
+        self,
+        upstream: identifiers.UpstreamId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> bool:
+        """Tell whether ordinary work may go to an upstream.
+
+        :param domain: the failure domain of the host that would send it.
+        """
+        row = self._table.find(upstream)
+        if row is None:
+            return True
+        if row in self._ejected and now < self._authority_until:
+            return False
+        return not self._paths.is_blocked(row, domain)
+
+    def claim_trial(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> bool:
+        """Tell whether one trial request may go to an ejected upstream.
+
+        A true answer takes the trial: the next one is due later.
+        """
+        row = self._table.find(upstream)
+        ejected = None if row is None else self._ejected.get(row)
+        return ejected is not None and recovery.claim(ejected, now)
+
+    def note_vote(self, host: identifiers.HostId, now: float) -> None:
+        """Renew the vote of a host.
+
+        :param now: see :meth:`authority.Authority.note_vote`.
+        """
+        self.authority.note_vote(host, now)
+
+    def note_hint(self, upstream: identifiers.UpstreamId, now: float) -> None:
+        """Take a weak sign that an upstream is well, such as a probe.
+
+        It starts a trial early, once for each interval, and nothing more.
+        """
+        row = self._table.find(upstream)
+        if row is not None and row in self._ejected:
+            recovery.hasten(self._ejected[row], now)
+
+    def adopt(
+        self,
+        ejected: typing.Iterable[identifiers.UpstreamId],
+        now: float,
+    ) -> None:
+        """Take over ejections that hosts report of an earlier owner.
+
+        They come into force in the next tick that holds the votes, as far as
+        the floor allows.
+        """
+        for upstream in ejected:
+            row = self._table.ensure(upstream, now)
+            if row not in self._ejected and row not in self._suspended:
+                reason = reports.Reason(reports.Cause.ADOPTED)
+                self._suspended[row] = self._flaps.begin(row, reason, 1.0, now)
+
+    def find_ejected(self) -> list[identifiers.UpstreamId]:
+        """Return the ejected upstreams, for the copies that hosts keep."""
+        names = [self._table.names[row] for row in self._ejected]
+        return [name for name in names if name is not None]
+
+    def tick(
+        self,
+        capacities: typing.Iterable[ejection.CapacityRow],
+        now: float,
+    ) -> list[reports.HealthChange]:
+        """Evaluate the evidence and return what changed.
+
+        :param capacities: all upstreams that are announced.
+        """
+        for row in self._table.update(capacities, now):
+            self._forget(row)
+        self._evidence.decay(now)
+        self._authority_until = self.authority.lapses_at(now)
+        if now < self._authority_until:
+            self._resume(now)
+        else:
+            self._suspend(now)
+        self._keep_floor(now)
+        if now - self._evaluated_at >= EVALUATION_SECONDS:
+            self._evaluated_at = now
+            self._evaluate(now)
+        self._open_paths(now)
+        changes = self._changes
+        self._changes = []
+        return changes
+
+    def _evaluate(self, now: float) -> None:
+        rows = self._evidence.active - self._ejected.keys()
+        for fault in self._examiner.find_faults(rows):
+            if fault.domain is not None:
+                self._block_path(fault, fault.domain, now)
+            elif self._may_eject(fault.row, now):
+                self._eject(fault.row, fault.reason, fault.badness, now)
+        self._flaps.expire(now)
+
+    def _may_eject(self, row: int, now: float) -> bool:
+        if now >= self._authority_until:
+            return False
+        left = self._table.count_slots({*self._ejected, row})
+        return left >= self._table.minimum
+
+    def _eject(
+        self,
+        row: int,
+        reason: reports.Reason,
+        badness: float,
+        now: float,
+    ) -> None:
+        self._ejected[row] = self._flaps.begin(row, reason, badness, now)
+        self._clear(row)
+        self._report(row, reports.HealthState.EJECTED, reason)
+
+    def _readmit(self, row: int, cause: reports.Cause, now: float) -> None:
+        self._ejected.pop(row)
+        self._flaps.finish(row, now)
+        self._clear(row)
+        reason = reports.Reason(cause)
+        self._report(row, reports.HealthState.HEALTHY, reason)
+
+    def _keep_floor(self, now: float) -> None:
+        minimum = self._table.minimum
+        while self._ejected:
+            if self._table.count_slots(self._ejected) >= minimum:
+                return
+            useful = [row for row in self._ejected if self._slots(row)]
+            if not useful:
+                return
+            least = min(useful, key=lambda row: self._ejected[row].badness)
+            self._readmit(least, reports.Cause.FLOOR, now)
+
+    def _suspend(self, now: float) -> None:
+        for row, ejected in list(self._ejected.items()):
+            self._suspended[row] = ejected
+            ejected.since = now
+            self._readmit(row, reports.Cause.VOTES_LOST, now)
+
+    def _resume(self, now: float) -> None:
+        for row, ejected in list(self._suspended.items()):
+            self._suspended.pop(row)
+            is_recent = now - ejected.since < ejection.SUSPENDED_SECONDS
+            if is_recent and self._may_eject(row, now):
+                self._ejected[row] = ejected
+                self._clear(row)
+                state = reports.HealthState.EJECTED
+                self._report(row, state, ejected.reason)
+
+    def _record_trial(
+        self,
+        row: int,
+        ejected: ejection.Ejection,
+        outcome: outcomes.ExchangeResult,
+        seconds: float,
+        now: float,
+    ) -> None:
+        if ejected.claimed_at is None or now - seconds < ejected.claimed_at:
+            return
+        if evidence.is_neutral(outcome):
+            recovery.release(ejected, now)
+        elif outcome is not outcomes.ExchangeResult.SUCCESS:
+            self._flaps.note_failure(ejected, now)
+        elif self._flaps.note_success(row, ejected, now):
+            self._readmit(row, reports.Cause.TRIALS, now)
+
+    def _block_path(
+        self,
+        fault: verdicts.Fault,
+        domain: int,
+        now: float,
+    ) -> None:
+        name = self._evidence.domains[domain]
+        blocked = self._paths.find_rows(name)
+        unusable = {*self._ejected, *blocked, fault.row}
+        if self._table.count_slots(unusable) < self._table.minimum:
+            return
+        path = paths.Path(fault.row, name)
+        self._paths.block(path, fault.badness, now)
+        self._evidence.clear_cell(fault.row, domain)
+        state = reports.HealthState.PATH_BLOCKED
+        self._report(fault.row, state, fault.reason, name)
+
+    def _open_paths(self, now: float) -> None:
+        for path in self._paths.expire(now):
+            self._report_open(path, reports.Cause.BLOCK_OVER)
+        for domain in self._paths.find_domains():
+            self._keep_domain_floor(domain)
+
+    def _keep_domain_floor(self, domain: identifiers.FailureDomain) -> None:
+        while self._paths.find_rows(domain):
+            unusable = {*self._ejected, *self._paths.find_rows(domain)}
+            if self._table.count_slots(unusable) >= self._table.minimum:
+                return
+            path = self._paths.find_least_bad(domain)
+            self._paths.open(path)
+            self._report_open(path, reports.Cause.FLOOR)
+
+    def _report_open(self, path: paths.Path, cause: reports.Cause) -> None:
+        state = reports.HealthState.PATH_OPEN
+        self._report(path.row, state, reports.Reason(cause), path.domain)
+
+    def _report(
+        self,
+        row: int,
+        state: reports.HealthState,
+        reason: reports.Reason,
+        domain: identifiers.FailureDomain | None = None,
+    ) -> None:
+        name = self._table.names[row]
+        if name is not None:
+            change = reports.HealthChange(name, state, reason, domain)
+            self._changes.append(change)
+
+    def _slots(self, row: int) -> int:
+        return self._table.ready_slots[row]
+
+    def _clear(self, row: int) -> None:
+        self._evidence.ensure_row(row)
+        self._evidence.clear(row)
+
+    def _forget(self, row: int) -> None:
+        self._ejected.pop(row, None)
+        self._suspended.pop(row, None)
+        self._flaps.forget(row)
+        self._paths.forget(row)
+        self._clear(row)
+
+
+def create_judge(
+    policy: HealthPolicy,
+    random: random_module.Random,
+    index: authority.HostIndex | None = None,
+) -> Judge:
+    """Return a judge without upstreams.
+
+    :param random: varies the intervals between trials.
+    :param index: shared by the judges of a process to save memory.
+    """
+    return Judge(policy, random, index)
--- /dev/null
+++ b/wagtailspread/health/recovery.py
@@ -0,0 +1,140 @@
+"""Trials by which an ejected upstream comes back.
+
+A trial is one request of real work. The first follows a second after the
+ejection; a failed one doubles the interval, and so does each ejection of an
+upstream that was ejected shortly before.
+"""
+
+import dataclasses
+import random as random_module
+
+from wagtailspread.health import ejection, reports
+
+#: Time from an ejection to the first trial, in seconds.
+FIRST_TRIAL_SECONDS = 1.0
+#: Longest time between the trials of an upstream that stays bad, in seconds.
+LONGEST_TRIAL_SECONDS = 16.0
+#: Longest time from an ejection to the first trial of a flapper, in seconds.
+LONGEST_FLAP_SECONDS = 64.0
+#: Time between trials while they succeed, in seconds.
+CONFIRMATION_SECONDS = 0.1
+#: Successful trials in a row that bring an upstream back.
+CONFIRMATIONS = 3
+#: Most confirmations that a flapper needs.
+MAX_CONFIRMATIONS = 10
+#: Healthy time that takes back one doubling, in seconds.
+FORGIVE_SECONDS = 60.0
+#: Share by which intervals vary, so that trials of many upstreams spread.
+JITTER = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class FlapRecord:
+    """How often an upstream was ejected, less what time has forgiven."""
+
+    level: float
+    updated_at: float
+
+
+class FlapTable:
+    """Records of the upstreams that were ejected lately."""
+
+    def __init__(self, random: random_module.Random) -> None:
+        """Start without records."""
+        self._random = random
+        self._records: dict[int, FlapRecord] = {}
+
+    def begin(
+        self,
+        row: int,
+        reason: reports.Reason,
+        badness: float,
+        now: float,
+    ) -> ejection.Ejection:
+        """Return a new ejection with the interval that ``row`` deserves."""
+        level = self.find_level(row, now)
+        self._records[row] = FlapRecord(level + 1, now)
+        wanted = FIRST_TRIAL_SECONDS * 2**level
+        interval = min(wanted, LONGEST_FLAP_SECONDS)
+        return ejection.Ejection(
+            reason,
+            badness,
+            since=now,
+            interval=interval,
+            next_trial=now + self._vary(interval),
+        )
+
+    def find_level(self, row: int, now: float) -> float:
+        """Return the number of doublings of ``row`` at ``now``."""
+        found = self._records.get(row)
+        if found is None:
+            return 0.0
+        forgiven = (now - found.updated_at) / FORGIVE_SECONDS
+        return max(found.level - forgiven, 0.0)
+
+    def finish(self, row: int, now: float) -> None:
+        """Start the healthy time of ``row``, which is readmitted."""
+        level = self.find_level(row, now)
+        self._records[row] = FlapRecord(level, now)
+
+    def forget(self, row: int) -> None:
+        """Drop the record of ``row``."""
+        self._records.pop(row, None)
+
+    def expire(self, now: float) -> None:
+        """Drop the records that are forgiven."""
+        for row in list(self._records):
+            if not self.find_level(row, now):
+                self._records.pop(row)
+
+    def note_success(
+        self,
+        row: int,
+        ejected: ejection.Ejection,
+        now: float,
+    ) -> bool:
+        """Count a good trial and tell whether the upstream may come back."""
+        ejected.claimed_at = None
+        ejected.successes += 1
+        ejected.next_trial = now + CONFIRMATION_SECONDS
+        flaps = max(int(self.find_level(row, now)) - 1, 0)
+        needed = min(CONFIRMATIONS + 2 * flaps, MAX_CONFIRMATIONS)
+        return ejected.successes >= needed
+
+    def note_failure(self, ejected: ejection.Ejection, now: float) -> None:
+        """Put the next trial off after a bad one."""
+        ejected.claimed_at = None
+        ejected.successes = 0
+        ejected.has_early_trial = False
+        longest = max(LONGEST_TRIAL_SECONDS, ejected.interval)
+        ejected.interval = min(ejected.interval * 2, longest)
+        ejected.next_trial = now + self._vary(ejected.interval)
+
+    def _vary(self, interval: float) -> float:
+        return interval * (1 + JITTER * self._random.random())
+
+
+def claim(ejected: ejection.Ejection, now: float) -> bool:
+    """Take the trial that is due, if one is.
+
+    A trial that never reports back is replaced after its interval.
+    """
+    if now < ejected.next_trial:
+        return False
+    ejected.claimed_at = now
+    ejected.next_trial = now + ejected.interval
+    return True
+
+
+def release(ejected: ejection.Ejection, now: float) -> None:
+    """Allow another trial soon, since the last one had a neutral result."""
+    ejected.claimed_at = None
+    ejected.next_trial = now + CONFIRMATION_SECONDS
+
+
+def hasten(ejected: ejection.Ejection, now: float) -> None:
+    """Start a trial early, once for each interval, on a weak signal."""
+    if ejected.has_early_trial or ejected.claimed_at is not None:
+        return
+    ejected.has_early_trial = True
+    ejected.next_trial = min(ejected.next_trial, now)
