--- /dev/null
+++ b/wagtailspread/membership/drivers.py
@@ -0,0 +1,178 @@
+"""Carries the agent's messages as ``GOSSIP`` calls.
+
+Each message is one call; the answer is empty and only tells that it arrived,
+since acknowledgements are messages of their own.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import sys
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.membership import agents, dissemination, tables
+from wagtailspread.wire import links, listeners, messages
+
+#: Time between two ticks of the agent, in seconds.
+TICK_SECONDS = 0.05
+#: Time after which an undelivered message is dropped, in seconds.
+CALL_SECONDS = 1.0
+
+
+class Driver:
+    """Ticks an agent and exchanges its messages. Use :func:`create_driver`."""
+
+    def __init__(
+        self,
+        agent: agents.Agent,
+        pool: links.LinkPool,
+        clock: clocks.Clock,
+    ) -> None:
+        """Keep the parts; nothing runs yet."""
+        self.agent = agent
+        self._pool = pool
+        self._clock = clock
+        self._ticking: asyncio.Task[None] | None = None
+        self._sending: set[asyncio.Task[typing.Any]] = set()
+
+    def attach(self, listener: listeners.Listener) -> None:
+        """Serve ``GOSSIP`` at a listener."""
+        listener.add(
+            messages.methods.GOSSIP,
+            messages.structs.Gossip,
+            self._receive,
+        )
+
+    def start(self) -> None:
+        """Begin to tick, in the running event loop."""
+        self._ticking = asyncio.create_task(self._run())
+
+    async def leave(self) -> None:
+        """Announce the shutdown and wait until the messages are sent."""
+        self._send_all(self.agent.leave(self._clock.now()))
+        await asyncio.gather(*self._sending, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Stop ticking and drop what is not yet sent."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._ticking
+        for task in list(self._sending):
+            task.cancel()
+        await asyncio.gather(*self._sending, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            self._send_all(self.agent.tick(self._clock.now()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _receive(
+        self,
+        call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        if request.sender != call.peer.host:
+            return result.Failure(ForeignSender(request.sender))
+        try:
+            message = decode_message(request)
+        except (ValueError, TypeError):
+            return result.Failure(UnreadableGossip(request.sender))
+        self._send_all(self.agent.receive(message, self._clock.now()))
+        return result.Success(messages.structs.Empty())
+
+    def _send_all(
+        self,
+        parcels: typing.Iterable[dissemination.Parcel],
+    ) -> None:
+        for parcel in parcels:
+            task = asyncio.create_task(self._send(parcel))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    async def _send(self, parcel: dissemination.Parcel) -> None:
+        link = self._pool.find(parcel.address)
+        await link.call(
+            messages.methods.GOSSIP,
+            encode_message(parcel.message),
+            messages.structs.Empty,
+            CALL_SECONDS,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForeignSender(failures.Failure):
+    """A message names another sender than the authenticated peer."""
+
+    sender: identifiers.HostId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableGossip(failures.Failure):
+    """A message has an unknown kind or state, or lacks a field."""
+
+    sender: identifiers.HostId
+
+
+def encode_message(message: dissemination.Message) -> messages.Struct:
+    """Return the thrift struct of a message."""
+    return messages.structs.Gossip(
+        kind=message.kind.value,
+        sequence=message.sequence,
+        sender=message.sender,
+        subject=message.subject,
+        updates=[_encode_row(row) for row in message.updates],
+        configuration_version=message.configuration_version,
+    )
+
+
+def decode_message(struct: messages.Struct) -> dissemination.Message:
+    """Return the message of a thrift struct.
+
+    :raises ValueError: if a kind or a state is unknown.
+    """
+    return dissemination.Message(
+        dissemination.Kind(struct.kind),
+        struct.sequence,
+        identifiers.HostId(struct.sender),
+        identifiers.HostId(struct.subject),
+        tuple(_decode_row(update) for update in struct.updates),
+        identifiers.ConfigurationVersion(struct.configuration_version),
+    )
+
+
+def create_driver(
+    agent: agents.Agent,
+    pool: links.LinkPool,
+    clock: clocks.Clock,
+) -> Driver:
+    """Return a driver that is not started."""
+    return Driver(agent, pool, clock)
+
+
+def _encode_row(row: tables.HostRow) -> messages.Struct:
+    return messages.structs.GossipUpdate(
+        host=row.host,
+        address=row.address,
+        region=row.region,
+        domain=row.domain,
+        incarnation=row.incarnation,
+        state=row.state.value,
+        member=row.member,
+    )
+
+
+def _decode_row(struct: messages.Struct) -> tables.HostRow:
+    # Few regions, domains and members exist, so their names are shared.
+    return tables.HostRow(
+        identifiers.HostId(struct.host),
+        identifiers.Address(struct.address),
+        identifiers.RegionName(sys.intern(struct.region)),
+        identifiers.FailureDomain(sys.intern(struct.domain)),
+        identifiers.Incarnation(struct.incarnation),
+        identifiers.MemberId(sys.intern(struct.member)),
+        tables.HostState(struct.state),
+    )
--- /dev/null
+++ b/wagtailspread/membership/tables.py
@@ -0,0 +1,121 @@
+"""The table of hosts that a process knows of.
+
+A row about a host replaces an older one if its incarnation is higher, or if
+it is equal and the state is worse. A dead incarnation is therefore never
+alive again; the host itself has to raise it.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from wagtailspread.core import identifiers
+
+#: Time for which a dead or departed host is remembered, in seconds. It must
+#: exceed the longest partition, or a host that comes back from one could
+#: bring the row back as alive.
+REMEMBER_SECONDS = 7200.0
+
+
+class HostState(enum.Enum):
+    """State of a host as its peers see it."""
+
+    ALIVE = 'alive'
+    #: A probe failed; the host can refute it with a higher incarnation.
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+    #: The host announced its shutdown.
+    LEFT = 'left'
+
+
+_RANKS = {
+    HostState.ALIVE: 0,
+    HostState.SUSPECT: 1,
+    HostState.DEAD: 2,
+    HostState.LEFT: 3,
+}
+_ENDED = frozenset((HostState.DEAD, HostState.LEFT))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostRow:
+    """What is known of one host.
+
+    :param incarnation: start time in milliseconds, raised by the host itself
+        to refute a suspicion.
+    """
+
+    host: identifiers.HostId
+    address: identifiers.Address
+    region: identifiers.RegionName
+    domain: identifiers.FailureDomain
+    incarnation: identifiers.Incarnation
+    member: identifiers.MemberId
+    state: HostState = HostState.ALIVE
+
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether the host is dead or has left."""
+        return self.state in _ENDED
+
+    def replaces(self, other: 'HostRow') -> bool:
+        """Tell whether this row is newer than another one of its host."""
+        own = (self.incarnation, _RANKS[self.state])
+        return own > (other.incarnation, _RANKS[other.state])
+
+    def with_state(self, state: HostState) -> 'HostRow':
+        """Return the row with another state."""
+        return dataclasses.replace(self, state=state)
+
+
+class HostTable:
+    """Rows by host, of which only newer ones replace others."""
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self._rows: dict[identifiers.HostId, HostRow] = {}
+        self._ended_at: dict[identifiers.HostId, float] = {}
+
+    def __iter__(self) -> typing.Iterator[HostRow]:
+        """Iterate over all rows."""
+        return iter(list(self._rows.values()))
+
+    def __len__(self) -> int:
+        """Return the number of hosts that are alive or suspect."""
+        return len(self._rows) - len(self._ended_at)
+
+    def find(self, host: identifiers.HostId) -> HostRow | None:
+        """Return the row of a host, if there is one."""
+        return self._rows.get(host)
+
+    def apply(self, row: HostRow, now: float) -> bool:
+        """Take a row if it is newer and tell whether it was."""
+        known = self._rows.get(row.host)
+        if known is not None and not row.replaces(known):
+            return False
+        self._rows[row.host] = row
+        if row.is_ended:
+            self._ended_at[row.host] = now
+        else:
+            self._ended_at.pop(row.host, None)
+        return True
+
+    def list_active(self) -> list[HostRow]:
+        """Return the hosts that are alive or suspect."""
+        return [row for row in self._rows.values() if not row.is_ended]
+
+    def list_ended(self) -> list[HostRow]:
+        """Return the hosts that are dead or have left."""
+        return [self._rows[host] for host in self._ended_at]
+
+    def expire(self, now: float) -> None:
+        """Drop the hosts that ended long ago."""
+        for host, ended_at in list(self._ended_at.items()):
+            if now - ended_at > REMEMBER_SECONDS:
+                self._ended_at.pop(host)
+                self._rows.pop(host)
+
+    def remove(self, host: identifiers.HostId) -> None:
+        """Drop a host."""
+        self._rows.pop(host, None)
+        self._ended_at.pop(host, None)
