--- /dev/null
+++ b/wagtailspread/consensus/logs.py
@@ -0,0 +1,178 @@
+"""The replicated log in memory: entries after a snapshot, and memberships."""
+
+import bisect
+
+from wagtailspread.consensus import messages
+from wagtailspread.core import identifiers
+
+EMPTY_SNAPSHOT = messages.Snapshot(
+    identifiers.LogIndex(0),
+    identifiers.Term(0),
+    messages.MembershipRecord(),
+    b'',
+)
+
+
+class Log:
+    """Entries and the last snapshot. Use :func:`create_log`.
+
+    Some entries that the snapshot covers are kept, so that a follower that is
+    only a little behind needs no snapshot. ``base_index`` is the index before
+    the first kept entry.
+
+    The membership in force is the one of the last membership entry, committed
+    or not; it goes back to the one before when that entry is truncated.
+    """
+
+    def __init__(self, snapshot: messages.Snapshot) -> None:
+        """Start with no entries after ``snapshot``."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._entries: list[messages.LogEntry] = []
+        self._memberships = [(snapshot.index, snapshot.membership)]
+
+    @property
+    def last_index(self) -> identifiers.LogIndex:
+        """Index of the last entry, or of the snapshot."""
+        return identifiers.LogIndex(self.base_index + len(self._entries))
+
+    @property
+    def last_term(self) -> identifiers.Term:
+        """Term of the last entry, or of the snapshot."""
+        if self._entries:
+            return self._entries[-1].term
+        return self._base_term
+
+    @property
+    def membership(self) -> messages.MembershipRecord:
+        """The membership in force, committed or not."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> identifiers.LogIndex:
+        """Index of the entry that holds the membership in force."""
+        return self._memberships[-1][0]
+
+    def find_membership(
+        self,
+        index: identifiers.LogIndex,
+    ) -> messages.MembershipRecord:
+        """Return the membership in force at ``index``."""
+        place = bisect.bisect_right(
+            self._memberships,
+            index,
+            key=lambda known: known[0],
+        )
+        return self._memberships[place - 1][1]
+
+    def find_term(
+        self,
+        index: identifiers.LogIndex,
+    ) -> identifiers.Term | None:
+        """Return the term of the entry at ``index``, if it is known."""
+        if index == self.base_index:
+            return self._base_term
+        if index < self.base_index or index > self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def read(
+        self,
+        first: identifiers.LogIndex,
+        last: identifiers.LogIndex,
+    ) -> tuple[messages.LogEntry, ...]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        start = first - self.base_index - 1
+        return tuple(self._entries[start : last - self.base_index])
+
+    def read_bounded(
+        self,
+        first: identifiers.LogIndex,
+        max_entries: int,
+        max_bytes: int,
+    ) -> tuple[messages.LogEntry, ...]:
+        """Return entries from ``first`` on, at least one if there is any."""
+        start = first - self.base_index - 1
+        chosen: list[messages.LogEntry] = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.payload)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def append(self, entries: tuple[messages.LogEntry, ...]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            self._entries.append(entry)
+            if entry.kind is messages.EntryKind.MEMBERSHIP:
+                membership = messages.decode_membership(entry.payload)
+                self._memberships.append((entry.index, membership))
+
+    def truncate(self, first: identifiers.LogIndex) -> None:
+        """Drop the entry at ``first`` and all after it."""
+        del self._entries[first - self.base_index - 1 :]
+        while self._memberships[-1][0] >= first:
+            self._memberships.pop()
+
+    def find_first_of_term(
+        self,
+        index: identifiers.LogIndex,
+    ) -> identifiers.LogIndex:
+        """Return the first known index with the same term as ``index``."""
+        term = self.find_term(index)
+        first = index
+        while (
+            first > self.base_index + 1
+            and self.find_term(identifiers.LogIndex(first - 1)) == term
+        ):
+            first = identifiers.LogIndex(first - 1)
+        return first
+
+    def compact(self, snapshot: messages.Snapshot, kept: int) -> None:
+        """Drop entries that ``snapshot`` covers.
+
+        :param kept: how many of the covered entries stay.
+        """
+        self.snapshot = snapshot
+        base = max(self.base_index, snapshot.index - kept)
+        dropped = base - self.base_index
+        if not dropped:
+            return
+        membership = self.find_membership(identifiers.LogIndex(base))
+        later = [known for known in self._memberships if known[0] > base]
+        self._base_term = self._entries[dropped - 1].term
+        self._entries = self._entries[dropped:]
+        self.base_index = identifiers.LogIndex(base)
+        self._memberships = [(self.base_index, membership), *later]
+
+    def install(self, snapshot: messages.Snapshot) -> bool:
+        """Replace the log by a snapshot from the leader.
+
+        :returns: whether the entries after it were kept, because they continue
+            the same history.
+        """
+        if self.find_term(snapshot.index) == snapshot.term:
+            self.compact(snapshot, 0)
+            return True
+        self._reset(snapshot)
+        return False
+
+    def _reset(self, snapshot: messages.Snapshot) -> None:
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._entries = []
+        self._memberships = [(snapshot.index, snapshot.membership)]
+
+
+def create_log(
+    snapshot: messages.Snapshot = EMPTY_SNAPSHOT,
+    entries: tuple[messages.LogEntry, ...] = (),
+) -> Log:
+    """Return a log with ``entries`` after ``snapshot``."""
+    log = Log(snapshot)
+    log.append(entries)
+    return log
--- /dev/null
+++ b/wagtailspread/consensus/reconfiguration.py
@@ -0,0 +1,193 @@
+"""Membership changes, one voter at a time and through a learner stage.
+
+A replica that lost its data comes back with a new identity. The leader adds
+that identity as a learner, sends it the log, removes the old identity at the
+same address and then admits the new one. Each step is an entry of the log, so
+a new leader goes on where the last one stopped.
+
+References: D. Ongaro, Consensus: Bridging Theory and Practice, chapter 4.
+"""
+
+import dataclasses
+import enum
+
+from returns import result
+
+from wagtailspread.consensus import messages, states
+from wagtailspread.core import failures, identifiers
+
+
+#: How long the identity that was last seen at an address is taken as its own.
+INTRODUCTION_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Introduced:
+    node: messages.ReplicaNode
+    noted_at: float
+
+
+class ChangeKind(enum.Enum):
+    """A single step."""
+
+    ADD_LEARNER = 'add-learner'
+    PROMOTE = 'promote'
+    REMOVE = 'remove'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipChange:
+    """One step that concerns one identity."""
+
+    kind: ChangeKind
+    node: messages.ReplicaNode
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRefused(failures.Failure):
+    """A membership change cannot be made now.
+
+    :param reason: what has to happen first.
+    """
+
+    reason: str
+
+
+ChangeResult = result.Result[identifiers.LogIndex, failures.Failure]
+
+
+class Reconfiguration:
+    """Makes membership changes as entries of the log."""
+
+    def __init__(self, state: states.ReplicaState) -> None:
+        """Work on ``state``."""
+        self._state = state
+        self._introduced: dict[identifiers.Address, _Introduced] = {}
+
+    def introduce(self, node: messages.ReplicaNode, now: float) -> None:
+        """Note the identity that answers at a listed address."""
+        self._introduced[node.address] = _Introduced(node, now)
+
+    def find_next(self, now: float) -> MembershipChange | None:
+        """Return the step that brings the membership up to date, if any."""
+        state = self._state
+        if self._find_obstacle() is not None:
+            return None
+        for node in self._list_introduced(now):
+            if state.membership.find(node.identity) is None:
+                return MembershipChange(ChangeKind.ADD_LEARNER, node)
+        for learner in state.membership.learners:
+            change = self._find_step(learner, now)
+            if change is not None:
+                return change
+        return None
+
+    def prepare(
+        self,
+        change: MembershipChange,
+        now: float,
+    ) -> result.Result[messages.MembershipRecord, failures.Failure]:
+        """Return the membership after ``change``, if it may be made now."""
+        obstacle = self._find_obstacle()
+        if obstacle is not None:
+            return result.Failure(ChangeRefused(obstacle))
+        changed = apply_change(self._state.membership, change)
+        if changed == self._state.membership:
+            return result.Failure(ChangeRefused('already-done'))
+        if not changed.voters:
+            return result.Failure(ChangeRefused('last-voter'))
+        if change.kind is ChangeKind.PROMOTE:
+            if not self.is_caught_up(change.node.identity, now):
+                return result.Failure(ChangeRefused('learner-behind'))
+        return result.Success(changed)
+
+    def is_caught_up(
+        self,
+        identity: identifiers.ReplicaId,
+        now: float,
+    ) -> bool:
+        """Tell whether a learner is live and holds all committed entries."""
+        state = self._state
+        progress = state.progress.get(identity)
+        if progress is None:
+            return False
+        is_live = now - progress.active_at < state.policy.election_timeout
+        return is_live and progress.match >= state.commit
+
+    def _find_obstacle(self) -> str | None:
+        state = self._state
+        if state.log.membership_index > state.commit:
+            return 'change-in-progress'
+        if state.log.find_term(state.commit) != state.term:
+            return 'no-commit-in-term'
+        return None
+
+    def _find_step(
+        self,
+        learner: messages.ReplicaNode,
+        now: float,
+    ) -> MembershipChange | None:
+        state = self._state
+        if self._is_superseded(learner, now):
+            return MembershipChange(ChangeKind.REMOVE, learner)
+        if not self.is_caught_up(learner.identity, now):
+            return None
+        for voter in state.membership.voters:
+            if voter.address == learner.address:
+                if self._is_live(voter, now):
+                    return None
+                return MembershipChange(ChangeKind.REMOVE, voter)
+        return MembershipChange(ChangeKind.PROMOTE, learner)
+
+    def _is_superseded(
+        self,
+        learner: messages.ReplicaNode,
+        now: float,
+    ) -> bool:
+        if self._is_live(learner, now):
+            return False
+        return any(
+            other.address == learner.address and other != learner
+            for other in self._list_introduced(now)
+        )
+
+    def _list_introduced(self, now: float) -> list[messages.ReplicaNode]:
+        since = now - INTRODUCTION_SECONDS
+        known = self._introduced.values()
+        return [one.node for one in known if one.noted_at > since]
+
+    def _is_live(self, node: messages.ReplicaNode, now: float) -> bool:
+        if node.identity == self._state.identity:
+            return True
+        progress = self._state.progress.get(node.identity)
+        if progress is None:
+            return False
+        return now - progress.active_at < self._state.policy.election_timeout
+
+
+def apply_change(
+    membership: messages.MembershipRecord,
+    change: MembershipChange,
+) -> messages.MembershipRecord:
+    """Return the membership after one step."""
+    node = change.node
+    voters = membership.voters
+    learners = _without(membership.learners, node)
+    if change.kind is ChangeKind.ADD_LEARNER:
+        if membership.find(node.identity) is not None:
+            return membership
+        learners = (*learners, node)
+    elif change.kind is ChangeKind.PROMOTE:
+        if node not in membership.learners:
+            return membership
+        voters = (*voters, node)
+    else:
+        voters = _without(voters, node)
+    return messages.MembershipRecord(voters, learners)
+
+
+def _without(
+    nodes: tuple[messages.ReplicaNode, ...],
+    removed: messages.ReplicaNode,
+) -> tuple[messages.ReplicaNode, ...]:
+    return tuple(one for one in nodes if one.identity != removed.identity)
--- a/wagtailspread/core/failures.py
+++ b/wagtailspread/core/failures.py
@@ -23,6 +23,10 @@
         ]
         return ' '.join((name, *shown))
 
+    def hint(self) -> str:
+        """Return what a remote caller needs to go on after this failure."""
+        return ''
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal(Failure):
@@ -45,6 +49,10 @@
 
     leader: identifiers.Address | None = None
 
+    def hint(self) -> str:
+        """Return the leader's address, or an empty string."""
+        return self.leader or ''
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreachable(Failure):
@@ -66,7 +74,9 @@
     """A peer refused a call.
 
     :param reason: name of the failure type at the peer.
+    :param detail: what the peer added, such as the address of the leader.
     """
 
     address: identifiers.Address
     reason: str
+    detail: str = ''
--- /dev/null
+++ b/wagtailspread/replica/clients.py
@@ -0,0 +1,198 @@
+"""Client of the replicas, for entry hosts and operator tools."""
+
+import asyncio
+import time
+import typing
+
+from returns import result
+
+from wagtailspread.core import failures, identifiers
+from wagtailspread.wire import links, messages
+
+#: Longest wait for one replica before another one is asked, in seconds.
+ATTEMPT_SECONDS = 1.0
+#: Pause before the same set of replicas is asked again, in seconds.
+RETRY_SECONDS = 0.05
+#: Longest wait for a submission or for the end of a claim, in seconds.
+COMMAND_SECONDS = 10.0
+#: What a long poll may take longer than its wait, in seconds.
+POLL_MARGIN_SECONDS = 2.0
+
+_NOT_LEADER = failures.NotLeader.__name__
+
+
+class ReplicaClient:
+    """Calls to the replicas. Use :func:`create_client`.
+
+    A command goes to the leader. When no answer comes, the same request is
+    sent again, to another replica if need be; its id makes that harmless.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[identifiers.Address, ...],
+        pool: links.LinkPool,
+    ) -> None:
+        """Start with the first address as the likely leader."""
+        self._addresses = addresses
+        self._pool = pool
+        self._leader = 0
+        self._hinted: identifiers.Address | None = None
+        self._source = 0
+
+    async def fetch_configuration(
+        self,
+        known_version: identifiers.ConfigurationVersion,
+        wait: float,
+    ) -> links.CallResult:
+        """Return the delta from ``known_version`` on, from any replica.
+
+        The delta is empty if nothing changed.
+
+        :param wait: seconds until a replica answers without a change.
+        """
+        request = messages.structs.FetchConfiguration(
+            known_version=known_version,
+            wait_ms=int(wait * 1000),
+        )
+        outcome: links.CallResult = _fail_without_address()
+        for _ in self._addresses:
+            address = self._addresses[self._source]
+            outcome = await self._pool.find(address).call(
+                messages.methods.FETCH_CONFIGURATION,
+                request,
+                messages.structs.ConfigurationDelta,
+                wait + POLL_MARGIN_SECONDS,
+            )
+            if isinstance(outcome, result.Success):
+                return outcome
+            await self._leave_silent(address, outcome)
+            self._source = (self._source + 1) % len(self._addresses)
+        return outcome
+
+    async def submit(
+        self,
+        submission: messages.Struct,
+        timeout: float = COMMAND_SECONDS,
+    ) -> links.CallResult:
+        """Return the ``SubmissionAnswer``; a failure means unknown."""
+        return await self._run(
+            messages.methods.SUBMIT,
+            submission,
+            messages.structs.SubmissionAnswer,
+            timeout,
+        )
+
+    async def claim_key(
+        self,
+        request: messages.Struct,
+        timeout: float,
+    ) -> links.CallResult:
+        """Return the ``ClaimAnswer``.
+
+        After a failure the claim may be committed, but nothing may be sent
+        upstream for it.
+        """
+        return await self._run(
+            messages.methods.CLAIM_KEY,
+            request,
+            messages.structs.ClaimAnswer,
+            timeout,
+        )
+
+    async def finish_key(
+        self,
+        request: messages.Struct,
+        timeout: float = COMMAND_SECONDS,
+    ) -> links.CallResult:
+        """Store the end of an attempt."""
+        return await self._run(
+            messages.methods.FINISH_KEY,
+            request,
+            messages.structs.Empty,
+            timeout,
+        )
+
+    async def release_key(
+        self,
+        request: messages.Struct,
+        timeout: float = COMMAND_SECONDS,
+    ) -> links.CallResult:
+        """Free the key of an attempt that sent nothing."""
+        return await self._run(
+            messages.methods.RELEASE_KEY,
+            request,
+            messages.structs.Empty,
+            timeout,
+        )
+
+    async def read_status(
+        self,
+        address: identifiers.Address,
+    ) -> links.CallResult:
+        """Return the ``StatusReport`` of one replica."""
+        return await self._pool.find(address).call(
+            messages.methods.STATUS,
+            messages.structs.Empty(),
+            messages.structs.StatusReport,
+            ATTEMPT_SECONDS,
+        )
+
+    async def _run(
+        self,
+        method: int,
+        request: messages.Struct,
+        answer_type: typing.Any,
+        timeout: float,
+    ) -> links.CallResult:
+        until = time.monotonic() + timeout
+        outcome: links.CallResult = _fail_without_address()
+        left = timeout
+        while left > 0 and self._addresses:
+            address = self._hinted or self._addresses[self._leader]
+            outcome = await self._pool.find(address).call(
+                method,
+                request,
+                answer_type,
+                min(left, ATTEMPT_SECONDS),
+            )
+            if isinstance(outcome, result.Success):
+                return outcome
+            await self._leave_silent(address, outcome)
+            await self._turn_to_next(outcome)
+            left = until - time.monotonic()
+        return outcome
+
+    async def _turn_to_next(self, outcome: links.CallResult) -> None:
+        failure = outcome.failure()
+        was_hinted = self._hinted is not None
+        self._hinted = None
+        if isinstance(failure, failures.CallRejected):
+            if failure.reason == _NOT_LEADER and failure.detail:
+                self._hinted = identifiers.Address(failure.detail)
+                if not was_hinted:
+                    return
+        if self._hinted is None:
+            self._leader = (self._leader + 1) % len(self._addresses)
+        await asyncio.sleep(RETRY_SECONDS)
+
+    async def _leave_silent(
+        self,
+        address: identifiers.Address,
+        outcome: links.CallResult,
+    ) -> None:
+        """Replace a connection that may be silent while new ones work."""
+        if isinstance(outcome.failure(), failures.CallTimeout):
+            await self._pool.forget(address)
+
+
+def create_client(
+    addresses: tuple[identifiers.Address, ...],
+    pool: links.LinkPool,
+) -> ReplicaClient:
+    """Return a client of the replicas at ``addresses``."""
+    return ReplicaClient(addresses, pool)
+
+
+def _fail_without_address() -> links.CallResult:
+    return result.Failure(failures.Unreachable(identifiers.Address('')))
--- /dev/null
+++ b/wagtailspread/replica/drivers.py
@@ -0,0 +1,266 @@
+"""Runs one replica: time, storage, sending and the state machine.
+
+Everything that arrives while a sync runs shares the next one. The sync runs in
+a thread, so that the event loop goes on taking messages and proposals.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from concurrent import futures
+
+from returns import result
+
+from wagtailspread.consensus import messages, replicas, storage
+from wagtailspread.core import clocks, failures, identifiers
+
+#: Time between two ticks of the replica, in seconds.
+TICK_SECONDS = 0.02
+#: Most proposals that wait for their commit at a time.
+MAX_WAITING = 10_000
+#: Entries after which the log is replaced by a snapshot.
+COMPACT_ENTRIES = 20_000
+#: Bytes of entries after which the log is replaced by a snapshot, unless the
+#: last snapshot is larger; then as many as it has, so that snapshots cost no
+#: more writing than the log itself.
+COMPACT_BYTES = 4 * 1024 * 1024
+
+CommandResult = result.Result[bytes, failures.Failure]
+
+
+class Machine(typing.Protocol):
+    """What committed commands are applied to."""
+
+    def apply(self, index: identifiers.LogIndex, command: bytes) -> bytes:
+        """Apply one command and return its answer."""
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeUnknown(failures.Failure):
+    """A command was accepted, but this replica cannot tell its outcome.
+
+    It may be committed later. The same request, sent again with the same id,
+    gets the answer.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooManyWaiting(failures.Failure):
+    """The replica has too many commands under way; this one was not taken."""
+
+
+class ReplicaStopped(Exception):
+    """The replica cannot go on.
+
+    :param failure: what happened.
+    """
+
+    def __init__(self, failure: failures.Failure) -> None:
+        """Keep the failure for the process that reports it."""
+        super().__init__(failure.describe())
+        self.failure = failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiter:
+    term: identifiers.Term
+    answer: asyncio.Future[CommandResult]
+
+
+class Driver:
+    """Runs a replica on an event loop. Use :func:`create_driver`.
+
+    :param send: takes the messages of one step, after they may be sent.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        store: storage.Storage,
+        machine: Machine,
+        clock: clocks.Clock,
+        send: typing.Callable[[tuple[messages.Message, ...]], None],
+    ) -> None:
+        """Continue from the snapshot of the replica's log."""
+        self.replica = replica
+        self.machine = machine
+        self.applied = replica.state.log.snapshot.index
+        self.on_apply: typing.Callable[[], None] = _do_nothing
+        self._store = store
+        self._clock = clock
+        self._send = send
+        self._outputs: list[messages.Output] = []
+        self._wake = asyncio.Event()
+        self._waiting: dict[identifiers.LogIndex, _Waiter] = {}
+        self._pending_bytes = 0
+        self._executor = futures.ThreadPoolExecutor(1, 'storage')
+        if replica.state.log.snapshot.payload:
+            machine.restore(replica.state.log.snapshot.payload)
+
+    async def run(self) -> None:
+        """Run until cancelled.
+
+        :raises ReplicaStopped: if the storage failed.
+        """
+        ticking = asyncio.create_task(self._tick())
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                await self._handle_outputs()
+        finally:
+            ticking.cancel()
+            self._close()
+
+    async def run_command(self, command: bytes) -> CommandResult:
+        """Return the answer once the command is committed and applied."""
+        if len(self._waiting) >= MAX_WAITING:
+            return result.Failure(TooManyWaiting())
+        proposed = self.replica.propose(command, self._clock.now())
+        if not isinstance(proposed, result.Success):
+            return result.Failure(proposed.failure())
+        index = proposed.unwrap()
+        answer: asyncio.Future[CommandResult]
+        answer = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(self.replica.state.term, answer)
+        self._waiting[index] = waiter
+        self._wake.set()
+        try:
+            return await answer
+        finally:
+            if self._waiting.get(index) is waiter:
+                self._waiting.pop(index)
+
+    def receive(self, message: messages.Message) -> None:
+        """Take a message from another replica."""
+        self.collect(self.replica.receive(message, self._clock.now()))
+
+    def collect(self, output: messages.Output) -> None:
+        """Take the output of a step of the replica."""
+        self._outputs.append(output)
+        self._wake.set()
+        if self._waiting and not self.replica.is_leader:
+            self._fail_waiting()
+
+    async def _tick(self) -> None:
+        while True:
+            self.collect(self.replica.tick(self._clock.now()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _handle_outputs(self) -> None:
+        self.collect(self.replica.flush(self._clock.now()))
+        self._wake.clear()
+        outputs = self._outputs
+        self._outputs = []
+        if any(output.must_persist() for output in outputs):
+            await self._call(self._persist, outputs)
+        for output in outputs:
+            if output.messages:
+                self._send(output.messages)
+        for output in outputs:
+            self._apply(output)
+        await self._compact()
+
+    def _persist(
+        self,
+        outputs: list[messages.Output],
+    ) -> storage.StorageResult:
+        for output in outputs:
+            written = self._store.write(output)
+            if not isinstance(written, result.Success):
+                return written
+        return self._store.sync()
+
+    async def _call(
+        self,
+        job: typing.Callable[..., storage.StorageResult],
+        *arguments: object,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        done = await loop.run_in_executor(self._executor, job, *arguments)
+        if not isinstance(done, result.Success):
+            raise ReplicaStopped(done.failure())
+
+    def _apply(self, output: messages.Output) -> None:
+        if output.snapshot is not None:
+            self.machine.restore(output.snapshot.payload)
+            self.applied = output.snapshot.index
+            self._pending_bytes = 0
+        for entry in output.committed:
+            self._apply_entry(entry)
+        if output.snapshot is not None or output.committed:
+            self.on_apply()
+
+    def _apply_entry(self, entry: messages.LogEntry) -> None:
+        if entry.index <= self.applied:
+            return
+        answer = b''
+        if entry.kind is messages.EntryKind.COMMAND:
+            answer = self.machine.apply(entry.index, entry.payload)
+        self.applied = entry.index
+        self._pending_bytes += len(entry.payload)
+        waiter = self._waiting.pop(entry.index, None)
+        if waiter is None or waiter.answer.done():
+            return
+        if waiter.term == entry.term:
+            waiter.answer.set_result(result.Success(answer))
+        else:
+            waiter.answer.set_result(result.Failure(OutcomeUnknown()))
+
+    async def _compact(self) -> None:
+        log = self.replica.state.log
+        last = log.snapshot
+        is_due = (
+            self.applied - last.index >= COMPACT_ENTRIES
+            or self._pending_bytes >= max(COMPACT_BYTES, len(last.payload))
+        )
+        term = log.find_term(self.applied)
+        if not is_due or term is None or self.applied <= last.index:
+            return
+        snapshot = messages.Snapshot(
+            self.applied,
+            term,
+            log.find_membership(self.applied),
+            self.machine.take_snapshot(),
+        )
+        await self._call(self._save_snapshot, snapshot)
+        self.replica.compact(snapshot.payload, snapshot.index)
+        self._pending_bytes = 0
+
+    def _save_snapshot(
+        self,
+        snapshot: messages.Snapshot,
+    ) -> storage.StorageResult:
+        return self._store.save_snapshot(snapshot, keeps_tail=True)
+
+    def _close(self) -> None:
+        self._fail_waiting()
+        self._executor.shutdown(wait=True)
+
+    def _fail_waiting(self) -> None:
+        for waiter in self._waiting.values():
+            if not waiter.answer.done():
+                waiter.answer.set_result(result.Failure(OutcomeUnknown()))
+        self._waiting.clear()
+
+
+def create_driver(
+    stored: replicas.Replica,
+    store: storage.Storage,
+    machine: Machine,
+    clock: clocks.Clock,
+    send: typing.Callable[[tuple[messages.Message, ...]], None],
+) -> Driver:
+    """Return a driver that is not running."""
+    return Driver(stored, store, machine, clock, send)
+
+
+def _do_nothing() -> None:
+    """Stand in until something waits for applied entries."""
--- /dev/null
+++ b/wagtailspread/replica/handlers.py
@@ -0,0 +1,207 @@
+"""Calls that a replica serves to hosts and operators."""
+
+import asyncio
+import json
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.replica import drivers, machines, reports
+from wagtailspread.wire import listeners, messages
+
+#: Longest wait of one long poll, in seconds.
+MAX_WAIT_SECONDS = 60.0
+
+_COMMANDS: tuple[tuple[int, machines.CommandKind, typing.Any], ...] = (
+    (
+        messages.methods.SUBMIT,
+        machines.CommandKind.SUBMIT,
+        messages.structs.SubmissionAnswer,
+    ),
+    (
+        messages.methods.CLAIM_KEY,
+        machines.CommandKind.CLAIM_KEY,
+        messages.structs.ClaimAnswer,
+    ),
+    (
+        messages.methods.FINISH_KEY,
+        machines.CommandKind.FINISH_KEY,
+        messages.structs.Empty,
+    ),
+    (
+        messages.methods.RELEASE_KEY,
+        machines.CommandKind.RELEASE_KEY,
+        messages.structs.Empty,
+    ),
+)
+
+
+class Place(typing.Protocol):
+    """Where a replica is; part of its settings."""
+
+    @property
+    def address(self) -> identifiers.Address:
+        """Own address."""
+
+    @property
+    def region(self) -> identifiers.RegionName:
+        """Own region."""
+
+    @property
+    def domain(self) -> identifiers.FailureDomain:
+        """Own failure domain."""
+
+
+class ConfigurationHandler:
+    """Answers long polls for the configuration from applied state.
+
+    Any replica answers. What it sends may be older than what the leader has
+    committed, but versions only grow.
+    """
+
+    def __init__(self, driver: drivers.Driver) -> None:
+        """Wake the long polls after entries are applied."""
+        self._driver = driver
+        self._changed = asyncio.Event()
+        driver.on_apply = self._wake
+
+    async def answer(
+        self,
+        _call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Wait for a version newer than the known one, then send it."""
+        configuration = self._machine().configuration
+        wait = min(request.wait_ms / 1000, MAX_WAIT_SECONDS)
+        if configuration.version <= request.known_version:
+            await self._wait_for_newer(request.known_version, wait)
+        if configuration.version <= request.known_version:
+            return result.Success(_create_empty_delta(request.known_version))
+        return result.Success(
+            configuration.delta_since(request.known_version),
+        )
+
+    async def _wait_for_newer(self, version: int, wait: float) -> None:
+        try:
+            await asyncio.wait_for(self._poll(version), wait)
+        except TimeoutError:
+            return
+
+    async def _poll(self, version: int) -> None:
+        configuration = self._machine().configuration
+        while configuration.version <= version:
+            await self._changed.wait()
+
+    def _machine(self) -> machines.StateMachine:
+        return typing.cast(machines.StateMachine, self._driver.machine)
+
+    def _wake(self) -> None:
+        waiting = self._changed
+        self._changed = asyncio.Event()
+        waiting.set()
+
+
+class CommandHandler:
+    """Runs one kind of command and answers after it is applied."""
+
+    def __init__(
+        self,
+        driver: drivers.Driver,
+        clock: clocks.Clock,
+        kind: machines.CommandKind,
+        answer_type: typing.Any,
+    ) -> None:
+        """Keep what a command needs."""
+        self._driver = driver
+        self._clock = clock
+        self._kind = kind
+        self._answer_type = answer_type
+
+    async def answer(
+        self,
+        call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Return the answer, ``NotLeader``, or ``OutcomeUnknown``."""
+        command = machines.encode_command(
+            self._kind,
+            request,
+            self._clock.wall(),
+        )
+        try:
+            outcome = await asyncio.wait_for(
+                self._driver.run_command(command),
+                call.timeout,
+            )
+        except TimeoutError:
+            return result.Failure(drivers.OutcomeUnknown())
+        if not isinstance(outcome, result.Success):
+            return outcome
+        answer = messages.decode(self._answer_type, outcome.unwrap())
+        return result.Success(answer)
+
+
+class StatusHandler:
+    """Reports what this replica knows of itself and the membership."""
+
+    def __init__(
+        self,
+        driver: drivers.Driver,
+        clock: clocks.Clock,
+        place: Place,
+    ) -> None:
+        """Keep what a report needs."""
+        self._driver = driver
+        self._clock = clock
+        self._place = place
+
+    async def answer(
+        self,
+        _call: listeners.Call,
+        _request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Return the report as JSON text."""
+        report = reports.create_report(
+            self._driver,
+            self._place.address,
+            self._clock.now(),
+        )
+        report['region'] = self._place.region
+        report['domain'] = self._place.domain
+        return result.Success(
+            messages.structs.StatusReport(json=json.dumps(report)),
+        )
+
+
+def add_handlers(
+    listener: listeners.Listener,
+    driver: drivers.Driver,
+    clock: clocks.Clock,
+    place: Place,
+) -> None:
+    """Serve hosts and operators on ``listener``."""
+    for method, kind, answer_type in _COMMANDS:
+        listener.add(
+            method,
+            machines.REQUEST_TYPES[kind],
+            CommandHandler(driver, clock, kind, answer_type).answer,
+        )
+    listener.add(
+        messages.methods.FETCH_CONFIGURATION,
+        messages.structs.FetchConfiguration,
+        ConfigurationHandler(driver).answer,
+    )
+    listener.add(
+        messages.methods.STATUS,
+        messages.structs.Empty,
+        StatusHandler(driver, clock, place).answer,
+    )
+
+
+def _create_empty_delta(version: int) -> messages.Struct:
+    return messages.structs.ConfigurationDelta(
+        from_version=version,
+        to_version=version,
+        sections=[],
+    )
--- /dev/null
+++ b/wagtailspread/testing/replicas.py
@@ -0,0 +1,141 @@
+"""Replicas on loopback for tests and measurements."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import typing
+
+from wagtailspread.consensus import states
+from wagtailspread.core import identifiers
+from wagtailspread.replica import clients, servers
+from wagtailspread.testing import machines
+from wagtailspread.wire import credentials, links
+
+SITE = identifiers.MemberId('andino')
+#: Short times, so that tests of lost leaders are quick.
+POLICY = states.Policy(election_timeout=0.4, heartbeat_interval=0.06)
+
+
+class LoopbackReplicas:
+    """Replicas in this process. Use :func:`create_replicas`."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        count: int,
+        policy: states.Policy = POLICY,
+    ) -> None:
+        """Choose addresses; nothing is started yet."""
+        self.addresses = find_free_addresses(count)
+        self.servers: dict[identifiers.Address, servers.ReplicaServer] = {}
+        self._key = credentials.create_key()
+        self._folder = folder
+        self._policy = policy
+        self._running: dict[identifiers.Address, asyncio.Task[None]] = {}
+        self._pools: list[links.LinkPool] = []
+        base = folder / 'base.ini'
+        base.write_text('[fleet]\n')
+
+    def create_settings(
+        self,
+        address: identifiers.Address,
+    ) -> servers.ReplicaSettings:
+        """Return the settings of one replica."""
+        host = identifiers.HostId(f'host-{self.addresses.index(address)}')
+        return servers.ReplicaSettings(
+            member=SITE,
+            host=host,
+            address=address,
+            data_folder=self._folder / host,
+            peers=self.addresses,
+            region=identifiers.RegionName('centro-andes'),
+            domain=identifiers.FailureDomain('andes-bog'),
+            key=self._key,
+            trusted_keys={SITE: credentials.public_bytes(self._key)},
+            founders=self.addresses,
+            first_base=self._folder / 'base.ini',
+            policy=self._policy,
+        )
+
+    async def start(self, address: identifiers.Address) -> None:
+        """Start one replica and wait until it listens."""
+        settings = self.create_settings(address)
+        server = servers.create_server(
+            settings,
+            machines.create_fake_machine(),
+        )
+        self.servers[address] = server
+        self._running[address] = asyncio.create_task(server.run())
+        await server.is_listening.wait()
+
+    async def start_all(self) -> None:
+        """Start all replicas."""
+        for address in self.addresses:
+            await self.start(address)
+
+    async def stop(self, address: identifiers.Address) -> None:
+        """Stop one replica without a hand-over."""
+        running = self._running.pop(address)
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for address in list(self._running):
+            await self.stop(address)
+        for pool in self._pools:
+            await pool.close()
+
+    def create_client(self) -> clients.ReplicaClient:
+        """Return a client with links of its own."""
+        peer = credentials.Peer(SITE, identifiers.HostId('client'), 'entry')
+        own = credentials.Credentials(peer, self._key)
+        directory = credentials.FixedDirectory(
+            {SITE: credentials.public_bytes(self._key)},
+        )
+        pool = links.LinkPool(own, directory)
+        self._pools.append(pool)
+        return clients.create_client(self.addresses, pool)
+
+    def find_leader(self) -> identifiers.Address | None:
+        """Return the address of a running replica that leads."""
+        for address in self._running:
+            driver = self.servers[address].driver
+            if driver is not None and driver.replica.is_leader:
+                return address
+        return None
+
+    async def wait_for(
+        self,
+        is_reached: typing.Callable[[], bool],
+        seconds: float = 10.0,
+    ) -> None:
+        """Wait until a condition holds.
+
+        :raises TimeoutError: if it does not within ``seconds``.
+        """
+        async with asyncio.timeout(seconds):
+            while not is_reached():
+                await asyncio.sleep(0.02)
+
+
+def create_replicas(
+    folder: pathlib.Path,
+    count: int = 3,
+    policy: states.Policy = POLICY,
+) -> LoopbackReplicas:
+    """Return replicas that are not started."""
+    return LoopbackReplicas(folder, count, policy)
+
+
+def find_free_addresses(count: int) -> tuple[identifiers.Address, ...]:
+    """Return loopback addresses that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        ports = sorted(one.getsockname()[1] for one in sockets)
+    return tuple(identifiers.Address(f'127.0.0.1:{port}') for port in ports)
--- a/wagtailspread/wire/links.py
+++ b/wagtailspread/wire/links.py
@@ -91,7 +91,11 @@
     def _unwrap(self, reply: typing.Any, answer_type: typing.Any) -> CallResult:
         if reply.failure:
             return result.Failure(
-                failures.CallRejected(self.address, reply.failure),
+                failures.CallRejected(
+                    self.address,
+                    reply.failure,
+                    reply.detail or '',
+                ),
             )
         try:
             return result.Success(messages.decode(answer_type, reply.payload))
--- a/wagtailspread/wire/listeners.py
+++ b/wagtailspread/wire/listeners.py
@@ -156,10 +156,12 @@
         outcome = await self._handle(peer, envelope)
         payload = b''
         failure = ''
+        detail = ''
         if isinstance(outcome, result.Success):
             payload = messages.encode(outcome.unwrap())
         else:
             failure = type(outcome.failure()).__name__
+            detail = outcome.failure().hint()
         reply = messages.structs.Envelope(
             id=envelope.id,
             method=envelope.method,
@@ -167,6 +169,7 @@
             deadline_ms=0,
             trace='',
             failure=failure,
+            detail=detail,
         )
         if not writer.is_closing():
             writer.write(frames.pack_frame(messages.encode(reply)))
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -29,6 +29,9 @@
   5: string trace
   // Name of the failure type; empty for a request and for a success.
   6: string failure
+  // What the caller needs to go on after a failure; for NotLeader the address
+  // of the leader. Absent in envelopes of older processes.
+  7: optional string detail
 }
 
 // First frame of each side.
@@ -240,3 +243,134 @@
 struct ConsensusMessage {
   1: binary payload
 }
+
+// One record of the replicated log.
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  // Value of EntryKind.
+  3: i16 kind
+  4: binary payload
+}
+
+struct ReplicaNode {
+  1: string identity
+  2: string address
+}
+
+struct MembershipRecord {
+  1: list<ReplicaNode> voters
+  2: list<ReplicaNode> learners
+}
+
+struct HardStateRecord {
+  1: i64 term
+  // Identity that got the vote of this term; empty if none.
+  2: string vote
+}
+
+struct VoteRequest {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: i64 last_index
+  5: i64 last_term
+  6: bool is_pre
+  7: bool is_transfer
+}
+
+struct VoteReply {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: bool is_granted
+  5: bool is_pre
+}
+
+struct AppendRequest {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: i64 prev_index
+  5: i64 prev_term
+  6: i64 commit
+  // Reading of the leader's clock, echoed by the follower for the lease.
+  7: i64 sent_us
+  8: list<LogEntry> entries
+}
+
+struct AppendReply {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: bool is_accepted
+  // Last matching index, or the index to try next when refused.
+  5: i64 index
+  6: i64 prev_index
+  7: i64 sent_us
+}
+
+struct SnapshotChunk {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: i64 index
+  5: i64 last_term
+  6: MembershipRecord membership
+  7: i64 offset
+  8: i64 total
+  9: binary payload
+  10: i64 sent_us
+}
+
+struct SnapshotReply {
+  1: string sender
+  2: string to
+  3: i64 term
+  4: i64 index
+  5: i64 offset
+  6: i64 sent_us
+}
+
+struct TransferRequest {
+  1: string sender
+  2: string to
+  3: i64 term
+}
+
+// A replica that belongs to no membership makes itself known.
+struct Introduction {
+  1: string sender
+  2: string to
+  3: string address
+  4: bool is_formed
+  // Identity of the replica that forms the first membership.
+  5: string pledge
+}
+
+struct PackedMessage {
+  // Name of the struct in payload.
+  1: string kind
+  2: binary payload
+}
+
+struct MessageBatch {
+  1: string address
+  2: list<PackedMessage> messages
+}
+
+// Command of the replicas' state machine.
+struct Command {
+  // Value of CommandKind.
+  1: i16 kind
+  2: binary payload
+  // Wall time of the leader, in milliseconds since the epoch.
+  3: i64 wall_ms
+}
+
+// Snapshot of the replicas' state machine.
+struct MachineSnapshot {
+  1: binary configuration
+  2: binary claims
+  3: i64 wall_ms
+}
