Add configuration and idempotency state machines

The state 'released' of ClaimAnswer tells an attempt that its release came before its claim.

Only doctests and a manual run of submit, approve and restore so far.

--- /dev/null
+++ b/wagtailspread/configuration/approvals.py
@@ -0,0 +1,250 @@
+"""Agreement of the members on who is a member.
+
+Members agree by sections of their own signed overlays: ``[approval NAME]`` for
+a candidate, ``[removal NAME]`` for a member that all others want to remove,
+and ``[leave]`` for themselves. An agreement names the digest of the section
+that it is about and the digest of the membership that it was given under. It
+counts while both are the present ones.
+
+One submission changes the membership at most once.
+"""
+
+import dataclasses
+import enum
+import re
+import typing
+
+from wagtailspread.configuration import (
+    files,
+    findings,
+    memberships,
+    readers,
+    schemas,
+    sections,
+)
+from wagtailspread.core import identifiers
+
+_Kind = findings.FindingKind
+_DIGEST = re.compile('[0-9a-f]{64}', re.ASCII)
+
+
+class ChangeKind(enum.Enum):
+    """How the membership changes."""
+
+    JOIN = 'join'
+    REMOVAL = 'removal'
+    LEAVE = 'leave'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Agreement:
+    """One approval or removal section.
+
+    :param digest: of the subject's section.
+    :param membership: of the membership that it was given under.
+    :param line: of the section in the overlay.
+    """
+
+    kind: ChangeKind
+    subject: identifiers.MemberId
+    digest: str
+    membership: str
+    line: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """A change of the membership that waits for agreements.
+
+    :param digest: that agreements must name.
+    :param membership: digest that agreements must name.
+    :param agreed: members that agreed, sorted.
+    :param missing: members that have not, sorted.
+    :param void: members whose agreement names another digest, sorted.
+    """
+
+    kind: ChangeKind
+    subject: identifiers.MemberId
+    digest: str
+    membership: str
+    agreed: tuple[identifiers.MemberId, ...]
+    missing: tuple[identifiers.MemberId, ...]
+    void: tuple[identifiers.MemberId, ...]
+
+
+#: Agreements of each member, from the member's overlay.
+ByMember = typing.Mapping[identifiers.MemberId, tuple[Agreement, ...]]
+
+
+def read_agreements(
+    overlay: files.ParsedFile,
+    sink: list[findings.Finding],
+) -> tuple[Agreement, ...]:
+    """Return the approvals and removals of an overlay.
+
+    :param sink: gets what is wrong with them.
+    """
+    owner = schemas.overlay_member(overlay.name)
+    agreements = []
+    subjects: set[str] = set()
+    for section in overlay.sections:
+        kind = _find_kind(section)
+        if kind is None:
+            continue
+        reader = readers.SectionReader(kind, ((overlay.name, section),), sink)
+        if section.name == owner and kind is sections.REMOVAL:
+            reader.report(
+                '',
+                'another member; a member leaves by a [leave] section',
+                _Kind.NOT_PERMITTED,
+            )
+        if section.name in subjects:
+            reader.report(
+                '',
+                f'either an approval or a removal of {section.name}',
+                _Kind.CONTRADICTION,
+            )
+        subjects.add(section.name)
+        agreements.append(_read_agreement(reader, section))
+    return tuple(agreements)
+
+
+def is_leaving(overlay: files.ParsedFile) -> bool:
+    """Tell whether the overlay has a ``[leave]`` section."""
+    return overlay.find(sections.LEAVE.kind) is not None
+
+
+def list_pending(
+    in_force: memberships.Membership,
+    listed: memberships.Membership,
+    agreements: ByMember,
+) -> tuple[Pending, ...]:
+    """Return all changes of the membership that wait for agreements.
+
+    A candidate waits from the time that the base file lists it. A removal
+    waits once one member wants it.
+
+    :param listed: the member sections of the base file.
+    """
+    pending = []
+    for name, candidate in listed.members.items():
+        if in_force.members.get(name) != candidate:
+            voters = tuple(in_force.members)
+            pending.append(
+                _count(
+                    ChangeKind.JOIN, candidate, voters, in_force, agreements
+                ),
+            )
+    for name, member in in_force.members.items():
+        voters = tuple(other for other in in_force.members if other != name)
+        removal = _count(
+            ChangeKind.REMOVAL,
+            member,
+            voters,
+            in_force,
+            agreements,
+        )
+        if removal.agreed or removal.void:
+            pending.append(removal)
+    return tuple(pending)
+
+
+def decide_membership(
+    in_force: memberships.Membership,
+    listed: memberships.Membership,
+    agreements: ByMember,
+) -> memberships.Membership:
+    """Return the membership after at most one change that all agreed to."""
+    for pending in list_pending(in_force, listed, agreements):
+        if pending.missing or not pending.agreed:
+            continue
+        remaining = dict(in_force.members)
+        remaining.pop(pending.subject, None)
+        if pending.kind is ChangeKind.JOIN:
+            remaining[pending.subject] = listed.members[pending.subject]
+        return memberships.create_membership(remaining.values())
+    return in_force
+
+
+def find_void(
+    pending: tuple[Pending, ...],
+    in_force: memberships.Membership,
+    agreements: tuple[Agreement, ...],
+) -> typing.Iterator[tuple[Agreement, str]]:
+    """Return the agreements that do not count, with what would count.
+
+    An approval of a member in force has done its work and is not listed.
+    """
+    expected = {(one.kind, one.subject): one for one in pending}
+    for agreement in agreements:
+        change = expected.get((agreement.kind, agreement.subject))
+        if change is None:
+            if agreement.subject not in in_force.members:
+                yield agreement, 'a member or a candidate in the base file'
+        elif agreement.digest != change.digest:
+            yield agreement, f'digest = {change.digest}'
+        elif agreement.membership != change.membership:
+            yield agreement, f'membership = {change.membership}'
+
+
+def _find_kind(section: files.ParsedSection) -> sections.SectionKind | None:
+    for kind in (sections.APPROVAL, sections.REMOVAL):
+        if section.kind == kind.kind:
+            return kind
+    return None
+
+
+def _read_agreement(
+    reader: readers.SectionReader,
+    section: files.ParsedSection,
+) -> Agreement:
+    is_approval = section.kind == sections.APPROVAL.kind
+    return Agreement(
+        kind=ChangeKind.JOIN if is_approval else ChangeKind.REMOVAL,
+        subject=identifiers.MemberId(section.name),
+        digest=_read_digest(reader, 'digest'),
+        membership=_read_digest(reader, 'membership'),
+        line=section.line,
+    )
+
+
+def _read_digest(reader: readers.SectionReader, key: str) -> str:
+    text = reader.read_text(key)
+    if text and _DIGEST.fullmatch(text) is None:
+        reader.report(
+            key,
+            'a digest of 64 hexadecimal digits, as approve writes it',
+            _Kind.BAD_VALUE,
+        )
+    return text
+
+
+def _count(
+    kind: ChangeKind,
+    subject: schemas.MemberSettings,
+    voters: tuple[identifiers.MemberId, ...],
+    in_force: memberships.Membership,
+    agreements: ByMember,
+) -> Pending:
+    digest = memberships.member_digest(subject)
+    membership = in_force.digest()
+    given = {
+        voter: agreement
+        for voter in voters
+        for agreement in agreements.get(voter, ())
+        if agreement.kind is kind and agreement.subject == subject.name
+    }
+    agreed = tuple(
+        voter
+        for voter, agreement in given.items()
+        if (agreement.digest, agreement.membership) == (digest, membership)
+    )
+    return Pending(
+        kind=kind,
+        subject=subject.name,
+        digest=digest,
+        membership=membership,
+        agreed=agreed,
+        missing=tuple(voter for voter in voters if voter not in agreed),
+        void=tuple(voter for voter in given if voter not in agreed),
+    )
--- /dev/null
+++ b/wagtailspread/configuration/findings.py
@@ -0,0 +1,126 @@
+"""Findings: what a check of configuration files reports.
+
+A finding names the place, the key and what was expected there, so that an
+operator can correct a file without reading the code.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from wagtailspread.core import failures
+from wagtailspread.wire import messages
+
+
+class FindingKind(enum.Enum):
+    """What is wrong at the place that a finding names."""
+
+    #: The text does not follow the file format.
+    MALFORMED = 'malformed'
+    #: A section or a key is there twice.
+    DUPLICATE = 'duplicate'
+    UNKNOWN_FILE = 'unknown-file'
+    UNKNOWN_SECTION = 'unknown-section'
+    UNKNOWN_KEY = 'unknown-key'
+    MISSING_SECTION = 'missing-section'
+    MISSING_KEY = 'missing-key'
+    #: A value cannot be read.
+    BAD_VALUE = 'bad-value'
+    #: A value has a unit of another quantity, or none.
+    WRONG_UNIT = 'wrong-unit'
+    OUT_OF_RANGE = 'out-of-range'
+    #: Limits that no fleet can keep, such as shares above one.
+    IMPOSSIBLE_LIMIT = 'impossible-limit'
+    #: A name refers to nothing.
+    UNKNOWN_NAME = 'unknown-name'
+    OVERLAPPING_ROUTES = 'overlapping-routes'
+    SERVICE_WITHOUT_ROUTE = 'service-without-route'
+    #: An overlay holds what only the base file may hold.
+    NOT_OVERRIDABLE = 'not-overridable'
+    BAD_SIGNATURE = 'bad-signature'
+    #: The submitter is not a member, or not the one that may do this.
+    NOT_PERMITTED = 'not-permitted'
+    #: The submission id was used before with another content.
+    ID_REUSED = 'id-reused'
+    #: The base version of the submission does not exist.
+    UNKNOWN_VERSION = 'unknown-version'
+    #: An approval or a removal does not count (a note, not a refusal).
+    VOID_AGREEMENT = 'void-agreement'
+    #: Two sections of an overlay cannot both be meant.
+    CONTRADICTION = 'contradiction'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault in one file.
+
+    :param file: name of the file; empty if the submission itself is at fault.
+    :param line: line number from 1; 0 if no line applies.
+    :param key: key, or the section header if no key applies.
+    :param expected: what would have been accepted.
+    """
+
+    file: str
+    line: int
+    key: str
+    expected: str
+    kind: FindingKind
+
+    def describe(self) -> str:
+        """Return one line for people.
+
+        >>> Finding('base.ini', 3, 'floor', 'a share', FindingKind.WRONG_UNIT)\
+            .describe()
+        'base.ini:3: floor: wrong-unit: expected a share'
+        """
+        place = f'{self.file}:{self.line}' if self.line else self.file
+        shown = (place, self.key, self.kind.value, f'expected {self.expected}')
+        return ': '.join(part for part in shown if part)
+
+
+Findings = tuple[Finding, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationRefused(failures.Failure):
+    """Configuration files that were refused.
+
+    :param findings: why, in the order of the files and lines.
+    """
+
+    findings: Findings
+
+
+def encode_finding(finding: Finding) -> messages.Struct:
+    """Return the thrift struct of a finding."""
+    return messages.structs.Finding(
+        file=finding.file,
+        line=finding.line,
+        key=finding.key,
+        expected=finding.expected,
+        kind=finding.kind.value,
+    )
+
+
+def decode_finding(struct: typing.Any) -> Finding:
+    """Return the finding in a thrift struct.
+
+    :raises ValueError: if its kind is unknown.
+    """
+    return Finding(
+        file=struct.file or '',
+        line=struct.line or 0,
+        key=struct.key or '',
+        expected=struct.expected or '',
+        kind=FindingKind(struct.kind),
+    )
+
+
+def sort_findings(findings: typing.Iterable[Finding]) -> Findings:
+    """Return the findings by file, line and key, each one once."""
+    return tuple(
+        sorted(
+            set(findings),
+            key=lambda one: (one.file, one.line, one.key, one.kind.value),
+        ),
+    )
--- /dev/null
+++ b/wagtailspread/configuration/histories.py
@@ -0,0 +1,133 @@
+"""The files in force, with the version in which each section last changed.
+
+A delta since any version that is still covered is read off this table, so no
+older texts are kept and a host that missed many versions gets each changed
+section once.
+"""
+
+import dataclasses
+import typing
+
+from wagtailspread.configuration import deltas, files
+from wagtailspread.wire import messages
+
+#: Removed sections that are remembered for deltas.
+MAX_TOMBSTONES = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SectionId:
+    """Names a section of a file."""
+
+    file: str
+    name: str
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """Texts and versions. Use :func:`create_history`.
+
+    :param texts: texts by file name.
+    :param version: version in force; 0 before the first one.
+    :param oldest: oldest version from which a delta can be made.
+    :param changed: version of the last change, by section.
+    :param removed: version of the removal, by section, oldest first.
+    :param reordered: version in which unchanged sections of a file moved.
+    """
+
+    texts: dict[str, str]
+    version: int
+    oldest: int
+    changed: dict[SectionId, int]
+    removed: dict[SectionId, int]
+    reordered: dict[str, int]
+
+    def replace(self, texts: typing.Mapping[str, str]) -> None:
+        """Put new texts in force as the next version."""
+        self.version += 1
+        for name in sorted({*self.texts, *texts}):
+            before = self.texts.get(name, '')
+            after = texts.get(name, '')
+            if before != after:
+                self._note_changes(name, before, after)
+        self.texts = dict(sorted(texts.items()))
+        self._forget_tombstones()
+
+    def delta_since(self, version: int) -> messages.Struct:
+        """Return what changed after a version, as a thrift struct.
+
+        :param version: version that the receiver has; 0 if it has none.
+        :returns: a delta, the full text if the version is no longer covered,
+            or nothing if the receiver is as new.
+        """
+        if version >= self.version:
+            return deltas.create_delta(version, self.version, [])
+        if version < self.oldest:
+            return deltas.create_full(self.texts, self.version)
+        sections = list(self._removed_since(version))
+        for name, text in self.texts.items():
+            sections.extend(self._changed_since(version, name, text))
+        return deltas.create_delta(version, self.version, sections)
+
+    def _note_changes(self, file: str, before: str, after: str) -> None:
+        old = files.split_text(before)
+        new = files.split_text(after)
+        changed = deltas.find_changed(old, new)
+        if deltas.is_reordered(old, new, changed):
+            self.reordered[file] = self.version
+        for name in new:
+            if name in changed:
+                self.changed[SectionId(file, name)] = self.version
+                self.removed.pop(SectionId(file, name), None)
+        for name in old:
+            if name not in new:
+                self.changed.pop(SectionId(file, name), None)
+                self.removed[SectionId(file, name)] = self.version
+
+    def _forget_tombstones(self) -> None:
+        while len(self.removed) > MAX_TOMBSTONES:
+            forgotten = self.removed.pop(next(iter(self.removed)))
+            self.oldest = max(self.oldest, forgotten)
+
+    def _removed_since(
+        self,
+        version: int,
+    ) -> typing.Iterator[messages.Struct]:
+        for section, removed in self.removed.items():
+            if removed > version:
+                yield deltas.create_removal(section.file, section.name)
+
+    def _changed_since(
+        self,
+        version: int,
+        file: str,
+        text: str,
+    ) -> typing.Iterator[messages.Struct]:
+        is_whole = self.reordered.get(file, 0) > version
+        if not is_whole and not self._is_touched(file, version):
+            return
+        after = ''
+        for name, part in files.split_text(text).items():
+            changed = self.changed.get(SectionId(file, name), 0)
+            if is_whole or changed > version:
+                yield deltas.create_section(file, name, part, after)
+            after = name
+
+    def _is_touched(self, file: str, version: int) -> bool:
+        return any(
+            changed > version
+            for section, changed in self.changed.items()
+            if section.file == file
+        )
+
+
+def create_history() -> History:
+    """Return a history without files."""
+    return History(
+        texts={},
+        version=0,
+        oldest=1,
+        changed={},
+        removed={},
+        reordered={},
+    )
--- /dev/null
+++ b/wagtailspread/configuration/sections.py
@@ -0,0 +1,157 @@
+"""The kinds of sections with their keys, quantities, limits and defaults."""
+
+import dataclasses
+import typing
+
+from wagtailspread.configuration import units
+
+PRIORITY_NAMES = ('urgent', 'standard', 'bulk')
+
+#: Methods that a route may accept.
+KNOWN_METHODS = (
+    'GET',
+    'HEAD',
+    'OPTIONS',
+    'PUT',
+    'DELETE',
+    'POST',
+    'PATCH',
+)
+#: Methods that HTTP defines as idempotent (RFC 9110, section 9.2.2).
+IDEMPOTENT_METHODS = frozenset(KNOWN_METHODS[:5])
+
+#: Prefix of the paths that the entry hosts answer themselves.
+RESERVED_PREFIX = '/-'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRule:
+    """What a key may hold.
+
+    :param quantity: ``None`` for text.
+    :param default: text used when the key is absent; ``None`` if the key is
+        required.
+    :param low: least value, as text.
+    :param high: greatest value, as text.
+    :param is_overridable: whether an overlay may set the key.
+    """
+
+    key: str
+    quantity: units.Quantity | None = None
+    default: str | None = None
+    low: str = ''
+    high: str = ''
+    is_overridable: bool = False
+
+    def describe(self) -> str:
+        """Return what is expected, for messages."""
+        if self.quantity is None:
+            return 'a text'
+        described = self.quantity.describe()
+        return f'{described}, from {self.low} to {self.high}'
+
+
+class SectionKind(typing.NamedTuple):
+    """A kind of section.
+
+    :param is_named: whether the header has a name after the kind.
+    """
+
+    kind: str
+    is_named: bool
+    rules: tuple[KeyRule, ...]
+
+    def find(self, key: str) -> KeyRule | None:
+        """Return the rule of a key, if there is one."""
+        for rule in self.rules:
+            if rule.key == key:
+                return rule
+        return None
+
+    def keys(self) -> tuple[str, ...]:
+        """Return the names of the keys."""
+        return tuple(rule.key for rule in self.rules)
+
+
+def _share(key: str, default: str, is_overridable: bool = False) -> KeyRule:
+    return KeyRule(key, units.SHARE, default, '0%', '100%', is_overridable)
+
+
+def _duration(
+    key: str,
+    default: str,
+    low: str,
+    high: str,
+    is_overridable: bool = False,
+) -> KeyRule:
+    return KeyRule(key, units.DURATION, default, low, high, is_overridable)
+
+
+def _queue(priority: str) -> KeyRule:
+    return KeyRule(
+        f'queue_{priority}',
+        units.COUNT,
+        default='64',
+        low='0',
+        high='100000',
+        is_overridable=True,
+    )
+
+
+FLEET = SectionKind('fleet', is_named=False, rules=(KeyRule('name'),))
+MEMBER = SectionKind(
+    'member',
+    is_named=True,
+    rules=(KeyRule('public_key'), KeyRule('contact', default='')),
+)
+REGION = SectionKind(
+    'region',
+    is_named=True,
+    rules=(
+        KeyRule('domains'),
+        KeyRule('hosts', units.COUNT, low='1', high='100000'),
+        KeyRule('link', units.RATE, low='1kbit/s', high='1000Gbit/s'),
+    ),
+)
+SERVICE = SectionKind(
+    'service',
+    is_named=True,
+    rules=(
+        _share('floor', '60%'),
+        _share('share_urgent', '60%', is_overridable=True),
+        _share('share_standard', '30%', is_overridable=True),
+        _share('share_bulk', '10%', is_overridable=True),
+        _queue('urgent'),
+        _queue('standard'),
+        _queue('bulk'),
+        _duration('deadline', '2s', '10ms', '1h', is_overridable=True),
+        KeyRule('max_body', units.SIZE, '1MiB', '0B', '16GiB', True),
+        _duration('warm_up', '10s', '0s', '1h', is_overridable=True),
+        _share('retry_share', '10%'),
+        _duration('quarantine', '60s', '1s', '24h'),
+        _duration('key_lifetime', '24h', '1min', '30d'),
+    ),
+)
+ROUTE = SectionKind(
+    'route',
+    is_named=True,
+    rules=(
+        KeyRule('service'),
+        KeyRule('path'),
+        KeyRule('methods', default='GET HEAD'),
+        KeyRule('priority', default='standard'),
+        KeyRule('idempotent', default=''),
+    ),
+)
+_AGREEMENT_RULES = (KeyRule('digest'), KeyRule('membership'))
+APPROVAL = SectionKind('approval', is_named=True, rules=_AGREEMENT_RULES)
+REMOVAL = SectionKind('removal', is_named=True, rules=_AGREEMENT_RULES)
+LEAVE = SectionKind('leave', is_named=False, rules=())
+OVERRIDE = SectionKind(
+    'service',
+    is_named=True,
+    rules=tuple(rule for rule in SERVICE.rules if rule.is_overridable),
+)
+
+BASE_KINDS = (FLEET, MEMBER, REGION, SERVICE, ROUTE)
+OVERLAY_KINDS = (OVERRIDE, APPROVAL, REMOVAL, LEAVE)
--- /dev/null
+++ b/wagtailspread/configuration/snapshots.py
@@ -0,0 +1,121 @@
+"""Encodes the state of the configuration as JSON, with sorted keys."""
+
+import dataclasses
+import json
+import typing
+
+from wagtailspread.configuration import answers, findings, histories
+from wagtailspread.core import identifiers
+
+_FORMAT = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """What a snapshot holds."""
+
+    history: histories.History
+    memory: answers.AnswerMemory
+
+
+def encode_state(
+    history: histories.History,
+    memory: answers.AnswerMemory,
+) -> bytes:
+    """Return the snapshot of a state."""
+    document = {
+        'format': _FORMAT,
+        'texts': history.texts,
+        'version': history.version,
+        'oldest': history.oldest,
+        'changed': _encode_versions(history.changed),
+        'removed': _encode_versions(history.removed),
+        'reordered': history.reordered,
+        'answers': [
+            _encode_remembered(key, remembered)
+            for key, remembered in memory.rows()
+        ],
+    }
+    return json.dumps(document, sort_keys=True).encode()
+
+
+def decode_state(snapshot: bytes, max_answers: int) -> State:
+    """Return the state in a snapshot.
+
+    :raises ValueError: if the bytes are not a snapshot of this format.
+    """
+    document = json.loads(snapshot)
+    if document.get('format') != _FORMAT:
+        raise ValueError('not a configuration snapshot of this format')
+    history = histories.History(
+        texts=document['texts'],
+        version=document['version'],
+        oldest=document['oldest'],
+        changed=_decode_versions(document['changed']),
+        removed=_decode_versions(document['removed']),
+        reordered=document['reordered'],
+    )
+    memory = answers.AnswerMemory(max_answers)
+    for row in document['answers']:
+        memory.add(
+            answers.AnswerKey(
+                identifiers.MemberId(row['member']),
+                identifiers.SubmissionId(row['submission']),
+            ),
+            answers.Remembered(row['digest'], _decode_answer(row)),
+        )
+    return State(history, memory)
+
+
+def _encode_versions(
+    versions: dict[histories.SectionId, int],
+) -> list[list[typing.Any]]:
+    return [
+        [section.file, section.name, version]
+        for section, version in versions.items()
+    ]
+
+
+def _decode_versions(
+    rows: list[list[typing.Any]],
+) -> dict[histories.SectionId, int]:
+    return {
+        histories.SectionId(file, name): version for file, name, version in rows
+    }
+
+
+def _encode_remembered(
+    key: answers.AnswerKey,
+    remembered: answers.Remembered,
+) -> dict[str, typing.Any]:
+    answer = remembered.answer
+    return {
+        'member': key.member,
+        'submission': key.submission,
+        'digest': remembered.digest,
+        'status': answer.status,
+        'version': answer.version,
+        'findings': [
+            [one.file, one.line, one.key, one.expected, one.kind.value]
+            for one in answer.findings
+        ],
+        'differences': answer.differences,
+    }
+
+
+def _decode_answer(row: dict[str, typing.Any]) -> answers.Answer:
+    return answers.Answer(
+        status=row['status'],
+        version=row['version'],
+        findings=tuple(
+            findings.Finding(
+                file,
+                line,
+                key,
+                expected,
+                findings.FindingKind(kind),
+            )
+            for file, line, key, expected, kind in row['findings']
+        ),
+        differences=tuple(row['differences']),
+    )
--- /dev/null
+++ b/wagtailspread/configuration/versions.py
@@ -0,0 +1,198 @@
+"""The accepted configuration as a state machine of the replicated log.
+
+Every replica applies the same submissions in the same order and gets the same
+answers: nothing here reads a clock, draws a random number or depends on the
+order of a set.
+
+Submissions and their answers are thrift structs, as they travel between the
+processes.
+"""
+
+import typing
+
+from returns import result
+
+from wagtailspread.configuration import (
+    answers,
+    approvals,
+    checks,
+    deltas,
+    findings,
+    histories,
+    memberships,
+    proposals,
+    schemas,
+    signatures,
+    snapshots,
+)
+from wagtailspread.core import identifiers
+from wagtailspread.wire import messages
+
+_Kind = findings.FindingKind
+
+
+class ConfigurationState:
+    """Versions, members and answers. Use :func:`create_configuration`."""
+
+    def __init__(self, max_answers: int = answers.MAX_ANSWERS) -> None:
+        """Start without a version.
+
+        :param max_answers: answers remembered for resent submissions; the
+            same on every replica.
+        """
+        self._max_answers = max_answers
+        self._history = histories.create_history()
+        self._membership = memberships.create_membership(())
+        self._memory = answers.AnswerMemory(max_answers)
+
+    @property
+    def version(self) -> identifiers.ConfigurationVersion:
+        """Return the version in force; 0 before the first one."""
+        return identifiers.ConfigurationVersion(self._history.version)
+
+    @property
+    def files(self) -> dict[str, str]:
+        """Return the texts in force by file name, with the members file."""
+        return dict(self._history.texts)
+
+    @property
+    def members(
+        self,
+    ) -> typing.Mapping[identifiers.MemberId, schemas.MemberSettings]:
+        """Return the members in force, sorted by name."""
+        return self._membership.members
+
+    @property
+    def membership(self) -> memberships.Membership:
+        """Return the members in force with their digest."""
+        return self._membership
+
+    @property
+    def pending(self) -> tuple[approvals.Pending, ...]:
+        """Return the changes of the membership that wait for agreements."""
+        if not self._history.version:
+            return ()
+        return proposals.list_pending(self._history.texts, self._membership)
+
+    def submit(self, submission: messages.Struct) -> messages.Struct:
+        """Apply a submission and return the answer.
+
+        :param submission: a thrift ``Submission``.
+        :returns: a thrift ``SubmissionAnswer``; the original one if the
+            submission was applied before.
+        """
+        key = answers.AnswerKey(
+            identifiers.MemberId(submission.member or ''),
+            identifiers.SubmissionId(submission.id or ''),
+        )
+        digest = signatures.digest_submission(submission)
+        remembered = self._memory.find(key)
+        if remembered is not None and remembered.digest == digest:
+            return remembered.answer.encode()
+        if not self._is_authentic(submission):
+            return self._refuse_signature().encode()
+        if remembered is not None:
+            return self._refuse_reuse().encode()
+        answer = self._decide(submission)
+        self._memory.add(key, answers.Remembered(digest, answer))
+        return answer.encode()
+
+    def delta_since(self, version: int) -> messages.Struct:
+        """Return a thrift ``ConfigurationDelta`` for a host.
+
+        :param version: version that the host has; 0 if it has none.
+        """
+        return self._history.delta_since(version)
+
+    def settings(self) -> checks.CheckResult:
+        """Return the effective settings of each site."""
+        return checks.load_settings(self._history.texts)
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state."""
+        return snapshots.encode_state(self._history, self._memory)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state.
+
+        :param snapshot: what :meth:`take_snapshot` returned.
+        :raises ValueError: if the bytes are not a snapshot.
+        """
+        state = snapshots.decode_state(snapshot, self._max_answers)
+        self._history = state.history
+        self._memory = state.memory
+        self._membership = proposals.read_members(self._history.texts)
+
+    def _is_authentic(self, submission: messages.Struct) -> bool:
+        """Check the signature; only the first version goes without."""
+        if not self._history.version:
+            return True
+        member = self._membership.members.get(submission.member)
+        return signatures.is_signed(
+            submission,
+            member.public_key if member else None,
+        )
+
+    def _decide(self, submission: messages.Struct) -> answers.Answer:
+        based_on = submission.based_on or 0
+        if based_on > self._history.version or based_on < 0:
+            return answers.refuse_submission(
+                self._history.version,
+                f'a base version of at most {self._history.version}',
+                _Kind.UNKNOWN_VERSION,
+            )
+        if based_on != self._history.version:
+            return self._answer_conflict(based_on)
+        proposed = proposals.examine(
+            self._history.texts,
+            self._membership,
+            submission,
+        )
+        if isinstance(proposed, result.Failure):
+            return answers.refuse(self._history.version, proposed.failure())
+        return self._accept(proposed.unwrap())
+
+    def _accept(self, proposal: proposals.Proposal) -> answers.Answer:
+        self._history.replace(proposal.texts)
+        self._membership = proposal.membership
+        return answers.Answer(
+            answers.ACCEPTED,
+            self._history.version,
+            proposal.notes[: answers.MAX_LINES],
+        )
+
+    def _answer_conflict(self, based_on: int) -> answers.Answer:
+        lines = deltas.list_differences(self._history.delta_since(based_on))
+        return answers.Answer(
+            answers.CONFLICT,
+            self._history.version,
+            differences=tuple(lines[: answers.MAX_LINES]),
+        )
+
+    def _refuse_signature(self) -> answers.Answer:
+        return answers.refuse_submission(
+            self._history.version,
+            'a signature with the key of a member in force',
+            _Kind.BAD_SIGNATURE,
+        )
+
+    def _refuse_reuse(self) -> answers.Answer:
+        return answers.refuse_submission(
+            self._history.version,
+            'an id that no other submission of this member has',
+            _Kind.ID_REUSED,
+        )
+
+
+def create_configuration(
+    max_answers: int = answers.MAX_ANSWERS,
+) -> ConfigurationState:
+    """Return a state without a version.
+
+    >>> create_configuration().version
+    0
+
+    :param max_answers: answers remembered for resent submissions; the same on
+        every replica.
+    """
+    return ConfigurationState(max_answers)
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -155,6 +155,8 @@
   // Empty for a removed section.
   3: string text
   4: bool is_removed
+  // Section before it in the new file; empty for the first one.
+  5: string after
 }
 
 struct ConfigurationDelta {
@@ -211,7 +213,7 @@
 }
 
 struct ClaimAnswer {
-  // granted, running, finished, unknown, full or mismatch.
+  // granted, running, finished, unknown, full, mismatch or released.
   1: string state
   2: StoredAnswer answer
 }
@@ -240,3 +242,18 @@
 struct ConsensusMessage {
   1: binary payload
 }
+
+// One idempotency key in a snapshot of the replicas.
+struct ClaimRecord {
+  1: binary scope
+  // Value of KeyState.
+  2: i16 state
+  3: string attempt
+  4: string host
+  5: binary fingerprint
+  6: double deadline
+  7: double expires
+  // An encoded StoredAnswer.
+  8: binary answer
+  9: list<string> released
+}
