--- /dev/null
+++ b/wagtailspread/configuration/tests/test_samples.py
@@ -0,0 +1,88 @@
+"""The sample files of both deployments load and mean what they say."""
+
+import pathlib
+
+import pytest
+
+from wagtailspread.configuration import checks, routes
+from wagtailspread.core import priorities
+
+SAMPLES = pathlib.Path(__file__).parents[3] / 'samples'
+
+
+def load_sample(site):
+    """Return the settings by member of a sample deployment."""
+    texts = {
+        path.name: path.read_text()
+        for path in sorted((SAMPLES / site).glob('*.ini'))
+        if path.name == 'base.ini' or path.name.startswith('overlay-')
+    }
+    return checks.load_settings(texts).unwrap()
+
+
+@pytest.mark.parametrize(
+    ('site', 'regions', 'services', 'hosts'),
+    [
+        (
+            'andino',
+            {
+                'centro-andes': ('andes-bog', 'andes-mde'),
+                'costa-norte': ('costa-baq', 'costa-ctg'),
+            },
+            ['vitrina', 'contratos', 'buzon-autores'],
+            range(36, 45),
+        ),
+        (
+            'penang',
+            {
+                'pulau': ('georgetown', 'balik-pulau'),
+                'seberang': ('butterworth', 'bukit-mertajam'),
+            },
+            ['susunan', 'tempahan', 'gambar'],
+            range(36, 45),
+        ),
+    ],
+)
+def test_sample_matches_the_deployment(site, regions, services, hosts):
+    """Guards against samples that drift from the users' deployments."""
+    sites = load_sample(site)
+    assert set(sites) == set(regions)
+    for settings in sites.values():
+        found = {
+            name: region.domains for name, region in settings.regions.items()
+        }
+        assert found == regions
+        assert list(settings.services) == services
+        counted = sum(region.hosts for region in settings.regions.values())
+        assert counted in hosts
+        assert settings.regions[next(iter(regions))].link_bytes == 3_750_000
+
+
+@pytest.mark.parametrize(
+    ('site', 'method', 'path', 'service', 'priority', 'is_idempotent'),
+    [
+        ('andino', 'GET', '/columns/7', 'vitrina', 'urgent', True),
+        ('andino', 'GET', '/columns/archive/7', 'vitrina', 'bulk', True),
+        ('andino', 'POST', '/orders', 'contratos', 'urgent', False),
+        ('andino', 'GET', '/orders/7', 'contratos', 'standard', True),
+        ('andino', 'POST', '/manuscripts', 'buzon-autores', 'standard', False),
+        ('penang', 'GET', '/layouts/7', 'susunan', 'urgent', True),
+        ('penang', 'POST', '/bookings', 'tempahan', 'urgent', False),
+        ('penang', 'POST', '/photos', 'gambar', 'bulk', False),
+    ],
+)
+def test_sample_routes(site, method, path, service, priority, is_idempotent):
+    """Guards against an order or a booking that could run twice."""
+    for settings in load_sample(site).values():
+        route = routes.create_route_table(settings).match(method, path)
+        assert route.service == service
+        assert route.priority is priorities.parse_priority(priority)
+        assert route.is_idempotent is is_idempotent
+
+
+def test_sample_overlay_changes_one_site_only():
+    """Guards against an overlay that leaks into the other site."""
+    sites = load_sample('andino')
+    assert sites['centro-andes'].services['vitrina'].deadline == 1.5
+    assert sites['costa-norte'].services['vitrina'].deadline == 2
+    assert sites['costa-norte'].services['vitrina'].shares == (0.5, 0.4, 0.1)
