Add a thin entry host, a fake upstream and a load generator

The entry host matches a route, asks the owner of the service for a slot over wire links, forwards with an aiohttp session, streams the answer and returns the lease in batches.

Two loopback tests send requests through one and two hosts; request checks, failover, retries and draining are still missing.

--- /dev/null
+++ b/wagtailspread/entry/decisions.py
@@ -0,0 +1,186 @@
+"""Conversion between slot messages and the structs of the wire.
+
+Times travel as durations, since the clocks of two hosts are not comparable.
+"""
+
+import typing
+
+from returns import result
+
+from wagtailspread.core import failures, identifiers, outcomes, priorities
+from wagtailspread.entry import slots
+from wagtailspread.wire import messages
+
+_MS = 1000
+_MICROS = 1_000_000
+#: Largest value of the wire's 32-bit fields.
+_MAX_I32 = 2**31 - 1
+
+Decision = result.Result[slots.Grant, failures.Refusal]
+
+
+def write_request(
+    service: identifiers.ServiceName,
+    request: slots.SlotRequest,
+    now: float,
+) -> messages.Struct:
+    """Return the struct of a slot request."""
+    return messages.structs.AcquireSlot(
+        request=request.request,
+        service_name=service,
+        host=request.host,
+        domain=request.domain,
+        priority=int(request.priority),
+        deadline_ms=_to_ms(request.deadline - now),
+        attempt=request.attempt,
+        fingerprint=request.fingerprint,
+        excluded=list(request.excluded),
+    )
+
+
+def read_request(struct: messages.Struct, now: float) -> slots.SlotRequest:
+    """Return the slot request of a struct.
+
+    :raises ValueError: if the priority is not one.
+    """
+    return slots.SlotRequest(
+        request=identifiers.RequestId(struct.request),
+        host=identifiers.HostId(struct.host),
+        domain=identifiers.FailureDomain(struct.domain),
+        priority=priorities.Priority(struct.priority),
+        deadline=now + struct.deadline_ms / _MS,
+        attempt=struct.attempt,
+        fingerprint=struct.fingerprint or b'',
+        excluded=tuple(struct.excluded or ()),
+    )
+
+
+def write_decision(decision: Decision, now: float) -> messages.Struct:
+    """Return the struct of a grant or a refusal."""
+    if isinstance(decision, result.Success):
+        return _write_grant(decision.unwrap(), now)
+    refusal = decision.failure()
+    return messages.structs.SlotDecision(
+        request=refusal.request,
+        lease=0,
+        upstream='',
+        address='',
+        expires_ms=0,
+        is_trial=False,
+        reason=refusal.reason.value,
+        retry_after_ms=_to_ms(refusal.retry_after),
+    )
+
+
+def read_decision(struct: messages.Struct, now: float) -> Decision:
+    """Return the grant or the refusal of a struct.
+
+    :raises ValueError: if the reason is not one.
+    """
+    request = identifiers.RequestId(struct.request)
+    if struct.reason:
+        refusal = failures.Refusal(
+            request,
+            outcomes.RefusalReason(struct.reason),
+            struct.retry_after_ms / _MS,
+        )
+        return result.Failure(refusal)
+    grant = slots.Grant(
+        request,
+        identifiers.LeaseId(struct.lease),
+        identifiers.UpstreamId(struct.upstream),
+        struct.address,
+        now + struct.expires_ms / _MS,
+        bool(struct.is_trial),
+    )
+    return result.Success(grant)
+
+
+def write_release(
+    service: identifiers.ServiceName,
+    host: identifiers.HostId,
+    completions: typing.Iterable[slots.Completion],
+) -> messages.Struct:
+    """Return the struct of a batch of completions."""
+    written = [
+        messages.structs.SlotCompletion(
+            lease=completion.lease,
+            result=int(completion.result),
+            micros=min(int(completion.seconds * _MICROS), _MAX_I32),
+        )
+        for completion in completions
+    ]
+    return messages.structs.ReleaseSlots(
+        service_name=service,
+        host=host,
+        completions=written,
+    )
+
+
+def read_release(
+    struct: messages.Struct,
+) -> list[slots.Completion]:
+    """Return the completions of a struct.
+
+    :raises ValueError: if a result is not one.
+    """
+    return [
+        slots.Completion(
+            identifiers.LeaseId(completion.lease),
+            outcomes.ExchangeResult(completion.result),
+            completion.micros / _MICROS,
+        )
+        for completion in struct.completions
+    ]
+
+
+def write_announcement(announcement: slots.Announcement) -> messages.Struct:
+    """Return the struct of an announcement."""
+    return messages.structs.AnnounceUpstream(
+        service_name=announcement.service,
+        upstream=announcement.upstream,
+        address=announcement.address,
+        region=announcement.region,
+        domain=announcement.domain,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        state=announcement.state.value,
+        incarnation=announcement.incarnation,
+        age_ms=_to_ms(announcement.age),
+    )
+
+
+def read_announcement(struct: messages.Struct) -> slots.Announcement:
+    """Return the announcement of a struct.
+
+    :raises ValueError: if the state is not one.
+    """
+    return slots.Announcement(
+        identifiers.ServiceName(struct.service_name),
+        identifiers.UpstreamId(struct.upstream),
+        struct.address,
+        identifiers.RegionName(struct.region),
+        identifiers.FailureDomain(struct.domain),
+        struct.slots,
+        struct.connections,
+        slots.UpstreamState(struct.state),
+        identifiers.Incarnation(struct.incarnation),
+        struct.age_ms / _MS,
+    )
+
+
+def _write_grant(grant: slots.Grant, now: float) -> messages.Struct:
+    return messages.structs.SlotDecision(
+        request=grant.request,
+        lease=grant.lease,
+        upstream=grant.upstream,
+        address=grant.address,
+        expires_ms=_to_ms(grant.expires - now),
+        is_trial=grant.is_trial,
+        reason='',
+        retry_after_ms=0,
+    )
+
+
+def _to_ms(seconds: float) -> int:
+    return min(max(int(seconds * _MS), 0), _MAX_I32)
--- /dev/null
+++ b/wagtailspread/entry/interfaces.py
@@ -0,0 +1,160 @@
+"""What the entry host needs of the other packages, as protocols.
+
+The process module injects the real parts; tests inject simple ones.
+"""
+
+import contextlib
+import dataclasses
+import typing
+
+from returns import result
+
+from wagtailspread.core import failures, identifiers, priorities
+from wagtailspread.entry import slots
+
+
+class Route(typing.Protocol):
+    """A configured route."""
+
+    @property
+    def name(self) -> str:
+        """Return the section name of the route."""
+
+    @property
+    def service(self) -> identifiers.ServiceName:
+        """Return the service that the route leads to."""
+
+    @property
+    def priority(self) -> priorities.Priority:
+        """Return the priority of its requests."""
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether its requests may run more than once."""
+
+
+class ServiceLimits(typing.Protocol):
+    """The part of a service's settings that the request path reads."""
+
+    @property
+    def deadline(self) -> float:
+        """Return the seconds that a request has if it does not say."""
+
+    @property
+    def max_body(self) -> int:
+        """Return the largest accepted request body in bytes."""
+
+
+class Routing(typing.Protocol):
+    """Routes and services of the configuration in force."""
+
+    def match(self, method: str, path: str) -> Route | None:
+        """Return the route of a request, or ``None``."""
+
+    def find_service(
+        self,
+        service: identifiers.ServiceName,
+    ) -> ServiceLimits | None:
+        """Return the limits of a service, or ``None`` if unknown."""
+
+
+class Coordinator(typing.Protocol):
+    """Allocator of one service in one region; decision code."""
+
+    def submit(self, request: typing.Any, now: float) -> None:
+        """Queue a slot request."""
+
+    def cancel(self, request_id: identifiers.RequestId, now: float) -> None:
+        """Drop a queued request, or release its unused lease."""
+
+    def complete(self, completion: typing.Any, now: float) -> None:
+        """End a lease."""
+
+    def announce(self, announcement: typing.Any, now: float) -> None:
+        """Take in what an upstream says about itself."""
+
+    def adopt(self, lease_claim: typing.Any, now: float) -> None:
+        """Take over a lease of an earlier allocator."""
+
+    def tick(self, now: float) -> typing.Sequence[typing.Any]:
+        """Return the grants and refusals decided since the last tick."""
+
+
+class VoteRegister(typing.Protocol):
+    """The ejection authority's record of hosts."""
+
+    def note_vote(self, host: identifiers.HostId, now: float) -> None:
+        """Renew the vote of ``host`` for this allocator."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerPlace:
+    """A live host that may run an allocator."""
+
+    host: identifiers.HostId
+    address: identifiers.Address
+
+
+class Ownership(typing.Protocol):
+    """Live hosts of a region in rendezvous order for a service."""
+
+    def rank_owners(
+        self,
+        service: identifiers.ServiceName,
+        region: identifiers.RegionName,
+    ) -> typing.Sequence[OwnerPlace]:
+        """Return the live hosts, the owner first."""
+
+
+class SlotSource(typing.Protocol):
+    """Where the request path gets its slots from."""
+
+    async def acquire(
+        self,
+        service: identifiers.ServiceName,
+        request: slots.SlotRequest,
+    ) -> result.Result[slots.Grant, failures.Refusal]:
+        """Return a grant or the reason why there is none."""
+
+    def complete(
+        self,
+        service: identifiers.ServiceName,
+        completion: slots.Completion,
+    ) -> None:
+        """Return a lease; does not wait."""
+
+
+class AnnouncementSink(typing.Protocol):
+    """Takes validated announcements to the allocator."""
+
+    def announce(self, announcement: slots.Announcement) -> None:
+        """Pass an announcement on; does not wait."""
+
+
+class Span(typing.Protocol):
+    """One hop of a traced request."""
+
+    @property
+    def header(self) -> str:
+        """Return the W3C traceparent for the next hop."""
+
+
+class Tracer(typing.Protocol):
+    """Starts spans."""
+
+    def start_span(
+        self,
+        name: str,
+        parent_header: str,
+    ) -> contextlib.AbstractContextManager[Span]:
+        """Open a span under the hop described by ``parent_header``."""
+
+
+class Logger(typing.Protocol):
+    """The part of a log channel that the entry host uses."""
+
+    def info(self, message: str, *values: typing.Any) -> None:
+        """Write a line about normal operation."""
+
+    def warning(self, message: str, *values: typing.Any) -> None:
+        """Write a line about something that needs attention."""
--- /dev/null
+++ b/wagtailspread/entry/owners.py
@@ -0,0 +1,198 @@
+"""The allocators that this host owns: coordinators with their waiting calls.
+
+A coordinator is ticked when requests arrive and by a timer while requests
+wait. Requests decided by the tick of their own arrival are answered without
+another turn of the event loop.
+
+See also: :mod:`wagtailspread.entry.allocations`, the client.
+"""
+
+import asyncio
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures, identifiers, outcomes
+from wagtailspread.entry import interfaces, slots
+
+#: Time between ticks while requests wait, in seconds.
+TICK_SECONDS = 0.005
+#: Time between ticks of an idle allocator, in seconds.
+IDLE_TICK_SECONDS = 0.1
+#: Time that a lease outlives the deadline of its request, in seconds.
+LEASE_MARGIN_SECONDS = 1.0
+
+Decision = result.Result[slots.Grant, failures.Refusal]
+
+
+class OwnedAllocator:
+    """One coordinator and the calls that wait for its decisions.
+
+    :param coordinator: decides; it is called from one event loop only.
+    :param votes: is told of every message of a host that casts its vote.
+    """
+
+    def __init__(
+        self,
+        coordinator: interfaces.Coordinator,
+        votes: interfaces.VoteRegister | None,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start with nothing waiting."""
+        self.coordinator = coordinator
+        self._votes = votes
+        self._clock = clock
+        self._waiting: dict[
+            identifiers.RequestId,
+            asyncio.Future[Decision],
+        ] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of undecided requests."""
+        return len(self._waiting)
+
+    async def acquire(self, request: slots.SlotRequest) -> Decision:
+        """Return the decision on one request.
+
+        If the caller is cancelled, the request is cancelled too, and a grant
+        decided meanwhile is returned as not used.
+        """
+        answer: asyncio.Future[Decision] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[request.request] = answer
+        self.coordinator.submit(request, self._clock.now())
+        self.tick()
+        if answer.done():
+            return answer.result()
+        self._schedule()
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            self._abandon(request.request, answer)
+            raise
+
+    def cancel(self, request: identifiers.RequestId) -> None:
+        """Drop a request whose host no longer waits for it."""
+        answer = self._waiting.pop(request, None)
+        if answer is not None and not answer.done():
+            refusal = failures.Refusal(
+                request,
+                outcomes.RefusalReason.DEADLINE_UNREACHABLE,
+            )
+            answer.set_result(result.Failure(refusal))
+        self.coordinator.cancel(request, self._clock.now())
+        self.tick()
+
+    def complete(self, completion: slots.Completion) -> None:
+        """End a lease and give its slot to a waiting request."""
+        self.coordinator.complete(completion, self._clock.now())
+        if self._waiting:
+            self.tick()
+
+    def announce(self, announcement: slots.Announcement) -> None:
+        """Take in an announcement."""
+        self.coordinator.announce(announcement, self._clock.now())
+        self.tick()
+
+    def adopt(self, claim: slots.LeaseClaim) -> None:
+        """Take over a lease of an earlier allocator."""
+        self.coordinator.adopt(claim, self._clock.now())
+
+    def note_vote(self, host: identifiers.HostId) -> None:
+        """Renew the vote of ``host``."""
+        if self._votes is not None:
+            self._votes.note_vote(host, self._clock.now())
+
+    def tick(self) -> None:
+        """Run the coordinator and hand out what it decided."""
+        now = self._clock.now()
+        for decision in self.coordinator.tick(now):
+            self._deliver(decision, now)
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _deliver(self, decision: typing.Any, now: float) -> None:
+        answer = self._waiting.pop(decision.request, None)
+        if isinstance(decision, failures.Refusal):
+            if answer is not None and not answer.done():
+                answer.set_result(result.Failure(decision))
+            return
+        if answer is None or answer.done():
+            self._return_unused(decision, now)
+            return
+        answer.set_result(result.Success(decision))
+
+    def _abandon(
+        self,
+        request: identifiers.RequestId,
+        answer: asyncio.Future[Decision],
+    ) -> None:
+        if self._waiting.pop(request, None) is not None:
+            self.coordinator.cancel(request, self._clock.now())
+        elif answer.done() and not answer.cancelled():
+            decision = answer.result()
+            if isinstance(decision, result.Success):
+                self._return_unused(decision.unwrap(), self._clock.now())
+
+    def _return_unused(self, grant: slots.Grant, now: float) -> None:
+        self.coordinator.complete(
+            slots.Completion(
+                grant.lease,
+                outcomes.ExchangeResult.CANCELLED,
+                0.0,
+            ),
+            now,
+        )
+
+    def _schedule(self) -> None:
+        if self._timer is None:
+            delay = TICK_SECONDS if self._waiting else IDLE_TICK_SECONDS
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay, self._run_timer)
+
+    def _run_timer(self) -> None:
+        self._timer = None
+        self.tick()
+        self._schedule()
+
+
+#: Makes the coordinator of a service, and its register of votes.
+AllocatorFactory = typing.Callable[
+    [identifiers.ServiceName],
+    tuple[interfaces.Coordinator, interfaces.VoteRegister | None],
+]
+
+
+class OwnerTable:
+    """The allocators of this host, created on first use."""
+
+    def __init__(
+        self,
+        create_coordinator: AllocatorFactory,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start without allocators."""
+        self._create_coordinator = create_coordinator
+        self._clock = clock
+        self._allocators: dict[identifiers.ServiceName, OwnedAllocator] = {}
+
+    def find(self, service: identifiers.ServiceName) -> OwnedAllocator:
+        """Return the allocator of ``service``."""
+        allocator = self._allocators.get(service)
+        if allocator is None:
+            coordinator, votes = self._create_coordinator(service)
+            allocator = OwnedAllocator(coordinator, votes, self._clock)
+            self._allocators[service] = allocator
+        return allocator
+
+    def close(self) -> None:
+        """Stop all timers."""
+        for allocator in self._allocators.values():
+            allocator.close()
--- /dev/null
+++ b/wagtailspread/entry/tests/fleets.py
@@ -0,0 +1,130 @@
+"""Small fleets on loopback sockets for the tests of this package."""
+
+import asyncio
+import contextlib
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.entry import (
+    allocations,
+    connections,
+    exchanges,
+    forwarding,
+    handlers,
+    interfaces,
+    owners,
+    servers,
+)
+from wagtailspread.testing import stand_ins, upstreams
+from wagtailspread.wire import credentials, links, listeners
+
+ANY_PORT = identifiers.Address('127.0.0.1:0')
+SERVICE = identifiers.ServiceName('vitrina')
+SITE = identifiers.MemberId('andino')
+REGION = identifiers.RegionName('costa-norte')
+DOMAIN = identifiers.FailureDomain('costa-baq')
+KEY = credentials.create_key()
+DIRECTORY = credentials.FixedDirectory({SITE: credentials.public_bytes(KEY)})
+ROUTES = (
+    stand_ins.FixedRoute('reads', SERVICE, '/vitrina'),
+    stand_ins.FixedRoute(
+        'orders',
+        SERVICE,
+        '/contratos',
+        is_idempotent=False,
+    ),
+)
+
+
+class Host:
+    """One entry host of a test fleet."""
+
+    def __init__(self, name, ownership):
+        clock = clocks.SystemClock()
+        peer = credentials.Peer(SITE, identifiers.HostId(name), 'entry')
+        own = credentials.Credentials(peer, KEY)
+        identity = allocations.HostIdentity(peer.host, REGION, DOMAIN)
+        self.host = peer.host
+        self.coordinator = stand_ins.SimpleCoordinator()
+        self.owners = owners.OwnerTable(
+            lambda _service: (self.coordinator, None),
+            clock,
+        )
+        self.listener = listeners.create_listener(own, DIRECTORY)
+        handlers.OwnerHandlers(self.owners, clock).register(self.listener)
+        self.links = links.LinkPool(own, DIRECTORY)
+        self.client = allocations.create_client(
+            identity,
+            ownership,
+            self.owners,
+            self.links,
+            clock,
+        )
+        self.pools = connections.PoolTable(9)
+        self.server = servers.create_server(
+            stand_ins.FixedRouting(ROUTES),
+            forwarding.Forwarder(
+                identity,
+                self.client,
+                exchanges.Exchanger(self.pools, clock),
+                clock,
+            ),
+            self.client,
+            stand_ins.AlwaysReady(),
+            dict,
+        )
+        self.control = ANY_PORT
+        self.address = ANY_PORT
+
+    async def start(self):
+        self.control = await self.listener.start(ANY_PORT)
+        self.address = await self.server.start(ANY_PORT)
+
+    async def close(self):
+        await self.server.close()
+        await self.client.close()
+        await self.pools.close()
+        await self.links.close()
+        await self.listener.close()
+        self.owners.close()
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(host_count=1, upstream_count=1, slots=6):
+    """Yield hosts, the first of which owns the service, and upstreams."""
+    ownership = stand_ins.FixedOwnership([])
+    hosts = [Host(f'h{number}', ownership) for number in range(host_count)]
+    started = []
+    for host in hosts:
+        await host.start()
+        ownership.places.append(
+            interfaces.OwnerPlace(host.host, host.control),
+        )
+    for number in range(upstream_count):
+        identity = upstreams.UpstreamIdentity(
+            SERVICE,
+            f'u{number}',
+            REGION,
+            DOMAIN,
+            slots,
+        )
+        upstream = upstreams.create_upstream(
+            identity,
+            [host.address for host in hosts],
+            seed=number,
+        )
+        await upstream.start()
+        started.append(upstream)
+    while len(hosts[0].coordinator.rows) < upstream_count:
+        await clock_turn()
+    try:
+        yield hosts, started
+    finally:
+        for upstream in started:
+            await upstream.close()
+        for host in hosts:
+            await host.close()
+
+
+async def clock_turn():
+    """Let the event loop run for a moment."""
+    await asyncio.sleep(0.005)
--- /dev/null
+++ b/wagtailspread/entry/tests/test_paths.py
@@ -0,0 +1,30 @@
+"""Requests through entry hosts to fake upstreams, on loopback sockets."""
+
+import aiohttp
+
+from wagtailspread.core import outcomes
+from wagtailspread.entry.tests import fleets
+from wagtailspread.testing import callers
+
+
+async def test_request_is_answered_by_an_upstream_and_its_lease_returned():
+    """Guards against a leased slot that is never given back."""
+    async with fleets.start_fleet() as (hosts, _):
+        url = f'http://{hosts[0].address}/vitrina/a'
+        async with aiohttp.request('GET', url) as answer:
+            assert answer.status == 200
+            assert answer.headers[outcomes.OUTCOME_HEADER] == 'upstream'
+        assert not hosts[0].coordinator.leases
+
+
+async def test_every_answer_through_any_host_belongs_to_its_request():
+    """Guards against answers that reach another caller."""
+    async with fleets.start_fleet(2, 3) as (hosts, ups):
+        generator = callers.create_generator(
+            [host.address for host in hosts],
+            [callers.Stream('reads', '/vitrina/a', 200.0)],
+        )
+        await generator.run(1.0)
+        report = generator.reports['reads']
+        assert report.counts['upstream'] == report.started
+        assert max(one.most_running for one in ups) <= 6
--- /dev/null
+++ b/wagtailspread/testing/stand_ins.py
@@ -0,0 +1,192 @@
+"""Simple stand-ins for the parts that an entry host is joined with."""
+
+import collections
+import contextlib
+import dataclasses
+import itertools
+import typing
+
+from wagtailspread.core import failures, identifiers, outcomes, priorities
+from wagtailspread.entry import interfaces, slots
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FixedRoute:
+    """A route given by a path prefix."""
+
+    name: str
+    service: identifiers.ServiceName
+    path_prefix: str
+    priority: priorities.Priority = priorities.Priority.STANDARD
+    is_idempotent: bool = True
+    methods: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FixedLimits:
+    """Limits of a service."""
+
+    deadline: float = 5.0
+    max_body: int = 1 << 20
+
+
+class FixedRouting:
+    """Routes by longest prefix, the same limits for each service."""
+
+    def __init__(
+        self,
+        routes: typing.Sequence[FixedRoute],
+        limits: FixedLimits | None = None,
+    ) -> None:
+        """Keep the routes."""
+        self._routes = sorted(routes, key=lambda route: -len(route.path_prefix))
+        self._limits = limits or FixedLimits()
+        self._services = {route.service for route in routes}
+
+    def match(self, method: str, path: str) -> FixedRoute | None:
+        """Return the route of a request, or ``None``."""
+        for route in self._routes:
+            if not path.startswith(route.path_prefix):
+                continue
+            if not route.methods or method in route.methods:
+                return route
+        return None
+
+    def find_service(
+        self,
+        service: identifiers.ServiceName,
+    ) -> FixedLimits | None:
+        """Return the limits of a service, or ``None`` if unknown."""
+        return self._limits if service in self._services else None
+
+
+class FixedOwnership:
+    """Owners in a fixed order that tests can change."""
+
+    def __init__(self, places: list[interfaces.OwnerPlace]) -> None:
+        """Keep the order."""
+        self.places = places
+
+    def rank_owners(
+        self,
+        _service: identifiers.ServiceName,
+        _region: identifiers.RegionName,
+    ) -> list[interfaces.OwnerPlace]:
+        """Return the places, the owner first."""
+        return self.places
+
+
+class SimpleCoordinator:
+    """First come, first served over the least loaded upstream."""
+
+    def __init__(self) -> None:
+        """Start with no upstreams."""
+        self.rows: dict[identifiers.UpstreamId, slots.Announcement] = {}
+        self.leases: dict[identifiers.LeaseId, identifiers.UpstreamId] = {}
+        self.completed: list[slots.Completion] = []
+        self.adopted: list[slots.LeaseClaim] = []
+        self.cancelled: list[identifiers.RequestId] = []
+        self._queue: collections.deque[slots.SlotRequest] = collections.deque()
+        self._ids = itertools.count(1)
+        self._used: collections.Counter[identifiers.UpstreamId] = (
+            collections.Counter()
+        )
+
+    def submit(self, request: slots.SlotRequest, now: float) -> None:
+        """Queue a request."""
+        self._queue.append(request)
+
+    def cancel(self, request_id: identifiers.RequestId, now: float) -> None:
+        """Drop a queued request."""
+        self.cancelled.append(request_id)
+        self._queue = collections.deque(
+            queued for queued in self._queue if queued.request != request_id
+        )
+
+    def complete(self, completion: slots.Completion, now: float) -> None:
+        """End a lease."""
+        self.completed.append(completion)
+        upstream = self.leases.pop(completion.lease, None)
+        if upstream is not None:
+            self._used[upstream] -= 1
+
+    def announce(self, announcement: slots.Announcement, now: float) -> None:
+        """Keep the announced row."""
+        self.rows[announcement.upstream] = announcement
+
+    def adopt(self, lease_claim: slots.LeaseClaim, now: float) -> None:
+        """Count a lease of an earlier allocator."""
+        self.adopted.append(lease_claim)
+        if lease_claim.lease not in self.leases:
+            self.leases[lease_claim.lease] = lease_claim.upstream
+            self._used[lease_claim.upstream] += 1
+
+    def tick(self, now: float) -> list[typing.Any]:
+        """Decide the queued requests in order."""
+        decided: list[typing.Any] = []
+        while self._queue:
+            decision = self._decide(self._queue[0], now)
+            if decision is None:
+                return decided
+            self._queue.popleft()
+            decided.append(decision)
+        return decided
+
+    def _decide(self, request: slots.SlotRequest, now: float) -> typing.Any:
+        if request.deadline <= now:
+            return _refuse(request, outcomes.RefusalReason.DEADLINE_UNREACHABLE)
+        rows = [
+            row
+            for row in self.rows.values()
+            if row.state is slots.UpstreamState.READY
+            and row.upstream not in request.excluded
+        ]
+        if not rows:
+            return _refuse(request, outcomes.RefusalReason.NO_CAPACITY)
+        row = min(rows, key=lambda one: self._used[one.upstream] / one.slots)
+        if self._used[row.upstream] >= row.slots:
+            return None
+        self._used[row.upstream] += 1
+        lease = identifiers.LeaseId(next(self._ids))
+        self.leases[lease] = row.upstream
+        return slots.Grant(
+            request.request,
+            lease,
+            row.upstream,
+            row.address,
+            request.deadline + 1.0,
+        )
+
+
+class AlwaysReady:
+    """Readiness of a host without conditions."""
+
+    def is_ready(self) -> bool:
+        """Return that the host is ready."""
+        return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentSpan:
+    """A span that records nothing and passes its parent on."""
+
+    header: str
+
+
+class SilentTracer:
+    """A tracer that records nothing."""
+
+    def start_span(
+        self,
+        name: str,
+        parent_header: str,
+    ) -> contextlib.AbstractContextManager[SilentSpan]:
+        """Return a span with the parent's header."""
+        return contextlib.nullcontext(SilentSpan(parent_header))
+
+
+def _refuse(
+    request: slots.SlotRequest,
+    reason: outcomes.RefusalReason,
+) -> failures.Refusal:
+    return failures.Refusal(request.request, reason)
--- /dev/null
+++ b/wagtailspread/testing/upstreams.py
@@ -0,0 +1,359 @@
+"""A fake upstream whose faults are set over HTTP.
+
+It announces itself to entry hosts every second, runs requests in a limited
+number of slots and counts the runs of each idempotency key. The modes are set
+with ``PUT /-/mode``; ``GET /-/report`` returns what it saw.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import random
+import time
+import typing
+
+import click
+
+from aiohttp import client, web
+
+from wagtailspread.core import outcomes
+
+#: Time between announcements, in seconds.
+ANNOUNCE_SECONDS = 1.0
+#: Path that no real request uses.
+CONTROL_PREFIX = '/-/'
+#: Header that names a request; the answer echoes it.
+ECHO_HEADER = 'X-Request-Id'
+#: A request with this header crashes an upstream in crash mode.
+POISON_HEADER = 'X-Poison'
+#: Header that asks for an answer of this many bytes.
+SIZE_HEADER = 'X-Answer-Bytes'
+_HANG_SECONDS = 3600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Mode:
+    """The faults in force; all off by default.
+
+    :param service_seconds: time that a request takes.
+    :param slow_factor: multiplies it.
+    :param error_ratio: share of requests answered with 500.
+    :param hang_ratio: share that is never answered.
+    :param truncate_ratio: share whose answer ends early.
+    :param reset_ratio: share whose connection is reset while running.
+    :param shed_ratio: share that is refused as shed.
+    :param flap_seconds: half period of alternating between these faults and
+        none; 0 for constant.
+    :param is_draining: whether announcements say so.
+    :param crashes_on_poison: whether a marked request resets all connections.
+    :param announces: whether it announces itself.
+    """
+
+    service_seconds: float = 0.005
+    slow_factor: float = 1.0
+    error_ratio: float = 0.0
+    hang_ratio: float = 0.0
+    truncate_ratio: float = 0.0
+    reset_ratio: float = 0.0
+    shed_ratio: float = 0.0
+    flap_seconds: float = 0.0
+    is_draining: bool = False
+    crashes_on_poison: bool = False
+    announces: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamIdentity:
+    """What the fake upstream announces."""
+
+    service: str
+    upstream: str
+    region: str
+    domain: str
+    slots: int = 6
+    connections: int = 400
+
+
+class FakeUpstream:
+    """One upstream on a loopback port. Use :func:`create_upstream`."""
+
+    def __init__(
+        self,
+        identity: UpstreamIdentity,
+        entries: typing.Sequence[str],
+        seed: int,
+    ) -> None:
+        """Keep the settings; nothing is opened yet."""
+        self.identity = identity
+        self.mode = Mode()
+        self.address = ''
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.request_runs: collections.Counter[str] = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.running = 0
+        self.most_running = 0
+        self._entries = entries
+        self._random = random.Random(seed)
+        self._slots = asyncio.Semaphore(identity.slots)
+        self._transports: set[typing.Any] = set()
+        self._frozen: set[typing.Any] = set()
+        self._incarnation = int(time.time() * 1000)
+        self._runner: web.ServerRunner | None = None
+        self._announcing: asyncio.Task[None] | None = None
+
+    async def start(self, address: str = '127.0.0.1:0') -> str:
+        """Listen and announce; return the address with the port in use."""
+        ip, _, port = address.rpartition(':')
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, ip, int(port)).start()
+        bound = self._runner.addresses[0]
+        self.address = f'{bound[0]}:{bound[1]}'
+        if self._entries:
+            self._announcing = asyncio.create_task(self._announce_always())
+        return self.address
+
+    async def close(self) -> None:
+        """Stop announcing and close all connections."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._announcing
+        self._abort_all()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def freeze(self) -> None:
+        """Leave all open connections silent from now on; new ones work."""
+        self._frozen.update(self._transports)
+
+    def report(self) -> dict[str, typing.Any]:
+        """Return the counts of requests and the runs of each key."""
+        return {
+            'counts': dict(self.counts),
+            'runs': dict(self.runs),
+            'request_runs': dict(self.request_runs),
+            'running': self.running,
+            'most_running': self.most_running,
+        }
+
+    def create_announcement(self) -> dict[str, typing.Any]:
+        """Return the fields of the next announcement."""
+        return {
+            'service': self.identity.service,
+            'id': self.identity.upstream,
+            'address': self.address,
+            'region': self.identity.region,
+            'domain': self.identity.domain,
+            'slots': self.identity.slots,
+            'connections': self.identity.connections,
+            'state': 'draining' if self.mode.is_draining else 'ready',
+            'incarnation': self._incarnation,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._transports.add(request.transport)
+        if request.transport in self._frozen:
+            self.counts['frozen'] += 1
+            await asyncio.sleep(_HANG_SECONDS)
+        if request.path.startswith(CONTROL_PREFIX):
+            return await self._handle_control(request)
+        self.counts['requests'] += 1
+        if self._draws(self.mode.shed_ratio):
+            self.counts['shed'] += 1
+            return web.Response(
+                status=503,
+                headers={outcomes.SHED_HEADER: '1'},
+            )
+        body = await request.read()
+        async with self._slots:
+            self.running += 1
+            self.most_running = max(self.most_running, self.running)
+            try:
+                return await self._run(request, body)
+            finally:
+                self.running -= 1
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+    ) -> web.StreamResponse:
+        self._count_run(request)
+        if self.mode.crashes_on_poison and POISON_HEADER in request.headers:
+            self.counts['crashed'] += 1
+            self._abort_all()
+            await asyncio.sleep(_HANG_SECONDS)
+        if self._draws(self.mode.hang_ratio):
+            self.counts['hung'] += 1
+            await asyncio.sleep(_HANG_SECONDS)
+        factor = self.mode.slow_factor if self._is_faulty() else 1.0
+        await asyncio.sleep(self.mode.service_seconds * factor)
+        if self._draws(self.mode.reset_ratio):
+            self.counts['reset'] += 1
+            _abort(request.transport)
+            await asyncio.sleep(_HANG_SECONDS)
+        if self._draws(self.mode.error_ratio):
+            self.counts['error'] += 1
+            return web.Response(status=500, text='error')
+        return await self._answer(request, body)
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+    ) -> web.StreamResponse:
+        size = int(request.headers.get(SIZE_HEADER, '0'))
+        echo = request.headers.get(ECHO_HEADER, '')
+        text = json.dumps(
+            {
+                'request': echo,
+                'upstream': self.identity.upstream,
+                'received': len(body),
+                'deadline': request.headers.get(outcomes.DEADLINE_HEADER, ''),
+            }
+        )
+        payload = text.encode().ljust(size)
+        headers = {ECHO_HEADER: echo, 'Content-Type': 'application/json'}
+        if self._draws(self.mode.truncate_ratio):
+            self.counts['truncated'] += 1
+            return await self._truncate(request, payload, headers)
+        self.counts['answered'] += 1
+        return web.Response(body=payload, headers=headers)
+
+    async def _truncate(
+        self,
+        request: web.BaseRequest,
+        payload: bytes,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(payload)
+        await response.prepare(request)
+        await response.write(payload[: len(payload) // 2])
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
+    async def _handle_control(
+        self,
+        request: web.BaseRequest,
+    ) -> web.StreamResponse:
+        if request.path == '/-/mode' and request.method == 'PUT':
+            changes = await request.json()
+            self.mode = dataclasses.replace(self.mode, **changes)
+            return web.Response(status=204)
+        if request.path == '/-/freeze':
+            self.freeze()
+            return web.Response(status=204)
+        if request.path == '/-/report':
+            return web.json_response(self.report())
+        return web.Response(status=404)
+
+    def _count_run(self, request: web.BaseRequest) -> None:
+        self.counts['runs'] += 1
+        key = request.headers.get(outcomes.KEY_HEADER)
+        if key:
+            caller = request.headers.get(outcomes.CALLER_HEADER, '')
+            self.runs[f'{caller}/{key}'] += 1
+        echo = request.headers.get(ECHO_HEADER)
+        if echo:
+            self.request_runs[echo] += 1
+
+    def _draws(self, ratio: float) -> bool:
+        if ratio <= 0 or not self._is_faulty():
+            return False
+        return self._random.random() < ratio
+
+    def _is_faulty(self) -> bool:
+        period = self.mode.flap_seconds
+        return period <= 0 or int(time.monotonic() / period) % 2 == 0
+
+    def _abort_all(self) -> None:
+        for transport in self._transports:
+            _abort(transport)
+        self._transports.clear()
+
+    async def _announce_always(self) -> None:
+        async with client.ClientSession(
+            timeout=client.ClientTimeout(total=ANNOUNCE_SECONDS),
+        ) as session:
+            while True:
+                if self.mode.announces:
+                    await self._announce(session)
+                await asyncio.sleep(ANNOUNCE_SECONDS)
+
+    async def _announce(self, session: client.ClientSession) -> None:
+        for entry in self._random.sample(self._entries, len(self._entries)):
+            url = f'http://{entry}/-/announce'
+            announcement = self.create_announcement()
+            with contextlib.suppress(client.ClientError, TimeoutError):
+                async with session.post(url, json=announcement) as answer:
+                    if answer.status < 300:
+                        return
+
+
+def _abort(transport: asyncio.BaseTransport | None) -> None:
+    if isinstance(transport, asyncio.WriteTransport):
+        transport.abort()
+
+
+def create_upstream(
+    identity: UpstreamIdentity,
+    entries: typing.Sequence[str] = (),
+    seed: int = 1,
+) -> FakeUpstream:
+    """Return a fake upstream that is not started.
+
+    :param entries: addresses that announcements go to, one of them each
+        second.
+    """
+    return FakeUpstream(identity, list(entries), seed)
+
+
+async def run_upstream(
+    identity: UpstreamIdentity,
+    address: str,
+    entries: typing.Sequence[str],
+    seed: int,
+) -> None:
+    """Run one fake upstream until cancelled."""
+    upstream = create_upstream(identity, entries, seed)
+    print(await upstream.start(address), flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await upstream.close()
+
+
+@click.command()
+@click.option('--service', required=True)
+@click.option('--upstream', required=True)
+@click.option('--region', required=True)
+@click.option('--domain', required=True)
+@click.option('--slots', type=int, default=6)
+@click.option('--connections', type=int, default=400)
+@click.option('--address', default='127.0.0.1:0')
+@click.option('--entry', 'entries', multiple=True)
+@click.option('--seed', type=int, default=1)
+def main(
+    address: str,
+    entries: tuple[str, ...],
+    seed: int,
+    **fields: typing.Any,
+) -> None:
+    """Run one fake upstream that announces itself to entry hosts."""
+    identity = UpstreamIdentity(**fields)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(run_upstream(identity, address, entries, seed))
+
+
+if __name__ == '__main__':
+    main()
