--- /dev/null
+++ b/benchmarks/entry_measures.py
@@ -0,0 +1,351 @@
+"""Speed of the request path against a bare aiohttp pass-through.
+
+Both proxies run in processes of their own in front of the same fake
+upstreams. Requests per second per core are requests divided by the processor
+time that the proxy used. Added latency is the latency through a proxy minus
+the latency of the same load sent to the upstreams directly.
+
+Run it with ``python -m benchmarks.entry_measures``.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import statistics
+import subprocess
+import sys
+import time
+
+from aiohttp import client, web
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.entry import allocations, connections, exchanges
+from wagtailspread.entry import forwarding, interfaces, owners, servers, slots
+from wagtailspread.testing import stand_ins
+from wagtailspread.wire import credentials, links
+
+SEED = 20261204
+UPSTREAMS = 4
+WORKERS = 16
+#: Requests per slice; slices of the proxies alternate.
+SLICE_REQUESTS = 400
+SLICES = 6
+RATES = (183, 500)
+RATE_SECONDS = 2.0
+_SERVICE = identifiers.ServiceName('vitrina')
+_REQUEST = (
+    b'GET /vitrina/columnas/17?formato=html HTTP/1.1\r\n'
+    b'Host: vitrina.example\r\n'
+    b'Accept: text/html\r\n'
+    b'Wagtailspread-Caller: diario\r\n'
+    b'Wagtailspread-Deadline-Ms: 2000\r\n'
+    b'User-Agent: bench\r\n\r\n'
+)
+_BODY = b'x' * 2048
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measure:
+    """Processor time and latencies of one proxy."""
+
+    requests: int
+    cpu_seconds: float
+    latencies: tuple[float, ...]
+
+    @property
+    def rate(self) -> float:
+        """Return requests per second of processor time."""
+        return self.requests / self.cpu_seconds
+
+
+async def run_upstream() -> None:
+    """Answer every request with a fixed body."""
+
+    async def answer(_request: web.BaseRequest) -> web.Response:
+        return web.Response(body=_BODY, content_type='text/html')
+
+    await _serve(web.Server(answer, access_log=None))
+
+
+async def run_naive(upstreams: list[str]) -> None:
+    """Pass requests on to the upstreams in turn, without decisions."""
+    turns = itertools.cycle(upstreams)
+    async with client.ClientSession(auto_decompress=False) as session:
+
+        async def forward(request: web.BaseRequest) -> web.StreamResponse:
+            async with session.request(
+                request.method,
+                f'http://{next(turns)}{request.path_qs}',
+                headers=request.headers,
+            ) as reply:
+                response = web.StreamResponse(
+                    status=reply.status,
+                    headers=reply.headers,
+                )
+                await response.prepare(request)
+                async for piece in reply.content.iter_any():
+                    await response.write(piece)
+                await response.write_eof()
+                return response
+
+        await _serve(web.Server(forward, access_log=None))
+
+
+async def run_ours(upstreams: list[str]) -> None:
+    """Run an entry host that owns the service."""
+    clock = clocks.SystemClock()
+    peer = credentials.Peer(
+        identifiers.MemberId('andino'),
+        identifiers.HostId('h1'),
+        'entry',
+    )
+    own = credentials.Credentials(peer, credentials.create_key())
+    coordinator = stand_ins.SimpleCoordinator()
+    table = owners.OwnerTable(lambda _service: (coordinator, None), clock)
+    identity = allocations.HostIdentity(
+        peer.host,
+        identifiers.RegionName('costa-norte'),
+        identifiers.FailureDomain('costa-baq'),
+    )
+    place = interfaces.OwnerPlace(peer.host, identifiers.Address(''))
+    allocator = allocations.create_client(
+        identity,
+        stand_ins.FixedOwnership([place]),
+        table,
+        links.LinkPool(own, credentials.FixedDirectory({})),
+        clock,
+    )
+    for number, address in enumerate(upstreams):
+        allocator.announce(_create_row(number, address, identity))
+    forwarder = forwarding.Forwarder(
+        identity,
+        allocator,
+        exchanges.Exchanger(connections.PoolTable(9), clock),
+        clock,
+    )
+    routes = [stand_ins.FixedRoute('reads', _SERVICE, '/vitrina')]
+    server = servers.create_server(
+        stand_ins.FixedRouting(routes),
+        forwarder,
+        allocator,
+        stand_ins.AlwaysReady(),
+        lambda: {'cpu': time.process_time()},
+    )
+    print(await server.start(identifiers.Address('127.0.0.1:0')), flush=True)
+    await asyncio.Event().wait()
+
+
+def measure_entry() -> list[str]:
+    """Return one line for each measured scenario."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> list[str]:
+    started: list[subprocess.Popen[str]] = []
+    try:
+        upstreams = [_start(started, 'upstream') for _ in range(UPSTREAMS)]
+        ours = _start(started, 'ours', *upstreams)
+        naive = _start(started, 'naive', *upstreams)
+        lines = await _measure_throughput(ours, naive)
+        for rate in RATES:
+            lines += await _measure_latency(rate, ours, naive, upstreams)
+        return lines
+    finally:
+        for process in started:
+            process.terminate()
+            process.wait()
+
+
+async def _measure_throughput(ours: str, naive: str) -> list[str]:
+    totals: dict[str, list[float]] = {ours: [], naive: []}
+    for address in (ours, naive):
+        await _run_closed(address, SLICE_REQUESTS)
+    for _ in range(SLICES):
+        for address, spent in totals.items():
+            before = await _read_cpu(address)
+            await _run_closed(address, SLICE_REQUESTS)
+            spent.append(await _read_cpu(address) - before)
+    rates = [
+        SLICE_REQUESTS / statistics.median(spent) for spent in totals.values()
+    ]
+    return [
+        f'measure requests-per-core ours={rates[0]:.0f}'
+        f' naive={rates[1]:.0f} unit=requests/s',
+        f'measure requests-per-core-ratio ours={rates[0] / rates[1]:.3f}'
+        ' naive=1 unit=ratio',
+    ]
+
+
+async def _measure_latency(
+    rate: int,
+    ours: str,
+    naive: str,
+    upstreams: list[str],
+) -> list[str]:
+    direct = await _run_open(upstreams, rate)
+    through = [await _run_open([address], rate) for address in (ours, naive)]
+    lines = []
+    for percent in (50, 99):
+        base = _quantile(direct, percent)
+        added = [_quantile(one, percent) - base for one in through]
+        lines.append(
+            f'measure added-latency-p{percent}-at-{rate}'
+            f' ours={added[0] * 1000:.2f} naive={added[1] * 1000:.2f} unit=ms',
+        )
+    return lines
+
+
+async def _run_closed(address: str, count: int) -> None:
+    async def work(connection: '_Connection', share: int) -> None:
+        for _ in range(share):
+            await connection.request(_REQUEST)
+
+    connections_ = [await _connect(address) for _ in range(WORKERS)]
+    await asyncio.gather(
+        *(work(one, count // WORKERS) for one in connections_),
+    )
+    for one in connections_:
+        one.close()
+
+
+async def _run_open(addresses: list[str], rate: int) -> list[float]:
+    chance = random.Random(SEED)
+    idle = [await _connect(addresses[i % len(addresses)]) for i in range(32)]
+    latencies: list[float] = []
+
+    async def send(due: float) -> None:
+        connection = idle.pop(0) if idle else await _connect(addresses[0])
+        await connection.request(_REQUEST)
+        latencies.append(asyncio.get_running_loop().time() - due)
+        idle.append(connection)
+
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    end = due + RATE_SECONDS
+    tasks = []
+    while due < end:
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        tasks.append(loop.create_task(send(due)))
+        due += chance.expovariate(rate)
+    await asyncio.gather(*tasks)
+    for one in idle:
+        one.close()
+    return latencies
+
+
+class _Connection:
+    """A plain HTTP/1.1 connection that reads sized answers."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def request(self, request: bytes) -> bytes:
+        self._writer.write(request)
+        head = await self._reader.readuntil(b'\r\n\r\n')
+        if not head.startswith(b'HTTP/1.1 200'):
+            raise RuntimeError(head)
+        lower = head.lower()
+        if b'content-length:' not in lower:
+            return await self._read_chunks()
+        length = lower.split(b'content-length:')[1].split(b'\r\n')[0]
+        return await self._reader.readexactly(int(length))
+
+    def close(self) -> None:
+        self._writer.close()
+
+    async def _read_chunks(self) -> bytes:
+        body = b''
+        while True:
+            size = int(await self._reader.readuntil(b'\r\n'), 16)
+            body += (await self._reader.readexactly(size + 2))[:-2]
+            if not size:
+                return body
+
+
+async def _connect(address: str) -> _Connection:
+    ip, _, port = address.rpartition(':')
+    return _Connection(*await asyncio.open_connection(ip, int(port)))
+
+
+async def _read_cpu(address: str) -> float:
+    connection = await _connect(address)
+    body = await connection.request(
+        b'GET /-/status HTTP/1.1\r\nHost: x\r\n\r\n',
+    )
+    connection.close()
+    return float(body.split(b':')[1].rstrip(b'}'))
+
+
+async def _serve(server: web.Server) -> None:
+    inner = server.request_handler
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == '/-/status':
+            return web.Response(text=f'{{"cpu":{time.process_time()}}}')
+        return await inner(request)
+
+    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    ip, port = runner.addresses[0][:2]
+    print(f'{ip}:{port}', flush=True)
+    await asyncio.Event().wait()
+
+
+def _create_row(
+    number: int,
+    address: str,
+    identity: allocations.HostIdentity,
+) -> slots.Announcement:
+    return slots.Announcement(
+        _SERVICE,
+        identifiers.UpstreamId(f'u{number}'),
+        address,
+        identity.region,
+        identity.domain,
+        6,
+        400,
+        slots.UpstreamState.READY,
+        identifiers.Incarnation(1),
+    )
+
+
+def _start(started: list[subprocess.Popen[str]], *arguments: str) -> str:
+    process = subprocess.Popen(
+        (sys.executable, '-m', 'benchmarks.entry_measures', *arguments),
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    started.append(process)
+    if process.stdout is None:
+        raise RuntimeError('no output')
+    return process.stdout.readline().strip()
+
+
+def _quantile(latencies: list[float], percent: int) -> float:
+    ordered = sorted(latencies)
+    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+
+def main() -> None:
+    """Run a role, or measure and print the lines."""
+    role, *addresses = sys.argv[1:] or ['measure']
+    if role == 'upstream':
+        asyncio.run(run_upstream())
+    elif role == 'naive':
+        asyncio.run(run_naive(addresses))
+    elif role == 'ours':
+        asyncio.run(run_ours(addresses))
+    else:
+        for line in measure_entry():
+            print(line)
+
+
+if __name__ == '__main__':
+    main()
--- a/wagtailspread/testing/upstreams.py
+++ b/wagtailspread/testing/upstreams.py
@@ -333,26 +333,32 @@
         await upstream.close()
 
 
+def parse_identity(text: str) -> UpstreamIdentity:
+    """Return the identity in ``service/id/region/domain[/slots[/conns]]``.
+
+    >>> parse_identity('vitrina/u1/costa-norte/costa-baq/3').slots
+    3
+    """
+    service, upstream, region, domain, *numbers = text.split('/')
+    sizes = [int(number) for number in numbers]
+    return UpstreamIdentity(service, upstream, region, domain, *sizes)
+
+
 @click.command()
-@click.option('--service', required=True)
-@click.option('--upstream', required=True)
-@click.option('--region', required=True)
-@click.option('--domain', required=True)
-@click.option('--slots', type=int, default=6)
-@click.option('--connections', type=int, default=400)
+@click.option('--identity', required=True, help='service/id/region/domain')
 @click.option('--address', default='127.0.0.1:0')
 @click.option('--entry', 'entries', multiple=True)
 @click.option('--seed', type=int, default=1)
 def main(
+    identity: str,
     address: str,
     entries: tuple[str, ...],
     seed: int,
-    **fields: typing.Any,
 ) -> None:
     """Run one fake upstream that announces itself to entry hosts."""
-    identity = UpstreamIdentity(**fields)
+    parsed = parse_identity(identity)
     with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(run_upstream(identity, address, entries, seed))
+        asyncio.run(run_upstream(parsed, address, entries, seed))
 
 
 if __name__ == '__main__':
