--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -201,11 +201,11 @@
         for _ in range(share):
             await connection.request(_REQUEST)
 
-    connections_ = [await _connect(address) for _ in range(WORKERS)]
+    opened = [await _connect(address) for _ in range(WORKERS)]
     await asyncio.gather(
-        *(work(one, count // WORKERS) for one in connections_),
+        *(work(one, count // WORKERS) for one in opened),
     )
-    for one in connections_:
+    for one in opened:
         one.close()
 
 
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -378,6 +378,7 @@
   1: binary configuration
   2: binary claims
   3: i64 wall_ms
+}
 
 // One idempotency key in a snapshot of the replicas.
 struct ClaimRecord {
