--- a/wagtailspread/observability/logs.py
+++ b/wagtailspread/observability/logs.py
@@ -19,10 +19,13 @@
 
 import dataclasses
 import json
+import logging
 import typing
 
 import logbook
 
+from logbook import compat
+
 from wagtailspread.core import clocks
 
 #: Length of a window in which equal events are limited, in seconds.
@@ -128,6 +131,13 @@
     return StructuredHandler(host, stream, used_clock, level)
 
 
+def redirect_library_logs() -> None:
+    """Send what libraries log through ``logging`` to the handler in force."""
+    root = logging.getLogger()
+    root.addHandler(compat.RedirectLoggingHandler())
+    root.setLevel(logging.WARNING)
+
+
 def get_logger(name: str) -> logbook.Logger:
     """Return the logger of a package."""
     return logbook.Logger(name)
--- /dev/null
+++ b/wagtailspread/processes/allocators.py
@@ -0,0 +1,154 @@
+"""Builds the allocators that a host owns, from the configuration in force."""
+
+import collections
+import random
+
+from collections import abc
+
+from wagtailspread.allocation import coordination, policies
+from wagtailspread.allocation import judges as allocation_judges
+from wagtailspread.core import identifiers, outcomes
+from wagtailspread.health import authority, judges, reports
+from wagtailspread.observability import logs, metrics
+from wagtailspread.processes import copies
+
+_LOGGER = logs.get_logger('health')
+#: Changes of health that the status page shows for one service.
+KEPT_CHANGES = 50
+
+
+class ReportingJudge:
+    """A judge whose changes are logged, counted and kept for the status."""
+
+    def __init__(
+        self,
+        judge: judges.Judge,
+        service: identifiers.ServiceName,
+        host_metrics: metrics.Metrics,
+    ) -> None:
+        """Wrap a judge."""
+        self.judge = judge
+        self.changes: collections.deque[reports.HealthChange] = (
+            collections.deque(maxlen=KEPT_CHANGES)
+        )
+        self._service = service
+        self._metrics = host_metrics
+
+    def record(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        result: outcomes.ExchangeResult,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take the result of one exchange as evidence."""
+        self._metrics.count('exchanges', self._service, result.name.lower())
+        self.judge.record(upstream, host, domain, result, seconds, now)
+
+    def is_usable(
+        self,
+        upstream: identifiers.UpstreamId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> bool:
+        """Return whether it is neither ejected nor blocked from there."""
+        return self.judge.is_usable(upstream, domain, now)
+
+    def claim_trial(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> bool:
+        """Return whether an ejected upstream gets one trial request now."""
+        return self.judge.claim_trial(upstream, now)
+
+    def note_vote(self, host: identifiers.HostId, now: float) -> None:
+        """Renew the vote of a host for this allocator."""
+        self.judge.note_vote(host, now)
+
+    def tick(
+        self,
+        capacities: abc.Sequence[allocation_judges.Capacity],
+        now: float,
+    ) -> abc.Sequence[reports.HealthChange]:
+        """Eject and readmit upstreams; report the changes."""
+        changes = self.judge.tick(capacities, now)
+        for change in changes:
+            self._report(change)
+        return changes
+
+    def _report(self, change: reports.HealthChange) -> None:
+        self.changes.append(change)
+        if change.state is reports.HealthState.EJECTED:
+            cause = change.reason.cause.value
+            self._metrics.count('ejections', self._service, cause)
+        _LOGGER.notice(
+            f'upstream {change.state.value}',
+            extra={
+                'service': self._service,
+                'upstream': change.upstream,
+                'evidence': change.describe(),
+            },
+        )
+
+
+class AllocatorFactory:
+    """Creates coordinators with their judges, and remembers the judges."""
+
+    def __init__(
+        self,
+        copy: copies.ConfigurationCopy,
+        region: identifiers.RegionName,
+        host_metrics: metrics.Metrics,
+    ) -> None:
+        """Start without allocators."""
+        self.judges: dict[identifiers.ServiceName, ReportingJudge] = {}
+        self._copy = copy
+        self._region = region
+        self._metrics = host_metrics
+        self._index = authority.HostIndex()
+
+    def create(
+        self,
+        service: identifiers.ServiceName,
+    ) -> tuple[coordination.Coordinator, ReportingJudge]:
+        """Return a coordinator and its register of votes."""
+        policy = self._create_policy(service)
+        health = judges.HealthPolicy(policy.floor, self.count_hosts())
+        source = random.Random()
+        judge = ReportingJudge(
+            judges.create_judge(health, source, self._index),
+            service,
+            self._metrics,
+        )
+        self.judges[service] = judge
+        coordinator = coordination.create_coordinator(policy, judge, source)
+        return coordinator, judge
+
+    def create_fallback(
+        self,
+        service: identifiers.ServiceName,
+    ) -> coordination.Coordinator:
+        """Return a coordinator over this host's own share of the slots."""
+        return coordination.create_fallback_coordinator(
+            self._create_policy(service),
+            self.count_hosts(),
+            random.Random(),
+        )
+
+    def count_hosts(self) -> int:
+        """Return the configured number of hosts of the region."""
+        settings = self._copy.settings
+        region = settings.regions.get(self._region) if settings else None
+        return region.hosts if region else 1
+
+    def _create_policy(
+        self,
+        service: identifiers.ServiceName,
+    ) -> policies.AllocationPolicy:
+        limits = self._copy.find_service(service)
+        if limits is None:
+            return policies.AllocationPolicy()
+        return policies.create_policy(limits)
--- /dev/null
+++ b/wagtailspread/processes/ownerships.py
@@ -0,0 +1,56 @@
+"""Which live host runs the allocator of each service."""
+
+import dataclasses
+
+from wagtailspread.allocation import ownership
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.entry import interfaces
+from wagtailspread.membership import agents
+
+#: Age at which an order is computed again, in seconds. Hashing all hosts for
+#: each request would cost more than the rest of its decision.
+CACHE_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Order:
+    places: tuple[interfaces.OwnerPlace, ...]
+    until: float
+
+
+class GossipedOwnership:
+    """Rendezvous order over the hosts that gossip calls alive."""
+
+    def __init__(self, agent: agents.Agent, clock: clocks.Clock) -> None:
+        """Start with an empty cache."""
+        self._agent = agent
+        self._clock = clock
+        self._orders: dict[
+            tuple[identifiers.ServiceName, identifiers.RegionName],
+            _Order,
+        ] = {}
+
+    def rank_owners(
+        self,
+        service: identifiers.ServiceName,
+        region: identifiers.RegionName,
+    ) -> tuple[interfaces.OwnerPlace, ...]:
+        """Return the live hosts of a region, the owner first."""
+        now = self._clock.now()
+        order = self._orders.get((service, region))
+        if order is None or now >= order.until:
+            places = self._compute(service, region)
+            order = _Order(places, now + CACHE_SECONDS)
+            self._orders[service, region] = order
+        return order.places
+
+    def _compute(
+        self,
+        service: identifiers.ServiceName,
+        region: identifiers.RegionName,
+    ) -> tuple[interfaces.OwnerPlace, ...]:
+        rows = {row.host: row for row in self._agent.find_alive(region)}
+        ordered = ownership.order_hosts(service, region, rows)
+        return tuple(
+            interfaces.OwnerPlace(host, rows[host].address) for host in ordered
+        )
--- /dev/null
+++ b/wagtailspread/processes/statuses.py
@@ -0,0 +1,68 @@
+"""The status of an entry host, as a map that is written as JSON."""
+
+import typing
+
+from wagtailspread.core import priorities
+
+if typing.TYPE_CHECKING:
+    from wagtailspread.processes import entries
+
+Report = dict[str, typing.Any]
+
+
+def describe_host(host: 'entries.EntryHost', now: float) -> Report:
+    """Return versions, hosts, and the allocators that this host owns."""
+    return {
+        'host': host.agent.identity.host,
+        'is_ready': host.is_ready(),
+        'is_draining': host.is_draining,
+        'configuration_version': host.copy.version,
+        'hosts': [
+            {
+                'host': row.host,
+                'address': row.address,
+                'region': row.region,
+                'domain': row.domain,
+                'state': row.state.value,
+                'incarnation': row.incarnation,
+            }
+            for row in host.agent.members()
+        ],
+        'allocators': {
+            service: _describe_allocator(host, service, now)
+            for service in sorted(host.factory.judges)
+        },
+    }
+
+
+def _describe_allocator(
+    host: 'entries.EntryHost',
+    service: typing.Any,
+    now: float,
+) -> Report:
+    judge = host.factory.judges[service]
+    coordinator = typing.cast(
+        typing.Any,
+        host.owners.find(service).coordinator,
+    )
+    ejected = set(judge.judge.find_ejected())
+    return {
+        'upstreams': [
+            {
+                'upstream': row.upstream,
+                'address': row.address,
+                'domain': row.domain,
+                'slots': row.slots,
+                'usable': row.usable,
+                'in_use': row.in_use,
+                'is_active': row.check_active(now),
+                'is_ejected': row.upstream in ejected,
+            }
+            for row in coordinator.list_rows(now)
+        ],
+        'queues': {
+            priority.name.lower(): coordinator.queues.count(priority)
+            for priority in priorities.Priority
+        },
+        'changes': [change.describe() for change in judge.changes],
+    }
--- a/wagtailspread/replica/machines.py
+++ b/wagtailspread/replica/machines.py
@@ -55,13 +55,13 @@
     def claim(self, request: messages.Struct, now: float) -> messages.Struct:
         """Return the ``ClaimAnswer`` to a ``ClaimKey``."""
 
-    def finish(self, request: messages.Struct, now: float) -> None:
+    def finish(self, request: messages.Struct, now: float) -> object:
         """Store the end of an attempt, a ``FinishKey``."""
 
-    def release(self, request: messages.Struct, now: float) -> None:
+    def release(self, request: messages.Struct, now: float) -> object:
         """Free the key of an attempt that sent nothing, a ``ReleaseKey``."""
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float) -> object:
         """Drop what has expired."""
 
     def take_snapshot(self) -> bytes:
--- /dev/null
+++ b/wagtailspread/testing/fleets.py
@@ -0,0 +1,294 @@
+"""A whole fleet as separate processes on loopback addresses.
+
+Used by the demonstration and by tests of failures that only real processes
+have. Every process that was started is ended by its pid.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import aiohttp
+
+from wagtailspread.wire import credentials
+
+MEMBER = 'centro-andes'
+#: Longest wait for a condition, in seconds.
+WAIT_SECONDS = 15.0
+_POLL_SECONDS = 0.05
+_PLACES = (
+    ('centro-andes', 'andes-bog'),
+    ('centro-andes', 'andes-mde'),
+    ('costa-norte', 'costa-baq'),
+    ('costa-norte', 'costa-ctg'),
+)
+
+BASE_FILE = """\
+[fleet]
+name = demonstration
+
+[member {member}]
+public_key = {public_key}
+
+[region centro-andes]
+domains = andes-bog, andes-mde
+hosts = 2
+link = 30Mbit/s
+
+[region costa-norte]
+domains = costa-baq, costa-ctg
+hosts = 2
+link = 30Mbit/s
+
+[service vitrina]
+floor = 50%
+share_urgent = 60%
+share_standard = 30%
+share_bulk = 10%
+warm_up = 1s
+
+[service contratos]
+floor = 50%
+deadline = 4s
+warm_up = 1s
+
+[route columns]
+service = vitrina
+path = /columns
+priority = urgent
+
+[route search]
+service = vitrina
+path = /search
+priority = standard
+
+[route archive]
+service = vitrina
+path = /archive
+priority = bulk
+
+[route orders]
+service = contratos
+path = /orders
+methods = POST
+priority = urgent
+idempotent = no
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """One process of the fleet.
+
+    :param address: where it serves HTTP, or the replicas' protocol.
+    """
+
+    name: str
+    address: str
+    running: subprocess.Popen[bytes]
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.running.send_signal(number)
+
+    def wait(self, seconds: float = WAIT_SECONDS) -> int:
+        """Return the exit status."""
+        return self.running.wait(seconds)
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.running.poll() is None
+
+
+class Fleet:
+    """Replicas, entry hosts and fake upstreams in one folder.
+
+    Use as a context manager, so that all processes are ended.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Create the member's key; nothing is started yet."""
+        self.folder = folder
+        self.replicas: list[Process] = []
+        self.entries: list[Process] = []
+        self.upstreams: list[Process] = []
+        key = credentials.create_key()
+        self.key_file = folder / 'member.pem'
+        self.key_file.write_bytes(credentials.dump_key(key))
+        self.key_file.chmod(0o600)
+        public = base64.b64encode(credentials.public_bytes(key)).decode()
+        self._public_key = public
+        self.base_text = BASE_FILE.format(member=MEMBER, public_key=public)
+        (folder / 'base.ini').write_text(self.base_text)
+        self._replica_addresses: list[str] = []
+        self._control_addresses: list[str] = []
+
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End all processes that were started."""
+        for process in (*self.upstreams, *self.entries, *self.replicas):
+            if process.is_running:
+                process.send(signal.SIGCONT)
+                process.running.kill()
+                process.wait()
+
+    def start_replicas(self, count: int = 3) -> None:
+        """Start the replicas that form the first membership."""
+        self._replica_addresses = [find_free_address() for _ in range(count)]
+        for number in range(count):
+            self.replicas.append(self.start_replica(number))
+
+    def start_replica(self, number: int) -> Process:
+        """Start one replica, also again after it ended."""
+        listed = ' '.join(self._replica_addresses)
+        region, domain = _PLACES[number % len(_PLACES)]
+        address = self._replica_addresses[number]
+        text = self._describe_process(f'r{number}', region, domain)
+        text += (
+            f'\n[replica]\naddress = {address}\npeers = {listed}\n'
+            f'data_folder = data-{number}\nfounders = {listed}\n'
+            'first_base = base.ini\n'
+        )
+        return self._start_settings('replica', f'r{number}', text, address)
+
+    def start_entries(self, count: int = 4, drain: str = '500ms') -> None:
+        """Start entry hosts, spread over the failure domains."""
+        self._control_addresses = [find_free_address() for _ in range(count)]
+        for number in range(count):
+            self.entries.append(self.start_entry(number, drain))
+
+    def start_entry(self, number: int, drain: str = '500ms') -> Process:
+        """Start one entry host, also again after it ended."""
+        region, domain = _PLACES[number % len(_PLACES)]
+        address = find_free_address()
+        text = self._describe_process(f'h{number}', region, domain)
+        text += (
+            f'\n[entry]\ncaller_address = {address}\n'
+            f'control_address = {self._control_addresses[number]}\n'
+            f'replicas = {" ".join(self._replica_addresses)}\n'
+            f'seeds = {" ".join(self._control_addresses)}\n'
+            f'folder = entry-{number}\ndrain = {drain}\n'
+        )
+        return self._start_settings('entry', f'h{number}', text, address)
+
+    def start_upstream(self, service: str, name: str, place: int) -> Process:
+        """Start a fake upstream that announces itself to its region."""
+        region, domain = _PLACES[place % len(_PLACES)]
+        address = find_free_address()
+        arguments = [
+            'fake-upstream',
+            f'--identity={service}/{name}/{region}/{domain}',
+            f'--address={address}',
+        ]
+        for entry in self.list_entries(region):
+            arguments.append(f'--entry={entry.address}')
+        process = self._start(name, arguments, address)
+        self.upstreams.append(process)
+        return process
+
+    def list_entries(self, region: str) -> list[Process]:
+        """Return the entry hosts of a region."""
+        return [
+            entry
+            for number, entry in enumerate(self.entries)
+            if _PLACES[number % len(_PLACES)][0] == region
+        ]
+
+    @property
+    def replica_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of all replicas."""
+        return tuple(self._replica_addresses)
+
+    def _describe_process(self, host: str, region: str, domain: str) -> str:
+        return (
+            f'[process]\nmember = {MEMBER}\nhost = {host}\n'
+            f'region = {region}\ndomain = {domain}\n'
+            'key_file = member.pem\n\n'
+            f'[trust {MEMBER}]\npublic_key = {self._public_key}\n'
+        )
+
+    def _start_settings(
+        self,
+        role: str,
+        name: str,
+        text: str,
+        address: str,
+    ) -> Process:
+        path = self.folder / f'{name}.ini'
+        path.write_text(text)
+        return self._start(name, [role, str(path)], address)
+
+    def _start(
+        self,
+        name: str,
+        arguments: typing.Sequence[str],
+        address: str,
+    ) -> Process:
+        log = (self.folder / f'{name}.log').open('ab')
+        with log:
+            running = subprocess.Popen(
+                [sys.executable, '-m', 'wagtailspread', *arguments],
+                stdout=log,
+                stderr=log,
+            )
+        return Process(name, address, running)
+
+
+def find_free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+async def wait_until(
+    check: typing.Callable[[], typing.Awaitable[bool]],
+    seconds: float = WAIT_SECONDS,
+) -> float | None:
+    """Return the seconds until a check held, or ``None`` if it never did."""
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        if await check():
+            return time.monotonic() - started
+        await asyncio.sleep(_POLL_SECONDS)
+    return None
+
+
+async def read_status(
+    session: aiohttp.ClientSession,
+    entry: Process,
+) -> dict[str, typing.Any]:
+    """Return the status of an entry host; empty if it does not answer."""
+    try:
+        async with session.get(
+            f'http://{entry.address}/-/status',
+            timeout=aiohttp.ClientTimeout(total=1),
+        ) as answer:
+            return json.loads(await answer.text())
+    except (aiohttp.ClientError, TimeoutError, ValueError):
+        return {}
+
+
+async def is_ready(session: aiohttp.ClientSession, entry: Process) -> bool:
+    """Tell whether the balancer would send callers to this host."""
+    try:
+        async with session.get(
+            f'http://{entry.address}/-/ready',
+            timeout=aiohttp.ClientTimeout(total=1),
+        ) as answer:
+            return answer.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        return False
