--- /dev/null
+++ b/wagtailspread/allocation/dispatch.py
@@ -0,0 +1,180 @@
+"""Grants of free slots to waiting requests, and the slots that leases hold."""
+
+import random as random_module
+
+from wagtailspread.allocation import (
+    messages,
+    scheduling,
+    selection,
+    tables,
+)
+from wagtailspread.core import identifiers, priorities
+
+#: A waiting request may be overtaken by one that has a free upstream near its
+#: host and was submitted at most this much later.
+NEAR_PREFERENCE_SECONDS = 0.1
+#: A lease ends this long after the deadline of its request.
+LEASE_MARGIN_SECONDS = 1.0
+#: Time between two questions whether an ejected upstream is due for a trial.
+_TRIAL_SECONDS = 0.1
+#: Urgent requests are used for trials only if nothing else ran for this long.
+_QUIET_SECONDS = 1.0
+_LEASE_BITS = 62
+_PRIORITIES = tuple(priorities.Priority)
+
+
+class Dispatcher:
+    """Opens and settles leases, and chooses who gets the next slot."""
+
+    def __init__(
+        self,
+        leases: tables.LeaseTable,
+        queues: scheduling.Queues,
+        shares: scheduling.Shares,
+        selector: selection.Selector,
+        random: random_module.Random,
+    ) -> None:
+        """Work on the tables of one allocator."""
+        self._leases = leases
+        self._queues = queues
+        self._shares = shares
+        self._selector = selector
+        self._random = random
+        self._trial_at = 0.0
+        self._calm_at = 0.0
+
+    def open(self, lease: tables.Lease, now: float) -> None:
+        """Take the slot of a new lease."""
+        self._leases.add(lease)
+        self._shares.acquire(lease.priority, now)
+        self._selector.update(lease.row, now)
+
+    def settle(self, lease: tables.Lease, now: float) -> None:
+        """Free the slot of a lease that is no longer open."""
+        self._shares.release(lease.priority, now)
+        self._selector.update(lease.row, now)
+
+    def place(
+        self,
+        request: messages.SlotRequest,
+        view: selection.View,
+        now: float,
+    ) -> messages.Grant | None:
+        """Grant a request a slot, or none if none is free for it."""
+        trial = self._find_trial(request, view, now)
+        row = trial or self._selector.choose(view, request.excluded, now)
+        if row is None:
+            return None
+        lease = tables.Lease(
+            lease=self._create_lease_id(),
+            row=row,
+            request=request.request,
+            host=request.host,
+            domain=request.domain,
+            priority=request.priority,
+            fingerprint=request.fingerprint,
+            granted=now,
+            expires=request.deadline + LEASE_MARGIN_SECONDS,
+        )
+        self.open(lease, now)
+        return messages.Grant(
+            request=request.request,
+            lease=lease.lease,
+            upstream=row.upstream,
+            address=row.address,
+            expires=lease.expires,
+            is_trial=trial is not None,
+        )
+
+    def serve_next(
+        self,
+        now: float,
+    ) -> tuple[messages.SlotRequest, messages.Grant] | None:
+        """Grant one slot to the priority whose turn it is.
+
+        Priorities with less than their share come first, then the others;
+        the more urgent one first in both cases.
+        """
+        if not (self._selector.has_candidate() or self._may_try(now)):
+            return None
+        for priority in self._list_turns(now):
+            served = self._serve(priority, now)
+            if served is not None:
+                return served
+        return None
+
+    def _list_turns(self, now: float) -> list[priorities.Priority]:
+        """Return the priorities with waiting requests, the next one first."""
+        entitled = []
+        others = []
+        for priority in _PRIORITIES:
+            if not self._queues.counts[priority]:
+                continue
+            if self._shares.is_entitled(priority, now):
+                entitled.append(priority)
+            else:
+                others.append(priority)
+        return entitled + others
+
+    def _serve(
+        self,
+        priority: priorities.Priority,
+        now: float,
+    ) -> tuple[messages.SlotRequest, messages.Grant] | None:
+        """Grant a slot to the first request that an upstream is free for."""
+        fronts = self._queues.list_fronts(priority)
+        if len(fronts) > 1:
+            self._prefer_near(fronts, now)
+        for front in fronts:
+            view = self._selector.find_view(front[0].domain, now)
+            for waiting in front:
+                grant = self.place(waiting.request, view, now)
+                if grant is not None:
+                    self._queues.remove(waiting)
+                    return waiting.request, grant
+        return None
+
+    def _prefer_near(
+        self,
+        fronts: list[list[scheduling.Waiting]],
+        now: float,
+    ) -> None:
+        """Move a request with a free upstream near its host to the front.
+
+        The slot stands idle while messages travel, so a near one gets more
+        done. The order of arrival prevails for requests that are much older.
+        """
+        limit = fronts[0][0].submitted + NEAR_PREFERENCE_SECONDS
+        for position, front in enumerate(fronts):
+            if front[0].submitted > limit:
+                return
+            view = self._selector.find_view(front[0].domain, now)
+            if view.has_near_candidate():
+                fronts.insert(0, fronts.pop(position))
+                return
+
+    def _may_try(self, now: float) -> bool:
+        """Return whether an ejected upstream may be due for a trial."""
+        return now >= self._trial_at and self._selector.has_parked()
+
+    def _find_trial(
+        self,
+        request: messages.SlotRequest,
+        view: selection.View,
+        now: float,
+    ) -> tables.UpstreamRow | None:
+        """Return an ejected upstream that this request may try."""
+        if request.priority is not priorities.Priority.URGENT:
+            self._calm_at = now + _QUIET_SECONDS
+        elif now < self._calm_at:
+            return None
+        if now < self._trial_at or not view.parked:
+            return None
+        row = self._selector.claim_trial(view, request.excluded, now)
+        if row is None:
+            self._trial_at = now + _TRIAL_SECONDS
+        return row
+
+    def _create_lease_id(self) -> identifiers.LeaseId:
+        """Return an id that no other allocator uses; never 0."""
+        return identifiers.LeaseId(self._random.getrandbits(_LEASE_BITS) or 1)
--- a/wagtailspread/allocation/estimates.py
+++ b/wagtailspread/allocation/estimates.py
@@ -1,10 +1,11 @@
 """Estimates of how long a slot is held, from completions.
 
+The time from grant to completion is used, not the time at the upstream, since
+the slot is in use while the messages travel, too.
+
 References: RFC 6298, whose smoothed mean and deviation these follow.
 """
 
-import dataclasses
-
 from wagtailspread.core import priorities
 
 _MEAN_WEIGHT = 1 / 16
@@ -15,64 +16,58 @@
 _SLOWNESS_BOUND = 16.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Estimate:
-    """Smoothed mean and mean deviation, in seconds."""
-
-    mean: float = 0.0
-    deviation: float = 0.0
-
-    def add(self, seconds: float) -> None:
-        """Take one sample."""
-        if self.mean == 0:
-            self.mean = seconds
-            self.deviation = seconds / 2
-            return
-        error = seconds - self.mean
-        self.mean += _MEAN_WEIGHT * error
-        self.deviation += _MEAN_WEIGHT * (abs(error) - self.deviation)
-
-
 class HoldTimes:
-    """How long slots are held, by priority.
+    """How long slots are held, by priority and relative by upstream.
 
-    The time from grant to completion is used, not the time at the upstream,
-    since the slot is in use while the messages travel, too.
+    >>> hold_times = HoldTimes()
+    >>> hold_times.add(priorities.Priority.BULK, 0.5, slowness=1.0)
+    1.0
+    >>> hold_times.expect(priorities.Priority.URGENT)
+    0.5
     """
 
     def __init__(self) -> None:
         """Start without samples."""
-        self._estimates = tuple(_Estimate() for _ in priorities.Priority)
-        self._overall = _Estimate()
-
-    def add(self, priority: priorities.Priority, seconds: float) -> None:
-        """Take the hold time of one lease."""
-        self._estimates[priority].add(seconds)
-        self._overall.add(seconds)
+        self._means = [0.0 for _ in priorities.Priority]
+        self._deviations = [0.0 for _ in priorities.Priority]
+        self._latest = priorities.Priority.STANDARD
 
-    def expect(self, priority: priorities.Priority) -> float:
-        """Return the mean hold time in seconds; 0 while unknown."""
-        return self._estimates[priority].mean or self._overall.mean
-
-    def plan(self, priority: priorities.Priority) -> float:
-        """Return a hold time in seconds that few leases exceed."""
-        estimate = self._estimates[priority]
-        if estimate.mean == 0:
-            estimate = self._overall
-        return estimate.mean + _PLANNED_DEVIATIONS * estimate.deviation
-
-    def compare(
+    def add(
         self,
         priority: priorities.Priority,
         seconds: float,
         slowness: float,
     ) -> float:
-        """Return the new slowness of an upstream after one hold time.
+        """Take the hold time of one lease.
 
-        :param slowness: the old one; 1 is the mean of all upstreams.
+        :param slowness: hold times of its upstream relative to the others; 1
+            is the mean.
+        :returns: the new slowness.
         """
-        expected = self.expect(priority)
-        if expected == 0:
+        self._latest = priority
+        mean = self._means[priority]
+        if mean == 0:
+            self._means[priority] = seconds
+            self._deviations[priority] = seconds / 2
             return slowness
-        ratio = min(seconds / expected, _SLOWNESS_BOUND)
+        error = seconds - mean
+        self._means[priority] = mean + _MEAN_WEIGHT * error
+        deviation = self._deviations[priority]
+        deviation += _MEAN_WEIGHT * (abs(error) - deviation)
+        self._deviations[priority] = deviation
+        ratio = min(seconds / mean, _SLOWNESS_BOUND)
         return slowness + _SLOWNESS_WEIGHT * (ratio - slowness)
+
+    def expect(self, priority: priorities.Priority) -> float:
+        """Return the mean hold time in seconds; 0 while unknown.
+
+        A priority without samples is assumed to be like the latest one.
+        """
+        return self._means[priority] or self._means[self._latest]
+
+    def plan(self, priority: priorities.Priority) -> float:
+        """Return a hold time in seconds that few leases exceed."""
+        if self._means[priority] == 0:
+            priority = self._latest
+        margin = _PLANNED_DEVIATIONS * self._deviations[priority]
+        return self._means[priority] + margin
--- a/wagtailspread/allocation/scheduling.py
+++ b/wagtailspread/allocation/scheduling.py
@@ -15,6 +15,8 @@
 
 #: Bound of the credit for fractions of a slot, in slot-seconds.
 _CREDIT_BOUND = 1.0
+#: A share such as 0.3 of 10 slots is not exactly 3 in binary.
+_ROUNDING = 1e-9
 #: Requests in one queue that are tried when the first ones exclude all
 #: upstreams with a free slot.
 _LOOK_AHEAD = 8
@@ -44,55 +46,61 @@
     """Slots in use by priority, against the configured shares."""
 
     def __init__(self, shares: tuple[float, ...]) -> None:
-        """Start with no slots in use.
+        """Start with no slots.
 
         :param shares: of the slots, by priority.
         """
-        self.total = 0
         self.in_use = [0 for _ in shares]
         self._shares = shares
+        self._wholes = [0 for _ in shares]
+        self._fractions = [0.0 for _ in shares]
         self._credits = [0.0 for _ in shares]
-        self._updated = 0.0
+        self._updated = [0.0 for _ in shares]
+
+    def resize(self, total: int, now: float) -> None:
+        """Set the number of slots that all priorities share."""
+        for priority in priorities.Priority:
+            self._accrue(priority, now)
+            guarantee = self._shares[priority] * total
+            whole = int(guarantee + _ROUNDING)
+            self._wholes[priority] = whole
+            self._fractions[priority] = max(0.0, guarantee - whole)
 
     def acquire(self, priority: priorities.Priority, now: float) -> None:
         """Count one more slot in use."""
-        self._accrue(now)
+        if self.in_use[priority] == self._wholes[priority]:
+            self._accrue(priority, now)
         self.in_use[priority] += 1
 
     def release(self, priority: priorities.Priority, now: float) -> None:
         """Count one slot less in use."""
-        self._accrue(now)
+        if self.in_use[priority] == self._wholes[priority] + 1:
+            self._accrue(priority, now)
         self.in_use[priority] -= 1
 
-    def guarantee(self, priority: priorities.Priority) -> float:
-        """Return the slots that the priority gets whenever it has work."""
-        return self._shares[priority] * self.total
-
     def estimate_slots(self, priority: priorities.Priority) -> float:
         """Return the slots that work of this priority currently gets."""
-        return max(1.0, self.guarantee(priority), self.in_use[priority])
+        guarantee = self._wholes[priority] + self._fractions[priority]
+        return max(1.0, guarantee, self.in_use[priority])
 
     def is_entitled(self, priority: priorities.Priority, now: float) -> bool:
         """Return whether the priority has less than its share."""
-        whole = int(self.guarantee(priority))
-        used = self.in_use[priority]
-        if used != whole:
-            return used < whole
-        self._accrue(now)
+        excess = self.in_use[priority] - self._wholes[priority]
+        if excess:
+            return excess < 0
+        self._accrue(priority, now)
         return self._credits[priority] > 0
 
-    def _accrue(self, now: float) -> None:
-        elapsed = now - self._updated
-        if elapsed <= 0:
-            return
-        self._updated = now
-        for priority in priorities.Priority:
-            guarantee = self.guarantee(priority)
-            whole = int(guarantee)
-            rate = guarantee - whole - (self.in_use[priority] > whole)
-            credit = self._credits[priority] + rate * elapsed
-            bounded = min(_CREDIT_BOUND, max(-_CREDIT_BOUND, credit))
-            self._credits[priority] = bounded
+    def _accrue(self, priority: priorities.Priority, now: float) -> None:
+        """Earn the fraction of a slot, and pay for one above the whole."""
+        elapsed = now - self._updated[priority]
+        self._updated[priority] = now
+        rate = self._fractions[priority]
+        if self.in_use[priority] > self._wholes[priority]:
+            rate -= 1
+        credit = self._credits[priority] + rate * elapsed
+        bounded = min(_CREDIT_BOUND, max(-_CREDIT_BOUND, credit))
+        self._credits[priority] = bounded
 
 
 class Queues:
--- a/wagtailspread/allocation/selection.py
+++ b/wagtailspread/allocation/selection.py
@@ -107,6 +107,14 @@
             self._rebuild(view, now)
         return view
 
+    def has_candidate(self) -> bool:
+        """Return whether any caller may find a free slot."""
+        return any(view.has_candidate() for view in self.views.values())
+
+    def has_parked(self) -> bool:
+        """Return whether any upstream is not usable for some callers."""
+        return any(view.parked for view in self.views.values())
+
     def update(self, row: tables.UpstreamRow, now: float) -> None:
         """Move a row to its place after a change of its slots or leases."""
         row.version += 1
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -64,7 +64,7 @@
         return now - self.heard <= ROW_EXPIRY_SECONDS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Lease:
     """A slot in use.
 
