Test the allocator under faults and with a state machine

The state machine sends announcements, requests, cancellations, completions, adoptions and ejections in any order, some of them twice or late, and checks at the moment of each grant that the upstream has a usable slot, was announced, is not draining and is not ejected without a trial. Each request has one decision.

It needed a change: a submission that arrives after its cancellation was queued again and would have held a slot until its lease ended. Cancelled requests are now remembered.

The view of a failure domain now asks the judge when it is created, so that the first request there can already be a trial.

--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import random as random_module
+import sys
 import typing
 
 from wagtailspread.allocation import (
@@ -121,11 +122,13 @@
         waiting = self.queues.find(request_id)
         if waiting is not None:
             self.queues.remove(waiting)
-            return
         self._decisions.pop(request_id, None)
         decided = self._memory.decisions.get(request_id)
         if decided is not None:
             self._withdraw(decided.decision, now)
+        # A submission that arrives late must not hold a slot.
+        forgotten = _Decided(sys.maxsize, None)
+        self._memory.decisions.put(request_id, forgotten, now)
 
     def complete(self, completion: messages.Completion, now: float) -> None:
         """Take a lease back, with the result of the exchange as evidence."""
@@ -227,12 +230,13 @@
             self._repeat(decided.decision)
         return True
 
-    def _repeat(self, decision: messages.Decision) -> None:
+    def _repeat(self, decision: messages.Decision | None) -> None:
         """Return a decision again, unless its lease is closed."""
         if isinstance(decision, messages.Grant):
             if decision.lease not in self.leases.leases:
                 return
-        self._decisions[decision.request] = decision
+        if decision is not None:
+            self._decisions[decision.request] = decision
 
     def _withdraw(
         self,
@@ -344,10 +348,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Decided:
-    """A decision, and the attempt that it belongs to."""
+    """A decision, none if cancelled, and the attempt that it belongs to."""
 
     attempt: int
-    decision: messages.Decision
+    decision: messages.Decision | None
 
 
 class _Memory:
--- a/wagtailspread/allocation/selection.py
+++ b/wagtailspread/allocation/selection.py
@@ -104,6 +104,7 @@
         if view is None:
             view = View(domain)
             self.views[domain] = view
+            self._refresh_view(view, now)
             self._rebuild(view, now)
         return view
 
--- /dev/null
+++ b/wagtailspread/allocation/tests/test_faults.py
@@ -0,0 +1,253 @@
+"""Table-driven tests of faults that may happen at any time."""
+
+import dataclasses
+
+import pytest
+
+from wagtailspread.allocation import coordination
+from wagtailspread.allocation.tests import builders
+from wagtailspread.core import outcomes
+
+RESULT = outcomes.ExchangeResult
+REASON = outcomes.RefusalReason
+STATE = coordination.UpstreamState
+UNUSABLE = (RESULT.ERROR, RESULT.TIMEOUT, RESULT.RESET, RESULT.CANCELLED)
+
+
+class RecordingJudge(coordination.AcceptingJudge):
+    """Keeps the evidence and the votes that it gets."""
+
+    def __init__(self, ejected=(), trials=()):
+        self.evidence = []
+        self.votes = []
+        self.ejected = set(ejected)
+        self.trials = list(trials)
+
+    def record(self, upstream, host, domain, result, seconds, now):
+        self.evidence.append((upstream, result))
+
+    def note_vote(self, host, now):
+        self.votes.append(host)
+
+    def is_usable(self, upstream, domain, now):
+        return upstream not in self.ejected
+
+    def claim_trial(self, upstream, now):
+        if upstream not in self.trials:
+            return False
+        self.trials.remove(upstream)
+        return True
+
+
+def grant_one(coordinator, now, **fields):
+    """Return the grant of a new request."""
+    fields.setdefault('deadline', now + 1)
+    decisions = builders.submit_all(coordinator, 1, now, **fields)
+    return builders.list_grants(decisions)[0]
+
+
+@pytest.mark.parametrize(
+    ('state', 'age', 'expected'),
+    [
+        (STATE.READY, 0.0, 6),
+        (STATE.COLD, 0.0, 1),
+        (STATE.DRAINING, 0.0, 0),
+        (STATE.READY, 2.6, 0),
+        (STATE.READY, -9.0, 6),
+    ],
+)
+def test_first_announcement_decides_the_slots(state, age, expected):
+    """Guards against work for upstreams that are cold, leaving or silent."""
+    coordinator = builders.make_coordinator()
+    announcement = builders.make_announcement(0, state=state, age=age)
+    coordinator.announce(announcement, 0.0)
+    decisions = builders.submit_all(coordinator, 9)
+    assert len(builders.list_grants(decisions)) == expected
+
+
+@pytest.mark.parametrize(
+    ('elapsed', 'expected'),
+    [(0.0, 1), (0.4, 1), (3.9, 2), (4.1, 3), (9.9, 5), (10.1, 6)],
+)
+def test_restarted_upstream_warms_up(elapsed, expected):
+    """Guards against a cold upstream that reports itself ready too early."""
+    coordinator = builders.make_coordinator(warm_up=10.0)
+    builders.announce_all(coordinator, 1)
+    begin = 5.0
+    builders.announce_all(coordinator, 1, begin, incarnation=1)
+    now = begin + elapsed
+    builders.announce_all(coordinator, 1, now, incarnation=1)
+    coordinator.tick(now)
+    assert coordinator.table.rows['u0'].usable == expected
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'state', 'expected'),
+    [(1, STATE.DRAINING, True), (2, STATE.DRAINING, False)],
+)
+def test_message_of_an_earlier_incarnation_changes_nothing(
+    incarnation,
+    state,
+    expected,
+):
+    """Guards against a late drain that stops a restarted upstream."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1, incarnation=2)
+    late = builders.make_announcement(0, state=state, incarnation=incarnation)
+    coordinator.announce(late, 0.1)
+    granted = builders.list_grants(builders.submit_all(coordinator, 1, 0.2))
+    assert bool(granted) is expected
+
+
+def test_lost_announcements_do_not_make_an_upstream_cold():
+    """Guards against a capacity drop after a short partition."""
+    coordinator = builders.make_coordinator(warm_up=100.0)
+    builders.announce_all(coordinator, 2, incarnation=3)
+    coordinator.tick(4.0)
+    assert not coordinator.table.rows
+    builders.announce_all(coordinator, 1, 5.0, incarnation=3)
+    assert coordinator.table.rows['u0'].usable == 6
+
+
+def test_drain_that_is_called_off_gives_the_slots_back():
+    """Guards against an upstream that stays idle after a cancelled drain."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1, state=STATE.DRAINING)
+    for second in range(1, 5):
+        builders.announce_all(coordinator, 1, float(second))
+        coordinator.tick(float(second))
+    assert grant_one(coordinator, 4.0).upstream == 'u0'
+
+
+@pytest.mark.parametrize(
+    ('sheds', 'successes', 'expected'),
+    [(1, 0, 3), (6, 0, 3), (1, 2, 5), (1, 9, 6)],
+)
+def test_shed_replies_halve_the_slots_once(sheds, successes, expected):
+    """Guards against collapse when all requests in flight are shed."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1)
+    decisions = builders.submit_all(coordinator, 6)
+    grants = builders.list_grants(decisions)
+    builders.complete_all(coordinator, grants[:sheds], 0.1, RESULT.SHED)
+    builders.complete_all(coordinator, grants[sheds:], 0.1, RESULT.CANCELLED)
+    for _ in range(successes):
+        grant = grant_one(coordinator, 0.2)
+        builders.complete_all(coordinator, [grant], 0.3)
+    assert coordinator.table.rows['u0'].usable == expected
+
+
+def test_upstream_that_sheds_everything_pauses():
+    """Guards against a loop of grants and shed replies."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1, slots=1)
+    grant = grant_one(coordinator, 0.0)
+    builders.complete_all(coordinator, [grant], 0.01, RESULT.SHED)
+    assert not builders.submit_all(coordinator, 1, 0.02, deadline=2.0)
+    assert builders.list_grants(coordinator.tick(0.4))
+
+
+@pytest.mark.parametrize('result', UNUSABLE)
+def test_failed_exchange_frees_its_slot(result):
+    """Guards against slots that failures use up."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1, slots=1)
+    grant = grant_one(coordinator, 0.0, fingerprint=b'a')
+    builders.complete_all(coordinator, [grant], 0.1, result)
+    assert grant_one(coordinator, 0.2).upstream == 'u0'
+
+
+def make_claim(lease, **fields):
+    """Return a claim on a slot of ``u0``."""
+    fields.setdefault('expires', 1.0)
+    return coordination.AdoptedLease(lease, 'h9', 'u0', **fields)
+
+
+@pytest.mark.parametrize('announced_first', [True, False])
+def test_adopted_leases_use_slots_of_a_new_owner(announced_first):
+    """Guards against more leases than slots after an owner was lost."""
+    coordinator = builders.make_coordinator()
+    if announced_first:
+        builders.announce_all(coordinator, 1)
+    for lease in (1, 2, 3, 4, 4):
+        coordinator.adopt(make_claim(lease), 0.0)
+    builders.announce_all(coordinator, 1)
+    decisions = builders.submit_all(coordinator, 9)
+    assert len(builders.list_grants(decisions)) == 2
+    assert not builders.list_grants(coordinator.tick(1.1))
+    assert coordinator.table.rows['u0'].in_use == 2
+
+
+def test_adoption_after_the_completion_holds_nothing():
+    """Guards against slots that a late adoption holds until it expires."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1)
+    completion = coordination.Completion(77, RESULT.SUCCESS, 0.1)
+    coordinator.complete(completion, 0.1)
+    coordinator.adopt(make_claim(77), 0.2)
+    assert coordinator.table.rows['u0'].in_use == 0
+
+
+def test_every_message_of_a_host_is_its_vote():
+    """Guards against an allocator without votes although hosts use it."""
+    judge = RecordingJudge()
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 1)
+    grant = grant_one(coordinator, 0.0, host='h1')
+    builders.complete_all(coordinator, [grant], 0.1)
+    coordinator.adopt(make_claim(5), 0.2)
+    assert judge.votes == ['h1', 'h1', 'h9']
+
+
+def test_ejected_upstream_gets_trials_only():
+    """Guards against lost trials and against work for an ejected upstream."""
+    judge = RecordingJudge(ejected=['u0'], trials=['u0'])
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 2, slots=2)
+    coordinator.tick(0.0)
+    decisions = builders.submit_all(coordinator, 6)
+    grants = builders.list_grants(decisions)
+    tried = [grant for grant in grants if grant.upstream == 'u0']
+    assert [grant.is_trial for grant in tried] == [True]
+    assert len(grants) == 3
+
+
+def test_urgent_requests_are_spared_from_trials():
+    """Guards against trials that cost the most urgent work."""
+    judge = RecordingJudge(ejected=['u0'], trials=['u0'])
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 2)
+    coordinator.tick(0.0)
+    for priority in (builders.BULK, builders.URGENT, builders.BULK):
+        grant = grant_one(coordinator, 0.2, priority=priority)
+        judge.trials = ['u0']
+        assert grant.is_trial is (priority is builders.BULK)
+
+
+def test_ejection_takes_effect_on_the_next_grant():
+    """Guards against grants by a copy of the judge's verdict."""
+    judge = RecordingJudge()
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 2)
+    grant_one(coordinator, 0.0)
+    judge.ejected.add('u0')
+    decisions = builders.submit_all(coordinator, 9, 0.01)
+    used = {grant.upstream for grant in builders.list_grants(decisions)}
+    assert used == {'u1'}
+
+
+def test_fallback_uses_its_own_share_without_retries():
+    """Guards against a host that takes all slots while its owner is lost."""
+    owner = builders.make_coordinator()
+    fallback = coordination.create_fallback_coordinator(
+        dataclasses.replace(owner.policy, retry_share=0.5),
+        hosts=3,
+        random=owner._selector._random,
+    )
+    fallback.announce(builders.make_announcement(0, slots=6), 0.0)
+    fallback.announce(builders.make_announcement(1, slots=2), 0.0)
+    decisions = builders.submit_all(fallback, 9)
+    used = [grant.upstream for grant in builders.list_grants(decisions)]
+    assert sorted(used) == ['u0', 'u0', 'u1']
+    retried = builders.submit_all(fallback, 1, 0.1, attempt=2)
+    assert builders.list_reasons(retried) == [REASON.RETRY_BUDGET]
--- /dev/null
+++ b/wagtailspread/allocation/tests/test_machine.py
@@ -0,0 +1,254 @@
+"""State machine of an allocator under messages in any order."""
+
+import collections
+import dataclasses
+import math
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as some
+
+from wagtailspread.allocation import coordination, tables
+from wagtailspread.allocation.tests import builders
+from wagtailspread.core import outcomes, priorities
+
+UPSTREAMS = 4
+#: A duplicate later than this may be taken for a new request.
+REMEMBERED_SECONDS = 3
+PRIORITIES = some.sampled_from(list(priorities.Priority))
+RESULTS = some.sampled_from(list(outcomes.ExchangeResult))
+CHOICES = some.integers(0, 1000)
+NUMBERS = some.integers(0, UPSTREAMS - 1)
+DOMAINS = some.sampled_from(['d0', 'd1'])
+STATES = some.sampled_from(list(coordination.UpstreamState))
+
+
+class FlakyJudge(coordination.AcceptingJudge):
+    """Ejects what the test tells it to, with one trial for each ejection."""
+
+    def __init__(self):
+        self.ejected = set()
+        self.trials = set()
+        self.claimed = set()
+
+    def is_usable(self, upstream, domain, now):
+        return upstream not in self.ejected
+
+    def claim_trial(self, upstream, now):
+        if upstream not in self.trials:
+            return False
+        self.trials.discard(upstream)
+        self.claimed.add(upstream)
+        return True
+
+
+class Upstream:
+    """What the test knows of an upstream from what it sent."""
+
+    def __init__(self):
+        self.incarnation = 0
+        self.heard = -math.inf
+        self.drained = -math.inf
+
+    def note(self, message, sent, now):
+        """Update from an announcement, as the page describes it."""
+        is_silent = now - self.heard > tables.ROW_EXPIRY_SECONDS
+        if message.incarnation < self.incarnation and not is_silent:
+            return
+        if message.incarnation != self.incarnation:
+            self.incarnation = message.incarnation
+            self.drained = -math.inf
+        self.heard = max(self.heard, sent)
+        if message.state is coordination.UpstreamState.DRAINING:
+            self.drained = max(self.drained, sent)
+
+    def may_work(self, now):
+        """Return whether it was announced and not draining lately."""
+        limit = tables.ROW_EXPIRY_SECONDS
+        return now - self.heard <= limit < now - self.drained
+
+
+class AllocatorMachine(stateful.RuleBasedStateMachine):
+    """Sends messages, some of them twice or late, and checks each decision."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.judge = FlakyJudge()
+        self.allocator = builders.make_coordinator(
+            self.judge,
+            queue_limits=(5, 5, 5),
+            warm_up=2.0,
+            retry_share=1.0,
+        )
+        self.add_lease = self.allocator.leases.add
+        self.allocator.leases.add = self.check_lease
+        self.upstreams = {f'u{one}': Upstream() for one in range(UPSTREAMS)}
+        self.requests = {}
+        self.decisions = {}
+        self.cancelled = set()
+        self.messages = []
+        self.number = 0
+
+    def send(self, name, message):
+        """Deliver a message, and remember it to deliver it again."""
+        self.messages.append((name, message, self.now))
+        getattr(self.allocator, name)(message, self.now)
+
+    def check_lease(self, lease):
+        """Check an upstream at the moment that a lease on it is opened."""
+        row = lease.row
+        if lease.granted is not None:
+            assert row.in_use < row.usable
+            assert self.upstreams[row.upstream].may_work(self.now)
+            is_ejected = row.upstream in self.judge.ejected
+            assert not is_ejected or row.upstream in self.judge.claimed
+            self.judge.claimed.discard(row.upstream)
+        self.add_lease(lease)
+
+    @stateful.rule(
+        number=NUMBERS,
+        domain=DOMAINS,
+        slots=some.integers(0, 6),
+        state=STATES,
+        incarnation=some.integers(0, 2),
+    )
+    def announce(self, number, domain, slots, state, incarnation):
+        message = builders.make_announcement(
+            number,
+            slots,
+            domain,
+            state=state,
+            incarnation=incarnation,
+        )
+        self.upstreams[message.upstream].note(message, self.now, self.now)
+        self.send('announce', message)
+
+    @stateful.rule()
+    def announce_all(self):
+        for name, upstream in self.upstreams.items():
+            message = builders.make_announcement(
+                int(name[1:]),
+                incarnation=upstream.incarnation,
+            )
+            upstream.note(message, self.now, self.now)
+            self.send('announce', message)
+
+    @stateful.rule(
+        priority=PRIORITIES,
+        domain=DOMAINS,
+        count=some.integers(1, 6),
+        attempt=some.integers(1, 2),
+        excluded=some.sets(NUMBERS, max_size=2),
+        seconds=some.sampled_from([-0.1, 0.05, 1.0, 4.0]),
+    )
+    def submit(self, priority, domain, count, attempt, excluded, seconds):
+        for _ in range(count):
+            self.number += 1
+            request = builders.make_request(
+                self.number,
+                priority,
+                domain=domain,
+                attempt=attempt,
+                deadline=self.now + seconds,
+                fingerprint=bytes([self.number % 5]),
+                excluded=tuple(f'u{number}' for number in sorted(excluded)),
+            )
+            self.requests[request.request] = request
+            self.send('submit', request)
+
+    @stateful.precondition(lambda machine: machine.requests)
+    @stateful.rule(choice=CHOICES)
+    def cancel(self, choice):
+        names = list(self.requests)
+        name = names[choice % len(names)]
+        self.cancelled.add(name)
+        self.send('cancel', name)
+
+    @stateful.precondition(lambda machine: machine.decisions)
+    @stateful.rule(choice=CHOICES, result=RESULTS)
+    def complete(self, choice, result):
+        grants = builders.list_grants(self.decisions.values())
+        if grants:
+            lease = grants[choice % len(grants)].lease
+            self.send('complete', coordination.Completion(lease, result, 0.05))
+
+    @stateful.rule(lease=some.integers(1, 9), number=NUMBERS)
+    def adopt(self, lease, number):
+        claim = coordination.AdoptedLease(
+            lease,
+            'h2',
+            f'u{number}',
+            self.now + 0.5,
+        )
+        self.send('adopt', claim)
+
+    @stateful.rule(lease=some.integers(1, 99))
+    def complete_unknown(self, lease):
+        completion = coordination.Completion(lease, builders.SUCCESS, 0.05)
+        self.send('complete', completion)
+
+    @stateful.precondition(lambda machine: machine.messages)
+    @stateful.rule(choice=CHOICES)
+    def repeat(self, choice):
+        """Deliver a message once more, up to 3 s late."""
+        name, message, sent = self.messages[-1 - choice % len(self.messages)]
+        if self.now - sent > REMEMBERED_SECONDS:
+            return
+        if name == 'announce':
+            message = dataclasses.replace(message, age=self.now - sent)
+            upstream = self.upstreams[message.upstream]
+            upstream.note(message, sent, self.now)
+        getattr(self.allocator, name)(message, self.now)
+
+    @stateful.rule(number=NUMBERS, has_trial=some.booleans())
+    def eject(self, number, has_trial):
+        self.judge.ejected.add(f'u{number}')
+        if has_trial:
+            self.judge.trials.add(f'u{number}')
+
+    @stateful.rule(number=NUMBERS)
+    def readmit(self, number):
+        self.judge.ejected.discard(f'u{number}')
+
+    @stateful.rule(seconds=some.sampled_from([0.0, 0.01, 0.2, 1.0, 2.6]))
+    def tick(self, seconds):
+        self.now += seconds
+        for decision in self.allocator.tick(self.now):
+            self.check(decision)
+
+    def check(self, decision):
+        """Each decision is the first one or a repetition of it."""
+        name = decision.request
+        assert self.decisions.setdefault(name, decision) == decision
+        assert name not in self.cancelled
+        if isinstance(decision, coordination.Grant):
+            assert decision.upstream not in self.requests[name].excluded
+
+    @stateful.invariant()
+    def slots_are_counted_once(self):
+        """Slots in use are those of the open leases, in all tables."""
+        leases = self.allocator.leases.leases.values()
+        counted = collections.Counter(lease.row.upstream for lease in leases)
+        for row in self.allocator.table.rows.values():
+            assert row.in_use == counted[row.upstream]
+        assert sum(self.allocator.shares.in_use) == len(leases)
+
+    @stateful.invariant()
+    def queues_are_bounded(self):
+        """Queues keep their limits, and count what they hold."""
+        queues = self.allocator.queues
+        assert max(queues.counts) <= 5
+        assert sum(queues.counts) == len(queues)
+
+    def teardown(self):
+        """Every request that was not cancelled has a decision."""
+        for _ in range(12):
+            self.tick(0.5)
+        undecided = self.requests.keys() - self.decisions.keys()
+        assert undecided <= self.cancelled
+        assert not len(self.allocator.queues)
+        assert not self.allocator.leases.leases
+
+
+TestAllocator = AllocatorMachine.TestCase
+TestAllocator.settings = settings(max_examples=60, stateful_step_count=40)
