Let a host pass a lease on to its next request while a queue is long

A lease travels to the allocator and back between two requests, about 1.8 ms on average at Andino, in which the slot stands idle. While 8 or more requests of a priority wait, a grant now tells until when (3 mean hold times, at most 1 s) the host may go on with its own oldest waiting request of that priority and report both in one message. Priorities, drains and ejections take effect when that time is over. A host that never passes on needs no change.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -4,13 +4,16 @@
 
 from benchmarks import replays, workloads
 from wagtailspread.allocation import coordination
-from wagtailspread.core import identifiers, outcomes
+from wagtailspread.core import identifiers, outcomes, priorities
 
 #: Failure domain of the host that runs the allocator.
 _OWNER_DOMAIN = 0
 _ANNOUNCE_SECONDS = 1.0
 _TICK_SECONDS = 0.01
 _QUEUE_LIMIT = 5000
+_MEAN_WEIGHT = 1 / 16
+#: Mean service times that a request passed on needs until its deadline.
+_SPARE = 2.0
 
 
 class OwnerPerService:
@@ -20,6 +23,11 @@
         """Start with an allocator that knows no upstream."""
         self._replay = replay
         self._jobs: dict[identifiers.RequestId, workloads.Job] = {}
+        self._mean = replay.site.service_seconds
+        # By host and priority: requests that wait for a decision, by number.
+        self._waiting: list[list[dict[int, workloads.Job]]] = [
+            [{} for _ in priorities.Priority] for _ in range(replay.site.hosts)
+        ]
         self.coordinator = coordination.create_coordinator(
             coordination.AllocationPolicy(
                 shares=replay.site.shares,
@@ -37,6 +45,7 @@
     def accept(self, job: workloads.Job) -> None:
         """Ask the allocator for a slot."""
         self._jobs[self._name(job)] = job
+        self._waiting[job.host][job.priority][job.number] = job
         self._call_owner(job, self._submit, job, ())
 
     def _name(self, job: workloads.Job) -> identifiers.RequestId:
@@ -85,8 +94,24 @@
     def _tick(self) -> None:
         for decision in self.coordinator.tick(self._replay.agenda.now):
             job = self._jobs[decision.request]
-            if isinstance(decision, coordination.Grant):
-                self._call_owner(job, self._use, job, decision)
+            self._call_owner(job, self._receive, job, decision)
+
+    def _receive(
+        self,
+        job: workloads.Job,
+        decision: coordination.Decision,
+    ) -> None:
+        waiting = self._waiting[job.host][job.priority]
+        is_waiting = waiting.pop(job.number, None) is not None
+        if not isinstance(decision, coordination.Grant):
+            return
+        if is_waiting:
+            self._use(job, decision)
+        else:
+            # The host has begun it on a slot that was passed on.
+            result = outcomes.ExchangeResult.CANCELLED
+            completion = coordination.Completion(decision.lease, result, 0.0)
+            self._call_owner(job, self._complete, completion)
 
     def _use(self, job: workloads.Job, grant: coordination.Grant) -> None:
         started = self._replay.agenda.now
@@ -96,14 +121,44 @@
             if is_success:
                 result = outcomes.ExchangeResult.SUCCESS
             seconds = self._replay.agenda.now - started
-            completion = coordination.Completion(grant.lease, result, seconds)
+            successor = None
+            if is_success:
+                successor = self._find_successor(job, grant, seconds)
+            completion = coordination.Completion(
+                grant.lease,
+                result,
+                seconds,
+                self._name(successor) if successor else None,
+            )
             self._call_owner(job, self._complete, completion)
+            if successor is not None:
+                self._use(successor, grant)
             if not is_success:
+                waiting = self._waiting[job.host][job.priority]
+                waiting[job.number] = job
                 self._call_owner(job, self._submit, job, (grant.upstream,))
 
         upstream = self._replay.upstreams[int(grant.upstream)]
         self._replay.exchange(job, upstream, finish)
 
+    def _find_successor(
+        self,
+        job: workloads.Job,
+        grant: coordination.Grant,
+        seconds: float,
+    ) -> workloads.Job | None:
+        """Take out the oldest request of the host that may go on."""
+        self._mean += _MEAN_WEIGHT * (seconds - self._mean)
+        now = self._replay.agenda.now
+        if now >= grant.pass_until:
+            return None
+        waiting = self._waiting[job.host][job.priority]
+        for number, candidate in waiting.items():
+            is_timely = now + _SPARE * self._mean <= candidate.deadline
+            if is_timely and not candidate.attempts:
+                return waiting.pop(number)
+        return None
+
     def _complete(self, completion: coordination.Completion) -> None:
         self.coordinator.complete(completion, self._replay.agenda.now)
         self._tick()
--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -4,7 +4,6 @@
 decides at each tick which waiting request gets a slot of which upstream.
 """
 
-import dataclasses
 import random as random_module
 import sys
 import typing
@@ -22,6 +21,7 @@
     scheduling,
     selection,
     tables,
+    upkeep,
 )
 from wagtailspread.core import failures, identifiers, outcomes
 
@@ -38,14 +38,6 @@
 AllocationPolicy = policies.AllocationPolicy
 create_policy = policies.create_policy
 
-#: Time between two looks at all upstreams: expiry, warm-up, health.
-REFRESH_SECONDS = 0.1
-#: Decisions and closed leases that are remembered, to recognise duplicates.
-_MEMORY_SECONDS = 3.0
-_MEMORY_LIMIT = 4096
-#: Changes of health that are kept until the driver takes them.
-_CHANGES_LIMIT = 256
-
 
 class Coordinator:
     """The allocator of one service in one region.
@@ -66,6 +58,7 @@
         self.leases = tables.LeaseTable()
         self.queues = scheduling.Queues()
         self.shares = scheduling.Shares(policy.shares)
+        hold_times = estimates.HoldTimes()
         self._judge = judge
         self._selector = selection.Selector(self.table, judge, random)
         self._dispatcher = dispatch.Dispatcher(
@@ -73,10 +66,10 @@
             self.queues,
             self.shares,
             self._selector,
+            hold_times,
             random,
         )
         crashes = quarantine.CrashTable(policy.quarantine)
-        hold_times = estimates.HoldTimes()
         self._admission = admission.Admission(
             policy,
             self.table,
@@ -91,10 +84,16 @@
             crashes,
             judge,
         )
-        self._memory = _Memory()
+        self._upkeep = upkeep.Upkeep(
+            self.table,
+            self._selector,
+            self.shares,
+            self._results,
+            judge,
+        )
+        self._memory = memories.DecisionMemory()
         self._decisions: dict[identifiers.RequestId, messages.Decision] = {}
-        self._timers = _Timers()
-        self._changes: list[typing.Any] = []
+        self._started: float | None = None
 
     def submit(self, request: messages.SlotRequest, now: float) -> None:
         """Ask for a slot; the decision comes from a later :meth:`tick`.
@@ -103,11 +102,10 @@
         decided gets its first decision again. A higher attempt of a waiting
         request replaces it.
         """
-        self._timers.begin(now)
         self._judge.note_vote(request.host, now)
         if self._is_duplicate(request, now):
             return
-        age = now - self._timers.started
+        age = now - self._begin(now)
         reason = self._admission.check(request, age, now)
         if reason is None:
             self._accept(request, now)
@@ -127,17 +125,20 @@
         if decided is not None:
             self._withdraw(decided.decision, now)
         # A submission that arrives late must not hold a slot.
-        forgotten = _Decided(sys.maxsize, None)
-        self._memory.decisions.put(request_id, forgotten, now)
+        self._memory.remember(request_id, sys.maxsize, None, now)
 
     def complete(self, completion: messages.Completion, now: float) -> None:
-        """Take a lease back, with the result of the exchange as evidence."""
-        lease = self._close(completion.lease, now)
-        if lease is None:
+        """Take a result as evidence, and the lease back or on.
+
+        A host may pass a lease on to the next of its own requests while
+        :attr:`Grant.pass_until` allows it.
+        """
+        if completion.passed_to is not None:
+            self._pass_on(completion, completion.passed_to, now)
             return
-        self._judge.note_vote(lease.host, now)
-        if self._results.record(lease, completion, now):
-            self._selector.update(lease.row, now)
+        lease = self._close(completion.lease, now)
+        if lease is not None:
+            self._record(lease, completion, now)
 
     def announce(
         self,
@@ -145,15 +146,15 @@
         now: float,
     ) -> None:
         """Add an upstream, or renew its row."""
-        self._timers.begin(now)
+        self._begin(now)
         row = self.table.announce(announcement, now)
         if row is not None:
             self._selector.update(row, now)
-            self._timers.refresh_at = now
+            self._upkeep.hasten()
 
     def adopt(self, claim: messages.AdoptedLease, now: float) -> None:
         """Count a lease that an earlier owner granted."""
-        self._timers.begin(now)
+        self._begin(now)
         self._judge.note_vote(claim.host, now)
         is_known = claim.lease in self.leases.leases
         if is_known or self._memory.closed.get(claim.lease):
@@ -179,11 +180,10 @@
         Its cost grows with the number of decisions. Ten times a second it
         looks at each upstream, too.
         """
-        self._timers.begin(now)
+        self._begin(now)
         for lease in self.leases.expire(now):
             self._dispatcher.settle(lease, now)
-        if now >= self._timers.refresh_at:
-            self._refresh(now)
+        self._upkeep.tick(now)
         for waiting in self.queues.expire(now):
             reason = outcomes.RefusalReason.DEADLINE_UNREACHABLE
             self._refuse(waiting.request, reason, now)
@@ -195,14 +195,18 @@
 
     def take_changes(self) -> list[typing.Any]:
         """Return the judge's changes since the last call, for logs."""
-        changes = self._changes
-        self._changes = []
-        return changes
+        return self._upkeep.take_changes()
 
     def list_rows(self, now: float) -> list[tables.UpstreamRow]:
         """Return the announced upstreams, for the copies of the hosts."""
         return [row for row in self.table.rows.values() if row.is_heard(now)]
 
+    def _begin(self, now: float) -> float:
+        """Return when the first message arrived, in seconds."""
+        if self._started is None:
+            self._started = now
+        return self._started
+
     def _is_duplicate(
         self,
         request: messages.SlotRequest,
@@ -233,7 +237,7 @@
     def _repeat(self, decision: messages.Decision | None) -> None:
         """Return a decision again, unless its lease is closed."""
         if isinstance(decision, messages.Grant):
-            if decision.lease not in self.leases.leases:
+            if self._find_lease(decision) is None:
                 return
         if decision is not None:
             self._decisions[decision.request] = decision
@@ -245,7 +249,53 @@
     ) -> None:
         """Close the lease of a grant that nobody will use."""
         if isinstance(decision, messages.Grant):
-            self._close(decision.lease, now)
+            if self._find_lease(decision) is not None:
+                self._close(decision.lease, now)
+
+    def _find_lease(self, grant: messages.Grant) -> tables.Lease | None:
+        """Return the open lease of a request, unless it was passed on."""
+        lease = self.leases.leases.get(grant.lease)
+        if lease is None or lease.request != grant.request:
+            return None
+        return lease
+
+    def _pass_on(
+        self,
+        completion: messages.Completion,
+        request_id: identifiers.RequestId,
+        now: float,
+    ) -> None:
+        """Bind a lease to the request that its host has begun on the slot."""
+        lease = self.leases.leases.get(completion.lease)
+        if lease is None:
+            return
+        decided = self._memory.decisions.get(request_id)
+        known = decided and decided.decision
+        if isinstance(known, messages.Grant) and known.lease == lease.lease:
+            return
+        self._record(lease, completion, now)
+        waiting = self.queues.find(request_id)
+        if waiting is None:
+            self.leases.rebind(lease, request_id, b'', now, lease.expires)
+            return
+        self.queues.remove(waiting)
+        request = waiting.request
+        expires = request.deadline + dispatch.LEASE_MARGIN_SECONDS
+        fingerprint = request.fingerprint
+        self.leases.rebind(lease, request_id, fingerprint, now, expires)
+        self._admission.note_grant(request, now)
+        grant = self._dispatcher.describe(lease)
+        self._memory.remember(request_id, request.attempt, grant, now)
+
+    def _record(
+        self,
+        lease: tables.Lease,
+        completion: messages.Completion,
+        now: float,
+    ) -> None:
+        self._judge.note_vote(lease.host, now)
+        if self._results.record(lease, completion, now):
+            self._selector.update(lease.row, now)
 
     def _accept(self, request: messages.SlotRequest, now: float) -> None:
         """Grant a slot at once if nobody waits for one, else queue."""
@@ -293,8 +343,7 @@
         decision: messages.Decision,
         now: float,
     ) -> None:
-        decided = _Decided(request.attempt, decision)
-        self._memory.decisions.put(request.request, decided, now)
+        self._memory.remember(request.request, request.attempt, decision, now)
         self._decisions[request.request] = decision
 
     def _close(
@@ -313,72 +362,6 @@
         self.shares.release(lease.priority, now)
         self._selector.update(lease.row, now)
 
-    def _refresh(self, now: float) -> None:
-        """Look at all upstreams: expiry, warm-up, health and capacity."""
-        self._timers.refresh_at = now + REFRESH_SECONDS
-        self._refresh_rows(now)
-        self._results.tick(now)
-        changes = self._judge.tick(self._list_capacities(now), now)
-        self._changes.extend(changes)
-        del self._changes[:-_CHANGES_LIMIT]
-        self._selector.refresh(now)
-        total = sum(
-            row.usable
-            for row in self.table.rows.values()
-            if row.is_active and row.is_accepted
-        )
-        self.shares.resize(total, now)
-
-    def _refresh_rows(self, now: float) -> None:
-        for row in list(self.table.rows.values()):
-            if not self.table.expire(row, now) and self.table.update(row, now):
-                self._selector.update(row, now)
-
-    def _list_capacities(self, now: float) -> list[judges.Capacity]:
-        return [
-            judges.Capacity(
-                row.upstream,
-                row.slots,
-                row.is_active and row.warm_since is None,
-            )
-            for row in self.table.rows.values()
-            if row.is_heard(now)
-        ]
-
-
-@dataclasses.dataclass(slots=True)
-class _Decided:
-    """A decision, none if cancelled, and the attempt that it belongs to."""
-
-    attempt: int
-    decision: messages.Decision | None
-
-
-class _Memory:
-    """Recent decisions and closed leases, to recognise duplicates."""
-
-    def __init__(self) -> None:
-        self.decisions: memories.RecentTable[
-            identifiers.RequestId,
-            _Decided,
-        ] = memories.RecentTable(_MEMORY_SECONDS, _MEMORY_LIMIT)
-        self.closed: memories.RecentTable[identifiers.LeaseId, bool] = (
-            memories.RecentTable(_MEMORY_SECONDS, _MEMORY_LIMIT)
-        )
-
-
-class _Timers:
-    """When the coordinator does what it does not do at each tick."""
-
-    def __init__(self) -> None:
-        self.started = -1.0
-        self.refresh_at = 0.0
-
-    def begin(self, now: float) -> None:
-        """Note the start."""
-        if self.started < 0:
-            self.started = now
-
 
 def create_coordinator(
     policy: policies.AllocationPolicy,
--- a/wagtailspread/allocation/dispatch.py
+++ b/wagtailspread/allocation/dispatch.py
@@ -3,6 +3,7 @@
 import random as random_module
 
 from wagtailspread.allocation import (
+    estimates,
     messages,
     scheduling,
     selection,
@@ -15,6 +16,11 @@
 NEAR_PREFERENCE_SECONDS = 0.1
 #: A lease ends this long after the deadline of its request.
 LEASE_MARGIN_SECONDS = 1.0
+#: Waiting requests of a priority from which on its leases may be passed on.
+PASS_BACKLOG = 8
+#: Time in which a lease may be passed on, in mean hold times, and its bound.
+PASS_HOLDS = 3.0
+PASS_LIMIT_SECONDS = 1.0
 #: Time between two questions whether an ejected upstream is due for a trial.
 _TRIAL_SECONDS = 0.1
 #: Urgent requests are used for trials only if nothing else ran for this long.
@@ -32,6 +38,7 @@
         queues: scheduling.Queues,
         shares: scheduling.Shares,
         selector: selection.Selector,
+        hold_times: estimates.HoldTimes,
         random: random_module.Random,
     ) -> None:
         """Work on the tables of one allocator."""
@@ -39,6 +46,7 @@
         self._queues = queues
         self._shares = shares
         self._selector = selector
+        self._hold_times = hold_times
         self._random = random
         self._trial_at = 0.0
         self._calm_at = 0.0
@@ -75,17 +83,41 @@
             fingerprint=request.fingerprint,
             granted=now,
             expires=request.deadline + LEASE_MARGIN_SECONDS,
+            is_trial=trial is not None,
         )
         self.open(lease, now)
+        return self.describe(lease, self._find_pass_end(lease, now))
+
+    def describe(
+        self,
+        lease: tables.Lease,
+        pass_until: float = 0.0,
+    ) -> messages.Grant:
+        """Return the grant of an open lease."""
         return messages.Grant(
-            request=request.request,
+            request=lease.request,
             lease=lease.lease,
-            upstream=row.upstream,
-            address=row.address,
+            upstream=lease.row.upstream,
+            address=lease.row.address,
             expires=lease.expires,
-            is_trial=trial is not None,
+            is_trial=lease.is_trial,
+            pass_until=pass_until,
         )
 
+    def _find_pass_end(self, lease: tables.Lease, now: float) -> float:
+        """Return until when the host may pass the lease on.
+
+        A slot stands idle while its lease travels to the allocator and back.
+        While a queue is long, that time is saved for most requests. The time
+        is short, so that a more urgent priority, a drain or an ejection takes
+        effect soon, and some slots come back at any time.
+        """
+        backlog = self._queues.counts[lease.priority]
+        if backlog < PASS_BACKLOG or lease.is_trial:
+            return 0.0
+        hold = self._hold_times.expect(lease.priority)
+        return now + min(PASS_HOLDS * hold, PASS_LIMIT_SECONDS)
+
     def serve_next(
         self,
         now: float,
--- a/wagtailspread/allocation/messages.py
+++ b/wagtailspread/allocation/messages.py
@@ -47,6 +47,9 @@
 
     :param expires: end of the lease in seconds, also if nobody returns it.
     :param is_trial: whether the upstream is ejected and gets one request.
+    :param pass_until: until then the host may, after a success, start its
+        oldest waiting request of the same priority on this slot, and return
+        the result with :attr:`Completion.passed_to`; 0 if it may not.
     """
 
     request: identifiers.RequestId
@@ -55,18 +58,22 @@
     address: identifiers.Address
     expires: float
     is_trial: bool = False
+    pass_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Completion:
-    """A host returns a lease.
+    """A host returns a lease, or passes it on.
 
     :param seconds: time that the exchange took at the upstream.
+    :param passed_to: the request that the host has begun on the same slot;
+        the lease stays open for it.
     """
 
     lease: identifiers.LeaseId
     result: outcomes.ExchangeResult
     seconds: float
+    passed_to: identifiers.RequestId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -82,6 +82,7 @@
     fingerprint: bytes
     granted: float | None
     expires: float
+    is_trial: bool = False
 
 
 class UpstreamTable:
@@ -286,6 +287,24 @@
         """Open a lease."""
         self.leases[lease.lease] = lease
         lease.row.in_use += 1
+        self._push(lease)
+
+    def rebind(
+        self,
+        lease: Lease,
+        request: identifiers.RequestId,
+        fingerprint: bytes,
+        now: float,
+        expires: float,
+    ) -> None:
+        """Let an open lease go on for another request of its host."""
+        lease.request = request
+        lease.fingerprint = fingerprint
+        lease.granted = now
+        lease.expires = expires
+        self._push(lease)
+
+    def _push(self, lease: Lease) -> None:
         heapq.heappush(self._ends, (lease.expires, lease.lease))
         if len(self._ends) > 2 * len(self.leases) + _REMEMBERED_ROWS:
             self._ends = [
@@ -305,7 +324,8 @@
         """Close the leases that have ended and return them."""
         ended = []
         while self._ends and self._ends[0][0] <= now:
-            lease = self.remove(heapq.heappop(self._ends)[1])
-            if lease is not None:
+            lease = self.leases.get(heapq.heappop(self._ends)[1])
+            if lease is not None and lease.expires <= now:
+                self.remove(lease.lease)
                 ended.append(lease)
         return ended
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -67,12 +67,16 @@
   // Value of RefusalReason; empty when granted.
   7: string reason
   8: i32 retry_after_ms
+  // Time in which the host may pass the slot on to a request of its own.
+  9: i32 pass_ms
 }
 
 struct SlotCompletion {
   1: i64 lease
   2: i16 result
   3: i32 micros
+  // Request of the host that goes on with the lease; empty if none.
+  4: string passed_to
 }
 
 struct ReleaseSlots {
