--- a/wagtailspread/allocation/selection.py
+++ b/wagtailspread/allocation/selection.py
@@ -52,12 +52,11 @@
 
     def has_candidate(self) -> bool:
         """Return whether a row with a free slot is left."""
-        for heap in self._heaps:
-            while heap and heap[0][2] != heap[0][3].version:
-                heapq.heappop(heap)
-            if heap:
-                return True
-        return False
+        return any(_has_current(heap) for heap in self._heaps)
+
+    def has_near_candidate(self) -> bool:
+        """Return whether one in the failure domain of the view is left."""
+        return _has_current(self._heaps[0])
 
     def count_entries(self) -> int:
         """Return the number of entries, outdated ones included."""
@@ -69,6 +68,12 @@
             heap.clear()
 
 
+def _has_current(heap: list[_Entry]) -> bool:
+    while heap and heap[0][2] != heap[0][3].version:
+        heapq.heappop(heap)
+    return bool(heap)
+
+
 class Selector:
     """Chooses upstreams: near first, then the least loaded."""
 
@@ -99,9 +104,18 @@
         if view is None:
             view = View(domain)
             self.views[domain] = view
+            self._refresh_view(view, now)
             self._rebuild(view, now)
         return view
 
+    def has_candidate(self) -> bool:
+        """Return whether any caller may find a free slot."""
+        return any(view.has_candidate() for view in self.views.values())
+
+    def has_parked(self) -> bool:
+        """Return whether any upstream is not usable for some callers."""
+        return any(view.parked for view in self.views.values())
+
     def update(self, row: tables.UpstreamRow, now: float) -> None:
         """Move a row to its place after a change of its slots or leases."""
         row.version += 1
