Find the begin of a fault with cumulative sums

Cause: old successes in the decayed windows diluted a new fault. Ruled out: shorter windows, which decide on few samples under low traffic.

--- a/wagtailspread/health/comparison.py
+++ b/wagtailspread/health/comparison.py
@@ -1,41 +1,45 @@
 """Statistical comparison of one upstream with its peers.
 
-Both comparisons return a score in standard deviations, so that a threshold
-decides fast with many samples and cautiously with few, and both also require
-an effect that matters, so that many samples do not turn a harmless difference
-into a verdict.
+Scores are in standard deviations, so that a threshold decides fast with many
+samples and cautiously with few. An effect that matters and a shortest
+duration are required too, so that neither many samples nor one burst turn a
+harmless difference into a verdict.
 
-References: likelihood-ratio (G) test of two proportions; Welch's t-test.
+References: likelihood-ratio (G) test of two proportions.
 """
 
 import math
 
-from wagtailspread.health import evidence
+from wagtailspread.health import summaries
 
 #: Score above which a difference is not chance. 6 is about 1e-9 for one
-#: comparison; a fleet makes about 1e8 a day.
+#: comparison.
 CERTAIN_SCORE = 6.0
-#: Failures in a window below which nothing is decided.
-MIN_FAILURES = 5.0
+#: Failures below which nothing is decided: three, less their decay.
+MIN_FAILURES = 2.5
 #: Share of failures above the peers' that matters.
 MIN_EXCESS = 0.1
 #: Failures as a multiple of the peers' ratio that matter.
 MIN_RATIO_FACTOR = 2.0
 #: Share of failing results at the peers above which the fault is common.
 COMMON_RATIO = 0.5
-#: Successes in the window below which the times are not compared.
-MIN_TIMES = 8.0
+#: Slow answers below which nothing is decided.
+MIN_TIMES = 6.0
 #: Factor between the times of an upstream and of its peers that matters.
 MIN_SLOWDOWN = 2.5
 #: Smallest variance of a logarithm of seconds, against identical times.
-MIN_VARIANCE = 0.02
+MIN_VARIANCE = 0.1
+#: Deviations of the logarithm beyond which an open request is overdue.
+HANG_DEVIATIONS = 4.0
+#: Shortest age at which an open request is overdue, in seconds.
+HANG_SECONDS = 0.5
 
 
-def score_failures(own: evidence.Counts, peers: evidence.Counts) -> float:
+def score_failures(own: summaries.Counts, peers: summaries.Counts) -> float:
     """Return by how many standard deviations ``own`` fails more often.
 
-    >>> own = evidence.Counts(10, 10)
-    >>> score_failures(own, evidence.Counts(100, 1)) > CERTAIN_SCORE
+    >>> own = summaries.Counts(10, 10)
+    >>> score_failures(own, summaries.Counts(100, 1)) > CERTAIN_SCORE
     True
 
     :returns: signed root of the likelihood ratio; 0 without samples.
@@ -52,8 +56,8 @@
 
 
 def is_failing(
-    own: evidence.Counts,
-    peers: evidence.Counts,
+    own: summaries.Counts,
+    peers: summaries.Counts,
     certain: float = CERTAIN_SCORE,
 ) -> bool:
     """Tell whether an upstream fails clearly more often than its peers."""
@@ -68,38 +72,40 @@
     return score_failures(own, peers) >= certain
 
 
-def compute_slowdown(own: evidence.Times, peers: evidence.Times) -> float:
-    """Return the factor by which an upstream is slower than its peers."""
+def score_slowness(own: summaries.LateRun, peers: summaries.Times) -> float:
+    """Return by how many standard deviations a run is slower than peers."""
     if not own.count or not peers.count:
-        return 1.0
-    return math.exp(own.mean - peers.mean)
-
-
-def score_slowness(own: evidence.Times, peers: evidence.Times) -> float:
-    """Return by how many standard deviations ``own`` is slower."""
-    if own.count < 2 or peers.count < 2:
         return 0.0
-    error = (
-        max(own.variance, MIN_VARIANCE) / own.count
-        + max(peers.variance, MIN_VARIANCE) / peers.count
-    )
+    variance = max(peers.variance, MIN_VARIANCE)
+    error = variance * (1 / own.count + 1 / peers.count)
     return (own.mean - peers.mean) / math.sqrt(error)
 
 
 def is_slow(
-    own: evidence.Times,
-    peers: evidence.Times,
+    own: summaries.LateRun,
+    peers: summaries.Times,
     certain: float = CERTAIN_SCORE,
 ) -> bool:
-    """Tell whether successes take clearly longer than at the peers."""
+    """Tell whether answers take clearly longer than at the peers."""
     if min(own.count, peers.count) < MIN_TIMES:
         return False
-    if compute_slowdown(own, peers) < MIN_SLOWDOWN:
+    if own.mean - peers.mean < math.log(MIN_SLOWDOWN):
         return False
     return score_slowness(own, peers) >= certain
 
 
-def _log_likelihood(counts: evidence.Counts, ratio: float) -> float:
+def compute_longest(times: summaries.Times) -> float:
+    """Return seconds that hardly any successful answer takes.
+
+    :returns: infinity without enough samples.
+    """
+    if times.count < MIN_TIMES:
+        return math.inf
+    spread = math.sqrt(times.variance)
+    return max(math.exp(times.mean + HANG_DEVIATIONS * spread), HANG_SECONDS)
+
+
+def _log_likelihood(counts: summaries.Counts, ratio: float) -> float:
     successes = counts.samples - counts.failures
     likelihood = 0.0
     if counts.failures > 0 and ratio > 0:
--- a/wagtailspread/health/ejection.py
+++ b/wagtailspread/health/ejection.py
@@ -43,14 +43,11 @@
 
     :param slots: requests that the upstream runs at a time.
     :param is_ready: announced, not draining and warmed up.
-    :param overdue: open requests that run longer than
-        :meth:`Judge.hang_seconds`; 0 if that is not tracked.
     """
 
     upstream: identifiers.UpstreamId
     slots: int
     is_ready: bool = True
-    overdue: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +57,8 @@
     :param badness: score that decides which one is readmitted first.
     :param next_trial: time of the next trial, in seconds.
     :param claimed_at: time at which a running trial was claimed.
+    :param successes: good trials in a row.
+    :param logarithms: sum of the logarithms of their seconds.
     """
 
     reason: reports.Reason
@@ -69,6 +68,7 @@
     next_trial: float
     claimed_at: float | None = None
     successes: int = 0
+    logarithms: float = 0.0
     has_early_trial: bool = False
 
 
--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -1,23 +1,28 @@
 """Results of real work, in compact rows for each upstream and domain.
 
-Every pair of an upstream and a failure domain has a cell of decayed counts in
-two windows: the fast one shows a fault under high traffic within a second,
-the slow one collects enough samples where traffic is low. All active cells
-decay together in :meth:`Evidence.decay`, so recording only adds.
-
-The time of successful answers is kept as sums of logarithms: a heavy tail or
-a mix of short and long work hardly moves the mean of the logarithm, and a
-difference of two means is a factor between upstreams.
-
+Every upstream has one cell for all results and one for each failure domain
+that they came from. A cell holds
+
+- the *run*: the results since the failures began, found by a cumulative sum
+  that restarts at zero (Page's test), so that old successes do not dilute a
+  fault that has just begun; and the same for slow answers;
+- a *fast* and a *slow* window of counts that decay with age: the fast one
+  tells what the peers do now, the slow one collects enough samples for a
+  small share of failures or for low traffic;
+- sums of the logarithms of the seconds of successes: a heavy tail or a mix of
+  short and long work hardly moves their mean, and a difference of two means
+  is a factor between upstreams.
+
+References: E. S. Page, Continuous inspection schemes, Biometrika 41 (1954).
 See also: :mod:`wagtailspread.health.comparison`.
 """
 
 import array
-import dataclasses
 import math
 import typing
 
 from wagtailspread.core import identifiers, outcomes
+from wagtailspread.health import summaries
 
 #: Time constant of the fast window, in seconds.
 FAST_SECONDS = 1.5
@@ -27,18 +32,31 @@
 TIMES_SECONDS = 4.0
 #: Time between two decays, in seconds.
 DECAY_SECONDS = 0.25
-#: A cell with fewer weighted samples than this is cleared.
+#: A row with fewer weighted samples than this is cleared.
 NEGLIGIBLE = 0.02
-#: Weighted failures below which a new one begins another run of failures.
-FRESH_FAILURES = 0.5
 #: Shortest time that is told apart, in seconds.
 SHORTEST_SECONDS = 0.0001
-#: Time after which the sets of seen hosts start anew, in seconds.
+#: Weight of a failure and of a success in the cumulative sum: logarithms of
+#: the ratios of 0.6 to 0.05 and of 0.4 to 0.95. A share of failures above
+#: 0.26 makes the sum grow.
+FAILURE_WEIGHT = math.log(0.6 / 0.05)
+SUCCESS_WEIGHT = math.log(0.4 / 0.95)
+#: Largest cumulative sum, so that a run ends soon after the fault.
+MAX_SUM = 12.0
+#: Half of the shift of the logarithm of the seconds that a run looks for.
+SLOW_DRIFT = 0.6
+#: Time after which the set of hosts that saw failures starts anew, seconds.
 HOSTS_SECONDS = 2.0
 #: Bits that mark the hosts that saw results.
 HOST_BITS = 31
 #: Hosts whose bit is remembered; the rest is counted anew.
 MAX_REMEMBERED_HOSTS = 4096
+#: Time after which moments are counted from a later start, in seconds. They
+#: are kept in single precision, which is exact to half a millisecond here.
+EPOCH_SECONDS = 3600.0
+
+#: Number of the cell that holds the results from all domains.
+ALL_DOMAINS = 0
 
 _NEUTRAL = frozenset(
     (
@@ -47,71 +65,13 @@
         outcomes.ExchangeResult.CANCELLED,
     )
 )
-# Fields of a cell: fast and slow samples and failures, then the count, sum
-# and sum of squares of the logarithm of the seconds of successes.
-_FIELDS = 7
-_MOMENTS = 2
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Counts:
-    """Results in one window, weighted by age."""
-
-    samples: float = 0.0
-    failures: float = 0.0
-
-    @property
-    def ratio(self) -> float:
-        """Return failures by samples; 0 without samples."""
-        return self.failures / self.samples if self.samples else 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Times:
-    """Count, sum and sum of squares of logarithms of seconds."""
-
-    count: float = 0.0
-    total: float = 0.0
-    squares: float = 0.0
-
-    @property
-    def mean(self) -> float:
-        """Return the mean logarithm; 0 without samples."""
-        return self.total / self.count if self.count else 0.0
-
-    @property
-    def variance(self) -> float:
-        """Return the variance of the logarithm."""
-        if not self.count:
-            return 0.0
-        return max(self.squares / self.count - self.mean**2, 0.0)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Summary:
-    """The windows of one cell or of a sum of cells."""
-
-    fast: Counts = Counts()
-    slow: Counts = Counts()
-    times: Times = Times()
-
-    def plus(self, other: 'Summary', sign: int = 1) -> 'Summary':
-        """Return the sum of both, or the difference for ``sign`` -1."""
-        return Summary(
-            Counts(
-                max(self.fast.samples + sign * other.fast.samples, 0),
-                max(self.fast.failures + sign * other.fast.failures, 0),
-            ),
-            Counts(
-                max(self.slow.samples + sign * other.slow.samples, 0),
-                max(self.slow.failures + sign * other.slow.failures, 0),
-            ),
-            Times(
-                max(self.times.count + sign * other.times.count, 0),
-                self.times.total + sign * other.times.total,
-                self.times.squares + sign * other.times.squares,
-            ),
-        )
+# Fields of a cell.
+_FAST, _FAST_BAD, _SLOW, _SLOW_BAD, _ANSWERED = range(5)
+_TIMES, _TIMES_SUM, _TIMES_SQUARES = range(5, 8)
+_RUN, _RUN_BAD, _RUN_SUM = range(8, 11)
+_LATE, _LATE_TOTAL, _LATE_SUM = range(11, 14)
+_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET = range(14, 18)
+_FIELDS = 18
 
 
 def is_neutral(outcome: outcomes.ExchangeResult) -> bool:
@@ -130,22 +90,21 @@
         """Start without rows."""
         self.domains: list[identifiers.FailureDomain] = []
         self.active: set[int] = set()
+        self.usual_logarithm = math.inf
         self._width = 1
         self._cells = array.array('f')
-        self._moments = array.array('d')
         self._failing_hosts = array.array('I')
         self._seen_hosts = array.array('I')
         self._host_bits: dict[identifiers.HostId, int] = {}
         self._decayed_at = 0.0
         self._hosts_since = 0.0
+        self._epoch: float | None = None
 
     def ensure_row(self, row: int) -> None:
-        """Make room for ``row``; rows are numbered without gaps."""
+        """Make room for ``row``."""
         missing = row + 1 - len(self._seen_hosts)
         if missing > 0:
-            cells = missing * self._width
-            _grow(self._cells, cells * _FIELDS)
-            _grow(self._moments, cells * _MOMENTS)
+            _grow(self._cells, missing * self._width * _FIELDS)
             _grow(self._failing_hosts, missing)
             _grow(self._seen_hosts, missing)
 
@@ -162,46 +121,77 @@
 
         :param seconds: time at the upstream; used for successes only.
         """
-        cell = row * self._width + self._find_domain(domain)
-        base = cell * _FIELDS
-        cells = self._cells
+        if self._epoch is None:
+            self._epoch = now
+        number = self._find_domain(domain)
+        base = row * self._width * _FIELDS
+        cell = base + number * _FIELDS
+        moment = now - self._epoch
         bit = self._find_host_bit(host)
         self._seen_hosts[row] |= bit
         self.active.add(row)
         if outcome is outcomes.ExchangeResult.SUCCESS:
-            self._moments[cell * _MOMENTS + 1] = now
             logarithm = math.log(max(seconds, SHORTEST_SECONDS))
-            cells[base + 4] += 1
-            cells[base + 5] += logarithm
-            cells[base + 6] += logarithm * logarithm
-        else:
-            if cells[base + 1] < FRESH_FAILURES:
-                self._moments[cell * _MOMENTS] = now
-            self._failing_hosts[row] |= bit
-            cells[base + 1] += 1
-            cells[base + 3] += 1
-        cells[base] += 1
-        cells[base + 2] += 1
-
-    def summarize(self, row: int) -> Summary:
-        """Return the sum of the cells of ``row`` over all domains."""
-        width = self._width * _FIELDS
-        cells = self._cells[row * width : (row + 1) * width]
-        sums = [sum(cells[field::_FIELDS]) for field in range(_FIELDS)]
-        return _create_summary(sums)
+            self._add_success(base, logarithm, moment)
+            self._add_success(cell, logarithm, moment)
+            return
+        self._failing_hosts[row] |= bit
+        is_answer = outcome is outcomes.ExchangeResult.ERROR
+        self._add_failure(base, is_answer, moment)
+        self._add_failure(cell, is_answer, moment)
 
-    def summarize_cell(self, row: int, domain: int) -> Summary:
-        """Return the cell of ``row`` and the domain with this number."""
-        base = (row * self._width + domain) * _FIELDS
-        return _create_summary(self._cells[base : base + _FIELDS])
+    def summarize(
+        self,
+        row: int,
+        number: int = ALL_DOMAINS,
+    ) -> summaries.Summary:
+        """Return the figures of a cell.
 
-    def find_onset(self, row: int, domain: int) -> float:
-        """Return when the current run of failures of a cell began."""
-        return self._moments[(row * self._width + domain) * _MOMENTS]
+        :param number: number of the domain, or all of them.
+        """
+        base = (row * self._width + number) * _FIELDS
+        sums = self._cells[base : base + _FIELDS]
+        return summaries.Summary(
+            summaries.Counts(sums[_FAST], sums[_FAST_BAD]),
+            summaries.Counts(sums[_SLOW], sums[_SLOW_BAD]),
+            summaries.Times(
+                sums[_TIMES],
+                sums[_TIMES_SUM],
+                sums[_TIMES_SQUARES],
+            ),
+            sums[_ANSWERED],
+        )
 
-    def find_last_success(self, row: int, domain: int) -> float:
-        """Return the time of the last success in a cell; 0 for none."""
-        return self._moments[(row * self._width + domain) * _MOMENTS + 1]
+    def find_run(self, row: int, number: int = ALL_DOMAINS) -> summaries.Run:
+        """Return the run of failures of a cell."""
+        base = (row * self._width + number) * _FIELDS
+        sums = self._cells[base : base + _FIELDS]
+        epoch = self._epoch or 0.0
+        return summaries.Run(
+            summaries.Counts(sums[_RUN], sums[_RUN_BAD]),
+            sums[_ONSET] + epoch,
+            sums[_LAST_GOOD] + epoch,
+            sums[_LAST_BAD] + epoch,
+        )
+
+    def find_late_run(
+        self,
+        row: int,
+        number: int = ALL_DOMAINS,
+    ) -> summaries.LateRun:
+        """Return the run of slow answers of a cell."""
+        base = (row * self._width + number) * _FIELDS
+        sums = self._cells[base : base + _FIELDS]
+        return summaries.LateRun(
+            sums[_LATE],
+            sums[_LATE_TOTAL],
+            sums[_LATE_ONSET] + (self._epoch or 0.0),
+        )
+
+    def find_last_success(self, row: int, number: int) -> float:
+        """Return the time of the last success in a cell."""
+        base = (row * self._width + number) * _FIELDS
+        return self._cells[base + _LAST_GOOD] + (self._epoch or 0.0)
 
     def is_single_host(self, row: int) -> bool:
         """Tell whether one host alone saw failures, while others worked."""
@@ -210,19 +200,31 @@
 
     def clear(self, row: int) -> None:
         """Forget all results of ``row``."""
-        for domain in range(self._width):
-            self.clear_cell(row, domain)
+        for number in range(self._width):
+            self._clear_cell(row, number)
         self._failing_hosts[row] = 0
         self._seen_hosts[row] = 0
         self.active.discard(row)
 
-    def clear_cell(self, row: int, domain: int) -> None:
-        """Forget the results of one cell."""
-        cell = row * self._width + domain
-        for field in range(cell * _FIELDS, (cell + 1) * _FIELDS):
+    def forget_domain(
+        self,
+        row: int,
+        domain: identifiers.FailureDomain,
+    ) -> None:
+        """Forget the results of ``row`` that came from one domain."""
+        number = self._find_domain(domain)
+        start = row * self._width * _FIELDS
+        cell = start + number * _FIELDS
+        for field in range(_ONSET):
+            left = self._cells[start + field] - self._cells[cell + field]
+            is_count = field != _TIMES_SUM and field != _LATE_TOTAL
+            self._cells[start + field] = max(left, 0) if is_count else left
+        self._clear_cell(row, number)
+
+    def _clear_cell(self, row: int, number: int) -> None:
+        base = (row * self._width + number) * _FIELDS
+        for field in range(base, base + _FIELDS):
             self._cells[field] = 0
-        for moment in range(cell * _MOMENTS, (cell + 1) * _MOMENTS):
-            self._moments[moment] = 0
 
     def decay(self, now: float) -> None:
         """Let the weight of past results shrink to their age at ``now``."""
@@ -233,24 +235,79 @@
         fast = math.exp(-elapsed / FAST_SECONDS)
         slow = math.exp(-elapsed / SLOW_SECONDS)
         times = math.exp(-elapsed / TIMES_SECONDS)
-        factors = (fast, fast, slow, slow, times, times, times)
+        factors = (fast, fast, slow, slow, slow, times, times, times)
         for row in list(self.active):
             self._decay_row(row, factors)
         if now - self._hosts_since > HOSTS_SECONDS:
             self._hosts_since = now
             self._forget_hosts()
+        if self._epoch is not None and now - self._epoch > EPOCH_SECONDS:
+            self._move_epoch(now)
+
+    def _add_success(self, base: int, logarithm: float, moment: float) -> None:
+        cells = self._cells
+        cells[base + _FAST] += 1
+        cells[base + _SLOW] += 1
+        cells[base + _TIMES] += 1
+        cells[base + _TIMES_SUM] += logarithm
+        cells[base + _TIMES_SQUARES] += logarithm * logarithm
+        cells[base + _LAST_GOOD] = moment
+        if cells[base + _RUN]:
+            remaining = cells[base + _RUN_SUM] + SUCCESS_WEIGHT
+            is_over = remaining <= 0
+            cells[base + _RUN_SUM] = 0 if is_over else remaining
+            cells[base + _RUN] = 0 if is_over else cells[base + _RUN] + 1
+            if is_over:
+                cells[base + _RUN_BAD] = 0
+        excess = logarithm - self.usual_logarithm - SLOW_DRIFT
+        if excess > 0 or cells[base + _LATE]:
+            self._add_time(base, logarithm, excess, moment)
+
+    def _add_time(
+        self,
+        base: int,
+        logarithm: float,
+        excess: float,
+        moment: float,
+    ) -> None:
+        cells = self._cells
+        if not cells[base + _LATE]:
+            cells[base + _LATE_ONSET] = moment
+            cells[base + _LATE_TOTAL] = 0
+            cells[base + _LATE_SUM] = 0
+        remaining = min(cells[base + _LATE_SUM] + excess, MAX_SUM)
+        if remaining <= 0:
+            cells[base + _LATE] = 0
+            return
+        cells[base + _LATE_SUM] = remaining
+        cells[base + _LATE] += 1
+        cells[base + _LATE_TOTAL] += logarithm
+
+    def _add_failure(self, base: int, is_answer: bool, moment: float) -> None:
+        cells = self._cells
+        cells[base + _FAST] += 1
+        cells[base + _FAST_BAD] += 1
+        cells[base + _SLOW] += 1
+        cells[base + _SLOW_BAD] += 1
+        cells[base + _ANSWERED] += is_answer
+        cells[base + _LAST_BAD] = moment
+        if not cells[base + _RUN]:
+            cells[base + _ONSET] = moment
+        cells[base + _RUN] += 1
+        cells[base + _RUN_BAD] += 1
+        grown = cells[base + _RUN_SUM] + FAILURE_WEIGHT
+        cells[base + _RUN_SUM] = min(grown, MAX_SUM)
 
     def _decay_row(self, row: int, factors: tuple[float, ...]) -> None:
         cells = self._cells
-        width = self._width * _FIELDS
-        remaining = 0.0
-        for base in range(row * width, (row + 1) * width, _FIELDS):
-            if not cells[base + 2]:
+        start = row * self._width * _FIELDS
+        for number in range(self._width):
+            base = start + number * _FIELDS
+            if not cells[base + _SLOW]:
                 continue
             for field, factor in enumerate(factors, base):
                 cells[field] *= factor
-            remaining += cells[base + 2]
-        if remaining < NEGLIGIBLE:
+        if cells[start + _SLOW] < NEGLIGIBLE:
             self.clear(row)
 
     def _forget_hosts(self) -> None:
@@ -258,6 +315,13 @@
             self._failing_hosts[row] = 0
             self._seen_hosts[row] = 0
 
+    def _move_epoch(self, now: float) -> None:
+        passed = now - (self._epoch or 0.0)
+        self._epoch = now
+        for field in (_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET):
+            for position in range(field, len(self._cells), _FIELDS):
+                self._cells[position] -= passed
+
     def _find_host_bit(self, host: identifiers.HostId) -> int:
         bit = self._host_bits.get(host)
         if bit is None:
@@ -269,34 +333,18 @@
 
     def _find_domain(self, domain: identifiers.FailureDomain) -> int:
         try:
-            return self.domains.index(domain)
+            return self.domains.index(domain) + 1
         except ValueError:
             self.domains.append(domain)
-        if len(self.domains) > self._width:
-            self._widen()
-        return len(self.domains) - 1
-
-    def _widen(self) -> None:
-        self._cells = _spread(self._cells, self._width * _FIELDS)
-        self._moments = _spread(self._moments, self._width * _MOMENTS)
-        self._width *= 2
+        width = self._width * _FIELDS
+        wider = array.array('f')
+        for start in range(0, len(self._cells), width):
+            wider.extend(self._cells[start : start + width])
+            _grow(wider, _FIELDS)
+        self._cells = wider
+        self._width += 1
+        return len(self.domains)
 
 
 def _grow(column: typing.Any, length: int) -> None:
     column.frombytes(bytes(length * column.itemsize))
-
-
-def _spread(column: 'array.array[float]', width: int) -> 'array.array[float]':
-    wider: array.array[float] = array.array(column.typecode)
-    for start in range(0, len(column), width):
-        wider.extend(column[start : start + width])
-        _grow(wider, width)
-    return wider
-
-
-def _create_summary(sums: 'list[float] | array.array[float]') -> Summary:
-    return Summary(
-        Counts(sums[0], sums[1]),
-        Counts(sums[2], sums[3]),
-        Times(sums[4], sums[5], sums[6]),
-    )
--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -12,12 +12,14 @@
 """
 
 import dataclasses
+import math
 import random as random_module
 import typing
 
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.health import (
     authority,
+    comparison,
     ejection,
     evidence,
     paths,
@@ -108,12 +110,14 @@
         )
         self._table = ejection.UpstreamTable(policy.floor)
         self._evidence = evidence.Evidence()
-        self._examiner = verdicts.Examiner(self._evidence)
         self._paths = paths.PathTable()
+        self._examiner = verdicts.Examiner(self._evidence, self._paths)
         self._flaps = recovery.FlapTable(random)
         self._ejected: dict[int, ejection.Ejection] = {}
         self._suspended: dict[int, ejection.Ejection] = {}
         self._authority_until = 0.0
+        self._hang_seconds = math.inf
+        self._counts_overdue = False
         self._evaluated_at = float('-inf')
         self._changes: list[reports.HealthChange] = []
 
@@ -137,9 +141,35 @@
         if ejected is not None:
             self._record_trial(row, ejected, outcome, seconds, now)
         elif not evidence.is_neutral(outcome):
+            if self._was_overdue(outcome, seconds):
+                return
             self._evidence.ensure_row(row)
             self._evidence.record(row, host, domain, outcome, seconds, now)
 
+    def hang_seconds(self) -> float:
+        """Return the age at which an open request counts as hanging.
+
+        It is far beyond what the service takes, and infinite as long as
+        that is not known.
+        """
+        return self._hang_seconds
+
+    def note_overdue(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> None:
+        """Count an open request whose age has reached ``hang_seconds()``.
+
+        To be called once for each. It is evidence of a timeout before the
+        deadline; the result of the same request is then not counted again.
+        """
+        timeout = outcomes.ExchangeResult.TIMEOUT
+        self._counts_overdue = True
+        self.record(upstream, host, domain, timeout, 0, now)
+
     def is_usable(
         self,
         upstream: identifiers.UpstreamId,
@@ -233,13 +263,23 @@
         self._changes = []
         return changes
 
+    def _was_overdue(
+        self,
+        outcome: outcomes.ExchangeResult,
+        seconds: float,
+    ) -> bool:
+        is_timeout = outcome is outcomes.ExchangeResult.TIMEOUT
+        is_late = seconds >= self._hang_seconds
+        return is_timeout and is_late and self._counts_overdue
+
     def _evaluate(self, now: float) -> None:
         rows = self._evidence.active - self._ejected.keys()
-        for fault in self._examiner.find_faults(rows):
+        for fault in self._examiner.find_faults(rows, now):
             if fault.domain is not None:
                 self._block_path(fault, fault.domain, now)
             elif self._may_eject(fault.row, now):
                 self._eject(fault.row, fault.reason, fault.badness, now)
+        self._hang_seconds = comparison.compute_longest(self._examiner.times)
         self._flaps.expire(now)
 
     def _may_eject(self, row: int, now: float) -> bool:
@@ -256,6 +296,7 @@
         now: float,
     ) -> None:
         self._ejected[row] = self._flaps.begin(row, reason, badness, now)
+        self._paths.forget(row)
         self._clear(row)
         self._report(row, reports.HealthState.EJECTED, reason)
 
@@ -307,25 +348,27 @@
             recovery.release(ejected, now)
         elif outcome is not outcomes.ExchangeResult.SUCCESS:
             self._flaps.note_failure(ejected, now)
-        elif self._flaps.note_success(row, ejected, now):
-            self._readmit(row, reports.Cause.TRIALS, now)
+        elif self._flaps.note_success(row, ejected, seconds, now):
+            if recovery.is_still_slow(ejected, self._examiner.times):
+                self._flaps.note_failure(ejected, now)
+            else:
+                self._readmit(row, reports.Cause.TRIALS, now)
 
     def _block_path(
         self,
         fault: verdicts.Fault,
-        domain: int,
+        domain: identifiers.FailureDomain,
         now: float,
     ) -> None:
-        name = self._evidence.domains[domain]
-        blocked = self._paths.find_rows(name)
+        blocked = self._paths.find_rows(domain)
         unusable = {*self._ejected, *blocked, fault.row}
         if self._table.count_slots(unusable) < self._table.minimum:
             return
-        path = paths.Path(fault.row, name)
+        path = paths.Path(fault.row, domain)
         self._paths.block(path, fault.badness, now)
-        self._evidence.clear_cell(fault.row, domain)
+        self._evidence.forget_domain(fault.row, domain)
         state = reports.HealthState.PATH_BLOCKED
-        self._report(fault.row, state, fault.reason, name)
+        self._report(fault.row, state, fault.reason, domain)
 
     def _open_paths(self, now: float) -> None:
         for path in self._paths.expire(now):
--- a/wagtailspread/health/recovery.py
+++ b/wagtailspread/health/recovery.py
@@ -6,9 +6,16 @@
 """
 
 import dataclasses
+import math
 import random as random_module
 
-from wagtailspread.health import ejection, reports
+from wagtailspread.health import (
+    comparison,
+    ejection,
+    evidence,
+    reports,
+    summaries,
+)
 
 #: Time from an ejection to the first trial, in seconds.
 FIRST_TRIAL_SECONDS = 1.0
@@ -22,6 +29,8 @@
 CONFIRMATIONS = 3
 #: Most confirmations that a flapper needs.
 MAX_CONFIRMATIONS = 10
+#: Chance that an upstream as bad as before passes all trials.
+CHANCE = 0.1
 #: Healthy time that takes back one doubling, in seconds.
 FORGIVE_SECONDS = 60.0
 #: Share by which intervals vary, so that trials of many upstreams spread.
@@ -91,21 +100,23 @@
         self,
         row: int,
         ejected: ejection.Ejection,
+        seconds: float,
         now: float,
     ) -> bool:
-        """Count a good trial and tell whether the upstream may come back."""
+        """Count a good trial and tell whether there are enough in a row."""
         ejected.claimed_at = None
         ejected.successes += 1
+        ejected.logarithms += math.log(
+            max(seconds, evidence.SHORTEST_SECONDS),
+        )
         ejected.next_trial = now + CONFIRMATION_SECONDS
         flaps = max(int(self.find_level(row, now)) - 1, 0)
-        needed = min(CONFIRMATIONS + 2 * flaps, MAX_CONFIRMATIONS)
-        return ejected.successes >= needed
+        needed = count_confirmations(ejected.reason) + 2 * flaps
+        return ejected.successes >= min(needed, MAX_CONFIRMATIONS)
 
     def note_failure(self, ejected: ejection.Ejection, now: float) -> None:
         """Put the next trial off after a bad one."""
-        ejected.claimed_at = None
-        ejected.successes = 0
-        ejected.has_early_trial = False
+        _restart(ejected)
         longest = max(LONGEST_TRIAL_SECONDS, ejected.interval)
         ejected.interval = min(ejected.interval * 2, longest)
         ejected.next_trial = now + self._vary(ejected.interval)
@@ -117,15 +128,48 @@
 def claim(ejected: ejection.Ejection, now: float) -> bool:
     """Take the trial that is due, if one is.
 
-    A trial that never reports back is replaced after its interval.
+    A trial that did not report back within the interval counts as failed,
+    since an upstream that hangs would otherwise collect trials.
     """
     if now < ejected.next_trial:
         return False
+    if ejected.claimed_at is not None:
+        _restart(ejected)
+        longest = max(LONGEST_TRIAL_SECONDS, ejected.interval)
+        ejected.interval = min(ejected.interval * 2, longest)
     ejected.claimed_at = now
     ejected.next_trial = now + ejected.interval
     return True
 
 
+def count_confirmations(reason: reports.Reason) -> int:
+    """Return how many trials in a row must succeed.
+
+    An upstream that fails a part of its requests passes single trials by
+    chance, so that it needs more of them.
+
+    >>> count_confirmations(reports.Reason(reports.Cause.FAILURES, ratio=0.3))
+    7
+    """
+    if reason.cause is not reports.Cause.FAILURES or reason.ratio >= 1:
+        return CONFIRMATIONS
+    if not reason.ratio:
+        return MAX_CONFIRMATIONS
+    by_chance = math.log(CHANCE) / math.log(1 - reason.ratio)
+    return min(max(math.ceil(by_chance), CONFIRMATIONS), MAX_CONFIRMATIONS)
+
+
+def is_still_slow(
+    ejected: ejection.Ejection,
+    peers: summaries.Times,
+) -> bool:
+    """Tell whether the good trials took far longer than the peers do."""
+    if ejected.reason.cause is not reports.Cause.SLOWNESS or not peers.count:
+        return False
+    mean = ejected.logarithms / max(ejected.successes, 1)
+    return mean - peers.mean > math.log(comparison.MIN_SLOWDOWN)
+
+
 def release(ejected: ejection.Ejection, now: float) -> None:
     """Allow another trial soon, since the last one had a neutral result."""
     ejected.claimed_at = None
@@ -138,3 +182,10 @@
         return
     ejected.has_early_trial = True
     ejected.next_trial = min(ejected.next_trial, now)
+
+
+def _restart(ejected: ejection.Ejection) -> None:
+    ejected.claimed_at = None
+    ejected.successes = 0
+    ejected.logarithms = 0
+    ejected.has_early_trial = False
--- /dev/null
+++ b/wagtailspread/health/summaries.py
@@ -0,0 +1,116 @@
+"""Figures of one cell of evidence, or of a sum of cells."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counts:
+    """Results, weighted by age if they come from a window."""
+
+    samples: float = 0.0
+    failures: float = 0.0
+
+    @property
+    def ratio(self) -> float:
+        """Return failures by samples; 0 without samples."""
+        return self.failures / self.samples if self.samples else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Times:
+    """Count, sum and sum of squares of logarithms of seconds."""
+
+    count: float = 0.0
+    total: float = 0.0
+    squares: float = 0.0
+
+    @property
+    def mean(self) -> float:
+        """Return the mean logarithm; 0 without samples."""
+        return self.total / self.count if self.count else 0.0
+
+    @property
+    def variance(self) -> float:
+        """Return the variance of the logarithm."""
+        if not self.count:
+            return 0.0
+        return max(self.squares / self.count - self.mean**2, 0.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Results since failures began, and when that was, in seconds."""
+
+    counts: Counts
+    onset: float
+    last_success: float
+    last_failure: float
+
+    def measure_duration(self, now: float) -> float:
+        """Return how long the failures have lasted, in seconds.
+
+        It ends with the last failure, but lasts until ``now`` if nothing has
+        succeeded since the first.
+        """
+        if self.last_success < self.onset:
+            return now - self.onset
+        return self.last_failure - self.onset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LateRun:
+    """Answers since they became slow, and when that was, in seconds.
+
+    :param total: sum of the logarithms of their seconds.
+    """
+
+    count: float
+    total: float
+    onset: float
+
+    @property
+    def mean(self) -> float:
+        """Return the mean logarithm; 0 without samples."""
+        return self.total / self.count if self.count else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """The windows of one cell or of a sum of cells.
+
+    :param answered: failures in the slow window that were answers of the
+        upstream, which no path can cause.
+    """
+
+    fast: Counts = Counts()
+    slow: Counts = Counts()
+    times: Times = Times()
+    answered: float = 0.0
+
+    def plus(self, other: 'Summary', sign: int = 1) -> 'Summary':
+        """Return the sum of both, or the difference for ``sign`` -1."""
+        return Summary(
+            Counts(
+                max(self.fast.samples + sign * other.fast.samples, 0),
+                max(self.fast.failures + sign * other.fast.failures, 0),
+            ),
+            Counts(
+                max(self.slow.samples + sign * other.slow.samples, 0),
+                max(self.slow.failures + sign * other.slow.failures, 0),
+            ),
+            Times(
+                max(self.times.count + sign * other.times.count, 0),
+                self.times.total + sign * other.times.total,
+                self.times.squares + sign * other.times.squares,
+            ),
+            max(self.answered + sign * other.answered, 0),
+        )
+
+
+def add_all(summaries: typing.Iterable[Summary]) -> Summary:
+    """Return the sum of several summaries."""
+    total = Summary()
+    for summary in summaries:
+        total = total.plus(summary)
+    return total
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -1,9 +1,17 @@
 """Faults that the evidence shows: of an upstream, or of one path to it."""
 
 import dataclasses
+import math
 import typing
 
-from wagtailspread.health import comparison, evidence, reports
+from wagtailspread.core import identifiers
+from wagtailspread.health import (
+    comparison,
+    evidence,
+    paths,
+    reports,
+    summaries,
+)
 
 #: Score at which one domain's view differs from that of the others.
 PATH_SCORE = 4.0
@@ -12,6 +20,18 @@
 PATH_SECONDS = 0.25
 #: Score at which a fault seen in the slow window has ended in the fast one.
 ENDED_SCORE = -3.0
+#: Share of failures that are answers above which the path is not at fault.
+ANSWERED_SHARE = 0.5
+#: Shortest duration of a run of failures, in seconds, so that one burst is no
+#: fault of the upstream.
+FAILING_SECONDS = 0.25
+#: Shortest duration of a run of slow answers, in seconds, so that one stall
+#: of a healthy upstream is none.
+SLOW_RUN_SECONDS = 1.0
+#: Share of peers with a run of their own above which the fault is common.
+COMMON_SHARE = 0.5
+
+_Names = tuple[identifiers.FailureDomain, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,153 +39,222 @@
     """A fault of an upstream, or of the path from one domain to it.
 
     :param badness: comparable between faults; higher is worse.
-    :param domain: number of the domain for a path fault.
+    :param domain: the failure domain for a path fault.
     """
 
     row: int
     badness: float
     reason: reports.Reason
-    domain: int | None = None
+    domain: identifiers.FailureDomain | None = None
 
 
 class Examiner:
     """Compares each upstream with the others of its service.
 
-    :param table: the evidence; it is only read.
+    :param table: the evidence; only its usual time is set.
+    :param path_table: the paths that are blocked; it is only read.
     """
 
-    def __init__(self, table: evidence.Evidence) -> None:
-        """Keep the evidence."""
+    def __init__(
+        self,
+        table: evidence.Evidence,
+        path_table: paths.PathTable,
+    ) -> None:
+        """Keep the evidence and the paths."""
+        self._paths = path_table
+        self.times = summaries.Times()
         self._evidence = table
-        self._rows: dict[int, evidence.Summary] = {}
-        self._domain_totals: dict[int, evidence.Summary] = {}
+        self._now = 0.0
+        self._rows: dict[int, summaries.Summary] = {}
+        self._domain_totals: dict[int, summaries.Summary] = {}
 
-    def find_faults(self, rows: set[int]) -> list[Fault]:
-        """Return the faults of the given rows, compared with each other."""
+    def find_faults(
+        self,
+        rows: typing.Iterable[int],
+        now: float,
+    ) -> list[Fault]:
+        """Return the faults of the given rows, the worst first."""
+        self._now = now
         self._domain_totals.clear()
         self._rows = {row: self._evidence.summarize(row) for row in rows}
-        total = _add(self._rows.values())
+        total = summaries.add_all(self._rows.values())
+        self._note_times(total.times)
+        failing = [row for row in self._rows if self._is_failing(row)]
+        slow = [row for row in self._rows if self._is_late(row)]
         faults: list[Fault] = []
-        for row, own in self._rows.items():
-            faults.extend(self._examine(row, own, total.plus(own, -1)))
+        if not self._is_common(failing):
+            for row in self._rows:
+                faults.extend(self._find_failures(row, total))
+        if not self._is_common(slow):
+            known = {fault.row for fault in faults}
+            for row in slow:
+                if row not in known:
+                    faults.extend(self._find_slowness(row, total))
         return sorted(faults, key=lambda fault: -fault.badness)
 
-    def _examine(
+    def _note_times(self, times: summaries.Times) -> None:
+        self.times = times
+        if times.count >= comparison.MIN_TIMES:
+            self._evidence.usual_logarithm = times.mean
+        else:
+            self._evidence.usual_logarithm = math.inf
+
+    def _is_common(self, rows: list[int]) -> bool:
+        peers = len(self._rows) - 1
+        return len(rows) > 1 and len(rows) - 1 > COMMON_SHARE * peers
+
+    def _is_failing(self, row: int) -> bool:
+        run = self._evidence.find_run(row).counts
+        return run.failures >= comparison.MIN_FAILURES
+
+    def _is_late(self, row: int) -> bool:
+        late = self._evidence.find_late_run(row)
+        shift = late.mean - self.times.mean
+        is_enough = late.count >= comparison.MIN_TIMES
+        return is_enough and shift >= math.log(comparison.MIN_SLOWDOWN)
+
+    def _find_failures(
         self,
         row: int,
-        own: evidence.Summary,
-        peers: evidence.Summary,
+        total: summaries.Summary,
     ) -> list[Fault]:
-        if own.slow.failures >= comparison.MIN_FAILURES:
-            paths = self._find_failing_paths(row)
-            if paths:
-                return paths
-            failing = find_failing_window(own, peers)
-            if failing and not self._evidence.is_single_host(row):
-                return [self._report_failures(row, failing, peers)]
-        if comparison.is_slow(own.times, peers.times):
-            return self._report_slowness(row, own.times, peers.times)
-        return []
+        own = self._rows[row]
+        if own.slow.failures < comparison.MIN_FAILURES:
+            return []
+        if own.answered <= ANSWERED_SHARE * own.slow.failures:
+            path_faults = self._find_failing_paths(row)
+            if path_faults:
+                return path_faults
+        peers = total.plus(own, -1)
+        failing = self._find_window(row, evidence.ALL_DOMAINS, own, peers)
+        if failing is None or self._evidence.is_single_host(row):
+            return []
+        reason = _explain_failures(failing, peers, self._list_seen(row))
+        return [Fault(row, 1 + failing.ratio, reason)]
+
+    def _find_window(
+        self,
+        row: int,
+        number: int,
+        own: summaries.Summary,
+        peers: summaries.Summary,
+    ) -> summaries.Counts | None:
+        run = self._evidence.find_run(row, number)
+        if run.measure_duration(self._now) >= FAILING_SECONDS:
+            if comparison.is_failing(run.counts, peers.fast):
+                return run.counts
+        if not comparison.is_failing(own.slow, peers.slow):
+            return None
+        if comparison.score_failures(own.fast, own.slow) < ENDED_SCORE:
+            return None
+        return own.slow
 
     def _find_failing_paths(self, row: int) -> list[Fault]:
         faults = []
-        for domain, _name in enumerate(self._evidence.domains):
-            cell = self._evidence.summarize_cell(row, domain)
+        for number, name in enumerate(self._evidence.domains, start=1):
+            cell = self._evidence.summarize(row, number)
             if cell.slow.failures < comparison.MIN_FAILURES:
                 continue
-            failing = find_failing_window(cell, self._sum_peers(row, domain))
-            if failing and self._is_path_fault(row, domain, failing):
+            peers = self._sum_peers(row, number)
+            failing = self._find_window(row, number, cell, peers)
+            if failing and self._is_path_fault(row, number, failing):
                 others = self._rows[row].plus(cell, -1)
-                faults.append(
-                    self._report_failures(row, failing, others, domain),
-                )
+                reason = _explain_failures(failing, others, (name,))
+                faults.append(Fault(row, 1 + failing.ratio, reason, name))
         return faults
 
     def _is_path_fault(
         self,
         row: int,
         domain: int,
-        failing: evidence.Counts,
+        failing: summaries.Counts,
     ) -> bool:
-        since = self._evidence.find_onset(row, domain) + PATH_SECONDS
-        elsewhere = [
+        others = [
             number
-            for number in range(len(self._evidence.domains))
-            if number != domain
-            and self._evidence.find_last_success(row, number) > since
+            for number, name in enumerate(self._evidence.domains, start=1)
+            if number != domain and not self._paths.is_blocked(row, name)
         ]
-        others = _add(
-            self._evidence.summarize_cell(row, number) for number in elsewhere
+        if not others:
+            return False
+        if not any(self._has_failures(row, number) for number in others):
+            return True
+        since = self._evidence.find_run(row, domain).onset + PATH_SECONDS
+        succeeding = summaries.add_all(
+            self._evidence.summarize(row, number)
+            for number in others
+            if self._evidence.find_last_success(row, number) > since
         )
-        return comparison.is_failing(failing, others.fast, PATH_SCORE)
-
-    def _sum_peers(self, row: int, domain: int) -> evidence.Summary:
-        total = self._domain_totals.get(domain)
-        if total is None:
-            total = _add(
-                self._evidence.summarize_cell(one, domain) for one in self._rows
-            )
-            self._domain_totals[domain] = total
-        return total.plus(self._evidence.summarize_cell(row, domain), -1)
+        return comparison.is_failing(failing, succeeding.fast, PATH_SCORE)
 
-    def _report_failures(
-        self,
-        row: int,
-        failing: evidence.Counts,
-        peers: evidence.Summary,
-        domain: int | None = None,
-    ) -> Fault:
-        names = self._evidence.domains
-        seen = tuple(
-            name
-            for number, name in enumerate(names)
-            if self._evidence.summarize_cell(row, number).slow.failures
-            > evidence.FRESH_FAILURES
-        )
-        reason = reports.Reason(
-            reports.Cause.FAILURES,
-            failing.samples,
-            failing.failures,
-            failing.ratio,
-            peers.fast.ratio,
-            seen if domain is None else (names[domain],),
-        )
-        return Fault(row, 1 + failing.ratio, reason, domain)
+    def _has_failures(self, row: int, number: int) -> bool:
+        return self._evidence.find_run(row, number).counts.failures > 0
 
-    def _report_slowness(
+    def _find_slowness(
         self,
         row: int,
-        own: evidence.Times,
-        peers: evidence.Times,
+        total: summaries.Summary,
     ) -> list[Fault]:
-        slowdown = comparison.compute_slowdown(own, peers)
-        reason = reports.Reason(
-            reports.Cause.SLOWNESS,
-            own.count,
-            0,
-            slowdown,
-            1,
-            tuple(self._evidence.domains),
-        )
-        return [Fault(row, 1 - 1 / slowdown, reason)]
-
-
-def find_failing_window(
-    own: evidence.Summary,
-    peers: evidence.Summary,
-) -> evidence.Counts | None:
-    """Return the window in which ``own`` clearly fails more, if one does."""
-    if comparison.is_failing(own.fast, peers.fast):
-        return own.fast
-    if not comparison.is_failing(own.slow, peers.slow):
-        return None
-    if comparison.score_failures(own.fast, own.slow) < ENDED_SCORE:
-        return None
-    return own.slow
-
-
-def _add(summaries: typing.Iterable[evidence.Summary]) -> evidence.Summary:
-    total = evidence.Summary()
-    for summary in summaries:
-        total = total.plus(summary)
-    return total
+        own = self._rows[row]
+        late = self._evidence.find_late_run(row)
+        peers = total.plus(own, -1).times
+        if self._now - late.onset < SLOW_RUN_SECONDS:
+            return []
+        if not comparison.is_slow(late, peers):
+            return []
+        faults = []
+        for number, name in enumerate(self._evidence.domains, start=1):
+            cell = self._evidence.find_late_run(row, number)
+            others = own.plus(self._evidence.summarize(row, number), -1).times
+            if comparison.is_slow(cell, others, PATH_SCORE):
+                reason = _explain_slowness(cell, others, (name,))
+                faults.append(Fault(row, 1 - 1 / reason.ratio, reason, name))
+        if faults:
+            return faults
+        names = tuple(self._evidence.domains)
+        reason = _explain_slowness(late, peers, names)
+        return [Fault(row, 1 - 1 / reason.ratio, reason)]
+
+    def _sum_peers(self, row: int, number: int) -> summaries.Summary:
+        total = self._domain_totals.get(number)
+        if total is None:
+            total = summaries.add_all(
+                self._evidence.summarize(one, number) for one in self._rows
+            )
+            self._domain_totals[number] = total
+        return total.plus(self._evidence.summarize(row, number), -1)
+
+    def _list_seen(self, row: int) -> _Names:
+        seen = []
+        for number, name in enumerate(self._evidence.domains, start=1):
+            if self._has_failures(row, number):
+                seen.append(name)
+        return tuple(seen)
+
+
+def _explain_failures(
+    failing: summaries.Counts,
+    peers: summaries.Summary,
+    names: _Names,
+) -> reports.Reason:
+    return reports.Reason(
+        reports.Cause.FAILURES,
+        failing.samples,
+        failing.failures,
+        failing.ratio,
+        peers.fast.ratio,
+        names,
+    )
+
+
+def _explain_slowness(
+    own: summaries.LateRun,
+    peers: summaries.Times,
+    names: _Names,
+) -> reports.Reason:
+    return reports.Reason(
+        reports.Cause.SLOWNESS,
+        samples=own.count,
+        ratio=math.exp(own.mean - peers.mean),
+        peers_ratio=1,
+        domains=names,
+    )
