Tell common slowdowns and path faults from faults of one upstream

Cause: when the whole service became slow, the mean over a window lagged and 2 to 4 healthy upstreams were ejected; one stray failure elsewhere turned a path fault into an ejection. After: slow answers are compared with the median of what each peer does now; a path fault needs no significant failures elsewhere; failures without an answer are also compared on their own, since peers have hardly any.

--- a/wagtailspread/health/comparison.py
+++ b/wagtailspread/health/comparison.py
@@ -12,9 +12,9 @@
 
 from wagtailspread.health import summaries
 
-#: Score above which a difference is not chance. 6 is about 1e-9 for one
-#: comparison.
-CERTAIN_SCORE = 6.0
+#: Score above which a difference is not chance: about 1e-8 for one
+#: comparison. Three failures in a row reach it if the peers have none.
+CERTAIN_SCORE = 5.75
 #: Failures below which nothing is decided: three, less their decay.
 MIN_FAILURES = 2.5
 #: Share of failures above the peers' that matters.
@@ -72,26 +72,32 @@
     return score_failures(own, peers) >= certain
 
 
-def score_slowness(own: summaries.LateRun, peers: summaries.Times) -> float:
-    """Return by how many standard deviations a run is slower than peers."""
-    if not own.count or not peers.count:
+def score_slowness(
+    own: summaries.LateRun,
+    usual: float,
+    variance: float,
+) -> float:
+    """Return by how many standard deviations a run is slower than usual.
+
+    :param usual: mean logarithm of the seconds of the peers.
+    :param variance: variance of the logarithm at the peers.
+    """
+    if not own.count:
         return 0.0
-    variance = max(peers.variance, MIN_VARIANCE)
-    error = variance * (1 / own.count + 1 / peers.count)
-    return (own.mean - peers.mean) / math.sqrt(error)
+    error = max(variance, MIN_VARIANCE) / own.count
+    return (own.mean - usual) / math.sqrt(error)
 
 
 def is_slow(
     own: summaries.LateRun,
-    peers: summaries.Times,
+    usual: float,
+    variance: float,
     certain: float = CERTAIN_SCORE,
 ) -> bool:
     """Tell whether answers take clearly longer than at the peers."""
-    if min(own.count, peers.count) < MIN_TIMES:
-        return False
-    if own.mean - peers.mean < math.log(MIN_SLOWDOWN):
+    if own.count < MIN_TIMES or own.mean - usual < math.log(MIN_SLOWDOWN):
         return False
-    return score_slowness(own, peers) >= certain
+    return score_slowness(own, usual, variance) >= certain
 
 
 def compute_longest(times: summaries.Times) -> float:
--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -68,10 +68,10 @@
 # Fields of a cell.
 _FAST, _FAST_BAD, _SLOW, _SLOW_BAD, _ANSWERED = range(5)
 _TIMES, _TIMES_SUM, _TIMES_SQUARES = range(5, 8)
-_RUN, _RUN_BAD, _RUN_SUM = range(8, 11)
-_LATE, _LATE_TOTAL, _LATE_SUM = range(11, 14)
-_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET = range(14, 18)
-_FIELDS = 18
+_RUN, _RUN_BAD, _RUN_ANSWERED, _RUN_SUM = range(8, 12)
+_LATE, _LATE_TOTAL, _LATE_SUM, _FAST_ANSWERED = range(12, 16)
+_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET = range(16, 20)
+_FIELDS = 20
 
 
 def is_neutral(outcome: outcomes.ExchangeResult) -> bool:
@@ -152,14 +152,17 @@
         base = (row * self._width + number) * _FIELDS
         sums = self._cells[base : base + _FIELDS]
         return summaries.Summary(
-            summaries.Counts(sums[_FAST], sums[_FAST_BAD]),
-            summaries.Counts(sums[_SLOW], sums[_SLOW_BAD]),
+            summaries.Counts(
+                sums[_FAST],
+                sums[_FAST_BAD],
+                sums[_FAST_ANSWERED],
+            ),
+            summaries.Counts(sums[_SLOW], sums[_SLOW_BAD], sums[_ANSWERED]),
             summaries.Times(
                 sums[_TIMES],
                 sums[_TIMES_SUM],
                 sums[_TIMES_SQUARES],
             ),
-            sums[_ANSWERED],
         )
 
     def find_run(self, row: int, number: int = ALL_DOMAINS) -> summaries.Run:
@@ -168,7 +171,11 @@
         sums = self._cells[base : base + _FIELDS]
         epoch = self._epoch or 0.0
         return summaries.Run(
-            summaries.Counts(sums[_RUN], sums[_RUN_BAD]),
+            summaries.Counts(
+                sums[_RUN],
+                sums[_RUN_BAD],
+                sums[_RUN_ANSWERED],
+            ),
             sums[_ONSET] + epoch,
             sums[_LAST_GOOD] + epoch,
             sums[_LAST_BAD] + epoch,
@@ -259,6 +266,7 @@
             cells[base + _RUN] = 0 if is_over else cells[base + _RUN] + 1
             if is_over:
                 cells[base + _RUN_BAD] = 0
+                cells[base + _RUN_ANSWERED] = 0
         excess = logarithm - self.usual_logarithm - SLOW_DRIFT
         if excess > 0 or cells[base + _LATE]:
             self._add_time(base, logarithm, excess, moment)
@@ -289,7 +297,10 @@
         cells[base + _FAST_BAD] += 1
         cells[base + _SLOW] += 1
         cells[base + _SLOW_BAD] += 1
-        cells[base + _ANSWERED] += is_answer
+        if is_answer:
+            cells[base + _ANSWERED] += 1
+            cells[base + _FAST_ANSWERED] += 1
+            cells[base + _RUN_ANSWERED] += 1
         cells[base + _LAST_BAD] = moment
         if not cells[base + _RUN]:
             cells[base + _ONSET] = moment
@@ -307,6 +318,7 @@
                 continue
             for field, factor in enumerate(factors, base):
                 cells[field] *= factor
+            cells[base + _FAST_ANSWERED] *= factors[_FAST]
         if cells[start + _SLOW] < NEGLIGIBLE:
             self.clear(row)
 
--- a/wagtailspread/health/summaries.py
+++ b/wagtailspread/health/summaries.py
@@ -6,16 +6,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Counts:
-    """Results, weighted by age if they come from a window."""
+    """Results, weighted by age if they come from a window.
+
+    :param answered: failures that were answers of the upstream, which no
+        path can cause.
+    """
 
     samples: float = 0.0
     failures: float = 0.0
+    answered: float = 0.0
 
     @property
     def ratio(self) -> float:
         """Return failures by samples; 0 without samples."""
         return self.failures / self.samples if self.samples else 0.0
 
+    @property
+    def unanswered(self) -> 'Counts':
+        """Return the counts with only the failures without an answer."""
+        return Counts(self.samples, self.failures - self.answered)
+
+    def plus(self, other: 'Counts', sign: int = 1) -> 'Counts':
+        """Return the sum of both, or the difference for ``sign`` -1."""
+        return Counts(
+            max(self.samples + sign * other.samples, 0),
+            max(self.failures + sign * other.failures, 0),
+            max(self.answered + sign * other.answered, 0),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Times:
@@ -37,6 +55,14 @@
             return 0.0
         return max(self.squares / self.count - self.mean**2, 0.0)
 
+    def plus(self, other: 'Times', sign: int = 1) -> 'Times':
+        """Return the sum of both, or the difference for ``sign`` -1."""
+        return Times(
+            max(self.count + sign * other.count, 0),
+            self.total + sign * other.total,
+            self.squares + sign * other.squares,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
@@ -77,34 +103,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
-    """The windows of one cell or of a sum of cells.
-
-    :param answered: failures in the slow window that were answers of the
-        upstream, which no path can cause.
-    """
+    """The windows of one cell or of a sum of cells."""
 
     fast: Counts = Counts()
     slow: Counts = Counts()
     times: Times = Times()
-    answered: float = 0.0
 
     def plus(self, other: 'Summary', sign: int = 1) -> 'Summary':
         """Return the sum of both, or the difference for ``sign`` -1."""
         return Summary(
-            Counts(
-                max(self.fast.samples + sign * other.fast.samples, 0),
-                max(self.fast.failures + sign * other.fast.failures, 0),
-            ),
-            Counts(
-                max(self.slow.samples + sign * other.slow.samples, 0),
-                max(self.slow.failures + sign * other.slow.failures, 0),
-            ),
-            Times(
-                max(self.times.count + sign * other.times.count, 0),
-                self.times.total + sign * other.times.total,
-                self.times.squares + sign * other.times.squares,
-            ),
-            max(self.answered + sign * other.answered, 0),
+            self.fast.plus(other.fast, sign),
+            self.slow.plus(other.slow, sign),
+            self.times.plus(other.times, sign),
         )
 
 
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import statistics
 import typing
 
 from wagtailspread.core import identifiers
@@ -89,7 +90,7 @@
             known = {fault.row for fault in faults}
             for row in slow:
                 if row not in known:
-                    faults.extend(self._find_slowness(row, total))
+                    faults.extend(self._find_slowness(row))
         return sorted(faults, key=lambda fault: -fault.badness)
 
     def _note_times(self, times: summaries.Times) -> None:
@@ -121,7 +122,7 @@
         own = self._rows[row]
         if own.slow.failures < comparison.MIN_FAILURES:
             return []
-        if own.answered <= ANSWERED_SHARE * own.slow.failures:
+        if own.slow.answered <= ANSWERED_SHARE * own.slow.failures:
             path_faults = self._find_failing_paths(row)
             if path_faults:
                 return path_faults
@@ -143,6 +144,9 @@
         if run.measure_duration(self._now) >= FAILING_SECONDS:
             if comparison.is_failing(run.counts, peers.fast):
                 return run.counts
+            unanswered = run.counts.unanswered
+            if comparison.is_failing(unanswered, peers.fast.unanswered):
+                return unanswered
         if not comparison.is_failing(own.slow, peers.slow):
             return None
         if comparison.score_failures(own.fast, own.slow) < ENDED_SCORE:
@@ -187,33 +191,53 @@
         return comparison.is_failing(failing, succeeding.fast, PATH_SCORE)
 
     def _has_failures(self, row: int, number: int) -> bool:
-        return self._evidence.find_run(row, number).counts.failures > 0
+        run = self._evidence.find_run(row, number).counts
+        return run.failures >= comparison.MIN_FAILURES
 
-    def _find_slowness(
-        self,
-        row: int,
-        total: summaries.Summary,
-    ) -> list[Fault]:
-        own = self._rows[row]
+    def _find_slowness(self, row: int) -> list[Fault]:
         late = self._evidence.find_late_run(row)
-        peers = total.plus(own, -1).times
         if self._now - late.onset < SLOW_RUN_SECONDS:
             return []
-        if not comparison.is_slow(late, peers):
+        usual = self._find_usual(row)
+        if not comparison.is_slow(late, usual, self.times.variance):
             return []
-        faults = []
-        for number, name in enumerate(self._evidence.domains, start=1):
-            cell = self._evidence.find_late_run(row, number)
-            others = own.plus(self._evidence.summarize(row, number), -1).times
-            if comparison.is_slow(cell, others, PATH_SCORE):
-                reason = _explain_slowness(cell, others, (name,))
-                faults.append(Fault(row, 1 - 1 / reason.ratio, reason, name))
+        faults = self._find_slow_paths(row)
         if faults:
             return faults
         names = tuple(self._evidence.domains)
-        reason = _explain_slowness(late, peers, names)
+        reason = _explain_slowness(late, usual, names)
         return [Fault(row, 1 - 1 / reason.ratio, reason)]
 
+    def _find_usual(self, row: int) -> float:
+        # The median over the peers of what each does now, since the mean
+        # over a window lags when the whole service becomes slower.
+        means = []
+        for peer, summary in self._rows.items():
+            late = self._evidence.find_late_run(peer)
+            if peer == row or not summary.times.count:
+                continue
+            is_late = late.count >= comparison.MIN_TIMES / 2
+            means.append(late.mean if is_late else summary.times.mean)
+        return statistics.median(means) if means else math.inf
+
+    def _find_slow_paths(self, row: int) -> list[Fault]:
+        faults = []
+        for number, name in enumerate(self._evidence.domains, start=1):
+            late = self._evidence.find_late_run(row, number)
+            cell = self._evidence.summarize(row, number)
+            others = self._rows[row].times.plus(cell.times, -1)
+            if others.count < comparison.MIN_TIMES:
+                continue
+            if comparison.is_slow(
+                late,
+                others.mean,
+                others.variance,
+                PATH_SCORE,
+            ):
+                reason = _explain_slowness(late, others.mean, (name,))
+                faults.append(Fault(row, 1 - 1 / reason.ratio, reason, name))
+        return faults
+
     def _sum_peers(self, row: int, number: int) -> summaries.Summary:
         total = self._domain_totals.get(number)
         if total is None:
@@ -226,7 +250,7 @@
     def _list_seen(self, row: int) -> _Names:
         seen = []
         for number, name in enumerate(self._evidence.domains, start=1):
-            if self._has_failures(row, number):
+            if self._evidence.find_run(row, number).counts.failures:
                 seen.append(name)
         return tuple(seen)
 
@@ -248,13 +272,13 @@
 
 def _explain_slowness(
     own: summaries.LateRun,
-    peers: summaries.Times,
+    usual: float,
     names: _Names,
 ) -> reports.Reason:
     return reports.Reason(
         reports.Cause.SLOWNESS,
         samples=own.count,
-        ratio=math.exp(own.mean - peers.mean),
+        ratio=math.exp(own.mean - usual),
         peers_ratio=1,
         domains=names,
     )
