Split ejections and the upstream table from the judge

After: ejection.py follows votes and floor, tables.py holds capacity. New: a worse upstream may take the place of a less bad one under the floor.

--- a/benchmarks/health_simulations.py
+++ b/benchmarks/health_simulations.py
@@ -15,7 +15,7 @@
 import typing
 
 from wagtailspread.core import identifiers, outcomes
-from wagtailspread.health import ejection, judges, reports
+from wagtailspread.health import judges, reports, tables
 
 #: Median time of service, in seconds.
 MEDIAN_SECONDS = 0.04
@@ -169,7 +169,7 @@
         self._site = site
         self._ejections: dict[identifiers.UpstreamId, int] = {}
         self._capacities = [
-            ejection.Capacity(name_upstream(number), site.slots)
+            tables.Capacity(name_upstream(number), site.slots)
             for number in range(site.upstreams)
         ]
 
--- a/wagtailspread/health/ejection.py
+++ b/wagtailspread/health/ejection.py
@@ -1,162 +1,150 @@
-"""The table of upstreams of one service, its capacity and its floor.
+"""Ejections within the floor and under the votes of the region's hosts.
 
-The floor is a share of the capacity that the region had within the last
-minute, so that a wave of crashes or drains does not lower it at once and let
-ejections take away what is left.
+An ejection is in force only while the allocator holds the votes of a
+majority. When they are lost, the ejections are suspended: the upstreams get
+work, and are ejected again if the votes return soon. The ejections that hosts
+report to a new owner start out suspended as well.
 """
 
-import array
-import dataclasses
-import math
 import typing
 
-from wagtailspread.core import identifiers
-from wagtailspread.health import reports
+from wagtailspread.health import recovery, reports, tables, verdicts
 
-#: Time for which capacity that went away still counts for the floor, seconds.
-BASE_SECONDS = 60.0
-#: Time after which an upstream that is not announced is forgotten, seconds.
-FORGET_SECONDS = 60.0
 #: Time for which an ejection without votes is remembered, in seconds.
 SUSPENDED_SECONDS = 10.0
+#: Difference in badness for which one ejected upstream makes room for
+#: another when the floor allows only one of them.
+SWAP_MARGIN = 0.5
+#: Badness of an ejection that an earlier owner made.
+ADOPTED_BADNESS = 1.0
 
+Report = typing.Callable[[int, reports.HealthState, reports.Reason], None]
 
-class CapacityRow(typing.Protocol):
-    """What the judge needs to know of an announced upstream."""
 
-    @property
-    def upstream(self) -> identifiers.UpstreamId:
-        """The upstream."""
+class EjectionTable:
+    """The ejected upstreams of one service.
 
-    @property
-    def slots(self) -> int:
-        """Requests that it runs at a time."""
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether it is announced, not draining and warmed up."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Capacity:
-    """A row for :meth:`Judge.tick <wagtailspread.health.judges.Judge.tick>`.
-
-    :param slots: requests that the upstream runs at a time.
-    :param is_ready: announced, not draining and warmed up.
-    """
-
-    upstream: identifiers.UpstreamId
-    slots: int
-    is_ready: bool = True
-
-
-@dataclasses.dataclass(slots=True)
-class Ejection:
-    """An upstream that gets nothing but trials.
-
-    :param badness: score that decides which one is readmitted first.
-    :param next_trial: time of the next trial, in seconds.
-    :param claimed_at: time at which a running trial was claimed.
-    :param successes: good trials in a row.
-    :param logarithms: sum of the logarithms of their seconds.
+    :param table: the upstreams and the floor.
+    :param flaps: how often each was ejected lately.
+    :param report: is told of each change.
     """
 
-    reason: reports.Reason
-    badness: float
-    since: float
-    interval: float
-    next_trial: float
-    claimed_at: float | None = None
-    successes: int = 0
-    logarithms: float = 0.0
-    has_early_trial: bool = False
-
+    def __init__(
+        self,
+        table: tables.UpstreamTable,
+        flaps: recovery.FlapTable,
+        report: Report,
+    ) -> None:
+        """Start without ejections and without votes."""
+        self.rows: dict[int, recovery.Ejection] = {}
+        self.votes_until = 0.0
+        self._suspended: dict[int, recovery.Ejection] = {}
+        self._table = table
+        self._flaps = flaps
+        self._report = report
+
+    def is_ejected(self, row: int, now: float) -> bool:
+        """Tell whether an ejection of ``row`` is in force."""
+        return row in self.rows and now < self.votes_until
+
+    def eject(self, fault: verdicts.Fault, now: float) -> bool:
+        """Eject an upstream if votes and floor allow it."""
+        row = fault.row
+        if not self._may_eject(row, now):
+            if not self._make_room(fault, now):
+                return False
+        self.rows[row] = self._flaps.begin(
+            row,
+            fault.reason,
+            fault.badness,
+            now,
+        )
+        self._report(row, reports.HealthState.EJECTED, fault.reason)
+        return True
+
+    def readmit(self, row: int, cause: reports.Cause, now: float) -> None:
+        """Give an upstream work again."""
+        self.rows.pop(row)
+        self._flaps.finish(row, now)
+        reason = reports.Reason(cause)
+        self._report(row, reports.HealthState.HEALTHY, reason)
+
+    def adopt(self, row: int, now: float) -> None:
+        """Take over an ejection, which is in force once votes are held."""
+        if row in self.rows or row in self._suspended:
+            return
+        reason = reports.Reason(reports.Cause.ADOPTED)
+        self._suspended[row] = self._flaps.begin(
+            row,
+            reason,
+            ADOPTED_BADNESS,
+            now,
+        )
 
-class UpstreamTable:
-    """Rows of upstreams with their slots, and the floor. Rows are numbers."""
+    def forget(self, row: int) -> None:
+        """Drop what is known of ``row``."""
+        self.rows.pop(row, None)
+        self._suspended.pop(row, None)
+        self._flaps.forget(row)
 
-    def __init__(self, floor_share: float) -> None:
-        """Start without rows.
+    def tick(self, votes_until: float, now: float) -> None:
+        """Follow the votes and the capacity.
 
-        :param floor_share: share of the capacity, from 0 to 1.
+        :param votes_until: when the majority of the votes ends, in seconds.
         """
-        self.names: list[identifiers.UpstreamId | None] = []
-        self.ready_slots = array.array('I')
-        self._floor_share = floor_share
-        self._rows: dict[identifiers.UpstreamId, int] = {}
-        self._free: list[int] = []
-        self._seen_at = array.array('d')
-        self._base = 0
-        self._earlier_base = 0
-        self._base_since = 0.0
-
-    def find(self, upstream: identifiers.UpstreamId) -> int | None:
-        """Return the row of an upstream, if it has one."""
-        return self._rows.get(upstream)
-
-    def ensure(self, upstream: identifiers.UpstreamId, now: float) -> int:
-        """Return the row of an upstream, adding one if needed."""
-        row = self._rows.get(upstream)
-        if row is not None:
-            return row
-        if self._free:
-            row = self._free.pop()
-            self.names[row] = upstream
+        self.votes_until = votes_until
+        if now < votes_until:
+            self._resume(now)
         else:
-            row = len(self.names)
-            self.names.append(upstream)
-            self.ready_slots.append(0)
-            self._seen_at.append(now)
-        self._seen_at[row] = now
-        self._rows[upstream] = row
-        return row
-
-    def update(
-        self,
-        capacities: typing.Iterable[CapacityRow],
-        now: float,
-    ) -> list[int]:
-        """Take the announced upstreams and return the rows forgotten."""
-        total = 0
-        for capacity in capacities:
-            row = self.ensure(capacity.upstream, now)
-            self.ready_slots[row] = capacity.slots if capacity.is_ready else 0
-            self._seen_at[row] = now
-            total += capacity.slots
-        self._update_base(total, now)
-        return self._drop_unseen(now)
-
-    @property
-    def minimum(self) -> int:
-        """Return the slots that ejections must leave."""
-        base = max(self._base, self._earlier_base)
-        return math.ceil(self._floor_share * base)
-
-    def count_slots(self, without: typing.Container[int]) -> int:
-        """Return the ready slots except those of the given rows."""
-        return sum(
-            slots
-            for row, slots in enumerate(self.ready_slots)
-            if row not in without
-        )
-
-    def _update_base(self, total: int, now: float) -> None:
-        if now - self._base_since > BASE_SECONDS:
-            self._earlier_base = self._base
-            self._base = 0
-            self._base_since = now
-        self._base = max(self._base, total)
-
-    def _drop_unseen(self, now: float) -> list[int]:
-        dropped = []
-        for row, seen_at in enumerate(self._seen_at):
-            if seen_at == now:
-                continue
-            self.ready_slots[row] = 0
-            name = self.names[row]
-            if name is not None and now - seen_at > FORGET_SECONDS:
-                self._rows.pop(name)
-                self.names[row] = None
-                self._free.append(row)
-                dropped.append(row)
-        return dropped
+            self._suspend(now)
+        self._keep_floor(now)
+
+    def _may_eject(self, row: int, now: float) -> bool:
+        if now >= self.votes_until:
+            return False
+        if not self._table.ready_slots[row]:
+            return True
+        left = self._table.count_slots({*self.rows, row})
+        return left >= self._table.minimum
+
+    def _make_room(self, fault: verdicts.Fault, now: float) -> bool:
+        least = self._find_least_bad()
+        if least is None or now >= self.votes_until:
+            return False
+        if fault.badness - self.rows[least].badness < SWAP_MARGIN:
+            return False
+        ejected = {*self.rows, fault.row} - {least}
+        if self._table.count_slots(ejected) < self._table.minimum:
+            return False
+        self.readmit(least, reports.Cause.FLOOR, now)
+        return True
+
+    def _keep_floor(self, now: float) -> None:
+        while self.rows:
+            if self._table.count_slots(self.rows) >= self._table.minimum:
+                return
+            least = self._find_least_bad()
+            if least is None:
+                return
+            self.readmit(least, reports.Cause.FLOOR, now)
+
+    def _find_least_bad(self) -> int | None:
+        useful = [row for row in self.rows if self._table.ready_slots[row]]
+        if not useful:
+            return None
+        return min(useful, key=lambda row: self.rows[row].badness)
+
+    def _suspend(self, now: float) -> None:
+        for row, ejected in list(self.rows.items()):
+            ejected.since = now
+            self._suspended[row] = ejected
+            self.readmit(row, reports.Cause.VOTES_LOST, now)
+
+    def _resume(self, now: float) -> None:
+        for row, ejected in list(self._suspended.items()):
+            self._suspended.pop(row)
+            is_recent = now - ejected.since < SUSPENDED_SECONDS
+            if is_recent and self._may_eject(row, now):
+                self.rows[row] = ejected
+                state = reports.HealthState.EJECTED
+                self._report(row, state, ejected.reason)
--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -25,6 +25,7 @@
     paths,
     recovery,
     reports,
+    tables,
     verdicts,
 )
 
@@ -87,7 +88,7 @@
 
     def tick(
         self,
-        capacities: typing.Iterable[ejection.CapacityRow],
+        capacities: typing.Iterable[tables.CapacityRow],
         now: float,
     ) -> list[reports.HealthChange]:
         """Evaluate the evidence and return what changed."""
@@ -108,14 +109,16 @@
             policy.tie_breaker,
             index,
         )
-        self._table = ejection.UpstreamTable(policy.floor)
+        self._table = tables.UpstreamTable(policy.floor)
         self._evidence = evidence.Evidence()
         self._paths = paths.PathTable()
         self._examiner = verdicts.Examiner(self._evidence, self._paths)
         self._flaps = recovery.FlapTable(random)
-        self._ejected: dict[int, ejection.Ejection] = {}
-        self._suspended: dict[int, ejection.Ejection] = {}
-        self._authority_until = 0.0
+        self._ejections = ejection.EjectionTable(
+            self._table,
+            self._flaps,
+            self._report_upstream,
+        )
         self._hang_seconds = math.inf
         self._counts_overdue = False
         self._evaluated_at = float('-inf')
@@ -137,9 +140,8 @@
         :param seconds: time at the upstream.
         """
         row = self._table.ensure(upstream, now)
-        ejected = self._ejected.get(row)
-        if ejected is not None:
-            self._record_trial(row, ejected, outcome, seconds, now)
+        if row in self._ejections.rows:
+            self._record_trial(row, outcome, seconds, now)
         elif not evidence.is_neutral(outcome):
             if self._was_overdue(outcome, seconds):
                 return
@@ -183,7 +185,7 @@
         row = self._table.find(upstream)
         if row is None:
             return True
-        if row in self._ejected and now < self._authority_until:
+        if self._ejections.is_ejected(row, now):
             return False
         return not self._paths.is_blocked(row, domain)
 
@@ -197,8 +199,9 @@
         A true answer takes the trial: the next one is due later.
         """
         row = self._table.find(upstream)
-        ejected = None if row is None else self._ejected.get(row)
-        return ejected is not None and recovery.claim(ejected, now)
+        if row is None or not self._ejections.is_ejected(row, now):
+            return False
+        return recovery.claim(self._ejections.rows[row], now)
 
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Renew the vote of a host.
@@ -213,8 +216,8 @@
         It starts a trial early, once for each interval, and nothing more.
         """
         row = self._table.find(upstream)
-        if row is not None and row in self._ejected:
-            recovery.hasten(self._ejected[row], now)
+        if row is not None and row in self._ejections.rows:
+            recovery.hasten(self._ejections.rows[row], now)
 
     def adopt(
         self,
@@ -227,19 +230,16 @@
         the floor allows.
         """
         for upstream in ejected:
-            row = self._table.ensure(upstream, now)
-            if row not in self._ejected and row not in self._suspended:
-                reason = reports.Reason(reports.Cause.ADOPTED)
-                self._suspended[row] = self._flaps.begin(row, reason, 1.0, now)
+            self._ejections.adopt(self._table.ensure(upstream, now), now)
 
     def find_ejected(self) -> list[identifiers.UpstreamId]:
         """Return the ejected upstreams, for the copies that hosts keep."""
-        names = [self._table.names[row] for row in self._ejected]
+        names = [self._table.names[row] for row in self._ejections.rows]
         return [name for name in names if name is not None]
 
     def tick(
         self,
-        capacities: typing.Iterable[ejection.CapacityRow],
+        capacities: typing.Iterable[tables.CapacityRow],
         now: float,
     ) -> list[reports.HealthChange]:
         """Evaluate the evidence and return what changed.
@@ -249,12 +249,7 @@
         for row in self._table.update(capacities, now):
             self._forget(row)
         self._evidence.decay(now)
-        self._authority_until = self.authority.lapses_at(now)
-        if now < self._authority_until:
-            self._resume(now)
-        else:
-            self._suspend(now)
-        self._keep_floor(now)
+        self._ejections.tick(self.authority.lapses_at(now), now)
         if now - self._evaluated_at >= EVALUATION_SECONDS:
             self._evaluated_at = now
             self._evaluate(now)
@@ -263,85 +258,24 @@
         self._changes = []
         return changes
 
-    def _was_overdue(
-        self,
-        outcome: outcomes.ExchangeResult,
-        seconds: float,
-    ) -> bool:
-        is_timeout = outcome is outcomes.ExchangeResult.TIMEOUT
-        is_late = seconds >= self._hang_seconds
-        return is_timeout and is_late and self._counts_overdue
-
     def _evaluate(self, now: float) -> None:
-        rows = self._evidence.active - self._ejected.keys()
+        rows = self._evidence.active - self._ejections.rows.keys()
         for fault in self._examiner.find_faults(rows, now):
             if fault.domain is not None:
                 self._block_path(fault, fault.domain, now)
-            elif self._may_eject(fault.row, now):
-                self._eject(fault.row, fault.reason, fault.badness, now)
+            elif self._ejections.eject(fault, now):
+                self._paths.forget(fault.row)
         self._hang_seconds = comparison.compute_longest(self._examiner.times)
         self._flaps.expire(now)
 
-    def _may_eject(self, row: int, now: float) -> bool:
-        if now >= self._authority_until:
-            return False
-        left = self._table.count_slots({*self._ejected, row})
-        return left >= self._table.minimum
-
-    def _eject(
-        self,
-        row: int,
-        reason: reports.Reason,
-        badness: float,
-        now: float,
-    ) -> None:
-        self._ejected[row] = self._flaps.begin(row, reason, badness, now)
-        self._paths.forget(row)
-        self._clear(row)
-        self._report(row, reports.HealthState.EJECTED, reason)
-
-    def _readmit(self, row: int, cause: reports.Cause, now: float) -> None:
-        self._ejected.pop(row)
-        self._flaps.finish(row, now)
-        self._clear(row)
-        reason = reports.Reason(cause)
-        self._report(row, reports.HealthState.HEALTHY, reason)
-
-    def _keep_floor(self, now: float) -> None:
-        minimum = self._table.minimum
-        while self._ejected:
-            if self._table.count_slots(self._ejected) >= minimum:
-                return
-            useful = [row for row in self._ejected if self._slots(row)]
-            if not useful:
-                return
-            least = min(useful, key=lambda row: self._ejected[row].badness)
-            self._readmit(least, reports.Cause.FLOOR, now)
-
-    def _suspend(self, now: float) -> None:
-        for row, ejected in list(self._ejected.items()):
-            self._suspended[row] = ejected
-            ejected.since = now
-            self._readmit(row, reports.Cause.VOTES_LOST, now)
-
-    def _resume(self, now: float) -> None:
-        for row, ejected in list(self._suspended.items()):
-            self._suspended.pop(row)
-            is_recent = now - ejected.since < ejection.SUSPENDED_SECONDS
-            if is_recent and self._may_eject(row, now):
-                self._ejected[row] = ejected
-                self._clear(row)
-                state = reports.HealthState.EJECTED
-                self._report(row, state, ejected.reason)
-
     def _record_trial(
         self,
         row: int,
-        ejected: ejection.Ejection,
         outcome: outcomes.ExchangeResult,
         seconds: float,
         now: float,
     ) -> None:
+        ejected = self._ejections.rows[row]
         if ejected.claimed_at is None or now - seconds < ejected.claimed_at:
             return
         if evidence.is_neutral(outcome):
@@ -352,7 +286,16 @@
             if recovery.is_still_slow(ejected, self._examiner.times):
                 self._flaps.note_failure(ejected, now)
             else:
-                self._readmit(row, reports.Cause.TRIALS, now)
+                self._ejections.readmit(row, reports.Cause.TRIALS, now)
+
+    def _was_overdue(
+        self,
+        outcome: outcomes.ExchangeResult,
+        seconds: float,
+    ) -> bool:
+        is_timeout = outcome is outcomes.ExchangeResult.TIMEOUT
+        is_late = seconds >= self._hang_seconds
+        return is_timeout and is_late and self._counts_overdue
 
     def _block_path(
         self,
@@ -361,7 +304,7 @@
         now: float,
     ) -> None:
         blocked = self._paths.find_rows(domain)
-        unusable = {*self._ejected, *blocked, fault.row}
+        unusable = {*self._ejections.rows, *blocked, fault.row}
         if self._table.count_slots(unusable) < self._table.minimum:
             return
         path = paths.Path(fault.row, domain)
@@ -378,7 +321,7 @@
 
     def _keep_domain_floor(self, domain: identifiers.FailureDomain) -> None:
         while self._paths.find_rows(domain):
-            unusable = {*self._ejected, *self._paths.find_rows(domain)}
+            unusable = {*self._ejections.rows, *self._paths.find_rows(domain)}
             if self._table.count_slots(unusable) >= self._table.minimum:
                 return
             path = self._paths.find_least_bad(domain)
@@ -389,6 +332,16 @@
         state = reports.HealthState.PATH_OPEN
         self._report(path.row, state, reports.Reason(cause), path.domain)
 
+    def _report_upstream(
+        self,
+        row: int,
+        state: reports.HealthState,
+        reason: reports.Reason,
+    ) -> None:
+        # Results from before the change say nothing about the time after it.
+        self._clear(row)
+        self._report(row, state, reason)
+
     def _report(
         self,
         row: int,
@@ -401,17 +354,12 @@
             change = reports.HealthChange(name, state, reason, domain)
             self._changes.append(change)
 
-    def _slots(self, row: int) -> int:
-        return self._table.ready_slots[row]
-
     def _clear(self, row: int) -> None:
         self._evidence.ensure_row(row)
         self._evidence.clear(row)
 
     def _forget(self, row: int) -> None:
-        self._ejected.pop(row, None)
-        self._suspended.pop(row, None)
-        self._flaps.forget(row)
+        self._ejections.forget(row)
         self._paths.forget(row)
         self._clear(row)
 
--- a/wagtailspread/health/recovery.py
+++ b/wagtailspread/health/recovery.py
@@ -11,7 +11,6 @@
 
 from wagtailspread.health import (
     comparison,
-    ejection,
     evidence,
     reports,
     summaries,
@@ -37,6 +36,28 @@
 JITTER = 0.1
 
 
+@dataclasses.dataclass(slots=True)
+class Ejection:
+    """An upstream that gets nothing but trials.
+
+    :param badness: score that decides which one is readmitted first.
+    :param next_trial: time of the next trial, in seconds.
+    :param claimed_at: time at which a running trial was claimed.
+    :param successes: good trials in a row.
+    :param logarithms: sum of the logarithms of their seconds.
+    """
+
+    reason: reports.Reason
+    badness: float
+    since: float
+    interval: float
+    next_trial: float
+    claimed_at: float | None = None
+    successes: int = 0
+    logarithms: float = 0.0
+    has_early_trial: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class FlapRecord:
     """How often an upstream was ejected, less what time has forgiven."""
@@ -59,13 +80,13 @@
         reason: reports.Reason,
         badness: float,
         now: float,
-    ) -> ejection.Ejection:
+    ) -> Ejection:
         """Return a new ejection with the interval that ``row`` deserves."""
         level = self.find_level(row, now)
         self._records[row] = FlapRecord(level + 1, now)
         wanted = FIRST_TRIAL_SECONDS * 2**level
         interval = min(wanted, LONGEST_FLAP_SECONDS)
-        return ejection.Ejection(
+        return Ejection(
             reason,
             badness,
             since=now,
@@ -99,7 +120,7 @@
     def note_success(
         self,
         row: int,
-        ejected: ejection.Ejection,
+        ejected: Ejection,
         seconds: float,
         now: float,
     ) -> bool:
@@ -114,7 +135,7 @@
         needed = count_confirmations(ejected.reason) + 2 * flaps
         return ejected.successes >= min(needed, MAX_CONFIRMATIONS)
 
-    def note_failure(self, ejected: ejection.Ejection, now: float) -> None:
+    def note_failure(self, ejected: Ejection, now: float) -> None:
         """Put the next trial off after a bad one."""
         _restart(ejected)
         longest = max(LONGEST_TRIAL_SECONDS, ejected.interval)
@@ -125,7 +146,7 @@
         return interval * (1 + JITTER * self._random.random())
 
 
-def claim(ejected: ejection.Ejection, now: float) -> bool:
+def claim(ejected: Ejection, now: float) -> bool:
     """Take the trial that is due, if one is.
 
     A trial that did not report back within the interval counts as failed,
@@ -160,7 +181,7 @@
 
 
 def is_still_slow(
-    ejected: ejection.Ejection,
+    ejected: Ejection,
     peers: summaries.Times,
 ) -> bool:
     """Tell whether the good trials took far longer than the peers do."""
@@ -170,13 +191,13 @@
     return mean - peers.mean > math.log(comparison.MIN_SLOWDOWN)
 
 
-def release(ejected: ejection.Ejection, now: float) -> None:
+def release(ejected: Ejection, now: float) -> None:
     """Allow another trial soon, since the last one had a neutral result."""
     ejected.claimed_at = None
     ejected.next_trial = now + CONFIRMATION_SECONDS
 
 
-def hasten(ejected: ejection.Ejection, now: float) -> None:
+def hasten(ejected: Ejection, now: float) -> None:
     """Start a trial early, once for each interval, on a weak signal."""
     if ejected.has_early_trial or ejected.claimed_at is not None:
         return
@@ -184,7 +205,7 @@
     ejected.next_trial = min(ejected.next_trial, now)
 
 
-def _restart(ejected: ejection.Ejection) -> None:
+def _restart(ejected: Ejection) -> None:
     ejected.claimed_at = None
     ejected.successes = 0
     ejected.logarithms = 0
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -3,7 +3,7 @@
 import random
 
 from wagtailspread.core import outcomes
-from wagtailspread.health import ejection, judges, reports
+from wagtailspread.health import judges, reports, tables
 
 RESULT = outcomes.ExchangeResult
 UPSTREAMS = tuple(f'v{number}' for number in range(9))
@@ -18,7 +18,7 @@
 
 def list_capacities(slots=6, missing=()):
     return [
-        ejection.Capacity(upstream, slots, upstream not in missing)
+        tables.Capacity(upstream, slots, upstream not in missing)
         for upstream in UPSTREAMS
     ]
 
