--- a/wagtailspread/membership/detection.py
+++ b/wagtailspread/membership/detection.py
@@ -113,6 +113,10 @@
             return
         self._suspicions[row.host] = Suspicion(row, deadline)
 
+    def drop(self, host: identifiers.HostId) -> None:
+        """Forget the suspicion of a host."""
+        self._suspicions.pop(host, None)
+
     def take_expired(self, now: float) -> list[tables.HostRow]:
         """Remove and return the suspects that did not refute in time."""
         expired = [
--- a/wagtailspread/membership/dissemination.py
+++ b/wagtailspread/membership/dissemination.py
@@ -75,6 +75,10 @@
         """Send this row, in place of an older one of its host."""
         self._pending[row.host] = _Pending(row)
 
+    def drop(self, host: identifiers.HostId) -> None:
+        """Send nothing more about a host."""
+        self._pending.pop(host, None)
+
     def take(self, hosts: int) -> tuple[tables.HostRow, ...]:
         """Return the updates for one message.
 
--- a/wagtailspread/membership/drivers.py
+++ b/wagtailspread/membership/drivers.py
@@ -20,10 +20,16 @@
 TICK_SECONDS = 0.05
 #: Time after which an undelivered message is dropped, in seconds.
 CALL_SECONDS = 1.0
+#: Connections kept open; a large fleet has more hosts than that.
+MAX_LINKS = 128
 
 
 class Driver:
-    """Ticks an agent and exchanges its messages. Use :func:`create_driver`."""
+    """Ticks an agent and exchanges its messages. Use :func:`create_driver`.
+
+    :param pool: links that nothing else uses, since silent ones and those
+        least recently used are closed.
+    """
 
     def __init__(
         self,
@@ -35,6 +41,7 @@
         self.agent = agent
         self._pool = pool
         self._clock = clock
+        self._recent: dict[identifiers.Address, None] = {}
         self._ticking: asyncio.Task[None] | None = None
         self._sending: set[asyncio.Task[typing.Any]] = set()
 
@@ -94,13 +101,25 @@
             task.add_done_callback(self._sending.discard)
 
     async def _send(self, parcel: dissemination.Parcel) -> None:
-        link = self._pool.find(parcel.address)
-        await link.call(
+        await self._make_room(parcel.address)
+        outcome = await self._pool.find(parcel.address).call(
             messages.methods.GOSSIP,
             encode_message(parcel.message),
             messages.structs.Empty,
             CALL_SECONDS,
         )
+        if isinstance(outcome, result.Failure):
+            # A connection may be silent for good while a new one works.
+            self._recent.pop(parcel.address, None)
+            await self._pool.forget(parcel.address)
+
+    async def _make_room(self, address: identifiers.Address) -> None:
+        self._recent.pop(address, None)
+        self._recent[address] = None
+        if len(self._recent) > MAX_LINKS:
+            oldest = next(iter(self._recent))
+            self._recent.pop(oldest)
+            await self._pool.forget(oldest)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/membership/tables.py
+++ b/wagtailspread/membership/tables.py
@@ -104,9 +104,10 @@
         """Return the hosts that are alive or suspect."""
         return [row for row in self._rows.values() if not row.is_ended]
 
-    def list_ended(self) -> list[HostRow]:
-        """Return the hosts that are dead or have left."""
-        return [self._rows[host] for host in self._ended_at]
+    def list_dead(self) -> list[HostRow]:
+        """Return the hosts that are dead and have not left."""
+        rows = [self._rows[host] for host in self._ended_at]
+        return [row for row in rows if row.state is HostState.DEAD]
 
     def expire(self, now: float) -> None:
         """Drop the hosts that ended long ago."""
