--- /dev/null
+++ b/wagtailspread/testing/networks.py
@@ -0,0 +1,344 @@
+"""Replicas on a network in memory, with manual time and chosen faults.
+
+Each replica keeps its outputs until it is told to sync. A crash loses the
+outputs and what was written without a sync; a wipe loses the whole store, and
+the replica comes back with a new identity.
+"""
+
+import json
+import random as random_module
+
+from wagtailspread.consensus import messages, replicas, states, storage
+from wagtailspread.core import identifiers
+from wagtailspread.testing import invariants
+
+Address = identifiers.Address
+#: Voters with which the loss of one stops nothing.
+SMALLEST_FLEET = 3
+
+
+class ListMachine:
+    """A state machine that remembers its commands."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.applied: list[tuple[identifiers.LogIndex, bytes]] = []
+
+    def apply(self, index: identifiers.LogIndex, command: bytes) -> bytes:
+        """Append the command."""
+        self.applied.append((index, command))
+        return command
+
+    def take_snapshot(self) -> bytes:
+        """Return all commands."""
+        shown = [(index, command.hex()) for index, command in self.applied]
+        return json.dumps(shown).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace all commands."""
+        self.applied = [
+            (identifiers.LogIndex(index), bytes.fromhex(command))
+            for index, command in json.loads(snapshot)
+        ]
+
+
+class SimulatedReplica:
+    """One replica, its store and its machine."""
+
+    def __init__(
+        self,
+        fleet: 'SimulatedFleet',
+        address: Address,
+        store: storage.MemoryStorage,
+    ) -> None:
+        """Start with what the store holds."""
+        self.address = address
+        self.store = store
+        self.is_up = True
+        self._fleet = fleet
+        self._outputs: list[messages.Output] = []
+        self._start()
+
+    def take(self, output: messages.Output) -> None:
+        """Keep an output until the next sync."""
+        self._outputs.append(output)
+
+    def sync(self) -> None:
+        """Make the outputs durable, then send and apply them."""
+        outputs = self._outputs
+        self._outputs = []
+        if self._fleet.sends_before_sync:
+            self._send(outputs)
+            self._outputs = outputs
+            return
+        for output in outputs:
+            self.store.write(output)
+        self.store.sync()
+        self._send(outputs)
+
+    def crash(self) -> None:
+        """Stop at once; a part of what was not synced is lost."""
+        for output in self._outputs:
+            # Snapshots are durable as soon as they are written, so an output
+            # with one counts as not begun.
+            if output.snapshot is not None:
+                break
+            self.store.write(output)
+        self.store.lose_unsynced(self._fleet.random)
+        self.is_up = False
+
+    def restart(self) -> None:
+        """Start with what the store holds."""
+        self.is_up = True
+        self._start()
+
+    def compact(self) -> None:
+        """Replace the applied part of the log by a snapshot."""
+        log = self.replica.state.log
+        term = log.find_term(self.applied)
+        if term is None or self.applied <= log.snapshot.index:
+            return
+        membership = log.find_membership(self.applied)
+        payload = self.machine.take_snapshot()
+        snapshot = messages.Snapshot(self.applied, term, membership, payload)
+        self.sync()
+        if self.applied == snapshot.index:
+            self.store.save_snapshot(snapshot, keeps_tail=True)
+            self.replica.compact(payload, snapshot.index)
+
+    def _start(self) -> None:
+        stored = self.store.load().unwrap()
+        self._outputs = []
+        self.replica = replicas.create_replica(
+            stored.identity,
+            stored.hard_state,
+            stored.log,
+            self._fleet.policy,
+            random_module.Random(self._fleet.random.random()),
+            self._fleet.replica_type,
+        )
+        self.machine = ListMachine()
+        self.applied = stored.log.snapshot.index
+        if stored.log.snapshot.payload:
+            self.machine.restore(stored.log.snapshot.payload)
+
+    def _send(self, outputs: list[messages.Output]) -> None:
+        for output in outputs:
+            self._fleet.post(self.address, output.messages)
+        for output in outputs:
+            self._apply(output)
+
+    def _apply(self, output: messages.Output) -> None:
+        if output.snapshot is not None:
+            self.machine.restore(output.snapshot.payload)
+            self.applied = output.snapshot.index
+        for entry in output.committed:
+            if entry.index <= self.applied:
+                continue
+            self.applied = entry.index
+            self._fleet.observer.note_applied(entry)
+            if entry.kind is messages.EntryKind.COMMAND:
+                self.machine.apply(entry.index, entry.payload)
+
+
+class SimulatedFleet:
+    """Replicas and the messages between them.
+
+    :param count: replicas of the first membership.
+    :param spares: addresses that join later.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        spares: int = 0,
+        *,
+        seed: int = 0,
+        replica_type: type[replicas.Replica] = replicas.Replica,
+        store_type: type[storage.MemoryStorage] = storage.MemoryStorage,
+        policy: states.Policy | None = None,
+    ) -> None:
+        """Form the first membership; nobody leads yet."""
+        self.now = 0.0
+        self.random = random_module.Random(seed)
+        self.replica_type = replica_type
+        self.policy = policy or states.Policy()
+        self.observer = invariants.Observer()
+        self.sends_before_sync = False
+        self.wiped: set[identifiers.ReplicaId] = set()
+        self.in_flight: list[tuple[Address, Address, messages.Message]] = []
+        self.cuts: set[tuple[Address, Address]] = set()
+        self.nodes: dict[Address, SimulatedReplica] = {}
+        self._store_type = store_type
+        self._identities = 0
+        for place in range(count + spares):
+            address = Address(f'address-{place}')
+            self.nodes[address] = self._create_node(address)
+        self._form(list(self.nodes)[:count])
+
+    def advance(self, seconds: float) -> None:
+        """Move time and tick every replica that is up."""
+        self.now += seconds
+        for node in self.list_up():
+            self._introduce(node)
+            node.take(node.replica.tick(self.now))
+
+    def post(
+        self,
+        source: Address,
+        outgoing: tuple[messages.Message, ...],
+    ) -> None:
+        """Put messages on their way."""
+        for message in outgoing:
+            target = self._find_address(message.to)
+            if target is not None:
+                self.in_flight.append((source, target, message))
+
+    def deliver(self, place: int, *, keep: bool = False) -> None:
+        """Deliver one message; with ``keep`` it will arrive again.
+
+        The receiver is the process at the address, whatever its identity.
+        """
+        source, target, message = self.in_flight[place]
+        if not keep:
+            self.in_flight.pop(place)
+        node = self.nodes[target]
+        if node.is_up and (source, target) not in self.cuts:
+            node.take(node.replica.receive(message, self.now))
+
+    def propose(self, address: Address, command: bytes) -> bool:
+        """Propose at one replica; tell whether it was taken."""
+        replica = self.nodes[address].replica
+        proposed = replica.propose(command, self.now)
+        self.nodes[address].take(replica.flush(self.now))
+        return proposed.value_or(None) is not None
+
+    def read(self, address: Address) -> identifiers.LogIndex | None:
+        """Read as current at one replica, and check what it serves."""
+        index = self.nodes[address].replica.read_index(self.now)
+        served = index.value_or(None)
+        if served is not None:
+            self.observer.note_read(served, self.observer.last_applied)
+        return served
+
+    def wipe(self, address: Address, *, keeps_identity: bool = False) -> None:
+        """Lose the store of a replica and start it again."""
+        node = self.nodes[address]
+        if keeps_identity:
+            node.store = self._store_type(node.store.identity)
+        else:
+            self.wiped.add(node.store.identity)
+            node.store = self._create_store()
+        node.restart()
+
+    def may_wipe(self) -> bool:
+        """Tell whether the fleet can stand the loss of one more store.
+
+        The first membership has to be committed, and every earlier loss has
+        to be repaired: no replica still counts a lost identity as a voter.
+        """
+        if not self.observer.applied:
+            return False
+        newest = max(self.nodes.values(), key=lambda node: node.applied)
+        if len(newest.replica.state.membership.voters) < SMALLEST_FLEET:
+            return False
+        for node in self.nodes.values():
+            membership = node.replica.state.membership
+            if self.wiped & membership.voter_ids():
+                return False
+        return True
+
+    def cut(self, source: Address, target: Address) -> None:
+        """Lose what ``source`` sends to ``target`` from now on."""
+        self.cuts.add((source, target))
+
+    def isolate(self, address: Address) -> None:
+        """Cut one replica off in both directions."""
+        for other in self.nodes:
+            if other != address:
+                self.cut(address, other)
+                self.cut(other, address)
+
+    def heal(self) -> None:
+        """Remove all cuts."""
+        self.cuts.clear()
+
+    def settle(self, rounds: int = 50) -> None:
+        """Sync and deliver until nothing is on its way."""
+        for _ in range(rounds):
+            for node in self.list_up():
+                node.sync()
+            self.check()
+            arriving = len(self.in_flight)
+            if not arriving:
+                return
+            while arriving:
+                arriving -= 1
+                self.deliver(0)
+
+    def run(self, seconds: float, step: float = 0.05) -> None:
+        """Let time pass with a network that loses nothing but by cuts."""
+        until = self.now + seconds
+        while self.now < until:
+            self.advance(step)
+            self.settle()
+
+    def list_up(self) -> list[SimulatedReplica]:
+        """Return the replicas that are up."""
+        return [node for node in self.nodes.values() if node.is_up]
+
+    def find_leaders(self) -> list[Address]:
+        """Return the addresses that lead, as far as they know."""
+        return [
+            node.address for node in self.list_up() if node.replica.is_leader
+        ]
+
+    def check(self) -> None:
+        """Check all invariants.
+
+        :raises invariants.InvariantBroken: if one does not hold.
+        """
+        for node in self.list_up():
+            if node.replica.is_leader:
+                self.observer.note_leader(node.replica)
+            self.observer.note_log(node.replica)
+            self.observer.note_sequence(node.machine.applied)
+
+    def _introduce(self, node: SimulatedReplica) -> None:
+        state = node.replica.state
+        if state.membership.find(state.identity) is not None:
+            return
+        own = messages.ReplicaNode(state.identity, node.address)
+        for other in self.list_up():
+            if (node.address, other.address) not in self.cuts:
+                other.replica.introduce(own, self.now)
+
+    def _find_address(self, identity: identifiers.ReplicaId) -> Address | None:
+        for node in self.nodes.values():
+            known = node.replica.state.membership.find(identity)
+            if known is not None:
+                return known.address
+            if node.store.identity == identity:
+                return node.address
+        return None
+
+    def _create_node(self, address: Address) -> SimulatedReplica:
+        return SimulatedReplica(self, address, self._create_store())
+
+    def _create_store(self) -> storage.MemoryStorage:
+        self._identities += 1
+        identity = identifiers.ReplicaId(f'identity-{self._identities}')
+        return self._store_type(identity)
+
+    def _form(self, addresses: list[Address]) -> None:
+        voters = tuple(
+            messages.ReplicaNode(self.nodes[address].store.identity, address)
+            for address in addresses
+        )
+        first = replicas.create_first_log(
+            messages.MembershipRecord(voters),
+            (b'first',),
+        )
+        node = self.nodes[addresses[0]]
+        node.take(node.replica.form(first, self.now))
+        node.sync()
