--- a/wagtailspread/consensus/tests/test_agreement.py
+++ b/wagtailspread/consensus/tests/test_agreement.py
@@ -149,6 +149,7 @@
         sequences = [node.machine.applied for node in self.fleet.list_up()]
         assert all(one == sequences[0] for one in sequences)
         assert sequences[0][-1][1] == b'last'
+        self.fleet.check_held()
 
     def pick(self, place):
         nodes = list(self.fleet.nodes.values())
--- a/wagtailspread/testing/invariants.py
+++ b/wagtailspread/testing/invariants.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from wagtailspread.consensus import messages, replicas
+from wagtailspread.consensus import logs, messages, replicas
 from wagtailspread.core import identifiers
 
 
@@ -60,6 +60,35 @@
         if known != entry:
             raise InvariantBroken('applied differs', entry.index)
 
+    def check_held(
+        self,
+        stored: dict[identifiers.ReplicaId, logs.Log],
+        wiped: set[identifiers.ReplicaId],
+    ) -> None:
+        """Check that a majority of the voters holds all applied entries.
+
+        :param wiped: identities that lost their store on purpose; one of them
+            may still count as a voter until it is replaced.
+        """
+        membership = self._find_membership()
+        voters = membership.voter_ids()
+        needed = membership.quorum() - len(voters & wiped)
+        for entry in self.applied.values():
+            holders = [
+                identity
+                for identity, log in stored.items()
+                if identity in voters and _holds(log, entry)
+            ]
+            if len(holders) < needed:
+                raise InvariantBroken('too few hold', entry.index)
+
+    def _find_membership(self) -> messages.MembershipRecord:
+        known = messages.MembershipRecord()
+        for _index, entry in sorted(self.applied.items()):
+            if entry.kind is messages.EntryKind.MEMBERSHIP:
+                known = messages.decode_membership(entry.payload)
+        return known
+
     def note_sequence(
         self,
         applied: typing.Sequence[tuple[identifiers.LogIndex, bytes]],
@@ -80,3 +109,9 @@
         """
         if index < started:
             raise InvariantBroken('stale read', index)
+
+
+def _holds(log: logs.Log, entry: messages.LogEntry) -> bool:
+    if entry.index <= log.snapshot.index:
+        return True
+    return log.find_term(entry.index) == entry.term
--- a/wagtailspread/testing/networks.py
+++ b/wagtailspread/testing/networks.py
@@ -67,10 +67,6 @@
         """Make the outputs durable, then send and apply them."""
         outputs = self._outputs
         self._outputs = []
-        if self._fleet.sends_before_sync:
-            self._send(outputs)
-            self._outputs = outputs
-            return
         for output in outputs:
             self.store.write(output)
         self.store.sync()
@@ -164,7 +160,6 @@
         self.replica_type = replica_type
         self.policy = policy or states.Policy()
         self.observer = invariants.Observer()
-        self.sends_before_sync = False
         self.wiped: set[identifiers.ReplicaId] = set()
         self.in_flight: list[tuple[Address, Address, messages.Message]] = []
         self.cuts: set[tuple[Address, Address]] = set()
@@ -304,6 +299,17 @@
             self.observer.note_log(node.replica)
             self.observer.note_sequence(node.machine.applied)
 
+    def check_held(self) -> None:
+        """Check that a majority of the stores holds all applied entries.
+
+        :raises invariants.InvariantBroken: if one is missing.
+        """
+        logs = {
+            node.store.identity: node.store.load().unwrap().log
+            for node in self.nodes.values()
+        }
+        self.observer.check_held(logs, self.wiped)
+
     def _introduce(self, node: SimulatedReplica) -> None:
         state = node.replica.state
         if state.membership.find(state.identity) is not None:
