Encode with thriftpy2's compiled protocol; measure the replicas

A profile of the load showed that two fifths of the time went into the interpreted thrift protocol. The compiled writer gives the same bytes. The compiled reader is used only for payloads of the own log: it reads zeros past the end and loops over forged list lengths, so what peers send still goes through the interpreted reader.

--- /dev/null
+++ b/benchmarks/consensus_measures.py
@@ -0,0 +1,149 @@
+"""Measures the replicas: committed changes, latency and restart.
+
+Run with ``python -m benchmarks.consensus_measures``.
+"""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+
+from hdrh import histogram
+
+from wagtailspread.consensus import files, logs, messages
+from wagtailspread.core import identifiers
+from wagtailspread.replica import clients, machines
+from wagtailspread.testing import machines as fakes
+from wagtailspread.testing import replicas
+from wagtailspread.wire import messages as wire
+
+#: How long each load lasts, in seconds.
+LOAD_SECONDS = 3.0
+#: Clients that submit one change after the other.
+FEW_CLIENTS = 1
+MANY_CLIENTS = 64
+CHANGES = 10_000
+_MICROS = 1_000_000
+_MAX_MICROS = 60 * _MICROS
+
+
+def measure_consensus() -> list[str]:
+    """Return one line for each figure."""
+    with tempfile.TemporaryDirectory() as folder:
+        lines = asyncio.run(_measure_load(pathlib.Path(folder)))
+    with tempfile.TemporaryDirectory() as folder:
+        lines.extend(_measure_restart(pathlib.Path(folder)))
+    return lines
+
+
+async def _measure_load(folder: pathlib.Path) -> list[str]:
+    fleet = replicas.create_replicas(folder)
+    await fleet.start_all()
+    try:
+        await fleet.wait_for(lambda: fleet.find_leader() is not None)
+        lines = await _measure_clients(fleet, FEW_CLIENTS)
+        lines.extend(await _measure_clients(fleet, MANY_CLIENTS))
+    finally:
+        await fleet.close()
+    return lines
+
+
+async def _measure_clients(
+    fleet: replicas.LoopbackReplicas,
+    count: int,
+) -> list[str]:
+    latencies = histogram.HdrHistogram(1, _MAX_MICROS, 3)
+    client = fleet.create_client()
+    started = time.perf_counter()
+    until = started + LOAD_SECONDS
+    loads = [
+        _claim(client, f'{count}-{n}', until, latencies) for n in range(count)
+    ]
+    await asyncio.gather(*loads)
+    seconds = time.perf_counter() - started
+    scenario = f'{count}-clients-3-replicas'
+    rate = latencies.get_total_count() / seconds
+    return [
+        f'committed-changes {scenario} ours={rate:.0f} unit=changes/s',
+        _format_latency(latencies, scenario, 50),
+        _format_latency(latencies, scenario, 99),
+    ]
+
+
+async def _claim(
+    client: clients.ReplicaClient,
+    name: str,
+    until: float,
+    latencies: histogram.HdrHistogram,
+) -> None:
+    number = 0
+    while time.perf_counter() < until:
+        number += 1
+        request = wire.structs.ClaimKey(
+            service_name='contratos',
+            caller='diario',
+            key=f'{name}-{number}',
+            attempt='1',
+            host='host',
+            deadline_ms=1000,
+            fingerprint=b'',
+        )
+        started = time.perf_counter()
+        (await client.claim_key(request, 10.0)).unwrap()
+        latencies.record_value(int((time.perf_counter() - started) * _MICROS))
+
+
+def _format_latency(
+    latencies: histogram.HdrHistogram,
+    scenario: str,
+    percentile: int,
+) -> str:
+    millis = latencies.get_value_at_percentile(percentile) / 1000
+    return f'commit-p{percentile} {scenario} ours={millis:.2f} unit=ms'
+
+
+def _measure_restart(folder: pathlib.Path) -> list[str]:
+    _write_changes(folder)
+    started = time.perf_counter()
+    stored = files.create_storage(folder).load().unwrap()
+    machine = fakes.create_fake_machine()
+    for entry in stored.log.read(_FIRST, stored.log.last_index):
+        machine.apply(entry.index, entry.payload)
+    seconds = time.perf_counter() - started
+    return [f'restart {CHANGES}-changes ours={seconds:.3f} unit=s']
+
+
+def _write_changes(folder: pathlib.Path) -> None:
+    store = files.create_storage(folder)
+    store.load().unwrap()
+    changed = wire.structs.SubmittedFile(name='base', text='x' * 200)
+    for number in range(1, CHANGES + 1):
+        submission = wire.structs.Submission(
+            id=f'change-{number}',
+            based_on=number - 1,
+            files=[changed],
+            member=replicas.SITE,
+            signature=b'',
+        )
+        command = machines.encode_command(
+            machines.CommandKind.SUBMIT,
+            submission,
+            float(number),
+        )
+        entry = messages.LogEntry(
+            identifiers.LogIndex(number),
+            identifiers.Term(1),
+            messages.EntryKind.COMMAND,
+            command,
+        )
+        store.write(messages.Output(entries=(entry,)))
+    store.sync()
+    store.close()
+
+
+_FIRST = identifiers.LogIndex(logs.EMPTY_SNAPSHOT.index + 1)
+
+
+if __name__ == '__main__':
+    for line in measure_consensus():
+        print(line)
--- a/wagtailspread/replica/handlers.py
+++ b/wagtailspread/replica/handlers.py
@@ -138,7 +138,7 @@
             return result.Failure(drivers.OutcomeUnknown())
         if not isinstance(outcome, result.Success):
             return outcome
-        answer = messages.decode(self._answer_type, outcome.unwrap())
+        answer = messages.decode_own(self._answer_type, outcome.unwrap())
         return result.Success(answer)
 
 
--- a/wagtailspread/replica/machines.py
+++ b/wagtailspread/replica/machines.py
@@ -93,10 +93,10 @@
 
         :param index: place of the command in the log.
         """
-        decoded = messages.decode(messages.structs.Command, command)
+        decoded = messages.decode_own(messages.structs.Command, command)
         self._wall_ms = max(self._wall_ms, decoded.wall_ms)
         kind = CommandKind(decoded.kind)
-        request = messages.decode(REQUEST_TYPES[kind], decoded.payload)
+        request = messages.decode_own(REQUEST_TYPES[kind], decoded.payload)
         return messages.encode(self._run(kind, request))
 
     def take_snapshot(self) -> bytes:
@@ -110,7 +110,10 @@
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state of both parts."""
-        decoded = messages.decode(messages.structs.MachineSnapshot, snapshot)
+        decoded = messages.decode_own(
+            messages.structs.MachineSnapshot,
+            snapshot,
+        )
         self.configuration.restore(decoded.configuration)
         self.claims.restore(decoded.claims)
         self._wall_ms = decoded.wall_ms
--- a/wagtailspread/wire/messages.py
+++ b/wagtailspread/wire/messages.py
@@ -15,7 +15,9 @@
 
 import thriftpy2
 
-from thriftpy2.utils import deserialize, serialize
+from thriftpy2.protocol import cybin
+from thriftpy2.transport.memory import cymemory
+from thriftpy2.utils import deserialize
 
 _IDL_PATH = pathlib.Path(__file__).with_name('wagtailspread.thrift')
 
@@ -27,13 +29,22 @@
 #: Methods of the protocol, as integer attributes.
 methods: typing.Any = structs.Method
 
+# The compiled module carries no types.
+_compiled: typing.Any = cybin
+
 #: A struct of this protocol; thriftpy2 makes the classes at run time.
 Struct = typing.Any
 
 
 def encode(struct: Struct) -> bytes:
-    """Return the struct in the thrift binary protocol."""
-    return serialize(struct)
+    """Return the struct in the thrift binary protocol.
+
+    The compiled writer takes a tenth of the time of the interpreted one and
+    gives the same bytes.
+    """
+    buffer = cymemory.TCyMemoryBuffer()
+    _compiled.TCyBinaryProtocol(buffer).write_struct(struct)
+    return buffer.getvalue()
 
 
 def decode(struct_type: typing.Any, payload: bytes) -> Struct:
@@ -47,6 +58,20 @@
         raise DecodeError(struct_type.__name__) from error
 
 
+def decode_own(struct_type: typing.Any, payload: bytes) -> Struct:
+    """Return the struct in a payload that :func:`encode` made.
+
+    The compiled reader is fast, but reads zeros past the end of a payload: a
+    cut one gives missing fields, and a forged length of a list keeps it busy
+    for minutes. It is only for payloads that were encoded by a process of the
+    fleet and kept under a checksum, never for what a peer sends.
+    """
+    struct = struct_type()
+    buffer = cymemory.TCyMemoryBuffer(payload)
+    _compiled.TCyBinaryProtocol(buffer).read_struct(struct)
+    return struct
+
+
 def method_name(method: int) -> str:
     """Return the name of a method for logs and traces.
 
