Void replicas that lost acknowledged entries; note the commit index

A data folder restored from a copy keeps its identity, and its old log could elect a leader without acknowledged entries. The leader now compares the last index of each answer with what the replica had acknowledged; only answers to requests sent after the acknowledgement count, since others may have been overtaken. The replica is told, stops taking part and returns with a new identity. A replica that restarts before any leader that knew of it is not found; that needs the memory of another replica.

A record of the commit index lets a restarted replica serve what it had applied without waiting for a leader.

--- a/wagtailspread/consensus/journals.py
+++ b/wagtailspread/consensus/journals.py
@@ -12,6 +12,7 @@
 _ENTRY = 2
 _TRUNCATE = 3
 _RESET = 4
+_COMMIT = 5
 _HEAD = struct.Struct('>BI')
 _NUMBERS = struct.Struct('>QQB')
 
@@ -35,7 +36,20 @@
     keeps_tail: bool
 
 
-Record = messages.HardStateRecord | messages.LogEntry | Truncation | Reset
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Entries up to ``index`` are committed.
+
+    It is written along with other records. Without it a restarted replica
+    serves only its snapshot until it hears a leader.
+    """
+
+    index: identifiers.LogIndex
+
+
+Record = (
+    messages.HardStateRecord | messages.LogEntry | Truncation | Reset | Commit
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +71,7 @@
     identity: identifiers.ReplicaId
     hard_state: messages.HardStateRecord
     log: logs.Log
+    commit: identifiers.LogIndex
 
 
 def list_records(output: messages.Output) -> list[Record]:
@@ -67,6 +82,8 @@
     records.extend(output.entries)
     if output.hard_state is not None:
         records.append(output.hard_state)
+    if output.committed:
+        records.append(Commit(output.committed[-1].index))
     return records
 
 
@@ -98,19 +115,18 @@
         """Start with nothing."""
         self.hard_state = messages.HardStateRecord()
         self.entries: list[messages.LogEntry] = []
+        self.commit = identifiers.LogIndex(0)
 
     def add(self, record: Record) -> bool:
         """Take the next record; tell whether it fits the ones before."""
+        if isinstance(record, messages.LogEntry):
+            return self._add_entry(record)
         if isinstance(record, messages.HardStateRecord):
             self.hard_state = record
-        elif isinstance(record, messages.LogEntry):
-            return self._add_entry(record)
-        elif isinstance(record, Truncation):
-            self._keep(lambda entry: entry.index < record.first)
-        elif record.keeps_tail:
-            self._keep(lambda entry: entry.index > record.index)
+        elif isinstance(record, Commit):
+            self.commit = record.index
         else:
-            self.entries = []
+            self._drop(record)
         return True
 
     def finish(
@@ -131,7 +147,10 @@
             damage = StorageDamaged('journal', 'entries-missing')
             return result.Failure(damage)
         log = logs.create_log(snapshot, tuple(self.entries))
-        return result.Success(StoredState(identity, self.hard_state, log))
+        commit = min(max(self.commit, snapshot.index), log.last_index)
+        return result.Success(
+            StoredState(identity, self.hard_state, log, commit),
+        )
 
     def _add_entry(self, entry: messages.LogEntry) -> bool:
         if self.entries:
@@ -143,6 +162,14 @@
         self.entries.append(entry)
         return True
 
+    def _drop(self, record: Truncation | Reset) -> None:
+        if isinstance(record, Truncation):
+            self._keep(lambda entry: entry.index < record.first)
+        elif record.keeps_tail:
+            self._keep(lambda entry: entry.index > record.index)
+        else:
+            self.entries = []
+
     def _keep(self, is_kept: object) -> None:
         self.entries = list(filter(is_kept, self.entries))  # type: ignore
 
@@ -156,6 +183,8 @@
         return _HARD_STATE, numbers + record.vote.encode()
     if isinstance(record, Truncation):
         return _TRUNCATE, _NUMBERS.pack(record.first, 0, 0)
+    if isinstance(record, Commit):
+        return _COMMIT, _NUMBERS.pack(record.index, 0, 0)
     return _RESET, _NUMBERS.pack(record.index, record.term, record.keeps_tail)
 
 
@@ -176,6 +205,8 @@
         return messages.HardStateRecord(identifiers.Term(first), vote)
     if kind == _TRUNCATE:
         return Truncation(index)
+    if kind == _COMMIT:
+        return Commit(index)
     if kind == _RESET:
         return Reset(index, term, bool(third))
     raise ValueError('unknown record kind', kind)
--- a/wagtailspread/consensus/messages.py
+++ b/wagtailspread/consensus/messages.py
@@ -142,6 +142,7 @@
     :param index: the last matching index, or after a refusal the last index
         at which the two logs may match.
     :param prev_index: copied from the request.
+    :param last_index: last index of the follower's log.
     """
 
     sender: identifiers.ReplicaId
@@ -151,6 +152,7 @@
     index: identifiers.LogIndex
     prev_index: identifiers.LogIndex
     sent_us: int
+    last_index: identifiers.LogIndex
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +195,19 @@
     term: identifiers.Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expulsion:
+    """The receiver lost entries that it had acknowledged.
+
+    Its identity is void: it must not vote again, and comes back with a new
+    one.
+    """
+
+    sender: identifiers.ReplicaId
+    to: identifiers.ReplicaId
+    term: identifiers.Term
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Introduction:
     """A replica outside of any membership makes itself known.
@@ -215,6 +230,7 @@
     | SnapshotChunk
     | SnapshotReply
     | TransferRequest
+    | Expulsion
 )
 
 
--- a/wagtailspread/consensus/replicas.py
+++ b/wagtailspread/consensus/replicas.py
@@ -71,7 +71,7 @@
     ) -> messages.Output:
         """Take a message from another replica."""
         self._start(now)
-        if message.to == self.state.identity:
+        if message.to == self.state.identity and not self.state.is_void:
             self._dispatch(message, now)
             self._lead_on(now)
         return self.state.take_output()
@@ -79,6 +79,8 @@
     def tick(self, now: float) -> messages.Output:
         """Start what is due: heartbeats, elections, membership steps."""
         self._start(now)
+        if self.state.is_void:
+            return self.state.take_output()
         self.elections.tick(now)
         if self.is_leader:
             self.transfers.tick(now)
@@ -196,6 +198,7 @@
             messages.SnapshotChunk: self.replication.store_chunk,
             messages.SnapshotReply: self.replication.count_chunk,
             messages.TransferRequest: self._take_over,
+            messages.Expulsion: self._become_void,
         }
         handlers[type(message)](message, now)
 
@@ -208,6 +211,13 @@
         if is_current and self.state.is_voter() and not self.is_leader:
             self.elections.start(now, is_pre=False, is_transfer=True)
 
+    def _become_void(self, expulsion: messages.Expulsion, now: float) -> None:
+        state = self.state
+        is_leader = expulsion.sender == state.leader
+        if is_leader and expulsion.term == state.term:
+            state.follow(state.term, None, now)
+            state.is_void = True
+
     def _lead_on(self, now: float) -> None:
         if not self.is_leader:
             return
@@ -249,12 +259,14 @@
     policy: states.Policy | None = None,
     random: random_module.Random | None = None,
     replica_type: type[Replica] = Replica,
+    commit: identifiers.LogIndex = identifiers.LogIndex(0),
 ) -> Replica:
     """Return a replica that continues from what its storage held.
 
     :param random: draws the election timeouts; seeded by the identity if not
         given.
     :param replica_type: another class, for tests.
+    :param commit: index up to which entries are known to be committed.
     """
     state = states.ReplicaState(
         identity,
@@ -262,6 +274,7 @@
         log,
         policy or states.Policy(),
         random or random_module.Random(identity),
+        commit,
     )
     return replica_type(state)
 
--- a/wagtailspread/consensus/replication.py
+++ b/wagtailspread/consensus/replication.py
@@ -28,7 +28,9 @@
         for identity in state.other_nodes():
             progress = state.progress[identity]
             progress.is_paused = False
-            if not self._send(identity, now):
+            if progress.is_void:
+                self._expel(progress, identity)
+            elif not self._send(identity, now):
                 self._send_entries(identity, (), now)
 
     def send_entries(self, now: float) -> None:
@@ -58,8 +60,11 @@
         progress = self._note_reply(reply, now)
         if progress is None:
             return
+        if self._has_lost_entries(progress, reply):
+            self._expel(progress, reply.sender)
+            return
         if reply.is_accepted:
-            self._advance(progress, reply.index)
+            self._advance(progress, reply.index, now)
             self.commit_replicated()
         else:
             self._step_back(progress, reply)
@@ -79,7 +84,7 @@
         if progress is None:
             return
         if self._sender.count(reply, progress, now):
-            self._advance(progress, reply.index)
+            self._advance(progress, reply.index, now)
             self._send(reply.sender, now)
 
     def commit_replicated(self) -> None:
@@ -109,7 +114,7 @@
         if reply.term < state.term or state.role is not states.Role.LEADER:
             return None
         progress = state.progress.get(reply.sender)
-        if progress is not None:
+        if progress is not None and not progress.is_void:
             progress.active_at = now
             sent_at = reply.sent_us / _MICROS
             progress.lease_at = max(progress.lease_at, sent_at)
@@ -119,14 +124,39 @@
         self,
         progress: states.Progress,
         index: identifiers.LogIndex,
+        now: float,
     ) -> None:
         if index > progress.match:
             progress.match = index
+            progress.matched_at = now
         following = identifiers.LogIndex(progress.match + 1)
         progress.following = max(progress.following, following)
         progress.is_probing = False
         progress.is_paused = False
 
+    def _has_lost_entries(
+        self,
+        progress: states.Progress,
+        reply: messages.AppendReply,
+    ) -> bool:
+        """Tell whether the log got shorter than what was acknowledged.
+
+        Only an answer to a request that was sent after the acknowledgement
+        came proves it; others may have been overtaken.
+        """
+        is_newer = reply.sent_us > progress.matched_at * _MICROS
+        return is_newer and reply.last_index < progress.match
+
+    def _expel(
+        self,
+        progress: states.Progress,
+        identity: identifiers.ReplicaId,
+    ) -> None:
+        state = self._state
+        progress.match = identifiers.LogIndex(0)
+        progress.is_void = True
+        state.send(messages.Expulsion(state.identity, identity, state.term))
+
     def _step_back(
         self,
         progress: states.Progress,
@@ -147,7 +177,7 @@
         """Send entries or a part of a snapshot; tell whether any was due."""
         state = self._state
         progress = state.progress[identity]
-        if progress.is_paused:
+        if progress.is_paused or progress.is_void:
             return False
         if progress.following <= state.log.base_index:
             return self._sender.send(identity, progress, now)
@@ -243,6 +273,7 @@
             index,
             request.prev_index,
             request.sent_us,
+            self._state.log.last_index,
         )
         self._state.send(reply)
 
--- a/wagtailspread/consensus/states.py
+++ b/wagtailspread/consensus/states.py
@@ -47,6 +47,8 @@
     :param following: index to send next.
     :param is_probing: the match is not known; one request at a time.
     :param is_paused: a probe is under way; the next heartbeat ends the pause.
+    :param matched_at: when the match was learnt.
+    :param is_void: the follower lost entries that it had acknowledged.
     :param active_at: when the last answer came.
     :param lease_at: when the last answered request was sent.
     :param snapshot: what is being sent, if the log no longer reaches back.
@@ -58,6 +60,8 @@
     following: identifiers.LogIndex
     is_probing: bool = True
     is_paused: bool = False
+    matched_at: float = 0.0
+    is_void: bool = False
     active_at: float = 0.0
     lease_at: float = float('-inf')
     snapshot: messages.Snapshot | None = None
@@ -87,6 +91,7 @@
         log: logs.Log,
         policy: Policy,
         random: random_module.Random,
+        commit: identifiers.LogIndex,
     ) -> None:
         """Start as a follower that has heard no leader."""
         self.identity = identity
@@ -96,12 +101,13 @@
         self.random = random
         self.role = Role.FOLLOWER
         self.leader: identifiers.ReplicaId | None = None
-        self.commit = log.snapshot.index
+        self.commit = max(commit, log.snapshot.index)
         self.emitted = log.snapshot.index
         self.progress: dict[identifiers.ReplicaId, Progress] = {}
         self.heard_at: float | None = None
         self.election_at = 0.0
         self.transfer_until: float | None = None
+        self.is_void = False
         self._out = _Pending()
 
     @property
--- /dev/null
+++ b/wagtailspread/consensus/tests/test_replicas.py
@@ -0,0 +1,226 @@
+"""Steps of replicas in memory: changes, snapshots, hand-over, repair."""
+
+import pytest
+
+from wagtailspread.consensus import messages, reconfiguration, states
+from wagtailspread.testing import networks
+
+POLICY = states.Policy(
+    election_timeout=0.5,
+    heartbeat_interval=0.1,
+    chunk_bytes=64,
+    kept_entries=2,
+)
+
+
+def create_fleet(count=3, spares=0):
+    fleet = networks.SimulatedFleet(count, spares, policy=POLICY)
+    fleet.run(3.0)
+    return fleet
+
+
+def find_leader(fleet):
+    (leader,) = fleet.find_leaders()
+    return leader
+
+
+def find_followers(fleet):
+    leader = find_leader(fleet)
+    return [address for address in fleet.nodes if address != leader]
+
+
+def find_state(fleet, address):
+    return fleet.nodes[address].replica.state
+
+
+def propose_many(fleet, count):
+    for number in range(count):
+        assert fleet.propose(find_leader(fleet), b'change-%d' % number)
+
+
+def count_voters(fleet):
+    return len(find_state(fleet, find_leader(fleet)).membership.voters)
+
+
+def test_follower_that_is_too_far_behind_gets_a_snapshot_in_parts():
+    """Guards against a lagging replica that never catches up."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    behind = find_followers(fleet)[0]
+    fleet.isolate(behind)
+    propose_many(fleet, 50)
+    fleet.run(1.0)
+    fleet.nodes[leader].compact()
+    assert len(find_state(fleet, leader).log.snapshot.payload) > 640
+    fleet.heal()
+    fleet.run(3.0)
+    assert fleet.nodes[behind].machine.applied == (
+        fleet.nodes[leader].machine.applied
+    )
+    assert find_state(fleet, behind).log.snapshot.index > 50
+
+
+def test_follower_that_is_a_little_behind_needs_no_snapshot():
+    """Guards against the whole state on a narrow link after each snapshot."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    behind = find_followers(fleet)[0]
+    fleet.isolate(behind)
+    propose_many(fleet, 2)
+    fleet.run(0.3)
+    fleet.nodes[leader].compact()
+    fleet.heal()
+    fleet.run(0.5)
+    assert find_state(fleet, behind).log.snapshot.index == 0
+    assert fleet.nodes[behind].applied == fleet.nodes[leader].applied
+
+
+def test_restart_continues_at_the_noted_commit():
+    """Guards against a restarted replica that serves an older state."""
+    fleet = create_fleet()
+    propose_many(fleet, 3)
+    fleet.run(0.5)
+    node = fleet.nodes[find_followers(fleet)[0]]
+    fleet.isolate(node.address)
+    node.crash()
+    node.restart()
+    fleet.advance(0.05)
+    node.sync()
+    assert node.machine.applied[-1][1] == b'change-2'
+
+
+def test_transfer_moves_leadership_without_an_election_timeout():
+    """Guards against a pause in commits at a graceful stop."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    propose_many(fleet, 3)
+    node = fleet.nodes[leader]
+    node.take(node.replica.transfer(fleet.now))
+    assert not fleet.propose(leader, b'after the transfer began')
+    assert fleet.read(leader) is None
+    fleet.run(0.2)
+    assert find_leader(fleet) != leader
+
+
+def test_learner_does_not_count_before_it_is_admitted():
+    """Guards against a commit that only an empty replica acknowledged."""
+    fleet = create_fleet(3, spares=1)
+    fleet.run(2.0)
+    assert count_voters(fleet) == 4
+    fleet = networks.SimulatedFleet(3, 1, policy=POLICY)
+    learner = list(fleet.nodes)[-1]
+    fleet.isolate(learner)
+    fleet.run(3.0)
+    node = messages.ReplicaNode(find_state(fleet, learner).identity, learner)
+    leader = fleet.nodes[find_leader(fleet)]
+    for kind, is_made in (
+        (reconfiguration.ChangeKind.ADD_LEARNER, True),
+        (reconfiguration.ChangeKind.PROMOTE, False),
+    ):
+        change = reconfiguration.MembershipChange(kind, node)
+        outcome = leader.replica.change_membership(change, fleet.now)
+        assert (outcome.value_or(None) is not None) == is_made
+        fleet.run(0.5)
+    assert count_voters(fleet) == 3
+
+
+def test_second_change_waits_for_the_first():
+    """Guards against two majorities that do not overlap."""
+    fleet = create_fleet(5)
+    leader = fleet.nodes[find_leader(fleet)]
+    outcomes = []
+    for address in find_followers(fleet)[:2]:
+        node = messages.ReplicaNode(
+            find_state(fleet, address).identity,
+            address,
+        )
+        change = reconfiguration.MembershipChange(
+            reconfiguration.ChangeKind.REMOVE,
+            node,
+        )
+        outcomes.append(leader.replica.change_membership(change, fleet.now))
+    assert outcomes[1].failure().reason == 'change-in-progress'
+
+
+def test_removed_leader_steps_down():
+    """Guards against a leader that does not count to its own quorum."""
+    fleet = create_fleet(5)
+    leader = find_leader(fleet)
+    node = messages.ReplicaNode(find_state(fleet, leader).identity, leader)
+    change = reconfiguration.MembershipChange(
+        reconfiguration.ChangeKind.REMOVE,
+        node,
+    )
+    fleet.nodes[leader].replica.change_membership(change, fleet.now)
+    fleet.run(3.0)
+    assert find_leader(fleet) != leader
+    assert fleet.propose(find_leader(fleet), b'goes on')
+
+
+@pytest.mark.parametrize('step', range(1, 8))
+def test_replacement_is_finished_by_the_next_leader(step):
+    """Guards against a membership change that stays half done."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    wiped, other = find_followers(fleet)
+    fleet.wipe(wiped)
+    for _ in range(step):
+        fleet.run(0.05)
+    node = fleet.nodes[leader]
+    node.take(node.replica.transfer(fleet.now))
+    fleet.run(4.0)
+    assert count_voters(fleet) == 3
+    assert find_state(fleet, wiped).is_voter()
+    assert not fleet.wiped & find_state(fleet, other).membership.voter_ids()
+
+
+def test_second_loss_right_after_a_repair_loses_nothing():
+    """Guards against a repair that counts a replica before it holds all."""
+    fleet = create_fleet()
+    propose_many(fleet, 10)
+    fleet.run(0.5)
+    first, second = find_followers(fleet)
+    fleet.wipe(first)
+    while not fleet.may_wipe():
+        fleet.run(0.05)
+    fleet.check_held()
+    fleet.wipe(second)
+    fleet.run(4.0)
+    fleet.check_held()
+    assert len(fleet.nodes[first].machine.applied) == 11
+
+
+def test_replica_with_an_older_folder_becomes_void():
+    """Guards against a restored copy of a folder that votes again."""
+    fleet = create_fleet()
+    node = fleet.nodes[find_followers(fleet)[0]]
+    kept = list(node.store._synced)
+    propose_many(fleet, 5)
+    fleet.run(0.5)
+    node.crash()
+    node.store._synced = kept
+    node.restart()
+    fleet.run(0.3)
+    assert find_state(fleet, node.address).is_void
+    fleet.wipe(node.address)
+    fleet.run(3.0)
+    assert count_voters(fleet) == 3
+    assert find_state(fleet, node.address).is_voter()
+
+
+def test_message_for_another_identity_is_dropped():
+    """Guards against a new identity that votes for the old one."""
+    fleet = create_fleet()
+    target = fleet.nodes[find_followers(fleet)[0]]
+    request = messages.VoteRequest(
+        'candidate',
+        'lost-identity',
+        99,
+        99,
+        99,
+        False,
+        True,
+    )
+    output = target.replica.receive(request, fleet.now)
+    assert not output.messages
+    assert target.replica.state.term != 99
--- a/wagtailspread/replica/drivers.py
+++ b/wagtailspread/replica/drivers.py
@@ -19,12 +19,14 @@
 TICK_SECONDS = 0.02
 #: Most proposals that wait for their commit at a time.
 MAX_WAITING = 10_000
-#: Entries after which the log is replaced by a snapshot.
-COMPACT_ENTRIES = 20_000
-#: Bytes of entries after which the log is replaced by a snapshot, unless the
-#: last snapshot is larger; then as many as it has, so that snapshots cost no
-#: more writing than the log itself.
+#: Entries after which the log is replaced by a snapshot. A restart applies at
+#: most this many again; a configuration change takes about a millisecond.
+COMPACT_ENTRIES = 1_000
+#: Bytes of entries after which the log is replaced by a snapshot.
 COMPACT_BYTES = 4 * 1024 * 1024
+#: Both limits grow with the size of the last snapshot, so that snapshots cost
+#: little beside the log: bytes as many as it has, entries by this many bytes.
+SNAPSHOT_BYTES_FOR_AN_ENTRY = 512
 
 CommandResult = result.Result[bytes, failures.Failure]
 
@@ -217,12 +219,8 @@
     async def _compact(self) -> None:
         log = self.replica.state.log
         last = log.snapshot
-        is_due = (
-            self.applied - last.index >= COMPACT_ENTRIES
-            or self._pending_bytes >= max(COMPACT_BYTES, len(last.payload))
-        )
         term = log.find_term(self.applied)
-        if not is_due or term is None or self.applied <= last.index:
+        if term is None or not self._is_snapshot_due(last):
             return
         snapshot = messages.Snapshot(
             self.applied,
@@ -234,6 +232,13 @@
         self.replica.compact(snapshot.payload, snapshot.index)
         self._pending_bytes = 0
 
+    def _is_snapshot_due(self, last: messages.Snapshot) -> bool:
+        size = len(last.payload)
+        entries = max(COMPACT_ENTRIES, size // SNAPSHOT_BYTES_FOR_AN_ENTRY)
+        if self.applied - last.index >= entries:
+            return True
+        return self._pending_bytes >= max(COMPACT_BYTES, size)
+
     def _save_snapshot(
         self,
         snapshot: messages.Snapshot,
--- a/wagtailspread/replica/peers.py
+++ b/wagtailspread/replica/peers.py
@@ -167,6 +167,7 @@
         messages.SnapshotChunk,
         messages.SnapshotReply,
         messages.TransferRequest,
+        messages.Expulsion,
         messages.Introduction,
     )
 }
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -146,6 +146,7 @@
             stored.hard_state,
             stored.log,
             self.settings.policy,
+            commit=stored.commit,
         )
         driver = drivers.create_driver(
             replica,
@@ -226,6 +227,8 @@
         if driver is None or known is None:
             return
         state = driver.replica.state
+        if state.is_void:
+            self._void.set()
         if state.membership.find(state.identity) is not None:
             return
         now = self._clock.now()
--- a/wagtailspread/testing/networks.py
+++ b/wagtailspread/testing/networks.py
@@ -112,6 +112,7 @@
             self._fleet.policy,
             random_module.Random(self._fleet.random.random()),
             self._fleet.replica_type,
+            stored.commit,
         )
         self.machine = ListMachine()
         self.applied = stored.log.snapshot.index
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -308,6 +308,7 @@
   5: i64 index
   6: i64 prev_index
   7: i64 sent_us
+  8: i64 last_index
 }
 
 struct SnapshotChunk {
@@ -338,6 +339,13 @@
   3: i64 term
 }
 
+// The leader found that a replica lost entries that it had acknowledged.
+struct Expulsion {
+  1: string sender
+  2: string to
+  3: i64 term
+}
+
 // A replica that belongs to no membership makes itself known.
 struct Introduction {
   1: string sender
