--- a/wagtailspread/configuration/approvals.py
+++ b/wagtailspread/configuration/approvals.py
@@ -91,6 +91,7 @@
         kind = _find_kind(section)
         if kind is None:
             continue
+        sink.extend(readers.check_keys(overlay.name, section, kind))
         reader = readers.SectionReader(kind, ((overlay.name, section),), sink)
         if section.name == owner and kind is sections.REMOVAL:
             reader.report(
--- a/wagtailspread/configuration/checks.py
+++ b/wagtailspread/configuration/checks.py
@@ -73,40 +73,6 @@
     )
 
 
-def load_settings(texts: typing.Mapping[str, str]) -> CheckResult:
-    """Check the texts of all files, as a host receives them.
-
-    :param texts: texts by file name, with the members file if there is one.
-    :returns: settings by member, or all findings.
-    """
-    parsed: dict[str, files.ParsedFile] = {}
-    problems: list[findings.Finding] = []
-    for name in sorted(texts):
-        one = files.parse_file(name, texts[name])
-        if isinstance(one, result.Failure):
-            problems.extend(one.failure())
-        else:
-            parsed[name] = one.unwrap()
-    if schemas.BASE_FILE not in texts:
-        problems.append(_missing_base())
-    if problems:
-        return result.Failure(tuple(problems))
-    base = parsed.pop(schemas.BASE_FILE)
-    listed = parsed.pop(schemas.MEMBERS_FILE, None)
-    in_force = memberships.read_membership(listed) if listed else None
-    return check_files(base, tuple(parsed.values()), in_force)
-
-
-def _missing_base() -> findings.Finding:
-    return findings.Finding(
-        schemas.BASE_FILE,
-        0,
-        '',
-        f'a file {schemas.BASE_FILE}',
-        _Kind.MISSING_SECTION,
-    )
-
-
 class _Checker:
     """Reads all sections of a base file and of its overlays."""
 
@@ -154,7 +120,13 @@
     ) -> dict[identifiers.MemberId, schemas.MemberSettings]:
         """Return the members that the base file lists."""
         listed = self._read_all(sections.MEMBER, service_checks.read_member)
-        return {member.name: member for member in listed if member is not None}
+        members = {one.name: one for one in listed if one is not None}
+        seen: dict[bytes, str] = {}
+        for name, member in members.items():
+            other = seen.setdefault(member.public_key, name)
+            if other != name:
+                self._report_shared_key(name, other)
+        return members
 
     def check_owner(
         self,
@@ -270,6 +242,17 @@
             seen.update(region.domains)
         return regions
 
+    def _report_shared_key(self, member: str, other: str) -> None:
+        """Refuse one key for two members, which could vote twice."""
+        section = self._base.find(f'{sections.MEMBER.kind} {member}')
+        self._report(
+            self._base.name,
+            section.line_of('public_key') if section else 0,
+            'public_key',
+            f'another key than that of [member {other}]',
+            _Kind.DUPLICATE,
+        )
+
     def _check_complete(
         self,
         routes: tuple[schemas.RouteSettings, ...],
--- a/wagtailspread/configuration/deltas.py
+++ b/wagtailspread/configuration/deltas.py
@@ -123,6 +123,8 @@
     ['a.ini [leave] removed']
     """
     lines = []
+    if not delta.from_version:
+        return [f'{section.file} changed' for section in delta.sections or ()]
     for section in delta.sections or ():
         verb = 'removed' if section.is_removed else 'changed'
         place = f'[{section.name}]' if section.name else 'text before sections'
--- a/wagtailspread/configuration/files.py
+++ b/wagtailspread/configuration/files.py
@@ -22,7 +22,7 @@
 from wagtailspread.configuration import findings
 
 #: Most characters of one file; 11,000 routes take about 1 MB.
-MAX_FILE_CHARACTERS = 16 * 1024 * 1024
+MAX_FILE_CHARACTERS = 4 * 1024 * 1024
 
 _NAME = re.compile('[a-z0-9][a-z0-9._-]{0,62}', re.ASCII)
 _HEADER_START = re.compile(r'^(?=\[)', re.MULTILINE)
--- a/wagtailspread/configuration/proposals.py
+++ b/wagtailspread/configuration/proposals.py
@@ -17,6 +17,9 @@
 from wagtailspread.core import identifiers
 from wagtailspread.wire import messages
 
+#: Bytes of all files: the full text has to fit into one frame of 16 MiB.
+MAX_TOTAL_BYTES = 12 * 1024 * 1024
+
 _Kind = findings.FindingKind
 _Sink = list[findings.Finding]
 _Parsed = dict[str, files.ParsedFile]
@@ -28,11 +31,13 @@
 
     :param texts: texts by file name, with the members file.
     :param notes: agreements that do not count.
+    :param sites: effective settings by member.
     """
 
     texts: typing.Mapping[str, str]
     membership: memberships.Membership
     notes: findings.Findings
+    sites: checks.SiteSettings
 
 
 ProposalResult = result.Result[Proposal, findings.Findings]
@@ -63,9 +68,21 @@
         :param submission: a thrift ``Submission`` with a valid signature.
         :returns: what to put in force, or all findings.
         """
+        proposed = self._examine(texts, in_force, submission)
+        if isinstance(proposed, result.Failure):
+            self._known = self._known.revert()
+        return proposed
+
+    def _examine(
+        self,
+        texts: typing.Mapping[str, str],
+        in_force: memberships.Membership,
+        submission: messages.Struct,
+    ) -> ProposalResult:
         sink: _Sink = []
         submitted = _read_submitted(submission, bool(texts), sink)
         merged = {**texts, **submitted}
+        sink.extend(_check_size(merged))
         parsed = self._parse_all(merged, sink)
         base = parsed.get(schemas.BASE_FILE)
         if base is None:
@@ -81,14 +98,16 @@
         )
         membership = change.decide()
         change.drop_former_members(parsed, membership)
-        self._check(parsed, membership, sink)
+        checked = self._check(parsed, membership, sink)
         if sink:
             return result.Failure(findings.sort_findings(sink))
         self._remember(parsed)
         kept = {name: merged[name] for name in sorted(parsed)}
         kept[schemas.MEMBERS_FILE] = memberships.write_membership(membership)
         notes = change.notes(membership)
-        return result.Success(Proposal(kept, membership, notes))
+        return result.Success(
+            Proposal(kept, membership, notes, checked.unwrap()),
+        )
 
     def list_pending(
         self,
@@ -111,23 +130,26 @@
         self,
         texts: typing.Mapping[str, str],
         in_force: memberships.Membership,
-    ) -> None:
+    ) -> checks.CheckResult:
         """Read the files in force, so that the first check is fast.
 
         :param texts: the files in force.
+        :returns: their settings by member.
         """
         sink: _Sink = []
         parsed = self._parse_all(texts, sink)
-        if schemas.BASE_FILE in parsed and not sink:
-            self._check(parsed, in_force, sink)
-            self._remember(parsed)
+        if schemas.BASE_FILE not in parsed or sink:
+            return result.Failure((*sink, _expect_base()))
+        checked = self._check(parsed, in_force, sink)
+        self._remember(parsed)
+        return checked
 
     def _check(
         self,
         parsed: _Parsed,
         membership: memberships.Membership,
         sink: _Sink,
-    ) -> None:
+    ) -> checks.CheckResult:
         checked = checks.check_files(
             parsed[schemas.BASE_FILE],
             [
@@ -140,6 +162,7 @@
         )
         if isinstance(checked, result.Failure):
             sink.extend(checked.failure())
+        return checked
 
     def _remember(self, parsed: _Parsed) -> None:
         self._parsed = parsed
@@ -190,6 +213,11 @@
         self._sink = sink
         self._agreements = _read_all_agreements(parsed, sink)
         self._member = identifiers.MemberId(submitter or '')
+        self._overlays = {
+            name: overlay
+            for name, overlay in parsed.items()
+            if name != schemas.BASE_FILE
+        }
         self._own = parsed.get(schemas.overlay_name(self._member))
 
     def decide(self) -> memberships.Membership:
@@ -264,18 +292,29 @@
 
     def _check_first(self) -> None:
         """Refuse agreements in the first version, which nobody signed."""
+        for name in self._overlays:
+            overlay = self._overlays[name]
+            if approvals.is_leaving(overlay):
+                self._refuse_first(name, _line_of(overlay, 'leave'), '[leave]')
         for name, agreements in self._agreements.items():
             for agreement in agreements:
-                self._sink.append(
-                    findings.Finding(
-                        schemas.overlay_name(name),
-                        agreement.line,
-                        f'[{_header(agreement)}]',
-                        'no agreements in the first version',
-                        _Kind.NOT_PERMITTED,
-                    ),
+                self._refuse_first(
+                    schemas.overlay_name(name),
+                    agreement.line,
+                    f'[{_header(agreement)}]',
                 )
 
+    def _refuse_first(self, file: str, line: int, header: str) -> None:
+        self._sink.append(
+            findings.Finding(
+                file,
+                line,
+                header,
+                'no agreements in the first version',
+                _Kind.NOT_PERMITTED,
+            ),
+        )
+
     def _check_listed(self, membership: memberships.Membership) -> None:
         """Refuse a base file without the section of a member in force."""
         for name in membership.members:
@@ -319,6 +358,18 @@
     return texts
 
 
+def _check_size(
+    texts: typing.Mapping[str, str],
+) -> typing.Iterator[findings.Finding]:
+    total = sum(len(text.encode()) for text in texts.values())
+    if total > MAX_TOTAL_BYTES:
+        yield _refuse_file(
+            '',
+            f'at most {MAX_TOTAL_BYTES} bytes in all files',
+            _Kind.OUT_OF_RANGE,
+        )
+
+
 def _read_all_agreements(
     parsed: _Parsed,
     sink: _Sink,
--- a/wagtailspread/configuration/readings.py
+++ b/wagtailspread/configuration/readings.py
@@ -13,7 +13,8 @@
 
     A value depends on nothing but its sections, so that using it again gives
     the same result as reading the sections again. Values that the present
-    check did not use are dropped by :meth:`succeed`.
+    check did not use are dropped by :meth:`succeed`; those that it added are
+    dropped by :meth:`revert`, so that refused files take no memory.
     """
 
     def __init__(
@@ -39,6 +40,10 @@
         """Return the readings for the next check."""
         return Readings(self._used)
 
+    def revert(self) -> 'Readings':
+        """Return the readings as they were before this check."""
+        return Readings(self._recalled)
+
 
 def create_readings() -> Readings:
     """Return readings without values."""
--- a/wagtailspread/configuration/route_checks.py
+++ b/wagtailspread/configuration/route_checks.py
@@ -116,7 +116,7 @@
         return _TRUTHS[text]
     if text:
         reader.report('idempotent', 'yes or no', _Kind.BAD_VALUE)
-    elif not sections.IDEMPOTENT_METHODS.issuperset(methods):
+    elif sections.UNSAFE_METHODS.intersection(methods):
         reader.report(
             'idempotent',
             'yes or no, since POST and PATCH are not idempotent by themselves',
--- a/wagtailspread/configuration/sections.py
+++ b/wagtailspread/configuration/sections.py
@@ -17,8 +17,8 @@
     'POST',
     'PATCH',
 )
-#: Methods that HTTP defines as idempotent (RFC 9110, section 9.2.2).
-IDEMPOTENT_METHODS = frozenset(KNOWN_METHODS[:5])
+#: Methods that HTTP does not define as idempotent (RFC 9110, section 9.2.2).
+UNSAFE_METHODS = frozenset(('POST', 'PATCH'))
 
 #: Prefix of the paths that the entry hosts answer themselves.
 RESERVED_PREFIX = '/-'
@@ -34,6 +34,7 @@
     :param low: least value, as text.
     :param high: greatest value, as text.
     :param is_overridable: whether an overlay may set the key.
+    :param about: what a text is, for messages.
     """
 
     key: str
@@ -42,11 +43,12 @@
     low: str = ''
     high: str = ''
     is_overridable: bool = False
+    about: str = 'a text'
 
     def describe(self) -> str:
         """Return what is expected, for messages."""
         if self.quantity is None:
-            return 'a text'
+            return self.about
         described = self.quantity.describe()
         return f'{described}, from {self.low} to {self.high}'
 
@@ -77,6 +79,10 @@
         return tuple(rule.key for rule in self.rules)
 
 
+def _text(key: str, about: str, default: str | None = None) -> KeyRule:
+    return KeyRule(key, default=default, about=about)
+
+
 def _share(key: str, default: str, is_overridable: bool = False) -> KeyRule:
     return KeyRule(key, units.SHARE, default, '0%', '100%', is_overridable)
 
@@ -102,17 +108,24 @@
     )
 
 
-FLEET = SectionKind('fleet', is_named=False, rules=(KeyRule('name'),))
+FLEET = SectionKind(
+    'fleet',
+    is_named=False,
+    rules=(_text('name', 'the name of the fleet'),),
+)
 MEMBER = SectionKind(
     'member',
     is_named=True,
-    rules=(KeyRule('public_key'), KeyRule('contact', default='')),
+    rules=(
+        _text('public_key', 'an Ed25519 public key in base64'),
+        _text('contact', 'whom to ask', default=''),
+    ),
 )
 REGION = SectionKind(
     'region',
     is_named=True,
     rules=(
-        KeyRule('domains'),
+        _text('domains', 'the failure domains of the region'),
         KeyRule('hosts', units.COUNT, low='1', high='100000'),
         KeyRule('link', units.RATE, low='1kbit/s', high='1000Gbit/s'),
     ),
@@ -140,14 +153,17 @@
     'route',
     is_named=True,
     rules=(
-        KeyRule('service'),
-        KeyRule('path'),
-        KeyRule('methods', default='GET HEAD'),
-        KeyRule('priority', default='standard'),
-        KeyRule('idempotent', default=''),
+        _text('service', 'the name of a service'),
+        _text('path', 'an absolute path, such as /columns'),
+        _text('methods', 'HTTP methods', default='GET HEAD'),
+        _text('priority', 'urgent, standard or bulk', default='standard'),
+        _text('idempotent', 'yes or no', default=''),
     ),
 )
-_AGREEMENT_RULES = (KeyRule('digest'), KeyRule('membership'))
+_AGREEMENT_RULES = (
+    _text('digest', 'the digest of the member section'),
+    _text('membership', 'the digest of the members in force'),
+)
 APPROVAL = SectionKind('approval', is_named=True, rules=_AGREEMENT_RULES)
 REMOVAL = SectionKind('removal', is_named=True, rules=_AGREEMENT_RULES)
 LEAVE = SectionKind('leave', is_named=False, rules=())
--- a/wagtailspread/configuration/service_checks.py
+++ b/wagtailspread/configuration/service_checks.py
@@ -19,17 +19,26 @@
 
 def read_service(reader: readers.SectionReader) -> schemas.ServiceSettings:
     """Return the limits of one service; faults go to the reader."""
+    deadline = reader.read_number('deadline')
+    key_lifetime = reader.read_number('key_lifetime')
+    if key_lifetime <= deadline:
+        reader.report(
+            'key_lifetime',
+            'a duration above the deadline, so that no key is forgotten while '
+            'its request runs',
+            _Kind.IMPOSSIBLE_LIMIT,
+        )
     return schemas.ServiceSettings(
         name=identifiers.ServiceName(reader.name),
         floor=reader.read_number('floor'),
         shares=_read_shares(reader),
         queue_limits=_read_queue_limits(reader),
-        deadline=reader.read_number('deadline'),
+        deadline=deadline,
         max_body=reader.read_count('max_body'),
         warm_up=reader.read_number('warm_up'),
         retry_share=reader.read_number('retry_share'),
         quarantine=reader.read_number('quarantine'),
-        key_lifetime=reader.read_number('key_lifetime'),
+        key_lifetime=key_lifetime,
     )
 
 
--- a/wagtailspread/configuration/signatures.py
+++ b/wagtailspread/configuration/signatures.py
@@ -16,6 +16,17 @@
 _LABEL = 'wagtailspread submission 1'
 
 
+def is_well_formed(submission: messages.Struct) -> bool:
+    """Tell whether all fields have their types.
+
+    A decoded string that is not UTF-8 is left as bytes.
+    """
+    texts = [submission.id or '', submission.member or '']
+    for file in submission.files or ():
+        texts.extend((file.name or '', file.text or ''))
+    return all(isinstance(text, str) for text in texts)
+
+
 def encode_signed_text(submission: messages.Struct) -> bytes:
     """Return the text that the signature of a submission covers.
 
--- a/wagtailspread/configuration/tests/test_samples.py
+++ b/wagtailspread/configuration/tests/test_samples.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.configuration import checks, routes
+from wagtailspread.configuration import loaders, routes
 from wagtailspread.core import priorities
 
 SAMPLES = pathlib.Path(__file__).parents[3] / 'samples'
@@ -17,7 +17,7 @@
         for path in sorted((SAMPLES / site).glob('*.ini'))
         if path.name == 'base.ini' or path.name.startswith('overlay-')
     }
-    return checks.load_settings(texts).unwrap()
+    return loaders.load_settings(texts).unwrap()
 
 
 @pytest.mark.parametrize(
--- a/wagtailspread/configuration/versions.py
+++ b/wagtailspread/configuration/versions.py
@@ -28,6 +28,9 @@
 from wagtailspread.core import identifiers
 from wagtailspread.wire import messages
 
+#: Lifetime of keys of services that the configuration does not list.
+DEFAULT_KEY_SECONDS = 24 * 60 * 60.0
+
 _Kind = findings.FindingKind
 
 
@@ -45,6 +48,7 @@
         self._membership = memberships.create_membership(())
         self._memory = answers.AnswerMemory(max_answers)
         self._examiner = proposals.create_examiner()
+        self._sites: checks.SiteSettings = {}
 
     @property
     def version(self) -> identifiers.ConfigurationVersion:
@@ -85,6 +89,8 @@
         :returns: a thrift ``SubmissionAnswer``; the original one if the
             submission was applied before.
         """
+        if not signatures.is_well_formed(submission):
+            return self._refuse_form().encode()
         key = answers.AnswerKey(
             identifiers.MemberId(submission.member or ''),
             identifiers.SubmissionId(submission.id or ''),
@@ -108,9 +114,20 @@
         """
         return self._history.delta_since(version)
 
-    def settings(self) -> checks.CheckResult:
-        """Return the effective settings of each site."""
-        return checks.load_settings(self._history.texts)
+    @property
+    def settings(self) -> checks.SiteSettings:
+        """Return the effective settings of each site in force."""
+        return self._sites
+
+    def find_lifetime(self, service: str) -> float:
+        """Return how long idempotency keys of a service are kept.
+
+        :returns: seconds; the default if the service is not known.
+        """
+        for site in self._sites.values():
+            found = site.services.get(identifiers.ServiceName(service))
+            return found.key_lifetime if found else DEFAULT_KEY_SECONDS
+        return DEFAULT_KEY_SECONDS
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
@@ -127,7 +144,10 @@
         self._memory = state.memory
         self._membership = proposals.read_members(self._history.texts)
         self._examiner = proposals.create_examiner()
-        self._examiner.prepare(self._history.texts, self._membership)
+        self._sites = self._examiner.prepare(
+            self._history.texts,
+            self._membership,
+        ).value_or({})
 
     def _is_authentic(self, submission: messages.Struct) -> bool:
         """Check the signature; only the first version goes without."""
@@ -161,6 +181,7 @@
     def _accept(self, proposal: proposals.Proposal) -> answers.Answer:
         self._history.replace(proposal.texts)
         self._membership = proposal.membership
+        self._sites = proposal.sites
         return answers.Answer(
             answers.ACCEPTED,
             self._history.version,
@@ -175,6 +196,13 @@
             differences=tuple(lines[: answers.MAX_LINES]),
         )
 
+    def _refuse_form(self) -> answers.Answer:
+        return answers.refuse_submission(
+            self._history.version,
+            'an id, a member and texts in UTF-8',
+            _Kind.MALFORMED,
+        )
+
     def _refuse_signature(self) -> answers.Answer:
         return answers.refuse_submission(
             self._history.version,
--- a/wagtailspread/idempotency/keys.py
+++ b/wagtailspread/idempotency/keys.py
@@ -39,11 +39,15 @@
     RELEASED = 'released'
 
 
-def digest_scope(service: str, caller: str, key: str) -> Scope:
+def digest_scope(
+    service: str | bytes,
+    caller: str | bytes,
+    key: str | bytes,
+) -> Scope:
     """Return the digest that stands for a key in the store.
 
     Each part is preceded by its length, so that no two scopes have the same
-    text.
+    text. A decoded string that is not UTF-8 is left as bytes by thrift.
 
     >>> first = digest_scope('contratos', 'ab', 'c')
     >>> first == digest_scope('contratos', 'a', 'bc')
@@ -51,7 +55,7 @@
     """
     digest = hashlib.blake2b(digest_size=SCOPE_BYTES)
     for part in (service, caller, key):
-        encoded = part.encode('utf-8', 'surrogatepass')
+        encoded = part if isinstance(part, bytes) else part.encode()
         digest.update(len(encoded).to_bytes(8, 'big'))
         digest.update(encoded)
     return Scope(digest.digest())
--- a/wagtailspread/idempotency/snapshots.py
+++ b/wagtailspread/idempotency/snapshots.py
@@ -6,7 +6,7 @@
 from wagtailspread.idempotency import keys, records
 from wagtailspread.wire import messages
 
-_HEADER = struct.Struct('>4sd')
+_HEADER = struct.Struct('>4sdQ')
 _LENGTH = struct.Struct('>I')
 _MAGIC = b'WSC1'
 
@@ -27,7 +27,7 @@
     table: dict[keys.Scope, records.Record],
 ) -> bytes:
     """Return the snapshot of a table."""
-    buffer = bytearray(_HEADER.pack(_MAGIC, now))
+    buffer = bytearray(_HEADER.pack(_MAGIC, now, len(table)))
     for scope, record in table.items():
         encoded = messages.encode(_encode_record(scope, record))
         buffer += _LENGTH.pack(len(encoded))
@@ -47,7 +47,7 @@
 
 
 def _decode_table(snapshot: memoryview) -> Table:
-    magic, now = _HEADER.unpack_from(snapshot)
+    magic, now, count = _HEADER.unpack_from(snapshot)
     if magic != _MAGIC:
         raise ValueError('not a snapshot of claims')
     table = {}
@@ -59,6 +59,8 @@
         row = messages.decode(messages.structs.ClaimRecord, encoded)
         table[keys.Scope(row.scope)] = _decode_record(row)
         position += length
+    if len(table) != count:
+        raise ValueError('not a whole snapshot of claims')
     return Table(now, table)
 
 
