--- /dev/null
+++ b/wagtailspread/commands/connections.py
@@ -0,0 +1,183 @@
+"""Connection of the configuration commands to the replicas."""
+
+import asyncio
+import dataclasses
+import importlib
+import pathlib
+import typing
+
+import click
+
+from returns import result
+
+from wagtailspread.configuration import deltas, loaders, schemas
+from wagtailspread.core import failures, identifiers
+from wagtailspread.wire import credentials, links, messages
+
+#: Role of an operator's tool on the fleet's own connections.
+ROLE = 'operator'
+
+_Command = typing.TypeVar('_Command', bound=typing.Callable[..., typing.Any])
+CallResult = result.Result[messages.Struct, failures.Failure]
+
+
+class ConfigurationClient(typing.Protocol):
+    """The part of the replicas' client that the commands use."""
+
+    async def fetch_configuration(
+        self,
+        known_version: int,
+        wait: float,
+    ) -> CallResult:
+        """Return a thrift ``ConfigurationDelta``.
+
+        :param wait: seconds to wait for a newer version.
+        """
+
+    async def submit(self, submission: messages.Struct) -> CallResult:
+        """Return a thrift ``SubmissionAnswer``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who connects, and to whom.
+
+    :param addresses: of replicas; one of them leads to the others.
+    :param key: private key of the member in PEM.
+    :param trusted: public keys of the members that replicas belong to.
+    """
+
+    addresses: tuple[identifiers.Address, ...]
+    member: identifiers.MemberId
+    key: bytes
+    trusted: typing.Mapping[identifiers.MemberId, bytes]
+
+
+#: Opens a client; tests put their own into the context of the commands.
+Connector = typing.Callable[[Identity], ConfigurationClient]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """The configuration in force.
+
+    :param texts: texts by file name, with the members file.
+    """
+
+    version: int
+    texts: dict[str, str]
+
+
+def connect(identity: Identity) -> ConfigurationClient:
+    """Return a client of the replicas; nothing is sent yet."""
+    own = credentials.Credentials(
+        credentials.Peer(
+            identity.member,
+            identifiers.HostId(ROLE),
+            ROLE,
+        ),
+        credentials.load_key(identity.key),
+    )
+    directory = credentials.FixedDirectory(dict(identity.trusted))
+    pool = links.LinkPool(own, directory)
+    clients = importlib.import_module('wagtailspread.replica.clients')
+    return clients.create_client(identity.addresses, pool)
+
+
+#: Options of every command that connects; see :class:`Options`.
+OPTIONS = (
+    click.option(
+        '--replica',
+        'replicas',
+        multiple=True,
+        metavar='IP:PORT',
+        help='Address of a replica; may be given several times.',
+    ),
+    click.option('--member', help='The member that you are.'),
+    click.option(
+        '--key',
+        'key_path',
+        type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+        help="The member's private key, as written by keygen.",
+    ),
+    click.option('--json', 'is_json', is_flag=True, help='Print JSON.'),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Values of the options that all commands with a connection have."""
+
+    replicas: tuple[str, ...]
+    member: str | None
+    key_path: pathlib.Path | None
+    is_json: bool
+
+    def identify(self, texts: typing.Mapping[str, str]) -> Identity:
+        """Return the identity that the options describe.
+
+        :param texts: files whose base file has the keys of the replicas'
+            members.
+        :raises click.UsageError: if an option is missing or the key is none.
+        """
+        if not self.replicas or not self.member or self.key_path is None:
+            raise click.UsageError('--replica, --member and --key are needed')
+        key = self.key_path.read_bytes()
+        try:
+            credentials.load_key(key)
+        except (TypeError, ValueError) as error:
+            raise click.UsageError(
+                f'{self.key_path} is no member key',
+            ) from error
+        return Identity(
+            tuple(identifiers.Address(address) for address in self.replicas),
+            identifiers.MemberId(self.member),
+            key,
+            _read_keys(texts),
+        )
+
+
+def add_options(
+    *options: typing.Callable[[_Command], _Command],
+) -> typing.Callable[[_Command], _Command]:
+    """Return a decorator that adds options to a command, in this order."""
+
+    def decorate(command: _Command) -> _Command:
+        for option in reversed(options):
+            command = option(command)
+        return command
+
+    return decorate
+
+
+def fetch_in_force(
+    identity: Identity,
+    connector: Connector | None,
+) -> InForce:
+    """Return the configuration in force.
+
+    :raises click.ClickException: if no replica answers.
+    """
+    client = (connector or connect)(identity)
+    fetched = asyncio.run(_fetch(client))
+    if isinstance(fetched, result.Failure):
+        described = fetched.failure().describe()
+        raise click.ClickException(f'no replica answered: {described}')
+    delta = fetched.unwrap()
+    return InForce(delta.to_version, deltas.apply_delta({}, delta))
+
+
+async def _fetch(client: ConfigurationClient) -> CallResult:
+    return await client.fetch_configuration(0, 0)
+
+
+def _read_keys(
+    texts: typing.Mapping[str, str],
+) -> dict[identifiers.MemberId, bytes]:
+    base = {schemas.BASE_FILE: texts.get(schemas.BASE_FILE, '')}
+    sites = loaders.load_settings(base).value_or({})
+    return {
+        name: member.public_key
+        for settings in sites.values()
+        for name, member in settings.members.items()
+    }
--- /dev/null
+++ b/wagtailspread/commands/submit.py
@@ -0,0 +1,195 @@
+"""``wagtailspread submit``: submits files to the replicas."""
+
+import asyncio
+import dataclasses
+import pathlib
+import shlex
+import typing
+import uuid
+
+import click
+
+from returns import result
+
+from wagtailspread.commands import connections, file_sets, renderings
+from wagtailspread.configuration import answers, schemas, signatures
+from wagtailspread.core import failures, identifiers
+from wagtailspread.wire import credentials, messages
+
+#: Exit status when the replicas refused the files.
+REFUSED_STATUS = 1
+#: Exit status when another submission was accepted first.
+CONFLICT_STATUS = 3
+#: Exit status when the outcome is not known.
+UNKNOWN_STATUS = 4
+
+_PATH = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+
+_OPTIONS = (
+    click.argument('paths', nargs=-1, required=True, type=_PATH),
+    click.option(
+        '--based-on',
+        type=click.IntRange(min=0),
+        required=True,
+        help='The version that the files were made from, as shown by fetch.',
+    ),
+    click.option(
+        '--id',
+        'submission_id',
+        help='Id of an earlier submission, to learn its outcome.',
+    ),
+    click.option(
+        '--trust',
+        type=_PATH,
+        help="Base file with the keys of the replicas' members; the default "
+        'is base.ini beside the first file.',
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SubmitOptions(connections.Options):
+    """Values of the options of ``submit``."""
+
+    paths: tuple[pathlib.Path, ...]
+    based_on: int
+    submission_id: str | None
+    trust: pathlib.Path | None
+
+    def write_command(self, submission_id: str) -> str:
+        """Return the command that tells the outcome of this submission."""
+        words = ['wagtailspread', 'submit', *map(str, self.paths)]
+        words.extend(('--based-on', str(self.based_on), '--id', submission_id))
+        for replica in self.replicas:
+            words.extend(('--replica', replica))
+        words.extend(('--member', str(self.member)))
+        words.extend(('--key', str(self.key_path)))
+        if self.trust is not None:
+            words.extend(('--trust', str(self.trust)))
+        return shlex.join(words)
+
+
+@click.command()
+@connections.add_options(*_OPTIONS, *connections.OPTIONS)
+@click.pass_obj
+def submit(
+    connector: connections.Connector | None,
+    **given: typing.Any,
+) -> None:
+    """Submit the base file and your overlay, signed with your key.
+
+    The exit status is 0 if the files are in force, 1 if they were refused, 2
+    for a wrong command line, 3 if another submission was accepted first, and
+    4 if the outcome is not known. In the last case, run the command that is
+    printed: a submission with the same id is accepted at most once and gets
+    its original answer.
+
+    \b
+    Examples:
+      wagtailspread submit base.ini overlay-costa-norte.ini --based-on 41 \\
+          --replica 10.0.0.1:7400 --member costa-norte --key costa-norte.pem
+    """
+    options = SubmitOptions(**given)
+    identity = options.identify(_read_trusted(options))
+    submission = _create_submission(options, identity)
+    client = (connector or connections.connect)(identity)
+    answered = asyncio.run(_send(client, submission))
+    if isinstance(answered, result.Failure):
+        _write_unknown(options, submission.id, answered.failure())
+        raise click.exceptions.Exit(UNKNOWN_STATUS)
+    answer = answers.decode_answer(answered.unwrap())
+    _write_answer(submission.id, answer, options.is_json)
+    raise click.exceptions.Exit(_find_status(answer))
+
+
+def _read_trusted(options: SubmitOptions) -> dict[str, str]:
+    path = options.trust or options.paths[0].with_name(schemas.BASE_FILE)
+    return {schemas.BASE_FILE: file_sets.read_text(path)}
+
+
+def _create_submission(
+    options: SubmitOptions,
+    identity: connections.Identity,
+) -> messages.Struct:
+    submission = signatures.create_submission(
+        identifiers.SubmissionId(options.submission_id or uuid.uuid4().hex),
+        options.based_on,
+        identity.member,
+        {path.name: file_sets.read_text(path) for path in options.paths},
+    )
+    key = credentials.load_key(identity.key)
+    signatures.sign_submission(submission, key)
+    return submission
+
+
+async def _send(
+    client: connections.ConfigurationClient,
+    submission: messages.Struct,
+) -> connections.CallResult:
+    return await client.submit(submission)
+
+
+def _find_status(answer: answers.Answer) -> int:
+    if answer.status == answers.ACCEPTED:
+        return 0
+    if answer.status == answers.CONFLICT:
+        return CONFLICT_STATUS
+    return REFUSED_STATUS
+
+
+def _write_answer(
+    submission_id: str,
+    answer: answers.Answer,
+    is_json: bool,
+) -> None:
+    if is_json:
+        renderings.write_json(
+            {
+                'id': submission_id,
+                'status': answer.status,
+                'version': answer.version,
+                'findings': renderings.encode_findings(answer.findings),
+                'differences': list(answer.differences),
+            }
+        )
+        return
+    renderings.write_lines(one.describe() for one in answer.findings)
+    renderings.write_lines(answer.differences)
+    renderings.write_lines([_summarise(answer)])
+
+
+def _summarise(answer: answers.Answer) -> str:
+    if answer.status == answers.ACCEPTED:
+        return f'accepted: version {answer.version} is in force'
+    if answer.status == answers.CONFLICT:
+        return (
+            f'conflict: version {answer.version} is in force; the sections '
+            'above changed since your base version'
+        )
+    return f'refused: version {answer.version} stays in force'
+
+
+def _write_unknown(
+    options: SubmitOptions,
+    submission_id: str,
+    failure: failures.Failure,
+) -> None:
+    command = options.write_command(submission_id)
+    if options.is_json:
+        renderings.write_json(
+            {
+                'id': submission_id,
+                'status': 'unknown',
+                'failure': failure.describe(),
+                'command': command,
+            }
+        )
+        return
+    renderings.write_lines(
+        [
+            f'unknown: {failure.describe()}',
+            'To learn the outcome, run this command with the same files:',
+            f'  {command}',
+        ]
+    )
--- a/wagtailspread/configuration/approvals.py
+++ b/wagtailspread/configuration/approvals.py
@@ -150,6 +150,15 @@
     return tuple(pending)
 
 
+def create_removal(
+    member: schemas.MemberSettings,
+    in_force: memberships.Membership,
+) -> Pending:
+    """Return the removal of a member as if nobody had agreed to it yet."""
+    voters = tuple(name for name in in_force.members if name != member.name)
+    return _count(ChangeKind.REMOVAL, member, voters, in_force, {})
+
+
 def decide_membership(
     in_force: memberships.Membership,
     listed: memberships.Membership,
--- a/wagtailspread/configuration/proposals.py
+++ b/wagtailspread/configuration/proposals.py
@@ -7,6 +7,7 @@
 
 from wagtailspread.configuration import (
     approvals,
+    changes,
     checks,
     files,
     findings,
@@ -22,7 +23,7 @@
 
 _Kind = findings.FindingKind
 _Sink = list[findings.Finding]
-_Parsed = dict[str, files.ParsedFile]
+_Parsed = changes.Parsed
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,7 +90,7 @@
             sink.append(_expect_base())
         if sink or base is None:
             return result.Failure(findings.sort_findings(sink))
-        change = _MembershipChange(
+        change = changes.create_change(
             in_force,
             checks.read_listed(base, self._known),
             parsed,
@@ -123,7 +124,7 @@
         return approvals.list_pending(
             in_force,
             checks.read_listed(parsed[schemas.BASE_FILE], self._known),
-            _read_all_agreements(parsed, sink),
+            changes.read_all_agreements(parsed, sink),
         )
 
     def prepare(
@@ -197,140 +198,6 @@
     return memberships.read_membership(parsed.unwrap())
 
 
-class _MembershipChange:
-    """The agreements of all overlays, with the submitted ones in place."""
-
-    def __init__(
-        self,
-        in_force: memberships.Membership,
-        listed: memberships.Membership,
-        parsed: _Parsed,
-        submitter: str | None,
-        sink: _Sink,
-    ) -> None:
-        self._in_force = in_force
-        self._listed = listed
-        self._sink = sink
-        self._agreements = _read_all_agreements(parsed, sink)
-        self._member = identifiers.MemberId(submitter or '')
-        self._overlays = {
-            name: overlay
-            for name, overlay in parsed.items()
-            if name != schemas.BASE_FILE
-        }
-        self._own = parsed.get(schemas.overlay_name(self._member))
-
-    def decide(self) -> memberships.Membership:
-        """Return the membership after the submission."""
-        if not self._in_force.members:
-            self._check_first()
-            return self._listed
-        if self._own is not None and approvals.is_leaving(self._own):
-            return self._leave(self._own)
-        membership = approvals.decide_membership(
-            self._in_force,
-            self._listed,
-            self._agreements,
-        )
-        self._check_listed(membership)
-        return membership
-
-    def drop_former_members(
-        self,
-        parsed: _Parsed,
-        membership: memberships.Membership,
-    ) -> None:
-        """Remove the overlays of members that are no longer in force."""
-        for member in self._in_force.members:
-            if member not in membership.members:
-                parsed.pop(schemas.overlay_name(member), None)
-
-    def notes(self, membership: memberships.Membership) -> findings.Findings:
-        """Return a note for each agreement of the submitter that is void."""
-        own = self._agreements.get(self._member)
-        if self._own is None or not own or membership != self._in_force:
-            return ()
-        pending = approvals.list_pending(
-            membership,
-            self._listed,
-            self._agreements,
-        )
-        return tuple(
-            findings.Finding(
-                self._own.name,
-                agreement.line,
-                f'[{_header(agreement)}]',
-                expected,
-                _Kind.VOID_AGREEMENT,
-            )
-            for agreement, expected in approvals.find_void(
-                pending,
-                membership,
-                own,
-            )
-        )
-
-    def _leave(self, overlay: files.ParsedFile) -> memberships.Membership:
-        remaining = [
-            member
-            for name, member in self._in_force.members.items()
-            if name != self._member
-        ]
-        if not remaining:
-            self._sink.append(
-                findings.Finding(
-                    overlay.name,
-                    _line_of(overlay, 'leave'),
-                    '[leave]',
-                    'another member that stays',
-                    _Kind.NOT_PERMITTED,
-                ),
-            )
-        membership = memberships.create_membership(remaining)
-        self._check_listed(membership)
-        return membership
-
-    def _check_first(self) -> None:
-        """Refuse agreements in the first version, which nobody signed."""
-        for name in self._overlays:
-            overlay = self._overlays[name]
-            if approvals.is_leaving(overlay):
-                self._refuse_first(name, _line_of(overlay, 'leave'), '[leave]')
-        for name, agreements in self._agreements.items():
-            for agreement in agreements:
-                self._refuse_first(
-                    schemas.overlay_name(name),
-                    agreement.line,
-                    f'[{_header(agreement)}]',
-                )
-
-    def _refuse_first(self, file: str, line: int, header: str) -> None:
-        self._sink.append(
-            findings.Finding(
-                file,
-                line,
-                header,
-                'no agreements in the first version',
-                _Kind.NOT_PERMITTED,
-            ),
-        )
-
-    def _check_listed(self, membership: memberships.Membership) -> None:
-        """Refuse a base file without the section of a member in force."""
-        for name in membership.members:
-            if name not in self._listed.members:
-                self._sink.append(
-                    findings.Finding(
-                        schemas.BASE_FILE,
-                        0,
-                        f'[member {name}]',
-                        'the section of every member in force; a member goes '
-                        'by [leave] or by the [removal] of all others',
-                        _Kind.MISSING_SECTION,
-                    ),
-                )
-
-
 def _read_submitted(
     submission: messages.Struct,
     has_version: bool,
@@ -370,18 +237,6 @@
         )
 
 
-def _read_all_agreements(
-    parsed: _Parsed,
-    sink: _Sink,
-) -> dict[identifiers.MemberId, tuple[approvals.Agreement, ...]]:
-    agreements = {}
-    for name, overlay in parsed.items():
-        member = schemas.overlay_member(name)
-        if member is not None:
-            agreements[member] = approvals.read_agreements(overlay, sink)
-    return agreements
-
-
 def _expect_base() -> findings.Finding:
     return _refuse_file(
         schemas.BASE_FILE,
@@ -396,14 +251,3 @@
     kind: findings.FindingKind,
 ) -> findings.Finding:
     return findings.Finding(name, 0, '', expected, kind)
-
-
-def _header(agreement: approvals.Agreement) -> str:
-    is_join = agreement.kind is approvals.ChangeKind.JOIN
-    kind = 'approval' if is_join else 'removal'
-    return f'{kind} {agreement.subject}'
-
-
-def _line_of(parsed: files.ParsedFile, header: str) -> int:
-    section = parsed.find(header)
-    return section.line if section else 0
