--- a/wagtailspread/configuration/loaders.py
+++ b/wagtailspread/configuration/loaders.py
@@ -43,10 +43,14 @@
         others = dict(parsed)
         base = others.pop(schemas.BASE_FILE)
         listed = others.pop(schemas.MEMBERS_FILE, None)
+        try:
+            in_force = memberships.read_membership(listed) if listed else None
+        except (KeyError, ValueError):
+            return result.Failure((_broken_members(),))
         checked = checks.check_files(
             base,
             tuple(others.values()),
-            memberships.read_membership(listed) if listed else None,
+            in_force,
             self._known,
         )
         self._known = self._known.succeed()
@@ -85,3 +89,13 @@
         f'a file {schemas.BASE_FILE}',
         findings.FindingKind.MISSING_SECTION,
     )
+
+
+def _broken_members() -> findings.Finding:
+    return findings.Finding(
+        schemas.MEMBERS_FILE,
+        0,
+        '',
+        'the file as the replicas wrote it',
+        findings.FindingKind.MALFORMED,
+    )
--- a/wagtailspread/configuration/tests/test_refusals.py
+++ b/wagtailspread/configuration/tests/test_refusals.py
@@ -1,8 +1,12 @@
 """Every fault of a file is refused with its place and what was expected."""
 
+import hypothesis
 import pytest
 
-from wagtailspread.configuration import checks, files, findings
+from hypothesis import strategies as st
+from returns import pipeline
+
+from wagtailspread.configuration import checks, files, findings, loaders
 from wagtailspread.configuration.tests import builders
 
 GOOD = """[fleet]
@@ -193,3 +197,29 @@
     section = after.find('service vitrina')
     assert section.body is before.find('service vitrina').body
     assert section.line_of('floor') == 12
+
+
+PIECES = st.sampled_from(
+    [*GOOD.splitlines(), '[', ']', '[]', ' x', '=', ':', '[a]b=1', '#', '\t'],
+)
+LINES = st.lists(PIECES | st.text(max_size=8), max_size=25)
+
+
+@hypothesis.given(LINES.map('\n'.join), LINES.map('\n'.join))
+def test_any_text_is_accepted_or_refused(base, overlay):
+    """Guards against a text that stops every replica with an exception."""
+    texts = {'base.ini': base, 'overlay-a.ini': overlay, 'members.ini': overlay}
+    for found in loaders.load_settings(texts).swap().value_or(()):
+        assert found.describe()
+    parsed = files.parse_file('base.ini', base)
+    headers = files.split_text(files.normalise_text(base))
+    if pipeline.is_successful(parsed):
+        known = list(parsed.unwrap().by_header)
+        assert known == [header for header in headers if header]
+
+
+def test_broken_members_file():
+    """Guards against a folder with an edited list of members."""
+    texts = {'base.ini': GOOD, 'members.ini': '[member a]\nkey = x\n'}
+    (found,) = loaders.load_settings(texts).failure()
+    assert found.file == 'members.ini'
--- a/wagtailspread/idempotency/claims.py
+++ b/wagtailspread/idempotency/claims.py
@@ -107,7 +107,7 @@
         record = self._find(scope, now)
         if record is None:
             return _answer(self._claim_new(scope, request, now))
-        if request.attempt in record.released:
+        if _attempt_of(request) in record.released:
             return _answer(_Claimed.RELEASED)
         if record.fingerprint not in {None, request.fingerprint or b''}:
             return _answer(_Claimed.MISMATCH)
@@ -154,14 +154,15 @@
         record = self._find(scope, now)
         if record is None:
             return self._release_early(scope, request, now)
-        if request.attempt in record.released:
+        attempt = _attempt_of(request)
+        if attempt in record.released:
             return True
-        if record.attempt != request.attempt:
-            return self._remember_released(record, request.attempt)
+        if record.attempt != attempt:
+            return self._remember_released(record, attempt)
         if record.state is not _State.RUNNING:
             return False
         record.state = _State.RELEASED
-        record.released = (*record.released, request.attempt)
+        record.released = (*record.released, attempt)
         return True
 
     def expire(self, now: float) -> int:
@@ -261,7 +262,7 @@
     ) -> keys.ClaimState:
         if record.state is _State.UNKNOWN:
             return _Claimed.UNKNOWN
-        is_resent = record.attempt == request.attempt
+        is_resent = record.attempt == _attempt_of(request)
         return _Claimed.GRANTED if is_resent else _Claimed.RUNNING
 
     def _grant(
@@ -270,9 +271,9 @@
         request: messages.Struct,
         now: float,
     ) -> None:
-        seconds = (request.deadline_ms or 0) / _MILLISECONDS
+        seconds = max(0, request.deadline_ms or 0) / _MILLISECONDS
         record.state = _State.RUNNING
-        record.attempt = request.attempt
+        record.attempt = _attempt_of(request)
         record.host = _intern(request.host)
         record.fingerprint = request.fingerprint or b''
         record.deadline = now + seconds + self._policy.margin
@@ -300,7 +301,7 @@
             fingerprint=None,
             deadline=0,
             expires=now + lifetime,
-            released=(request.attempt,),
+            released=(_attempt_of(request),),
         )
         self._add(scope, record)
         return True
@@ -348,6 +349,12 @@
     )
 
 
+def _attempt_of(request: messages.Struct) -> str:
+    """Return the attempt; bytes that are not UTF-8 are kept as surrogates."""
+    attempt = request.attempt or ''
+    return snapshots.decode_text(attempt)
+
+
 def _intern(host: str | None) -> str:
     """Return the one copy of a host's id that all its records share."""
     return sys.intern(host) if isinstance(host, str) else ''
@@ -356,7 +363,7 @@
 def _is_running(record: records.Record, request: messages.Struct) -> bool:
     if record.state is not _State.RUNNING:
         return False
-    return record.attempt == request.attempt
+    return record.attempt == _attempt_of(request)
 
 
 def _answer(
--- a/wagtailspread/idempotency/snapshots.py
+++ b/wagtailspread/idempotency/snapshots.py
@@ -74,7 +74,7 @@
         raise ValueError('not a whole snapshot of claims')
     columns_of_rows = zip(
         map(_STATES.__getitem__, table.states),
-        map(_decode, columns.unpack_texts(table.attempts, count)),
+        map(decode_text, columns.unpack_texts(table.attempts, count)),
         _share_texts(columns.unpack_texts(table.hosts, count)),
         columns.unpack_texts(table.fingerprints, count),
         columns.unpack_numbers(columns.FLOAT, table.deadlines, count),
@@ -108,16 +108,23 @@
         return
     start = 0
     for number in counts:
-        yield tuple(map(_decode, attempts[start : start + number]))
+        yield tuple(map(decode_text, attempts[start : start + number]))
         start += number
 
 
-def _encode(text: str | bytes) -> bytes:
-    return text if isinstance(text, bytes) else text.encode()
+def decode_text(text: str | bytes | None) -> str:
+    """Return a text; bytes that are not UTF-8 become surrogates.
+
+    >>> decode_text(b'a1'), decode_text(None)
+    ('a1', '')
+    """
+    if isinstance(text, bytes):
+        return text.decode(errors='surrogateescape')
+    return text or ''
 
 
-def _decode(text: bytes | None) -> str:
-    return (text or b'').decode(errors='surrogateescape')
+def _encode(text: str) -> bytes:
+    return text.encode(errors='surrogateescape')
 
 
 def _share_texts(
@@ -128,6 +135,6 @@
     for text in texts:
         shared = known.get(text)
         if shared is None:
-            shared = sys.intern(_decode(text))
+            shared = sys.intern(decode_text(text))
             known[text] = shared
         yield shared
--- a/wagtailspread/idempotency/tests/test_claims.py
+++ b/wagtailspread/idempotency/tests/test_claims.py
@@ -273,6 +273,20 @@
             create_table().restore(snapshot[:length])
 
 
+@pytest.mark.parametrize('attempt', [None, b'\xff', 'a\u00e9'])
+def test_odd_attempt_survives_a_snapshot(attempt):
+    """Guards against replicas that differ after a restart."""
+    table = create_table()
+    table.claim(create_claim(attempt), 0)
+    other = create_table()
+    other.restore(table.take_snapshot())
+    assert other.claim(create_claim(attempt), 0).state == 'granted'
+    for one in (table, other):
+        assert one.release(create_release(attempt), 0)
+        assert one.claim(create_claim(attempt), 0).state == 'released'
+    assert other.take_snapshot() == table.take_snapshot()
+
+
 def test_key_that_is_not_utf8():
     """Guards against a header that stops every replica."""
     scope = keys.digest_scope('contratos', 'radio', b'\xff')
