--- a/wagtailspread/commands/program.py
+++ b/wagtailspread/commands/program.py
@@ -2,7 +2,15 @@
 
 import click
 
-from wagtailspread.commands import processes, status
+from wagtailspread.commands import (
+    approve,
+    check,
+    fetch,
+    keygen,
+    processes,
+    status,
+    submit,
+)
 from wagtailspread.testing import callers, upstreams
 
 
@@ -12,6 +20,11 @@
     """Run and operate a proxy fleet for upstreams with gray failures."""
 
 
+main.add_command(approve.approve)
+main.add_command(check.check)
+main.add_command(fetch.fetch)
+main.add_command(keygen.keygen)
+main.add_command(submit.submit)
 main.add_command(processes.run_entry)
 main.add_command(processes.run_replica)
 main.add_command(status.show_status)
--- a/wagtailspread/configuration/tests/test_samples.py
+++ b/wagtailspread/configuration/tests/test_samples.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.configuration import checks, routes
+from wagtailspread.configuration import loaders, routes
 from wagtailspread.core import priorities
 
 SAMPLES = pathlib.Path(__file__).parents[3] / 'samples'
@@ -17,7 +17,7 @@
         for path in sorted((SAMPLES / site).glob('*.ini'))
         if path.name == 'base.ini' or path.name.startswith('overlay-')
     }
-    return checks.load_settings(texts).unwrap()
+    return loaders.load_settings(texts).unwrap()
 
 
 @pytest.mark.parametrize(
@@ -83,6 +83,7 @@
 def test_sample_overlay_changes_one_site_only():
     """Guards against an overlay that leaks into the other site."""
     sites = load_sample('andino')
-    assert sites['centro-andes'].services['vitrina'].deadline == 1.5
-    assert sites['costa-norte'].services['vitrina'].deadline == 2
-    assert sites['costa-norte'].services['vitrina'].shares == (0.5, 0.4, 0.1)
+    andes = sites['centro-andes'].services['vitrina']
+    costa = sites['costa-norte'].services['vitrina']
+    assert (andes.deadline, costa.deadline) == (1.5, 2)
+    assert (andes.shares, costa.shares) == ((0.6, 0.3, 0.1), (0.5, 0.4, 0.1))
--- a/wagtailspread/idempotency/claims.py
+++ b/wagtailspread/idempotency/claims.py
@@ -20,6 +20,7 @@
 """
 
 import dataclasses
+import sys
 import typing
 
 from wagtailspread.idempotency import expiries, keys, records, snapshots
@@ -106,7 +107,7 @@
         record = self._find(scope, now)
         if record is None:
             return _answer(self._claim_new(scope, request, now))
-        if request.attempt in record.released:
+        if _attempt_of(request) in record.released:
             return _answer(_Claimed.RELEASED)
         if record.fingerprint not in {None, request.fingerprint or b''}:
             return _answer(_Claimed.MISMATCH)
@@ -153,14 +154,15 @@
         record = self._find(scope, now)
         if record is None:
             return self._release_early(scope, request, now)
-        if request.attempt in record.released:
+        attempt = _attempt_of(request)
+        if attempt in record.released:
             return True
-        if record.attempt != request.attempt:
-            return self._remember_released(record, request.attempt)
+        if record.attempt != attempt:
+            return self._remember_released(record, attempt)
         if record.state is not _State.RUNNING:
             return False
         record.state = _State.RELEASED
-        record.released = (*record.released, request.attempt)
+        record.released = (*record.released, attempt)
         return True
 
     def expire(self, now: float) -> int:
@@ -260,7 +262,7 @@
     ) -> keys.ClaimState:
         if record.state is _State.UNKNOWN:
             return _Claimed.UNKNOWN
-        is_resent = record.attempt == request.attempt
+        is_resent = record.attempt == _attempt_of(request)
         return _Claimed.GRANTED if is_resent else _Claimed.RUNNING
 
     def _grant(
@@ -269,10 +271,10 @@
         request: messages.Struct,
         now: float,
     ) -> None:
-        seconds = (request.deadline_ms or 0) / _MILLISECONDS
+        seconds = max(0, request.deadline_ms or 0) / _MILLISECONDS
         record.state = _State.RUNNING
-        record.attempt = request.attempt
-        record.host = request.host or ''
+        record.attempt = _attempt_of(request)
+        record.host = _intern(request.host)
         record.fingerprint = request.fingerprint or b''
         record.deadline = now + seconds + self._policy.margin
         lifetime = self._lifetimes.find_lifetime(request.service_name)
@@ -299,7 +301,7 @@
             fingerprint=None,
             deadline=0,
             expires=now + lifetime,
-            released=(request.attempt,),
+            released=(_attempt_of(request),),
         )
         self._add(scope, record)
         return True
@@ -347,10 +349,21 @@
     )
 
 
+def _attempt_of(request: messages.Struct) -> str:
+    """Return the attempt; bytes that are not UTF-8 are kept as surrogates."""
+    attempt = request.attempt or ''
+    return snapshots.decode_text(attempt)
+
+
+def _intern(host: str | None) -> str:
+    """Return the one copy of a host's id that all its records share."""
+    return sys.intern(host) if isinstance(host, str) else ''
+
+
 def _is_running(record: records.Record, request: messages.Struct) -> bool:
     if record.state is not _State.RUNNING:
         return False
-    return record.attempt == request.attempt
+    return record.attempt == _attempt_of(request)
 
 
 def _answer(
