--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -20,8 +20,9 @@
 from aiohttp import client, web
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import allocations, connections, exchanges
-from wagtailspread.entry import forwarding, interfaces, owners, servers, slots
+from wagtailspread.entry import allocations, attempts, connections
+from wagtailspread.entry import exchanges, forwarding, interfaces, keys
+from wagtailspread.entry import owners, servers, slots
 from wagtailspread.testing import stand_ins
 from wagtailspread.wire import credentials, links
 
@@ -120,8 +121,15 @@
         allocator.announce(_create_row(number, address, identity))
     forwarder = forwarding.Forwarder(
         identity,
-        allocator,
-        exchanges.Exchanger(connections.PoolTable(9), clock),
+        attempts.AttemptRunner(
+            peer.host,
+            identity.domain,
+            allocator,
+            exchanges.Exchanger(connections.PoolTable(9), clock),
+            clock,
+        ),
+        keys.KeyKeeper(stand_ins.MemoryKeyStore(), peer.host, clock),
+        stand_ins.SilentTracer(),
         clock,
     )
     routes = [stand_ins.FixedRoute('reads', _SERVICE, '/vitrina')]
@@ -149,7 +157,9 @@
         naive = _start(started, 'naive', *upstreams)
         lines = await _measure_throughput(ours, naive)
         for rate in RATES:
-            lines += await _measure_latency(rate, ours, naive, upstreams)
+            lines.extend(
+                await _measure_latency(rate, ours, naive, upstreams),
+            )
         return lines
     finally:
         for process in started:
@@ -167,7 +177,7 @@
             await _run_closed(address, SLICE_REQUESTS)
             spent.append(await _read_cpu(address) - before)
     rates = [
-        SLICE_REQUESTS / statistics.median(spent) for spent in totals.values()
+        SLICE_REQUESTS / statistics.median(times) for times in totals.values()
     ]
     return [
         f'measure requests-per-core ours={rates[0]:.0f}'
@@ -201,11 +211,11 @@
         for _ in range(share):
             await connection.request(_REQUEST)
 
-    connections_ = [await _connect(address) for _ in range(WORKERS)]
+    opened = [await _connect(address) for _ in range(WORKERS)]
     await asyncio.gather(
-        *(work(one, count // WORKERS) for one in connections_),
+        *(work(one, count // WORKERS) for one in opened),
     )
-    for one in connections_:
+    for one in opened:
         one.close()
 
 
@@ -263,7 +273,8 @@
         body = b''
         while True:
             size = int(await self._reader.readuntil(b'\r\n'), 16)
-            body += (await self._reader.readexactly(size + 2))[:-2]
+            piece = await self._reader.readexactly(size + 2)
+            body = body + piece[:-2]
             if not size:
                 return body
 
--- a/wagtailspread/entry/answers.py
+++ b/wagtailspread/entry/answers.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from wagtailspread.core import failures, outcomes
+from wagtailspread.entry import ledgers, requests
 
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
@@ -22,7 +23,6 @@
     outcomes.RefusalReason.TOO_LARGE: _TOO_LARGE,
     outcomes.RefusalReason.UNSUPPORTED_METHOD: _METHOD_NOT_ALLOWED,
 }
-_RETRYABLE_STATUS = _UNAVAILABLE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +31,8 @@
 
     :param reason: value of the reason header; empty for none.
     :param retry_after: seconds, or ``None`` where a retry makes no sense.
+    :param closes: whether the connection to the caller is closed, because
+        the rest of its request was not read.
     """
 
     status: int
@@ -38,12 +40,13 @@
     reason: str = ''
     retry_after: float | None = None
     closes: bool = False
+    detail: str = ''
 
     def to_response(self) -> web.Response:
         """Return the HTTP response."""
         response = web.Response(
             status=self.status,
-            text=f'{self.outcome.value}: {self.reason}\n',
+            text=f'{self.outcome.value}: {self.reason} {self.detail}\n',
         )
         response.headers[outcomes.OUTCOME_HEADER] = self.outcome.value
         if self.reason:
@@ -56,7 +59,10 @@
         return response
 
 
-def create_refusal(refusal: failures.Refusal) -> FleetAnswer:
+def create_refusal(
+    refusal: failures.Refusal,
+    _proof: ledgers.NotRun,
+) -> FleetAnswer:
     """Return the answer to a request that did not run."""
     status = _REASON_STATUS.get(refusal.reason, _UNAVAILABLE)
     retry_after = refusal.retry_after if status == _UNAVAILABLE else None
@@ -68,11 +74,41 @@
     )
 
 
+def create_fault(
+    fault: requests.RequestFault,
+    proof: ledgers.NotRun | None,
+) -> FleetAnswer:
+    """Return the answer to a request that is wrong in itself."""
+    outcome = outcomes.Outcome.NOT_RUN if proof else outcomes.Outcome.UNKNOWN
+    return FleetAnswer(
+        fault.status,
+        outcome,
+        fault.reason.value,
+        closes=fault.closes,
+        detail=fault.detail,
+    )
+
+
 def create_unknown(reason: str) -> FleetAnswer:
     """Return the answer to a request that may have run."""
     return FleetAnswer(_TIMEOUT, outcomes.Outcome.UNKNOWN, reason)
 
 
+def create_conclusion(
+    ledger: ledgers.RunLedger,
+    refusal: failures.Refusal,
+    unknown_reason: str,
+) -> FleetAnswer:
+    """Return what the ledger allows: not run, or unknown.
+
+    :param unknown_reason: how the attempt ended that may have run.
+    """
+    proof = ledger.prove_not_run()
+    if proof is None:
+        return create_unknown(unknown_reason)
+    return create_refusal(refusal, proof)
+
+
 def create_conflict() -> FleetAnswer:
     """Return the answer to a resend while its first attempt runs."""
     return FleetAnswer(
@@ -81,3 +117,13 @@
         'in-progress',
         1.0,
     )
+
+
+def create_mismatch(_proof: ledgers.NotRun) -> FleetAnswer:
+    """Return the answer to another request with a key already used."""
+    return FleetAnswer(
+        _CONFLICT,
+        outcomes.Outcome.NOT_RUN,
+        outcomes.RefusalReason.BAD_REQUEST.value,
+        detail='the key belongs to another request',
+    )
--- a/wagtailspread/entry/connections.py
+++ b/wagtailspread/entry/connections.py
@@ -2,18 +2,20 @@
 
 A connection carries one request at a time. The connector tells when an
 exchange got its connection: before that no byte can have been sent, after it
-any byte may have been.
+any byte may have been. Connections belong to a generation; a new generation
+begins when the open connections of a pool are suspected to be silent.
 """
 
 import asyncio
 import contextvars
-import dataclasses
 import socket
 import typing
 import weakref
 
 import aiohttp
 
+from wagtailspread.entry import ledgers
+
 #: Idle connections are closed after this time, in seconds. Upstreams keep
 #: idle connections longer, so a request seldom meets a closing connection.
 KEEPALIVE_SECONDS = 15.0
@@ -27,28 +29,19 @@
 TCP_PROBE_COUNT = 3
 #: Sent data without an acknowledgement closes a connection, in milliseconds.
 TCP_USER_TIMEOUT_MS = 3000
+#: Bytes of an answer that are buffered before the upstream is held back.
+READ_BUFFER_BYTES = 65536
+#: Weight of the newest exchange in the mean time of a pool.
+_MEAN_WEIGHT = 0.1
 
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """How far one exchange got.
-
-    :param is_connected: whether it has a connection, so that bytes may be
-        sent.
-    :param is_reused: whether the connection carried an earlier exchange.
-    """
-
-    is_connected: bool = False
-    is_reused: bool = False
-
-
 class RepeatedAttempt(aiohttp.ClientError):
     """The client library tried to send a request a second time by itself."""
 
 
-_progress: contextvars.ContextVar[Progress] = contextvars.ContextVar(
+_progress: contextvars.ContextVar[ledgers.Progress] = contextvars.ContextVar(
     'exchange progress',
 )
 
@@ -56,10 +49,14 @@
 class TrackingConnector(aiohttp.TCPConnector):
     """A connector that records the progress of the current exchange."""
 
-    def __init__(self, **settings: typing.Any) -> None:
+    def __init__(self, generation: int, **settings: typing.Any) -> None:
         """Start with no known connections."""
         super().__init__(**settings)
-        self._used: weakref.WeakSet[typing.Any] = weakref.WeakSet()
+        self.records: weakref.WeakKeyDictionary[
+            typing.Any,
+            ledgers.ConnectionRecord,
+        ] = weakref.WeakKeyDictionary()
+        self._generation = generation
 
     async def connect(
         self,
@@ -67,36 +64,112 @@
         traces: typing.Any,
         timeout: typing.Any,
     ) -> typing.Any:
-        """Return a connection for the one attempt of this exchange."""
+        """Return a connection for the one attempt of this exchange.
+
+        A connection on which bytes arrived while it was idle is closed:
+        they would be taken for the answer to this exchange.
+
+        :raises RepeatedAttempt: if the exchange already had a connection.
+        """
         progress = _progress.get()
         if progress.is_connected:
             raise RepeatedAttempt
         connection = await super().connect(req, traces, timeout)
+        protocol = connection.protocol
+        while protocol is None or protocol.should_close:
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
         progress.is_connected = True
-        transport = connection.transport
-        progress.is_reused = transport in self._used
-        self._used.add(transport)
+        record = self.records.get(protocol)
+        if record is None:
+            record = ledgers.ConnectionRecord(
+                self._generation,
+                asyncio.get_running_loop().time(),
+            )
+            self.records[protocol] = record
+        else:
+            progress.is_reused = True
+        progress.connection = record
         return connection
 
 
+class Generation:
+    """Connections of a pool that were opened under one session."""
+
+    def __init__(self, number: int, limit: int) -> None:
+        """Open nothing yet."""
+        self.number = number
+        self.open_exchanges = 0
+        self.is_retired = False
+        self.connector = TrackingConnector(
+            number,
+            limit=limit,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            socket_factory=create_socket,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=self.connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        )
+
+
 class UpstreamPool:
     """The connections of this host to one upstream.
 
-    :param limit: most connections open at a time.
+    :param limit: most connections of one generation.
     """
 
     def __init__(self, address: str, limit: int) -> None:
         """Open nothing yet."""
         self.base = f'http://{address}'
-        self.open_exchanges = 0
+        self.mean_seconds = 0.0
         self.last_used = 0.0
         self._limit = limit
-        self._session = self._create_session()
-        self._retired: list[aiohttp.ClientSession] = []
+        self._current = Generation(0, limit)
+        self._retired: list[Generation] = []
+        self._closing: set[asyncio.Task[None]] = set()
+
+    @property
+    def generation(self) -> int:
+        """Return the number of the generation in use."""
+        return self._current.number
+
+    @property
+    def open_exchanges(self) -> int:
+        """Return the number of exchanges that are not finished."""
+        retired = sum(one.open_exchanges for one in self._retired)
+        return self._current.open_exchanges + retired
+
+    def list_records(self) -> list[ledgers.ConnectionRecord]:
+        """Return the records of the open connections."""
+        generations = (*self._retired, self._current)
+        return [
+            record
+            for generation in generations
+            for record in generation.connector.records.values()
+        ]
+
+    def enter(self) -> Generation:
+        """Return the generation for a new exchange; :meth:`leave` it."""
+        generation = self._current
+        generation.open_exchanges += 1
+        return generation
+
+    def leave(self, generation: Generation) -> None:
+        """Note the end of an exchange; close a retired generation's last."""
+        generation.open_exchanges -= 1
+        if generation.is_retired and not generation.open_exchanges:
+            self._retired.remove(generation)
+            self._start_closing(generation)
 
     async def send(
         self,
-        progress: Progress,
+        generation: Generation,
+        progress: ledgers.Progress,
         method: str,
         url: typing.Any,
         headers: typing.Any,
@@ -104,7 +177,7 @@
     ) -> aiohttp.ClientResponse:
         """Send a request and return the head of the answer."""
         _progress.set(progress)
-        return await self._session.request(
+        return await generation.session.request(
             method,
             url,
             headers=headers,
@@ -113,44 +186,62 @@
             timeout=_TIMEOUT,
         )
 
-    async def renew(self) -> None:
+    def note_success(
+        self,
+        progress: ledgers.Progress,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Record a whole answer and the time it took."""
+        if progress.connection is not None:
+            progress.connection.succeeded_at = now
+        if self.mean_seconds:
+            difference = seconds - self.mean_seconds
+            self.mean_seconds += _MEAN_WEIGHT * difference
+        else:
+            self.mean_seconds = seconds
+
+    def renew(self) -> None:
         """Use new connections from now on.
 
-        Exchanges on the old ones may finish; idle old ones are closed when
-        the pool is.
+        Exchanges on the old ones may finish; the old ones are closed then.
+        There is at most one retired generation, so a pool never has more
+        than twice its limit of connections.
         """
-        self._retired.append(self._session)
-        self._session = self._create_session()
+        if self._retired:
+            return
+        old = self._current
+        old.is_retired = True
+        self._current = Generation(old.number + 1, self._limit)
+        if old.open_exchanges:
+            self._retired.append(old)
+        else:
+            self._start_closing(old)
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (*self._retired, self._session):
-            await session.close()
+        for generation in (*self._retired, self._current):
+            await generation.session.close()
         self._retired.clear()
+        await asyncio.gather(*self._closing)
 
-    def _create_session(self) -> aiohttp.ClientSession:
-        connector = TrackingConnector(
-            limit=self._limit,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            socket_factory=create_socket,
-        )
-        return aiohttp.ClientSession(
-            connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
-        )
+    def _start_closing(self, generation: Generation) -> None:
+        closing = asyncio.create_task(generation.session.close())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
 
 
 class PoolTable:
     """The pools of this host, one for each upstream address.
 
     :param limit: most connections to one upstream.
+    :param idle_seconds: a pool without exchanges for this long is dropped.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, idle_seconds: float = 60.0) -> None:
         """Start with no pools."""
         self._limit = limit
+        self._idle_seconds = idle_seconds
         self._pools: dict[str, UpstreamPool] = {}
 
     def find(self, address: str) -> UpstreamPool:
@@ -161,6 +252,14 @@
             self._pools[address] = pool
         return pool
 
+    async def drop_idle(self, now: float) -> None:
+        """Close the pools that were not used for a while."""
+        end = now - self._idle_seconds
+        for address, pool in list(self._pools.items()):
+            if not pool.open_exchanges and pool.last_used < end:
+                self._pools.pop(address)
+                await pool.close()
+
     async def close(self) -> None:
         """Close all connections."""
         pools = list(self._pools.values())
@@ -174,8 +273,8 @@
     created = socket.socket(family, kind, protocol)
     created.setblocking(False)
     created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     for option, setting in (
+        (socket.TCP_NODELAY, 1),
         (socket.TCP_KEEPIDLE, TCP_IDLE_SECONDS),
         (socket.TCP_KEEPINTVL, TCP_PROBE_SECONDS),
         (socket.TCP_KEEPCNT, TCP_PROBE_COUNT),
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -10,43 +10,71 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, outcomes
-from wagtailspread.entry import connections
+from wagtailspread.entry import bodies, connections, ledgers, silence
 
 #: Answers up to this size are read whole before the caller gets any of them.
 BUFFERED_BYTES = 65536
 
+_UNAVAILABLE = 503
+_ERROR_STATUS = 500
+_EVENTS = 'text/event-stream'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """A request on its way to an upstream.
 
     :param deadline: seconds on the host's clock.
+    :param may_repeat: whether it may be sent again on another connection
+        to the same upstream.
     """
 
     method: str
     target: str
     headers: typing.Any
-    body: typing.Any
+    body: bodies.RequestBody | None
     deadline: float
+    may_repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExchangeFailure(failures.Failure):
-    """An exchange without a usable answer.
-
-    :param was_sent: whether the upstream may have run the request.
-    """
+    """An exchange without a usable answer."""
 
     result: outcomes.ExchangeResult
-    was_sent: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Reply:
-    """An answer; ``body`` is ``None`` while it is still to be streamed."""
+    """An answer of an upstream.
+
+    :param body: the start of the body, or all of it.
+    :param is_whole: whether that is all.
+    :param result: how the exchange counts, from its status if ``None``.
+    """
 
     response: aiohttp.ClientResponse
-    body: bytes | None
+    body: bytes
+    is_whole: bool
+    pool: connections.UpstreamPool
+    generation: connections.Generation
+    result: outcomes.ExchangeResult | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.response.status
+
+    def classify(self) -> outcomes.ExchangeResult:
+        """Return how the exchange counts if the rest of it succeeds."""
+        if self.result is not None:
+            return self.result
+        return classify_status(self.response.status)
+
+    def close(self) -> None:
+        """Close the connection if the answer was not read to its end."""
+        self.response.close()
+        self.pool.leave(self.generation)
 
 
 ExchangeOutcome = result.Result[Reply, ExchangeFailure]
@@ -63,56 +91,201 @@
         """Keep the pools."""
         self._pools = pools
         self._clock = clock
+        self._detector = silence.SilenceDetector()
+
+    async def send(
+        self,
+        address: str,
+        outgoing: Outgoing,
+        progress: ledgers.Progress,
+    ) -> ExchangeOutcome:
+        """Send a request and return the answer's head and short body.
 
-    async def send(self, address: str, outgoing: Outgoing) -> ExchangeOutcome:
-        """Send a request and return the answer's head and short body."""
-        progress = connections.Progress()
+        :param progress: is kept up to date, whatever happens.
+        """
+        pool = self._pools.find(address)
+        now = self._clock.now()
+        pool.last_used = now
+        limit = asyncio.timeout_at(outgoing.deadline)
+        stall = silence.Stall(
+            progress,
+            now,
+            self._create_repeat(pool, outgoing),
+            limit,
+        )
+        quiet = asyncio.get_running_loop().call_at(
+            now + _quiet_seconds(pool),
+            self._note_quiet,
+            pool,
+            stall,
+        )
         try:
-            async with asyncio.timeout_at(outgoing.deadline):
-                return await self._send(address, outgoing, progress)
+            async with limit:
+                return await self._exchange(pool, outgoing, progress)
         except TimeoutError:
-            return _fail(outcomes.ExchangeResult.TIMEOUT, progress)
+            return self._conclude(pool, stall)
+        finally:
+            quiet.cancel()
+            self._forget(pool, stall)
+
+    def _note_quiet(
+        self,
+        pool: connections.UpstreamPool,
+        stall: silence.Stall,
+    ) -> None:
+        self._detector.note_quiet(pool, stall, self._clock.now())
+
+    def _forget(
+        self,
+        pool: connections.UpstreamPool,
+        stall: silence.Stall,
+    ) -> None:
+        self._detector.forget(pool, stall, self._clock.now())
+        if stall.rescue is not None:
+            stall.rescue.close()
+
+    def _conclude(
+        self,
+        pool: connections.UpstreamPool,
+        stall: silence.Stall,
+    ) -> ExchangeOutcome:
+        """Return how an exchange ended that was cut off by its limit."""
+        if not stall.progress.is_connected:
+            return _fail(outcomes.ExchangeResult.CONNECT_FAILED)
+        is_silent = self._detector.judge(pool, stall, self._clock.now())
+        ended = outcomes.ExchangeResult.TIMEOUT
+        if is_silent:
+            ended = outcomes.ExchangeResult.SILENT
+        if stall.rescue is None:
+            return _fail(ended)
+        reply = stall.rescue
+        stall.rescue = None
+        reply.result = ended
+        return result.Success(reply)
+
+    def _create_repeat(
+        self,
+        pool: connections.UpstreamPool,
+        outgoing: Outgoing,
+    ) -> silence.Repeat | None:
+        if not outgoing.may_repeat:
+            return None
+
+        async def repeat() -> Reply | None:
+            outcome = await self._exchange(pool, outgoing, ledgers.Progress())
+            if isinstance(outcome, result.Success):
+                return outcome.unwrap()
+            return None
+
+        return repeat
+
+    async def _exchange(
+        self,
+        pool: connections.UpstreamPool,
+        outgoing: Outgoing,
+        progress: ledgers.Progress,
+    ) -> ExchangeOutcome:
+        generation = pool.enter()
+        reply: Reply | None = None
+        try:
+            reply = await self._receive(pool, generation, outgoing, progress)
         except aiohttp.ClientPayloadError:
-            return _fail(outcomes.ExchangeResult.TRUNCATED, progress)
+            return _fail(outcomes.ExchangeResult.TRUNCATED)
         except (aiohttp.ClientError, OSError):
-            return _fail(outcomes.ExchangeResult.RESET, progress)
+            return _fail(_classify_loss(progress, outgoing))
+        finally:
+            if reply is None:
+                pool.leave(generation)
+        if _is_shed(reply.response):
+            progress.is_shed = True
+            reply.close()
+            return _fail(outcomes.ExchangeResult.SHED)
+        return result.Success(reply)
 
-    async def _send(
+    async def _receive(
         self,
-        address: str,
+        pool: connections.UpstreamPool,
+        generation: connections.Generation,
         outgoing: Outgoing,
-        progress: connections.Progress,
-    ) -> ExchangeOutcome:
-        pool = self._pools.find(address)
-        remaining = outgoing.deadline - self._clock.now()
-        outgoing.headers[outcomes.DEADLINE_HEADER] = str(
-            max(1, int(remaining * 1000)),
-        )
+        progress: ledgers.Progress,
+    ) -> Reply:
+        started = self._clock.now()
+        headers = outgoing.headers
+        remaining_ms = int((outgoing.deadline - started) * 1000)
+        headers[outcomes.DEADLINE_HEADER] = str(max(1, remaining_ms))
         response = await pool.send(
+            generation,
             progress,
             outgoing.method,
             yarl.URL(pool.base + outgoing.target, encoded=True),
-            outgoing.headers,
-            outgoing.body,
+            headers,
+            outgoing.body and outgoing.body.open(),
         )
-        if outcomes.SHED_HEADER in response.headers:
+        try:
+            body, is_whole = await _read_start(response)
+        except BaseException:
             response.close()
-            failure = ExchangeFailure(
-                outcomes.ExchangeResult.SHED,
-                was_sent=False,
-            )
-            return result.Failure(failure)
-        length = response.content_length
-        if length is None or length > BUFFERED_BYTES:
-            return result.Success(Reply(response, None))
-        body = await response.read()
-        return result.Success(Reply(response, body))
-
-
-def _fail(
-    ended: outcomes.ExchangeResult,
-    progress: connections.Progress,
-) -> ExchangeOutcome:
-    if not progress.is_connected:
-        ended = outcomes.ExchangeResult.CONNECT_FAILED
-    return result.Failure(ExchangeFailure(ended, progress.is_connected))
+            raise
+        now = self._clock.now()
+        pool.note_success(progress, now - started, now)
+        return Reply(response, body, is_whole, pool, generation)
+
+
+def classify_status(status: int) -> outcomes.ExchangeResult:
+    """Return the result that a whole answer with this status stands for.
+
+    >>> classify_status(404)
+    <ExchangeResult.SUCCESS: 0>
+    """
+    if status >= _ERROR_STATUS:
+        return outcomes.ExchangeResult.ERROR
+    return outcomes.ExchangeResult.SUCCESS
+
+
+async def _read_start(
+    response: aiohttp.ClientResponse,
+) -> tuple[bytes, bool]:
+    """Return the start of the body, and whether that is all of it."""
+    length = response.content_length
+    if length is not None:
+        if length > BUFFERED_BYTES and not response.content.at_eof():
+            return b'', False
+        return await response.read(), True
+    if response.content_type == _EVENTS:
+        return b'', False
+    pieces: list[bytes] = []
+    size = 0
+    while size < BUFFERED_BYTES:
+        piece = await response.content.readany()
+        if not piece:
+            return b''.join(pieces), True
+        pieces.append(piece)
+        size += len(piece)
+    return b''.join(pieces), False
+
+
+def _is_shed(response: aiohttp.ClientResponse) -> bool:
+    if response.status != _UNAVAILABLE:
+        return False
+    return response.headers.get(outcomes.SHED_HEADER) == '1'
+
+
+def _quiet_seconds(pool: connections.UpstreamPool) -> float:
+    seconds = pool.mean_seconds * silence.QUIET_FACTOR
+    limited = min(seconds, silence.MAX_QUIET_SECONDS)
+    return max(limited, silence.MIN_QUIET_SECONDS)
+
+
+def _classify_loss(
+    progress: ledgers.Progress,
+    outgoing: Outgoing,
+) -> outcomes.ExchangeResult:
+    if outgoing.body is not None and outgoing.body.fault is not None:
+        return outcomes.ExchangeResult.CANCELLED
+    if progress.is_connected:
+        return outcomes.ExchangeResult.RESET
+    return outcomes.ExchangeResult.CONNECT_FAILED
+
+
+def _fail(ended: outcomes.ExchangeResult) -> ExchangeOutcome:
+    return result.Failure(ExchangeFailure(ended))
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -1,136 +1,233 @@
-"""The path of one request: slot, exchange, answer, lease."""
+"""The path of one request: body, key, slot, exchange, answer, lease."""
 
+import asyncio
+import hashlib
 import itertools
-import typing
+
+from email import utils
 
 from aiohttp import web
 
 from returns import result
 
-from wagtailspread.core import clocks, failures, identifiers, outcomes
-from wagtailspread.entry import allocations, answers, exchanges, interfaces
-from wagtailspread.entry import requests, slots
+from wagtailspread.core import clocks, identifiers, outcomes
+from wagtailspread.entry import allocations, answers, attempts, bodies
+from wagtailspread.entry import exchanges, interfaces, keys, ledgers
+from wagtailspread.entry import requests, streaming
+
+#: Header that carries the trace context.
+TRACE_HEADER = 'traceparent'
+_FINGERPRINT_BYTES = 16
+_SEPARATOR = b'\0'
 
 
 class Forwarder:
-    """Forwards checked requests to upstreams."""
+    """Forwards checked requests to upstreams.
+
+    :param start: distinguishes this start of the host from earlier ones in
+        request and attempt ids.
+    """
 
     def __init__(
         self,
         identity: allocations.HostIdentity,
-        source: interfaces.SlotSource,
-        exchanger: exchanges.Exchanger,
+        runner: attempts.AttemptRunner,
+        keeper: keys.KeyKeeper,
+        tracer: interfaces.Tracer,
         clock: clocks.Clock,
     ) -> None:
         """Keep the parts of the path."""
         self._identity = identity
-        self._source = source
-        self._exchanger = exchanger
+        self._runner = runner
+        self._keeper = keeper
+        self._tracer = tracer
         self._clock = clock
+        self._prefix = f'{identity.host}.{int(clock.wall() * 1000):x}.'
         self._ids = itertools.count(1)
+        self._detached: set[asyncio.Task[attempts.AttemptOutcome]] = set()
 
     async def forward(
         self,
         request: web.BaseRequest,
         checked: requests.CheckedRequest,
+        ledger: ledgers.RunLedger,
     ) -> web.StreamResponse:
         """Answer a request by way of an upstream."""
-        body = await request.read() if request.body_exists else None
         deadline = self._clock.now() + checked.deadline
-        slot = slots.SlotRequest(
-            identifiers.RequestId(f'{self._identity.host}.{next(self._ids)}'),
-            self._identity.host,
-            self._identity.domain,
-            checked.route.priority,
-            deadline,
-        )
-        decision = await self._source.acquire(checked.route.service, slot)
-        if not isinstance(decision, result.Success):
-            return answers.create_refusal(decision.failure()).to_response()
-        outgoing = exchanges.Outgoing(
-            checked.method,
-            checked.target,
-            requests.copy_headers(request.headers),
-            body,
-            deadline,
+        body = await bodies.read_body(request, checked, deadline)
+        if not isinstance(body, result.Success):
+            proof = ledger.prove_not_run()
+            return answers.create_fault(body.failure(), proof).to_response()
+        parent = request.headers.get(TRACE_HEADER, '')
+        with self._tracer.start_span(checked.route.name, parent) as span:
+            headers = requests.copy_headers(request.headers)
+            if span.header:
+                headers[TRACE_HEADER] = span.header
+            job = self._create_job(checked, headers, body.unwrap(), deadline)
+            return await self._answer(request, checked, job, ledger)
+
+    async def close(self) -> None:
+        """Wait for the attempts that outlive their callers."""
+        await asyncio.gather(*self._detached, return_exceptions=True)
+        await self._keeper.close()
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        checked: requests.CheckedRequest,
+        job: attempts.Job,
+        ledger: ledgers.RunLedger,
+    ) -> web.StreamResponse:
+        if job.is_idempotent:
+            outcome = await self._runner.run(job, ledger)
+            return await self._respond(request, job, outcome, ledger)
+        claimed = await self._keeper.claim(
+            checked,
+            identifiers.AttemptId(job.request),
+            job.fingerprint,
+            job.outgoing.deadline,
         )
-        return await self._run(request, checked, decision.unwrap(), outgoing)
+        if not isinstance(claimed, result.Success):
+            return claimed.failure()
+        outcome = await self._detach(job, claimed.unwrap(), ledger)
+        return await self._respond(request, job, outcome, ledger)
 
-    async def _run(
+    async def _detach(
+        self,
+        job: attempts.Job,
+        claim: keys.Claim,
+        ledger: ledgers.RunLedger,
+    ) -> attempts.AttemptOutcome:
+        """Run a claimed request to its end even if the caller leaves.
+
+        The caller will resend it with its key and get the stored answer.
+        """
+        work = self._run_claimed(job, claim, ledger)
+        task = asyncio.get_running_loop().create_task(work)
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(lambda done: self._abandon(job, done))
+            raise
+
+    async def _run_claimed(
+        self,
+        job: attempts.Job,
+        claim: keys.Claim,
+        ledger: ledgers.RunLedger,
+    ) -> attempts.AttemptOutcome:
+        outcome = await self._runner.run(job, ledger)
+        if isinstance(outcome, result.Success):
+            held = outcome.unwrap()
+            reply = held.reply
+            if reply.is_whole:
+                self._runner.finish(job, held, reply.classify())
+            plain = keys.copy_answer(reply, utils.formatdate(usegmt=True))
+            await self._keeper.finish(claim, plain, is_whole=reply.is_whole)
+        elif ledger.prove_not_run() is None:
+            await self._keeper.mark_unknown(claim)
+        else:
+            await self._keeper.release(claim)
+        return outcome
+
+    def _abandon(
+        self,
+        job: attempts.Job,
+        done: asyncio.Task[attempts.AttemptOutcome],
+    ) -> None:
+        if done.cancelled() or done.exception() is not None:
+            return
+        outcome = done.result()
+        if isinstance(outcome, result.Success):
+            ended = outcomes.ExchangeResult.CANCELLED
+            self._runner.finish(job, outcome.unwrap(), ended)
+
+    async def _respond(
         self,
         request: web.BaseRequest,
-        checked: requests.CheckedRequest,
-        grant: slots.Grant,
-        outgoing: exchanges.Outgoing,
+        job: attempts.Job,
+        outcome: attempts.AttemptOutcome,
+        ledger: ledgers.RunLedger,
     ) -> web.StreamResponse:
-        started = self._clock.now()
+        if not isinstance(outcome, result.Success):
+            return _conclude(job, outcome.failure(), ledger)
+        held = outcome.unwrap()
+        reply = held.reply
+        if reply.is_whole:
+            self._runner.finish(job, held, reply.classify())
+            if job.is_idempotent:
+                return streaming.create_response(reply)
+            plain = keys.copy_answer(reply, utils.formatdate(usegmt=True))
+            return plain.to_response()
         ended = outcomes.ExchangeResult.CANCELLED
         try:
-            outcome = await self._exchanger.send(grant.address, outgoing)
-            if not isinstance(outcome, result.Success):
-                ended = outcome.failure().result
-                return _answer_failure(slots_request=grant, failed=outcome)
-            reply = outcome.unwrap()
-            ended = classify(reply.response.status)
-            if reply.body is not None:
-                return create_response(reply, reply.body)
-            response = await stream(request, reply)
-            return response
-        finally:
-            seconds = self._clock.now() - started
-            self._source.complete(
-                checked.route.service,
-                slots.Completion(grant.lease, ended, seconds),
+            response, ended = await streaming.stream_reply(
+                request,
+                reply,
+                job.outgoing.deadline,
             )
+        finally:
+            self._runner.finish(job, held, ended)
+        return response
 
-
-def classify(status: int) -> outcomes.ExchangeResult:
-    """Return the result that a whole answer with this status stands for."""
-    if status >= 500:
-        return outcomes.ExchangeResult.ERROR
-    return outcomes.ExchangeResult.SUCCESS
-
-
-def create_response(reply: exchanges.Reply, body: bytes) -> web.Response:
-    """Return the answer of an upstream that was read whole."""
-    headers = requests.copy_headers(reply.response.headers)
-    headers[outcomes.OUTCOME_HEADER] = outcomes.Outcome.UPSTREAM.value
-    return web.Response(
-        status=reply.response.status,
-        reason=reply.response.reason,
-        headers=headers,
-        body=body,
-    )
+    def _create_job(
+        self,
+        checked: requests.CheckedRequest,
+        headers: requests.Headers,
+        body: bodies.RequestBody | None,
+        deadline: float,
+    ) -> attempts.Job:
+        route = checked.route
+        outgoing = exchanges.Outgoing(
+            checked.method,
+            checked.target,
+            headers,
+            body,
+            deadline,
+            may_repeat=route.is_idempotent and (body is None or body.is_whole),
+        )
+        return attempts.Job(
+            identifiers.RequestId(self._prefix + str(next(self._ids))),
+            route.service,
+            route.priority,
+            route.is_idempotent,
+            compute_fingerprint(checked, body),
+            outgoing,
+        )
 
 
-async def stream(
-    request: web.BaseRequest,
-    reply: exchanges.Reply,
-) -> web.StreamResponse:
-    """Pass an answer on piece by piece."""
-    headers = requests.copy_headers(reply.response.headers)
-    headers[outcomes.OUTCOME_HEADER] = outcomes.Outcome.UPSTREAM.value
-    response = web.StreamResponse(
-        status=reply.response.status,
-        reason=reply.response.reason,
-        headers=headers,
+def compute_fingerprint(
+    checked: requests.CheckedRequest,
+    body: bodies.RequestBody | None,
+) -> bytes:
+    """Return a hash that equal requests share."""
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    named = (
+        checked.route.service,
+        checked.method,
+        checked.target,
+        checked.caller,
+        checked.key or '',
     )
-    await response.prepare(request)
-    async for piece in reply.response.content.iter_any():
-        await response.write(piece)
-    await response.write_eof()
-    return response
+    digest.update('\0'.join(named).encode())
+    if body is not None:
+        digest.update(_SEPARATOR)
+        digest.update(body.prefix)
+    return digest.digest()
 
 
-def _answer_failure(
-    slots_request: slots.Grant,
-    failed: typing.Any,
+def _conclude(
+    job: attempts.Job,
+    exhausted: attempts.Exhausted,
+    ledger: ledgers.RunLedger,
 ) -> web.StreamResponse:
-    failure = failed.failure()
-    if failure.was_sent:
-        return answers.create_unknown(failure.result.name.lower()).to_response()
-    refusal = failures.Refusal(
-        slots_request.request,
-        outcomes.RefusalReason.NO_CAPACITY,
-    )
-    return answers.create_refusal(refusal).to_response()
+    body = job.outgoing.body
+    if body is not None and body.fault is not None:
+        proof = ledger.prove_not_run()
+        return answers.create_fault(body.fault, proof).to_response()
+    ended = exhausted.ended
+    reason = '' if ended is None else ended.name.lower()
+    answer = answers.create_conclusion(ledger, exhausted.refusal, reason)
+    return answer.to_response()
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -11,6 +11,7 @@
 
 from wagtailspread.core import failures, identifiers, priorities
 from wagtailspread.entry import slots
+from wagtailspread.wire import messages
 
 
 class Route(typing.Protocol):
@@ -131,6 +132,32 @@
         """Pass an announcement on; does not wait."""
 
 
+class KeyStore(typing.Protocol):
+    """Claims on idempotency keys, kept by the replicas.
+
+    Requests and answers are structs of the wire protocol.
+    """
+
+    async def claim_key(
+        self,
+        request: messages.Struct,
+        timeout: float,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Claim a key; the answer is a ``ClaimAnswer``."""
+
+    async def finish_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Record how an attempt ended."""
+
+    async def release_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Give up a claim whose attempt sent nothing."""
+
+
 class Span(typing.Protocol):
     """One hop of a traced request."""
 
@@ -150,6 +177,30 @@
         """Open a span under the hop described by ``parent_header``."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """What is logged and counted of a finished request.
+
+    :param outcome: value of the outcome header; empty for a broken transfer.
+    :param seconds: from arrival to the end of the answer.
+    """
+
+    route: Route
+    caller: identifiers.CallerId
+    outcome: str
+    reason: str
+    status: int
+    attempts: int
+    seconds: float
+
+
+class RequestObserver(typing.Protocol):
+    """Takes the records of finished requests to logs and metrics."""
+
+    def note_request(self, record: RequestRecord) -> None:
+        """Take one record; does not wait."""
+
+
 class Logger(typing.Protocol):
     """The part of a log channel that the entry host uses."""
 
--- /dev/null
+++ b/wagtailspread/entry/protections.py
@@ -0,0 +1,195 @@
+"""Protection of the HTTP listener against heads that never end or parse.
+
+aiohttp limits the size of lines and fields and refuses what it cannot parse;
+this module gives those refusals the fleet's headers, and ends connections
+whose request head takes too long.
+"""
+
+import asyncio
+import dataclasses
+import math
+import typing
+import weakref
+
+from aiohttp import http_exceptions, web
+
+from wagtailspread.core import outcomes
+
+#: Time between looks for connections with an overdue head, in seconds.
+SWEEP_SECONDS = 0.25
+
+_BAD_REQUEST = 400
+_HEAD_TOO_LARGE = 431
+_SERVER_ERROR = 500
+_OVERDUE = (
+    'HTTP/1.1 400 Bad Request\r\n'
+    f'{outcomes.OUTCOME_HEADER}: {outcomes.Outcome.NOT_RUN.value}\r\n'
+    f'{outcomes.REASON_HEADER}: {outcomes.RefusalReason.BAD_REQUEST.value}\r\n'
+    'Content-Length: 0\r\n'
+    'Connection: close\r\n\r\n'
+).encode()
+
+Handler = typing.Callable[
+    [web.BaseRequest],
+    typing.Awaitable[web.StreamResponse],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadLimits:
+    """Limits of request heads.
+
+    :param seconds: from the first byte of a head to its end.
+    :param field_bytes: longest request line and header field.
+    :param fields: most header fields.
+    :param keepalive_seconds: idle time of a connection.
+    """
+
+    seconds: float = 5.0
+    field_bytes: int = 8190
+    fields: int = 100
+    keepalive_seconds: float = 75.0
+
+
+DEFAULT_LIMITS = HeadLimits()
+
+
+class GuardedProtocol(web.RequestHandler):
+    """One connection of a caller, with a time limit for heads.
+
+    :param head_deadline: when the head must be complete; infinite while a
+        request is handled or nothing was received.
+    """
+
+    __slots__ = ('head_deadline', '_head_seconds', '_is_busy')
+
+    def __init__(
+        self,
+        manager: 'GuardedServer',
+        head_seconds: float,
+        **settings: typing.Any,
+    ) -> None:
+        """Wait for a first byte."""
+        super().__init__(manager, **settings)
+        self.head_deadline = math.inf
+        self._head_seconds = head_seconds
+        self._is_busy = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the time limit of the first head."""
+        super().connection_made(transport)
+        self._start_limit()
+
+    def data_received(self, data: bytes) -> None:
+        """Start the time limit of a head with its first byte."""
+        if not self._is_busy and self.head_deadline == math.inf:
+            self._start_limit()
+        super().data_received(data)
+
+    def enter(self) -> None:
+        """Note that a head is complete and its request is handled."""
+        self._is_busy = True
+        self.head_deadline = math.inf
+
+    def leave(self) -> None:
+        """Note that the request was answered."""
+        self._is_busy = False
+
+    def end_overdue(self, now: float) -> None:
+        """Refuse the head if it took too long."""
+        if now < self.head_deadline:
+            return
+        if isinstance(self.transport, asyncio.WriteTransport):
+            self.transport.write(_OVERDUE)
+        self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = _SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to what could not be parsed."""
+        if status >= _SERVER_ERROR:
+            answer = super().handle_error(request, status, exc, message)
+            outcome = outcomes.Outcome.UNKNOWN
+            answer.headers[outcomes.OUTCOME_HEADER] = outcome.value
+            return answer
+        response = web.Response(status=_choose_status(exc))
+        outcome = outcomes.Outcome.NOT_RUN
+        reason = outcomes.RefusalReason.BAD_REQUEST
+        response.headers[outcomes.OUTCOME_HEADER] = outcome.value
+        response.headers[outcomes.REASON_HEADER] = reason.value
+        response.force_close()
+        return response
+
+    def _start_limit(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.head_deadline = now + self._head_seconds
+
+
+class GuardedServer(web.Server):
+    """Makes guarded protocols and ends those with an overdue head."""
+
+    def __init__(self, handler: Handler, limits: HeadLimits) -> None:
+        """Start the sweep; needs a running event loop."""
+        super().__init__(self._handle)
+        self._inner = handler
+        self._limits = limits
+        self._protocols: weakref.WeakSet[GuardedProtocol] = weakref.WeakSet()
+        self._sweeping = asyncio.create_task(self._sweep())
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        protocol = GuardedProtocol(
+            self,
+            self._limits.seconds,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=self._limits.keepalive_seconds,
+            max_line_size=self._limits.field_bytes,
+            max_field_size=self._limits.field_bytes,
+            max_headers=self._limits.fields,
+            read_bufsize=self._limits.field_bytes * 8,
+        )
+        self._protocols.add(protocol)
+        return protocol
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close all connections."""
+        self._sweeping.cancel()
+        await super().shutdown(timeout)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        protocol = request.protocol
+        if not isinstance(protocol, GuardedProtocol):
+            return await self._inner(request)
+        protocol.enter()
+        try:
+            return await self._inner(request)
+        finally:
+            protocol.leave()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = asyncio.get_running_loop().time()
+            for protocol in list(self._protocols):
+                protocol.end_overdue(now)
+
+
+def create_server(handler: Handler, limits: HeadLimits) -> GuardedServer:
+    """Return a server whose handler is cancelled when its caller leaves."""
+    server = GuardedServer(handler, limits)
+    server.handler_cancellation = True
+    return server
+
+
+def _choose_status(exc: BaseException | None) -> int:
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return _HEAD_TOO_LARGE
+    if 'Too many headers' in str(exc):
+        return _HEAD_TOO_LARGE
+    return _BAD_REQUEST
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -7,14 +7,12 @@
 
 from returns import result
 
-from wagtailspread.core import identifiers, outcomes
+from wagtailspread.core import identifiers
 from wagtailspread.entry import announcements, answers, forwarding, interfaces
-from wagtailspread.entry import requests
+from wagtailspread.entry import ledgers, protections, requests
 
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
-#: Longest request line and header field, in bytes.
-MAX_HEADER_BYTES = 8190
 
 
 class Readiness(typing.Protocol):
@@ -34,6 +32,7 @@
         sink: interfaces.AnnouncementSink,
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
+        limits: protections.HeadLimits,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
         self._routing = routing
@@ -41,19 +40,13 @@
         self._sink = sink
         self._readiness = readiness
         self._read_status = read_status
+        self._limits = limits
         self._runner: web.ServerRunner | None = None
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
         ip, _, port = address.rpartition(':')
-        server = web.Server(
-            self.handle,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
+        server = protections.create_server(self.handle, self._limits)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(self._runner, ip, int(port))
@@ -68,36 +61,35 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        if request.path.startswith(OWN_PREFIX):
+        target = request.raw_path
+        if target.startswith(OWN_PREFIX):
             return await self._handle_own(request)
         checked = requests.check_head(
             request.method,
-            request.path_qs,
-            request.path,
+            target,
             request.headers,
             self._routing,
         )
+        ledger = ledgers.RunLedger()
         if isinstance(checked, result.Success):
-            return await self._forwarder.forward(request, checked.unwrap())
-        fault = checked.failure()
-        return answers.FleetAnswer(
-            fault.status,
-            outcomes.Outcome.NOT_RUN,
-            fault.reason.value,
-        ).to_response()
+            head = checked.unwrap()
+            return await self._forwarder.forward(request, head, ledger)
+        proof = ledger.prove_not_run()
+        return answers.create_fault(checked.failure(), proof).to_response()
 
     async def _handle_own(
         self,
         request: web.BaseRequest,
     ) -> web.StreamResponse:
-        if request.path == '/-/announce':
+        path = request.path
+        if path == '/-/announce':
             return await self._announce(request)
-        if request.path == '/-/ready':
+        if path == '/-/ready':
             ready = self._readiness.is_ready()
             return web.Response(status=200 if ready else 503)
-        if request.path == '/-/live':
+        if path == '/-/live':
             return web.Response(status=200)
-        if request.path == '/-/status':
+        if path == '/-/status':
             return web.Response(
                 text=json.dumps(self._read_status()),
                 content_type='application/json',
@@ -119,6 +111,14 @@
     sink: interfaces.AnnouncementSink,
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
+    limits: protections.HeadLimits = protections.DEFAULT_LIMITS,
 ) -> EntryServer:
     """Return a server that is not started."""
-    return EntryServer(routing, forwarder, sink, readiness, read_status)
+    return EntryServer(
+        routing,
+        forwarder,
+        sink,
+        readiness,
+        read_status,
+        limits,
+    )
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -6,12 +6,15 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.entry import (
     allocations,
+    attempts,
     connections,
     exchanges,
     forwarding,
     handlers,
     interfaces,
+    keys,
     owners,
+    protections,
     servers,
 )
 from wagtailspread.testing import stand_ins, upstreams
@@ -38,7 +41,7 @@
 class Host:
     """One entry host of a test fleet."""
 
-    def __init__(self, name, ownership):
+    def __init__(self, name, ownership, limits):
         clock = clocks.SystemClock()
         peer = credentials.Peer(SITE, identifiers.HostId(name), 'entry')
         own = credentials.Credentials(peer, KEY)
@@ -60,17 +63,28 @@
             clock,
         )
         self.pools = connections.PoolTable(9)
+        self.keys = stand_ins.MemoryKeyStore()
+        runner = attempts.AttemptRunner(
+            peer.host,
+            DOMAIN,
+            self.client,
+            exchanges.Exchanger(self.pools, clock),
+            clock,
+        )
+        self.forwarder = forwarding.Forwarder(
+            identity,
+            runner,
+            keys.KeyKeeper(self.keys, peer.host, clock),
+            stand_ins.SilentTracer(),
+            clock,
+        )
         self.server = servers.create_server(
             stand_ins.FixedRouting(ROUTES),
-            forwarding.Forwarder(
-                identity,
-                self.client,
-                exchanges.Exchanger(self.pools, clock),
-                clock,
-            ),
+            self.forwarder,
             self.client,
             stand_ins.AlwaysReady(),
             dict,
+            limits,
         )
         self.control = ANY_PORT
         self.address = ANY_PORT
@@ -81,6 +95,7 @@
 
     async def close(self):
         await self.server.close()
+        await self.forwarder.close()
         await self.client.close()
         await self.pools.close()
         await self.links.close()
@@ -89,10 +104,17 @@
 
 
 @contextlib.asynccontextmanager
-async def start_fleet(host_count=1, upstream_count=1, slots=6):
+async def start_fleet(
+    host_count=1,
+    upstream_count=1,
+    slots=6,
+    limits=protections.DEFAULT_LIMITS,
+):
     """Yield hosts, the first of which owns the service, and upstreams."""
     ownership = stand_ins.FixedOwnership([])
-    hosts = [Host(f'h{number}', ownership) for number in range(host_count)]
+    hosts = [
+        Host(f'h{number}', ownership, limits) for number in range(host_count)
+    ]
     started = []
     for host in hosts:
         await host.start()
--- /dev/null
+++ b/wagtailspread/entry/tests/test_refusals.py
@@ -0,0 +1,191 @@
+"""What callers send wrongly, on loopback sockets and in the checks."""
+
+import asyncio
+
+import multidict
+import pytest
+
+from wagtailspread.core import outcomes
+from wagtailspread.entry import protections, requests
+from wagtailspread.entry.tests import fleets, sockets
+from wagtailspread.testing import stand_ins
+
+ROUTING = stand_ins.FixedRouting(
+    fleets.ROUTES,
+    stand_ins.FixedLimits(max_body=100),
+)
+END = b'Host: a\r\nConnection: close\r\n'
+
+
+def create_raw(*parts):
+    return b''.join(parts)
+
+
+
+def check(method='GET', target='/vitrina/a', **headers):
+    fields = [(name.replace('_', '-'), headers[name]) for name in headers]
+    return requests.check_head(
+        method,
+        target,
+        multidict.CIMultiDict(fields),
+        ROUTING,
+    )
+
+
+@pytest.mark.parametrize(
+    ('expected', 'reason', 'arguments'),
+    [
+        (405, 'unsupported-method', {'method': 'CONNECT'}),
+        (404, 'unknown-service', {'target': '/nowhere'}),
+        (400, 'bad-request', {'target': 'http://a/vitrina'}),
+        (400, 'bad-request', {'target': '/vitrina/../contratos/1'}),
+        (400, 'bad-request', {'target': '/vitrina/%2E%2e/contratos/1'}),
+        (400, 'bad-request', {'target': '/vitrina/\x01'}),
+        (400, 'key-required', {'target': '/contratos/1'}),
+        (400, 'bad-request', {'Idempotency_Key': 'a b'}),
+        (400, 'bad-request', {'Idempotency_Key': ''}),
+        (400, 'bad-request', {'Idempotency_Key': 'k' * 256}),
+        (400, 'bad-request', {'Wagtailspread_Caller': 'c' * 256}),
+        (400, 'bad-request', {'Wagtailspread_Deadline_Ms': '0'}),
+        (400, 'bad-request', {'Wagtailspread_Deadline_Ms': '-5'}),
+        (400, 'bad-request', {'Wagtailspread_Deadline_Ms': '1e3'}),
+        (400, 'bad-request', {'Wagtailspread_Deadline_Ms': '600001'}),
+        (400, 'bad-request', {'Content_Length': '5 '}),
+        (400, 'bad-request', {'Content_Length': '+5'}),
+        (400, 'bad-request', {'Transfer_Encoding': 'gzip, chunked'}),
+        (413, 'too-large', {'Content_Length': '101'}),
+        (400, 'bad-request', {'Expect': 'something'}),
+    ],
+)
+def test_wrong_heads_are_refused_with_status_and_reason(
+    expected,
+    reason,
+    arguments,
+):
+    """Guards against a wrong request that reaches an upstream."""
+    fault = check(**arguments).failure()
+    assert (fault.status, fault.reason.value) == (expected, reason)
+
+
+def test_both_kinds_of_length_are_refused():
+    """Guards against request smuggling by conflicting lengths."""
+    fault = check(Content_Length='5', Transfer_Encoding='chunked').failure()
+    assert fault.status == 400 and fault.closes
+
+
+def test_repeated_single_headers_are_refused():
+    """Guards against two hops that read different keys or deadlines."""
+    for name in ('Idempotency-Key', 'Wagtailspread-Deadline-Ms', 'Host'):
+        headers = multidict.CIMultiDict([(name, '1'), (name, '2')])
+        checked = requests.check_head('GET', '/vitrina', headers, ROUTING)
+        assert checked.failure().status == 400
+
+
+def test_hop_headers_are_not_forwarded():
+    """Guards against connection headers that reach an upstream."""
+    headers = multidict.CIMultiDict(
+        [
+            ('Connection', 'close, X-Secret'),
+            ('X-Secret', '1'),
+            ('Keep-Alive', '5'),
+            ('TE', 'trailers'),
+            ('Upgrade', 'h2c'),
+            ('Accept', 'a'),
+            ('Accept', 'b'),
+        ],
+    )
+    copied = requests.copy_headers(headers)
+    assert list(copied.items()) == [('Accept', 'a'), ('Accept', 'b')]
+
+
+@pytest.mark.parametrize(
+    ('expected', 'raw'),
+    [
+        (400, b'GET /vitrina\r\n\r\n'),
+        (400, b'\x16\x03\x01\x00\xa5\x01\r\n\r\n'),
+        (400, b'GET /vitrina HTTP/1.1\r\nA b: 1\r\n' + END + b'\r\n'),
+        (
+            400,
+            b'POST /vitrina HTTP/1.1\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n' + END + b'\r\n0\r\n\r\n',
+        ),
+        (
+            400,
+            b'POST /vitrina HTTP/1.1\r\nContent-Length: 1\r\n'
+            b'Content-Length: 2\r\n' + END + b'\r\nab',
+        ),
+        (
+            400,
+            b'POST /vitrina HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+            + END
+            + b'\r\nzz\r\nab\r\n0\r\n\r\n',
+        ),
+        (431, b'GET /vitrina HTTP/1.1\r\nA: ' + b'a' * 9000 + b'\r\n\r\n'),
+        (431, b'GET /vitrina HTTP/1.1\r\n' + b'A: a\r\n' * 200 + b'\r\n'),
+    ],
+)
+async def test_what_does_not_parse_is_refused_as_not_run(expected, raw):
+    """Guards against refusals that do not tell the caller the outcome."""
+    async with fleets.start_fleet() as (hosts, ups):
+        answer = await sockets.request_raw(hosts[0].address, raw)
+        assert answer.status == expected
+        assert answer.headers['wagtailspread-outcome'] == 'not-run'
+        assert answer.headers['wagtailspread-reason'] == 'bad-request'
+        assert not ups[0].counts['runs']
+
+
+async def test_head_that_never_ends_is_refused_in_time():
+    """Guards against callers that hold connections with unfinished heads."""
+    limits = protections.HeadLimits(seconds=0.3)
+    async with fleets.start_fleet(limits=limits) as (hosts, _):
+        answer = await sockets.request_raw(
+            hosts[0].address,
+            b'GET /vitrina HTTP/1.1\r\nHost: a\r\n',
+        )
+        assert answer.status == 400
+        assert answer.headers['wagtailspread-outcome'] == 'not-run'
+
+
+async def test_slow_body_is_refused_before_it_takes_a_slot():
+    """Guards against slow uploads that hold slots of an upstream."""
+    async with fleets.start_fleet() as (hosts, ups):
+        answer = await sockets.request_raw(
+            hosts[0].address,
+            b'POST /vitrina HTTP/1.1\r\nContent-Length: 50\r\n'
+            b'Wagtailspread-Deadline-Ms: 300\r\n' + END + b'\r\nabc',
+        )
+        assert answer.status == 400
+        assert answer.headers['wagtailspread-outcome'] == 'not-run'
+        assert not ups[0].counts['requests']
+
+
+async def test_endless_body_is_refused_and_never_taken_for_whole():
+    """Guards against chunked bodies beyond the limit."""
+    chunk = b'ffff\r\n' + b'a' * 0xFFFF + b'\r\n'
+    head = b'POST /vitrina HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+    async with fleets.start_fleet() as (hosts, ups):
+        answer = await sockets.request_raw(
+            hosts[0].address,
+            head + END + b'\r\n' + chunk * 40,
+        )
+        assert answer.status == 413
+        assert answer.headers['wagtailspread-outcome'] == 'unknown'
+        assert not ups[0].counts['answered']
+
+
+async def test_caller_that_waits_for_continue_gets_it():
+    """Guards against uploads that stall until their caller gives up."""
+    async with fleets.start_fleet() as (hosts, ups):
+        ip, _, port = hosts[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(
+            b'POST /vitrina HTTP/1.1\r\nContent-Length: 3\r\n'
+            b'Expect: 100-continue\r\n' + END + b'\r\n',
+        )
+        head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 2)
+        assert head.startswith(b'HTTP/1.1 100')
+        writer.write(b'abc')
+        answer = sockets.parse_answer(await reader.read())
+        assert answer.status == 200
+        assert answer.headers[outcomes.OUTCOME_HEADER.lower()] == 'upstream'
+        writer.close()
--- a/wagtailspread/testing/stand_ins.py
+++ b/wagtailspread/testing/stand_ins.py
@@ -6,8 +6,11 @@
 import itertools
 import typing
 
+from returns import result
+
 from wagtailspread.core import failures, identifiers, outcomes, priorities
 from wagtailspread.entry import interfaces, slots
+from wagtailspread.wire import messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,86 @@
         return contextlib.nullcontext(SilentSpan(parent_header))
 
 
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    """A claim on one key."""
+
+    attempt: str
+    fingerprint: bytes
+    state: str = 'running'
+    answer: typing.Any = None
+
+
+class MemoryKeyStore:
+    """Claims in memory; can be made unreachable."""
+
+    def __init__(self) -> None:
+        """Start without claims."""
+        self.claims: dict[tuple[str, str, str], _Claim] = {}
+        self.is_reachable = True
+
+    async def claim_key(
+        self,
+        request: messages.Struct,
+        timeout: float,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Claim a key; the answer is a ``ClaimAnswer``."""
+        if not self.is_reachable:
+            return _unreachable()
+        known = self.claims.get(_key(request))
+        if known is None or known.state == 'released':
+            self.claims[_key(request)] = _Claim(
+                request.attempt,
+                request.fingerprint,
+            )
+            return _answer('granted')
+        if known.fingerprint != request.fingerprint:
+            return _answer('mismatch')
+        return _answer(known.state, known.answer)
+
+    async def finish_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Record how an attempt ended."""
+        if not self.is_reachable:
+            return _unreachable()
+        claim = self.claims[_key(request)]
+        if claim.attempt == request.attempt:
+            claim.state = request.state
+            claim.answer = request.answer
+        return result.Success(messages.structs.Empty())
+
+    async def release_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Give up a claim."""
+        if not self.is_reachable:
+            return _unreachable()
+        claim = self.claims.get(_key(request))
+        if claim is not None and claim.attempt == request.attempt:
+            claim.state = 'released'
+        return result.Success(messages.structs.Empty())
+
+
+def _key(request: messages.Struct) -> tuple[str, str, str]:
+    return request.service_name, request.caller, request.key
+
+
+def _answer(
+    state: str,
+    stored: typing.Any = None,
+) -> result.Result[messages.Struct, failures.Failure]:
+    answer = messages.structs.ClaimAnswer(state=state, answer=stored)
+    return result.Success(answer)
+
+
+def _unreachable() -> result.Result[messages.Struct, failures.Failure]:
+    address = identifiers.Address('')
+    return result.Failure(failures.Unreachable(address))
+
+
 def _refuse(
     request: slots.SlotRequest,
     reason: outcomes.RefusalReason,
