--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -9,7 +9,6 @@
 import dataclasses
 import math
 import typing
-import weakref
 
 from aiohttp import http_exceptions, web
 
@@ -43,12 +42,15 @@
     :param field_bytes: longest request line and header field.
     :param fields: most header fields.
     :param keepalive_seconds: idle time of a connection.
+    :param linger_seconds: for which the rest of a refused body is read, so
+        that the caller gets the refusal.
     """
 
     seconds: float = 5.0
     field_bytes: int = 8190
     fields: int = 100
     keepalive_seconds: float = 75.0
+    linger_seconds: float = 1.0
 
 
 DEFAULT_LIMITS = HeadLimits()
@@ -137,16 +139,16 @@
         super().__init__(self._handle)
         self._inner = handler
         self._limits = limits
-        self._protocols: weakref.WeakSet[GuardedProtocol] = weakref.WeakSet()
         self._sweeping = asyncio.create_task(self._sweep())
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        protocol = GuardedProtocol(
+        return GuardedProtocol(
             self,
             self._limits.seconds,
             loop=asyncio.get_running_loop(),
             access_log=None,
+            lingering_time=self._limits.linger_seconds,
             auto_decompress=False,
             keepalive_timeout=self._limits.keepalive_seconds,
             max_line_size=self._limits.field_bytes,
@@ -154,8 +156,6 @@
             max_headers=self._limits.fields,
             read_bufsize=self._limits.field_bytes * 8,
         )
-        self._protocols.add(protocol)
-        return protocol
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections."""
@@ -176,8 +176,9 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             now = asyncio.get_running_loop().time()
-            for protocol in list(self._protocols):
-                protocol.end_overdue(now)
+            for protocol in self.connections:
+                if isinstance(protocol, GuardedProtocol):
+                    protocol.end_overdue(now)
 
 
 def create_server(handler: Handler, limits: HeadLimits) -> GuardedServer:
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -3,17 +3,20 @@
 import json
 import typing
 
-from aiohttp import web
+from aiohttp import http, web
 
 from returns import result
 
-from wagtailspread.core import identifiers
+from wagtailspread.core import identifiers, outcomes
 from wagtailspread.entry import announcements, answers, forwarding, interfaces
 from wagtailspread.entry import ledgers, protections, requests
 
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
 
+_BAD_REQUEST = 400
+_OLDEST_VERSION = http.HttpVersion10
+
 
 class Readiness(typing.Protocol):
     """Tells whether the balancer should send callers here."""
@@ -64,6 +67,8 @@
         target = request.raw_path
         if target.startswith(OWN_PREFIX):
             return await self._handle_own(request)
+        if request.version < _OLDEST_VERSION:
+            return _refuse_version()
         checked = requests.check_head(
             request.method,
             target,
@@ -105,6 +110,17 @@
         return web.Response(status=fault.status, text=fault.detail)
 
 
+def _refuse_version() -> web.StreamResponse:
+    fault = requests.RequestFault(
+        _BAD_REQUEST,
+        outcomes.RefusalReason.BAD_REQUEST,
+        'HTTP version',
+        closes=True,
+    )
+    proof = ledgers.RunLedger().prove_not_run()
+    return answers.create_fault(fault, proof).to_response()
+
+
 def create_server(
     routing: interfaces.Routing,
     forwarder: forwarding.Forwarder,
--- /dev/null
+++ b/wagtailspread/entry/tests/test_exchanges.py
@@ -0,0 +1,238 @@
+"""Exchanges with upstreams that fail in each way, on loopback sockets."""
+
+import asyncio
+
+import pytest
+
+from aiohttp import client
+
+from wagtailspread.core import outcomes
+from wagtailspread.entry import slots
+from wagtailspread.entry.tests import fleets, sockets
+from wagtailspread.testing import upstreams
+
+RESULTS = outcomes.ExchangeResult
+
+
+async def fetch(host, path='/vitrina/a', method='GET', body=None, **headers):
+    named = {name.replace('_', '-'): headers[name] for name in headers}
+    url = f'http://{host.address}{path}'
+    async with client.ClientSession() as session:
+        async with session.request(
+            method,
+            url,
+            headers=named,
+            data=body,
+        ) as answer:
+            return answer, await answer.read()
+
+
+def outcome_of(answer):
+    return answer.headers[outcomes.OUTCOME_HEADER]
+
+
+def results_of(host):
+    return [one.result for one in host.coordinator.completed]
+
+
+async def replace_upstream(host, address, upstream='u0'):
+    row = host.coordinator.rows[upstream]
+    fields = {name: getattr(row, name) for name in row.__slots__}
+    fields['address'] = address
+    host.coordinator.rows[upstream] = slots.Announcement(**fields)
+
+
+async def start_script(host, ups, script):
+    """Replace the first upstream's address by that of a script."""
+    for up in ups:
+        up.mode.announces = False
+    await asyncio.sleep(0.02)
+    scripted = await sockets.ScriptedUpstream(script).start()
+    await replace_upstream(host, scripted.address)
+    return scripted
+
+
+@pytest.mark.parametrize(
+    ('mode', 'method', 'status', 'outcome', 'ended'),
+    [
+        ({'reset_ratio': 1.0}, 'GET', 504, 'unknown', RESULTS.RESET),
+        ({'truncate_ratio': 1.0}, 'GET', 504, 'unknown', RESULTS.TRUNCATED),
+        ({'hang_ratio': 1.0}, 'GET', 504, 'unknown', RESULTS.TIMEOUT),
+        ({'error_ratio': 1.0}, 'GET', 500, 'upstream', RESULTS.ERROR),
+        ({'shed_ratio': 1.0}, 'GET', 503, 'not-run', RESULTS.SHED),
+    ],
+)
+async def test_each_fault_has_its_outcome_and_evidence(
+    mode,
+    method,
+    status,
+    outcome,
+    ended,
+):
+    """Guards against faults that are blamed or reported wrongly."""
+    async with fleets.start_fleet() as (hosts, ups):
+        for name, ratio in mode.items():
+            setattr(ups[0].mode, name, ratio)
+        answer, _ = await fetch(
+            hosts[0],
+            method=method,
+            Wagtailspread_Deadline_Ms='400',
+        )
+        assert (answer.status, outcome_of(answer)) == (status, outcome)
+        assert set(results_of(hosts[0])) == {ended}
+        assert not hosts[0].coordinator.leases
+
+
+async def test_refused_connection_is_not_run_and_retried_elsewhere():
+    """Guards against requests lost to an upstream that is gone."""
+    async with fleets.start_fleet(upstream_count=2) as (hosts, ups):
+        for up in ups:
+            up.mode.announces = False
+        await ups[0].close()
+        for _ in range(4):
+            answer, _ = await fetch(hosts[0])
+            assert (answer.status, outcome_of(answer)) == (200, 'upstream')
+        assert RESULTS.CONNECT_FAILED in results_of(hosts[0])
+
+
+async def test_503_without_shed_header_may_have_run():
+    """Guards against a not-run answer for a request that ran."""
+
+    async def script(upstream, reader, writer):
+        await upstream.read_head(reader)
+        writer.write(b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n')
+        await asyncio.sleep(1)
+
+    async with fleets.start_fleet() as (hosts, ups):
+        await start_script(hosts[0], ups, script)
+        answer, _ = await fetch(hosts[0])
+        assert (answer.status, outcome_of(answer)) == (503, 'upstream')
+
+
+async def test_library_does_not_send_a_request_twice_by_itself():
+    """Guards against runs that the allocator does not know of."""
+
+    async def script(upstream, reader, writer):
+        while True:
+            await upstream.read_head(reader)
+            if upstream.requests > 1:
+                return
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+    async with fleets.start_fleet() as (hosts, ups):
+        scripted = await start_script(hosts[0], ups, script)
+        await fetch(hosts[0])
+        answer, _ = await fetch(hosts[0])
+        assert outcome_of(answer) == 'unknown'
+        assert scripted.requests == 2
+
+
+async def test_late_answer_on_an_idle_connection_reaches_nobody():
+    """Guards against an answer that belongs to another request."""
+
+    async def script(upstream, reader, writer):
+        while True:
+            head = await upstream.read_head(reader)
+            name = head.split(b'X-Name: ')[1].split(b'\r\n')[0]
+            answer = b''.join(
+                (b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n', name)
+            )
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            writer.write(answer)
+
+    async with fleets.start_fleet() as (hosts, ups):
+        await start_script(hosts[0], ups, script)
+        for name in ('one', 'two', 'six'):
+            _, body = await fetch(hosts[0], X_Name=name)
+            assert body.decode() == name
+            await asyncio.sleep(0.15)
+
+
+async def test_long_answer_that_breaks_off_is_a_broken_transfer():
+    """Guards against a truncated body that passes for a whole one."""
+    async with fleets.start_fleet() as (hosts, ups):
+        ups[0].mode.truncate_ratio = 1.0
+        with pytest.raises(client.ClientError):
+            await fetch(hosts[0], X_Answer_Bytes='300000')
+        assert results_of(hosts[0]) == [RESULTS.TRUNCATED]
+
+
+async def test_truncated_chunked_answer_breaks_http_1_0_callers_too():
+    """Guards against an end of connection that reads as an end of body."""
+
+    async def script(upstream, reader, writer):
+        await upstream.read_head(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+        writer.write(b'20000\r\n')
+        writer.write(b'a' * 0x20000)
+        writer.write(b'\r\n20000\r\nbb')
+        await writer.drain()
+
+    async with fleets.start_fleet() as (hosts, ups):
+        await start_script(hosts[0], ups, script)
+        with pytest.raises(OSError):
+            await sockets.send_raw(
+                hosts[0].address,
+                b'GET /vitrina HTTP/1.0\r\nHost: a\r\n\r\n',
+            )
+
+
+async def test_caller_that_leaves_cancels_its_exchange():
+    """Guards against slots held for callers that are gone."""
+    async with fleets.start_fleet() as (hosts, ups):
+        ups[0].mode.hang_ratio = 1.0
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(fetch(hosts[0]), 0.2)
+        await asyncio.sleep(0.2)
+        assert results_of(hosts[0]) == [RESULTS.CANCELLED]
+        assert ups[0].running == 0
+
+
+async def test_deadline_shrinks_on_its_way():
+    """Guards against upstreams that work beyond the caller's deadline."""
+    async with fleets.start_fleet() as (hosts, _):
+        _, body = await fetch(hosts[0], Wagtailspread_Deadline_Ms='700')
+        deadline = int(body.split(b'"deadline": "')[1].split(b'"')[0])
+        assert 0 < deadline < 700
+
+
+async def test_head_and_empty_answers_keep_their_headers():
+    """Guards against bodies or lengths made up on the way."""
+    async with fleets.start_fleet() as (hosts, _):
+        answer, body = await fetch(hosts[0], method='HEAD')
+        assert (answer.status, body) == (200, b'')
+        assert int(answer.headers['Content-Length']) > 0
+
+
+async def test_long_upload_is_streamed_whole():
+    """Guards against uploads that are cut or held in memory."""
+    async with fleets.start_fleet() as (hosts, ups):
+        _, body = await fetch(hosts[0], method='POST', body=b'a' * 900_000)
+        assert b'"received": 900000' in body
+        assert ups[0].counts['runs'] == 1
+
+
+async def test_frozen_connections_are_left_and_not_blamed_on_the_upstream():
+    """Guards against ejections for connections that went silent."""
+    async with fleets.start_fleet() as (hosts, ups):
+        await asyncio.gather(*(fetch(hosts[0]) for _ in range(4)))
+        hosts[0].coordinator.completed.clear()
+        ups[0].freeze()
+        answers = await asyncio.gather(*(fetch(hosts[0]) for _ in range(4)))
+        assert {answer.status for answer, _ in answers} == {200}
+        seen = set(results_of(hosts[0]))
+        assert RESULTS.SILENT in seen
+        assert seen <= {RESULTS.SILENT, RESULTS.SUCCESS}
+
+
+async def test_upstream_that_hangs_at_random_is_blamed():
+    """Guards against a gray upstream that passes for silent connections."""
+    async with fleets.start_fleet() as (hosts, ups):
+        upstreams.random.seed(1)
+        ups[0].mode.hang_ratio = 0.5
+        calls = (
+            fetch(hosts[0], Wagtailspread_Deadline_Ms='500') for _ in range(12)
+        )
+        await asyncio.gather(*calls)
+        assert RESULTS.TIMEOUT in results_of(hosts[0])
--- a/wagtailspread/entry/tests/test_refusals.py
+++ b/wagtailspread/entry/tests/test_refusals.py
@@ -21,7 +21,6 @@
     return b''.join(parts)
 
 
-
 def check(method='GET', target='/vitrina/a', **headers):
     fields = [(name.replace('_', '-'), headers[name]) for name in headers]
     return requests.check_head(
@@ -103,7 +102,7 @@
     [
         (400, b'GET /vitrina\r\n\r\n'),
         (400, b'\x16\x03\x01\x00\xa5\x01\r\n\r\n'),
-        (400, b'GET /vitrina HTTP/1.1\r\nA b: 1\r\n' + END + b'\r\n'),
+        (400, create_raw(b'GET /vitrina HTTP/1.1\r\nA b: 1\r\n', END, b'\r\n')),
         (
             400,
             b'POST /vitrina HTTP/1.1\r\nContent-Length: 3\r\n'
@@ -120,8 +119,22 @@
             + END
             + b'\r\nzz\r\nab\r\n0\r\n\r\n',
         ),
-        (431, b'GET /vitrina HTTP/1.1\r\nA: ' + b'a' * 9000 + b'\r\n\r\n'),
-        (431, b'GET /vitrina HTTP/1.1\r\n' + b'A: a\r\n' * 200 + b'\r\n'),
+        (
+            431,
+            create_raw(
+                b'GET /vitrina HTTP/1.1\r\nA: ',
+                b'a' * 9000,
+                b'\r\n\r\n',
+            ),
+        ),
+        (
+            431,
+            create_raw(
+                b'GET /vitrina HTTP/1.1\r\n',
+                b'A: a\r\n' * 200,
+                b'\r\n',
+            ),
+        ),
     ],
 )
 async def test_what_does_not_parse_is_refused_as_not_run(expected, raw):
@@ -161,12 +174,12 @@
 
 async def test_endless_body_is_refused_and_never_taken_for_whole():
     """Guards against chunked bodies beyond the limit."""
-    chunk = b'ffff\r\n' + b'a' * 0xFFFF + b'\r\n'
+    chunk = create_raw(b'ffff\r\n', b'a' * 0xFFFF, b'\r\n')
     head = b'POST /vitrina HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
     async with fleets.start_fleet() as (hosts, ups):
         answer = await sockets.request_raw(
             hosts[0].address,
-            head + END + b'\r\n' + chunk * 40,
+            create_raw(head, END, b'\r\n', chunk * 40),
         )
         assert answer.status == 413
         assert answer.headers['wagtailspread-outcome'] == 'unknown'
