--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -1,9 +1,11 @@
 """Client of the allocators: where requests get their slots.
 
 Calls go to the owner of the service over wire links, or directly to the own
-allocator when this host is the owner.
+allocator when this host is the owner. While no owner answers, the host uses
+its own share of the slots. A new owner is told of the open leases first.
 
-See also: :mod:`wagtailspread.entry.owners`, the owner's side.
+See also: :mod:`wagtailspread.entry.owners`, the owner's side, and
+:mod:`wagtailspread.entry.beats`, which keeps votes and row copies fresh.
 """
 
 import asyncio
@@ -12,13 +14,16 @@
 
 from returns import result
 
-from wagtailspread.core import clocks, failures, identifiers, outcomes
-from wagtailspread.entry import decisions, interfaces, owners, slots
+from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.entry import decisions, interfaces, leases, liveness
+from wagtailspread.entry import owners, rows, shares, slots, votes
 from wagtailspread.wire import links, messages
 
 #: Completions wait this long for others to the same owner, in seconds.
 RELEASE_SECONDS = 0.005
-_RELEASE_TIMEOUT = 1.0
+#: Time between looks at who owns a service, in seconds.
+RANK_SECONDS = 0.05
+_CALL_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,28 +35,54 @@
     domain: identifiers.FailureDomain
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceState:
+    """What this host knows of the allocator of one service.
+
+    :param table: rows that the host falls back to.
+    :param place: the owner that is addressed.
+    """
+
+    service: identifiers.ServiceName
+    table: rows.RowTable
+    share: shares.OwnShare
+    vote: votes.VoteCaster
+    place: interfaces.OwnerPlace | None = None
+    ranked_at: float = float('-inf')
+    used_at: float = float('-inf')
+
+
 class AllocationClient:
-    """Slots for the requests of this host. Use :func:`create_client`."""
+    """Slots for the requests of this host. Use :func:`create_client`.
+
+    :param region: region whose allocators are asked.
+    """
 
     def __init__(
         self,
         identity: HostIdentity,
+        region: identifiers.RegionName,
         ownership: interfaces.Ownership,
         own: owners.OwnerTable,
         pool: links.LinkPool,
         clock: clocks.Clock,
     ) -> None:
         """Start with no open leases."""
+        self.book = leases.LeaseBook()
+        self.states: dict[identifiers.ServiceName, ServiceState] = {}
         self._identity = identity
+        self._region = region
         self._ownership = ownership
         self._own = own
         self._pool = pool
         self._clock = clock
-        self._completions: dict[
-            identifiers.ServiceName,
+        self._started_at = clock.now()
+        self._calls: dict[identifiers.Address, liveness.OwnerCalls] = {}
+        self._batches: dict[
+            tuple[identifiers.ServiceName, interfaces.OwnerPlace],
             list[slots.Completion],
         ] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
 
     async def acquire(
         self,
@@ -59,23 +90,19 @@
         request: slots.SlotRequest,
     ) -> owners.Decision:
         """Return a grant or a refusal for one request."""
-        place = self._find_owner(service)
+        state = self.find_state(service)
+        now = self._clock.now()
+        state.used_at = now
+        place = state.place
         if place is None:
-            return _refuse(request)
+            return await self._acquire_share(state, request)
         if place.host == self._identity.host:
-            allocator = self._own.find(service)
-            allocator.note_vote(self._identity.host)
-            return await allocator.acquire(request)
-        now = self._clock.now()
-        answer = await self._pool.find(place.address).call(
-            messages.methods.ACQUIRE,
-            decisions.write_request(service, request, now),
-            messages.structs.SlotDecision,
-            max(request.deadline - now, 0.001),
-        )
-        if isinstance(answer, result.Success):
-            return decisions.read_decision(answer.unwrap(), self._clock.now())
-        return _refuse(request)
+            decision = await self._own.find(service).acquire(request)
+            return self._open(service, decision, place.host)
+        calls = self.find_calls(place)
+        if calls.is_failed:
+            return await self._acquire_share(state, request)
+        return await self._acquire_remote(state, place, calls, request)
 
     def complete(
         self,
@@ -83,74 +110,224 @@
         completion: slots.Completion,
     ) -> None:
         """Return a lease; it is sent within 5 ms."""
-        place = self._find_owner(service)
-        if place is not None and place.host == self._identity.host:
-            self._own.find(service).complete(completion)
+        lease = self.book.close(completion.lease)
+        if lease is None:
             return
-        batch = self._completions.setdefault(service, [])
-        batch.append(completion)
-        if len(batch) == 1:
-            asyncio.get_running_loop().call_later(
-                RELEASE_SECONDS,
-                self._start_release,
-                service,
+        for place in lease.places:
+            self._complete_at(
+                place,
+                lease,
+                dataclasses.replace(completion, lease=place.lease),
             )
 
     def announce(self, announcement: slots.Announcement) -> None:
         """Pass an announcement to the owner of its service."""
-        place = self._find_owner(announcement.service)
+        state = self.find_state(announcement.service)
+        state.table.note(announcement, self._clock.now())
+        place = state.place
         if place is None:
             return
         if place.host == self._identity.host:
             self._own.find(announcement.service).announce(announcement)
             return
-        self._start(self._send_announcement(place, announcement))
+        struct = decisions.write_announcement(announcement)
+        self._send(place, messages.methods.ANNOUNCE, struct)
 
     async def close(self) -> None:
         """Send what is still waiting."""
-        for service in list(self._completions):
-            self._start_release(service)
+        for service, place in list(self._batches):
+            self._flush(service, place)
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for calls in self._calls.values():
+            await calls.close()
+
+    def find_state(self, service: identifiers.ServiceName) -> ServiceState:
+        """Return the state of a service with its present owner."""
+        state = self.states.get(service)
+        if state is None:
+            state = self._create_state(service)
+            self.states[service] = state
+        now = self._clock.now()
+        if now - state.ranked_at >= RANK_SECONDS:
+            state.ranked_at = now
+            ranked = self._ownership.rank_owners(service, self._region)
+            self._move(state, ranked[0] if ranked else None, now)
+        return state
+
+    def find_calls(self, place: interfaces.OwnerPlace) -> liveness.OwnerCalls:
+        """Return the calls to one owner."""
+        calls = self._calls.get(place.address)
+        if calls is None:
+            link = self._pool.find(place.address)
+            calls = liveness.OwnerCalls(link, self._clock)
+            self._calls[place.address] = calls
+        return calls
 
-    def _find_owner(
+    def _create_state(self, service: identifiers.ServiceName) -> ServiceState:
+        table = rows.RowTable()
+        share = shares.OwnShare(
+            table,
+            self._identity.domain,
+            lambda: self._ownership.count_hosts(self._region),
+            self._clock,
+        )
+        vote = votes.VoteCaster(self._started_at)
+        return ServiceState(service, table, share, vote)
+
+    def _move(
         self,
-        service: identifiers.ServiceName,
-    ) -> interfaces.OwnerPlace | None:
-        ranked = self._ownership.rank_owners(service, self._identity.region)
-        return ranked[0] if ranked else None
+        state: ServiceState,
+        place: interfaces.OwnerPlace | None,
+        now: float,
+    ) -> None:
+        """Address another owner and tell it of the open leases."""
+        if place == state.place:
+            return
+        state.place = place
+        if place is None:
+            return
+        claims = self.book.adopt(
+            state.service,
+            place.host,
+            self._identity.host,
+            now,
+        )
+        if place.host == self._identity.host:
+            allocator = self._own.find(state.service)
+            for row in state.table.list_rows(now):
+                allocator.announce(row)
+            for claim in claims:
+                allocator.adopt(claim)
+            return
+        for claim in claims:
+            struct = decisions.write_adoption(state.service, claim, now)
+            self._send(place, messages.methods.ADOPT, struct)
 
-    def _start_release(self, service: identifiers.ServiceName) -> None:
-        batch = self._completions.pop(service, [])
-        place = self._find_owner(service)
-        if batch and place is not None:
-            self._start(self._send_release(place, service, batch))
+    async def _acquire_share(
+        self,
+        state: ServiceState,
+        request: slots.SlotRequest,
+    ) -> owners.Decision:
+        decision = await state.share.acquire(request)
+        return self._open(state.service, decision, None)
 
-    async def _send_release(
+    async def _acquire_remote(
         self,
+        state: ServiceState,
         place: interfaces.OwnerPlace,
+        calls: liveness.OwnerCalls,
+        request: slots.SlotRequest,
+    ) -> owners.Decision:
+        now = self._clock.now()
+        stamp = state.vote.cast(place.host, now)
+        struct = decisions.write_request(state.service, request, now, stamp)
+        try:
+            answer = await calls.call(
+                messages.methods.ACQUIRE,
+                struct,
+                messages.structs.SlotDecision,
+                max(request.deadline - now, 0.001),
+            )
+        except asyncio.CancelledError:
+            self._cancel(state, place, request)
+            raise
+        if isinstance(answer, result.Success):
+            decided = answer.unwrap()
+            state.vote.note_stamp(place.host, decided.stamp or 0)
+            decision = decisions.read_decision(decided, self._clock.now())
+            return self._open(state.service, decision, place.host)
+        if not isinstance(answer.failure(), failures.Unreachable):
+            self._cancel(state, place, request)
+        return await self._acquire_share(state, request)
+
+    def _open(
+        self,
         service: identifiers.ServiceName,
-        batch: list[slots.Completion],
+        decision: owners.Decision,
+        host: identifiers.HostId | None,
+    ) -> owners.Decision:
+        if isinstance(decision, result.Success):
+            grant = self.book.open(service, decision.unwrap(), host)
+            return result.Success(grant)
+        return decision
+
+    def _cancel(
+        self,
+        state: ServiceState,
+        place: interfaces.OwnerPlace,
+        request: slots.SlotRequest,
     ) -> None:
-        await self._pool.find(place.address).call(
-            messages.methods.RELEASE,
-            decisions.write_release(service, self._identity.host, batch),
-            messages.structs.Empty,
-            _RELEASE_TIMEOUT,
+        """Withdraw a request; a grant on its way is then not used."""
+        struct = messages.structs.CancelRequest(
+            service_name=state.service,
+            request=request.request,
         )
+        self._send(place, messages.methods.CANCEL, struct)
+
+    def _complete_at(
+        self,
+        known: leases.LeasePlace,
+        lease: leases.OpenLease,
+        completion: slots.Completion,
+    ) -> None:
+        state = self.find_state(lease.service)
+        if known.host is None:
+            state.share.complete(lease.upstream)
+            return
+        if known.host == self._identity.host:
+            self._own.find(lease.service).complete(completion)
+            return
+        place = self._find_place(state, known.host)
+        if place is None:
+            return
+        batch = self._batches.setdefault((lease.service, place), [])
+        batch.append(completion)
+        if len(batch) == 1:
+            asyncio.get_running_loop().call_later(
+                RELEASE_SECONDS,
+                self._flush,
+                lease.service,
+                place,
+            )
+
+    def _find_place(
+        self,
+        state: ServiceState,
+        host: identifiers.HostId,
+    ) -> interfaces.OwnerPlace | None:
+        if state.place is not None and state.place.host == host:
+            return state.place
+        ranked = self._ownership.rank_owners(state.service, self._region)
+        return next((place for place in ranked if place.host == host), None)
 
-    async def _send_announcement(
+    def _flush(
         self,
+        service: identifiers.ServiceName,
         place: interfaces.OwnerPlace,
-        announcement: slots.Announcement,
     ) -> None:
-        await self._pool.find(place.address).call(
-            messages.methods.ANNOUNCE,
-            decisions.write_announcement(announcement),
-            messages.structs.Empty,
-            _RELEASE_TIMEOUT,
+        batch = self._batches.pop((service, place), [])
+        if not batch:
+            return
+        state = self.find_state(service)
+        stamp = 0
+        if state.place == place:
+            stamp = state.vote.cast(place.host, self._clock.now())
+        struct = decisions.write_release(
+            service,
+            self._identity.host,
+            batch,
+            stamp,
         )
+        self._send(place, messages.methods.RELEASE, struct)
 
-    def _start(self, work: typing.Coroutine[typing.Any, None, None]) -> None:
+    def _send(
+        self,
+        place: interfaces.OwnerPlace,
+        method: int,
+        struct: messages.Struct,
+    ) -> None:
+        calls = self.find_calls(place)
+        work = calls.send(method, struct, _CALL_SECONDS)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -162,12 +339,17 @@
     own: owners.OwnerTable,
     pool: links.LinkPool,
     clock: clocks.Clock,
+    region: identifiers.RegionName | None = None,
 ) -> AllocationClient:
-    """Return a client that asks the owners that ``ownership`` names."""
-    return AllocationClient(identity, ownership, own, pool, clock)
-
+    """Return a client that asks the owners that ``ownership`` names.
 
-def _refuse(request: slots.SlotRequest) -> owners.Decision:
-    return result.Failure(
-        failures.Refusal(request.request, outcomes.RefusalReason.NO_CAPACITY),
+    :param region: region whose allocators are asked; the own if ``None``.
+    """
+    return AllocationClient(
+        identity,
+        identity.region if region is None else region,
+        ownership,
+        own,
+        pool,
+        clock,
     )
--- /dev/null
+++ b/wagtailspread/entry/beats.py
@@ -0,0 +1,139 @@
+"""Regular messages to owners: votes, and the rows a host falls back to.
+
+A beat renews the vote and brings the ages of the rows; the rows themselves are
+fetched only when one of their fields changed. Beats cover the services that
+were used lately, or all services of a small fleet.
+"""
+
+import asyncio
+import contextlib
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.entry import allocations, connections, decisions
+from wagtailspread.entry import interfaces, owners, slots
+from wagtailspread.wire import messages
+
+#: Time between beats, in seconds.
+BEAT_SECONDS = 0.8
+#: Services of which the host keeps fresh rows even without requests.
+MAX_IDLE_SERVICES = 16
+#: Time after the last request for which a service counts as used.
+USED_SECONDS = 60.0
+_CALL_SECONDS = 0.5
+
+
+class Beater:
+    """Sends the beats of this host. Use :meth:`run` as a task.
+
+    :param list_services: returns the services of the configuration.
+    """
+
+    def __init__(
+        self,
+        identity: allocations.HostIdentity,
+        client: allocations.AllocationClient,
+        own: owners.OwnerTable,
+        list_services: typing.Callable[
+            [],
+            typing.Sequence[identifiers.ServiceName],
+        ],
+        pools: connections.PoolTable,
+        clock: clocks.Clock,
+    ) -> None:
+        """Keep the parts."""
+        self._identity = identity
+        self._client = client
+        self._own = own
+        self._list_services = list_services
+        self._pools = pools
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            services = self._choose_services()
+            await asyncio.gather(*(self.beat(one) for one in services))
+            await self._pools.drop_idle(self._clock.now())
+            await asyncio.sleep(BEAT_SECONDS)
+
+    async def beat(self, service: identifiers.ServiceName) -> None:
+        """Renew the vote for a service's owner and the copy of its rows."""
+        state = self._client.find_state(service)
+        place = state.place
+        if place is None:
+            return
+        if place.host == self._identity.host:
+            self._beat_own(state, place)
+            return
+        calls = self._client.find_calls(place)
+        if calls.is_failed:
+            return
+        beat = messages.structs.Heartbeat(
+            service_name=service,
+            host=self._identity.host,
+            vote_stamp=state.vote.cast(place.host, self._clock.now()),
+        )
+        answer = await calls.call(
+            messages.methods.HELLO,
+            beat,
+            messages.structs.HeartbeatAnswer,
+            _CALL_SECONDS,
+        )
+        if not isinstance(answer, result.Success):
+            return
+        seen = answer.unwrap()
+        state.vote.note_stamp(place.host, seen.stamp or 0)
+        now = self._clock.now()
+        if seen.table_digest == state.table.compute_digest(now):
+            state.table.refresh(seen.ages_ms or [], now)
+        else:
+            await self._fetch_rows(state, place)
+
+    def _beat_own(
+        self,
+        state: allocations.ServiceState,
+        place: interfaces.OwnerPlace,
+    ) -> None:
+        allocator = self._own.find(state.service)
+        now = self._clock.now()
+        stamp = state.vote.cast(place.host, now)
+        if stamp:
+            allocator.note_vote(place.host, stamp)
+        state.vote.note_stamp(place.host, allocator.issue_stamp())
+        allocator.tick()
+
+    async def _fetch_rows(
+        self,
+        state: allocations.ServiceState,
+        place: interfaces.OwnerPlace,
+    ) -> None:
+        answer = await self._client.find_calls(place).call(
+            messages.methods.LIST_UPSTREAMS,
+            messages.structs.ListUpstreams(
+                service_name=state.service,
+                host=self._identity.host,
+            ),
+            messages.structs.UpstreamList,
+            _CALL_SECONDS,
+        )
+        if not isinstance(answer, result.Success):
+            return
+        listed: list[slots.Announcement] = []
+        for struct in answer.unwrap().upstreams or []:
+            with contextlib.suppress(TypeError, ValueError):
+                listed.append(decisions.read_announcement(struct))
+        state.table.replace(listed, self._clock.now())
+
+    def _choose_services(self) -> list[identifiers.ServiceName]:
+        known = list(self._list_services())
+        if len(known) <= MAX_IDLE_SERVICES:
+            return known
+        end = self._clock.now() - USED_SECONDS
+        return [
+            service
+            for service, state in self._client.states.items()
+            if state.used_at >= end
+        ]
--- a/wagtailspread/entry/decisions.py
+++ b/wagtailspread/entry/decisions.py
@@ -23,6 +23,7 @@
     service: identifiers.ServiceName,
     request: slots.SlotRequest,
     now: float,
+    vote_stamp: int = 0,
 ) -> messages.Struct:
     """Return the struct of a slot request."""
     return messages.structs.AcquireSlot(
@@ -35,6 +36,7 @@
         attempt=request.attempt,
         fingerprint=request.fingerprint,
         excluded=list(request.excluded),
+        vote_stamp=vote_stamp,
     )
 
 
@@ -55,10 +57,14 @@
     )
 
 
-def write_decision(decision: Decision, now: float) -> messages.Struct:
+def write_decision(
+    decision: Decision,
+    now: float,
+    stamp: int = 0,
+) -> messages.Struct:
     """Return the struct of a grant or a refusal."""
     if isinstance(decision, result.Success):
-        return _write_grant(decision.unwrap(), now)
+        return _write_grant(decision.unwrap(), now, stamp)
     refusal = decision.failure()
     return messages.structs.SlotDecision(
         request=refusal.request,
@@ -69,6 +75,7 @@
         is_trial=False,
         reason=refusal.reason.value,
         retry_after_ms=_to_ms(refusal.retry_after),
+        stamp=stamp,
     )
 
 
@@ -100,6 +107,7 @@
     service: identifiers.ServiceName,
     host: identifiers.HostId,
     completions: typing.Iterable[slots.Completion],
+    vote_stamp: int = 0,
 ) -> messages.Struct:
     """Return the struct of a batch of completions."""
     written = [
@@ -114,6 +122,7 @@
         service_name=service,
         host=host,
         completions=written,
+        vote_stamp=vote_stamp,
     )
 
 
@@ -134,6 +143,38 @@
     ]
 
 
+def write_adoption(
+    service: identifiers.ServiceName,
+    claim: slots.LeaseClaim,
+    now: float,
+) -> messages.Struct:
+    """Return the struct of a lease that a new owner is told of."""
+    return messages.structs.AdoptLease(
+        service_name=service,
+        host=claim.host,
+        lease=claim.lease,
+        upstream=claim.upstream,
+        expires_ms=_to_ms(claim.expires - now),
+    )
+
+
+def read_adoption(
+    struct: messages.Struct,
+    host: identifiers.HostId,
+    now: float,
+) -> slots.LeaseClaim:
+    """Return the lease of a struct.
+
+    :param host: the proven sender.
+    """
+    return slots.LeaseClaim(
+        identifiers.LeaseId(struct.lease),
+        host,
+        identifiers.UpstreamId(struct.upstream),
+        now + struct.expires_ms / _MS,
+    )
+
+
 def write_announcement(announcement: slots.Announcement) -> messages.Struct:
     """Return the struct of an announcement."""
     return messages.structs.AnnounceUpstream(
@@ -169,7 +210,11 @@
     )
 
 
-def _write_grant(grant: slots.Grant, now: float) -> messages.Struct:
+def _write_grant(
+    grant: slots.Grant,
+    now: float,
+    stamp: int,
+) -> messages.Struct:
     return messages.structs.SlotDecision(
         request=grant.request,
         lease=grant.lease,
@@ -179,6 +224,7 @@
         is_trial=grant.is_trial,
         reason='',
         retry_after_ms=0,
+        stamp=stamp,
     )
 
 
--- a/wagtailspread/entry/handlers.py
+++ b/wagtailspread/entry/handlers.py
@@ -27,6 +27,13 @@
         listener.add(methods.RELEASE, structs.ReleaseSlots, self.release)
         listener.add(methods.CANCEL, structs.CancelRequest, self.cancel)
         listener.add(methods.ANNOUNCE, structs.AnnounceUpstream, self.announce)
+        listener.add(methods.HELLO, structs.Heartbeat, self.answer_heartbeat)
+        listener.add(methods.ADOPT, structs.AdoptLease, self.adopt)
+        listener.add(
+            methods.LIST_UPSTREAMS,
+            structs.ListUpstreams,
+            self.list_upstreams,
+        )
 
     async def acquire(
         self,
@@ -40,9 +47,13 @@
             return result.Failure(MalformedCall())
         service = identifiers.ServiceName(struct.service_name)
         allocator = self._own.find(service)
-        allocator.note_vote(call.peer.host)
+        allocator.note_vote(call.peer.host, struct.vote_stamp or 0)
         decision = await allocator.acquire(request)
-        answer = decisions.write_decision(decision, self._clock.now())
+        answer = decisions.write_decision(
+            decision,
+            self._clock.now(),
+            allocator.issue_stamp(),
+        )
         return result.Success(answer)
 
     async def release(
@@ -57,7 +68,7 @@
             return result.Failure(MalformedCall())
         service = identifiers.ServiceName(struct.service_name)
         allocator = self._own.find(service)
-        allocator.note_vote(call.peer.host)
+        allocator.note_vote(call.peer.host, struct.vote_stamp or 0)
         for completion in completions:
             allocator.complete(completion)
         return result.Success(messages.structs.Empty())
@@ -84,3 +95,51 @@
             return result.Failure(MalformedCall())
         self._own.find(announcement.service).announce(announcement)
         return result.Success(messages.structs.Empty())
+
+    async def answer_heartbeat(
+        self,
+        call: listeners.Call,
+        struct: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Renew a vote and return the ages of the upstreams' rows."""
+        service = identifiers.ServiceName(struct.service_name or '')
+        if not service:
+            return result.Success(messages.structs.HeartbeatAnswer(stamp=0))
+        allocator = self._own.find(service)
+        allocator.note_vote(call.peer.host, struct.vote_stamp or 0)
+        now = self._clock.now()
+        answer = messages.structs.HeartbeatAnswer(
+            stamp=allocator.issue_stamp(),
+            table_digest=allocator.rows.compute_digest(now),
+            ages_ms=allocator.rows.list_ages_ms(now),
+        )
+        return result.Success(answer)
+
+    async def adopt(
+        self,
+        call: listeners.Call,
+        struct: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Take over a lease that the calling host holds."""
+        claim = decisions.read_adoption(
+            struct,
+            call.peer.host,
+            self._clock.now(),
+        )
+        service = identifiers.ServiceName(struct.service_name)
+        self._own.find(service).adopt(claim)
+        return result.Success(messages.structs.Empty())
+
+    async def list_upstreams(
+        self,
+        _call: listeners.Call,
+        struct: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Return the rows that a host falls back to."""
+        service = identifiers.ServiceName(struct.service_name)
+        listed = self._own.find(service).rows.list_rows(self._clock.now())
+        answer = messages.structs.UpstreamList(
+            upstreams=[decisions.write_announcement(row) for row in listed],
+            ejected=[],
+        )
+        return result.Success(answer)
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -106,6 +106,9 @@
     ) -> typing.Sequence[OwnerPlace]:
         """Return the live hosts, the owner first."""
 
+    def count_hosts(self, region: identifiers.RegionName) -> int:
+        """Return the number of hosts that share a region's slots."""
+
 
 class SlotSource(typing.Protocol):
     """Where the request path gets its slots from."""
--- /dev/null
+++ b/wagtailspread/entry/liveness.py
@@ -0,0 +1,169 @@
+"""Calls to an owner that are given up when the owner falls silent.
+
+A queued slot request may rightly wait for long, so a late answer alone says
+nothing. While calls are open and nothing is heard, the owner is asked for a
+sign of life; without one for 200 ms all open calls end and the owner counts
+as failed until it answers again.
+"""
+
+import asyncio
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures
+from wagtailspread.wire import links, messages
+
+#: Time without any answer after which an owner counts as failed, in seconds.
+SILENT_SECONDS = 0.2
+#: Time without any answer after which a sign of life is asked for.
+QUIET_SECONDS = 0.08
+#: Time between looks at an owner with open calls, in seconds.
+CHECK_SECONDS = 0.04
+#: Time between signs of life asked of a failed owner, in seconds.
+PROBE_SECONDS = 0.2
+#: A check that runs this late shows that this host itself was held up.
+LAG_SECONDS = 0.1
+
+
+class OwnerCalls:
+    """The calls to one owner."""
+
+    def __init__(self, link: links.Link, clock: clocks.Clock) -> None:
+        """Start with no open calls."""
+        self.is_failed = False
+        self._link = link
+        self._clock = clock
+        self._open: set[asyncio.Timeout] = set()
+        self._heard_at = 0.0
+        self._due = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_asking = False
+
+    async def call(
+        self,
+        method: int,
+        request: messages.Struct,
+        answer_type: typing.Any,
+        timeout: float,
+    ) -> links.CallResult:
+        """Send a call; it ends early if the owner falls silent."""
+        now = self._clock.now()
+        if not self._open:
+            self._heard_at = now
+        limit = asyncio.timeout_at(now + timeout)
+        self._open.add(limit)
+        self._arm(now)
+        try:
+            async with limit:
+                answer = await self._link.call(
+                    method,
+                    request,
+                    answer_type,
+                    timeout,
+                )
+        except TimeoutError:
+            return self._time_out(timeout)
+        finally:
+            self._open.discard(limit)
+        self._note(answer, now + timeout)
+        return answer
+
+    async def send(
+        self,
+        method: int,
+        request: messages.Struct,
+        timeout: float,
+    ) -> links.CallResult:
+        """Send a call whose lack of an answer says nothing."""
+        empty = messages.structs.Empty
+        return await self._link.call(method, request, empty, timeout)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _note(self, answer: links.CallResult, end: float) -> None:
+        now = self._clock.now()
+        if isinstance(answer, result.Success):
+            self._heard_at = now
+            return
+        failure = answer.failure()
+        if isinstance(failure, failures.CallRejected):
+            self._heard_at = now
+        elif now < end:
+            self._fail()
+
+    def _time_out(self, timeout: float) -> links.CallResult:
+        address = self._link.address
+        return result.Failure(failures.CallTimeout(address, timeout))
+
+    def _arm(self, now: float) -> None:
+        if self._timer is None:
+            self._due = now + CHECK_SECONDS
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(self._due, self._check)
+
+    def _check(self) -> None:
+        self._timer = None
+        if not self._open:
+            return
+        now = self._clock.now()
+        if now - self._due > LAG_SECONDS:
+            self._heard_at = now
+        quiet = now - self._heard_at
+        if quiet >= SILENT_SECONDS:
+            self._fail()
+            return
+        if quiet >= QUIET_SECONDS and not self._is_asking:
+            self._start(self._ask())
+        self._arm(now)
+
+    def _fail(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for limit in list(self._open):
+            limit.reschedule(now)
+        self._open.clear()
+        if not self.is_failed:
+            self.is_failed = True
+            self._start(self._probe())
+
+    async def _ask(self) -> None:
+        self._is_asking = True
+        try:
+            await self._beat()
+        finally:
+            self._is_asking = False
+
+    async def _probe(self) -> None:
+        while self.is_failed:
+            await asyncio.sleep(PROBE_SECONDS)
+            if await self._beat():
+                self.is_failed = False
+
+    async def _beat(self) -> bool:
+        beat = messages.structs.Heartbeat(
+            service_name='',
+            host='',
+            vote_stamp=0,
+        )
+        answer = await self._link.call(
+            messages.methods.HELLO,
+            beat,
+            messages.structs.HeartbeatAnswer,
+            SILENT_SECONDS,
+        )
+        if isinstance(answer, result.Success):
+            self._heard_at = self._clock.now()
+            return True
+        return False
+
+    def _start(self, work: typing.Coroutine[typing.Any, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers, outcomes
-from wagtailspread.entry import interfaces, slots
+from wagtailspread.entry import interfaces, rows, slots, votes
 
 #: Time between ticks while requests wait, in seconds.
 TICK_SECONDS = 0.005
@@ -29,23 +29,27 @@
     """One coordinator and the calls that wait for its decisions.
 
     :param coordinator: decides; it is called from one event loop only.
-    :param votes: is told of every message of a host that casts its vote.
+    :param register: is told of every message of a host that casts its vote.
     """
 
     def __init__(
         self,
         coordinator: interfaces.Coordinator,
-        votes: interfaces.VoteRegister | None,
+        register: interfaces.VoteRegister | None,
         clock: clocks.Clock,
     ) -> None:
         """Start with nothing waiting."""
         self.coordinator = coordinator
-        self._votes = votes
+        self._register = register
         self._clock = clock
         self._waiting: dict[
             identifiers.RequestId,
             asyncio.Future[Decision],
         ] = {}
+        self._granted: dict[identifiers.RequestId, identifiers.LeaseId] = {}
+        self._requests: dict[identifiers.LeaseId, identifiers.RequestId] = {}
+        self.rows = rows.RowTable()
+        self._stamps = votes.StampBook(clock)
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -75,7 +79,15 @@
             raise
 
     def cancel(self, request: identifiers.RequestId) -> None:
-        """Drop a request whose host no longer waits for it."""
+        """Drop a request whose host no longer waits for it.
+
+        A grant that the host cannot have seen is returned as not used.
+        """
+        lease = self._granted.get(request)
+        if lease is not None:
+            self._return_unused(lease, self._clock.now())
+            self.tick()
+            return
         answer = self._waiting.pop(request, None)
         if answer is not None and not answer.done():
             refusal = failures.Refusal(
@@ -88,12 +100,14 @@
 
     def complete(self, completion: slots.Completion) -> None:
         """End a lease and give its slot to a waiting request."""
+        self._forget_lease(completion.lease)
         self.coordinator.complete(completion, self._clock.now())
         if self._waiting:
             self.tick()
 
     def announce(self, announcement: slots.Announcement) -> None:
         """Take in an announcement."""
+        self.rows.note(announcement, self._clock.now())
         self.coordinator.announce(announcement, self._clock.now())
         self.tick()
 
@@ -101,10 +115,15 @@
         """Take over a lease of an earlier allocator."""
         self.coordinator.adopt(claim, self._clock.now())
 
-    def note_vote(self, host: identifiers.HostId) -> None:
-        """Renew the vote of ``host``."""
-        if self._votes is not None:
-            self._votes.note_vote(host, self._clock.now())
+    def issue_stamp(self) -> int:
+        """Return the stamp that a vote for this allocator must carry."""
+        return self._stamps.issue()
+
+    def note_vote(self, host: identifiers.HostId, stamp: int) -> None:
+        """Renew the vote of ``host`` as of the time its stamp was issued."""
+        issued_at = self._stamps.read(host, stamp)
+        if issued_at is not None and self._register is not None:
+            self._register.note_vote(host, issued_at)
 
     def tick(self) -> None:
         """Run the coordinator and hand out what it decided."""
@@ -125,8 +144,10 @@
                 answer.set_result(result.Failure(decision))
             return
         if answer is None or answer.done():
-            self._return_unused(decision, now)
+            self._return_unused(decision.lease, now)
             return
+        self._granted[decision.request] = decision.lease
+        self._requests[decision.lease] = decision.request
         answer.set_result(result.Success(decision))
 
     def _abandon(
@@ -139,17 +160,20 @@
         elif answer.done() and not answer.cancelled():
             decision = answer.result()
             if isinstance(decision, result.Success):
-                self._return_unused(decision.unwrap(), self._clock.now())
-
-    def _return_unused(self, grant: slots.Grant, now: float) -> None:
-        self.coordinator.complete(
-            slots.Completion(
-                grant.lease,
-                outcomes.ExchangeResult.CANCELLED,
-                0.0,
-            ),
-            now,
-        )
+                self._return_unused(
+                    decision.unwrap().lease,
+                    self._clock.now(),
+                )
+
+    def _return_unused(self, lease: identifiers.LeaseId, now: float) -> None:
+        self._forget_lease(lease)
+        ended = outcomes.ExchangeResult.CANCELLED
+        self.coordinator.complete(slots.Completion(lease, ended, 0.0), now)
+
+    def _forget_lease(self, lease: identifiers.LeaseId) -> None:
+        request = self._requests.pop(lease, None)
+        if request is not None:
+            self._granted.pop(request, None)
 
     def _schedule(self) -> None:
         if self._timer is None:
@@ -187,8 +211,8 @@
         """Return the allocator of ``service``."""
         allocator = self._allocators.get(service)
         if allocator is None:
-            coordinator, votes = self._create_coordinator(service)
-            allocator = OwnedAllocator(coordinator, votes, self._clock)
+            coordinator, register = self._create_coordinator(service)
+            allocator = OwnedAllocator(coordinator, register, self._clock)
             self._allocators[service] = allocator
         return allocator
 
--- /dev/null
+++ b/wagtailspread/entry/rows.py
@@ -0,0 +1,125 @@
+"""Rows of upstreams as they were last heard of."""
+
+import dataclasses
+import hashlib
+
+from wagtailspread.core import identifiers
+from wagtailspread.entry import slots
+
+#: A row is used at most this long after it was last heard, in seconds.
+ROW_SECONDS = 2.5
+#: Most rows of one service.
+MAX_ROWS = 2048
+
+_DIGEST_BYTES = 7
+_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """An announcement and when the upstream sent it."""
+
+    announcement: slots.Announcement
+    heard_at: float
+
+
+class RowTable:
+    """The upstreams of one service.
+
+    Rows expire :data:`ROW_SECONDS` after they were last heard of.
+    """
+
+    def __init__(self) -> None:
+        """Start with no rows."""
+        self._rows: dict[identifiers.UpstreamId, Row] = {}
+
+    def note(self, announcement: slots.Announcement, now: float) -> bool:
+        """Keep an announcement unless a later one is known.
+
+        :returns: whether it was kept.
+        """
+        heard_at = now - announcement.age
+        known = self._rows.get(announcement.upstream)
+        if known is None:
+            if len(self._rows) >= MAX_ROWS:
+                self._expire(now)
+            if len(self._rows) >= MAX_ROWS:
+                return False
+        elif not _is_later(announcement, heard_at, known):
+            return False
+        self._rows[announcement.upstream] = Row(announcement, heard_at)
+        return True
+
+    def find(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> Row | None:
+        """Return the row of an upstream if it has not expired."""
+        row = self._rows.get(upstream)
+        if row is None or row.heard_at <= now - ROW_SECONDS:
+            return None
+        return row
+
+    def list_rows(self, now: float) -> list[slots.Announcement]:
+        """Return the rows in force with their ages, by upstream id."""
+        self._expire(now)
+        return [
+            dataclasses.replace(row.announcement, age=now - row.heard_at)
+            for _, row in sorted(self._rows.items())
+        ]
+
+    def list_ages_ms(self, now: float) -> list[int]:
+        """Return the ages of the rows in force, by upstream id."""
+        self._expire(now)
+        return [
+            int((now - row.heard_at) * _MS)
+            for _, row in sorted(self._rows.items())
+        ]
+
+    def refresh(self, ages_ms: list[int], now: float) -> None:
+        """Set the ages of the rows from a table with the same digest."""
+        for (upstream, row), age_ms in zip(
+            sorted(self._rows.items()),
+            ages_ms,
+            strict=False,
+        ):
+            heard_at = max(row.heard_at, now - age_ms / _MS)
+            self._rows[upstream] = Row(row.announcement, heard_at)
+
+    def replace(self, listed: list[slots.Announcement], now: float) -> None:
+        """Take over all rows of the owner's table."""
+        self._rows = {
+            row.upstream: Row(row, now - row.age) for row in listed[:MAX_ROWS]
+        }
+
+    def compute_digest(self, now: float) -> int:
+        """Return a number that changes with any field but the ages."""
+        self._expire(now)
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        for _, row in sorted(self._rows.items()):
+            fields = dataclasses.astuple(
+                dataclasses.replace(row.announcement, age=0.0),
+            )
+            digest.update(repr(fields).encode())
+        return int.from_bytes(digest.digest(), 'big')
+
+    def _expire(self, now: float) -> None:
+        end = now - ROW_SECONDS
+        old = [
+            upstream
+            for upstream, row in self._rows.items()
+            if row.heard_at <= end
+        ]
+        for upstream in old:
+            self._rows.pop(upstream)
+
+
+def _is_later(
+    announcement: slots.Announcement,
+    heard_at: float,
+    known: Row,
+) -> bool:
+    if announcement.incarnation != known.announcement.incarnation:
+        return announcement.incarnation > known.announcement.incarnation
+    return heard_at >= known.heard_at
--- /dev/null
+++ b/wagtailspread/entry/shares.py
@@ -0,0 +1,149 @@
+"""Slots that a host allocates alone while no owner answers.
+
+The host keeps within its own share of the slots of each upstream, at least
+one, and uses only rows that were heard of lately. It ejects nobody and grants
+no retries.
+"""
+
+import asyncio
+import collections
+import heapq
+import itertools
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures, identifiers, outcomes
+from wagtailspread.entry import rows, slots
+
+#: Most requests that wait for a slot of the own share.
+MAX_WAITING = 64
+#: Time that a lease outlives the deadline of its request, in seconds.
+LEASE_MARGIN_SECONDS = 1.0
+
+Decision = result.Result[slots.Grant, failures.Refusal]
+
+
+class OwnShare:
+    """The own share of one service's slots.
+
+    :param count_hosts: returns the number of hosts that share the slots.
+    """
+
+    def __init__(
+        self,
+        table: rows.RowTable,
+        domain: identifiers.FailureDomain,
+        count_hosts: typing.Callable[[], int],
+        clock: clocks.Clock,
+    ) -> None:
+        """Start with no leases."""
+        self._table = table
+        self._domain = domain
+        self._count_hosts = count_hosts
+        self._clock = clock
+        self._used: collections.Counter[identifiers.UpstreamId] = (
+            collections.Counter()
+        )
+        self._waiting: list[
+            tuple[int, int, slots.SlotRequest, asyncio.Future[slots.Grant]]
+        ] = []
+        self._order = itertools.count()
+        self._ids = itertools.count(1)
+
+    async def acquire(self, request: slots.SlotRequest) -> Decision:
+        """Return a slot of the own share, waiting for one if need be."""
+        if request.attempt > 1:
+            return _refuse(request, outcomes.RefusalReason.RETRY_BUDGET)
+        grant = self._grant(request)
+        if grant is not None:
+            return result.Success(grant)
+        if not self._list_usable(request):
+            return _refuse(request, outcomes.RefusalReason.NO_CAPACITY)
+        if len(self._waiting) >= MAX_WAITING:
+            self._drop_ended()
+        if len(self._waiting) >= MAX_WAITING:
+            return _refuse(request, outcomes.RefusalReason.QUEUE_FULL)
+        return await self._wait(request)
+
+    def complete(self, upstream: identifiers.UpstreamId) -> None:
+        """Take a slot back and give it to the most urgent that waits."""
+        self._used[upstream] -= 1
+        if self._used[upstream] <= 0:
+            self._used.pop(upstream)
+        while self._waiting:
+            _, _, request, answer = self._waiting[0]
+            if answer.done():
+                heapq.heappop(self._waiting)
+                continue
+            grant = self._grant(request)
+            if grant is None:
+                return
+            heapq.heappop(self._waiting)
+            answer.set_result(grant)
+
+    async def _wait(self, request: slots.SlotRequest) -> Decision:
+        answer: asyncio.Future[slots.Grant] = (
+            asyncio.get_running_loop().create_future()
+        )
+        entry = (int(request.priority), next(self._order), request, answer)
+        heapq.heappush(self._waiting, entry)
+        is_taken = False
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                grant = await answer
+                is_taken = True
+        except TimeoutError:
+            reason = outcomes.RefusalReason.DEADLINE_UNREACHABLE
+            return _refuse(request, reason)
+        finally:
+            if not is_taken and answer.done() and not answer.cancelled():
+                self.complete(answer.result().upstream)
+        return result.Success(grant)
+
+    def _drop_ended(self) -> None:
+        self._waiting = [
+            entry for entry in self._waiting if not entry[3].done()
+        ]
+        heapq.heapify(self._waiting)
+
+    def _grant(self, request: slots.SlotRequest) -> slots.Grant | None:
+        count = max(1, self._count_hosts())
+        free = [
+            row
+            for row in self._list_usable(request)
+            if self._used[row.upstream] < max(1, row.slots // count)
+        ]
+        if not free:
+            return None
+        row = min(free, key=self._rank)
+        self._used[row.upstream] += 1
+        return slots.Grant(
+            request.request,
+            identifiers.LeaseId(-next(self._ids)),
+            row.upstream,
+            row.address,
+            request.deadline + LEASE_MARGIN_SECONDS,
+        )
+
+    def _rank(self, row: slots.Announcement) -> tuple[bool, float]:
+        load = self._used[row.upstream] / max(1, row.slots)
+        return row.domain != self._domain, load
+
+    def _list_usable(
+        self,
+        request: slots.SlotRequest,
+    ) -> list[slots.Announcement]:
+        return [
+            row
+            for row in self._table.list_rows(self._clock.now())
+            if row.state is slots.UpstreamState.READY
+            and row.upstream not in request.excluded
+        ]
+
+
+def _refuse(
+    request: slots.SlotRequest,
+    reason: outcomes.RefusalReason,
+) -> Decision:
+    return result.Failure(failures.Refusal(request.request, reason))
--- a/wagtailspread/testing/stand_ins.py
+++ b/wagtailspread/testing/stand_ins.py
@@ -78,6 +78,10 @@
         """Return the places, the owner first."""
         return self.places
 
+    def count_hosts(self, _region: identifiers.RegionName) -> int:
+        """Return the number of places."""
+        return len(self.places)
+
 
 class SimpleCoordinator:
     """First come, first served over the least loaded upstream."""
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -54,6 +54,8 @@
   7: i16 attempt
   8: binary fingerprint
   9: list<string> excluded
+  // Last stamp of this allocator; 0 casts no vote.
+  10: i64 vote_stamp
 }
 
 struct SlotDecision {
@@ -67,6 +69,8 @@
   // Value of RefusalReason; empty when granted.
   7: string reason
   8: i32 retry_after_ms
+  // Opaque time of the allocator, which a vote for it returns.
+  9: i64 stamp
 }
 
 struct SlotCompletion {
@@ -79,6 +83,7 @@
   1: string service_name
   2: string host
   3: list<SlotCompletion> completions
+  4: i64 vote_stamp
 }
 
 struct CancelRequest {
@@ -120,6 +125,21 @@
   2: list<string> ejected
 }
 
+// Keeps a vote alive and shows that an allocator answers.
+struct Heartbeat {
+  1: string service_name
+  2: string host
+  3: i64 vote_stamp
+}
+
+struct HeartbeatAnswer {
+  1: i64 stamp
+  // Changes with the fields of any row.
+  2: i64 table_digest
+  // Age of each row, in the order of the upstream ids.
+  3: list<i32> ages_ms
+}
+
 struct Empty {
 }
 
