--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -11,6 +11,7 @@
 
 from wagtailspread.core import failures, identifiers, priorities
 from wagtailspread.entry import slots
+from wagtailspread.wire import messages
 
 
 class Route(typing.Protocol):
@@ -105,6 +106,9 @@
     ) -> typing.Sequence[OwnerPlace]:
         """Return the live hosts, the owner first."""
 
+    def count_hosts(self, region: identifiers.RegionName) -> int:
+        """Return the number of hosts that share a region's slots."""
+
 
 class SlotSource(typing.Protocol):
     """Where the request path gets its slots from."""
@@ -131,6 +135,32 @@
         """Pass an announcement on; does not wait."""
 
 
+class KeyStore(typing.Protocol):
+    """Claims on idempotency keys, kept by the replicas.
+
+    Requests and answers are structs of the wire protocol.
+    """
+
+    async def claim_key(
+        self,
+        request: messages.Struct,
+        timeout: float,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Claim a key; the answer is a ``ClaimAnswer``."""
+
+    async def finish_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Record how an attempt ended."""
+
+    async def release_key(
+        self,
+        request: messages.Struct,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Give up a claim whose attempt sent nothing."""
+
+
 class Span(typing.Protocol):
     """One hop of a traced request."""
 
@@ -150,6 +180,30 @@
         """Open a span under the hop described by ``parent_header``."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """What is logged and counted of a finished request.
+
+    :param outcome: value of the outcome header; empty for a broken transfer.
+    :param seconds: from arrival to the end of the answer.
+    """
+
+    route: Route
+    caller: identifiers.CallerId
+    outcome: str
+    reason: str
+    status: int
+    attempts: int
+    seconds: float
+
+
+class RequestObserver(typing.Protocol):
+    """Takes the records of finished requests to logs and metrics."""
+
+    def note_request(self, record: RequestRecord) -> None:
+        """Take one record; does not wait."""
+
+
 class Logger(typing.Protocol):
     """The part of a log channel that the entry host uses."""
 
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -57,6 +57,8 @@
   7: i16 attempt
   8: binary fingerprint
   9: list<string> excluded
+  // Last stamp of this allocator; 0 casts no vote.
+  10: i64 vote_stamp
 }
 
 struct SlotDecision {
@@ -72,6 +74,8 @@
   8: i32 retry_after_ms
   // Time in which the host may pass the slot on to a request of its own.
   9: i32 pass_ms
+  // Opaque time of the allocator, which a vote for it returns.
+  10: i64 stamp
 }
 
 struct SlotCompletion {
@@ -86,6 +90,7 @@
   1: string service_name
   2: string host
   3: list<SlotCompletion> completions
+  4: i64 vote_stamp
 }
 
 struct CancelRequest {
@@ -130,6 +135,21 @@
   2: list<string> ejected
 }
 
+// Keeps a vote alive and shows that an allocator answers.
+struct Heartbeat {
+  1: string service_name
+  2: string host
+  3: i64 vote_stamp
+}
+
+struct HeartbeatAnswer {
+  1: i64 stamp
+  // Changes with the fields of any row.
+  2: i64 table_digest
+  // Age of each row, in the order of the upstream ids.
+  3: list<i32> ages_ms
+}
+
 struct Empty {
 }
 
