--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -317,7 +317,7 @@
     return slots.Announcement(
         _SERVICE,
         identifiers.UpstreamId(f'u{number}'),
-        address,
+        identifiers.Address(address),
         identity.region,
         identity.domain,
         6,
--- a/wagtailspread/observability/logs.py
+++ b/wagtailspread/observability/logs.py
@@ -25,7 +25,6 @@
 import logbook
 
 from logbook import compat
-
 from wagtailspread.core import clocks
 
 #: Length of a window in which equal events are limited, in seconds.
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -2,8 +2,7 @@
 
 import collections
 import random
-
-from collections import abc
+import typing
 
 from wagtailspread.allocation import coordination, policies
 from wagtailspread.allocation import judges as allocation_judges
@@ -70,9 +69,9 @@
 
     def tick(
         self,
-        capacities: abc.Sequence[allocation_judges.Capacity],
+        capacities: typing.Sequence[allocation_judges.Capacity],
         now: float,
-    ) -> abc.Sequence[reports.HealthChange]:
+    ) -> typing.Sequence[reports.HealthChange]:
         """Eject and readmit upstreams; report the changes."""
         changes = self.judge.tick(capacities, now)
         for change in changes:
--- a/wagtailspread/processes/copies.py
+++ b/wagtailspread/processes/copies.py
@@ -10,7 +10,7 @@
 import random
 import typing
 
-from wagtailspread.configuration import checks, deltas, routes, schemas
+from wagtailspread.configuration import deltas, loaders, routes, schemas
 from wagtailspread.core import identifiers
 from wagtailspread.observability import logs
 from wagtailspread.wire import messages
@@ -44,6 +44,7 @@
         self._trusted_keys = trusted_keys
         self._folder = folder
         self._texts: dict[str, str] = {}
+        self._loader = loaders.create_loader()
         self._routes: routes.RouteTable | None = None
 
     def find_key(self, member: identifiers.MemberId) -> bytes | None:
@@ -111,7 +112,7 @@
             self._adopt(texts, version)
 
     def _adopt(self, texts: dict[str, str], version: int) -> bool:
-        checked = checks.load_settings(texts)
+        checked = self._loader.load(texts)
         settings = checked.value_or({}).get(self._member)
         if settings is None:
             _LOGGER.error(
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -10,6 +10,7 @@
 from wagtailspread.entry import (
     allocations,
     attempts,
+    beats,
     connections,
     exchanges,
     forwarding,
@@ -23,7 +24,6 @@
 from wagtailspread.processes import (
     allocators,
     copies,
-    observers,
     ownerships,
     settings,
     statuses,
@@ -36,10 +36,6 @@
 ROLE = 'entry'
 #: A host that heard of nobody for this long turns unready, in seconds.
 ISOLATION_SECONDS = 5.0
-#: Longest wait for requests in flight at shutdown, in seconds.
-FINISH_SECONDS = 60.0
-#: Time between looks for idle pools, in seconds.
-SWEEP_SECONDS = 5.0
 
 
 class EntryHost:
@@ -80,7 +76,7 @@
         self.driver.start()
         self.subscription.start()
         await self.server.start(self._part.caller_address)
-        self._sweeping = asyncio.create_task(self._sweep())
+        self._beating = asyncio.create_task(self.beater.run())
         _LOGGER.info(
             'entry host started',
             extra={
@@ -170,12 +166,20 @@
         handlers.OwnerHandlers(self.owners, self._clock).register(self.listener)
         self.client = allocations.create_client(
             identity,
-            ownerships.GossipedOwnership(self.agent, self._clock),
+            ownerships.GossipedOwnership(self.agent, self.copy, self._clock),
             self.owners,
             self.pool,
             self._clock,
         )
         self.pools = connections.PoolTable(_CONNECTIONS)
+        self.beater = beats.Beater(
+            identity,
+            self.client,
+            self.owners,
+            self._list_services,
+            self.pools,
+            self._clock,
+        )
         self.forwarder = forwarding.Forwarder(
             identity,
             attempts.AttemptRunner(
@@ -200,13 +204,12 @@
     def _read_status(self) -> dict[str, typing.Any]:
         return statuses.describe_host(self, self._clock.now())
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_SECONDS)
-            await self.pools.drop_idle(self._clock.now())
+    def _list_services(self) -> list[identifiers.ServiceName]:
+        known = self.copy.settings
+        return list(known.services) if known else []
 
     async def _close(self) -> None:
-        self._sweeping.cancel()
+        self._beating.cancel()
         await self.subscription.close()
         await self.driver.close()
         await self.pools.close()
--- a/wagtailspread/processes/machines.py
+++ b/wagtailspread/processes/machines.py
@@ -15,8 +15,6 @@
     def __init__(self) -> None:
         """Start without a version."""
         self.state = versions.create_configuration()
-        self._lifetimes: dict[str, float] = {}
-        self._lifetimes_version = 0
 
     @property
     def version(self) -> int:
@@ -55,14 +53,8 @@
         return found.public_key if found else None
 
     def find_lifetime(self, service: str) -> float:
-        """Return how long idempotency keys of a service live, in seconds.
-
-        Sites cannot override it, so any site's settings tell it.
-        """
-        if self._lifetimes_version != self.state.version:
-            self._lifetimes_version = self.state.version
-            self._lifetimes = self._read_lifetimes()
-        return self._lifetimes.get(service, claims.DAY_SECONDS)
+        """Return how long idempotency keys of a service live, in seconds."""
+        return self.state.find_lifetime(service)
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
@@ -71,15 +63,6 @@
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state."""
         self.state.restore(snapshot)
-        self._lifetimes_version = 0
-
-    def _read_lifetimes(self) -> dict[str, float]:
-        sites = self.state.settings().value_or({})
-        return {
-            service.name: service.key_lifetime
-            for settings in sites.values()
-            for service in settings.services.values()
-        }
 
 
 def create_machine() -> machines.StateMachine:
--- a/wagtailspread/processes/ownerships.py
+++ b/wagtailspread/processes/ownerships.py
@@ -6,6 +6,7 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.entry import interfaces
 from wagtailspread.membership import agents
+from wagtailspread.processes import copies
 
 #: Age at which an order is computed again, in seconds. Hashing all hosts for
 #: each request would cost more than the rest of its decision.
@@ -21,8 +22,14 @@
 class GossipedOwnership:
     """Rendezvous order over the hosts that gossip calls alive."""
 
-    def __init__(self, agent: agents.Agent, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        agent: agents.Agent,
+        copy: copies.ConfigurationCopy,
+        clock: clocks.Clock,
+    ) -> None:
         """Start with an empty cache."""
+        self._copy = copy
         self._agent = agent
         self._clock = clock
         self._orders: dict[
@@ -44,6 +51,13 @@
             self._orders[service, region] = order
         return order.places
 
+    def count_hosts(self, region: identifiers.RegionName) -> int:
+        """Return the number of hosts that share a region's slots."""
+        settings = self._copy.settings
+        known = settings.regions.get(region) if settings else None
+        alive = len(self._agent.find_alive(region))
+        return max(alive, known.hosts if known else 1)
+
     def _compute(
         self,
         service: identifiers.ServiceName,
--- a/wagtailspread/processes/settings.py
+++ b/wagtailspread/processes/settings.py
@@ -173,7 +173,7 @@
         parsed: files.ParsedFile,
         folder: pathlib.Path,
     ) -> None:
-        self.sink = list(readers.check_known(parsed, _KINDS))
+        self.sink = list(readers.check_kinds(parsed, _KINDS))
         self._parsed = parsed
         self._folder = folder
 
@@ -241,7 +241,9 @@
         kind: sections.SectionKind,
         section: files.ParsedSection,
     ) -> readers.SectionReader:
-        layer = (self._parsed.name, section)
+        name = self._parsed.name
+        self.sink.extend(readers.check_keys(name, section, kind))
+        layer = (name, section)
         return readers.SectionReader(kind, (layer,), self.sink)
 
     def _read_path(
--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -61,7 +61,7 @@
             for row in coordinator.list_rows(now)
         ],
         'queues': {
-            priority.name.lower(): coordinator.queues.count(priority)
+            priority.name.lower(): coordinator.queues.counts[priority]
             for priority in priorities.Priority
         },
         'changes': [change.describe() for change in judge.changes],
--- a/wagtailspread/testing/fleets.py
+++ b/wagtailspread/testing/fleets.py
@@ -157,12 +157,14 @@
         region, domain = _PLACES[number % len(_PLACES)]
         address = self._replica_addresses[number]
         text = self._describe_process(f'r{number}', region, domain)
-        text += (
+        part = (
             f'\n[replica]\naddress = {address}\npeers = {listed}\n'
             f'data_folder = data-{number}\nfounders = {listed}\n'
             'first_base = base.ini\n'
         )
-        return self._start_settings('replica', f'r{number}', text, address)
+        return self._start_settings(
+            'replica', f'r{number}', text, part, address
+        )
 
     def start_entries(self, count: int = 4, drain: str = '500ms') -> None:
         """Start entry hosts, spread over the failure domains."""
@@ -175,14 +177,14 @@
         region, domain = _PLACES[number % len(_PLACES)]
         address = find_free_address()
         text = self._describe_process(f'h{number}', region, domain)
-        text += (
+        part = (
             f'\n[entry]\ncaller_address = {address}\n'
             f'control_address = {self._control_addresses[number]}\n'
             f'replicas = {" ".join(self._replica_addresses)}\n'
             f'seeds = {" ".join(self._control_addresses)}\n'
             f'folder = entry-{number}\ndrain = {drain}\n'
         )
-        return self._start_settings('entry', f'h{number}', text, address)
+        return self._start_settings('entry', f'h{number}', text, part, address)
 
     def start_upstream(self, service: str, name: str, place: int) -> Process:
         """Start a fake upstream that announces itself to its region."""
@@ -224,11 +226,12 @@
         self,
         role: str,
         name: str,
-        text: str,
+        process: str,
+        part: str,
         address: str,
     ) -> Process:
         path = self.folder / f'{name}.ini'
-        path.write_text(text)
+        path.write_text(f'{process}{part}')
         return self._start(name, [role, str(path)], address)
 
     def _start(
