--- a/wagtailspread/allocation/admission.py
+++ b/wagtailspread/allocation/admission.py
@@ -11,6 +11,7 @@
     policies,
     quarantine,
     scheduling,
+    selection,
     tables,
 )
 from wagtailspread.core import outcomes, priorities
@@ -48,6 +49,7 @@
     def check(
         self,
         request: messages.SlotRequest,
+        view: selection.View,
         age: float,
         now: float,
     ) -> outcomes.RefusalReason | None:
@@ -55,11 +57,12 @@
 
         A retry that is accepted is paid for from the retry budget.
 
+        :param view: the upstreams as seen from its host.
         :param age: seconds since the allocator began.
         """
         if self._crashes.time_left(request.fingerprint, now) > 0:
             return _Reason.QUARANTINED
-        if not self._has_upstream(request, age):
+        if not self._has_upstream(request, view, age):
             return _Reason.NO_CAPACITY
         priority = request.priority
         ahead = self._queues.counts[priority]
@@ -96,10 +99,11 @@
     def _has_upstream(
         self,
         request: messages.SlotRequest,
+        view: selection.View,
         age: float,
     ) -> bool:
-        if not self._rows:
-            return age < START_SECONDS
+        if not view.usable:
+            return bool(view.parked) or age < START_SECONDS
         if len(request.excluded) >= len(self._rows):
             return not self._rows.keys() <= set(request.excluded)
         return True
--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -5,11 +5,11 @@
 """
 
 import random as random_module
-import sys
 import typing
 
 from wagtailspread.allocation import (
     admission,
+    answers,
     dispatch,
     estimates,
     judges,
@@ -37,6 +37,10 @@
 AcceptingJudge = judges.AcceptingJudge
 AllocationPolicy = policies.AllocationPolicy
 create_policy = policies.create_policy
+#: Closed leases are remembered for this long, or as many, so that a late
+#: adoption does not open them again.
+_MEMORY_SECONDS = 3.0
+_MEMORY_LIMIT = 4096
 
 
 class Coordinator:
@@ -91,9 +95,12 @@
             self._results,
             judge,
         )
-        self._memory = memories.DecisionMemory()
-        self._decisions: dict[identifiers.RequestId, messages.Decision] = {}
+        self._answers = answers.Answers(self.leases)
+        self._closed: memories.RecentTable[identifiers.LeaseId, bool] = (
+            memories.RecentTable(_MEMORY_SECONDS, _MEMORY_LIMIT)
+        )
         self._started: float | None = None
+        self._granting_from = 0.0
 
     def submit(self, request: messages.SlotRequest, now: float) -> None:
         """Ask for a slot; the decision comes from a later :meth:`tick`.
@@ -106,9 +113,10 @@
         if self._is_duplicate(request, now):
             return
         age = now - self._begin(now)
-        reason = self._admission.check(request, age, now)
+        view = self._selector.find_view(request.domain, now)
+        reason = self._admission.check(request, view, age, now)
         if reason is None:
-            self._accept(request, now)
+            self._accept(request, view, now)
         else:
             self._refuse(request, reason, now)
 
@@ -120,12 +128,10 @@
         waiting = self.queues.find(request_id)
         if waiting is not None:
             self.queues.remove(waiting)
-        self._decisions.pop(request_id, None)
-        decided = self._memory.decisions.get(request_id)
-        if decided is not None:
-            self._withdraw(decided.decision, now)
-        # A submission that arrives late must not hold a slot.
-        self._memory.remember(request_id, sys.maxsize, None, now)
+        lease = self._answers.find_lease(request_id)
+        if lease is not None:
+            self._close(lease.lease, now)
+        self._answers.cancel(request_id, now)
 
     def complete(self, completion: messages.Completion, now: float) -> None:
         """Take a result as evidence, and the lease back or on.
@@ -150,6 +156,7 @@
         row = self.table.announce(announcement, now)
         if row is not None:
             self._selector.update(row, now)
+            self._selector.recount(now)
             self._upkeep.hasten()
 
     def adopt(self, claim: messages.AdoptedLease, now: float) -> None:
@@ -157,7 +164,7 @@
         self._begin(now)
         self._judge.note_vote(claim.host, now)
         is_known = claim.lease in self.leases.leases
-        if is_known or self._memory.closed.get(claim.lease):
+        if is_known or self._closed.get(claim.lease):
             return
         if claim.expires <= now:
             return
@@ -174,6 +181,14 @@
         )
         self._dispatcher.open(lease, now)
 
+    def await_adoptions(self, until: float) -> None:
+        """Grant nothing before this time, in seconds.
+
+        A host that takes a service over calls it, so that the leases of the
+        former owner are adopted before their slots are granted again.
+        """
+        self._granting_from = until
+
     def tick(self, now: float) -> list[messages.Decision]:
         """Return the decisions since the last tick.
 
@@ -183,15 +198,14 @@
         self._begin(now)
         for lease in self.leases.expire(now):
             self._dispatcher.settle(lease, now)
-        self._upkeep.tick(now)
+        if self._upkeep.tick(now):
+            self._refuse_unusable(now)
         for waiting in self.queues.expire(now):
             reason = outcomes.RefusalReason.DEADLINE_UNREACHABLE
             self._refuse(waiting.request, reason, now)
-        if len(self.queues):
+        if len(self.queues) and now >= self._granting_from:
             self._serve_waiting(now)
-        decisions = list(self._decisions.values())
-        self._decisions.clear()
-        return decisions
+        return self._answers.take()
 
     def take_changes(self) -> list[typing.Any]:
         """Return the judge's changes since the last call, for logs."""
@@ -223,41 +237,12 @@
                 return True
             self.queues.remove(waiting)
             return False
-        decided = self._memory.decisions.get(request.request)
-        if decided is None:
-            return False
-        if decided.attempt < request.attempt:
-            undelivered = self._decisions.pop(request.request, None)
-            self._withdraw(undelivered, now)
-            return False
-        if decided.attempt == request.attempt:
-            self._repeat(decided.decision)
-        return True
-
-    def _repeat(self, decision: messages.Decision | None) -> None:
-        """Return a decision again, unless its lease is closed."""
-        if isinstance(decision, messages.Grant):
-            if self._find_lease(decision) is None:
-                return
-        if decision is not None:
-            self._decisions[decision.request] = decision
-
-    def _withdraw(
-        self,
-        decision: messages.Decision | None,
-        now: float,
-    ) -> None:
-        """Close the lease of a grant that nobody will use."""
-        if isinstance(decision, messages.Grant):
-            if self._find_lease(decision) is not None:
-                self._close(decision.lease, now)
-
-    def _find_lease(self, grant: messages.Grant) -> tables.Lease | None:
-        """Return the open lease of a request, unless it was passed on."""
-        lease = self.leases.leases.get(grant.lease)
-        if lease is None or lease.request != grant.request:
-            return None
-        return lease
+        if self._answers.repeat(request):
+            return True
+        lease = self._answers.recall(request.request)
+        if lease is not None:
+            self._close(lease.lease, now)
+        return False
 
     def _pass_on(
         self,
@@ -269,9 +254,7 @@
         lease = self.leases.leases.get(completion.lease)
         if lease is None:
             return
-        decided = self._memory.decisions.get(request_id)
-        known = decided and decided.decision
-        if isinstance(known, messages.Grant) and known.lease == lease.lease:
+        if self._answers.has_had(request_id, lease.lease):
             return
         self._record(lease, completion, now)
         waiting = self.queues.find(request_id)
@@ -285,7 +268,7 @@
         self.leases.rebind(lease, request_id, fingerprint, now, expires)
         self._admission.note_grant(request, now)
         grant = self._dispatcher.describe(lease, now)
-        self._memory.remember(request_id, request.attempt, grant, now)
+        self._answers.note(request, grant, now)
 
     def _record(
         self,
@@ -297,17 +280,39 @@
         if self._results.record(lease, completion, now):
             self._selector.update(lease.row, now)
 
-    def _accept(self, request: messages.SlotRequest, now: float) -> None:
+    def _accept(
+        self,
+        request: messages.SlotRequest,
+        view: selection.View,
+        now: float,
+    ) -> None:
         """Grant a slot at once if nobody waits for one, else queue."""
-        view = self._selector.find_view(request.domain, now)
-        if not len(self.queues):
+        if now >= self._granting_from and not len(self.queues):
             grant = self._dispatcher.place(request, view, now)
             if grant is not None:
                 self._grant(request, grant, now)
                 return
+            if not view.usable and view.parked:
+                reason = outcomes.RefusalReason.NO_CAPACITY
+                self._refuse(request, reason, now)
+                return
         latest = self._admission.find_latest_start(request)
         self.queues.add(request, view.domain, max(latest, now), now)
 
+    def _refuse_unusable(self, now: float) -> None:
+        """Refuse what waits in failure domains that can use no upstream.
+
+        Their hosts can then ask the other region at once.
+        """
+        is_young = now - self._begin(now) < admission.START_SECONDS
+        for view in self._selector.views.values():
+            if view.usable or (is_young and not view.parked):
+                continue
+            for waiting in self.queues.list_domain(view.domain):
+                self.queues.remove(waiting)
+                reason = outcomes.RefusalReason.NO_CAPACITY
+                self._refuse(waiting.request, reason, now)
+
     def _serve_waiting(self, now: float) -> None:
         """Grant free slots until none is left that anyone waits for."""
         served = self._dispatcher.serve_next(now)
@@ -322,7 +327,7 @@
         now: float,
     ) -> None:
         self._admission.note_grant(request, now)
-        self._decide(request, grant, now)
+        self._answers.put(request, grant, now)
 
     def _refuse(
         self,
@@ -335,23 +340,14 @@
             reason,
             self._admission.compute_retry_after(request, reason, now),
         )
-        self._decide(request, refusal, now)
-
-    def _decide(
-        self,
-        request: messages.SlotRequest,
-        decision: messages.Decision,
-        now: float,
-    ) -> None:
-        self._memory.remember(request.request, request.attempt, decision, now)
-        self._decisions[request.request] = decision
+        self._answers.put(request, refusal, now)
 
     def _close(
         self,
         lease_id: identifiers.LeaseId,
         now: float,
     ) -> tables.Lease | None:
-        self._memory.closed.put(lease_id, True, now)
+        self._closed.put(lease_id, True, now)
         lease = self.leases.remove(lease_id)
         if lease is not None:
             self._dispatcher.settle(lease, now)
--- a/wagtailspread/allocation/memories.py
+++ b/wagtailspread/allocation/memories.py
@@ -1,15 +1,7 @@
 """Bounded memory of recent events, to recognise duplicates."""
 
-import dataclasses
 import typing
 
-from wagtailspread.allocation import messages
-from wagtailspread.core import identifiers
-
-#: Decisions and closed leases are remembered for this long, or as many.
-_MEMORY_SECONDS = 3.0
-_MEMORY_LIMIT = 4096
-
 _Key = typing.TypeVar('_Key')
 _Value = typing.TypeVar('_Value')
 
@@ -55,35 +47,3 @@
         """Return the entry, or none if it is unknown or too old."""
         entry = self._young.get(key)
         return self._old.get(key) if entry is None else entry
-
-
-@dataclasses.dataclass(slots=True)
-class Decided:
-    """A decision, none if cancelled, and the attempt that it belongs to."""
-
-    attempt: int
-    decision: messages.Decision | None
-
-
-class DecisionMemory:
-    """Recent decisions and closed leases, to recognise duplicates."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self.decisions: RecentTable[identifiers.RequestId, Decided] = (
-            RecentTable(_MEMORY_SECONDS, _MEMORY_LIMIT)
-        )
-        self.closed: RecentTable[identifiers.LeaseId, bool] = RecentTable(
-            _MEMORY_SECONDS,
-            _MEMORY_LIMIT,
-        )
-
-    def remember(
-        self,
-        request: identifiers.RequestId,
-        attempt: int,
-        decision: messages.Decision | None,
-        now: float,
-    ) -> None:
-        """Remember what was decided about an attempt."""
-        self.decisions.put(request, Decided(attempt, decision), now)
--- a/wagtailspread/allocation/scheduling.py
+++ b/wagtailspread/allocation/scheduling.py
@@ -170,6 +170,14 @@
                 expired.append(waiting)
         return expired
 
+    def list_domain(self, domain: identifiers.FailureDomain) -> list[Waiting]:
+        """Return all requests of one failure domain."""
+        return [
+            waiting
+            for queues in self._queues
+            for waiting in queues.get(domain, {}).values()
+        ]
+
     def list_fronts(
         self,
         priority: priorities.Priority,
--- a/wagtailspread/allocation/selection.py
+++ b/wagtailspread/allocation/selection.py
@@ -25,11 +25,17 @@
 
 
 class View:
-    """Upstreams with free slots as seen from one failure domain."""
+    """Upstreams with free slots as seen from one failure domain.
+
+    ``parked`` holds the upstreams that the judge does not accept from there,
+    and ``usable`` is the number of the others that are announced and not
+    draining.
+    """
 
     def __init__(self, domain: identifiers.FailureDomain) -> None:
         """Start without upstreams."""
         self.domain = domain
+        self.usable = 0
         self.parked: dict[identifiers.UpstreamId, tables.UpstreamRow] = {}
         self._heaps: tuple[list[_Entry], list[_Entry]] = ([], [])
 
@@ -106,6 +112,7 @@
             self.views[domain] = view
             self._refresh_view(view, now)
             self._rebuild(view, now)
+            self._recount_view(view, now)
         return view
 
     def has_candidate(self) -> bool:
@@ -171,6 +178,18 @@
             row.is_accepted = not self.views
         for view in self.views.values():
             self._refresh_view(view, now)
+        self.recount(now)
+
+    def recount(self, now: float) -> None:
+        """Count the upstreams that each failure domain may use."""
+        for view in self.views.values():
+            self._recount_view(view, now)
+
+    def _recount_view(self, view: View, now: float) -> None:
+        view.usable = sum(
+            row.check_active(now) and row.upstream not in view.parked
+            for row in self._table.rows.values()
+        )
 
     def _pop_usable(
         self,
--- /dev/null
+++ b/wagtailspread/allocation/tests/test_budgets.py
@@ -0,0 +1,50 @@
+"""Tests of the budget of the link between regions."""
+
+import pytest
+
+from wagtailspread.allocation import budgets
+from wagtailspread.allocation.tests import builders
+from wagtailspread.core import priorities
+
+RATE = 1000.0
+SHARES = (0.6, 0.3, 0.1)
+SECONDS = 60
+
+
+def run_link(wanted):
+    """Return the bytes a second of each priority that wants the link.
+
+    :param wanted: priorities that send 10 bytes whenever they may.
+    """
+    budget = budgets.LinkBudget(RATE, SHARES)
+    sent = [0 for _ in priorities.Priority]
+    for step in range(SECONDS * 200):
+        now = step / 200
+        for priority in wanted:
+            if budget.may_use(priority, now):
+                budget.count(priority, 10, now)
+                sent[priority] += 10
+    return [size / SECONDS for size in sent]
+
+
+@pytest.mark.parametrize(
+    ('wanted', 'expected'),
+    [
+        (tuple(priorities.Priority), (600, 300, 100)),
+        ((builders.BULK,), (0, 0, 1000)),
+        ((builders.URGENT, builders.BULK), (900, 0, 100)),
+        ((builders.STANDARD, builders.BULK), (0, 900, 100)),
+    ],
+)
+def test_link_is_shared_by_priority(wanted, expected):
+    """Guards against bulk transfers that fill the link between regions."""
+    assert run_link(wanted) == pytest.approx(expected, rel=0.05, abs=5)
+
+
+def test_large_answer_is_paid_off():
+    """Guards against answers that exceed the link on average."""
+    budget = budgets.LinkBudget(RATE, SHARES)
+    budget.count(builders.URGENT, 10_600, 0.0)
+    assert budget.may_use(builders.BULK, 1.0)
+    assert not budget.may_use(builders.URGENT, 9.9)
+    assert budget.may_use(builders.URGENT, 10.2)
--- a/wagtailspread/allocation/tests/test_faults.py
+++ b/wagtailspread/allocation/tests/test_faults.py
@@ -215,6 +215,45 @@
     assert coordinator.table.rows['u0'].in_use == 0
 
 
+def test_new_owner_waits_for_adoptions():
+    """Guards against slots granted twice before hosts report their leases."""
+    coordinator = builders.make_coordinator()
+    coordinator.await_adoptions(0.5)
+    builders.announce_all(coordinator, 1)
+    early = builders.submit_all(coordinator, 6)
+    for lease in range(1, 5):
+        coordinator.adopt(make_claim(lease), 0.4)
+    assert not early
+    assert not coordinator.tick(0.4)
+    assert len(builders.list_grants(coordinator.tick(0.5))) == 2
+
+
+def test_waiting_requests_are_refused_when_all_upstreams_leave():
+    """Guards against requests that wait here instead of going elsewhere."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1, now=2.0, slots=1)
+    coordinator.tick(2.0)
+    waiting = builders.submit_all(coordinator, 3, 2.0, deadline=9.0)
+    builders.announce_all(coordinator, 1, now=2.1, state=STATE.DRAINING)
+    decisions = waiting + coordinator.tick(3.3)
+    assert builders.list_reasons(decisions) == [
+        REASON.NO_CAPACITY,
+        REASON.NO_CAPACITY,
+    ]
+
+
+def test_request_without_a_path_is_refused_at_once():
+    """Guards against requests that wait for a path that is blocked."""
+    judge = RecordingJudge(ejected=['u0', 'u1'])
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 2)
+    coordinator.tick(0.0)
+    refused = builders.submit_all(coordinator, 1)
+    assert builders.list_reasons(refused) == [REASON.NO_CAPACITY]
+    judge.trials = ['u1']
+    assert grant_one(coordinator, 0.2).is_trial
+
+
 def test_every_message_of_a_host_is_its_vote():
     """Guards against an allocator without votes although hosts use it."""
     judge = RecordingJudge()
--- a/wagtailspread/allocation/upkeep.py
+++ b/wagtailspread/allocation/upkeep.py
@@ -40,10 +40,10 @@
         """Let the next look be at the next tick."""
         self._due = 0.0
 
-    def tick(self, now: float) -> None:
-        """Look at all upstreams if it is time to."""
+    def tick(self, now: float) -> bool:
+        """Look at all upstreams if it is time to; return whether it was."""
         if now < self._due:
-            return
+            return False
         self._due = now + REFRESH_SECONDS
         self._refresh_rows(now)
         self._recorder.tick(now)
@@ -57,6 +57,7 @@
             if row.is_active and row.is_accepted
         )
         self._shares.resize(total, now)
+        return True
 
     def take_changes(self) -> list[typing.Any]:
         """Return the judge's changes since the last call."""
