--- a/benchmarks/allocation.py
+++ b/benchmarks/allocation.py
@@ -12,6 +12,9 @@
 _FULL_SECONDS = 20.0
 _RETRY_BOUND = 0.1
 _QUANTILE = 0.99
+#: Offered work of the full run, and its division among the priorities.
+_TOTALS = (0.8, 0.95, 1.0, 1.2, 5.0)
+_MIXES = ((0.4, 0.4, 0.2), (0.1, 0.1, 0.8), (0.8, 0.1, 0.1))
 _MILLISECONDS = 1000
 #: A shorter service time, to show what the message delays cost.
 _SHORT_SECONDS = 0.02
@@ -47,6 +50,7 @@
         yield from _measure_site(site, seconds)
         if is_full:
             yield from _measure_site(_shorten(site), seconds)
+            yield from _sweep_loads(site, seconds)
 
 
 def compute_figures(
@@ -89,10 +93,16 @@
     load: workloads.Load,
     seconds: float,
     seed: int = SEED,
+    *,
+    can_pass: bool = True,
 ) -> Figures:
-    """Return the figures with an owner for each service."""
+    """Return the figures with an owner for each service.
+
+    :param can_pass: whether hosts pass leases on to their own requests.
+    """
     replay = replays.Replay(site, load, seed)
-    return _run(replay, owners.OwnerPerService(replay, seed), seconds, seed)
+    mechanism = owners.OwnerPerService(replay, seed, can_pass=can_pass)
+    return _run(replay, mechanism, seconds, seed)
 
 
 def replay_naive(
@@ -203,6 +213,15 @@
         unit='share-of-possible',
         leased=leased.useful,
     )
+    unpassed = replay_ours(site, load, seconds, can_pass=False)
+    yield measures.Measure(
+        name='useful-work-without-passing',
+        scenario=scenario,
+        ours=unpassed.useful,
+        naive=naive.useful,
+        ideal=ideal.useful,
+        unit='share-of-possible',
+    )
 
 
 def _find_urgent_wait(jobs: abc.Iterable[workloads.Job]) -> float:
@@ -214,6 +233,26 @@
     return waits[int(len(waits) * _QUANTILE)] if waits else 0.0
 
 
+def _sweep_loads(
+    site: workloads.Site,
+    seconds: float,
+) -> abc.Iterator[measures.Measure]:
+    """Yield the useful work from below the capacity to far above it."""
+    for mix in _MIXES:
+        for total in _TOTALS:
+            urgent, standard, bulk = (total * share for share in mix)
+            name = f'{total:g}-of-capacity-{mix[0]:g}-{mix[1]:g}-{mix[2]:g}'
+            load = workloads.Load(name, (urgent, standard, bulk))
+            yield measures.Measure(
+                name='useful-work',
+                scenario=f'{site.name}-{name}',
+                ours=replay_ours(site, load, seconds).useful,
+                naive=replay_naive(site, load, seconds).useful,
+                ideal=replay_ideal(site, load, seconds).useful,
+                unit='share-of-possible',
+            )
+
+
 def _shorten(site: workloads.Site) -> workloads.Site:
     milliseconds = round(_SHORT_SECONDS * 1000)
     return dataclasses.replace(
--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -19,9 +19,19 @@
 class OwnerPerService:
     """Hosts ask the allocator, talk to upstreams and return their leases."""
 
-    def __init__(self, replay: replays.Replay, seed: int) -> None:
-        """Start with an allocator that knows no upstream."""
+    def __init__(
+        self,
+        replay: replays.Replay,
+        seed: int,
+        *,
+        can_pass: bool,
+    ) -> None:
+        """Start with an allocator that knows no upstream.
+
+        :param can_pass: whether hosts pass leases on to their own requests.
+        """
         self._replay = replay
+        self._can_pass = can_pass
         self._jobs: dict[identifiers.RequestId, workloads.Job] = {}
         self._mean = replay.site.service_seconds
         # By host and priority: requests that wait for a decision, by number.
@@ -150,7 +160,7 @@
         """Take out the oldest request of the host that may go on."""
         self._mean += _MEAN_WEIGHT * (seconds - self._mean)
         now = self._replay.agenda.now
-        if now >= grant.pass_until:
+        if now >= grant.pass_until or not self._can_pass:
             return None
         waiting = self._waiting[job.host][job.priority]
         for number, candidate in waiting.items():
