--- /dev/null
+++ b/wagtailspread/health/cells.py
@@ -0,0 +1,146 @@
+"""Layout of a cell of evidence, and how single results change it.
+
+Cells are stretches of one array of single-precision numbers, since 31,000
+upstreams with four failure domains each have to fit in a few megabytes.
+"""
+
+import array
+import math
+import typing
+
+#: Fields that decay with the fast window.
+FAST, FAST_BAD, FAST_ANSWERED = range(3)
+#: Fields that decay with the slow window.
+SLOW, SLOW_BAD, SLOW_ANSWERED = range(3, 6)
+#: Count, sum and sum of squares of logarithms of seconds of successes.
+TIMES, TIMES_SUM, TIMES_SQUARES = range(6, 9)
+#: Number of the fields above, which are windows.
+WINDOW_FIELDS = 9
+#: The run of failures, with its cumulative sum.
+RUN, RUN_BAD, RUN_ANSWERED, RUN_SUM = range(9, 13)
+#: The run of slow answers: count, sum of logarithms, cumulative sum.
+LATE, LATE_TOTAL, LATE_SUM = range(13, 16)
+#: Moments, in seconds since the epoch of the table.
+ONSET, LAST_GOOD, LAST_BAD, LATE_ONSET = range(16, 20)
+MOMENTS = (ONSET, LAST_GOOD, LAST_BAD, LATE_ONSET)
+#: Number of all fields.
+FIELDS = 20
+
+#: Weight of a failure and of a success in the cumulative sum: logarithms of
+#: the ratios of 0.6 to 0.05 and of 0.4 to 0.95. A share of failures above
+#: 0.26 makes the sum grow.
+FAILURE_WEIGHT = math.log(0.6 / 0.05)
+SUCCESS_WEIGHT = math.log(0.4 / 0.95)
+#: Largest cumulative sum, so that a run ends soon after the fault.
+MAX_SUM = 12.0
+
+
+def create_totals() -> list[float]:
+    """Return the window fields of all upstreams together, all zero."""
+    return [float() for _ in range(WINDOW_FIELDS)]
+
+
+def add_window_success(
+    cells: typing.MutableSequence[float],
+    base: int,
+    logarithm: float,
+) -> None:
+    """Count a success in the windows of the cell at ``base``."""
+    cells[base + FAST] += 1
+    cells[base + SLOW] += 1
+    cells[base + TIMES] += 1
+    cells[base + TIMES_SUM] += logarithm
+    cells[base + TIMES_SQUARES] += logarithm * logarithm
+
+
+def add_window_failure(
+    cells: typing.MutableSequence[float],
+    base: int,
+    is_answer: bool,
+) -> None:
+    """Count a failure in the windows of the cell at ``base``."""
+    cells[base + FAST] += 1
+    cells[base + FAST_BAD] += 1
+    cells[base + SLOW] += 1
+    cells[base + SLOW_BAD] += 1
+    if is_answer:
+        cells[base + FAST_ANSWERED] += 1
+        cells[base + SLOW_ANSWERED] += 1
+
+
+def add_run_success(
+    cells: 'array.array[float]',
+    base: int,
+    moment: float,
+) -> None:
+    """Let a success shorten the run of failures, and end it at zero."""
+    cells[base + LAST_GOOD] = moment
+    if not cells[base + RUN]:
+        return
+    remaining = cells[base + RUN_SUM] + SUCCESS_WEIGHT
+    if remaining > 0:
+        cells[base + RUN_SUM] = remaining
+        cells[base + RUN] += 1
+        return
+    cells[base + RUN_SUM] = 0
+    cells[base + RUN] = 0
+    cells[base + RUN_BAD] = 0
+    cells[base + RUN_ANSWERED] = 0
+
+
+def add_run_failure(
+    cells: 'array.array[float]',
+    base: int,
+    is_answer: bool,
+    moment: float,
+) -> None:
+    """Begin a run of failures, or let it grow."""
+    if not cells[base + RUN]:
+        cells[base + ONSET] = moment
+    cells[base + LAST_BAD] = moment
+    cells[base + RUN] += 1
+    cells[base + RUN_BAD] += 1
+    if is_answer:
+        cells[base + RUN_ANSWERED] += 1
+    grown = cells[base + RUN_SUM] + FAILURE_WEIGHT
+    cells[base + RUN_SUM] = min(grown, MAX_SUM)
+
+
+def add_late(
+    cells: 'array.array[float]',
+    base: int,
+    logarithm: float,
+    excess: float,
+    moment: float,
+) -> None:
+    """Let an answer's time lengthen or shorten the run of slow answers.
+
+    :param excess: how far the logarithm is above what counts as slow.
+    """
+    if not cells[base + LATE]:
+        if excess <= 0:
+            return
+        cells[base + LATE_ONSET] = moment
+        cells[base + LATE_TOTAL] = 0
+        cells[base + LATE_SUM] = 0
+    remaining = cells[base + LATE_SUM] + excess
+    if remaining <= 0:
+        cells[base + LATE] = 0
+        return
+    cells[base + LATE_SUM] = min(remaining, MAX_SUM)
+    cells[base + LATE] += 1
+    cells[base + LATE_TOTAL] += logarithm
+
+
+def grow(cells: 'array.array[float]', fields: int) -> None:
+    """Append fields of value zero."""
+    cells.frombytes(bytes(fields * cells.itemsize))
+
+
+def widen(cells: 'array.array[float]', width: int) -> 'array.array[float]':
+    """Return the cells with one more in each row of ``width`` cells."""
+    wider = array.array('f')
+    for start in range(0, len(cells), width * FIELDS):
+        wider.extend(cells[start : start + width * FIELDS])
+        grow(wider, FIELDS)
+    return wider
--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -1,7 +1,7 @@
 """Results of real work, in compact rows for each upstream and domain.
 
-Every upstream has one cell for all results and one for each failure domain
-that they came from. A cell holds
+Every upstream has one cell for each failure domain that results came from,
+and one for all of them. A cell holds
 
 - the *run*: the results since the failures began, found by a cumulative sum
   that restarts at zero (Page's test), so that old successes do not dilute a
@@ -13,16 +13,18 @@
   short and long work hardly moves their mean, and a difference of two means
   is a factor between upstreams.
 
+Windows decay all at once, so that their sum over all upstreams is kept
+alongside instead of being added up.
+
 References: E. S. Page, Continuous inspection schemes, Biometrika 41 (1954).
 See also: :mod:`wagtailspread.health.comparison`.
 """
 
 import array
 import math
-import typing
 
 from wagtailspread.core import identifiers, outcomes
-from wagtailspread.health import summaries
+from wagtailspread.health import authority, cells, summaries
 
 #: Time constant of the fast window, in seconds.
 FAST_SECONDS = 1.5
@@ -36,24 +38,19 @@
 NEGLIGIBLE = 0.02
 #: Shortest time that is told apart, in seconds.
 SHORTEST_SECONDS = 0.0001
-#: Weight of a failure and of a success in the cumulative sum: logarithms of
-#: the ratios of 0.6 to 0.05 and of 0.4 to 0.95. A share of failures above
-#: 0.26 makes the sum grow.
-FAILURE_WEIGHT = math.log(0.6 / 0.05)
-SUCCESS_WEIGHT = math.log(0.4 / 0.95)
-#: Largest cumulative sum, so that a run ends soon after the fault.
-MAX_SUM = 12.0
 #: Half of the shift of the logarithm of the seconds that a run looks for.
 SLOW_DRIFT = 0.6
 #: Time after which the set of hosts that saw failures starts anew, seconds.
 HOSTS_SECONDS = 2.0
 #: Bits that mark the hosts that saw results.
 HOST_BITS = 31
-#: Hosts whose bit is remembered; the rest is counted anew.
-MAX_REMEMBERED_HOSTS = 4096
-#: Time after which moments are counted from a later start, in seconds. They
-#: are kept in single precision, which is exact to half a millisecond here.
+#: Time after which moments are counted from a later start, in seconds. In
+#: single precision they are exact to half a millisecond until then.
 EPOCH_SECONDS = 3600.0
+#: Weighted failures of a domain below which it is not looked at.
+SUSPICIOUS_FAILURES = 2.5
+#: Share of failures below which it is not looked at, unless a run is on.
+SUSPICIOUS_RATIO = 0.1
 
 #: Number of the cell that holds the results from all domains.
 ALL_DOMAINS = 0
@@ -65,13 +62,6 @@
         outcomes.ExchangeResult.CANCELLED,
     )
 )
-# Fields of a cell.
-_FAST, _FAST_BAD, _SLOW, _SLOW_BAD, _ANSWERED = range(5)
-_TIMES, _TIMES_SUM, _TIMES_SQUARES = range(5, 8)
-_RUN, _RUN_BAD, _RUN_ANSWERED, _RUN_SUM = range(8, 12)
-_LATE, _LATE_TOTAL, _LATE_SUM, _FAST_ANSWERED = range(12, 16)
-_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET = range(16, 20)
-_FIELDS = 20
 
 
 def is_neutral(outcome: outcomes.ExchangeResult) -> bool:
@@ -84,29 +74,32 @@
 
 
 class Evidence:
-    """The cells of all upstreams of one service. Rows are small numbers."""
+    """The cells of all upstreams of one service. Rows are small numbers.
+
+    :param index: numbers of hosts, shared with other tables.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, index: authority.HostIndex) -> None:
         """Start without rows."""
         self.domains: list[identifiers.FailureDomain] = []
         self.active: set[int] = set()
         self.usual_logarithm = math.inf
+        self._index = index
         self._width = 1
         self._cells = array.array('f')
+        self._totals = cells.create_totals()
         self._failing_hosts = array.array('I')
         self._seen_hosts = array.array('I')
-        self._host_bits: dict[identifiers.HostId, int] = {}
         self._decayed_at = 0.0
         self._hosts_since = 0.0
         self._epoch: float | None = None
 
     def ensure_row(self, row: int) -> None:
         """Make room for ``row``."""
-        missing = row + 1 - len(self._seen_hosts)
-        if missing > 0:
-            _grow(self._cells, missing * self._width * _FIELDS)
-            _grow(self._failing_hosts, missing)
-            _grow(self._seen_hosts, missing)
+        while len(self._seen_hosts) <= row:
+            cells.grow(self._cells, self._width * cells.FIELDS)
+            self._failing_hosts.append(0)
+            self._seen_hosts.append(0)
 
     def record(
         self,
@@ -124,61 +117,57 @@
         if self._epoch is None:
             self._epoch = now
         number = self._find_domain(domain)
-        base = row * self._width * _FIELDS
-        cell = base + number * _FIELDS
-        moment = now - self._epoch
-        bit = self._find_host_bit(host)
+        base = row * self._width * cells.FIELDS
+        bit = 1 << self._index.find(host, now) % HOST_BITS
         self._seen_hosts[row] |= bit
         self.active.add(row)
+        moment = now - self._epoch
+        cell = base + number * cells.FIELDS
         if outcome is outcomes.ExchangeResult.SUCCESS:
-            logarithm = math.log(max(seconds, SHORTEST_SECONDS))
-            self._add_success(base, logarithm, moment)
-            self._add_success(cell, logarithm, moment)
+            self._add_success(base, cell, seconds, moment)
             return
         self._failing_hosts[row] |= bit
         is_answer = outcome is outcomes.ExchangeResult.ERROR
-        self._add_failure(base, is_answer, moment)
-        self._add_failure(cell, is_answer, moment)
+        cells.add_window_failure(self._cells, cell, is_answer)
+        cells.add_window_failure(self._totals, 0, is_answer)
+        cells.add_run_failure(self._cells, base, is_answer, moment)
+        cells.add_run_failure(self._cells, cell, is_answer, moment)
 
     def summarize(
         self,
         row: int,
         number: int = ALL_DOMAINS,
     ) -> summaries.Summary:
-        """Return the figures of a cell.
+        """Return the windows of a cell.
 
         :param number: number of the domain, or all of them.
         """
-        base = (row * self._width + number) * _FIELDS
-        sums = self._cells[base : base + _FIELDS]
-        return summaries.Summary(
-            summaries.Counts(
-                sums[_FAST],
-                sums[_FAST_BAD],
-                sums[_FAST_ANSWERED],
-            ),
-            summaries.Counts(sums[_SLOW], sums[_SLOW_BAD], sums[_ANSWERED]),
-            summaries.Times(
-                sums[_TIMES],
-                sums[_TIMES_SUM],
-                sums[_TIMES_SQUARES],
-            ),
+        if number != ALL_DOMAINS:
+            base = (row * self._width + number) * cells.FIELDS
+            window = self._cells[base : base + cells.WINDOW_FIELDS]
+            return summaries.create_summary(window)
+        return summaries.add_all(
+            self.summarize(row, one) for one in range(1, self._width)
         )
 
+    def summarize_all(self) -> summaries.Summary:
+        """Return the windows of all upstreams together."""
+        return summaries.create_summary(self._totals)
+
     def find_run(self, row: int, number: int = ALL_DOMAINS) -> summaries.Run:
         """Return the run of failures of a cell."""
-        base = (row * self._width + number) * _FIELDS
-        sums = self._cells[base : base + _FIELDS]
+        base = (row * self._width + number) * cells.FIELDS
+        sums = self._cells[base : base + cells.FIELDS]
         epoch = self._epoch or 0.0
         return summaries.Run(
             summaries.Counts(
-                sums[_RUN],
-                sums[_RUN_BAD],
-                sums[_RUN_ANSWERED],
+                sums[cells.RUN],
+                sums[cells.RUN_BAD],
+                sums[cells.RUN_ANSWERED],
             ),
-            sums[_ONSET] + epoch,
-            sums[_LAST_GOOD] + epoch,
-            sums[_LAST_BAD] + epoch,
+            sums[cells.ONSET] + epoch,
+            sums[cells.LAST_GOOD] + epoch,
+            sums[cells.LAST_BAD] + epoch,
         )
 
     def find_late_run(
@@ -187,18 +176,31 @@
         number: int = ALL_DOMAINS,
     ) -> summaries.LateRun:
         """Return the run of slow answers of a cell."""
-        base = (row * self._width + number) * _FIELDS
-        sums = self._cells[base : base + _FIELDS]
+        base = (row * self._width + number) * cells.FIELDS
         return summaries.LateRun(
-            sums[_LATE],
-            sums[_LATE_TOTAL],
-            sums[_LATE_ONSET] + (self._epoch or 0.0),
+            self._cells[base + cells.LATE],
+            self._cells[base + cells.LATE_TOTAL],
+            self._cells[base + cells.LATE_ONSET] + (self._epoch or 0.0),
         )
 
-    def find_last_success(self, row: int, number: int) -> float:
-        """Return the time of the last success in a cell."""
-        base = (row * self._width + number) * _FIELDS
-        return self._cells[base + _LAST_GOOD] + (self._epoch or 0.0)
+    def is_suspicious(self, row: int) -> bool:
+        """Tell at little cost whether the failures of a row may matter."""
+        table = self._cells
+        start = row * self._width * cells.FIELDS
+        if table[start + cells.RUN_BAD] >= SUSPICIOUS_FAILURES:
+            return True
+        end = start + self._width * cells.FIELDS
+        for base in range(start + cells.FIELDS, end, cells.FIELDS):
+            if table[base + cells.RUN_BAD] >= SUSPICIOUS_FAILURES:
+                return True
+            failures = table[base + cells.SLOW_BAD]
+            if failures > SUSPICIOUS_RATIO * table[base + cells.SLOW]:
+                return True
+        return False
+
+    def count_late(self, row: int) -> float:
+        """Return the length of the run of slow answers of a row."""
+        return self._cells[row * self._width * cells.FIELDS + cells.LATE]
 
     def is_single_host(self, row: int) -> bool:
         """Tell whether one host alone saw failures, while others worked."""
@@ -212,6 +214,8 @@
         self._failing_hosts[row] = 0
         self._seen_hosts[row] = 0
         self.active.discard(row)
+        if not self.active:
+            self._totals = cells.create_totals()
 
     def forget_domain(
         self,
@@ -220,18 +224,8 @@
     ) -> None:
         """Forget the results of ``row`` that came from one domain."""
         number = self._find_domain(domain)
-        start = row * self._width * _FIELDS
-        cell = start + number * _FIELDS
-        for field in range(_ONSET):
-            left = self._cells[start + field] - self._cells[cell + field]
-            is_count = field != _TIMES_SUM and field != _LATE_TOTAL
-            self._cells[start + field] = max(left, 0) if is_count else left
         self._clear_cell(row, number)
-
-    def _clear_cell(self, row: int, number: int) -> None:
-        base = (row * self._width + number) * _FIELDS
-        for field in range(base, base + _FIELDS):
-            self._cells[field] = 0
+        self._clear_cell(row, ALL_DOMAINS)
 
     def decay(self, now: float) -> None:
         """Let the weight of past results shrink to their age at ``now``."""
@@ -242,7 +236,9 @@
         fast = math.exp(-elapsed / FAST_SECONDS)
         slow = math.exp(-elapsed / SLOW_SECONDS)
         times = math.exp(-elapsed / TIMES_SECONDS)
-        factors = (fast, fast, slow, slow, slow, times, times, times)
+        factors = (fast, fast, fast, slow, slow, slow, times, times, times)
+        for field, factor in enumerate(factors):
+            self._totals[field] *= factor
         for row in list(self.active):
             self._decay_row(row, factors)
         if now - self._hosts_since > HOSTS_SECONDS:
@@ -251,75 +247,43 @@
         if self._epoch is not None and now - self._epoch > EPOCH_SECONDS:
             self._move_epoch(now)
 
-    def _add_success(self, base: int, logarithm: float, moment: float) -> None:
-        cells = self._cells
-        cells[base + _FAST] += 1
-        cells[base + _SLOW] += 1
-        cells[base + _TIMES] += 1
-        cells[base + _TIMES_SUM] += logarithm
-        cells[base + _TIMES_SQUARES] += logarithm * logarithm
-        cells[base + _LAST_GOOD] = moment
-        if cells[base + _RUN]:
-            remaining = cells[base + _RUN_SUM] + SUCCESS_WEIGHT
-            is_over = remaining <= 0
-            cells[base + _RUN_SUM] = 0 if is_over else remaining
-            cells[base + _RUN] = 0 if is_over else cells[base + _RUN] + 1
-            if is_over:
-                cells[base + _RUN_BAD] = 0
-                cells[base + _RUN_ANSWERED] = 0
-        excess = logarithm - self.usual_logarithm - SLOW_DRIFT
-        if excess > 0 or cells[base + _LATE]:
-            self._add_time(base, logarithm, excess, moment)
-
-    def _add_time(
+    def _add_success(
         self,
         base: int,
-        logarithm: float,
-        excess: float,
+        cell: int,
+        seconds: float,
         moment: float,
     ) -> None:
-        cells = self._cells
-        if not cells[base + _LATE]:
-            cells[base + _LATE_ONSET] = moment
-            cells[base + _LATE_TOTAL] = 0
-            cells[base + _LATE_SUM] = 0
-        remaining = min(cells[base + _LATE_SUM] + excess, MAX_SUM)
-        if remaining <= 0:
-            cells[base + _LATE] = 0
-            return
-        cells[base + _LATE_SUM] = remaining
-        cells[base + _LATE] += 1
-        cells[base + _LATE_TOTAL] += logarithm
-
-    def _add_failure(self, base: int, is_answer: bool, moment: float) -> None:
-        cells = self._cells
-        cells[base + _FAST] += 1
-        cells[base + _FAST_BAD] += 1
-        cells[base + _SLOW] += 1
-        cells[base + _SLOW_BAD] += 1
-        if is_answer:
-            cells[base + _ANSWERED] += 1
-            cells[base + _FAST_ANSWERED] += 1
-            cells[base + _RUN_ANSWERED] += 1
-        cells[base + _LAST_BAD] = moment
-        if not cells[base + _RUN]:
-            cells[base + _ONSET] = moment
-        cells[base + _RUN] += 1
-        cells[base + _RUN_BAD] += 1
-        grown = cells[base + _RUN_SUM] + FAILURE_WEIGHT
-        cells[base + _RUN_SUM] = min(grown, MAX_SUM)
+        logarithm = math.log(max(seconds, SHORTEST_SECONDS))
+        cells.add_window_success(self._cells, cell, logarithm)
+        cells.add_window_success(self._totals, 0, logarithm)
+        cells.add_run_success(self._cells, base, moment)
+        cells.add_run_success(self._cells, cell, moment)
+        excess = logarithm - self.usual_logarithm - SLOW_DRIFT
+        if excess > 0 or self._cells[base + cells.LATE]:
+            cells.add_late(self._cells, base, logarithm, excess, moment)
+        if excess > 0 or self._cells[cell + cells.LATE]:
+            cells.add_late(self._cells, cell, logarithm, excess, moment)
+
+    def _clear_cell(self, row: int, number: int) -> None:
+        base = (row * self._width + number) * cells.FIELDS
+        for field in range(cells.FIELDS):
+            if field < cells.WINDOW_FIELDS:
+                self._totals[field] -= self._cells[base + field]
+            self._cells[base + field] = 0
 
     def _decay_row(self, row: int, factors: tuple[float, ...]) -> None:
-        cells = self._cells
-        start = row * self._width * _FIELDS
-        for number in range(self._width):
-            base = start + number * _FIELDS
-            if not cells[base + _SLOW]:
+        table = self._cells
+        start = row * self._width * cells.FIELDS
+        end = start + self._width * cells.FIELDS
+        remaining = 0.0
+        for base in range(start + cells.FIELDS, end, cells.FIELDS):
+            if not table[base + cells.SLOW]:
                 continue
             for field, factor in enumerate(factors, base):
-                cells[field] *= factor
-            cells[base + _FAST_ANSWERED] *= factors[_FAST]
-        if cells[start + _SLOW] < NEGLIGIBLE:
+                table[field] *= factor
+            remaining += table[base + cells.SLOW]
+        if remaining < NEGLIGIBLE:
             self.clear(row)
 
     def _forget_hosts(self) -> None:
@@ -330,33 +294,15 @@
     def _move_epoch(self, now: float) -> None:
         passed = now - (self._epoch or 0.0)
         self._epoch = now
-        for field in (_ONSET, _LAST_GOOD, _LAST_BAD, _LATE_ONSET):
-            for position in range(field, len(self._cells), _FIELDS):
+        for moment in cells.MOMENTS:
+            for position in range(moment, len(self._cells), cells.FIELDS):
                 self._cells[position] -= passed
 
-    def _find_host_bit(self, host: identifiers.HostId) -> int:
-        bit = self._host_bits.get(host)
-        if bit is None:
-            if len(self._host_bits) >= MAX_REMEMBERED_HOSTS:
-                self._host_bits.clear()
-            bit = 1 << (len(self._host_bits) % HOST_BITS)
-            self._host_bits[host] = bit
-        return bit
-
     def _find_domain(self, domain: identifiers.FailureDomain) -> int:
         try:
             return self.domains.index(domain) + 1
         except ValueError:
             self.domains.append(domain)
-        width = self._width * _FIELDS
-        wider = array.array('f')
-        for start in range(0, len(self._cells), width):
-            wider.extend(self._cells[start : start + width])
-            _grow(wider, _FIELDS)
-        self._cells = wider
+        self._cells = cells.widen(self._cells, self._width)
         self._width += 1
         return len(self.domains)
-
-
-def _grow(column: typing.Any, length: int) -> None:
-    column.frombytes(bytes(length * column.itemsize))
--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -30,7 +30,7 @@
 )
 
 #: Shortest time between two evaluations, in seconds.
-EVALUATION_SECONDS = 0.05
+EVALUATION_SECONDS = 0.09
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,13 +104,14 @@
         index: authority.HostIndex | None,
     ) -> None:
         """Start with no upstreams and no votes."""
+        host_index = index or authority.HostIndex()
         self.authority = authority.create_authority(
             policy.host_count,
             policy.tie_breaker,
-            index,
+            host_index,
         )
         self._table = tables.UpstreamTable(policy.floor)
-        self._evidence = evidence.Evidence()
+        self._evidence = evidence.Evidence(host_index)
         self._paths = paths.PathTable()
         self._examiner = verdicts.Examiner(self._evidence, self._paths)
         self._flaps = recovery.FlapTable(random)
@@ -259,8 +260,7 @@
         return changes
 
     def _evaluate(self, now: float) -> None:
-        rows = self._evidence.active - self._ejections.rows.keys()
-        for fault in self._examiner.find_faults(rows, now):
+        for fault in self._examiner.find_faults(now):
             if fault.domain is not None:
                 self._block_path(fault, fault.domain, now)
             elif self._ejections.eject(fault, now):
--- a/wagtailspread/health/summaries.py
+++ b/wagtailspread/health/summaries.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from wagtailspread.health import cells
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Counts:
@@ -118,6 +120,27 @@
         )
 
 
+def create_summary(window: typing.Sequence[float]) -> Summary:
+    """Return the summary of the window fields of a cell."""
+    return Summary(
+        Counts(
+            window[cells.FAST],
+            window[cells.FAST_BAD],
+            window[cells.FAST_ANSWERED],
+        ),
+        Counts(
+            window[cells.SLOW],
+            window[cells.SLOW_BAD],
+            window[cells.SLOW_ANSWERED],
+        ),
+        Times(
+            window[cells.TIMES],
+            window[cells.TIMES_SUM],
+            window[cells.TIMES_SQUARES],
+        ),
+    )
+
+
 def add_all(summaries: typing.Iterable[Summary]) -> Summary:
     """Return the sum of several summaries."""
     total = Summary()
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -3,7 +3,6 @@
 import dataclasses
 import math
 import statistics
-import typing
 
 from wagtailspread.core import identifiers
 from wagtailspread.health import (
@@ -62,36 +61,34 @@
         path_table: paths.PathTable,
     ) -> None:
         """Keep the evidence and the paths."""
-        self._paths = path_table
         self.times = summaries.Times()
+        self._paths = path_table
         self._evidence = table
         self._now = 0.0
-        self._rows: dict[int, summaries.Summary] = {}
+        self._total = summaries.Summary()
         self._domain_totals: dict[int, summaries.Summary] = {}
 
-    def find_faults(
-        self,
-        rows: typing.Iterable[int],
-        now: float,
-    ) -> list[Fault]:
-        """Return the faults of the given rows, the worst first."""
+    def find_faults(self, now: float) -> list[Fault]:
+        """Return the faults of the upstreams with results, worst first."""
         self._now = now
         self._domain_totals.clear()
-        self._rows = {row: self._evidence.summarize(row) for row in rows}
-        total = summaries.add_all(self._rows.values())
-        self._note_times(total.times)
-        failing = [row for row in self._rows if self._is_failing(row)]
-        slow = [row for row in self._rows if self._is_late(row)]
+        self._total = self._evidence.summarize_all()
+        self._note_times(self._total.times)
+        active = sorted(self._evidence.active)
+        suspicious = [
+            row for row in active if self._evidence.is_suspicious(row)
+        ]
+        late = [row for row in active if self._is_late(row)]
         faults: list[Fault] = []
+        failing = [row for row in suspicious if self._has_failures(row)]
         if not self._is_common(failing):
-            for row in self._rows:
-                faults.extend(self._find_failures(row, total))
-        if not self._is_common(slow):
+            for row in suspicious:
+                faults.extend(self._find_failures(row))
+        if not self._is_common(late):
             known = {fault.row for fault in faults}
-            for row in slow:
-                if row not in known:
-                    faults.extend(self._find_slowness(row))
-        return sorted(faults, key=lambda fault: -fault.badness)
+            for slow_row in sorted(set(late) - known):
+                faults.extend(self._find_slowness(slow_row))
+        return sorted(faults, key=lambda fault: (-fault.badness, fault.row))
 
     def _note_times(self, times: summaries.Times) -> None:
         self.times = times
@@ -101,32 +98,24 @@
             self._evidence.usual_logarithm = math.inf
 
     def _is_common(self, rows: list[int]) -> bool:
-        peers = len(self._rows) - 1
+        peers = len(self._evidence.active) - 1
         return len(rows) > 1 and len(rows) - 1 > COMMON_SHARE * peers
 
-    def _is_failing(self, row: int) -> bool:
-        run = self._evidence.find_run(row).counts
-        return run.failures >= comparison.MIN_FAILURES
-
     def _is_late(self, row: int) -> bool:
-        late = self._evidence.find_late_run(row)
-        shift = late.mean - self.times.mean
-        is_enough = late.count >= comparison.MIN_TIMES
-        return is_enough and shift >= math.log(comparison.MIN_SLOWDOWN)
+        if self._evidence.count_late(row) < comparison.MIN_TIMES:
+            return False
+        shift = self._evidence.find_late_run(row).mean - self.times.mean
+        return shift >= math.log(comparison.MIN_SLOWDOWN)
 
-    def _find_failures(
-        self,
-        row: int,
-        total: summaries.Summary,
-    ) -> list[Fault]:
-        own = self._rows[row]
+    def _find_failures(self, row: int) -> list[Fault]:
+        own = self._evidence.summarize(row)
         if own.slow.failures < comparison.MIN_FAILURES:
             return []
         if own.slow.answered <= ANSWERED_SHARE * own.slow.failures:
             path_faults = self._find_failing_paths(row)
             if path_faults:
                 return path_faults
-        peers = total.plus(own, -1)
+        peers = self._total.plus(own, -1)
         failing = self._find_window(row, evidence.ALL_DOMAINS, own, peers)
         if failing is None or self._evidence.is_single_host(row):
             return []
@@ -166,7 +155,7 @@
             peers = self._sum_peers(row, number)
             failing = self._find_window(row, number, cell, peers)
             if failing and self._is_path_fault(row, number, failing):
-                others = self._rows[row].plus(cell, -1)
+                others = self._evidence.summarize(row).plus(cell, -1)
                 reason = _explain_failures(failing, others, (name,))
                 faults.append(Fault(row, 1 + failing.ratio, reason, name))
         return faults
@@ -190,11 +179,15 @@
         succeeding = summaries.add_all(
             self._evidence.summarize(row, number)
             for number in others
-            if self._evidence.find_last_success(row, number) > since
+            if self._evidence.find_run(row, number).last_success > since
         )
         return comparison.is_failing(failing, succeeding.fast, PATH_SCORE)
 
-    def _has_failures(self, row: int, number: int) -> bool:
+    def _has_failures(
+        self,
+        row: int,
+        number: int = evidence.ALL_DOMAINS,
+    ) -> bool:
         run = self._evidence.find_run(row, number).counts
         return run.failures >= comparison.MIN_FAILURES
 
@@ -216,12 +209,13 @@
         # The median over the peers of what each does now, since the mean
         # over a window lags when the whole service becomes slower.
         means = []
-        for peer, summary in self._rows.items():
+        for peer in self._evidence.active:
             late = self._evidence.find_late_run(peer)
-            if peer == row or not summary.times.count:
+            times = self._evidence.summarize(peer).times
+            if peer == row or not times.count:
                 continue
             is_late = late.count >= comparison.MIN_TIMES / 2
-            means.append(late.mean if is_late else summary.times.mean)
+            means.append(late.mean if is_late else times.mean)
         return statistics.median(means) if means else math.inf
 
     def _find_slow_paths(self, row: int) -> list[Fault]:
@@ -229,7 +223,7 @@
         for number, name in enumerate(self._evidence.domains, start=1):
             late = self._evidence.find_late_run(row, number)
             cell = self._evidence.summarize(row, number)
-            others = self._rows[row].times.plus(cell.times, -1)
+            others = self._evidence.summarize(row).times.plus(cell.times, -1)
             if others.count < comparison.MIN_TIMES:
                 continue
             if comparison.is_slow(
@@ -246,7 +240,8 @@
         total = self._domain_totals.get(number)
         if total is None:
             total = summaries.add_all(
-                self._evidence.summarize(one, number) for one in self._rows
+                self._evidence.summarize(one, number)
+                for one in self._evidence.active
             )
             self._domain_totals[number] = total
         return total.plus(self._evidence.summarize(row, number), -1)
