Block a path again at its first failure after a block

Cause: connections on a cut path fail within a millisecond, so that the path looks idle and attracted 20 to 40 requests until the next tick each time its block ended.

--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -19,6 +19,7 @@
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.health import (
     authority,
+    blocking,
     comparison,
     ejection,
     evidence,
@@ -120,6 +121,12 @@
             self._flaps,
             self._report_upstream,
         )
+        self._blocking = blocking.PathBlocking(
+            self._table,
+            self._paths,
+            self._ejections,
+            self._report_path,
+        )
         self._hang_seconds = math.inf
         self._counts_overdue = False
         self._evaluated_at = float('-inf')
@@ -148,6 +155,7 @@
                 return
             self._evidence.ensure_row(row)
             self._evidence.record(row, host, domain, outcome, seconds, now)
+            self._blocking.record(row, domain, outcome, now)
 
     def hang_seconds(self) -> float:
         """Return the age at which an open request counts as hanging.
@@ -254,7 +262,7 @@
         if now - self._evaluated_at >= EVALUATION_SECONDS:
             self._evaluated_at = now
             self._evaluate(now)
-        self._open_paths(now)
+        self._blocking.tick(now)
         changes = self._changes
         self._changes = []
         return changes
@@ -262,7 +270,7 @@
     def _evaluate(self, now: float) -> None:
         for fault in self._examiner.find_faults(now):
             if fault.domain is not None:
-                self._block_path(fault, fault.domain, now)
+                self._blocking.block(fault, fault.domain, now)
             elif self._ejections.eject(fault, now):
                 self._paths.forget(fault.row)
         self._hang_seconds = comparison.compute_longest(self._examiner.times)
@@ -297,41 +305,6 @@
         is_late = seconds >= self._hang_seconds
         return is_timeout and is_late and self._counts_overdue
 
-    def _block_path(
-        self,
-        fault: verdicts.Fault,
-        domain: identifiers.FailureDomain,
-        now: float,
-    ) -> None:
-        blocked = self._paths.find_rows(domain)
-        unusable = {*self._ejections.rows, *blocked, fault.row}
-        if self._table.count_slots(unusable) < self._table.minimum:
-            return
-        path = paths.Path(fault.row, domain)
-        self._paths.block(path, fault.badness, now)
-        self._evidence.forget_domain(fault.row, domain)
-        state = reports.HealthState.PATH_BLOCKED
-        self._report(fault.row, state, fault.reason, domain)
-
-    def _open_paths(self, now: float) -> None:
-        for path in self._paths.expire(now):
-            self._report_open(path, reports.Cause.BLOCK_OVER)
-        for domain in self._paths.find_domains():
-            self._keep_domain_floor(domain)
-
-    def _keep_domain_floor(self, domain: identifiers.FailureDomain) -> None:
-        while self._paths.find_rows(domain):
-            unusable = {*self._ejections.rows, *self._paths.find_rows(domain)}
-            if self._table.count_slots(unusable) >= self._table.minimum:
-                return
-            path = self._paths.find_least_bad(domain)
-            self._paths.open(path)
-            self._report_open(path, reports.Cause.FLOOR)
-
-    def _report_open(self, path: paths.Path, cause: reports.Cause) -> None:
-        state = reports.HealthState.PATH_OPEN
-        self._report(path.row, state, reports.Reason(cause), path.domain)
-
     def _report_upstream(
         self,
         row: int,
@@ -342,6 +315,16 @@
         self._clear(row)
         self._report(row, state, reason)
 
+    def _report_path(
+        self,
+        path: paths.Path,
+        state: reports.HealthState,
+        reason: reports.Reason,
+    ) -> None:
+        if state is reports.HealthState.PATH_BLOCKED:
+            self._evidence.forget_domain(path.row, path.domain)
+        self._report(path.row, state, reason, path.domain)
+
     def _report(
         self,
         row: int,
--- a/wagtailspread/health/paths.py
+++ b/wagtailspread/health/paths.py
@@ -15,6 +15,8 @@
 LONGEST_BLOCK_SECONDS = 32.0
 #: Time after a block during which a new one is doubled, in seconds.
 MEMORY_SECONDS = 60.0
+#: Successes after a block until a path is trusted as before.
+TRUSTED_SUCCESSES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,12 +29,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Block:
-    """A path that is blocked until a time, or was not long ago."""
+    """A path that is blocked until a time, or was not long ago.
+
+    :param successes: results since it was opened; a failure before there are
+        enough blocks it again at once.
+    """
 
     until: float
     seconds: float
     badness: float
     is_open: bool = False
+    successes: int = 0
 
 
 class PathTable:
@@ -70,6 +77,19 @@
         self._blocks[path].is_open = True
         self._blocked[path.domain].discard(path.row)
 
+    def find_untrusted(
+        self,
+        row: int,
+        domain: identifiers.FailureDomain,
+    ) -> Block | None:
+        """Return the earlier block of a path that is on probation."""
+        if not self._blocks:
+            return None
+        block = self._blocks.get(Path(row, domain))
+        if block is None or not block.is_open:
+            return None
+        return block if block.successes < TRUSTED_SUCCESSES else None
+
     def find_least_bad(self, domain: identifiers.FailureDomain) -> Path:
         """Return the blocked path of a domain with the lowest badness."""
         paths = [Path(row, domain) for row in self._blocked[domain]]
