--- a/wagtailspread/health/tables.py
+++ b/wagtailspread/health/tables.py
@@ -14,6 +14,8 @@
 
 #: Time for which capacity that went away still counts for the floor, seconds.
 BASE_SECONDS = 60.0
+#: Part of a slot that comes from binary fractions such as 0.7 * 10.
+ROUNDING = 1e-6
 #: Time after which an upstream that is not announced is forgotten, seconds.
 FORGET_SECONDS = 60.0
 
@@ -105,7 +107,7 @@
     def minimum(self) -> int:
         """Return the slots that ejections must leave."""
         base = max(self._base, self._earlier_base)
-        return math.ceil(self._floor_share * base)
+        return math.ceil(self._floor_share * base - ROUNDING)
 
     def count_slots(self, without: typing.Container[int]) -> int:
         """Return the ready slots except those of the given rows."""
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -1,106 +1,207 @@
 """Fault cases of the judge on manual time."""
 
-import random
+import pytest
 
 from wagtailspread.core import outcomes
-from wagtailspread.health import judges, reports, tables
+from wagtailspread.health import reports
+from wagtailspread.health.tests import services
 
 RESULT = outcomes.ExchangeResult
-UPSTREAMS = tuple(f'v{number}' for number in range(9))
-HOSTS = tuple(f'h{number}' for number in range(44))
-DOMAINS = ('andes-bog', 'andes-mde')
+STATE = reports.HealthState
+CAUSE = reports.Cause
+V3 = 'v3'
 
 
-def create_judge(floor=0.6, host_count=44):
-    policy = judges.HealthPolicy(floor=floor, host_count=host_count)
-    return judges.create_judge(policy, random.Random(1))
+def list_upstreams(changes, state):
+    return {change.upstream for change in changes if change.state is state}
 
 
-def list_capacities(slots=6, missing=()):
-    return [
-        tables.Capacity(upstream, slots, upstream not in missing)
-        for upstream in UPSTREAMS
-    ]
+def fail_some(upstream, _domain, _host, step):
+    is_bad = upstream == V3 and step % 10 in {0, 3, 7}
+    return (RESULT.ERROR if is_bad else RESULT.SUCCESS), 0.05
 
 
-def run(judge, choose, start=0.0, seconds=2.0, voters=HOSTS, missing=()):
-    """Give each upstream 50 results a second and return the changes."""
-    changes = []
-    for step in range(int(seconds * 50)):
-        now = start + step / 50
-        for host in voters:
-            judge.note_vote(host, now)
-        for number, upstream in enumerate(UPSTREAMS):
-            host = HOSTS[(step * 7 + number) % len(HOSTS)]
-            domain = DOMAINS[(step + number) % 2]
-            if judge.is_usable(upstream, domain, now):
-                result = choose(upstream, domain, step)
-                judge.record(upstream, host, domain, result, 0.05, now)
-        changes += judge.tick(list_capacities(missing=missing), now)
-    return changes
+def slow_one(upstream, *_):
+    return RESULT.SUCCESS, 0.25 if upstream == V3 else 0.05
 
 
-def fail(*upstreams):
-    def choose(upstream, _domain, _step):
-        return RESULT.ERROR if upstream in upstreams else RESULT.SUCCESS
+def slow_mixed_work(upstream, _domain, _host, step):
+    # A tenth of the work takes forty times longer than the rest.
+    taken = 1.0 if step % 10 == 5 else 0.025
+    return RESULT.SUCCESS, taken * (5 if upstream == V3 else 1)
 
-    return choose
 
+EJECTING = {
+    'errors': services.fail(V3),
+    'truncates': services.fail(V3, result=RESULT.TRUNCATED),
+    'resets': services.fail(V3, result=RESULT.RESET),
+    'hangs': services.fail(V3, result=RESULT.TIMEOUT),
+    'is unreachable': services.fail(V3, result=RESULT.CONNECT_FAILED),
+    'fails three in ten': fail_some,
+    'is five times slower': slow_one,
+    'is slower with mixed work': slow_mixed_work,
+}
 
-def test_upstream_that_fails_all_requests_is_ejected_alone():
-    judge = create_judge()
-    changes = run(judge, fail('v3'))
-    assert [change.upstream for change in changes] == ['v3']
-    assert changes[0].state is reports.HealthState.EJECTED
-    assert not judge.is_usable('v3', 'andes-bog', 1.9)
 
+@pytest.mark.parametrize('case', EJECTING)
+def test_upstream_is_ejected_alone_when_it(case):
+    changes = services.run(services.create_judge(), EJECTING[case])
+    assert list_upstreams(changes, STATE.EJECTED) == {V3}
 
-def test_nobody_is_ejected_without_votes_of_a_majority():
-    judge = create_judge()
-    assert not run(judge, fail('v3'), voters=HOSTS[:22])
 
+def fail_all(*_):
+    return RESULT.ERROR, 0.01
+
+
+def slow_all(_upstream, _domain, _host, step):
+    return RESULT.SUCCESS, 0.25 if step > 50 else 0.05
+
+
+def fail_through_one_host(upstream, _domain, host, _step):
+    is_bad = upstream == V3 and host in services.HOSTS[:1]
+    return (RESULT.CONNECT_FAILED if is_bad else RESULT.SUCCESS), 0.05
+
+
+def fail_in_one_burst(upstream, _domain, _host, step):
+    is_bad = upstream == V3 and step in range(60, 66)
+    return (RESULT.RESET if is_bad else RESULT.SUCCESS), 0.05
+
+
+def stall_once(upstream, _domain, _host, step):
+    is_stalled = upstream == V3 and step in range(60, 75)
+    return RESULT.SUCCESS, 0.4 if is_stalled else 0.05
+
+
+SPARING = {
+    'all are healthy': services.succeed,
+    'all fail': fail_all,
+    'all become slow': slow_all,
+    'one host alone sees failures': fail_through_one_host,
+    'six requests fail in one burst': fail_in_one_burst,
+    'it stalls once for a moment': stall_once,
+    'it sheds': services.fail(V3, result=RESULT.SHED),
+    'callers cancel': services.fail(V3, result=RESULT.CANCELLED),
+    'old connections are silent': services.fail(V3, result=RESULT.SILENT),
+}
+
+
+@pytest.mark.parametrize('case', SPARING)
+def test_nobody_is_ejected_or_blocked_when(case):
+    judge = services.create_judge()
+    assert not services.run(judge, SPARING[case], seconds=4)
 
-def test_ejections_stop_at_the_floor():
-    judge = create_judge(floor=0.6)
-    run(judge, fail('v1', 'v2', 'v3', 'v4', 'v5'), seconds=4)
-    assert len(judge.find_ejected()) <= 3
+
+def cut_path(upstream, domain, _host, _step):
+    is_cut = upstream == V3 and domain == 'andes-bog'
+    return (RESULT.CONNECT_FAILED if is_cut else RESULT.SUCCESS), 0.05
 
 
 def test_fault_seen_from_one_domain_blocks_the_path_only():
-    def choose(upstream, domain, _step):
-        is_cut = upstream == 'v3' and domain == 'andes-bog'
-        return RESULT.CONNECT_FAILED if is_cut else RESULT.SUCCESS
-
-    judge = create_judge()
-    changes = run(judge, choose)
-    assert {change.state for change in changes} <= {
-        reports.HealthState.PATH_BLOCKED,
-        reports.HealthState.PATH_OPEN,
+    judge = services.create_judge()
+    changes = services.run(judge, cut_path, seconds=8)
+    assert not list_upstreams(changes, STATE.EJECTED)
+    blocked = [one for one in changes if one.state is STATE.PATH_BLOCKED]
+    assert {(one.upstream, one.domain) for one in blocked} == {
+        (V3, 'andes-bog'),
     }
-    assert changes
-    assert changes[0].domain == 'andes-bog'
-
-
-def test_ejected_upstream_comes_back_after_three_good_trials():
-    judge = create_judge()
-    run(judge, fail('v3'))
-    changes = []
-    for step in range(100):
-        now = 2 + step / 20
-        for host in HOSTS:
-            judge.note_vote(host, now)
-        if judge.claim_trial('v3', now):
-            judge.record(
-                'v3', 'h1', DOMAINS[0], RESULT.SUCCESS, 0.0, now + 0.01
-            )
-        changes += judge.tick(list_capacities(), now + 0.02)
-    assert changes[0].reason.cause is reports.Cause.TRIALS
-    assert judge.is_usable('v3', 'andes-bog', 7)
-
-
-def test_ejection_reported_by_hosts_holds_at_the_new_owner():
-    judge = create_judge()
-    judge.adopt(['v5'], 0.0)
-    changes = run(judge, fail(), seconds=0.5)
-    assert changes[0].upstream == 'v5'
-    assert not judge.is_usable('v5', 'andes-bog', 0.5)
+    assert not judge.is_usable(V3, 'andes-bog', 8)
+    assert judge.is_usable(V3, 'andes-mde', 8)
+
+
+def test_error_answers_seen_from_one_domain_are_no_path_fault():
+    """Guards against blaming the path for what only an upstream can send."""
+
+    def choose(upstream, domain, _host, _step):
+        is_bad = upstream == V3 and domain == 'andes-bog'
+        return (RESULT.ERROR if is_bad else RESULT.SUCCESS), 0.05
+
+    changes = services.run(services.create_judge(), choose)
+    assert not list_upstreams(changes, STATE.PATH_BLOCKED)
+
+
+def test_paths_of_a_domain_stay_above_its_floor():
+    def choose(_upstream, domain, _host, step):
+        is_cut = _upstream in services.UPSTREAMS[:5] and domain == 'andes-bog'
+        return (RESULT.RESET if is_cut else RESULT.SUCCESS), 0.05
+
+    judge = services.create_judge(floor=0.6)
+    services.run(judge, choose, seconds=4)
+    usable = [
+        upstream
+        for upstream in services.UPSTREAMS
+        if judge.is_usable(upstream, 'andes-bog', 4)
+    ]
+    assert len(usable) >= 6
+
+
+def test_path_gets_work_again_and_is_blocked_at_its_first_failure():
+    judge = services.create_judge()
+    services.run(judge, cut_path, seconds=1)
+    now = 1.0
+    while not judge.is_usable(V3, 'andes-bog', now):
+        now += 0.1
+        judge.tick(services.list_capacities(), now)
+    assert 2 < now < 3
+    judge.record(V3, 'h1', 'andes-bog', RESULT.RESET, 0.0, now)
+    assert not judge.is_usable(V3, 'andes-bog', now)
+
+
+def test_ejections_stop_at_the_floor():
+    judge = services.create_judge(floor=0.6)
+    services.run(judge, services.fail('v1', 'v2', 'v3', 'v4'), seconds=4)
+    assert len(judge.find_ejected()) == 3
+
+
+def test_worse_upstream_takes_the_place_of_a_less_bad_one():
+    judge = services.create_judge(floor=0.8)
+    services.run(judge, slow_one)
+    assert judge.find_ejected() == [V3]
+    services.run(judge, services.fail('v5'), start=2)
+    assert judge.find_ejected() == ['v5']
+
+
+def test_lost_capacity_readmits_the_least_bad():
+    judge = services.create_judge(floor=0.6)
+    services.run(judge, services.fail('v1', 'v2', 'v3'))
+    assert len(judge.find_ejected()) == 3
+    changes = services.run(
+        judge,
+        services.fail('v1', 'v2', 'v3'),
+        start=2,
+        seconds=0.1,
+        unready=('v7', 'v8'),
+    )
+    assert len(judge.find_ejected()) == 1
+    assert {change.reason.cause for change in changes} == {CAUSE.FLOOR}
+
+
+def test_change_tells_the_evidence():
+    judge = services.create_judge()
+    change = services.run(judge, services.fail(V3))[0]
+    assert change.reason.cause is CAUSE.FAILURES
+    assert change.reason.failures >= 3
+    assert change.reason.ratio == 1
+    assert not change.reason.peers_ratio
+    assert set(change.reason.domains) == set(services.DOMAINS)
+
+
+def test_hanging_upstream_is_ejected_before_the_deadline():
+    judge = services.create_judge()
+    services.run(judge, services.succeed)
+    assert judge.hang_seconds() < 1
+    for number in range(4):
+        judge.note_overdue(V3, f'h{number}', services.DOMAINS[number % 2], 2.0)
+    choose = services.fail(V3, result=RESULT.SHED)
+    changes = services.run(judge, choose, start=2, seconds=0.5)
+    assert list_upstreams(changes, STATE.EJECTED) == {V3}
+
+
+def test_late_result_of_an_overdue_request_is_not_counted_twice():
+    judge = services.create_judge()
+    services.run(judge, services.succeed)
+    judge.note_overdue(V3, 'h1', 'andes-bog', 2.0)
+    judge.note_overdue(V3, 'h2', 'andes-bog', 2.0)
+    for host in ('h1', 'h2'):
+        judge.record(V3, host, 'andes-bog', RESULT.TIMEOUT, 2.0, 3.0)
+    choose = services.fail(V3, result=RESULT.SHED)
+    assert not services.run(judge, choose, start=3, seconds=0.5)
