Make the judge's state machine reach contested ejections

Cause: with the ballot, the floor check or the start delay of votes switched off, the state machine and the floor test still passed.

--- a/wagtailspread/health/tests/test_judge_machine.py
+++ b/wagtailspread/health/tests/test_judge_machine.py
@@ -16,7 +16,8 @@
 FLOOR = 0.4
 MINIMUM_SLOTS = 6
 OWNERS = st.sampled_from((0, 1))
-SOME_UPSTREAMS = st.sets(st.sampled_from(UPSTREAMS))
+SOME_UPSTREAMS = st.sets(st.sampled_from(UPSTREAMS), max_size=3)
+SOME_HOSTS = st.just(HOSTS) | st.sets(st.sampled_from(HOSTS), min_size=2)
 
 
 class JudgeMachine(stateful.RuleBasedStateMachine):
@@ -51,7 +52,7 @@
     def wait(self, seconds):
         self.now += seconds
 
-    @stateful.rule(hosts=st.sets(st.sampled_from(HOSTS)), owner=OWNERS)
+    @stateful.rule(hosts=SOME_HOSTS, owner=OWNERS)
     def vote(self, hosts, owner):
         for host in hosts:
             if self.send_vote(host, owner):
@@ -75,10 +76,12 @@
     @stateful.rule(
         owner=OWNERS,
         bad=SOME_UPSTREAMS,
+        voters=SOME_HOSTS,
         result=st.sampled_from((RESULT.ERROR, RESULT.RESET)),
     )
-    def work(self, owner, bad, result):
+    def work(self, owner, bad, voters, result):
         judge = self.judges[owner]
+        self.vote(voters, owner)
         for step in range(12):
             for upstream in UPSTREAMS:
                 outcome = result if upstream in bad else RESULT.SUCCESS
@@ -88,9 +91,10 @@
             self.now += 0.05
         judge.tick(self.list_capacities(), self.now)
 
-    @stateful.rule(owner=OWNERS)
-    def tick(self, owner):
-        self.judges[owner].tick(self.list_capacities(), self.now)
+    @stateful.rule()
+    def tick_both(self):
+        for judge in self.judges:
+            judge.tick(self.list_capacities(), self.now)
 
     @stateful.rule(owner=OWNERS, upstreams=SOME_UPSTREAMS)
     def adopt(self, owner, upstreams):
@@ -99,8 +103,7 @@
     @stateful.rule(upstreams=SOME_UPSTREAMS)
     def change_capacity(self, upstreams):
         self.unready = upstreams
-        for judge in self.judges:
-            judge.tick(self.list_capacities(), self.now)
+        self.tick_both()
 
     @stateful.rule(owner=OWNERS, upstream=st.sampled_from(UPSTREAMS))
     def try_upstream(self, owner, upstream):
@@ -142,4 +145,4 @@
 
 
 TestJudge = JudgeMachine.TestCase
-TestJudge.settings = settings(max_examples=60, stateful_step_count=25)
+TestJudge.settings = settings(max_examples=150, stateful_step_count=20)
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -148,7 +148,10 @@
 
 def test_ejections_stop_at_the_floor():
     judge = services.create_judge(floor=0.6)
-    services.run(judge, services.fail('v1', 'v2', 'v3', 'v4'), seconds=4)
+    choose = services.fail('v1', 'v2', 'v3', 'v4')
+    for step in range(100):
+        services.run(judge, choose, start=step / 50, seconds=0.02)
+        assert len(judge.find_ejected()) <= 3
     assert len(judge.find_ejected()) == 3
 
 
