Test the driver, the client and the first membership

Group commit: 200 proposals share at most 4 syncs. A full disk stops the driver, and open commands answer unknown. Consensus messages are taken only from processes with the role of a replica.

--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from wagtailspread.consensus import files, messages, replicas, states
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, failures, identifiers
 from wagtailspread.replica import (
     drivers,
     handlers,
@@ -28,6 +28,13 @@
 HAND_OVER_SECONDS = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotAReplica(failures.Failure):
+    """A process of another role sent a message of the protocol."""
+
+    host: identifiers.HostId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaSettings:
     """Settings of one replica process.
@@ -171,9 +178,11 @@
 
     async def _take_batch(
         self,
-        _call: listeners.Call,
+        call: listeners.Call,
         request: wire.Struct,
     ) -> listeners.HandlerResult:
+        if call.peer.role != ROLE:
+            return result.Failure(NotAReplica(call.peer.host))
         address, batch = peers.unpack_batch(request.payload)
         for message in batch:
             self._take(address, message)
--- /dev/null
+++ b/wagtailspread/replica/tests/test_drivers.py
@@ -0,0 +1,129 @@
+"""The driver: group commit, failures of the storage, lost leadership."""
+
+import asyncio
+import time
+
+import pytest
+
+from returns import result
+
+from wagtailspread.consensus import (
+    frames,
+    messages,
+    replicas,
+    states,
+    storage,
+)
+from wagtailspread.core import clocks, failures
+from wagtailspread.replica import drivers
+from wagtailspread.testing import networks
+
+POLICY = states.Policy(election_timeout=0.05, heartbeat_interval=0.01)
+
+
+class SlowStorage(storage.MemoryStorage):
+    """Counts syncs, each of which takes a while; fails when told to."""
+
+    syncs = 0
+    failure = None
+
+    def sync(self):
+        self.syncs += 1
+        time.sleep(0.02)
+        if self.failure is not None:
+            return result.Failure(self.failure)
+        return super().sync()
+
+
+def create_driver(voters=('a',), sent=None):
+    store = SlowStorage('a')
+    nodes = tuple(messages.ReplicaNode(one, f'{one}:1') for one in voters)
+    first = replicas.create_first_log(messages.MembershipRecord(nodes), ())
+    log = first.read(1, first.last_index)
+    store.write(messages.Output(entries=log))
+    stored = store.load().unwrap()
+    replica = replicas.create_replica(
+        'a',
+        messages.HardStateRecord(1),
+        stored.log,
+        POLICY,
+    )
+    outgoing = [] if sent is None else sent
+    driver = drivers.create_driver(
+        replica,
+        store,
+        networks.ListMachine(),
+        clocks.SystemClock(),
+        outgoing.extend,
+    )
+    return driver, store
+
+
+async def wait_for_lead(driver):
+    async with asyncio.timeout(5):
+        while not driver.replica.is_leader:
+            await asyncio.sleep(0.01)
+
+
+async def test_proposals_during_a_sync_share_the_next_one():
+    """Guards against one sync for each change."""
+    driver, store = create_driver()
+    running = asyncio.create_task(driver.run())
+    await wait_for_lead(driver)
+    before = store.syncs
+    commands = [driver.run_command(b'%d' % number) for number in range(200)]
+    answers = await asyncio.gather(*commands)
+    assert [one.unwrap() for one in answers] == [
+        b'%d' % number for number in range(200)
+    ]
+    assert store.syncs - before <= 4
+    running.cancel()
+
+
+async def test_full_disk_stops_the_replica_and_answers_unknown():
+    """Guards against a replica that acknowledges what it cannot keep."""
+    driver, store = create_driver()
+    running = asyncio.create_task(driver.run())
+    await wait_for_lead(driver)
+    store.failure = frames.DiskFull('No space left on device')
+    answer = await driver.run_command(b'change')
+    assert isinstance(answer.failure(), drivers.OutcomeUnknown)
+    with pytest.raises(drivers.ReplicaStopped, match='DiskFull'):
+        await running
+
+
+async def test_lost_leadership_answers_unknown():
+    """Guards against callers that wait for a commit that never comes."""
+    driver, _store = create_driver(('a', 'b', 'c'))
+    running = asyncio.create_task(driver.run())
+    state = driver.replica.state
+    state.role = states.Role.LEADER
+    state.leader = 'a'
+    now = time.monotonic()
+    state.heard_at = now
+    for other in ('b', 'c'):
+        state.progress[other] = states.Progress(0, 2, active_at=now)
+    answer = await asyncio.wait_for(driver.run_command(b'change'), 2)
+    assert isinstance(answer.failure(), drivers.OutcomeUnknown)
+    refused = await driver.run_command(b'change')
+    assert isinstance(refused.failure(), failures.NotLeader)
+    running.cancel()
+
+
+async def test_nothing_is_sent_before_its_sync():
+    """Guards against an acknowledgement of an entry that is not on disk."""
+    sent = []
+    driver, store = create_driver(('b', 'a'), sent)
+    running = asyncio.create_task(driver.run())
+    await asyncio.sleep(0)
+    entry = messages.LogEntry(2, 1, messages.EntryKind.COMMAND, b'x')
+    request = messages.AppendRequest('b', 'a', 1, 1, 1, 0, 0, (entry,))
+    before = store.syncs
+    driver.receive(request)
+    async with asyncio.timeout(2):
+        while not any(isinstance(one, messages.AppendReply) for one in sent):
+            assert store.syncs <= before + 1
+            await asyncio.sleep(0)
+    assert store.load().unwrap().log.last_index == 2
+    assert not store._unsynced
+    running.cancel()
--- /dev/null
+++ b/wagtailspread/replica/tests/test_introductions.py
@@ -0,0 +1,82 @@
+"""How the first membership is formed, and how it is not."""
+
+import dataclasses
+
+from wagtailspread.consensus import messages
+from wagtailspread.replica import introductions
+
+FOUNDERS = ('a:1', 'b:1', 'c:1')
+
+
+def create(identity, address):
+    return introductions.Introductions(
+        messages.ReplicaNode(identity, address),
+        FOUNDERS,
+        FOUNDERS,
+    )
+
+
+def create_three():
+    return [create(f'id-{address}', address) for address in FOUNDERS]
+
+
+def introduce(source, target, *, is_formed=False, now=0.0):
+    introduction = source.create(introductions.ANYONE, is_formed=is_formed)
+    return target.hear(introduction, now)
+
+
+def test_first_membership_waits_for_every_founder():
+    """Guards against a fleet that starts without one of its replicas."""
+    first, second, third = create_three()
+    introduce(first, second)
+    introduce(second, first)
+    assert first.find_membership(0.0) is None
+    introduce(first, third)
+    introduce(third, first)
+    assert len(first.find_membership(0.0).voters) == 3
+
+
+def test_only_the_lowest_address_forms_the_membership():
+    """Guards against two first memberships beside each other."""
+    first, second, third = create_three()
+    for other in (first, third):
+        introduce(other, second)
+    assert second.find_membership(0.0) is None
+
+
+def test_wiped_replicas_form_no_second_fleet():
+    """Guards against a new fleet while one replica still has the old data."""
+    first, second, third = create_three()
+    introduce(first, second)
+    introduce(second, first)
+    introduce(third, first, is_formed=True)
+    assert first.find_membership(0.0) is None
+
+
+def test_pledge_to_a_lost_identity_does_not_hold():
+    """Guards against late messages of a fleet that was never formed."""
+    first, second, _third = create_three()
+    assert introduce(first, second)
+    again = create('another-id', FOUNDERS[0])
+    assert not introduce(again, second)
+
+
+def test_old_introduction_does_not_count():
+    """Guards against a founder that was wiped while the others waited."""
+    first, second, third = create_three()
+    for other in (second, third):
+        introduce(first, other)
+        introduce(other, first)
+    assert first.find_membership(60.0) is None
+
+
+def test_replica_that_is_no_founder_forms_nothing():
+    """Guards against a fleet of one beside the real one."""
+    node = messages.ReplicaNode('id', 'a:1')
+    alone = introductions.Introductions(node, FOUNDERS, ())
+    assert alone.find_membership(0.0) is None
+    formed = dataclasses.replace(
+        alone.create(introductions.ANYONE, is_formed=True),
+        address='b:1',
+    )
+    assert alone.hear(formed, 0.0)
