Let a cancellation through while a link closes

A run of the process tests hung for 60 s: the cancelled load task went on. The link suppressed CancelledError while it waited for its own cancelled reader, and so also the cancellation of its caller. The same pattern in run_replica would have restarted a cancelled replica. Both wait with gather now; the new test fails without the change.

--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -1,7 +1,6 @@
 """The replica process: its settings, its handlers and its life."""
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import signal
@@ -339,12 +338,17 @@
         if stopping.is_set() and not running.done():
             await server.hand_over()
             running.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await running
+        await _finish(running)
     finally:
         await _cancel([running, stop])
 
 
+async def _finish(running: asyncio.Task[None]) -> None:
+    (ended,) = await asyncio.gather(running, return_exceptions=True)
+    if isinstance(ended, Exception):
+        raise ended
+
+
 async def _wait_for_first(jobs: list[asyncio.Task[typing.Any]]) -> None:
     done, _ = await asyncio.wait(
         jobs,
--- a/wagtailspread/testing/replicas.py
+++ b/wagtailspread/testing/replicas.py
@@ -78,8 +78,7 @@
         """Stop one replica without a hand-over."""
         running = self._running.pop(address)
         running.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await running
+        await asyncio.gather(running, return_exceptions=True)
 
     async def close(self) -> None:
         """Stop everything."""
--- a/wagtailspread/wire/links.py
+++ b/wagtailspread/wire/links.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import typing
 
@@ -84,8 +83,9 @@
         """Close the connection and fail the open calls."""
         if self._reading is not None:
             self._reading.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._reading
+            # Unlike a suppressed CancelledError this lets a cancellation of
+            # the caller through.
+            await asyncio.gather(self._reading, return_exceptions=True)
         self._disconnect()
 
     def _unwrap(self, reply: typing.Any, answer_type: typing.Any) -> CallResult:
--- a/wagtailspread/wire/tests/test_links.py
+++ b/wagtailspread/wire/tests/test_links.py
@@ -101,6 +101,23 @@
     await listener.close()
 
 
+async def test_cancelled_caller_of_close_stays_cancelled():
+    """Guards against a task that cannot be cancelled while it closes."""
+
+    async def answer(_call, request):
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    link = links.create_link(address, create_credentials(), create_directory())
+    await call(link)
+    closing = asyncio.create_task(link.close())
+    await asyncio.sleep(0)
+    closing.cancel()
+    outcomes = await asyncio.gather(closing, return_exceptions=True)
+    assert isinstance(outcomes[0], asyncio.CancelledError)
+    await listener.close()
+
+
 async def test_closed_peer_is_unreachable():
     async def answer(_call, request):
         return result.Success(request)
