--- a/wagtailspread/consensus/tests/test_broken_mechanisms.py
+++ b/wagtailspread/consensus/tests/test_broken_mechanisms.py
@@ -9,6 +9,7 @@
 from wagtailspread.consensus import (
     elections,
     messages,
+    reconfiguration,
     replicas,
     replication,
     states,
@@ -258,7 +259,81 @@
     fleet.run(2.0)
 
 
+class UndemandingVoter(elections.Elections):
+    """Votes for candidates whose log is behind its own."""
+
+    def _can_grant(self, request):
+        return True
+
+
+class UndemandingReplica(replicas.Replica):
+    elections_type = UndemandingVoter
+
+
+def elect_a_replica_that_is_behind(fleet):
+    leader, holder, behind = list_addresses(fleet)
+    fleet.run(3.0)
+    elect(fleet, leader, {leader, holder})
+    fleet.propose(leader, b'acknowledged')
+    replicate(fleet)
+    crash(fleet, leader)
+    elect(fleet, behind, {holder, behind})
+
+
+class ChangeAtOnce(reconfiguration.Reconfiguration):
+    """Changes the membership before an entry of the own term is committed."""
+
+    def _find_obstacle(self):
+        is_settled = self._state.log.membership_index <= self._state.commit
+        return None if is_settled else 'change-in-progress'
+
+
+class ChangeAtOnceReplica(replicas.Replica):
+    reconfiguration_type = ChangeAtOnce
+
+
+def remove(fleet, leader, removed):
+    state = fleet.nodes[removed].replica.state
+    change = reconfiguration.MembershipChange(
+        reconfiguration.ChangeKind.REMOVE,
+        messages.ReplicaNode(state.identity, removed),
+    )
+    fleet.nodes[leader].replica.change_membership(change, fleet.now)
+
+
+def change_membership_in_two_terms(fleet):
+    """Two leaders each remove another replica; their majorities differ.
+
+    It is the fault of single-server changes that D. Ongaro described in 2015.
+    """
+    one, two, three, four = list_addresses(fleet)
+    fleet.run(3.0)
+    elect(fleet, one, {one, two, three, four})
+    replicate(fleet)
+    fleet.isolate(one)
+    remove(fleet, one, four)
+    fleet.nodes[one].sync()
+    elect(fleet, two, {two, three, four})
+    assert fleet.nodes[two].replica.is_leader
+    remove(fleet, two, one)
+    fleet.heal()
+    for other in (one, three):
+        fleet.isolate(other)
+    replicate(fleet)
+    elect(fleet, one, {one, three})
+
+
 SCHEDULES = {
+    'vote-for-a-log-that-is-behind': (
+        elect_a_replica_that_is_behind,
+        {'replica_type': UndemandingReplica},
+        3,
+    ),
+    'change-before-a-commit-in-the-term': (
+        change_membership_in_two_terms,
+        {'replica_type': ChangeAtOnceReplica},
+        4,
+    ),
     'vote-not-synced': (
         vote_twice_in_a_term,
         {'store_type': ForgottenVote},
--- a/wagtailspread/consensus/tests/test_replicas.py
+++ b/wagtailspread/consensus/tests/test_replicas.py
@@ -208,6 +208,98 @@
     assert find_state(fleet, node.address).is_voter()
 
 
+def test_repeated_part_of_a_snapshot_is_stored_once():
+    """Guards against a snapshot that is corrupted by a repeated message."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    behind = fleet.nodes[find_followers(fleet)[0]]
+    state = find_state(fleet, leader)
+    for offset, payload, is_held in (
+        (0, b'ab', 2),
+        (0, b'ab', 2),
+        (2, b'c', 3),
+    ):
+        chunk = messages.SnapshotChunk(
+            state.identity,
+            behind.replica.state.identity,
+            state.term,
+            900,
+            state.term,
+            state.membership,
+            offset,
+            3,
+            payload,
+            0,
+        )
+        output = behind.replica.receive(chunk, fleet.now)
+        assert output.messages[-1].offset == is_held
+    assert output.snapshot.payload == b'abc'
+
+
+def test_follower_commits_no_further_than_the_leader_compared():
+    """Guards against a commit of entries that the leader does not have."""
+    fleet = create_fleet()
+    state = find_state(fleet, find_leader(fleet))
+    follower = fleet.nodes[find_followers(fleet)[0]]
+    prev = state.log.last_index
+    first, second = (
+        messages.LogEntry(
+            prev + place,
+            state.term,
+            messages.EntryKind.COMMAND,
+            b'x',
+        )
+        for place in (1, 2)
+    )
+    for entries, commit in (((first, second), prev), ((first,), prev + 9)):
+        request = messages.AppendRequest(
+            state.identity,
+            follower.replica.state.identity,
+            state.term,
+            prev,
+            state.log.last_term,
+            commit,
+            0,
+            entries,
+        )
+        follower.replica.receive(request, fleet.now)
+    assert follower.replica.state.commit == prev + 1
+
+
+def test_voter_that_still_answers_is_not_replaced():
+    """Guards against the removal of a live replica by a second process."""
+    fleet = create_fleet()
+    address = find_followers(fleet)[0]
+    before = find_state(fleet, address).identity
+    twin = messages.ReplicaNode('twin', address)
+    for _ in range(40):
+        for node in fleet.list_up():
+            node.replica.introduce(twin, fleet.now)
+        fleet.run(0.05)
+        progress = find_state(fleet, find_leader(fleet)).progress.get('twin')
+        if progress is not None:
+            progress.match = find_state(fleet, find_leader(fleet)).commit
+            progress.active_at = fleet.now
+    membership = find_state(fleet, find_leader(fleet)).membership
+    assert before in membership.voter_ids()
+    assert 'twin' not in membership.voter_ids()
+
+
+def test_lost_probe_is_sent_again():
+    """Guards against a follower that waits for ever after one lost message."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    follower = find_followers(fleet)[0]
+    progress = find_state(fleet, leader).progress[
+        find_state(fleet, follower).identity
+    ]
+    progress.is_probing = True
+    progress.is_paused = True
+    propose_many(fleet, 1)
+    fleet.run(0.4)
+    assert fleet.nodes[follower].applied == fleet.nodes[leader].applied
+
+
 def test_message_for_another_identity_is_dropped():
     """Guards against a new identity that votes for the old one."""
     fleet = create_fleet()
