--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -1,7 +1,6 @@
 """The replica process: its settings, its handlers and its life."""
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import signal
@@ -11,7 +10,7 @@
 from returns import result
 
 from wagtailspread.consensus import files, messages, replicas, states
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, failures, identifiers
 from wagtailspread.replica import (
     drivers,
     handlers,
@@ -28,6 +27,13 @@
 HAND_OVER_SECONDS = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotAReplica(failures.Failure):
+    """A process of another role sent a message of the protocol."""
+
+    host: identifiers.HostId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaSettings:
     """Settings of one replica process.
@@ -171,9 +177,11 @@
 
     async def _take_batch(
         self,
-        _call: listeners.Call,
+        call: listeners.Call,
         request: wire.Struct,
     ) -> listeners.HandlerResult:
+        if call.peer.role != ROLE:
+            return result.Failure(NotAReplica(call.peer.host))
         address, batch = peers.unpack_batch(request.payload)
         for message in batch:
             self._take(address, message)
@@ -330,12 +338,17 @@
         if stopping.is_set() and not running.done():
             await server.hand_over()
             running.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await running
+        await _finish(running)
     finally:
         await _cancel([running, stop])
 
 
+async def _finish(running: asyncio.Task[None]) -> None:
+    (ended,) = await asyncio.gather(running, return_exceptions=True)
+    if isinstance(ended, Exception):
+        raise ended
+
+
 async def _wait_for_first(jobs: list[asyncio.Task[typing.Any]]) -> None:
     done, _ = await asyncio.wait(
         jobs,
