--- a/wagtailspread/idempotency/claims.py
+++ b/wagtailspread/idempotency/claims.py
@@ -114,7 +114,7 @@
         if record.state is _State.FINISHED:
             return _answer(_Claimed.FINISHED, record.answer)
         if record.state is _State.RELEASED:
-            return _answer(self._claim_released(record, request, now))
+            return _answer(self._claim_released(scope, record, request, now))
         return _answer(self._claim_taken(record, request))
 
     def finish(self, request: messages.Struct, now: float) -> bool:
@@ -125,17 +125,20 @@
         :returns: whether the attempt was running; if not, nothing changes.
         """
         now = self._advance(now)
-        record = self._find(_scope_of(request), now)
+        scope = _scope_of(request)
+        record = self._find(scope, now)
         if record is None or not _is_running(record, request):
             return False
         if request.state != _Claimed.FINISHED.value:
-            record.state = _State.UNKNOWN
-            return True
-        room = self._policy.max_bytes - self._bytes
-        before = record.count_bytes()
-        record.answer = records.bound_answer(request.answer, room)
-        record.state = _State.FINISHED
-        self._bytes += record.count_bytes() - before
+            ended = dataclasses.replace(record, state=_State.UNKNOWN)
+        else:
+            room = self._policy.max_bytes - self._bytes
+            ended = dataclasses.replace(
+                record,
+                state=_State.FINISHED,
+                answer=records.bound_answer(request.answer, room),
+            )
+        self._replace(scope, record, ended)
         return True
 
     def release(self, request: messages.Struct, now: float) -> bool:
@@ -158,11 +161,15 @@
         if attempt in record.released:
             return True
         if record.attempt != attempt:
-            return self._remember_released(record, attempt)
+            return self._remember_released(scope, record, attempt)
         if record.state is not _State.RUNNING:
             return False
-        record.state = _State.RELEASED
-        record.released = (*record.released, attempt)
+        released = dataclasses.replace(
+            record,
+            state=_State.RELEASED,
+            released=(*record.released, attempt),
+        )
+        self._replace(scope, record, released)
         return True
 
     def expire(self, now: float) -> int:
@@ -186,7 +193,15 @@
 
     def take_snapshot(self) -> bytes:
         """Return the whole table."""
-        return snapshots.encode_table(self._now, self._records)
+        return self.freeze().encode()
+
+    def freeze(self) -> snapshots.Table:
+        """Return the table as it is now; later commands do not change it.
+
+        Encoding a large table takes seconds. The frozen one may be encoded in
+        another thread while this one goes on.
+        """
+        return snapshots.Table(self._now, self._records.copy())
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole table.
@@ -216,7 +231,9 @@
             self._forget(scope, record)
             return None
         if record.state is _State.RUNNING and record.deadline <= now:
-            record.state = _State.UNKNOWN
+            lapsed = dataclasses.replace(record, state=_State.UNKNOWN)
+            self._replace(scope, record, lapsed)
+            return lapsed
         return record
 
     def _forget(self, scope: keys.Scope, record: records.Record) -> None:
@@ -231,28 +248,19 @@
     ) -> keys.ClaimState:
         if self._is_full(self._policy.max_keys):
             return _Claimed.FULL
-        record = records.Record(
-            _State.RUNNING,
-            attempt='',
-            host='',
-            fingerprint=None,
-            deadline=0,
-            expires=0,
-        )
-        self._grant(record, request, now)
-        self._add(scope, record)
+        self._add(scope, self._grant(None, request, now))
         return _Claimed.GRANTED
 
     def _claim_released(
         self,
+        scope: keys.Scope,
         record: records.Record,
         request: messages.Struct,
         now: float,
     ) -> keys.ClaimState:
         if not self._has_room_for_attempt(record):
             return _Claimed.FULL
-        self._grant(record, request, now)
-        self._bytes += records.ATTEMPT_BYTES
+        self._replace(scope, record, self._grant(record, request, now))
         return _Claimed.GRANTED
 
     def _claim_taken(
@@ -267,24 +275,41 @@
 
     def _grant(
         self,
-        record: records.Record,
+        before: records.Record | None,
         request: messages.Struct,
         now: float,
-    ) -> None:
+    ) -> records.Record:
         seconds = max(0, request.deadline_ms or 0) / _MILLISECONDS
-        record.state = _State.RUNNING
-        record.attempt = _attempt_of(request)
-        record.host = _intern(request.host)
-        record.fingerprint = request.fingerprint or b''
-        record.deadline = now + seconds + self._policy.margin
+        deadline = now + seconds + self._policy.margin
         lifetime = self._lifetimes.find_lifetime(request.service_name)
-        record.expires = max(record.deadline, now + lifetime, record.expires)
+        return records.Record(
+            state=_State.RUNNING,
+            attempt=_attempt_of(request),
+            host=_intern(request.host),
+            fingerprint=request.fingerprint or b'',
+            deadline=deadline,
+            expires=max(
+                deadline,
+                now + lifetime,
+                before.expires if before else 0,
+            ),
+            released=before.released if before else (),
+        )
 
     def _add(self, scope: keys.Scope, record: records.Record) -> None:
         self._records[scope] = record
         self._bytes += record.count_bytes()
         self._expiries.add(scope, record.expires)
 
+    def _replace(
+        self,
+        scope: keys.Scope,
+        before: records.Record,
+        after: records.Record,
+    ) -> None:
+        self._records[scope] = after
+        self._bytes += after.count_bytes() - before.count_bytes()
+
     def _release_early(
         self,
         scope: keys.Scope,
@@ -308,13 +333,18 @@
 
     def _remember_released(
         self,
+        scope: keys.Scope,
         record: records.Record,
         attempt: str,
     ) -> bool:
         if not self._has_room_for_attempt(record):
             return False
-        record.released = (*record.released, attempt)
-        self._bytes += records.ATTEMPT_BYTES
+        released = (*record.released, attempt)
+        self._replace(
+            scope,
+            record,
+            dataclasses.replace(record, released=released),
+        )
         return True
 
     def _has_room_for_attempt(self, record: records.Record) -> bool:
--- a/wagtailspread/idempotency/records.py
+++ b/wagtailspread/idempotency/records.py
@@ -18,9 +18,10 @@
 FREE_ANSWER_BYTES = 64
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """One key.
+    """One key. A change stores another record, so that a copy of the table's
+    dictionary is a copy of the table.
 
     :param attempt: the attempt that was granted last.
     :param fingerprint: of the request; ``None`` if a release came before any
--- a/wagtailspread/idempotency/snapshots.py
+++ b/wagtailspread/idempotency/snapshots.py
@@ -23,6 +23,10 @@
     now: float
     records: dict[keys.Scope, records.Record]
 
+    def encode(self) -> bytes:
+        """Return the snapshot."""
+        return encode_table(self.now, self.records)
+
 
 def encode_table(
     now: float,
