--- a/wagtailspread/configuration/checks.py
+++ b/wagtailspread/configuration/checks.py
@@ -84,9 +84,6 @@
         self.sink: list[findings.Finding] = []
         self._base = base
         self._known = known
-        self._by_kind: dict[str, list[files.ParsedSection]] = {}
-        for section in base.sections:
-            self._by_kind.setdefault(section.kind, []).append(section)
 
     def read_base(self) -> schemas.Settings:
         """Return the settings that the base file gives to every site."""
@@ -195,7 +192,7 @@
     ) -> list[typing.Any]:
         return [
             self._read(kind, ((self._base.name, section),), read)
-            for section in self._by_kind.get(kind.kind, ())
+            for section in self._base.by_kind.get(kind.kind, ())
         ]
 
     def _read(
@@ -258,11 +255,11 @@
         routes: tuple[schemas.RouteSettings, ...],
     ) -> None:
         required = [sections.FLEET, sections.MEMBER]
-        services = self._by_kind.get(sections.SERVICE.kind, [])
+        services = self._base.by_kind.get(sections.SERVICE.kind, [])
         if services:
             required.append(sections.REGION)
         for kind in required:
-            if kind.kind not in self._by_kind:
+            if kind.kind not in self._base.by_kind:
                 header = kind.header()
                 self._report(
                     self._base.name,
--- a/wagtailspread/configuration/files.py
+++ b/wagtailspread/configuration/files.py
@@ -99,12 +99,17 @@
 class ParsedFile:
     """One file.
 
-    :param sections: sections by header, in order.
+    :param by_header: sections by header, in order.
+    :param by_kind: sections by the first word of the header.
+    :param parts: texts by header, with the text before sections under the
+        empty name.
     :param bodies: bodies by the text that they were parsed from.
     """
 
     name: str
     by_header: typing.Mapping[str, ParsedSection]
+    by_kind: typing.Mapping[str, list[ParsedSection]]
+    parts: typing.Mapping[str, str]
     bodies: typing.Mapping[str, SectionBody]
 
     @property
@@ -151,7 +156,7 @@
         parser.line += part.count('\n')
     if parser.problems:
         return result.Failure(tuple(parser.problems))
-    return result.Success(ParsedFile(name, parser.by_header, parser.bodies))
+    return result.Success(parser.finish())
 
 
 def is_name(text: str) -> bool:
@@ -201,22 +206,37 @@
         name: str,
         known: typing.Mapping[str, SectionBody],
     ) -> None:
-        self.by_header: dict[str, ParsedSection] = {}
-        self.bodies: dict[str, SectionBody] = {}
         self.problems: list[findings.Finding] = []
         #: Line number of the next part.
         self.line = 1
         self._name = name
         self._known = known
+        self._by_header: dict[str, ParsedSection] = {}
+        self._by_kind: dict[str, list[ParsedSection]] = {}
+        self._parts: dict[str, str] = {}
+        self._bodies: dict[str, SectionBody] = {}
 
     def add(self, part: str) -> None:
         body = self._known.get(part) or self._parse(part)
         if body is None:
+            self._parts[''] = part
             return
-        if body.header in self.by_header:
+        if body.header in self._by_header:
             self._report_duplicate(0, f'[{body.header}]')
-        self.bodies[part] = body
-        self.by_header[body.header] = ParsedSection(body, self.line)
+        section = ParsedSection(body, self.line)
+        self._parts[body.header] = part
+        self._bodies[part] = body
+        self._by_header[body.header] = section
+        self._by_kind.setdefault(body.kind, []).append(section)
+
+    def finish(self) -> ParsedFile:
+        return ParsedFile(
+            self._name,
+            self._by_header,
+            self._by_kind,
+            self._parts,
+            self._bodies,
+        )
 
     def _parse(self, part: str) -> SectionBody | None:
         try:
--- a/wagtailspread/configuration/histories.py
+++ b/wagtailspread/configuration/histories.py
@@ -51,20 +51,29 @@
         compare=False,
         repr=False,
     )
-    _parts: dict[str, dict[str, str]] = dataclasses.field(
+    _parts: dict[str, deltas.Parts] = dataclasses.field(
         default_factory=dict,
         compare=False,
         repr=False,
     )
 
-    def replace(self, texts: typing.Mapping[str, str]) -> None:
-        """Put new texts in force as the next version."""
+    def replace(
+        self,
+        texts: typing.Mapping[str, str],
+        parts: typing.Mapping[str, deltas.Parts] | None = None,
+    ) -> None:
+        """Put new texts in force as the next version.
+
+        :param parts: texts of sections by file, where they are known.
+        """
         self.version += 1
         for name in sorted({*self.texts, *texts}):
             before = self.texts.get(name, '')
             after = texts.get(name, '')
             if before != after:
-                self._note_changes(name, before, after)
+                known = (parts or {}).get(name)
+                new = known or files.split_text(after)
+                self._note_changes(name, before, new)
         self.texts = dict(sorted(texts.items()))
         self._forget_tombstones()
         self._recent.clear()
@@ -92,10 +101,14 @@
             sections.extend(self._changed_since(version, name, text))
         return deltas.create_delta(version, self.version, sections)
 
-    def _note_changes(self, file: str, before: str, after: str) -> None:
+    def _note_changes(
+        self,
+        file: str,
+        before: str,
+        new: deltas.Parts,
+    ) -> None:
         self.touched[file] = self.version
         old = self._parts.get(file) or files.split_text(before)
-        new = files.split_text(after)
         self._parts[file] = new
         changed = deltas.find_changed(old, new)
         if deltas.is_reordered(old, new, changed):
--- a/wagtailspread/configuration/proposals.py
+++ b/wagtailspread/configuration/proposals.py
@@ -33,12 +33,14 @@
     :param texts: texts by file name, with the members file.
     :param notes: agreements that do not count.
     :param sites: effective settings by member.
+    :param parts: texts of sections by file.
     """
 
     texts: typing.Mapping[str, str]
     membership: memberships.Membership
     notes: findings.Findings
     sites: checks.SiteSettings
+    parts: typing.Mapping[str, typing.Mapping[str, str]]
 
 
 ProposalResult = result.Result[Proposal, findings.Findings]
@@ -81,8 +83,7 @@
         submission: messages.Struct,
     ) -> ProposalResult:
         sink: _Sink = []
-        submitted = _read_submitted(submission, bool(texts), sink)
-        merged = {**texts, **submitted}
+        merged = {**texts, **_read_submitted(submission, bool(texts), sink)}
         sink.extend(_check_size(merged))
         parsed = self._parse_all(merged, sink)
         base = parsed.get(schemas.BASE_FILE)
@@ -103,12 +104,14 @@
         if sink:
             return result.Failure(findings.sort_findings(sink))
         self._remember(parsed)
-        kept = {name: merged[name] for name in sorted(parsed)}
-        kept[schemas.MEMBERS_FILE] = memberships.write_membership(membership)
-        notes = change.notes(membership)
-        return result.Success(
-            Proposal(kept, membership, notes, checked.unwrap()),
+        proposal = Proposal(
+            texts=_keep_texts(merged, parsed, membership),
+            membership=membership,
+            notes=change.notes(membership),
+            sites=checked.unwrap(),
+            parts={name: one.parts for name, one in parsed.items()},
         )
+        return result.Success(proposal)
 
     def list_pending(
         self,
@@ -225,6 +228,17 @@
     return texts
 
 
+def _keep_texts(
+    merged: typing.Mapping[str, str],
+    parsed: _Parsed,
+    membership: memberships.Membership,
+) -> dict[str, str]:
+    """Return the texts to put in force, with the members file."""
+    kept = {name: merged[name] for name in sorted(parsed)}
+    kept[schemas.MEMBERS_FILE] = memberships.write_membership(membership)
+    return kept
+
+
 def _check_size(
     texts: typing.Mapping[str, str],
 ) -> typing.Iterator[findings.Finding]:
--- a/wagtailspread/configuration/tests/test_refusals.py
+++ b/wagtailspread/configuration/tests/test_refusals.py
@@ -216,6 +216,7 @@
     if pipeline.is_successful(parsed):
         known = list(parsed.unwrap().by_header)
         assert known == [header for header in headers if header]
+        assert parsed.unwrap().parts == headers
 
 
 def test_broken_members_file():
--- a/wagtailspread/configuration/versions.py
+++ b/wagtailspread/configuration/versions.py
@@ -179,7 +179,7 @@
         return self._accept(proposed.unwrap())
 
     def _accept(self, proposal: proposals.Proposal) -> answers.Answer:
-        self._history.replace(proposal.texts)
+        self._history.replace(proposal.texts, proposal.parts)
         self._membership = proposal.membership
         self._sites = proposal.sites
         return answers.Answer(
