--- a/benchmarks/configuration_measures.py
+++ b/benchmarks/configuration_measures.py
@@ -46,13 +46,16 @@
     keys: int = 50_000
     timed_keys: int = 10_000
     lookups: int = 50_000
+    changes: int = 300
 
 
 def measure_configuration(scale: Scale = Scale()) -> list[str]:
     """Return the lines ``measure scenario ours=X unit=U``."""
-    lines = list(_measure_versions(scale))
-    gc.collect()
-    lines.extend(_measure_claims(scale))
+    # Memory is measured first: later it would come from what others freed.
+    lines = list(_measure_claims(scale))
+    lines.extend(_measure_claim_rates(scale))
+    lines.extend(_measure_changes(scale))
+    lines.extend(_measure_versions(scale))
     return lines
 
 
@@ -78,6 +81,54 @@
     return ''.join(parts)
 
 
+def _measure_changes(scale: Scale) -> typing.Iterator[str]:
+    """Submit signed changes to a configuration of today's size."""
+    small = Scale(services=3, routes=12)
+    base = write_base(small)
+    state = versions.create_configuration()
+    state.submit(_create_first(base))
+    submissions = [
+        _create_change(
+            number,
+            {
+                'base.ini': base.replace(
+                    'deadline = 2s', f'deadline = {number}s'
+                )
+            },
+        )
+        for number in range(1, scale.changes + 1)
+    ]
+    seconds, submitted = _time(
+        lambda: [state.submit(submission) for submission in submissions],
+    )
+    _require(all(answer.status == 'accepted' for answer in submitted))
+    rate = scale.changes / seconds
+    yield _line('changes-rate', f'{small.routes}-routes', rate, '1/s')
+
+
+def _create_first(base: str) -> messages.Struct:
+    return signatures.create_submission(
+        identifiers.SubmissionId('first'),
+        0,
+        MEMBER,
+        {'base.ini': base},
+    )
+
+
+def _create_change(
+    based_on: int,
+    texts: dict[str, str],
+) -> messages.Struct:
+    submission = signatures.create_submission(
+        identifiers.SubmissionId(f'change-{based_on}'),
+        based_on,
+        MEMBER,
+        texts,
+    )
+    signatures.sign_submission(submission, _create_key())
+    return submission
+
+
 def _measure_versions(scale: Scale) -> typing.Iterator[str]:
     scenario = f'{scale.routes}-routes'
     base = write_base(scale)
@@ -86,23 +137,12 @@
     seconds, loaded = _time(lambda: loader.load({'base.ini': base}))
     yield _line('check-whole', scenario, seconds, 's')
     state = versions.create_configuration()
-    first = signatures.create_submission(
-        identifiers.SubmissionId('first'),
-        0,
-        MEMBER,
-        {'base.ini': base},
-    )
+    first = _create_first(base)
     seconds, _ = _time(lambda: state.submit(first))
     yield _line('submit-first', scenario, seconds, 's')
     known = state.files
     changed = base.replace(_CHANGED, '/w/0/changed\n', 1)
-    second = signatures.create_submission(
-        identifiers.SubmissionId('second'),
-        1,
-        MEMBER,
-        {'base.ini': changed},
-    )
-    signatures.sign_submission(second, _create_key())
+    second = _create_change(1, {'base.ini': changed})
     seconds, answer = _time(lambda: state.submit(second))
     _require(answer.status == 'accepted')
     yield _line('submit-one-route', scenario, seconds, 's')
@@ -150,7 +190,6 @@
 
 def _measure_claims(scale: Scale) -> typing.Iterator[str]:
     scenario = f'{scale.keys}-keys'
-    yield from _measure_claim_rates(scale)
     gc.collect()
     before = _read_memory()
     table = claims.create_claim_table()
@@ -163,6 +202,8 @@
     yield _line('key-memory', scenario, each, 'B')
     projected = each * _MILLION / _MEBIBYTE
     yield _line('memory-projected', '1000000-keys', projected, 'MiB')
+    seconds, _ = _time(table.freeze)
+    yield _line('freeze-time', scenario, seconds, 's')
     seconds, snapshot = _time(table.take_snapshot)
     yield _line('snapshot-time', scenario, seconds, 's')
     yield _line('snapshot-size', scenario, len(snapshot) / _MEBIBYTE, 'MiB')
--- a/benchmarks/tests/test_configuration_measures.py
+++ b/benchmarks/tests/test_configuration_measures.py
@@ -13,6 +13,7 @@
         keys=200,
         timed_keys=100,
         lookups=100,
+        changes=5,
     )
     lines = configuration_measures.measure_configuration(scale)
     form = re.compile(r'[a-z-]+ [\w-]+ ours=[-+.e\d]+ unit=\S+')
