Draft the entry process with a graceful shutdown

A host that stops is not ready at once, serves for a configured time with answers that close their connections, and ends when no request is received or handled. The parts of other packages come in through one factory.

--- /dev/null
+++ b/wagtailspread/entry/processes.py
@@ -0,0 +1,245 @@
+"""The entry host process: its settings, its parts and its life."""
+
+import asyncio
+import configparser
+import dataclasses
+import pathlib
+import signal
+import typing
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.entry import allocations, attempts, beats, connections
+from wagtailspread.entry import draining, exchanges, forwarding, handlers
+from wagtailspread.entry import interfaces, keys, owners, servers
+from wagtailspread.wire import credentials, links, listeners
+
+_SECTION = 'entry'
+_DEFAULT_LINGER_SECONDS = 5.0
+_DEFAULT_CONNECTIONS = 9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one entry host.
+
+    :param replicas: control addresses of the replicas.
+    :param seeds: control addresses of peers to start gossip with.
+    :param folder: where the last configuration is kept, if anywhere.
+    :param linger_seconds: for which a host that stops still serves.
+    :param connections: most connections to one upstream.
+    """
+
+    member: identifiers.MemberId
+    key_file: pathlib.Path
+    host: identifiers.HostId
+    region: identifiers.RegionName
+    domain: identifiers.FailureDomain
+    caller_address: identifiers.Address
+    control_address: identifiers.Address
+    replicas: tuple[identifiers.Address, ...] = ()
+    seeds: tuple[identifiers.Address, ...] = ()
+    folder: pathlib.Path | None = None
+    linger_seconds: float = _DEFAULT_LINGER_SECONDS
+    connections: int = _DEFAULT_CONNECTIONS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the other packages contribute to an entry host.
+
+    :param list_services: services of the configuration in force.
+    :param other_regions: regions that requests may spill to.
+    :param conditions: all must hold for the host to be ready.
+    :param tasks: run as long as the host; start them with the listener open.
+    :param leave: tells the other hosts that this one stops.
+    :param read_status: fields of the status page.
+    """
+
+    routing: interfaces.Routing
+    list_services: typing.Callable[
+        [],
+        typing.Sequence[identifiers.ServiceName],
+    ]
+    ownership: interfaces.Ownership
+    create_coordinator: owners.AllocatorFactory
+    key_store: interfaces.KeyStore
+    tracer: interfaces.Tracer
+    conditions: typing.Sequence[draining.Condition] = ()
+    tasks: typing.Sequence[
+        typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]]
+    ] = ()
+    leave: typing.Callable[[], typing.Awaitable[None]] | None = None
+    read_status: typing.Callable[[], dict[str, typing.Any]] = dict
+
+
+#: Makes the parts once the links and the listener of the host exist.
+PartsFactory = typing.Callable[
+    [EntrySettings, links.LinkPool, listeners.Listener],
+    EntryParts,
+]
+
+
+class EntryHost:
+    """The joined parts of one entry host. Use :func:`create_host`."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        own: credentials.Credentials,
+        parts: EntryParts,
+        pool: links.LinkPool,
+        listener: listeners.Listener,
+    ) -> None:
+        """Join the parts; nothing is opened yet."""
+        clock = clocks.SystemClock()
+        identity = allocations.HostIdentity(
+            own.peer.host,
+            settings.region,
+            settings.domain,
+        )
+        self._settings = settings
+        self._parts = parts
+        self._links = pool
+        self._listener = listener
+        self._pools = connections.PoolTable(settings.connections)
+        self._owners = owners.OwnerTable(parts.create_coordinator, clock)
+        handlers.OwnerHandlers(self._owners, clock).register(listener)
+        self.client = allocations.create_client(
+            identity,
+            parts.ownership,
+            self._owners,
+            pool,
+            clock,
+        )
+        self._beater = beats.Beater(
+            identity,
+            self.client,
+            self._owners,
+            parts.list_services,
+            self._pools,
+            clock,
+        )
+        self._forwarder = forwarding.Forwarder(
+            identity,
+            attempts.AttemptRunner(
+                identity.host,
+                identity.domain,
+                self.client,
+                exchanges.Exchanger(self._pools, clock),
+                clock,
+            ),
+            keys.KeyKeeper(parts.key_store, identity.host, clock),
+            parts.tracer,
+            clock,
+        )
+        self.drain = draining.Drain(
+            parts.conditions,
+            settings.linger_seconds,
+        )
+        self.server = servers.create_server(
+            parts.routing,
+            self._forwarder,
+            self.client,
+            self.drain,
+            self._read_status,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> tuple[identifiers.Address, identifiers.Address]:
+        """Open both listeners; return the caller and control addresses."""
+        control = await self._listener.start(self._settings.control_address)
+        works = (self._beater.run, *self._parts.tasks)
+        self._tasks = [asyncio.create_task(work()) for work in works]
+        caller = await self.server.start(self._settings.caller_address)
+        return caller, control
+
+    async def stop(self) -> None:
+        """Leave service without cutting a request, then close all parts."""
+        if self._parts.leave is not None:
+            await self._parts.leave()
+        await self.drain.finish(self.server)
+        await self.server.close()
+        await self._forwarder.close()
+        await self.client.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._pools.close()
+        await self._listener.close()
+        self._owners.close()
+        await self._links.close()
+
+    def _read_status(self) -> dict[str, typing.Any]:
+        return {
+            'host': self._settings.host,
+            'state': self.drain.state.value,
+            'ready': self.drain.is_ready(),
+            'leases': len(self.client.book),
+            **self._parts.read_status(),
+        }
+
+
+def read_settings(text: str) -> EntrySettings:
+    """Return the settings in the ``[entry]`` section of an INI text.
+
+    :raises KeyError: if a required key is missing.
+    :raises ValueError: if a number is not one.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    section = parser[_SECTION]
+    folder = section.get('configuration_folder')
+    return EntrySettings(
+        member=identifiers.MemberId(section['member']),
+        key_file=pathlib.Path(section['key_file']),
+        host=identifiers.HostId(section['host']),
+        region=identifiers.RegionName(section['region']),
+        domain=identifiers.FailureDomain(section['failure_domain']),
+        caller_address=identifiers.Address(section['caller_address']),
+        control_address=identifiers.Address(section['control_address']),
+        replicas=_split(section.get('replicas', '')),
+        seeds=_split(section.get('seeds', '')),
+        folder=pathlib.Path(folder) if folder else None,
+        linger_seconds=section.getfloat('linger', _DEFAULT_LINGER_SECONDS),
+        connections=section.getint('connections', _DEFAULT_CONNECTIONS),
+    )
+
+
+def create_host(
+    settings: EntrySettings,
+    directory: credentials.MemberDirectory,
+    create_parts: PartsFactory,
+) -> EntryHost:
+    """Return an entry host that is not started.
+
+    :param directory: approved members, for the host's own connections.
+    """
+    key = credentials.load_key(settings.key_file.read_bytes())
+    peer = credentials.Peer(settings.member, settings.host, 'entry')
+    own = credentials.Credentials(peer, key)
+    pool = links.LinkPool(own, directory)
+    listener = listeners.create_listener(own, directory)
+    parts = create_parts(settings, pool, listener)
+    return EntryHost(settings, own, parts, pool, listener)
+
+
+async def run_entry(
+    settings: EntrySettings,
+    directory: credentials.MemberDirectory,
+    create_parts: PartsFactory,
+) -> None:
+    """Run an entry host until SIGTERM or SIGINT, then stop gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    host = create_host(settings, directory, create_parts)
+    caller, control = await host.start()
+    print(f'caller={caller} control={control}', flush=True)
+    await stopping.wait()
+    await host.stop()
+
+
+def _split(text: str) -> tuple[identifiers.Address, ...]:
+    named = (part.strip() for part in text.split(','))
+    return tuple(identifiers.Address(part) for part in named if part)
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -63,7 +63,12 @@
         request is handled or nothing was received.
     """
 
-    __slots__ = ('head_deadline', '_head_seconds', '_is_busy')
+    __slots__ = (
+        'head_deadline',
+        '_head_seconds',
+        '_is_busy',
+        '_is_receiving',
+    )
 
     def __init__(
         self,
@@ -76,6 +81,12 @@
         self.head_deadline = math.inf
         self._head_seconds = head_seconds
         self._is_busy = False
+        self._is_receiving = False
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether a request is being received or handled."""
+        return self._is_busy or self._is_receiving
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time limit of the first head."""
@@ -84,13 +95,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Start the time limit of a head with its first byte."""
-        if not self._is_busy and self.head_deadline == math.inf:
-            self._start_limit()
+        if not self._is_busy:
+            self._is_receiving = True
+            if self.head_deadline == math.inf:
+                self._start_limit()
         super().data_received(data)
 
     def enter(self) -> None:
         """Note that a head is complete and its request is handled."""
         self._is_busy = True
+        self._is_receiving = False
         self.head_deadline = math.inf
 
     def leave(self) -> None:
@@ -157,6 +171,15 @@
             read_bufsize=self._limits.field_bytes * 8,
         )
 
+    def count_active(self) -> int:
+        """Return the number of requests being received or handled."""
+        active = [
+            protocol
+            for protocol in self.connections
+            if isinstance(protocol, GuardedProtocol) and protocol.is_active
+        ]
+        return len(active)
+
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections."""
         self._sweeping.cancel()
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -45,18 +45,34 @@
         self._read_status = read_status
         self._limits = limits
         self._runner: web.ServerRunner | None = None
+        self._server: protections.GuardedServer | None = None
+        self._site: web.TCPSite | None = None
+        self._is_closing = False
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
         ip, _, port = address.rpartition(':')
-        server = protections.create_server(self.handle, self._limits)
-        self._runner = web.ServerRunner(server)
+        self._server = protections.create_server(self.handle, self._limits)
+        self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, ip, int(port))
-        await site.start()
+        self._site = web.TCPSite(self._runner, ip, int(port), backlog=1024)
+        await self._site.start()
         bound = self._runner.addresses[0]
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
+    def close_after_answers(self) -> None:
+        """Close each connection of a caller after its next answer."""
+        self._is_closing = True
+
+    async def stop_listening(self) -> None:
+        """Accept no new connections; the open ones stay."""
+        if self._site is not None:
+            await self._site.stop()
+
+    def count_active(self) -> int:
+        """Return the number of requests being received or handled."""
+        return 0 if self._server is None else self._server.count_active()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._runner is not None:
@@ -64,6 +80,12 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        response = await self._handle(request)
+        if self._is_closing and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         target = request.raw_path
         if target.startswith(OWN_PREFIX):
             return await self._handle_own(request)
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -7,6 +7,7 @@
 from wagtailspread.entry import (
     allocations,
     attempts,
+    beats,
     connections,
     exchanges,
     forwarding,
@@ -63,6 +64,15 @@
             clock,
         )
         self.pools = connections.PoolTable(9)
+        self.ownership = ownership
+        self.beater = beats.Beater(
+            identity,
+            self.client,
+            self.owners,
+            lambda: [SERVICE],
+            self.pools,
+            clock,
+        )
         self.keys = stand_ins.MemoryKeyStore()
         runner = attempts.AttemptRunner(
             peer.host,
--- /dev/null
+++ b/wagtailspread/entry/tests/test_failover.py
@@ -0,0 +1,249 @@
+"""Owners that fail, on loopback sockets."""
+
+import asyncio
+import time
+
+import pytest
+
+from wagtailspread.core import clocks, outcomes
+from wagtailspread.entry import liveness, rows, shares, slots, votes
+from wagtailspread.entry.tests import fleets, test_exchanges
+from wagtailspread.wire import messages
+
+#: Longest accepted time of a request whose owner is gone or silent.
+ALONE_SECONDS = 0.3
+SILENT_SECONDS = 0.6
+
+
+async def prepare(hosts, ups):
+    """Let the second host copy the rows and use its link once."""
+    await hosts[1].beater.beat(fleets.SERVICE)
+    answer, _ = await test_exchanges.fetch(hosts[1])
+    assert answer.status == 200
+    for up in ups:
+        up.mode.announces = False
+    await asyncio.sleep(0.05)
+
+
+def silence(host):
+    """Make a host's listener receive calls and answer none."""
+    freed = asyncio.Event()
+    for method, route in list(host.listener.routes.items()):
+        handler = route.handler
+
+        async def wait(call, request, handler=handler):
+            await freed.wait()
+            return await handler(call, request)
+
+        host.listener.add(method, route.request_type, wait)
+    return freed
+
+
+async def test_host_goes_on_alone_when_its_owner_is_gone():
+    """Guards against refusals while a new owner is not known yet."""
+    async with fleets.start_fleet(2) as (hosts, ups):
+        await prepare(hosts, ups)
+        await hosts[0].listener.close()
+        started = time.monotonic()
+        answer, _ = await test_exchanges.fetch(hosts[1])
+        assert answer.status == 200
+        assert time.monotonic() - started < ALONE_SECONDS
+
+
+async def test_silent_owner_is_left_in_time_and_its_late_grant_returned():
+    """Guards against slots lost to grants that nobody waits for."""
+    async with fleets.start_fleet(2) as (hosts, ups):
+        await prepare(hosts, ups)
+        freed = silence(hosts[0])
+        started = time.monotonic()
+        answer, _ = await test_exchanges.fetch(hosts[1])
+        assert answer.status == 200
+        assert time.monotonic() - started < SILENT_SECONDS
+        freed.set()
+        await asyncio.sleep(0.3)
+        assert not hosts[0].coordinator.leases
+        place = hosts[1].client.find_state(fleets.SERVICE).place
+        assert not hosts[1].client.find_calls(place).is_failed
+
+
+async def test_long_queue_is_not_taken_for_a_failed_owner():
+    """Guards against own shares that add to an overload."""
+    async with fleets.start_fleet(2, slots=1) as (hosts, ups):
+        await prepare(hosts, ups)
+        ups[0].mode.service_seconds = 0.5
+        answers = await asyncio.gather(
+            *(test_exchanges.fetch(hosts[1]) for _ in range(2)),
+        )
+        assert {answer.status for answer, _ in answers} == {200}
+        await asyncio.sleep(0.05)
+        assert ups[0].most_running == 1
+        assert len(hosts[0].coordinator.completed) == 3
+
+
+async def test_new_owner_is_told_of_open_leases_and_their_ends():
+    """Guards against a new owner that fills slots still in use."""
+    async with fleets.start_fleet(3) as (hosts, ups):
+        await prepare(hosts, ups)
+        ups[0].mode.service_seconds = 0.4
+        running = asyncio.create_task(test_exchanges.fetch(hosts[1]))
+        await asyncio.sleep(0.1)
+        hosts[1].ownership.places.reverse()
+        await asyncio.sleep(0.1)
+        hosts[1].client.find_state(fleets.SERVICE)
+        await asyncio.sleep(0.1)
+        assert len(hosts[2].coordinator.adopted) == 1
+        await running
+        await asyncio.sleep(0.1)
+        assert not hosts[2].coordinator.leases
+        assert not hosts[0].coordinator.leases
+
+
+async def test_new_owner_starts_with_its_copy_of_the_rows():
+    """Guards against an allocator that refuses all until rows arrive."""
+    async with fleets.start_fleet(2) as (hosts, ups):
+        await prepare(hosts, ups)
+        hosts[1].ownership.places.reverse()
+        await hosts[0].listener.close()
+        await asyncio.sleep(0.06)
+        answer, _ = await test_exchanges.fetch(hosts[1])
+        assert answer.status == 200
+        assert hosts[1].coordinator.completed
+
+
+async def test_caller_that_leaves_withdraws_its_queued_request():
+    """Guards against slots granted to callers that are gone."""
+    async with fleets.start_fleet(2, slots=1) as (hosts, ups):
+        await prepare(hosts, ups)
+        ups[0].mode.service_seconds = 0.4
+        running = asyncio.create_task(test_exchanges.fetch(hosts[1]))
+        await asyncio.sleep(0.1)
+        leaving = asyncio.create_task(test_exchanges.fetch(hosts[1]))
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        await running
+        await asyncio.sleep(0.1)
+        assert len(hosts[0].coordinator.cancelled) == 1
+        assert not hosts[0].coordinator.leases
+
+
+async def test_completions_to_one_owner_share_messages():
+    """Guards against a message for each completion."""
+    async with fleets.start_fleet(2) as (hosts, ups):
+        await prepare(hosts, ups)
+        route = hosts[0].listener.routes[messages.methods.RELEASE]
+        batches = []
+
+        async def count(call, request):
+            batches.append(len(request.completions))
+            return await route.handler(call, request)
+
+        hosts[0].listener.add(
+            messages.methods.RELEASE,
+            route.request_type,
+            count,
+        )
+        await asyncio.gather(
+            *(test_exchanges.fetch(hosts[1]) for _ in range(6)),
+        )
+        await asyncio.sleep(0.1)
+        assert sum(batches) == 6
+        assert max(batches) > 1
+
+
+def test_message_read_late_renews_no_vote():
+    """Guards against a frozen allocator that wakes with old votes."""
+    clock = clocks.ManualClock(10)
+    book = votes.StampBook(clock)
+    stamp = book.issue()
+    clock.advance(1.5)
+    assert book.read('h1', stamp) == pytest.approx(10)
+    clock.advance(0.6)
+    assert book.read('h1', stamp) is None
+
+
+def test_stamp_of_another_process_renews_no_vote():
+    """Guards against votes for an earlier process at the same address."""
+    clock = clocks.ManualClock(10)
+    stamp = votes.StampBook(clock).issue()
+    assert votes.StampBook(clock).read('h1', stamp) is None
+
+
+def test_vote_moves_only_after_the_last_one_has_ended():
+    """Guards against two allocators that hold the vote of one host."""
+    caster = votes.VoteCaster(started_at=0.0)
+    caster.note_stamp('h1', 7)
+    assert caster.cast('h1', 1.0) == 0
+    assert caster.cast('h1', 3.0) == 7
+    caster.note_stamp('h2', 9)
+    assert caster.cast('h2', 4.9) == 0
+    assert caster.cast('h2', 5.0) == 9
+
+
+def create_share(clock, slot_count, host_count):
+    table = rows.RowTable()
+    table.note(
+        slots.Announcement(
+            fleets.SERVICE,
+            'u1',
+            'a:1',
+            fleets.REGION,
+            fleets.DOMAIN,
+            slot_count,
+            400,
+            slots.UpstreamState.READY,
+            1,
+        ),
+        clock.now(),
+    )
+    return shares.OwnShare(table, fleets.DOMAIN, lambda: host_count, clock)
+
+
+async def test_own_share_is_kept_and_waiting_is_by_priority():
+    """Guards against hosts without an owner that overload an upstream."""
+    clock = clocks.ManualClock(time.monotonic())
+    share = create_share(clock, 8, 4)
+
+    def ask(name, priority=1):
+        return asyncio.ensure_future(
+            share.acquire(
+                slots.SlotRequest(
+                    name,
+                    'h1',
+                    fleets.DOMAIN,
+                    priority,
+                    clock.now() + 5,
+                ),
+            ),
+        )
+
+    asked = [ask('a'), ask('b'), ask('bulk', 2), ask('urgent', 0)]
+    await asyncio.sleep(0)
+    assert [one.done() for one in asked] == [True, True, False, False]
+    share.complete('u1')
+    await asyncio.sleep(0.01)
+    assert asked[3].done() and not asked[2].done()
+    asked[2].cancel()
+
+
+async def test_own_share_uses_no_row_that_was_not_heard_lately():
+    """Guards against requests to upstreams that left."""
+    clock = clocks.ManualClock(100.0)
+    share = create_share(clock, 8, 4)
+    clock.advance(rows.ROW_SECONDS)
+    request = slots.SlotRequest('a', 'h1', fleets.DOMAIN, 1, 200.0)
+    decision = await share.acquire(request)
+    assert decision.failure().reason is outcomes.RefusalReason.NO_CAPACITY
+
+
+async def test_own_lag_is_not_taken_for_a_failed_owner():
+    """Guards against a held up host that gives up healthy owners."""
+    async with fleets.start_fleet(2) as (hosts, ups):
+        await prepare(hosts, ups)
+        place = hosts[1].client.find_state(fleets.SERVICE).place
+        calls = hosts[1].client.find_calls(place)
+        request = asyncio.create_task(test_exchanges.fetch(hosts[1]))
+        await asyncio.sleep(0.003)
+        time.sleep(liveness.SILENT_SECONDS + 0.1)
+        answer, _ = await request
+        assert answer.status == 200
+        assert not calls.is_failed
