--- /dev/null
+++ b/wagtailspread/entry/tests/test_processes.py
@@ -0,0 +1,173 @@
+"""Entry hosts as real processes that are stopped, frozen and killed."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+
+import pytest
+
+from aiohttp import client
+
+from wagtailspread.entry import processes
+from wagtailspread.entry.tests import fleets, test_exchanges
+from wagtailspread.testing import callers, upstreams
+from wagtailspread.wire import credentials
+
+SETTINGS = """
+[entry]
+member = andino
+key_file = {key}
+host = {host}
+region = costa-norte
+failure_domain = costa-baq
+caller_address = {caller}
+control_address = {control}
+linger = 0.6
+"""
+
+
+class HostProcess:
+    """A started process and its addresses."""
+
+    def __init__(self, host, address, process):
+        self.host = host
+        self.address = address
+        self.process = process
+
+
+def choose_addresses(count):
+    """Return free loopback addresses; the sockets are closed again."""
+    with contextlib.ExitStack() as stack:
+        opened = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return [f'127.0.0.1:{one.getsockname()[1]}' for one in opened]
+
+
+async def start_process(folder, host, caller, control, named):
+    path = folder / f'{host}.ini'
+    key = folder / 'key.pem'
+    text = SETTINGS.format(key=key, host=host, caller=caller, control=control)
+    path.write_text(text)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'wagtailspread.entry.tests.stand_in_host',
+        str(path),
+        *named,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    await process.stdout.readline()
+    return HostProcess(host, caller, process)
+
+
+@contextlib.asynccontextmanager
+async def start_processes(folder, count, service_seconds=0.005):
+    """Yield host processes, the first of which owns the service."""
+    (folder / 'key.pem').write_bytes(credentials.dump_key(fleets.KEY))
+    addresses = choose_addresses(2 * count)
+    controls = addresses[count:]
+    named = [f'h{number}={one}' for number, one in enumerate(controls)]
+    started = await asyncio.gather(
+        *(
+            start_process(folder, f'h{number}', *pair, named)
+            for number, pair in enumerate(
+                zip(addresses[:count], controls, strict=True),
+            )
+        ),
+    )
+    identity = upstreams.UpstreamIdentity(
+        fleets.SERVICE,
+        'u0',
+        fleets.REGION,
+        fleets.DOMAIN,
+    )
+    upstream = upstreams.create_upstream(identity, addresses[:1])
+    upstream.mode.service_seconds = service_seconds
+    await upstream.start()
+    await wait_until_served(started)
+    try:
+        yield started, upstream
+    finally:
+        await upstream.close()
+        for host in started:
+            if host.process.returncode is None:
+                host.process.kill()
+            await host.process.wait()
+
+
+async def wait_until_served(hosts):
+    for host in hosts:
+        for _ in range(200):
+            with contextlib.suppress(client.ClientError):
+                answer, _ = await test_exchanges.fetch(host)
+                if answer.status == 200:
+                    break
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(0.9)
+
+
+async def read_ready(host):
+    answer, _ = await test_exchanges.fetch(host, '/-/ready')
+    return answer.status
+
+
+async def test_stopping_host_cuts_no_request(tmp_path):
+    """Guards against requests cut by a restart."""
+    async with start_processes(tmp_path, 1, 0.05) as (hosts, _):
+        generator = callers.create_generator(
+            [hosts[0].address],
+            [callers.Stream('reads', '/vitrina/a', 80.0)],
+        )
+        load = asyncio.create_task(generator.run(0.8))
+        await asyncio.sleep(0.4)
+        hosts[0].process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert await read_ready(hosts[0]) == 503
+        await load
+        assert await asyncio.wait_for(hosts[0].process.wait(), 5) == 0
+        report = generator.reports['reads']
+        assert report.counts == {'upstream': report.started}
+
+
+async def test_stopping_host_finishes_a_long_request(tmp_path):
+    """Guards against an end that comes before the last answer."""
+    async with start_processes(tmp_path, 1, 0.05) as (hosts, upstream):
+        upstream.mode.service_seconds = 1.5
+        running = asyncio.create_task(test_exchanges.fetch(hosts[0]))
+        await asyncio.sleep(0.2)
+        hosts[0].process.send_signal(signal.SIGTERM)
+        answer, _ = await running
+        assert answer.status == 200
+        assert await asyncio.wait_for(hosts[0].process.wait(), 5) == 0
+
+
+@pytest.mark.parametrize('number', [signal.SIGSTOP, signal.SIGKILL])
+async def test_lost_owner_process_costs_no_request(tmp_path, number):
+    """Guards against requests lost with the owner of their service."""
+    async with start_processes(tmp_path, 2) as (hosts, upstream):
+        generator = callers.create_generator(
+            [hosts[1].address],
+            [callers.Stream('reads', '/vitrina/a', 60.0)],
+        )
+        load = asyncio.create_task(generator.run(1.0))
+        await asyncio.sleep(0.4)
+        hosts[0].process.send_signal(number)
+        await load
+        report = generator.reports['reads']
+        assert report.counts == {'upstream': report.started}
+        assert upstream.most_running <= 6
+
+
+def test_settings_are_read_from_an_ini_text():
+    """Guards against settings that are dropped or mixed up."""
+    text = SETTINGS.format(key='k', host='h1', caller='a:1', control='a:2')
+    settings = processes.read_settings(f'{text}seeds = b:1, b:2\n')
+    assert settings.host == 'h1'
+    assert settings.seeds == ('b:1', 'b:2')
+    assert settings.linger_seconds == pytest.approx(0.6)
+    with pytest.raises(KeyError):
+        processes.read_settings('[entry]\nmember = a\n')
