--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -20,7 +20,8 @@
 from aiohttp import client, web
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import allocations, attempts, connections
+from wagtailspread.entry import allocations, announcements, attempts
+from wagtailspread.entry import connections
 from wagtailspread.entry import exchanges, forwarding, interfaces, keys
 from wagtailspread.entry import owners, servers, slots
 from wagtailspread.testing import stand_ins
@@ -133,10 +134,11 @@
         clock,
     )
     routes = [stand_ins.FixedRoute('reads', _SERVICE, '/vitrina')]
+    routing = stand_ins.FixedRouting(routes)
     server = servers.create_server(
-        stand_ins.FixedRouting(routes),
+        routing,
         forwarder,
-        allocator,
+        announcements.AnnouncementGate(routing, allocator, clock),
         stand_ins.AlwaysReady(),
         lambda: {'cpu': time.process_time()},
     )
--- a/wagtailspread/entry/announcements.py
+++ b/wagtailspread/entry/announcements.py
@@ -1,16 +1,41 @@
-"""Announcements of upstreams, as JSON posts to ``/-/announce``."""
+"""Announcements of upstreams, as JSON posts to ``/-/announce``.
+
+Nothing of the fleet runs on upstreams, so an announcement carries no proof. A
+forged one can only be contained: it must be well-formed, name a configured
+service, and must not contradict a row that is still in force.
+"""
 
 import dataclasses
+import ipaddress
 import json
+import re
 import typing
 
 from returns import result
 
-from wagtailspread.core import failures, identifiers
-from wagtailspread.entry import slots
+from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.entry import interfaces, rows, slots
 
 #: Largest accepted announcement, in bytes.
 MAX_ANNOUNCEMENT_BYTES = 4096
+#: A repeated announcement within this time is not passed on, in seconds.
+REPEAT_SECONDS = 0.2
+#: Announcements that a host takes, per second and in a burst.
+RATE = 2000.0
+BURST = 2000.0
+#: Largest numbers of slots and connections of an upstream.
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 1_000_000
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_CONFLICT = 409
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+
+_NAME = re.compile(r'[\w.:-]{1,128}', re.ASCII)
+_MAX_PORT = 65535
+_MAX_INCARNATION = 2**62
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,27 +49,151 @@
     detail: str
 
 
-def parse_announcement(
-    body: bytes,
-) -> result.Result[slots.Announcement, InvalidAnnouncement]:
+ParseResult = result.Result[slots.Announcement, InvalidAnnouncement]
+
+
+def parse_announcement(body: bytes) -> ParseResult:
     """Return the announcement in a JSON text."""
+    if len(body) > MAX_ANNOUNCEMENT_BYTES:
+        return _reject(_TOO_LARGE, 'size')
     try:
         fields = json.loads(body)
         return result.Success(_read_fields(fields))
-    except (ValueError, KeyError, TypeError) as error:
-        detail = type(error).__name__
-        return result.Failure(InvalidAnnouncement(400, detail))
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        return _reject(_BAD_REQUEST, f'{type(error).__name__}: {error}')
+
+
+class AnnouncementGate:
+    """Takes announcements of upstreams and passes them on.
+
+    :param sink: gets what is valid and new.
+    """
+
+    def __init__(
+        self,
+        routing: interfaces.Routing,
+        sink: interfaces.AnnouncementSink,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start with nothing heard."""
+        self._routing = routing
+        self._sink = sink
+        self._clock = clock
+        self._tables: dict[identifiers.ServiceName, rows.RowTable] = {}
+        self._tokens = BURST
+        self._filled_at = clock.now()
+
+    def receive(self, body: bytes) -> InvalidAnnouncement | None:
+        """Take one announcement; return why it was not taken."""
+        parsed = parse_announcement(body)
+        if not isinstance(parsed, result.Success):
+            return parsed.failure()
+        announcement = parsed.unwrap()
+        if self._routing.find_service(announcement.service) is None:
+            return InvalidAnnouncement(_NOT_FOUND, 'service')
+        if not self._take_token():
+            return InvalidAnnouncement(_UNAVAILABLE, 'rate')
+        return self._take(announcement)
+
+    def _take(
+        self,
+        announcement: slots.Announcement,
+    ) -> InvalidAnnouncement | None:
+        now = self._clock.now()
+        table = self._tables.setdefault(announcement.service, rows.RowTable())
+        known = table.find(announcement.upstream, now)
+        if known is not None:
+            conflict = find_conflict(announcement, known.announcement)
+            if conflict:
+                return InvalidAnnouncement(_CONFLICT, conflict)
+            is_same = known.announcement == announcement
+            if is_same and now - known.heard_at < REPEAT_SECONDS:
+                return None
+        if not table.note(announcement, now):
+            return InvalidAnnouncement(_UNAVAILABLE, 'too many upstreams')
+        self._sink.announce(announcement)
+        return None
+
+    def _take_token(self) -> bool:
+        now = self._clock.now()
+        gained = (now - self._filled_at) * RATE
+        self._tokens = min(BURST, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def find_conflict(
+    announcement: slots.Announcement,
+    known: slots.Announcement,
+) -> str:
+    """Return what an announcement contradicts in a row in force.
+
+    An upstream that starts again at another address is taken once its
+    earlier row has expired.
+
+    :returns: the name of the contradiction, empty if there is none.
+    """
+    if announcement.incarnation < known.incarnation:
+        return 'incarnation is stale'
+    if announcement.address != known.address:
+        return 'another address is in force'
+    if announcement.incarnation > known.incarnation:
+        return ''
+    if announcement.domain != known.domain:
+        return 'failure domain changed'
+    if announcement.region != known.region:
+        return 'region changed'
+    return ''
 
 
 def _read_fields(fields: dict[str, typing.Any]) -> slots.Announcement:
     return slots.Announcement(
-        identifiers.ServiceName(fields['service']),
-        identifiers.UpstreamId(fields['id']),
-        fields['address'],
-        identifiers.RegionName(fields['region']),
-        identifiers.FailureDomain(fields['domain']),
-        int(fields['slots']),
-        int(fields['connections']),
+        identifiers.ServiceName(_read_name(fields, 'service')),
+        identifiers.UpstreamId(_read_name(fields, 'id')),
+        _read_address(fields),
+        identifiers.RegionName(_read_name(fields, 'region')),
+        identifiers.FailureDomain(_read_name(fields, 'domain')),
+        _read_number(fields, 'slots', MAX_SLOTS),
+        _read_number(fields, 'connections', MAX_CONNECTIONS),
         slots.UpstreamState(fields['state']),
-        identifiers.Incarnation(fields['incarnation']),
+        identifiers.Incarnation(
+            _read_number(fields, 'incarnation', _MAX_INCARNATION),
+        ),
     )
+
+
+def _read_name(fields: dict[str, typing.Any], name: str) -> str:
+    text = fields[name]
+    if not isinstance(text, str) or not _NAME.fullmatch(text):
+        raise ValueError(name)
+    return text
+
+
+def _read_number(
+    fields: dict[str, typing.Any],
+    name: str,
+    largest: int,
+) -> int:
+    number = fields[name]
+    if isinstance(number, bool) or not isinstance(number, int):
+        raise TypeError(name)
+    if not 0 < number <= largest:
+        raise ValueError(name)
+    return number
+
+
+def _read_address(fields: dict[str, typing.Any]) -> str:
+    ip, _, port = _read_name(fields, 'address').rpartition(':')
+    parsed = ipaddress.IPv4Address(ip)
+    if parsed.is_multicast or parsed.is_unspecified:
+        raise ValueError('address')
+    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError('port')
+    return f'{parsed}:{int(port)}'
+
+
+def _reject(status: int, detail: str) -> ParseResult:
+    return result.Failure(InvalidAnnouncement(status, detail))
--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -13,7 +13,8 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers, outcomes
-from wagtailspread.entry import interfaces, rows, slots, votes
+from wagtailspread.entry import announcements, interfaces, rows, slots
+from wagtailspread.entry import votes
 
 #: Time between ticks while requests wait, in seconds.
 TICK_SECONDS = 0.005
@@ -106,8 +107,16 @@
             self.tick()
 
     def announce(self, announcement: slots.Announcement) -> None:
-        """Take in an announcement."""
-        self.rows.note(announcement, self._clock.now())
+        """Take in an announcement unless it contradicts a row in force."""
+        now = self._clock.now()
+        known = self.rows.find(announcement.upstream, now)
+        if known is not None and announcements.find_conflict(
+            announcement,
+            known.announcement,
+        ):
+            return
+        if not self.rows.note(announcement, now):
+            return
         self.coordinator.announce(announcement, self._clock.now())
         self.tick()
 
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -8,7 +8,8 @@
 import typing
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import allocations, attempts, beats, connections
+from wagtailspread.entry import allocations, announcements, attempts
+from wagtailspread.entry import beats, connections
 from wagtailspread.entry import draining, exchanges, forwarding, handlers
 from wagtailspread.entry import interfaces, keys, owners, servers
 from wagtailspread.wire import credentials, links, listeners
@@ -139,7 +140,7 @@
         self.server = servers.create_server(
             parts.routing,
             self._forwarder,
-            self.client,
+            announcements.AnnouncementGate(parts.routing, self.client, clock),
             self.drain,
             self._read_status,
         )
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -1,5 +1,6 @@
 """The HTTP side of an entry host: callers, upstreams, balancer, operators."""
 
+import asyncio
 import json
 import typing
 
@@ -14,7 +15,11 @@
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
 
+_NO_CONTENT = 204
 _BAD_REQUEST = 400
+_TOO_LARGE = 413
+#: Longest time to receive an announcement, in seconds.
+_ANNOUNCE_SECONDS = 2.0
 _OLDEST_VERSION = http.HttpVersion10
 
 
@@ -32,7 +37,7 @@
         self,
         routing: interfaces.Routing,
         forwarder: forwarding.Forwarder,
-        sink: interfaces.AnnouncementSink,
+        gate: announcements.AnnouncementGate,
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
         limits: protections.HeadLimits,
@@ -40,7 +45,7 @@
         """Keep the parts; nothing is opened yet."""
         self._routing = routing
         self._forwarder = forwarder
-        self._sink = sink
+        self._gate = gate
         self._readiness = readiness
         self._read_status = read_status
         self._limits = limits
@@ -88,7 +93,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         target = request.raw_path
         if target.startswith(OWN_PREFIX):
-            return await self._handle_own(request)
+            return await self._handle_own(request, target)
         if request.version < _OLDEST_VERSION:
             return _refuse_version()
         checked = requests.check_head(
@@ -107,8 +112,8 @@
     async def _handle_own(
         self,
         request: web.BaseRequest,
+        path: str,
     ) -> web.StreamResponse:
-        path = request.path
         if path == '/-/announce':
             return await self._announce(request)
         if path == '/-/ready':
@@ -124,11 +129,20 @@
         return web.Response(status=404)
 
     async def _announce(self, request: web.BaseRequest) -> web.StreamResponse:
-        parsed = announcements.parse_announcement(await request.read())
-        if isinstance(parsed, result.Success):
-            self._sink.announce(parsed.unwrap())
-            return web.Response(status=204)
-        fault = parsed.failure()
+        length = request.content_length
+        is_sized = length is not None
+        if request.method != 'POST' or not is_sized:
+            return web.Response(status=_BAD_REQUEST)
+        if (length or 0) > announcements.MAX_ANNOUNCEMENT_BYTES:
+            return web.Response(status=_TOO_LARGE)
+        try:
+            async with asyncio.timeout(_ANNOUNCE_SECONDS):
+                body = await request.read()
+        except (TimeoutError, web.RequestPayloadError):
+            return web.Response(status=_BAD_REQUEST)
+        fault = self._gate.receive(body)
+        if fault is None:
+            return web.Response(status=_NO_CONTENT)
         return web.Response(status=fault.status, text=fault.detail)
 
 
@@ -146,7 +160,7 @@
 def create_server(
     routing: interfaces.Routing,
     forwarder: forwarding.Forwarder,
-    sink: interfaces.AnnouncementSink,
+    gate: announcements.AnnouncementGate,
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
     limits: protections.HeadLimits = protections.DEFAULT_LIMITS,
@@ -155,7 +169,7 @@
     return EntryServer(
         routing,
         forwarder,
-        sink,
+        gate,
         readiness,
         read_status,
         limits,
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -6,6 +6,7 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.entry import (
     allocations,
+    announcements,
     attempts,
     beats,
     connections,
@@ -88,10 +89,11 @@
             stand_ins.SilentTracer(),
             clock,
         )
+        routing = stand_ins.FixedRouting(ROUTES)
         self.server = servers.create_server(
-            stand_ins.FixedRouting(ROUTES),
+            routing,
             self.forwarder,
-            self.client,
+            announcements.AnnouncementGate(routing, self.client, clock),
             stand_ins.AlwaysReady(),
             dict,
             limits,
