--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -52,6 +52,7 @@
         self.rows = rows.RowTable()
         self._stamps = votes.StampBook(clock)
         self._timer: asyncio.TimerHandle | None = None
+        self._is_idle = True
 
     @property
     def waiting(self) -> int:
@@ -72,7 +73,7 @@
         self.tick()
         if answer.done():
             return answer.result()
-        self._schedule()
+        self._hurry()
         try:
             return await answer
         except asyncio.CancelledError:
@@ -184,16 +185,27 @@
         if request is not None:
             self._granted.pop(request, None)
 
-    def _schedule(self) -> None:
+    def start(self) -> None:
+        """Start the timer of regular ticks."""
         if self._timer is None:
-            delay = TICK_SECONDS if self._waiting else IDLE_TICK_SECONDS
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(delay, self._run_timer)
+            self._schedule(IDLE_TICK_SECONDS)
+
+    def _hurry(self) -> None:
+        """Tick soon, since requests wait."""
+        if self._timer is not None and not self._is_idle:
+            return
+        self.close()
+        self._schedule(TICK_SECONDS)
+
+    def _schedule(self, delay: float) -> None:
+        self._is_idle = delay > TICK_SECONDS
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._run_timer)
 
     def _run_timer(self) -> None:
         self._timer = None
         self.tick()
-        self._schedule()
+        self._schedule(TICK_SECONDS if self._waiting else IDLE_TICK_SECONDS)
 
 
 #: Makes the coordinator of a service, and its register of votes.
@@ -222,6 +234,7 @@
         if allocator is None:
             coordinator, register = self._create_coordinator(service)
             allocator = OwnedAllocator(coordinator, register, self._clock)
+            allocator.start()
             self._allocators[service] = allocator
         return allocator
 
