--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -13,7 +13,8 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers, outcomes
-from wagtailspread.entry import interfaces, rows, slots, votes
+from wagtailspread.entry import announcements, interfaces, rows, slots
+from wagtailspread.entry import votes
 
 #: Time between ticks while requests wait, in seconds.
 TICK_SECONDS = 0.005
@@ -51,6 +52,7 @@
         self.rows = rows.RowTable()
         self._stamps = votes.StampBook(clock)
         self._timer: asyncio.TimerHandle | None = None
+        self._is_idle = True
 
     @property
     def waiting(self) -> int:
@@ -71,7 +73,7 @@
         self.tick()
         if answer.done():
             return answer.result()
-        self._schedule()
+        self._hurry()
         try:
             return await answer
         except asyncio.CancelledError:
@@ -106,8 +108,16 @@
             self.tick()
 
     def announce(self, announcement: slots.Announcement) -> None:
-        """Take in an announcement."""
-        self.rows.note(announcement, self._clock.now())
+        """Take in an announcement unless it contradicts a row in force."""
+        now = self._clock.now()
+        known = self.rows.find(announcement.upstream, now)
+        if known is not None and announcements.find_conflict(
+            announcement,
+            known.announcement,
+        ):
+            return
+        if not self.rows.note(announcement, now):
+            return
         self.coordinator.announce(announcement, self._clock.now())
         self.tick()
 
@@ -175,16 +185,27 @@
         if request is not None:
             self._granted.pop(request, None)
 
-    def _schedule(self) -> None:
+    def start(self) -> None:
+        """Start the timer of regular ticks."""
         if self._timer is None:
-            delay = TICK_SECONDS if self._waiting else IDLE_TICK_SECONDS
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(delay, self._run_timer)
+            self._schedule(IDLE_TICK_SECONDS)
+
+    def _hurry(self) -> None:
+        """Tick soon, since requests wait."""
+        if self._timer is not None and not self._is_idle:
+            return
+        self.close()
+        self._schedule(TICK_SECONDS)
+
+    def _schedule(self, delay: float) -> None:
+        self._is_idle = delay > TICK_SECONDS
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._run_timer)
 
     def _run_timer(self) -> None:
         self._timer = None
         self.tick()
-        self._schedule()
+        self._schedule(TICK_SECONDS if self._waiting else IDLE_TICK_SECONDS)
 
 
 #: Makes the coordinator of a service, and its register of votes.
@@ -213,6 +234,7 @@
         if allocator is None:
             coordinator, register = self._create_coordinator(service)
             allocator = OwnedAllocator(coordinator, register, self._clock)
+            allocator.start()
             self._allocators[service] = allocator
         return allocator
 
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -6,7 +6,9 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.entry import (
     allocations,
+    announcements,
     attempts,
+    beats,
     connections,
     exchanges,
     forwarding,
@@ -63,6 +65,15 @@
             clock,
         )
         self.pools = connections.PoolTable(9)
+        self.ownership = ownership
+        self.beater = beats.Beater(
+            identity,
+            self.client,
+            self.owners,
+            lambda: [SERVICE],
+            self.pools,
+            clock,
+        )
         self.keys = stand_ins.MemoryKeyStore()
         runner = attempts.AttemptRunner(
             peer.host,
@@ -78,10 +89,11 @@
             stand_ins.SilentTracer(),
             clock,
         )
+        routing = stand_ins.FixedRouting(ROUTES)
         self.server = servers.create_server(
-            stand_ins.FixedRouting(ROUTES),
+            routing,
             self.forwarder,
-            self.client,
+            announcements.AnnouncementGate(routing, self.client, clock),
             stand_ins.AlwaysReady(),
             dict,
             limits,
