--- a/wagtailspread/entry/announcements.py
+++ b/wagtailspread/entry/announcements.py
@@ -153,7 +153,7 @@
     return slots.Announcement(
         identifiers.ServiceName(_read_name(fields, 'service')),
         identifiers.UpstreamId(_read_name(fields, 'id')),
-        _read_address(fields),
+        identifiers.Address(_read_address(fields)),
         identifiers.RegionName(_read_name(fields, 'region')),
         identifiers.FailureDomain(_read_name(fields, 'domain')),
         _read_number(fields, 'slots', MAX_SLOTS),
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -103,19 +103,19 @@
         self._links = pool
         self._listener = listener
         self._pools = connections.PoolTable(settings.connections)
-        self._owners = owners.OwnerTable(parts.create_coordinator, clock)
-        handlers.OwnerHandlers(self._owners, clock).register(listener)
+        self.owners = owners.OwnerTable(parts.create_coordinator, clock)
+        handlers.OwnerHandlers(self.owners, clock).register(listener)
         self.client = allocations.create_client(
             identity,
             parts.ownership,
-            self._owners,
+            self.owners,
             pool,
             clock,
         )
         self._beater = beats.Beater(
             identity,
             self.client,
-            self._owners,
+            self.owners,
             parts.list_services,
             self._pools,
             clock,
@@ -167,7 +167,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._pools.close()
         await self._listener.close()
-        self._owners.close()
+        self.owners.close()
         await self._links.close()
 
     def _read_status(self) -> dict[str, typing.Any]:
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -1,4 +1,4 @@
-"""The entry host process: its parts, its start and its graceful shutdown."""
+"""The entry host process, joined with the other packages of the fleet."""
 
 import asyncio
 import random
@@ -7,18 +7,7 @@
 import typing
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import (
-    allocations,
-    attempts,
-    beats,
-    connections,
-    exchanges,
-    forwarding,
-    handlers,
-    keys,
-    owners,
-    servers,
-)
+from wagtailspread.entry import processes
 from wagtailspread.membership import agents, drivers, tables
 from wagtailspread.observability import logs, metrics, traces
 from wagtailspread.processes import (
@@ -30,16 +19,17 @@
     subscriptions,
 )
 from wagtailspread.replica import clients
-from wagtailspread.wire import credentials, links, listeners
+from wagtailspread.wire import links, listeners
 
 _LOGGER = logs.get_logger('entry')
-ROLE = 'entry'
 #: A host that heard of nobody for this long turns unready, in seconds.
 ISOLATION_SECONDS = 5.0
+#: Connections of one host to one upstream: 330 connections over 44 hosts.
+CONNECTIONS = 7
 
 
-class EntryHost:
-    """One entry host. Use :func:`create_entry_host`."""
+class EntryProcess:
+    """One entry host with all its parts. Use :func:`create_process`."""
 
     def __init__(
         self,
@@ -48,7 +38,6 @@
         clock: clocks.Clock,
     ) -> None:
         """Create the parts; nothing is opened yet."""
-        self.is_draining = False
         self.copy = copies.ConfigurationCopy(
             process.member,
             process.trusted_keys,
@@ -63,20 +52,35 @@
                 part.trace_collector,
             ),
         )
-        self._process = process
+        self.agent = agents.create_agent(
+            _create_row(process, part, clock),
+            part.seeds,
+            agents.MembershipPolicy(),
+            random.Random(),
+        )
+        self.factory = allocators.AllocatorFactory(
+            self.copy,
+            process.region,
+            self.metrics,
+        )
         self._part = part
         self._clock = clock
-        self._join_fleet()
-        self._build_request_path()
+        self._subscription: subscriptions.Subscription | None = None
+        self._driver: drivers.Driver | None = None
+        self.copy.load()
+        self.host = processes.create_host(
+            _create_entry_settings(process, part),
+            self.copy,
+            self._create_parts,
+        )
 
     async def start(self) -> None:
         """Open the listeners and join the fleet."""
-        self.copy.load()
-        await self.listener.start(self._part.control_address)
-        self.driver.start()
-        self.subscription.start()
-        await self.server.start(self._part.caller_address)
-        self._beating = asyncio.create_task(self.beater.run())
+        await self.host.start()
+        if self._driver is not None:
+            self._driver.start()
+        if self._subscription is not None:
+            self._subscription.start()
         _LOGGER.info(
             'entry host started',
             extra={
@@ -86,146 +90,79 @@
         )
 
     async def stop(self) -> None:
-        """Turn unready, serve on, finish all requests, then leave."""
-        self.is_draining = True
+        """Turn unready, serve on, finish all requests, then close."""
         _LOGGER.info('draining', extra={'seconds': self._part.drain})
-        await asyncio.sleep(self._part.drain)
-        await self.server.close()
-        await self.forwarder.close()
-        await self.client.close()
-        await self.driver.leave()
-        await self._close()
+        await self.host.stop()
+        if self._subscription is not None:
+            await self._subscription.close()
+        if self._driver is not None:
+            await self._driver.close()
+        self.tracing.close()
         _LOGGER.info('entry host stopped')
 
-    def is_ready(self) -> bool:
-        """Tell whether the balancer should send callers here."""
-        if self.is_draining or self.copy.settings is None:
-            return False
-        return not self._is_isolated()
-
-    def _is_isolated(self) -> bool:
-        """Tell whether the host may have missed a configuration.
+    def is_current(self) -> bool:
+        """Tell whether the host can know the configuration in force.
 
-        A fleet of one host has nobody to hear of.
+        A host that reaches neither a replica nor a peer cannot. A fleet of
+        one host is exempt, since it has nobody to hear of.
         """
-        if not self._part.seeds:
+        if self.copy.settings is None:
             return False
-        if len(self.agent.members()) > 1:
+        if not self._part.seeds or len(self.agent.members()) > 1:
+            return True
+        if self._subscription is None:
             return False
-        silence = self._clock.now() - self.subscription.replica_heard
-        return silence > ISOLATION_SECONDS + subscriptions.POLL_SECONDS
-
-    def _join_fleet(self) -> None:
-        process, part = self._process, self._part
-        peer = credentials.Peer(process.member, process.host, ROLE)
-        own = credentials.Credentials(peer, process.load_key())
-        self.pool = links.LinkPool(own, self.copy)
-        self.listener = listeners.create_listener(own, self.copy)
-        self.agent = agents.create_agent(
-            self._create_row(),
-            part.seeds,
-            agents.MembershipPolicy(),
-            random.Random(),
-        )
-        self.driver = drivers.create_driver(self.agent, self.pool, self._clock)
-        self.driver.attach(self.listener)
-        self.replicas = clients.create_client(part.replicas, self.pool)
-        self.subscription = subscriptions.Subscription(
-            self.copy,
-            self.replicas,
-            self.agent,
-            self.pool,
-            self._clock,
-        )
-        self.subscription.attach(self.listener)
-
-    def _create_row(self) -> tables.HostRow:
-        process = self._process
-        return tables.HostRow(
-            process.host,
-            self._part.control_address,
-            process.region,
-            process.domain,
-            identifiers.Incarnation(int(self._clock.wall() * 1000)),
-            process.member,
-        )
+        silence = self._clock.now() - self._subscription.replica_heard
+        return silence <= ISOLATION_SECONDS
 
-    def _build_request_path(self) -> None:
-        process = self._process
-        identity = allocations.HostIdentity(
-            process.host,
-            process.region,
-            process.domain,
-        )
-        self.factory = allocators.AllocatorFactory(
+    def _create_parts(
+        self,
+        _settings: processes.EntrySettings,
+        pool: links.LinkPool,
+        listener: listeners.Listener,
+    ) -> processes.EntryParts:
+        replicas = clients.create_client(self._part.replicas, pool)
+        self._driver = drivers.create_driver(self.agent, pool, self._clock)
+        self._driver.attach(listener)
+        self._subscription = subscriptions.Subscription(
             self.copy,
-            process.region,
-            self.metrics,
-        )
-        self.owners = owners.OwnerTable(self.factory.create, self._clock)
-        handlers.OwnerHandlers(self.owners, self._clock).register(self.listener)
-        self.client = allocations.create_client(
-            identity,
-            ownerships.GossipedOwnership(self.agent, self.copy, self._clock),
-            self.owners,
-            self.pool,
-            self._clock,
-        )
-        self.pools = connections.PoolTable(_CONNECTIONS)
-        self.beater = beats.Beater(
-            identity,
-            self.client,
-            self.owners,
-            self._list_services,
-            self.pools,
+            replicas,
+            self.agent,
+            pool,
             self._clock,
         )
-        self.forwarder = forwarding.Forwarder(
-            identity,
-            attempts.AttemptRunner(
-                process.host,
-                process.domain,
-                self.client,
-                exchanges.Exchanger(self.pools, self._clock),
+        self._subscription.attach(listener)
+        return processes.EntryParts(
+            routing=self.copy,
+            list_services=self._list_services,
+            ownership=ownerships.GossipedOwnership(
+                self.agent,
+                self.copy,
                 self._clock,
             ),
-            keys.KeyKeeper(self.replicas, process.host, self._clock),
-            self.tracing,
-            self._clock,
-        )
-        self.server = servers.create_server(
-            self.copy,
-            self.forwarder,
-            self.client,
-            self,
-            self._read_status,
+            create_coordinator=self.factory.create,
+            key_store=replicas,
+            tracer=self.tracing,
+            conditions=(self.is_current,),
+            leave=self._driver.leave,
+            read_status=self._read_status,
         )
 
-    def _read_status(self) -> dict[str, typing.Any]:
-        return statuses.describe_host(self, self._clock.now())
-
     def _list_services(self) -> list[identifiers.ServiceName]:
         known = self.copy.settings
         return list(known.services) if known else []
 
-    async def _close(self) -> None:
-        self._beating.cancel()
-        await self.subscription.close()
-        await self.driver.close()
-        await self.pools.close()
-        await self.pool.close()
-        await self.listener.close()
-        self.owners.close()
-        self.tracing.close()
+    def _read_status(self) -> dict[str, typing.Any]:
+        return statuses.describe_host(self, self._clock.now())
 
 
-def create_entry_host(
+def create_process(
     process: settings.ProcessSettings,
     part: settings.EntryPart,
     clock: clocks.Clock | None = None,
-) -> EntryHost:
+) -> EntryProcess:
     """Return an entry host that is not started."""
-    return EntryHost(process, part, clock or clocks.SystemClock())
+    return EntryProcess(process, part, clock or clocks.SystemClock())
 
 
 async def run_entry(
@@ -244,12 +181,43 @@
     )
     logs.redirect_library_logs()
     with handler.applicationbound():
-        host = create_entry_host(process, part)
+        host = create_process(process, part)
         await host.start()
         await stopping.wait()
         await host.stop()
     handler.close_windows()
 
 
-#: Connections of one host to one upstream: 330 connections over 44 hosts.
-_CONNECTIONS = 7
+def _create_row(
+    process: settings.ProcessSettings,
+    part: settings.EntryPart,
+    clock: clocks.Clock,
+) -> tables.HostRow:
+    return tables.HostRow(
+        process.host,
+        part.control_address,
+        process.region,
+        process.domain,
+        identifiers.Incarnation(int(clock.wall() * 1000)),
+        process.member,
+    )
+
+
+def _create_entry_settings(
+    process: settings.ProcessSettings,
+    part: settings.EntryPart,
+) -> processes.EntrySettings:
+    return processes.EntrySettings(
+        member=process.member,
+        key_file=process.key_file,
+        host=process.host,
+        region=process.region,
+        domain=process.domain,
+        caller_address=part.caller_address,
+        control_address=part.control_address,
+        replicas=part.replicas,
+        seeds=part.seeds,
+        folder=part.folder,
+        linger_seconds=part.drain,
+        connections=CONNECTIONS,
+    )
--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -10,12 +10,10 @@
 Report = dict[str, typing.Any]
 
 
-def describe_host(host: 'entries.EntryHost', now: float) -> Report:
+def describe_host(host: 'entries.EntryProcess', now: float) -> Report:
     """Return versions, hosts, and the allocators that this host owns."""
     return {
-        'host': host.agent.identity.host,
-        'is_ready': host.is_ready(),
-        'is_draining': host.is_draining,
+        'is_current': host.is_current(),
         'configuration_version': host.copy.version,
         'hosts': [
             {
@@ -36,14 +34,14 @@
 
 
 def _describe_allocator(
-    host: 'entries.EntryHost',
+    host: 'entries.EntryProcess',
     service: typing.Any,
     now: float,
 ) -> Report:
     judge = host.factory.judges[service]
     coordinator = typing.cast(
         typing.Any,
-        host.owners.find(service).coordinator,
+        host.host.owners.find(service).coordinator,
     )
     ejected = set(judge.judge.find_ejected())
     return {
