--- /dev/null
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -0,0 +1,128 @@
+"""A host's copy of the configuration never goes back."""
+
+import base64
+import itertools
+
+import pytest
+
+from wagtailspread.configuration import deltas, versions
+from wagtailspread.core import identifiers
+from wagtailspread.processes import copies, machines
+from wagtailspread.testing import fleets
+from wagtailspread.wire import credentials, messages
+
+KEY = credentials.create_key()
+MEMBER = identifiers.MemberId(fleets.MEMBER)
+PUBLIC = credentials.public_bytes(KEY)
+
+
+def create_base(floor):
+    text = fleets.BASE_FILE.format(
+        member=MEMBER,
+        public_key=base64.b64encode(PUBLIC).decode(),
+    )
+    return text.replace('floor = 50%', f'floor = {floor}%')
+
+
+def create_copy(folder=None):
+    return copies.ConfigurationCopy(MEMBER, {MEMBER: PUBLIC}, folder)
+
+
+def create_deltas():
+    """Return the full text of version 1 and the deltas to 2 and 3."""
+    texts = [{'base.ini': create_base(floor)} for floor in (50, 60, 70)]
+    created = [deltas.create_full(texts[0], 1)]
+    for number in (1, 2):
+        created.append(
+            deltas.compute_delta(
+                texts[number - 1],
+                texts[number],
+                number,
+                number + 1,
+            ),
+        )
+    return created
+
+
+def read_floor(copy):
+    return round(copy.settings.services['vitrina'].floor * 100)
+
+
+@pytest.mark.parametrize('order', list(itertools.permutations(range(3))))
+def test_copy_never_goes_back_in_any_order_of_deltas(order):
+    """Guards against a late delta that reverts a newer configuration."""
+    created = create_deltas()
+    copy = create_copy()
+    seen = []
+    for number in (*order, *order):
+        copy.apply(created[number])
+        seen.append(copy.version)
+    assert seen == sorted(seen)
+    if copy.version:
+        assert read_floor(copy) == 40 + 10 * copy.version
+
+
+def test_delta_from_another_version_is_not_mixed_in():
+    """Guards against a configuration that was never accepted."""
+    first, _, third = create_deltas()
+    copy = create_copy()
+    copy.apply(first)
+    assert not copy.apply(third)
+    assert (copy.version, read_floor(copy)) == (1, 50)
+
+
+def test_restart_begins_with_the_saved_copy(tmp_path):
+    """Guards against a host that serves nothing until replicas answer."""
+    copy = create_copy(tmp_path)
+    for delta in create_deltas():
+        copy.apply(delta)
+    again = create_copy(tmp_path)
+    again.load()
+    assert (again.version, read_floor(again)) == (3, 70)
+    assert again.match('GET', '/columns/1').service == 'vitrina'
+
+
+def test_damaged_copy_is_ignored(tmp_path):
+    """Guards against a host that cannot start after a torn write."""
+    (tmp_path / 'configuration.json').write_text('{"texts": ')
+    copy = create_copy(tmp_path)
+    copy.load()
+    assert copy.version == 0
+    assert copy.apply(create_deltas()[0])
+
+
+def test_peer_with_an_older_version_gets_the_full_text():
+    """Guards against a peer that cannot catch up without the replicas."""
+    copy = create_copy()
+    for delta in create_deltas():
+        copy.apply(delta)
+    peer = create_copy()
+    assert peer.apply(copy.delta_since(peer.version))
+    assert (peer.version, read_floor(peer)) == (3, 70)
+    assert not peer.apply(copy.delta_since(peer.version))
+
+
+def test_first_version_comes_from_the_bootstrap_entry():
+    """Guards against replicas that start without the members' keys."""
+    machine = machines.create_machine()
+    machine.configuration.start(create_base(50))
+    assert machine.configuration.version == 1
+    assert machine.configuration.find_key(MEMBER) == PUBLIC
+    assert machine.configuration.find_lifetime('contratos') > 0
+    machine.configuration.start(create_base(60))
+    assert machine.configuration.version == 1
+
+
+def test_restored_machine_keeps_its_version():
+    machine = machines.create_machine()
+    machine.configuration.start(create_base(50))
+    restored = machines.create_machine()
+    restored.restore(machine.take_snapshot())
+    assert restored.configuration.version == 1
+    assert isinstance(
+        restored.configuration.state,
+        versions.ConfigurationState,
+    )
+    assert messages.encode(
+        restored.configuration.delta_since(0),
+    ) == messages.encode(machine.configuration.delta_since(0))
--- a/wagtailspread/testing/demonstration.py
+++ b/wagtailspread/testing/demonstration.py
@@ -70,7 +70,7 @@
     ) -> None:
         """Keep the fleet, of which nothing runs yet."""
         self.results: list[StepResult] = []
-        self._fleet = fleet
+        self.fleet = fleet
         self._session = session
 
     async def run(self) -> bool:
@@ -97,7 +97,7 @@
 
     async def start_fleet(self) -> Check:
         """Start all processes."""
-        fleet = self._fleet
+        fleet = self.fleet
         fleet.start_replicas()
         fleet.start_entries()
         for number in range(4):
@@ -116,7 +116,7 @@
         """Send requests of each priority through every host."""
         counts = []
         for path in PATHS:
-            replies = await self._send_many(path)
+            replies = await self.send_many(path)
             good = sum(is_answered(reply) for reply in replies)
             counts.append((path, good, len(replies)))
         held = all(good == total for _, good, total in counts)
@@ -125,10 +125,10 @@
     async def resend_order(self) -> Check:
         """Send one order through all hosts; it must run once."""
         replies = [
-            await self._send_order(entry, 'order-1')
-            for entry in self._fleet.entries
+            await self.send_order(entry, 'order-1')
+            for entry in self.fleet.entries
         ]
-        runs = await self._count_runs('order-1')
+        runs = await self.count_runs('order-1')
         bodies = {reply.body for reply in replies}
         same = len(bodies) == 1 and all(map(is_answered, replies))
         seen = f'{len(replies)} sent, {len(bodies)} answer, {runs} run'
@@ -136,21 +136,21 @@
 
     async def submit_change(self) -> Check:
         """Submit a changed base file with the program itself."""
-        changed = self._fleet.base_text.replace('floor = 50%', 'floor = 60%')
+        changed = self.fleet.base_text.replace('floor = 50%', 'floor = 60%')
         return await self._submit(changed, 1)
 
     async def freeze_upstream(self) -> Check:
         """Freeze an upstream and see that callers keep being served."""
-        victim = self._fleet.upstreams[0]
+        victim = self.fleet.upstreams[0]
         victim.send(signal.SIGSTOP)
         started = time.monotonic()
         failed = 0
         sent = 0
         while time.monotonic() - started < EJECTION_SECONDS:
-            replies = await self._send_many(PATHS[0], 4)
+            replies = await self.send_many(PATHS[0], 4)
             sent += len(replies)
             failed += sum(not is_answered(reply) for reply in replies)
-        after = await self._send_many(PATHS[0])
+        after = await self.send_many(PATHS[0])
         good = sum(is_answered(reply) for reply in after)
         victim.send(signal.SIGCONT)
         held = good == len(after)
@@ -161,35 +161,35 @@
 
     async def kill_entry(self) -> Check:
         """Kill an entry host; the others take its allocators over."""
-        victim = self._fleet.entries.pop(0)
+        victim = self.fleet.entries.pop(0)
         victim.send(signal.SIGKILL)
         victim.wait()
         waited = await fleets.wait_until(self._is_serving)
-        replies = await self._send_many(PATHS[0])
+        replies = await self.send_many(PATHS[0])
         good = sum(is_answered(reply) for reply in replies)
         held = waited is not None and good == len(replies)
         return held, f'{good}/{len(replies)} answered through the others'
 
     async def kill_replica(self) -> Check:
         """Kill a replica; changes and orders go on with the other two."""
-        victim = self._fleet.replicas[0]
+        victim = self.fleet.replicas[0]
         victim.send(signal.SIGKILL)
         victim.wait()
-        changed = self._fleet.base_text.replace('floor = 50%', 'floor = 40%')
+        changed = self.fleet.base_text.replace('floor = 50%', 'floor = 40%')
         held, seen = await self._submit(changed, 2)
-        order = await self._send_order(self._fleet.entries[0], 'order-2')
-        again = await self._send_order(self._fleet.entries[-1], 'order-2')
-        runs = await self._count_runs('order-2')
+        order = await self.send_order(self.fleet.entries[0], 'order-2')
+        again = await self.send_order(self.fleet.entries[-1], 'order-2')
+        runs = await self.count_runs('order-2')
         held = held and is_answered(again) and runs == 1
         return held, f'{seen}; order {order.status}, {runs} run'
 
     async def stop_entry(self) -> Check:
         """Stop a host with requests in flight; none may be cut."""
-        stopped = self._fleet.entries.pop()
-        for upstream in self._fleet.upstreams:
-            await self._set_mode(upstream, {'service_seconds': 1.0})
+        stopped = self.fleet.entries.pop()
+        for upstream in self.fleet.upstreams:
+            await self.set_mode(upstream, {'service_seconds': 1.0})
         sending = [
-            asyncio.create_task(self._send(stopped, PATHS[0])) for _ in range(8)
+            asyncio.create_task(self.send(stopped, PATHS[0])) for _ in range(8)
         ]
         await asyncio.sleep(0.1)
         stopped.send(signal.SIGTERM)
@@ -202,7 +202,7 @@
         )
 
     async def _submit(self, text: str, based_on: int) -> Check:
-        path = self._fleet.folder / 'base.ini'
+        path = self.fleet.folder / 'base.ini'
         path.write_text(text)
         arguments = [
             sys.executable,
@@ -212,9 +212,9 @@
             str(path),
             f'--based-on={based_on}',
             f'--member={fleets.MEMBER}',
-            f'--key={self._fleet.key_file}',
+            f'--key={self.fleet.key_file}',
         ]
-        for address in self._fleet.replica_addresses:
+        for address in self.fleet.replica_addresses:
             arguments.append(f'--replica={address}')
         started = time.monotonic()
         ran = await asyncio.to_thread(
@@ -240,39 +240,50 @@
     async def _has_version(self, version: int) -> bool:
         seen = [
             await fleets.read_status(self._session, entry)
-            for entry in self._fleet.entries
+            for entry in self.fleet.entries
         ]
         return all(
             one.get('configuration_version', 0) >= version for one in seen
         )
 
     async def _is_serving(self) -> bool:
-        for entry in self._fleet.entries:
+        for entry in self.fleet.entries:
             for path in PATHS:
-                if not is_answered(await self._send(entry, path)):
+                if not is_answered(await self.send(entry, path)):
                     return False
         return True
 
-    async def _send_many(self, path: str, each: int = 0) -> list[Reply]:
-        count = each or PER_PATH // len(self._fleet.entries)
+    async def send_many(self, path: str, each: int = 0) -> list[Reply]:
+        """Send requests through every host at once."""
+        count = each or PER_PATH // len(self.fleet.entries)
         return await asyncio.gather(
             *(
-                self._send(entry, path)
-                for entry in self._fleet.entries
+                self.send(entry, path)
+                for entry in self.fleet.entries
                 for _ in range(count)
             ),
         )
 
-    async def _send(self, entry: fleets.Process, path: str) -> Reply:
+    async def send(self, entry: fleets.Process, path: str) -> Reply:
+        """Send one read through a host."""
         return await self._request('GET', entry, path, {})
 
-    async def _send_order(self, entry: fleets.Process, key: str) -> Reply:
+    async def send_order(self, entry: fleets.Process, key: str) -> Reply:
+        """Send an order with an idempotency key."""
         headers = {
             outcomes.KEY_HEADER: key,
             outcomes.CALLER_HEADER: CALLER,
         }
         return await self._request('POST', entry, '/orders', headers)
 
+    def start_order(
+        self,
+        entry: fleets.Process,
+        key: str,
+    ) -> asyncio.Task[Reply]:
+        """Send an order without waiting for its answer."""
+        return asyncio.create_task(self.send_order(entry, key))
+
     async def _request(
         self,
         method: str,
@@ -294,9 +305,10 @@
             status, outcome, body = 0, '', b''
         return Reply(status, outcome, body, time.monotonic() - started)
 
-    async def _count_runs(self, key: str) -> int:
+    async def count_runs(self, key: str) -> int:
+        """Return how often upstreams ran the order with this key."""
         total = 0
-        for upstream in self._fleet.upstreams:
+        for upstream in self.fleet.upstreams:
             async with self._session.get(
                 f'http://{upstream.address}/-/report',
             ) as answer:
@@ -304,11 +316,12 @@
             total += report['runs'].get(f'{CALLER}/{key}', 0)
         return total
 
-    async def _set_mode(
+    async def set_mode(
         self,
         upstream: fleets.Process,
         mode: dict[str, typing.Any],
     ) -> None:
+        """Set the faults of a fake upstream."""
         url = f'http://{upstream.address}/-/mode'
         async with self._session.put(url, json=mode) as answer:
             await answer.read()
