--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 demo: setup
 	$(BIN)/python -m wagtailspread.testing.demonstration
 
-test: setup
+test: setup binary
 	$(BIN)/python -m pytest
 
 format: setup
--- a/wagtailspread/processes/tests/test_settings.py
+++ b/wagtailspread/processes/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Settings files of processes are checked with file, line and key."""
 
+import pathlib
+
 import pytest
 
 from wagtailspread.processes import settings
@@ -61,3 +63,13 @@
     text = GOOD[: GOOD.index('[entry]')]
     found = settings.parse_settings('h1.ini', text).failure()
     assert [one.kind.value for one in found] == ['missing-section']
+
+
+@pytest.mark.parametrize('site', ('andino', 'penang'))
+@pytest.mark.parametrize('role', ('entry', 'replica'))
+def test_sample_settings_are_good(site, role):
+    """Guards against documented samples that the program refuses."""
+    path = pathlib.Path('samples') / site / f'{role}.ini'
+    read = settings.load_settings(path).unwrap()
+    assert getattr(read, role) is not None
+    assert len(read.trusted_keys) == 2
--- a/wagtailspread/testing/fleets.py
+++ b/wagtailspread/testing/fleets.py
@@ -116,8 +116,16 @@
     Use as a context manager, so that all processes are ended.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Create the member's key; nothing is started yet."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        program: typing.Sequence[str] = ('-m', 'wagtailspread'),
+    ) -> None:
+        """Create the member's key; nothing is started yet.
+
+        :param program: arguments of the Python interpreter.
+        """
+        self._program = program
         self.folder = folder
         self.replicas: list[Process] = []
         self.entries: list[Process] = []
@@ -243,7 +251,7 @@
         log = (self.folder / f'{name}.log').open('ab')
         with log:
             running = subprocess.Popen(
-                [sys.executable, '-m', 'wagtailspread', *arguments],
+                [sys.executable, *self._program, *arguments],
                 stdout=log,
                 stderr=log,
             )
