Judge single hosts and ended faults over longer spans

Cause: new tests showed three gaps. The hosts that saw failures were forgotten every two seconds, so that one host's failures could look like those of several and blocked a path; a fault that had ended two seconds before was still reported from the slow window; nothing covered moments of a judge that runs for months. After: hosts are remembered for two periods, a fault has ended when seven further failures would have been due, and a test runs the judge a year on.

--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -88,8 +88,11 @@
         self._width = 1
         self._cells = array.array('f')
         self._totals = cells.create_totals()
+        # Hosts as bits: of this period, and of this and the one before.
         self._failing_hosts = array.array('I')
         self._seen_hosts = array.array('I')
+        self._failing_lately = array.array('I')
+        self._seen_lately = array.array('I')
         self._decayed_at = 0.0
         self._hosts_since = 0.0
         self._epoch: float | None = None
@@ -98,8 +101,8 @@
         """Make room for ``row``."""
         while len(self._seen_hosts) <= row:
             cells.grow(self._cells, self._width * cells.FIELDS)
-            self._failing_hosts.append(0)
-            self._seen_hosts.append(0)
+            for column in self._host_columns():
+                column.append(0)
 
     def record(
         self,
@@ -120,6 +123,7 @@
         base = row * self._width * cells.FIELDS
         bit = 1 << self._index.find(host, now) % HOST_BITS
         self._seen_hosts[row] |= bit
+        self._seen_lately[row] |= bit
         self.active.add(row)
         moment = now - self._epoch
         cell = base + number * cells.FIELDS
@@ -127,6 +131,7 @@
             self._add_success(base, cell, seconds, moment)
             return
         self._failing_hosts[row] |= bit
+        self._failing_lately[row] |= bit
         is_answer = outcome is outcomes.ExchangeResult.ERROR
         cells.add_window_failure(self._cells, cell, is_answer)
         cells.add_window_failure(self._totals, 0, is_answer)
@@ -204,15 +209,15 @@
 
     def is_single_host(self, row: int) -> bool:
         """Tell whether one host alone saw failures, while others worked."""
-        failing = self._failing_hosts[row].bit_count()
-        return failing == 1 and self._seen_hosts[row].bit_count() > 1
+        failing = self._failing_lately[row].bit_count()
+        return failing == 1 and self._seen_lately[row].bit_count() > 1
 
     def clear(self, row: int) -> None:
         """Forget all results of ``row``."""
         for number in range(self._width):
             self._clear_cell(row, number)
-        self._failing_hosts[row] = 0
-        self._seen_hosts[row] = 0
+        for column in self._host_columns():
+            column[row] = 0
         self.active.discard(row)
         if not self.active:
             self._totals = cells.create_totals()
@@ -288,9 +293,19 @@
 
     def _forget_hosts(self) -> None:
         for row in self.active:
+            self._failing_lately[row] = self._failing_hosts[row]
+            self._seen_lately[row] = self._seen_hosts[row]
             self._failing_hosts[row] = 0
             self._seen_hosts[row] = 0
 
+    def _host_columns(self) -> 'tuple[array.array[int], ...]':
+        return (
+            self._failing_hosts,
+            self._seen_hosts,
+            self._failing_lately,
+            self._seen_lately,
+        )
+
     def _move_epoch(self, now: float) -> None:
         passed = now - (self._epoch or 0.0)
         self._epoch = now
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -53,13 +53,12 @@
     return RESULT.ERROR, 0.01
 
 
-def slow_all(_upstream, _domain, _host, step):
-    return RESULT.SUCCESS, 0.25 if step > 50 else 0.05
+def fail_all_later(_upstream, _domain, _host, step):
+    return (RESULT.ERROR if step > 50 else RESULT.SUCCESS), 0.01
 
 
-def fail_through_one_host(upstream, _domain, host, _step):
-    is_bad = upstream == V3 and host in services.HOSTS[:1]
-    return (RESULT.CONNECT_FAILED if is_bad else RESULT.SUCCESS), 0.05
+def slow_all(_upstream, _domain, _host, step):
+    return RESULT.SUCCESS, 0.25 if step > 50 else 0.05
 
 
 def fail_in_one_burst(upstream, _domain, _host, step):
@@ -75,8 +74,8 @@
 SPARING = {
     'all are healthy': services.succeed,
     'all fail': fail_all,
+    'all begin to fail': fail_all_later,
     'all become slow': slow_all,
-    'one host alone sees failures': fail_through_one_host,
     'six requests fail in one burst': fail_in_one_burst,
     'it stalls once for a moment': stall_once,
     'it sheds': services.fail(V3, result=RESULT.SHED),
@@ -108,6 +107,40 @@
     assert judge.is_usable(V3, 'andes-mde', 8)
 
 
+def test_failures_of_one_busy_host_neither_block_nor_eject():
+    judge = services.create_judge()
+    changes = []
+    for step in range(200):
+        now = step / 50
+        services.vote(judge, now)
+        for upstream in services.UPSTREAMS:
+            is_cut = upstream == V3 and step % 4 == 0
+            host = 'h0' if step % 4 == 0 else services.HOSTS[1 + step % 40]
+            result = RESULT.CONNECT_FAILED if is_cut else RESULT.SUCCESS
+            domain = services.DOMAINS[step % 2]
+            judge.record(upstream, host, domain, result, 0.05, now)
+        changes += judge.tick(services.list_capacities(), now)
+    assert not changes
+
+
+def test_fault_that_has_ended_ejects_nobody_when_votes_arrive():
+    judge = services.create_judge()
+    services.run(judge, fail_some, seconds=5, voters=())
+    services.run(judge, services.succeed, start=5, seconds=2, voters=())
+    assert not services.run(judge, services.succeed, start=7)
+
+
+@pytest.mark.parametrize('start', (3e7, 3e7 + 0.4))
+def test_long_running_judge_tells_bursts_from_faults(start):
+    """Guards against moments that lose precision over months."""
+    judge = services.create_judge()
+    services.run(judge, services.succeed)
+    assert not services.run(judge, fail_in_one_burst, start=start, seconds=3)
+    choose = services.fail(V3)
+    changes = services.run(judge, choose, start=start + 3, seconds=1)
+    assert list_upstreams(changes, STATE.EJECTED) == {V3}
+
+
 def test_error_answers_seen_from_one_domain_are_no_path_fault():
     """Guards against blaming the path for what only an upstream can send."""
 
@@ -121,15 +154,17 @@
 
 def test_paths_of_a_domain_stay_above_its_floor():
     def choose(_upstream, domain, _host, step):
-        is_cut = _upstream in services.UPSTREAMS[:5] and domain == 'andes-bog'
+        is_cut = _upstream in services.UPSTREAMS[:4] and domain == 'andes-bog'
         return (RESULT.RESET if is_cut else RESULT.SUCCESS), 0.05
 
     judge = services.create_judge(floor=0.6)
-    services.run(judge, choose, seconds=4)
+    changes = services.run(judge, choose, seconds=1)
+    assert len(list_upstreams(changes, STATE.PATH_BLOCKED)) == 3
+    services.run(judge, choose, start=1, seconds=4)
     usable = [
         upstream
         for upstream in services.UPSTREAMS
-        if judge.is_usable(upstream, 'andes-bog', 4)
+        if judge.is_usable(upstream, 'andes-bog', 5)
     ]
     assert len(usable) >= 6
 
--- a/wagtailspread/health/tests/test_recovery.py
+++ b/wagtailspread/health/tests/test_recovery.py
@@ -50,12 +50,12 @@
 
 def test_result_of_work_from_before_the_trial_proves_nothing():
     judge = create_ejecting_judge()
-    services.vote(judge, 3.4)
-    judge.tick(services.list_capacities(), 3.4)
-    assert judge.claim_trial(V3, 3.4)
-    for number in range(5):
-        host = services.HOSTS[number]
-        judge.record(V3, host, 'andes-bog', RESULT.SUCCESS, 3.0, 3.5)
+    for step in range(100):
+        now = 2 + step / 10
+        services.vote(judge, now)
+        judge.tick(services.list_capacities(), now)
+        if judge.claim_trial(V3, now):
+            judge.record(V3, 'h1', 'andes-bog', RESULT.SUCCESS, 3.0, now + 1)
     assert judge.find_ejected() == [V3]
 
 
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -18,8 +18,9 @@
 #: A success elsewhere tells of a path fault only if it came this long after
 #: the first failure, since requests sent before the fault may end later.
 PATH_SECONDS = 0.25
-#: Score at which a fault seen in the slow window has ended in the fast one.
-ENDED_SCORE = -3.0
+#: Failures that a fault of the slow window would have caused since the last
+#: one; beyond this number it has ended.
+ENDED_FAILURES = 7.0
 #: Share of failures that are answers above which the path is not at fault.
 ANSWERED_SHARE = 0.5
 #: Shortest duration of a run of failures, in seconds, so that one burst is no
@@ -111,13 +112,15 @@
         own = self._evidence.summarize(row)
         if own.slow.failures < comparison.MIN_FAILURES:
             return []
+        if self._evidence.is_single_host(row):
+            return []
         if own.slow.answered <= ANSWERED_SHARE * own.slow.failures:
             path_faults = self._find_failing_paths(row)
             if path_faults:
                 return path_faults
         peers = self._total.plus(own, -1)
         failing = self._find_window(row, evidence.ALL_DOMAINS, own, peers)
-        if failing is None or self._evidence.is_single_host(row):
+        if failing is None:
             return []
         reason = _explain_failures(failing, peers, self._list_seen(row))
         return [Fault(row, 1 + failing.ratio, reason)]
@@ -142,9 +145,9 @@
                 return unanswered
         if not comparison.is_failing(own.slow, peers.slow):
             return None
-        if comparison.score_failures(own.fast, own.slow) < ENDED_SCORE:
-            return None
-        return own.slow
+        rate = own.fast.samples / evidence.FAST_SECONDS
+        missed = own.slow.ratio * rate * (self._now - run.last_failure)
+        return own.slow if missed < ENDED_FAILURES else None
 
     def _find_failing_paths(self, row: int) -> list[Fault]:
         faults = []
