Keep cancellations that come with an answer; survive failing commands

Links, listeners and handlers use asyncio.timeout now; the new test fails without it.

A command that raises in a part gets an empty answer at every replica instead of ending all of them at each restart. One-way cuts of every pair of three and random cuts among five leave a stable leader (18 cases).

--- a/wagtailspread/consensus/messages.py
+++ b/wagtailspread/consensus/messages.py
@@ -252,6 +252,10 @@
     committed: tuple[LogEntry, ...] = ()
     keeps_tail: bool = True
 
+    def is_empty(self) -> bool:
+        """Tell whether there is nothing to do."""
+        return not (self.must_persist() or self.messages or self.committed)
+
     def must_persist(self) -> bool:
         """Tell whether anything has to be made durable."""
         return bool(
--- a/wagtailspread/consensus/tests/test_replicas.py
+++ b/wagtailspread/consensus/tests/test_replicas.py
@@ -1,5 +1,8 @@
 """Steps of replicas in memory: changes, snapshots, hand-over, repair."""
 
+import itertools
+import random
+
 import pytest
 
 from wagtailspread.consensus import messages, reconfiguration, states
@@ -316,3 +319,40 @@
     output = target.replica.receive(request, fleet.now)
     assert not output.messages
     assert target.replica.state.term != 99
+
+
+PAIRS = list(itertools.permutations(range(3), 2))
+
+
+@pytest.mark.parametrize('pair', PAIRS)
+def test_one_way_cut_causes_no_endless_elections(pair):
+    """Guards against terms that grow for as long as a cut lasts."""
+    fleet = create_fleet()
+    addresses = list(fleet.nodes)
+    fleet.cut(addresses[pair[0]], addresses[pair[1]])
+    fleet.run(5.0)
+    before = max(find_state(fleet, one).term for one in addresses)
+    fleet.run(10.0)
+    assert max(find_state(fleet, one).term for one in addresses) == before
+    assert fleet.propose(find_leader(fleet), b'goes on')
+    fleet.run(0.5)
+    (leader,) = fleet.find_leaders()
+    assert fleet.nodes[leader].machine.applied[-1][1] == b'goes on'
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_cuts_within_a_minority_of_links_leave_a_leader(seed):
+    """Guards against five replicas that agree on nobody for all the time."""
+    fleet = create_fleet(5)
+    addresses = list(fleet.nodes)
+    cuts = random.Random(seed).sample(
+        list(itertools.permutations(addresses, 2)), 4
+    )
+    for source, target in cuts:
+        fleet.cut(source, target)
+    fleet.run(6.0)
+    before = max(find_state(fleet, one).term for one in addresses)
+    fleet.run(10.0)
+    after = max(find_state(fleet, one).term for one in addresses)
+    assert after - before <= 1
+    assert fleet.find_leaders()
--- a/wagtailspread/replica/drivers.py
+++ b/wagtailspread/replica/drivers.py
@@ -10,6 +10,8 @@
 
 from concurrent import futures
 
+import logbook
+
 from returns import result
 
 from wagtailspread.consensus import messages, replicas, storage
@@ -28,6 +30,8 @@
 #: little beside the log: bytes as many as it has, entries by this many bytes.
 SNAPSHOT_BYTES_FOR_AN_ENTRY = 512
 
+_log = logbook.Logger('replica')
+
 CommandResult = result.Result[bytes, failures.Failure]
 
 
@@ -102,6 +106,7 @@
         self._wake = asyncio.Event()
         self._waiting: dict[identifiers.LogIndex, _Waiter] = {}
         self._pending_bytes = 0
+        self._noted = (replica.state.role, replica.state.term)
         self._executor = futures.ThreadPoolExecutor(1, 'storage')
         if replica.state.log.snapshot.payload:
             machine.restore(replica.state.log.snapshot.payload)
@@ -146,20 +151,27 @@
 
     def collect(self, output: messages.Output) -> None:
         """Take the output of a step of the replica."""
-        self._outputs.append(output)
-        self._wake.set()
+        if not output.is_empty():
+            self._outputs.append(output)
+            self._wake.set()
+        self._note_role()
         if self._waiting and not self.replica.is_leader:
             self._fail_waiting()
 
+    def _note_role(self) -> None:
+        state = self.replica.state
+        if (state.role, state.term) != self._noted:
+            self._noted = (state.role, state.term)
+            _log.info('{} in term {}', state.role.value, state.term)
+
     async def _tick(self) -> None:
         while True:
             self.collect(self.replica.tick(self._clock.now()))
             await asyncio.sleep(TICK_SECONDS)
 
     async def _handle_outputs(self) -> None:
-        self.collect(self.replica.flush(self._clock.now()))
-        self._wake.clear()
-        outputs = self._outputs
+        flushed = self.replica.flush(self._clock.now())
+        outputs = [*self._outputs, flushed]
         self._outputs = []
         if any(output.must_persist() for output in outputs):
             await self._call(self._persist, outputs)
--- a/wagtailspread/replica/handlers.py
+++ b/wagtailspread/replica/handlers.py
@@ -1,12 +1,13 @@
 """Calls that a replica serves to hosts and operators."""
 
 import asyncio
+import dataclasses
 import json
 import typing
 
 from returns import result
 
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, failures, identifiers
 from wagtailspread.replica import drivers, machines, reports
 from wagtailspread.wire import listeners, messages
 
@@ -84,7 +85,8 @@
 
     async def _wait_for_newer(self, version: int, wait: float) -> None:
         try:
-            await asyncio.wait_for(self._poll(version), wait)
+            async with asyncio.timeout(wait):
+                await self._poll(version)
         except TimeoutError:
             return
 
@@ -102,6 +104,13 @@
         waiting.set()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandFailed(failures.Failure):
+    """The state machine could not run the command; it changed nothing."""
+
+    kind: str
+
+
 class CommandHandler:
     """Runs one kind of command and answers after it is applied."""
 
@@ -130,16 +139,16 @@
             self._clock.wall(),
         )
         try:
-            outcome = await asyncio.wait_for(
-                self._driver.run_command(command),
-                call.timeout,
-            )
+            async with asyncio.timeout(call.timeout):
+                outcome = await self._driver.run_command(command)
         except TimeoutError:
             return result.Failure(drivers.OutcomeUnknown())
         if not isinstance(outcome, result.Success):
             return outcome
-        answer = messages.decode_own(self._answer_type, outcome.unwrap())
-        return result.Success(answer)
+        payload = outcome.unwrap()
+        if not payload:
+            return result.Failure(CommandFailed(self._kind.name))
+        return result.Success(messages.decode_own(self._answer_type, payload))
 
 
 class StatusHandler:
--- a/wagtailspread/replica/machines.py
+++ b/wagtailspread/replica/machines.py
@@ -8,10 +8,15 @@
 import importlib
 import typing
 
+import logbook
+
 from wagtailspread.core import identifiers
 from wagtailspread.wire import messages
 
 
+_log = logbook.Logger('replica')
+
+
 class CommandKind(enum.IntEnum):
     """What a command asks the state machine to do."""
 
@@ -91,8 +96,18 @@
     def apply(self, index: identifiers.LogIndex, command: bytes) -> bytes:
         """Apply one command and return its encoded answer.
 
+        A command that a part cannot run gets an empty answer at every
+        replica; otherwise it would end all of them, again at each restart.
+
         :param index: place of the command in the log.
         """
+        try:
+            return self._apply(command)
+        except Exception:
+            _log.exception('command {} failed', index)
+            return b''
+
+    def _apply(self, command: bytes) -> bytes:
         decoded = messages.decode_own(messages.structs.Command, command)
         self._wall_ms = max(self._wall_ms, decoded.wall_ms)
         kind = CommandKind(decoded.kind)
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -6,6 +6,8 @@
 import signal
 import typing
 
+import logbook
+
 from cryptography.hazmat.primitives.asymmetric import ed25519
 from returns import result
 
@@ -22,6 +24,7 @@
 from wagtailspread.wire import messages as wire
 
 ROLE = 'replica'
+_log = logbook.Logger('replica')
 MachineFactory = typing.Callable[[], machines.StateMachine]
 #: Longest wait for another replica to take over at a graceful stop, seconds.
 HAND_OVER_SECONDS = 2.0
@@ -262,6 +265,7 @@
         commands = self._list_first_commands()
         first = replicas.create_first_log(membership, commands)
         driver.collect(driver.replica.form(first, now))
+        _log.info('formed the first membership')
 
     def _list_first_commands(self) -> tuple[bytes, ...]:
         path = self.settings.first_base
@@ -324,6 +328,7 @@
         server = create_server(settings, create_machine())
         await _run_until(server, stopping)
         if server.is_void:
+            _log.warning('the identity is void; starting with a new one')
             server.discard()
 
 
@@ -346,6 +351,7 @@
 async def _finish(running: asyncio.Task[None]) -> None:
     (ended,) = await asyncio.gather(running, return_exceptions=True)
     if isinstance(ended, Exception):
+        _log.critical('the replica stops: {}', ended)
         raise ended
 
 
--- a/wagtailspread/wire/links.py
+++ b/wagtailspread/wire/links.py
@@ -72,7 +72,10 @@
         )
         try:
             self._write(envelope)
-            reply = await asyncio.wait_for(answer, timeout)
+            # asyncio.wait_for of Python 3.11 loses a cancellation that comes
+            # together with the answer.
+            async with asyncio.timeout(timeout):
+                reply = await answer
         except (TimeoutError, ConnectionError):
             return result.Failure(failures.CallTimeout(self.address, timeout))
         finally:
@@ -111,7 +114,8 @@
             if self._writer is not None:
                 return True
             try:
-                await asyncio.wait_for(self._open(), CONNECT_SECONDS)
+                async with asyncio.timeout(CONNECT_SECONDS):
+                    await self._open()
             except (
                 OSError,
                 asyncio.IncompleteReadError,
--- a/wagtailspread/wire/listeners.py
+++ b/wagtailspread/wire/listeners.py
@@ -120,16 +120,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        peer = await asyncio.wait_for(
-            handshakes.authenticate(
+        async with asyncio.timeout(HANDSHAKE_SECONDS):
+            peer = await handshakes.authenticate(
                 reader,
                 writer,
                 self._own,
                 self._directory,
                 is_dialer=False,
-            ),
-            HANDSHAKE_SECONDS,
-        )
+            )
         limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         calls: set[asyncio.Task[None]] = set()
         try:
--- a/wagtailspread/wire/tests/test_links.py
+++ b/wagtailspread/wire/tests/test_links.py
@@ -101,6 +101,31 @@
     await listener.close()
 
 
+async def test_cancellation_that_comes_with_the_answer_is_not_lost(
+    monkeypatch,
+):
+    """Guards against a task that goes on after it was cancelled."""
+
+    async def answer(_call, request):
+        return result.Success(request)
+
+    listener, address = await start_listener(answer)
+    link = links.create_link(address, create_credentials(), create_directory())
+    await call(link)
+    deliver = link._deliver
+
+    def deliver_and_cancel(reply):
+        deliver(reply)
+        calling.cancel()
+
+    monkeypatch.setattr(link, '_deliver', deliver_and_cancel)
+    calling = asyncio.create_task(call(link))
+    outcomes = await asyncio.gather(calling, return_exceptions=True)
+    assert isinstance(outcomes[0], asyncio.CancelledError)
+    await link.close()
+    await listener.close()
+
+
 async def test_cancelled_caller_of_close_stays_cancelled():
     """Guards against a task that cannot be cancelled while it closes."""
 
