--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -113,13 +113,9 @@
         lease = self.book.close(completion.lease)
         if lease is None:
             return
-        for place in lease.places:
-            known = slots.Completion(
-                place.lease,
-                completion.result,
-                completion.seconds,
-            )
-            self._complete_at(place, lease, known)
+        self._complete_at(lease.host, lease.lease, lease, completion)
+        for place in lease.adopted:
+            self._complete_at(place.host, place.lease, lease, completion)
 
     def announce(self, announcement: slots.Announcement) -> None:
         """Pass an announcement to the owner of its service."""
@@ -267,18 +263,20 @@
 
     def _complete_at(
         self,
-        known: leases.LeasePlace,
+        host: identifiers.HostId | None,
+        known: identifiers.LeaseId,
         lease: leases.OpenLease,
-        completion: slots.Completion,
+        ended: slots.Completion,
     ) -> None:
-        if known.host == self._identity.host:
+        completion = slots.Completion(known, ended.result, ended.seconds)
+        if host == self._identity.host:
             self._own.find(lease.service).complete(completion)
             return
         state = self.find_state(lease.service)
-        if known.host is None:
+        if host is None:
             state.share.complete(lease.upstream)
             return
-        place = self._find_place(state, known.host)
+        place = self._find_place(state, host)
         if place is None:
             return
         batch = self._batches.setdefault((lease.service, place), [])
--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -122,14 +122,12 @@
     checked: requests.CheckedRequest,
     deadline: float,
     idle_seconds: float = IDLE_SECONDS,
-) -> result.Result[RequestBody | None, requests.RequestFault]:
-    """Return the body with its start read, ``None`` if there is none.
+) -> result.Result[RequestBody, requests.RequestFault]:
+    """Return the body with its start read.
 
     :param deadline: end of the request in seconds of the event loop.
     :param idle_seconds: longest time without a byte.
     """
-    if checked.length == 0:
-        return result.Success(None)
     if 'Expect' in request.headers:
         await _send_continue(request)
     body = RequestBody(
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -131,7 +131,8 @@
             return self._conclude(pool, stall)
         finally:
             quiet.cancel()
-            self._forget(pool, stall)
+            if stall.is_noted:
+                self._forget(pool, stall)
 
     def _note_quiet(
         self,
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -54,16 +54,20 @@
     ) -> web.StreamResponse:
         """Answer a request by way of an upstream."""
         deadline = self._clock.now() + checked.deadline
-        body = await bodies.read_body(request, checked, deadline)
-        if not isinstance(body, result.Success):
-            proof = ledger.prove_not_run()
-            return answers.create_fault(body.failure(), proof).to_response()
+        body: bodies.RequestBody | None = None
+        if checked.length != 0:
+            received = await bodies.read_body(request, checked, deadline)
+            if not isinstance(received, result.Success):
+                fault = received.failure()
+                proof = ledger.prove_not_run()
+                return answers.create_fault(fault, proof).to_response()
+            body = received.unwrap()
         parent = request.headers.get(TRACE_HEADER, '')
         with self._tracer.start_span(checked.route.name, parent) as span:
             headers = requests.copy_headers(request.headers)
             if span.header:
                 headers[TRACE_HEADER] = span.header
-            job = self._create_job(checked, headers, body.unwrap(), deadline)
+            job = self._create_job(checked, headers, body, deadline)
             return await self._answer(request, checked, job, ledger)
 
     async def close(self) -> None:
@@ -80,6 +84,11 @@
     ) -> web.StreamResponse:
         if job.is_idempotent:
             outcome = await self._runner.run(job, ledger)
+            if isinstance(outcome, result.Success):
+                held = outcome.unwrap()
+                if held.reply.is_whole:
+                    self._runner.finish(job, held, held.reply.classify())
+                    return streaming.create_response(held.reply)
             return await self._respond(request, job, outcome, ledger)
         claimed = await self._keeper.claim(
             checked,
@@ -156,9 +165,6 @@
         held = outcome.unwrap()
         reply = held.reply
         if reply.is_whole:
-            self._runner.finish(job, held, reply.classify())
-            if job.is_idempotent:
-                return streaming.create_response(reply)
             plain = keys.copy_answer(reply, utils.formatdate(usegmt=True))
             return plain.to_response()
         ended = outcomes.ExchangeResult.CANCELLED
--- a/wagtailspread/entry/leases.py
+++ b/wagtailspread/entry/leases.py
@@ -16,23 +16,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeasePlace:
-    """An owner that knows a lease, and the id there.
+    """An owner that was told of a lease, and the id there."""
 
-    :param host: ``None`` for a lease of the own share.
-    """
-
-    host: identifiers.HostId | None
+    host: identifiers.HostId
     lease: identifiers.LeaseId
 
 
 @dataclasses.dataclass(slots=True)
 class OpenLease:
-    """A lease that a request of this host uses."""
+    """A lease that a request of this host uses.
+
+    :param host: the owner that granted it, ``None`` for the own share.
+    :param lease: its id there.
+    :param adopted: the owners that were told of it later.
+    """
 
     service: identifiers.ServiceName
     upstream: identifiers.UpstreamId
     expires: float
-    places: list[LeasePlace]
+    host: identifiers.HostId | None
+    lease: identifiers.LeaseId
+    adopted: tuple[LeasePlace, ...] = ()
 
 
 class LeaseBook:
@@ -59,7 +63,8 @@
             service,
             grant.upstream,
             grant.expires,
-            [LeasePlace(host, grant.lease)],
+            host,
+            grant.lease,
         )
         return slots.Grant(
             grant.request,
@@ -87,11 +92,13 @@
         """
         claims = []
         for lease in self._leases.values():
-            known = any(place.host == owner for place in lease.places)
+            known = lease.host == owner or any(
+                place.host == owner for place in lease.adopted
+            )
             if lease.service != service or known or lease.expires <= now:
                 continue
             adopted = identifiers.LeaseId(-secrets.randbits(_ADOPTED_BITS))
-            lease.places.append(LeasePlace(owner, adopted))
+            lease.adopted = (*lease.adopted, LeasePlace(owner, adopted))
             claims.append(
                 slots.LeaseClaim(adopted, host, lease.upstream, lease.expires),
             )
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -52,7 +52,8 @@
 _VISIBLE = re.compile('[!-~]+')
 #: A path segment that an upstream may resolve to another path.
 _DOT_SEGMENT = re.compile(r'/(?:\.|%2e){1,2}(?=/|$)', re.IGNORECASE)
-_CONTROL = re.compile('[\\x00-\\x20\\x7f\\\\]')
+#: A path and query of visible ASCII characters without a backslash.
+_TARGET = re.compile(r'/[!-\[\]-~]*')
 _SINGLE_HEADERS = (
     'Host',
     outcomes.DEADLINE_HEADER,
@@ -75,10 +76,12 @@
     closes: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class CheckedRequest:
     """The head of a request that passed the checks.
 
+    It is not frozen, since that triples the time to make one.
+
     :param deadline: seconds from arrival.
     :param length: announced bytes of the body, ``None`` if chunked.
     """
@@ -115,9 +118,10 @@
             'method',
         )
     path = target.partition('?')[0]
-    detail = _check_target(path, target) or _check_headers(headers)
-    if detail:
-        return _reject(detail)
+    if not _TARGET.fullmatch(target):
+        return _reject('target')
+    if ('.' in path or '%' in path) and _DOT_SEGMENT.search(path):
+        return _reject('dot segment')
     route = routing.match(method, path)
     limits = routing.find_service(route.service) if route else None
     if route is None or limits is None:
@@ -150,6 +154,9 @@
     route: interfaces.Route,
     limits: interfaces.ServiceLimits,
 ) -> HeadResult:
+    detail = _check_headers(headers)
+    if detail:
+        return _reject(detail)
     key = headers.get(outcomes.KEY_HEADER)
     caller = headers.get(outcomes.CALLER_HEADER, '')
     if not route.is_idempotent and key is None:
@@ -177,31 +184,30 @@
     return result.Success(checked)
 
 
-def _check_target(path: str, target: str) -> str:
-    if not path.startswith('/'):
-        return 'target is not a path'
-    if _CONTROL.search(target) or not target.isascii():
-        return 'character in target'
-    if '.' in path or '%' in path:
-        return 'dot segment' if _DOT_SEGMENT.search(path) else ''
-    return ''
-
-
 def _check_headers(headers: typing.Any) -> str:
     for name in _SINGLE_HEADERS:
         if name in headers and len(headers.getall(name)) > 1:
             return f'repeated {name}'
+    if 'Content-Length' in headers or 'Transfer-Encoding' in headers:
+        detail = _check_lengths(headers)
+        if detail:
+            return detail
+    if 'Expect' not in headers:
+        return ''
+    if headers.get('Expect', '100-continue').lower() != '100-continue':
+        return 'Expect'
+    return ''
+
+
+def _check_lengths(headers: typing.Any) -> str:
     lengths = headers.getall('Content-Length', ())
-    if 'Transfer-Encoding' in headers:
-        codings = headers.getall('Transfer-Encoding')
-        if lengths:
-            return 'conflicting lengths'
-        if [coding.strip().lower() for coding in codings] != ['chunked']:
-            return 'Transfer-Encoding'
+    codings = headers.getall('Transfer-Encoding', ())
+    if lengths and codings:
+        return 'conflicting lengths'
+    if codings and [one.strip().lower() for one in codings] != ['chunked']:
+        return 'Transfer-Encoding'
     if len(lengths) > 1 or not all(map(_LENGTH_DIGITS.fullmatch, lengths)):
         return 'Content-Length'
-    if headers.get('Expect', '100-continue').lower() != '100-continue':
-        return 'Expect'
     return ''
 
 
--- a/wagtailspread/entry/silence.py
+++ b/wagtailspread/entry/silence.py
@@ -51,6 +51,7 @@
     limit: asyncio.Timeout
     rescue: typing.Any = None
     task: asyncio.Task[None] | None = None
+    is_noted: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,6 +87,7 @@
             return
         state = self._find(pool)
         state.stalls.add(stall)
+        stall.is_noted = True
         if record.generation == pool.generation:
             pool.renew()
         is_comparing = any(one.task is not None for one in state.stalls)
