--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -3,6 +3,7 @@
 import typing
 
 from wagtailspread.core import priorities
+from wagtailspread.wire import frames
 
 if typing.TYPE_CHECKING:
     from wagtailspread.processes import entries
@@ -15,6 +16,10 @@
     return {
         'is_current': host.is_current(),
         'configuration_version': host.copy.version,
+        'control_bytes': {
+            'sent': frames.TRAFFIC.sent,
+            'received': frames.TRAFFIC.received,
+        },
         'hosts': [
             {
                 'host': row.host,
--- a/wagtailspread/processes/tests/test_copies.py
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -20,6 +20,7 @@
     text = fleets.BASE_FILE.format(
         member=MEMBER,
         public_key=base64.b64encode(PUBLIC).decode(),
+        hosts=2,
     )
     return text.replace('floor = 50%', f'floor = {floor}%')
 
--- a/wagtailspread/testing/fleets.py
+++ b/wagtailspread/testing/fleets.py
@@ -41,12 +41,12 @@
 
 [region centro-andes]
 domains = andes-bog, andes-mde
-hosts = 2
+hosts = {hosts}
 link = 30Mbit/s
 
 [region costa-norte]
 domains = costa-baq, costa-ctg
-hosts = 2
+hosts = {hosts}
 link = 30Mbit/s
 
 [service vitrina]
@@ -136,8 +136,8 @@
         self.key_file.chmod(0o600)
         public = base64.b64encode(credentials.public_bytes(key)).decode()
         self._public_key = public
-        self.base_text = BASE_FILE.format(member=MEMBER, public_key=public)
-        (folder / 'base.ini').write_text(self.base_text)
+        self.base_text = ''
+        self.write_base(hosts=2)
         self._replica_addresses: list[str] = []
         self._control_addresses: list[str] = []
 
@@ -153,6 +153,15 @@
                 process.running.kill()
                 process.wait()
 
+    def write_base(self, hosts: int) -> None:
+        """Write the base file for this many hosts in each region."""
+        self.base_text = BASE_FILE.format(
+            member=MEMBER,
+            public_key=self._public_key,
+            hosts=hosts,
+        )
+        (self.folder / 'base.ini').write_text(self.base_text)
+
     def start_replicas(self, count: int = 3) -> None:
         """Start the replicas that form the first membership."""
         self._replica_addresses = [find_free_address() for _ in range(count)]
--- a/wagtailspread/wire/frames.py
+++ b/wagtailspread/wire/frames.py
@@ -1,6 +1,7 @@
 """Length-prefixed frames on a TCP stream."""
 
 import asyncio
+import dataclasses
 import struct
 
 #: Largest frame accepted, in bytes. Larger ones close the connection.
@@ -8,6 +9,18 @@
 _LENGTH = struct.Struct('>I')
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes of all frames of this process, without TCP and IP headers."""
+
+    sent: int = 0
+    received: int = 0
+
+
+#: Counts the control traffic of the process for its status and metrics.
+TRAFFIC = Traffic()
+
+
 class FrameTooLarge(Exception):
     """A peer announced a frame beyond the limit."""
 
@@ -18,6 +31,7 @@
     >>> pack_frame(b'ab')
     b'\\x00\\x00\\x00\\x02ab'
     """
+    TRAFFIC.sent += _LENGTH.size + len(payload)
     return _LENGTH.pack(len(payload)) + payload
 
 
@@ -34,4 +48,5 @@
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if length > limit:
         raise FrameTooLarge(length)
+    TRAFFIC.received += _LENGTH.size + length
     return await reader.readexactly(length)
