Refuse waiting copies of a request that is quarantined

Copies of a poison request that waited when it was quarantined were still granted and could crash a third upstream. They are refused at once now; the new test fails without it. A pass that repeats the current request of a lease, of which no decision is remembered, is recognised as a duplicate.

--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -73,19 +73,19 @@
             hold_times,
             random,
         )
-        crashes = quarantine.CrashTable(policy.quarantine)
+        self._crashes = quarantine.CrashTable(policy.quarantine)
         self._admission = admission.Admission(
             policy,
             self.table,
             self.queues,
             self.shares,
             hold_times,
-            crashes,
+            self._crashes,
         )
         self._results = results.ResultRecorder(
             self.table,
             hold_times,
-            crashes,
+            self._crashes,
             judge,
         )
         self._upkeep = upkeep.Upkeep(
@@ -168,18 +168,8 @@
             return
         if claim.expires <= now:
             return
-        lease = tables.Lease(
-            lease=claim.lease,
-            row=self.table.hold(claim.upstream, now),
-            request=identifiers.RequestId(''),
-            host=claim.host,
-            domain=claim.domain,
-            priority=claim.priority,
-            fingerprint=claim.fingerprint,
-            granted=None,
-            expires=claim.expires,
-        )
-        self._dispatcher.open(lease, now)
+        row = self.table.hold(claim.upstream, now)
+        self._dispatcher.open(tables.create_adopted_lease(claim, row), now)
 
     def await_adoptions(self, until: float) -> None:
         """Grant nothing before this time, in seconds.
@@ -200,9 +190,9 @@
             self._dispatcher.settle(lease, now)
         if self._upkeep.tick(now):
             self._refuse_unusable(now)
-        for waiting in self.queues.expire(now):
+        for late in self.queues.expire(now):
             reason = outcomes.RefusalReason.DEADLINE_UNREACHABLE
-            self._refuse(waiting.request, reason, now)
+            self._refuse(late.request, reason, now)
         if len(self.queues) and now >= self._granting_from:
             self._serve_waiting(now)
         return self._answers.take()
@@ -252,7 +242,7 @@
     ) -> None:
         """Bind a lease to the request that its host has begun on the slot."""
         lease = self.leases.leases.get(completion.lease)
-        if lease is None:
+        if lease is None or lease.request == request_id:
             return
         if self._answers.has_had(request_id, lease.lease):
             return
@@ -279,6 +269,10 @@
         self._judge.note_vote(lease.host, now)
         if self._results.record(lease, completion, now):
             self._selector.update(lease.row, now)
+        for fingerprint in self._crashes.take_isolated():
+            reason = outcomes.RefusalReason.QUARANTINED
+            found = self.queues.list_fingerprint(fingerprint)
+            self._refuse_waiting(found, reason, now)
 
     def _accept(
         self,
@@ -308,10 +302,19 @@
         for view in self._selector.views.values():
             if view.usable or (is_young and not view.parked):
                 continue
-            for waiting in self.queues.list_domain(view.domain):
-                self.queues.remove(waiting)
-                reason = outcomes.RefusalReason.NO_CAPACITY
-                self._refuse(waiting.request, reason, now)
+            reason = outcomes.RefusalReason.NO_CAPACITY
+            found = self.queues.list_domain(view.domain)
+            self._refuse_waiting(found, reason, now)
+
+    def _refuse_waiting(
+        self,
+        found: list[scheduling.Waiting],
+        reason: outcomes.RefusalReason,
+        now: float,
+    ) -> None:
+        for waiting in found:
+            self.queues.remove(waiting)
+            self._refuse(waiting.request, reason, now)
 
     def _serve_waiting(self, now: float) -> None:
         """Grant free slots until none is left that anyone waits for."""
@@ -353,11 +356,6 @@
             self._dispatcher.settle(lease, now)
         return lease
 
-    def _settle(self, lease: tables.Lease, now: float) -> None:
-        """Free the slot of a lease that is no longer open."""
-        self.shares.release(lease.priority, now)
-        self._selector.update(lease.row, now)
-
 
 def create_coordinator(
     policy: policies.AllocationPolicy,
@@ -366,6 +364,20 @@
 ) -> Coordinator:
     """Return an allocator without upstreams.
 
+    >>> from wagtailspread.core import priorities
+    >>> coordinator = create_coordinator(
+    ...     AllocationPolicy(), AcceptingJudge(), random_module.Random(1)
+    ... )
+    >>> coordinator.submit(
+    ...     SlotRequest('r1', 'h1', 'd1', priorities.Priority.BULK, 0.0),
+    ...     now=1.0,
+    ... )
+    >>> [decision.reason.name for decision in coordinator.tick(now=1.0)]
+    ['DEADLINE_UNREACHABLE']
+
+    See also :func:`create_policy` and :mod:`wagtailspread.allocation.ownership`
+    for the host that runs it.
+
     :param judge: decides which upstreams get work.
     :param random: breaks ties and makes lease ids.
     """
--- a/wagtailspread/allocation/quarantine.py
+++ b/wagtailspread/allocation/quarantine.py
@@ -71,6 +71,7 @@
         )
         self._crashes: collections.deque[_Crash] = collections.deque()
         self._released: list[ResetEvidence] = []
+        self._isolated: list[bytes] = []
 
     def time_left(self, fingerprint: bytes, now: float) -> float:
         """Return the seconds that requests like this are still held back."""
@@ -107,6 +108,13 @@
             if not crash.suspects:
                 self._release(crash)
 
+    def take_isolated(self) -> list[bytes]:
+        """Return the fingerprints quarantined since the last call."""
+        isolated = self._isolated
+        if isolated:
+            self._isolated = []
+        return isolated
+
     def tick(self, now: float) -> list[ResetEvidence]:
         """Return the evidence that counts from now on."""
         while self._crashes and self._is_over(self._crashes[0], now):
@@ -153,6 +161,7 @@
         del self._suspicions[fingerprint]
         self._ends.pop(fingerprint, None)
         self._ends[fingerprint] = now + self._quarantine
+        self._isolated.append(fingerprint)
         if len(self._ends) > _FINGERPRINT_LIMIT:
             self._ends.popitem(last=False)
         self._explain(fingerprint)
--- a/wagtailspread/allocation/scheduling.py
+++ b/wagtailspread/allocation/scheduling.py
@@ -178,6 +178,14 @@
             for waiting in queues.get(domain, {}).values()
         ]
 
+    def list_fingerprint(self, fingerprint: bytes) -> list[Waiting]:
+        """Return all requests with this fingerprint."""
+        return [
+            waiting
+            for waiting in self._waiting.values()
+            if waiting.request.fingerprint == fingerprint
+        ]
+
     def list_fronts(
         self,
         priority: priorities.Priority,
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -330,3 +330,21 @@
                 self.remove(lease.lease)
                 ended.append(lease)
         return ended
+
+
+def create_adopted_lease(
+    claim: messages.AdoptedLease,
+    row: UpstreamRow,
+) -> Lease:
+    """Return the lease that a host claims to hold from an earlier owner."""
+    return Lease(
+        lease=claim.lease,
+        row=row,
+        request=identifiers.RequestId(''),
+        host=claim.host,
+        domain=claim.domain,
+        priority=claim.priority,
+        fingerprint=claim.fingerprint,
+        granted=None,
+        expires=claim.expires,
+    )
--- a/wagtailspread/allocation/tests/test_quarantine.py
+++ b/wagtailspread/allocation/tests/test_quarantine.py
@@ -102,6 +102,22 @@
     assert counted >= 5000 - 257
 
 
+def test_waiting_copies_of_a_poison_request_are_refused():
+    """Guards against a third crash by a copy that already waits."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 2, slots=1)
+    decisions = builders.submit_all(coordinator, 2, fingerprint=POISON)
+    copies = builders.submit_all(coordinator, 3, fingerprint=POISON)
+    assert not copies
+    builders.submit_all(coordinator, 1, fingerprint=b'other')
+    grants = builders.list_grants(decisions)
+    builders.complete_all(coordinator, grants, 0.1, RESET)
+    decided = coordinator.tick(0.1)
+    reasons = builders.list_reasons(decided)
+    assert reasons.count(outcomes.RefusalReason.QUARANTINED) == 3
+    assert len(builders.list_grants(decided)) == 1
+
+
 def test_quarantined_request_is_refused_and_others_run():
     """Guards against a third crash, and against a quarantine of all."""
     judge = test_faults.RecordingJudge()
