Measure detection and false ejections against hosts deciding alone

Cause: both users weigh these figures, and the run of failures had weights that found 30% errors slowly.

--- /dev/null
+++ b/benchmarks/health_choosers.py
@@ -0,0 +1,190 @@
+"""The judge of this project and a naive one, as the simulation uses them."""
+
+import dataclasses
+import random as random_module
+import typing
+
+from wagtailspread.core import identifiers, outcomes
+from wagtailspread.health import judges, reports, tables
+
+#: Failures in a row by which a host alone ejects in the naive version.
+NAIVE_FAILURES = 5
+#: Time for which a host alone ejects in the naive version, in seconds.
+NAIVE_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """Size of one service.
+
+    :param slots: requests that each upstream runs at a time.
+    """
+
+    name: str
+    upstreams: int
+    slots: int
+    hosts: int
+    domains: int = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One running request."""
+
+    upstream: identifiers.UpstreamId
+    host: int
+    started: float
+    is_trial: bool
+    is_overdue: bool = False
+
+
+class Chooser(typing.Protocol):
+    """A judge as the simulation uses it."""
+
+    def is_usable(
+        self, upstream: identifiers.UpstreamId, host: int, now: float
+    ) -> bool:
+        """Tell whether a host may send ordinary work to an upstream."""
+
+    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
+        """Tell whether a trial may go to an upstream."""
+
+    def record(
+        self,
+        exchange: Exchange,
+        outcome: outcomes.ExchangeResult,
+        now: float,
+    ) -> None:
+        """Take a result."""
+
+    def tick(self, running: typing.Iterable[Exchange], now: float) -> None:
+        """Advance."""
+
+    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
+        """Return how often an upstream was ejected so far."""
+
+
+class FleetJudge:
+    """The judge of this project."""
+
+    def __init__(self, site: Site, seed: int) -> None:
+        """Start with the votes of all hosts."""
+        policy = judges.HealthPolicy(floor=0.5, host_count=site.hosts)
+        self.judge = judges.create_judge(policy, random_module.Random(seed))
+        self._site = site
+        self._ejections: dict[identifiers.UpstreamId, int] = {}
+        self._capacities = [
+            tables.Capacity(name_upstream(number), site.slots)
+            for number in range(site.upstreams)
+        ]
+
+    def is_usable(
+        self, upstream: identifiers.UpstreamId, host: int, now: float
+    ) -> bool:
+        """Ask the judge for the host's domain."""
+        domain = name_domain(host, self._site)
+        return self.judge.is_usable(upstream, domain, now)
+
+    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
+        """Ask the judge."""
+        return self.judge.claim_trial(upstream, now)
+
+    def record(
+        self,
+        exchange: Exchange,
+        outcome: outcomes.ExchangeResult,
+        now: float,
+    ) -> None:
+        """Hand the result to the judge."""
+        self.judge.record(
+            exchange.upstream,
+            name_host(exchange.host),
+            name_domain(exchange.host, self._site),
+            outcome,
+            now - exchange.started,
+            now,
+        )
+
+    def tick(self, running: typing.Iterable[Exchange], now: float) -> None:
+        """Renew the votes, report overdue requests and evaluate."""
+        for host in range(self._site.hosts):
+            self.judge.note_vote(name_host(host), now)
+        for exchange in running:
+            age = now - exchange.started
+            if not exchange.is_overdue and age >= self.judge.hang_seconds():
+                exchange.is_overdue = True
+                domain = name_domain(exchange.host, self._site)
+                self.judge.note_overdue(
+                    exchange.upstream,
+                    name_host(exchange.host),
+                    domain,
+                    now,
+                )
+        for change in self.judge.tick(self._capacities, now):
+            if change.state is reports.HealthState.EJECTED:
+                count = self._ejections.get(change.upstream, 0)
+                self._ejections[change.upstream] = count + 1
+
+    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
+        """Return how often an upstream was ejected so far."""
+        return self._ejections.get(upstream, 0)
+
+
+class NaiveJudge:
+    """Each host decides alone after failures in a row."""
+
+    def __init__(self) -> None:
+        """Start with no failures."""
+        self._failures: dict[tuple[identifiers.UpstreamId, int], int] = {}
+        self._until: dict[tuple[identifiers.UpstreamId, int], float] = {}
+        self._ejections: dict[identifiers.UpstreamId, int] = {}
+
+    def is_usable(
+        self, upstream: identifiers.UpstreamId, host: int, now: float
+    ) -> bool:
+        """Tell whether this host has ejected the upstream."""
+        return now >= self._until.get((upstream, host), 0)
+
+    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
+        """Allow none: an upstream comes back after a fixed time."""
+        return False
+
+    def record(
+        self,
+        exchange: Exchange,
+        outcome: outcomes.ExchangeResult,
+        now: float,
+    ) -> None:
+        """Count failures in a row of this host."""
+        key = (exchange.upstream, exchange.host)
+        if outcome is outcomes.ExchangeResult.SUCCESS:
+            self._failures[key] = 0
+            return
+        self._failures[key] = self._failures.get(key, 0) + 1
+        if self._failures[key] >= NAIVE_FAILURES:
+            self._failures[key] = 0
+            self._until[key] = now + NAIVE_SECONDS
+            count = self._ejections.get(exchange.upstream, 0)
+            self._ejections[exchange.upstream] = count + 1
+
+    def tick(self, running: typing.Iterable[Exchange], now: float) -> None:
+        """Do nothing."""
+
+    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
+        """Return how often any host ejected an upstream so far."""
+        return self._ejections.get(upstream, 0)
+
+
+def name_upstream(number: int) -> identifiers.UpstreamId:
+    """Return the id of an upstream."""
+    return identifiers.UpstreamId(f'upstream-{number}')
+
+
+def name_host(number: int) -> identifiers.HostId:
+    """Return the id of a host."""
+    return identifiers.HostId(f'host-{number}')
+
+
+def name_domain(host: int, site: Site) -> identifiers.FailureDomain:
+    """Return the failure domain of a host."""
+    return identifiers.FailureDomain(f'domain-{host % site.domains}')
--- a/benchmarks/health_simulations.py
+++ b/benchmarks/health_simulations.py
@@ -12,10 +12,9 @@
 import itertools
 import math
 import random as random_module
-import typing
 
+from benchmarks import health_choosers
 from wagtailspread.core import identifiers, outcomes
-from wagtailspread.health import judges, reports, tables
 
 #: Median time of service, in seconds.
 MEDIAN_SECONDS = 0.04
@@ -44,10 +43,6 @@
 FLAP_BAD_SECONDS = 2.0
 #: Time until a connection is refused, in seconds.
 CONNECT_SECONDS = 0.001
-#: Failures in a row by which a host alone ejects in the naive version.
-NAIVE_FAILURES = 5
-#: Time for which a host alone ejects in the naive version, in seconds.
-NAIVE_SECONDS = 10.0
 #: Number of the upstream that has the fault.
 FAULTY_NUMBER = 3
 
@@ -74,20 +69,6 @@
 _SLOW_FAULTS = frozenset((FaultKind.SLOW, FaultKind.ALL_SLOW))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Site:
-    """Size of one service.
-
-    :param slots: requests that each upstream runs at a time.
-    """
-
-    name: str
-    upstreams: int
-    slots: int
-    hosts: int
-    domains: int = 2
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """A fault from a time on.
@@ -95,13 +76,13 @@
     :param rate: requests per second; 0 for the usual share of the capacity.
     """
 
-    site: Site
+    site: health_choosers.Site
     fault: FaultKind
     seed: int
     begins: float = 20.0
     seconds: float = 40.0
     rate: float = 0.0
-    has_noise: bool = True
+    tick_seconds: float = TICK_SECONDS
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,169 +103,24 @@
     bad: int = 0
 
 
-class Chooser(typing.Protocol):
-    """A judge as the simulation uses it."""
-
-    def is_usable(
-        self, upstream: identifiers.UpstreamId, host: int, now: float
-    ) -> bool:
-        """Tell whether a host may send ordinary work to an upstream."""
-
-    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
-        """Tell whether a trial may go to an upstream."""
-
-    def record(
-        self,
-        exchange: 'Exchange',
-        outcome: outcomes.ExchangeResult,
-        now: float,
-    ) -> None:
-        """Take a result."""
-
-    def tick(self, running: typing.Iterable['Exchange'], now: float) -> None:
-        """Advance."""
-
-    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
-        """Return how often an upstream was ejected so far."""
-
-
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One running request."""
-
-    upstream: identifiers.UpstreamId
-    host: int
-    started: float
-    is_trial: bool
-    is_overdue: bool = False
-
-
-class FleetJudge:
-    """The judge of this project."""
-
-    def __init__(self, site: Site, seed: int) -> None:
-        """Start with the votes of all hosts."""
-        policy = judges.HealthPolicy(floor=0.5, host_count=site.hosts)
-        self.judge = judges.create_judge(policy, random_module.Random(seed))
-        self._site = site
-        self._ejections: dict[identifiers.UpstreamId, int] = {}
-        self._capacities = [
-            tables.Capacity(name_upstream(number), site.slots)
-            for number in range(site.upstreams)
-        ]
-
-    def is_usable(
-        self, upstream: identifiers.UpstreamId, host: int, now: float
-    ) -> bool:
-        """Ask the judge for the host's domain."""
-        domain = name_domain(host, self._site)
-        return self.judge.is_usable(upstream, domain, now)
-
-    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
-        """Ask the judge."""
-        return self.judge.claim_trial(upstream, now)
-
-    def record(
-        self,
-        exchange: Exchange,
-        outcome: outcomes.ExchangeResult,
-        now: float,
-    ) -> None:
-        """Hand the result to the judge."""
-        self.judge.record(
-            exchange.upstream,
-            name_host(exchange.host),
-            name_domain(exchange.host, self._site),
-            outcome,
-            now - exchange.started,
-            now,
-        )
-
-    def tick(self, running: typing.Iterable[Exchange], now: float) -> None:
-        """Renew the votes, report overdue requests and evaluate."""
-        for host in range(self._site.hosts):
-            self.judge.note_vote(name_host(host), now)
-        for exchange in running:
-            age = now - exchange.started
-            if not exchange.is_overdue and age >= self.judge.hang_seconds():
-                exchange.is_overdue = True
-                domain = name_domain(exchange.host, self._site)
-                self.judge.note_overdue(
-                    exchange.upstream,
-                    name_host(exchange.host),
-                    domain,
-                    now,
-                )
-        for change in self.judge.tick(self._capacities, now):
-            if change.state is reports.HealthState.EJECTED:
-                count = self._ejections.get(change.upstream, 0)
-                self._ejections[change.upstream] = count + 1
-
-    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
-        """Return how often an upstream was ejected so far."""
-        return self._ejections.get(upstream, 0)
-
-
-class NaiveJudge:
-    """Each host decides alone after failures in a row."""
-
-    def __init__(self, site: Site) -> None:
-        """Start with no failures."""
-        self._failures: dict[tuple[identifiers.UpstreamId, int], int] = {}
-        self._until: dict[tuple[identifiers.UpstreamId, int], float] = {}
-        self._ejections: dict[identifiers.UpstreamId, int] = {}
-
-    def is_usable(
-        self, upstream: identifiers.UpstreamId, host: int, now: float
-    ) -> bool:
-        """Tell whether this host has ejected the upstream."""
-        return now >= self._until.get((upstream, host), 0)
-
-    def claim_trial(self, upstream: identifiers.UpstreamId, now: float) -> bool:
-        """Allow none: an upstream comes back after a fixed time."""
-        return False
-
-    def record(
-        self,
-        exchange: Exchange,
-        outcome: outcomes.ExchangeResult,
-        now: float,
-    ) -> None:
-        """Count failures in a row of this host."""
-        key = (exchange.upstream, exchange.host)
-        if outcome is Result.SUCCESS:
-            self._failures[key] = 0
-            return
-        self._failures[key] = self._failures.get(key, 0) + 1
-        if self._failures[key] >= NAIVE_FAILURES:
-            self._failures[key] = 0
-            self._until[key] = now + NAIVE_SECONDS
-            count = self._ejections.get(exchange.upstream, 0)
-            self._ejections[exchange.upstream] = count + 1
-
-    def tick(self, running: typing.Iterable[Exchange], now: float) -> None:
-        """Do nothing."""
-
-    def count_ejections(self, upstream: identifiers.UpstreamId) -> int:
-        """Return how often any host ejected an upstream so far."""
-        return self._ejections.get(upstream, 0)
-
-
 class Simulation:
     """One service over simulated time."""
 
-    def __init__(self, scenario: Scenario, chooser: Chooser) -> None:
+    def __init__(
+        self, scenario: Scenario, chooser: health_choosers.Chooser
+    ) -> None:
         """Start idle at time 0."""
         self._scenario = scenario
         self._chooser = chooser
         self._random = random_module.Random(scenario.seed)
-        self._running: dict[int, Exchange] = {}
+        self._running: dict[int, health_choosers.Exchange] = {}
         self._ends: list[tuple[float, int, outcomes.ExchangeResult]] = []
         self._numbers = itertools.count()
         self._upstreams = [
-            name_upstream(number) for number in range(scenario.site.upstreams)
+            health_choosers.name_upstream(number)
+            for number in range(scenario.site.upstreams)
         ]
-        self._faulty = name_upstream(FAULTY_NUMBER)
+        self._faulty = health_choosers.name_upstream(FAULTY_NUMBER)
         self._in_use = dict.fromkeys(self._upstreams, 0)
         self._stalls: dict[identifiers.UpstreamId, float] = {}
         self._next_stall = 0.0
@@ -301,7 +137,7 @@
             while tick <= arrival:
                 self._finish(tick)
                 self._tick(tick)
-                tick += TICK_SECONDS
+                tick += scenario.tick_seconds
             self._finish(arrival)
             self._arrive(arrival)
         for upstream in self._upstreams:
@@ -319,7 +155,7 @@
 
     def _tick(self, now: float) -> None:
         self._chooser.tick(self._running.values(), now)
-        if self._scenario.has_noise and now >= self._next_stall:
+        if now >= self._next_stall:
             self._next_stall = now + STALL_EVERY / len(self._upstreams)
             victim = self._random.choice(self._upstreams)
             self._stalls[victim] = now + STALL_SECONDS
@@ -346,7 +182,9 @@
         outcome, seconds = self._draw(upstream, host, now)
         number = next(self._numbers)
         self._in_use[upstream] += 1
-        self._running[number] = Exchange(upstream, host, now, is_trial)
+        self._running[number] = health_choosers.Exchange(
+            upstream, host, now, is_trial
+        )
         heapq.heappush(self._ends, (now + seconds, number, outcome))
 
     def _choose(
@@ -426,7 +264,8 @@
         if fault is FaultKind.SOME_ERRORS:
             return self._random.random() < SOME_ERRORS_SHARE
         if fault is FaultKind.FLAPPING:
-            return now % FLAP_SECONDS < FLAP_BAD_SECONDS
+            passed = now - self._scenario.begins
+            return passed % FLAP_SECONDS < FLAP_BAD_SECONDS
         return fault in _ALWAYS_ERRORS
 
     def _finish(self, until: float) -> None:
@@ -438,18 +277,3 @@
             if is_bad and now >= self._scenario.begins:
                 self.measured.bad += 1
             self._chooser.record(exchange, outcome, now)
-
-
-def name_upstream(number: int) -> identifiers.UpstreamId:
-    """Return the id of an upstream."""
-    return identifiers.UpstreamId(f'upstream-{number}')
-
-
-def name_host(number: int) -> identifiers.HostId:
-    """Return the id of a host."""
-    return identifiers.HostId(f'host-{number}')
-
-
-def name_domain(host: int, site: Site) -> identifiers.FailureDomain:
-    """Return the failure domain of a host."""
-    return identifiers.FailureDomain(f'domain-{host % site.domains}')
--- a/wagtailspread/health/cells.py
+++ b/wagtailspread/health/cells.py
@@ -27,12 +27,13 @@
 FIELDS = 20
 
 #: Weight of a failure and of a success in the cumulative sum: logarithms of
-#: the ratios of 0.6 to 0.05 and of 0.4 to 0.95. A share of failures above
-#: 0.26 makes the sum grow.
-FAILURE_WEIGHT = math.log(0.6 / 0.05)
-SUCCESS_WEIGHT = math.log(0.4 / 0.95)
-#: Largest cumulative sum, so that a run ends soon after the fault.
-MAX_SUM = 12.0
+#: the ratios of 0.4 to 0.03 and of 0.6 to 0.97. A share of failures above
+#: 0.16 makes the sum grow.
+FAILURE_WEIGHT = math.log(0.4 / 0.03)
+SUCCESS_WEIGHT = math.log(0.6 / 0.97)
+#: Largest cumulative sum, so that a run ends soon after the fault: 17
+#: successes later.
+MAX_SUM = 8.0
 
 
 def create_totals() -> list[float]:
