Eject an upstream whose paths fail in turn

After: a path that was blocked and has not proved itself counts as faulty; the upstream is ejected at the second domain's failures.

--- a/wagtailspread/health/paths.py
+++ b/wagtailspread/health/paths.py
@@ -55,6 +55,12 @@
         rows = self._blocked.get(domain)
         return rows is not None and row in rows
 
+    def is_doubtful(self, row: int, domain: identifiers.FailureDomain) -> bool:
+        """Tell whether a path is blocked, or was and has not proved itself."""
+        if self.is_blocked(row, domain):
+            return True
+        return self.find_untrusted(row, domain) is not None
+
     def find_rows(self, domain: identifiers.FailureDomain) -> frozenset[int]:
         """Return the rows that are blocked for a domain."""
         return frozenset(self._blocked.get(domain, ()))
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -156,6 +156,28 @@
     assert not list_upstreams(changes, STATE.PATH_BLOCKED)
 
 
+def test_fault_that_domains_see_in_turn_is_one_of_the_upstream():
+    """Guards against blocking one path after the other for good."""
+    judge = services.create_judge()
+    services.run(judge, cut_path, seconds=1)
+    assert not judge.is_usable(V3, 'andes-bog', 1)
+    now = 1.0
+    while not judge.is_usable(V3, 'andes-bog', now):
+        now += 0.1
+        services.vote(judge, now)
+        judge.tick(services.list_capacities(), now)
+    changes = []
+    for step in range(10):
+        services.vote(judge, now)
+        for upstream in services.UPSTREAMS:
+            result = RESULT.RESET if upstream == V3 else RESULT.SUCCESS
+            host = services.HOSTS[step]
+            judge.record(upstream, host, 'andes-mde', result, 0.05, now)
+        changes += judge.tick(services.list_capacities(), now)
+        now += 0.05
+    assert list_upstreams(changes, STATE.EJECTED) == {V3}
+
+
 def test_paths_of_a_domain_stay_above_its_floor():
     def choose(_upstream, domain, _host, step):
         is_cut = _upstream in services.UPSTREAMS[:4] and domain == 'andes-bog'
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -171,7 +171,7 @@
         others = [
             number
             for number, name in enumerate(self._evidence.domains, start=1)
-            if number != domain and not self._paths.is_blocked(row, name)
+            if number != domain and not self._paths.is_doubtful(row, name)
         ]
         if not others:
             return False
