Apply accepted limits to running allocators

Cause: an allocator kept the limits of the configuration under which it was created, so that an accepted change was not in force until a restart. Also: the majority for ejection counts the hosts that are alive when there are more of them than configured, or two majorities could exist.

--- a/wagtailspread/allocation/admission.py
+++ b/wagtailspread/allocation/admission.py
@@ -46,6 +46,11 @@
         self._crashes = crashes
         self._retries = budgets.RetryBudget(policy.retry_share)
 
+    def change_policy(self, policy: policies.AllocationPolicy) -> None:
+        """Take other limits; what already waits stays."""
+        self._limits = policy.queue_limits
+        self._retries.change_share(policy.retry_share)
+
     def check(
         self,
         request: messages.SlotRequest,
--- a/wagtailspread/allocation/budgets.py
+++ b/wagtailspread/allocation/budgets.py
@@ -28,6 +28,10 @@
         self._retries = 0
         self._steps: collections.deque[list[float]] = collections.deque()
 
+    def change_share(self, share: float) -> None:
+        """Take another share for the window that runs."""
+        self._share = share
+
     def add_attempt(self, now: float) -> None:
         """Count a first attempt."""
         self._find_step(now)[1] += 1
--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -102,6 +102,17 @@
         self._started: float | None = None
         self._granting_from = 0.0
 
+    def change_policy(self, policy: policies.AllocationPolicy) -> None:
+        """Take other limits without losing requests, leases or evidence.
+
+        The floor is the judge's own.
+        """
+        self.policy = policy
+        self.table.change_warm_up(policy.warm_up)
+        self.shares.change(policy.shares)
+        self._admission.change_policy(policy)
+        self._crashes.change_quarantine(policy.quarantine)
+
     def submit(self, request: messages.SlotRequest, now: float) -> None:
         """Ask for a slot; the decision comes from a later :meth:`tick`.
 
--- a/wagtailspread/allocation/quarantine.py
+++ b/wagtailspread/allocation/quarantine.py
@@ -73,6 +73,10 @@
         self._released: list[ResetEvidence] = []
         self._isolated: list[bytes] = []
 
+    def change_quarantine(self, quarantine: float) -> None:
+        """Take another length, for the next crashes."""
+        self._quarantine = quarantine
+
     def time_left(self, fingerprint: bytes, now: float) -> float:
         """Return the seconds that requests like this are still held back."""
         if not self._ends:
--- a/wagtailspread/allocation/scheduling.py
+++ b/wagtailspread/allocation/scheduling.py
@@ -57,6 +57,10 @@
         self._credits = [0.0 for _ in shares]
         self._updated = [0.0 for _ in shares]
 
+    def change(self, shares: tuple[float, ...]) -> None:
+        """Take other shares, from the next resize on."""
+        self._shares = shares
+
     def resize(self, total: int, now: float) -> None:
         """Set the number of slots that all priorities share."""
         for priority in priorities.Priority:
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -104,6 +104,10 @@
             identifiers.Incarnation,
         ] = {}
 
+    def change_warm_up(self, warm_up: float) -> None:
+        """Take another warm-up time, also for upstreams that warm up."""
+        self._warm_up = warm_up
+
     def announce(
         self,
         announcement: messages.Announcement,
--- a/wagtailspread/health/authority.py
+++ b/wagtailspread/health/authority.py
@@ -80,6 +80,14 @@
         self._index = index
         self._votes: dict[int, int] = {}
 
+    def change_host_count(self, host_count: int) -> None:
+        """Take another number of hosts, of which a majority must vote.
+
+        :param host_count: at least the number of hosts that can vote, or two
+            allocators could hold a majority at once.
+        """
+        self._host_count = host_count
+
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Count a vote of ``host`` until two seconds after ``now``.
 
--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -132,6 +132,11 @@
         self._evaluated_at = float('-inf')
         self._changes: list[reports.HealthChange] = []
 
+    def change_policy(self, policy: HealthPolicy) -> None:
+        """Take another floor and number of hosts; the evidence stays."""
+        self._table.change_floor(policy.floor)
+        self.authority.change_host_count(policy.host_count)
+
     def record(
         self,
         upstream: identifiers.UpstreamId,
--- a/wagtailspread/health/tables.py
+++ b/wagtailspread/health/tables.py
@@ -67,6 +67,10 @@
         self._earlier_base = 0
         self._base_since = 0.0
 
+    def change_floor(self, floor_share: float) -> None:
+        """Take another floor, as a share of the capacity from 0 to 1."""
+        self._floor_share = floor_share
+
     def find(self, upstream: identifiers.UpstreamId) -> int | None:
         """Return the row of an upstream, if it has one."""
         return self._rows.get(upstream)
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -1,6 +1,7 @@
 """Builds the allocators that a host owns, from the configuration in force."""
 
 import collections
+import dataclasses
 import random
 import typing
 
@@ -8,6 +9,7 @@
 from wagtailspread.allocation import judges as allocation_judges
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.health import authority, judges, reports
+from wagtailspread.membership import agents
 from wagtailspread.observability import logs, metrics
 from wagtailspread.processes import copies
 
@@ -93,19 +95,29 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnedService:
+    """The decision parts of one service that this host allocates."""
+
+    coordinator: coordination.Coordinator
+    judge: ReportingJudge
+
+
 class AllocatorFactory:
-    """Creates coordinators with their judges, and remembers the judges."""
+    """Creates allocators and keeps their limits as configured."""
 
     def __init__(
         self,
         copy: copies.ConfigurationCopy,
         region: identifiers.RegionName,
+        agent: agents.Agent,
         host_metrics: metrics.Metrics,
     ) -> None:
         """Start without allocators."""
-        self.judges: dict[identifiers.ServiceName, ReportingJudge] = {}
+        self.owned: dict[identifiers.ServiceName, OwnedService] = {}
         self._copy = copy
         self._region = region
+        self._agent = agent
         self._metrics = host_metrics
         self._index = authority.HostIndex()
 
@@ -115,33 +127,48 @@
     ) -> tuple[coordination.Coordinator, ReportingJudge]:
         """Return a coordinator and its register of votes."""
         policy = self._create_policy(service)
-        health = judges.HealthPolicy(policy.floor, self.count_hosts())
         source = random.Random()
         judge = ReportingJudge(
-            judges.create_judge(health, source, self._index),
+            judges.create_judge(
+                self._create_health_policy(policy),
+                source,
+                self._index,
+            ),
             service,
             self._metrics,
         )
-        self.judges[service] = judge
         coordinator = coordination.create_coordinator(policy, judge, source)
+        self.owned[service] = OwnedService(coordinator, judge)
         return coordinator, judge
 
-    def create_fallback(
-        self,
-        service: identifiers.ServiceName,
-    ) -> coordination.Coordinator:
-        """Return a coordinator over this host's own share of the slots."""
-        return coordination.create_fallback_coordinator(
-            self._create_policy(service),
-            self.count_hosts(),
-            random.Random(),
-        )
+    def refresh(self) -> None:
+        """Bring the limits of all allocators up to date.
+
+        It runs at each change of the configuration, and regularly, since the
+        number of hosts that can vote follows the membership.
+        """
+        for service, owned in self.owned.items():
+            policy = self._create_policy(service)
+            if policy != owned.coordinator.policy:
+                owned.coordinator.change_policy(policy)
+            owned.judge.judge.change_policy(self._create_health_policy(policy))
 
     def count_hosts(self) -> int:
-        """Return the configured number of hosts of the region."""
+        """Return the number of hosts of the region that can vote.
+
+        More hosts than configured may be alive; a majority of fewer hosts
+        than there are could exist twice.
+        """
         settings = self._copy.settings
         region = settings.regions.get(self._region) if settings else None
-        return region.hosts if region else 1
+        alive = len(self._agent.find_alive(self._region))
+        return max(alive, region.hosts if region else 1)
+
+    def _create_health_policy(
+        self,
+        policy: policies.AllocationPolicy,
+    ) -> judges.HealthPolicy:
+        return judges.HealthPolicy(policy.floor, self.count_hosts())
 
     def _create_policy(
         self,
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -24,6 +24,8 @@
 _LOGGER = logs.get_logger('entry')
 #: A host that heard of nobody for this long turns unready, in seconds.
 ISOLATION_SECONDS = 5.0
+#: Time between looks at the number of hosts that can vote, in seconds.
+REFRESH_SECONDS = 0.5
 #: Connections of one host to one upstream: 330 connections over 44 hosts.
 CONNECTIONS = 7
 
@@ -61,8 +63,10 @@
         self.factory = allocators.AllocatorFactory(
             self.copy,
             process.region,
+            self.agent,
             self.metrics,
         )
+        self.copy.listeners.append(lambda _settings: self.factory.refresh())
         self._part = part
         self._clock = clock
         self._subscription: subscriptions.Subscription | None = None
@@ -144,10 +148,16 @@
             key_store=replicas,
             tracer=self.tracing,
             conditions=(self.is_current,),
+            tasks=(self._refresh_allocators,),
             leave=self._driver.leave,
             read_status=self._read_status,
         )
 
+    async def _refresh_allocators(self) -> None:
+        while True:
+            await asyncio.sleep(REFRESH_SECONDS)
+            self.factory.refresh()
+
     def _list_services(self) -> list[identifiers.ServiceName]:
         known = self.copy.settings
         return list(known.services) if known else []
--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from wagtailspread.core import priorities
+from wagtailspread.core import identifiers, priorities
 from wagtailspread.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -33,21 +33,18 @@
         ],
         'allocators': {
             service: _describe_allocator(host, service, now)
-            for service in sorted(host.factory.judges)
+            for service in sorted(host.factory.owned)
         },
     }
 
 
 def _describe_allocator(
     host: 'entries.EntryProcess',
-    service: typing.Any,
+    service: identifiers.ServiceName,
     now: float,
 ) -> Report:
-    judge = host.factory.judges[service]
-    coordinator = typing.cast(
-        typing.Any,
-        host.host.owners.find(service).coordinator,
-    )
+    owned = host.factory.owned[service]
+    coordinator, judge = owned.coordinator, owned.judge
     ejected = set(judge.judge.find_ejected())
     return {
         'upstreams': [
@@ -63,6 +60,8 @@
             }
             for row in coordinator.list_rows(now)
         ],
+        'votes': judge.judge.authority.count_votes(now),
+        'holds_votes': judge.judge.authority.holds_votes(now),
         'queues': {
             priority.name.lower(): coordinator.queues.counts[priority]
             for priority in priorities.Priority
--- /dev/null
+++ b/wagtailspread/processes/tests/test_allocators.py
@@ -0,0 +1,64 @@
+"""Allocators follow the configuration and the membership."""
+
+import random
+
+from wagtailspread.core import identifiers
+from wagtailspread.membership import agents, tables
+from wagtailspread.observability import metrics
+from wagtailspread.processes import allocators
+from wagtailspread.processes.tests import test_copies
+
+REGION = identifiers.RegionName('centro-andes')
+SERVICE = identifiers.ServiceName('vitrina')
+
+
+def create_agent():
+    row = tables.HostRow('h0', '127.0.0.1:1', REGION, 'andes-bog', 1, 'm')
+    return agents.create_agent(
+        row,
+        [],
+        agents.MembershipPolicy(),
+        random.Random(1),
+    )
+
+
+def create_factory():
+    copy = test_copies.create_copy()
+    first, *later = test_copies.create_deltas()
+    copy.apply(first)
+    factory = allocators.AllocatorFactory(
+        copy,
+        REGION,
+        create_agent(),
+        metrics.create_metrics('h0'),
+    )
+    copy.listeners.append(lambda _settings: factory.refresh())
+    return copy, factory, later
+
+
+def test_accepted_change_reaches_a_running_allocator():
+    """Guards against limits that only a restarted host takes up."""
+    copy, factory, later = create_factory()
+    coordinator, _ = factory.create(SERVICE)
+    assert round(coordinator.policy.floor * 100) == 50
+    copy.apply(later[0])
+    assert round(coordinator.policy.floor * 100) == 60
+
+
+def test_majority_counts_hosts_beyond_the_configured_number():
+    """Guards against two majorities when more hosts run than configured."""
+    _, factory, _ = create_factory()
+    agent = factory._agent
+    _, judge = factory.create(SERVICE)
+    for number in range(1, 5):
+        host = f'h{number}'
+        agent._view.apply(
+            tables.HostRow(host, host, REGION, 'andes-bog', 1, 'm'),
+            0.0,
+        )
+    factory.refresh()
+    for host in ('h0', 'h1'):
+        judge.note_vote(host, 10.0)
+    assert not judge.judge.authority.holds_votes(10.0)
+    judge.note_vote('h2', 10.0)
+    assert judge.judge.authority.holds_votes(10.0)
