--- a/wagtailspread/testing/demonstration.py
+++ b/wagtailspread/testing/demonstration.py
@@ -83,6 +83,7 @@
             ('an order is resent through another host', self.resend_order),
             ('a submitted base file is in force', self.submit_change),
             ('a frozen upstream is taken out of work', self.freeze_upstream),
+            ('a gray upstream is ejected', self.eject_gray_upstream),
             ('an entry host is killed', self.kill_entry),
             ('a replica is killed', self.kill_replica),
             ('an entry host shuts down gracefully', self.stop_entry),
@@ -159,6 +160,36 @@
             f' then {good}/{len(after)} answered'
         )
 
+    async def eject_gray_upstream(self) -> Check:
+        """Let an upstream fail real work while it announces itself."""
+        gray = self.fleet.upstreams[4]
+        await self.set_mode(gray, {'error_ratio': 1.0})
+        started = time.monotonic()
+        replies: list[Reply] = []
+        evidence = ''
+        while time.monotonic() - started < EJECTION_SECONDS and not evidence:
+            replies += await self.send_many(PATHS[0], 4)
+            evidence = await self._find_ejection(gray.name)
+        seconds = time.monotonic() - started
+        await self.set_mode(gray, {'error_ratio': 0.0})
+        failed = sum(not is_answered(reply) for reply in replies)
+        if not evidence:
+            return False, f'not ejected after {seconds:.1f} s'
+        return True, (
+            f'after {seconds:.2f} s, {failed} of {len(replies)} callers saw an'
+            f' error; evidence: {evidence}'
+        )
+
+    async def _find_ejection(self, upstream: str) -> str:
+        """Return the evidence for an ejection, from the owners' status."""
+        for entry in self.fleet.entries:
+            status = await fleets.read_status(self._session, entry)
+            for owned in status.get('allocators', {}).values():
+                for change in owned['changes']:
+                    if change.startswith(f'{upstream} ejected'):
+                        return str(change)
+        return ''
+
     async def kill_entry(self) -> Check:
         """Kill an entry host; the others take its allocators over."""
         victim = self.fleet.entries.pop(0)
