--- a/benchmarks/health_simulations.py
+++ b/benchmarks/health_simulations.py
@@ -62,9 +62,17 @@
     PATH = 'path'
     ALL_SLOW = 'all-slow'
     ALL_ERRORS = 'all-errors'
+    ALL_SOME_ERRORS = 'all-some-errors'
 
 
-_COMMON_FAULTS = frozenset((FaultKind.ALL_SLOW, FaultKind.ALL_ERRORS))
+_COMMON_FAULTS = frozenset(
+    (
+        FaultKind.ALL_SLOW,
+        FaultKind.ALL_ERRORS,
+        FaultKind.ALL_SOME_ERRORS,
+    )
+)
+_SOME_ERRORS = frozenset((FaultKind.SOME_ERRORS, FaultKind.ALL_SOME_ERRORS))
 _ALWAYS_ERRORS = frozenset((FaultKind.ERRORS, FaultKind.ALL_ERRORS))
 _SLOW_FAULTS = frozenset((FaultKind.SLOW, FaultKind.ALL_SLOW))
 
@@ -261,7 +269,7 @@
 
     def _has_error(self, now: float) -> bool:
         fault = self._scenario.fault
-        if fault is FaultKind.SOME_ERRORS:
+        if fault in _SOME_ERRORS:
             return self._random.random() < SOME_ERRORS_SHARE
         if fault is FaultKind.FLAPPING:
             passed = now - self._scenario.begins
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -145,6 +145,24 @@
     assert list_upstreams(changes, STATE.EJECTED) == {V3}
 
 
+def test_eight_failures_are_enough_at_one_request_a_second():
+    """Guards against a fast window that is too short for low traffic."""
+    judge = services.create_judge()
+    changes = []
+    for step in range(290):
+        now = step / 9
+        upstream = services.UPSTREAMS[step % 9]
+        services.vote(judge, now)
+        is_bad = upstream == V3 and now > 20
+        result = RESULT.ERROR if is_bad else RESULT.SUCCESS
+        host = services.HOSTS[step % 44]
+        domain = services.DOMAINS[step // 9 % 2]
+        judge.record(upstream, host, domain, result, 0.05, now)
+        changes += judge.tick(services.list_capacities(), now)
+    assert list_upstreams(changes, STATE.EJECTED) == {V3}
+    assert changes[0].reason.failures <= 8
+
+
 def test_error_answers_seen_from_one_domain_are_no_path_fault():
     """Guards against blaming the path for what only an upstream can send."""
 
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -26,6 +26,10 @@
 #: Shortest duration of a run of failures, in seconds, so that one burst is no
 #: fault of the upstream.
 FAILING_SECONDS = 0.25
+#: Duration from which a run is compared with the peers' slow window too.
+LONG_RUN_SECONDS = 2.0
+#: Score that the fast window must then reach.
+AGREEING_SCORE = 2.0
 #: Shortest duration of a run of slow answers, in seconds, so that one stall
 #: of a healthy upstream is none.
 SLOW_RUN_SECONDS = 1.0
@@ -132,15 +136,13 @@
         peers: summaries.Summary,
     ) -> summaries.Counts | None:
         run = self._evidence.find_run(row, number)
-        if run.measure_duration(self._now) >= FAILING_SECONDS:
-            if comparison.is_failing(run.counts, peers.fast):
+        duration = run.measure_duration(self._now)
+        if duration >= FAILING_SECONDS:
+            is_long = duration >= LONG_RUN_SECONDS
+            if _is_run_failing(run.counts, peers, is_long):
                 return run.counts
             unanswered = run.counts.unanswered
-            if comparison.is_failing(
-                unanswered,
-                peers.fast.unanswered,
-                comparison.CERTAIN_UNANSWERED_SCORE,
-            ):
+            if _is_run_unanswered(unanswered, peers, is_long):
                 return unanswered
         if not comparison.is_failing(own.slow, peers.slow):
             return None
@@ -256,6 +258,37 @@
         return tuple(seen)
 
 
+def _is_run_failing(
+    run: summaries.Counts,
+    peers: summaries.Summary,
+    is_long: bool,
+) -> bool:
+    if comparison.is_failing(run, peers.fast):
+        return True
+    # Under low traffic the fast window has too few results of the peers to
+    # prove anything; the slow one has, if the fast one does not disagree.
+    return (
+        is_long
+        and comparison.is_failing(run, peers.slow)
+        and comparison.is_failing(run, peers.fast, AGREEING_SCORE)
+    )
+
+
+def _is_run_unanswered(
+    run: summaries.Counts,
+    peers: summaries.Summary,
+    is_long: bool,
+) -> bool:
+    certain = comparison.CERTAIN_UNANSWERED_SCORE
+    if comparison.is_failing(run, peers.fast.unanswered, certain):
+        return True
+    return (
+        is_long
+        and comparison.is_failing(run, peers.slow.unanswered, certain)
+        and comparison.is_failing(run, peers.fast, AGREEING_SCORE)
+    )
+
+
 def _explain_failures(
     failing: summaries.Counts,
     peers: summaries.Summary,
