--- a/wagtailspread/replica/drivers.py
+++ b/wagtailspread/replica/drivers.py
@@ -1,10 +1,13 @@
 """Runs one replica: time, storage, sending and the state machine.
 
 Everything that arrives while a sync runs shares the next one. The sync runs in
-a thread, so that the event loop goes on taking messages and proposals.
+a thread, so that the event loop goes on taking messages and proposals. So does
+the snapshot; until it is taken, entries are stored and answered for, but wait
+to be applied.
 """
 
 import asyncio
+import collections
 import dataclasses
 import typing
 
@@ -107,7 +110,11 @@
         self._waiting: dict[identifiers.LogIndex, _Waiter] = {}
         self._pending_bytes = 0
         self._noted = (replica.state.role, replica.state.term)
+        self._unapplied: collections.deque[messages.Output]
+        self._unapplied = collections.deque()
+        self._snapshot: asyncio.Future[messages.Snapshot] | None = None
         self._executor = futures.ThreadPoolExecutor(1, 'storage')
+        self._snapshots = futures.ThreadPoolExecutor(1, 'snapshot')
         if replica.state.log.snapshot.payload:
             machine.restore(replica.state.log.snapshot.payload)
 
@@ -117,11 +124,13 @@
         :raises ReplicaStopped: if the storage failed.
         """
         ticking = asyncio.create_task(self._tick())
+        ticking.add_done_callback(lambda _: self._wake.set())
         try:
-            while True:
+            while not ticking.done():
                 await self._wake.wait()
                 self._wake.clear()
                 await self._handle_outputs()
+            ticking.result()
         finally:
             ticking.cancel()
             self._close()
@@ -178,9 +187,11 @@
         for output in outputs:
             if output.messages:
                 self._send(output.messages)
-        for output in outputs:
-            self._apply(output)
-        await self._compact()
+        self._unapplied.extend(outputs)
+        await self._finish_snapshot()
+        while self._unapplied and self._snapshot is None:
+            self._apply(self._unapplied.popleft())
+            self._start_snapshot()
 
     def _persist(
         self,
@@ -228,21 +239,37 @@
         else:
             waiter.answer.set_result(result.Failure(OutcomeUnknown()))
 
-    async def _compact(self) -> None:
+    def _start_snapshot(self) -> None:
         log = self.replica.state.log
-        last = log.snapshot
         term = log.find_term(self.applied)
-        if term is None or not self._is_snapshot_due(last):
+        if term is None or not self._is_snapshot_due(log.snapshot):
             return
-        snapshot = messages.Snapshot(
+        self._pending_bytes = 0
+        self._snapshot = asyncio.get_running_loop().run_in_executor(
+            self._snapshots,
+            self._take_snapshot,
             self.applied,
             term,
             log.find_membership(self.applied),
-            self.machine.take_snapshot(),
         )
+        self._snapshot.add_done_callback(lambda _: self._wake.set())
+
+    def _take_snapshot(
+        self,
+        index: identifiers.LogIndex,
+        term: identifiers.Term,
+        membership: messages.MembershipRecord,
+    ) -> messages.Snapshot:
+        payload = self.machine.take_snapshot()
+        return messages.Snapshot(index, term, membership, payload)
+
+    async def _finish_snapshot(self) -> None:
+        if self._snapshot is None or not self._snapshot.done():
+            return
+        snapshot = self._snapshot.result()
         await self._call(self._save_snapshot, snapshot)
         self.replica.compact(snapshot.payload, snapshot.index)
-        self._pending_bytes = 0
+        self._snapshot = None
 
     def _is_snapshot_due(self, last: messages.Snapshot) -> bool:
         size = len(last.payload)
@@ -260,6 +287,7 @@
     def _close(self) -> None:
         self._fail_waiting()
         self._executor.shutdown(wait=True)
+        self._snapshots.shutdown(wait=False)
 
     def _fail_waiting(self) -> None:
         for waiter in self._waiting.values():
--- a/wagtailspread/replica/tests/test_drivers.py
+++ b/wagtailspread/replica/tests/test_drivers.py
@@ -110,6 +110,53 @@
     running.cancel()
 
 
+class SlowSnapshots(networks.ListMachine):
+    """Takes a while for a snapshot."""
+
+    is_taking = False
+
+    def take_snapshot(self):
+        self.is_taking = True
+        time.sleep(0.3)
+        self.is_taking = False
+        return super().take_snapshot()
+
+
+async def test_entries_are_acknowledged_while_a_snapshot_is_taken(monkeypatch):
+    """Guards against a large state that costs the leader its followers."""
+    monkeypatch.setattr(drivers, 'COMPACT_ENTRIES', 3)
+    sent = []
+    driver, store = create_driver(('b', 'a'), sent)
+    driver.machine = SlowSnapshots()
+    running = asyncio.create_task(driver.run())
+    entries = [
+        messages.LogEntry(index, 1, messages.EntryKind.COMMAND, b'x')
+        for index in range(2, 7)
+    ]
+    for place, entry in enumerate(entries):
+        driver.receive(
+            messages.AppendRequest(
+                'b',
+                'a',
+                1,
+                place + 1,
+                1,
+                place + 2,
+                0,
+                (entry,),
+            ),
+        )
+        await asyncio.sleep(0.05)
+    assert driver.machine.is_taking
+    assert sent[-1].index == 6
+    assert len(driver.machine.applied) == 2
+    async with asyncio.timeout(5):
+        while store.load().unwrap().log.snapshot.index < 6:
+            await asyncio.sleep(0.02)
+    assert len(driver.machine.applied) == 5
+    running.cancel()
+
+
 async def test_nothing_is_sent_before_its_sync():
     """Guards against an acknowledgement of an entry that is not on disk."""
     sent = []
--- a/wagtailspread/replica/tests/test_servers.py
+++ b/wagtailspread/replica/tests/test_servers.py
@@ -1,7 +1,10 @@
 """Replica servers on loopback, with files."""
 
+import dataclasses
+
 import pytest_asyncio
 
+from wagtailspread.replica import drivers
 from wagtailspread.testing import replicas
 from wagtailspread.wire import messages
 
@@ -47,6 +50,29 @@
     assert (again.status, again.version) == (first.status, first.version)
 
 
+async def test_replica_that_was_long_away_is_brought_up_by_a_snapshot(
+    fleet,
+    monkeypatch,
+):
+    """Guards against a replica that asks for entries that are gone."""
+    monkeypatch.setattr(drivers, 'COMPACT_ENTRIES', 20)
+    client = fleet.create_client()
+    await client.submit(create_submission(0, 1))
+    for server in fleet.servers.values():
+        policy = dataclasses.replace(replicas.POLICY, kept_entries=5)
+        server.driver.replica.state.policy = policy
+    away = fleet.addresses[-1]
+    await fleet.stop(away)
+    for number in range(1, 60):
+        answer = await client.submit(create_submission(number, number + 1))
+        assert answer.unwrap().status == 'accepted'
+    await fleet.start(away)
+    machine = fleet.servers[away].machine
+    await fleet.wait_for(lambda: machine.configuration.version == 61)
+    state = fleet.servers[away].driver.replica.state
+    assert state.log.snapshot.index > 30
+
+
 async def test_wiped_replica_returns_as_a_voter_with_a_new_identity(
     fleet,
     tmp_path,
