Cover signature framing, sizes and short columns by tests

46 mechanisms were switched off one at a time in a scratch copy. 37 were found by the tests at once. Eight were not: field lengths in the signed text, the cut of a path at a segment, a key whose life a new attempt shortens, large headers, two checks of damaged columns, the size of all files, and memory of refused files. Each has a test now that fails without it.

--- a/wagtailspread/configuration/tests/test_routes.py
+++ b/wagtailspread/configuration/tests/test_routes.py
@@ -49,6 +49,8 @@
 
 
 @hypothesis.given(ROUTES, PATHS)
+@hypothesis.example({'/a': ('GET',)}, '/aa')
+@hypothesis.example({'/a': ('GET',)}, '/a/b')
 def test_longest_prefix_of_segments(prefixes, path):
     """Guards against a request that reaches another service."""
     table = routes.create_route_table(create_settings(prefixes))
--- a/wagtailspread/configuration/tests/test_versions.py
+++ b/wagtailspread/configuration/tests/test_versions.py
@@ -136,6 +136,14 @@
     assert builders.kinds(state.submit(submission)) == ['bad-signature']
 
 
+def test_signature_covers_the_ends_of_fields():
+    """Guards against text that moves from one field to the next."""
+    first = signatures.create_submission('i', 1, 'a', {'base.ini': 'x'})
+    second = signatures.create_submission('i', 1, 'a', {'base.in': 'ix'})
+    texts = [signatures.encode_signed_text(one) for one in (first, second)]
+    assert texts[0] != texts[1]
+
+
 def test_forged_resend_does_not_read_or_replace_an_answer():
     """Guards against answers given to somebody without the key."""
     state = builders.start('a')
@@ -186,6 +194,31 @@
     assert answer.findings[0].file == 'overlay-b.ini'
 
 
+def test_all_files_together_are_bounded(monkeypatch):
+    """Guards against a full text that no frame can carry."""
+    limit = 'wagtailspread.configuration.proposals.MAX_TOTAL_BYTES'
+    state = builders.start('a', 'b')
+    builders.submit(state, 'a', {'overlay-a.ini': '# x\n' * 100})
+    monkeypatch.setattr(limit, 1000)
+    overlay = {'overlay-b.ini': '# y\n' * 100}
+    assert builders.kinds(builders.submit(state, 'b', overlay)) == [
+        'out-of-range',
+    ]
+
+
+def test_refused_files_take_no_memory():
+    """Guards against a replica that grows with every refusal."""
+    state = builders.start('a')
+    kept = []
+    for number in range(20):
+        base = builders.write_base('a').replace('60%', f'{number}%')
+        base = base.replace('hosts = 4', 'hosts = none')
+        builders.submit(state, 'a', {'base.ini': base})
+        kept.append(len(state._examiner._known._used))
+    assert state.version == 1
+    assert kept[0] == kept[-1]
+
+
 @pytest.mark.parametrize('based_on', [7, -1])
 def test_base_version_that_never_was(based_on):
     """Guards against a submission made from another fleet's files."""
--- a/wagtailspread/idempotency/snapshots.py
+++ b/wagtailspread/idempotency/snapshots.py
@@ -9,6 +9,14 @@
 from wagtailspread.idempotency import columns, keys, records
 from wagtailspread.wire import messages
 
+#: What decoding raises if the bytes are not a whole snapshot.
+_BROKEN = (
+    struct.error,
+    messages.DecodeError,
+    TypeError,
+    IndexError,
+    ValueError,
+)
 #: States by their value.
 _STATES = tuple(keys.KeyState)
 
@@ -67,7 +75,7 @@
     """
     try:
         return _decode_table(snapshot)
-    except (struct.error, messages.DecodeError, TypeError, IndexError) as error:
+    except _BROKEN as error:
         raise ValueError('not a snapshot of claims') from error
 
 
--- a/wagtailspread/idempotency/tests/test_claims.py
+++ b/wagtailspread/idempotency/tests/test_claims.py
@@ -182,6 +182,18 @@
     assert table.claim(create_claim('a2'), 501).state == 'granted'
 
 
+def test_new_attempt_does_not_shorten_the_life_of_a_key():
+    """Guards against a release forgotten while its claim may be on the way."""
+    table = claims.create_claim_table(
+        lifetimes=claims.FixedLifetimes(seconds=100),
+    )
+    table.claim(create_claim('a1', deadline_ms=500_000), 0)
+    table.release(create_release('a1'), 1)
+    table.claim(create_claim('a2'), 2)
+    table.finish(create_finish('a2'), 3)
+    assert table.claim(create_claim('a1'), 400).state == 'released'
+
+
 def test_time_never_goes_back():
     """Guards against a leader with a slow clock that revives a claim."""
     table = create_table()
@@ -225,6 +237,17 @@
     assert len(answer.body) == (size if is_complete else 0)
 
 
+def test_large_headers_are_left_out():
+    """Guards against headers that fill the store."""
+    table = create_table()
+    table.claim(create_claim('a1'), 0)
+    finish = create_finish('a1')
+    finish.answer.headers = [['X', 'x' * records.MAX_HEADER_BYTES]]
+    table.finish(finish, 0)
+    answer = table.claim(create_claim('a2'), 0).answer
+    assert (answer.headers, answer.is_complete) == ([], False)
+
+
 def test_bytes_are_bounded():
     """Guards against a store that takes more memory than it may."""
     table = create_table(max_bytes=100_000)
@@ -273,6 +296,27 @@
             create_table().restore(snapshot[:length])
 
 
+@pytest.mark.parametrize('column', ['scopes', 'states', 'deadlines'])
+def test_short_column_is_refused(column):
+    """Guards against records put together from shifted columns."""
+    table = create_table()
+    table.claim(create_claim('a1'), 0)
+    whole = messages.decode(structs.ClaimColumns, table.take_snapshot())
+    setattr(whole, column, getattr(whole, column)[:-1])
+    with pytest.raises(ValueError, match='snapshot'):
+        create_table().restore(messages.encode(whole))
+
+
+def test_short_texts_are_refused():
+    """Guards against attempts that are cut."""
+    table = create_table()
+    table.claim(create_claim('a1'), 0)
+    whole = messages.decode(structs.ClaimColumns, table.take_snapshot())
+    whole.attempts.joined = b'a'
+    with pytest.raises(ValueError, match='snapshot'):
+        create_table().restore(messages.encode(whole))
+
+
 @pytest.mark.parametrize('attempt', [None, b'\xff', 'a\u00e9'])
 def test_odd_attempt_survives_a_snapshot(attempt):
     """Guards against replicas that differ after a restart."""
