Show the candidate's key in approve; offer member keys

An approver has to compare the key by another channel and had to look it up in the base file. Memberships and the configuration state find member keys now, so that listeners can use them as their directory; a test checks that a candidate is not in it.

--- a/wagtailspread/commands/approve.py
+++ b/wagtailspread/commands/approve.py
@@ -77,7 +77,7 @@
     """Write an approval of the candidate SUBJECT into your overlay.
 
     The section names the digests of the candidate's section and of the
-    members in force. Compare the candidate's key with the candidate by another
+    members in force. Compare the printed key with the candidate by another
     channel first; then submit the overlay.
 
     \b
@@ -91,18 +91,31 @@
     path = options.find_overlay()
     text = file_sets.read_text(path) if path.exists() else ''
     section = ''
+    key = ''
     if not options.withdraw:
         texts = _read_in_force(connector, options)
-        section = _write_section(
-            options.kind,
-            find_change(texts, options.kind, options.subject),
-        )
+        change = find_change(texts, options.kind, options.subject)
+        section = _write_section(options.kind, change)
+        key = find_key(texts, change)
     header = f'{options.kind} {options.subject}'
     path.write_text(replace_section(text, header, section))
     if options.is_json:
-        renderings.write_json({'overlay': str(path), 'section': section})
-    else:
-        renderings.write_lines([section.rstrip(), f'{path} written'])
+        renderings.write_json(
+            {
+                'overlay': str(path),
+                'section': section,
+                'public_key': key,
+            }
+        )
+        return
+    if section:
+        renderings.write_lines(
+            [
+                f'Compare the key of {options.subject}: {key}',
+                section.rstrip(),
+            ]
+        )
+    renderings.write_lines([f'{path} written'])
 
 
 def find_change(texts: dict[str, str], kind: str, subject: str) -> _Pending:
@@ -129,6 +142,19 @@
     )
 
 
+def find_key(texts: dict[str, str], change: _Pending) -> str:
+    """Return the public key that the agreement is about, in base64.
+
+    :param texts: the files in force.
+    """
+    file = schemas.BASE_FILE
+    if change.kind is approvals.ChangeKind.REMOVAL:
+        file = schemas.MEMBERS_FILE
+    parsed = files.parse_file(file, texts[file]).unwrap()
+    section = parsed.find(f'member {change.subject}')
+    return section.entries['public_key'].text if section else ''
+
+
 def replace_section(text: str, header: str, section: str) -> str:
     r"""Return a text with a section replaced, added at the end, or removed.
 
--- a/wagtailspread/commands/renderings.py
+++ b/wagtailspread/commands/renderings.py
@@ -9,6 +9,8 @@
 from wagtailspread.configuration import checks, findings, schemas
 
 _MILLISECONDS = 1000
+_MINUTE = 60
+_HOUR = 3600
 _PERCENT = 100
 _KIBIBYTE = 1024
 _BITS = 8
@@ -110,11 +112,14 @@
 def show_duration(seconds: float) -> str:
     """Return a duration with its unit.
 
-    >>> show_duration(0.25), show_duration(90)
-    ('250ms', '90s')
+    >>> show_duration(0.25), show_duration(90), show_duration(86400)
+    ('250ms', '90s', '24h')
     """
-    if seconds < 1 or not float(seconds).is_integer():
+    if not float(seconds).is_integer():
         return f'{seconds * _MILLISECONDS:g}ms'
+    for unit, length in (('h', _HOUR), ('min', _MINUTE)):
+        if seconds and seconds % length == 0:
+            return f'{seconds / length:g}{unit}'
     return f'{seconds:g}s'
 
 
--- a/wagtailspread/commands/tests/test_configuration_commands.py
+++ b/wagtailspread/commands/tests/test_configuration_commands.py
@@ -198,6 +198,7 @@
     overlay.write_text('# mine\n[service x]\ndeadline = 1s\n')
     words = ('approve', 'c', '--trust', 'base.ini')
     written = json.loads(fleet['a'].call(*words, '--json'))
+    assert written['public_key'] in pathlib.Path('base.ini').read_text()
     assert overlay.read_text().endswith(written['section'])
     fleet['a'].call(*words, '--withdraw')
     assert overlay.read_text() == '# mine\n[service x]\ndeadline = 1s\n'
--- a/wagtailspread/configuration/memberships.py
+++ b/wagtailspread/configuration/memberships.py
@@ -25,6 +25,14 @@
 
     members: typing.Mapping[identifiers.MemberId, schemas.MemberSettings]
 
+    def find_key(self, member: identifiers.MemberId) -> bytes | None:
+        """Return the raw public key of a member in force, or ``None``.
+
+        With it, a membership is a ``credentials.MemberDirectory``.
+        """
+        found = self.members.get(member)
+        return found.public_key if found else None
+
     def digest(self) -> str:
         """Return the digest of all names and keys, as hex."""
         joined = '\n'.join(
--- a/wagtailspread/configuration/tests/test_approvals.py
+++ b/wagtailspread/configuration/tests/test_approvals.py
@@ -31,6 +31,7 @@
     assert list(state.members) == ['a', 'b']
     agree(state, 'b', 'c')
     assert (list(state.members), state.pending) == (['a', 'b', 'c'], ())
+    assert state.find_key('c') == state.settings['c'].members['c'].public_key
     overlay = {'overlay-c.ini': '[service vitrina]\ndeadline = 3s\n'}
     assert builders.submit(state, 'c', overlay).status == 'accepted'
 
@@ -42,6 +43,7 @@
     answer = builders.submit(state, 'c', {'overlay-c.ini': '[leave]\n'})
     assert builders.kinds(answer) == ['bad-signature']
     assert 'c' not in state.settings
+    assert state.find_key('c') is None
     assert 'c' not in state.settings['a'].members
 
 
--- a/wagtailspread/configuration/versions.py
+++ b/wagtailspread/configuration/versions.py
@@ -119,6 +119,14 @@
         """Return the effective settings of each site in force."""
         return self._sites
 
+    def find_key(self, member: identifiers.MemberId) -> bytes | None:
+        """Return the raw public key of a member in force, or ``None``.
+
+        With it, the state is a ``credentials.MemberDirectory`` that follows
+        every change of the membership.
+        """
+        return self._membership.find_key(member)
+
     def find_lifetime(self, service: str) -> float:
         """Return how long idempotency keys of a service are kept.
 
@@ -153,11 +161,8 @@
         """Check the signature; only the first version goes without."""
         if not self._history.version:
             return True
-        member = self._membership.members.get(submission.member)
-        return signatures.is_signed(
-            submission,
-            member.public_key if member else None,
-        )
+        key = self._membership.find_key(submission.member)
+        return signatures.is_signed(submission, key)
 
     def _decide(self, submission: messages.Struct) -> answers.Answer:
         based_on = submission.based_on or 0
