Spill to other regions, follow the configuration, prove each mechanism

Spill asks another region's allocator only after a refusal for lack of capacity, within a bucket of bytes that keeps a reserve for more urgent work. The subscription long-polls a replica, falls back to peers, never goes back a version and starts from a copy that is replaced atomically.

--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import dataclasses
+import math
 import typing
 
 from returns import result
@@ -108,6 +109,7 @@
         self,
         service: identifiers.ServiceName,
         completion: slots.Completion,
+        transferred: int = 0,
     ) -> None:
         """Return a lease; it is sent within 5 ms."""
         lease = self.book.close(completion.lease)
@@ -168,7 +170,8 @@
             lambda: self._ownership.count_hosts(self._region),
             self._clock,
         )
-        vote = votes.VoteCaster(self._started_at)
+        is_home = self._region == self._identity.region
+        vote = votes.VoteCaster(self._started_at if is_home else math.inf)
         return ServiceState(service, table, share, vote)
 
     def _move(
--- a/wagtailspread/entry/attempts.py
+++ b/wagtailspread/entry/attempts.py
@@ -133,8 +133,10 @@
         if held.is_finished:
             return
         held.is_finished = True
-        held.reply.close()
-        self._complete(job, held.grant, ended, held.started)
+        reply = held.reply
+        reply.close()
+        received = len(reply.body) + reply.streamed
+        self._complete(job, held.grant, ended, held.started, received)
 
     def _acquire(
         self,
@@ -199,11 +201,15 @@
         grant: slots.Grant,
         ended: outcomes.ExchangeResult,
         started: float,
+        received: int = 0,
     ) -> None:
+        body = job.outgoing.body
+        sent = 0 if body is None else body.size
         seconds = self._clock.now() - started
         self._source.complete(
             job.service,
             slots.Completion(grant.lease, ended, seconds),
+            received + sent,
         )
 
 
--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -40,6 +40,7 @@
     """A body of which the start was read.
 
     :param prefix: the start, up to :data:`PREFIX_BYTES`.
+    :param size: bytes read so far.
     :param is_whole: whether the start is all of it.
     """
 
@@ -52,6 +53,7 @@
     ) -> None:
         """Keep the stream; nothing is read yet."""
         self.prefix = b''
+        self.size = 0
         self.is_whole = False
         self.fault: requests.RequestFault | None = None
         self._content = content
@@ -86,20 +88,20 @@
         except BodyFault as error:
             return error.fault
         self.prefix = b''.join(pieces)
+        self.size = size
         if size > self._limit:
             return _too_large()
         return None
 
     async def _stream(self) -> typing.AsyncIterator[bytes]:
         self._is_consumed = True
-        size = len(self.prefix)
         yield self.prefix
         while True:
             piece = await self._read(PREFIX_BYTES)
             if not piece:
                 return
-            size += len(piece)
-            if size > self._limit:
+            self.size += len(piece)
+            if self.size > self._limit:
                 self.fault = _too_large()
                 raise BodyFault(self.fault)
             yield piece
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -53,6 +53,7 @@
     :param body: the start of the body, or all of it.
     :param is_whole: whether that is all.
     :param result: how the exchange counts, from its status if ``None``.
+    :param streamed: bytes passed on after the start.
     """
 
     response: aiohttp.ClientResponse
@@ -61,6 +62,7 @@
     pool: connections.UpstreamPool
     generation: connections.Generation
     result: outcomes.ExchangeResult | None = None
+    streamed: int = 0
 
     @property
     def status(self) -> int:
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -124,8 +124,12 @@
         self,
         service: identifiers.ServiceName,
         completion: slots.Completion,
+        transferred: int = 0,
     ) -> None:
-        """Return a lease; does not wait."""
+        """Return a lease; does not wait.
+
+        :param transferred: bytes of both bodies.
+        """
 
 
 class AnnouncementSink(typing.Protocol):
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -12,7 +12,7 @@
 from wagtailspread.entry import allocations, announcements, attempts
 from wagtailspread.entry import beats, connections
 from wagtailspread.entry import draining, exchanges, forwarding, handlers
-from wagtailspread.entry import interfaces, keys, owners, servers
+from wagtailspread.entry import interfaces, keys, owners, servers, spills
 from wagtailspread.wire import credentials, links, listeners
 
 #: Objects until a collection of the first, second and third generation.
@@ -31,6 +31,8 @@
     :param folder: where the last configuration is kept, if anywhere.
     :param linger_seconds: for which a host that stops still serves.
     :param connections: most connections to one upstream.
+    :param link_bytes: bytes per second that this host may use between
+        regions; 0 for none.
     """
 
     member: identifiers.MemberId
@@ -45,6 +47,7 @@
     folder: pathlib.Path | None = None
     linger_seconds: float = _DEFAULT_LINGER_SECONDS
     connections: int = _DEFAULT_CONNECTIONS
+    link_bytes: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +71,7 @@
     create_coordinator: owners.AllocatorFactory
     key_store: interfaces.KeyStore
     tracer: interfaces.Tracer
+    other_regions: typing.Sequence[identifiers.RegionName] = ()
     conditions: typing.Sequence[draining.Condition] = ()
     tasks: typing.Sequence[
         typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]]
@@ -128,7 +132,7 @@
             attempts.AttemptRunner(
                 identity.host,
                 identity.domain,
-                self.client,
+                self._create_source(identity, clock),
                 exchanges.Exchanger(self._pools, clock),
                 clock,
             ),
@@ -164,7 +168,8 @@
         await self.drain.finish(self.server)
         await self.server.close()
         await self._forwarder.close()
-        await self.client.close()
+        for client in (self.client, *self._others):
+            await client.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -173,6 +178,28 @@
         self._owners.close()
         await self._links.close()
 
+    def _create_source(
+        self,
+        identity: allocations.HostIdentity,
+        clock: clocks.Clock,
+    ) -> interfaces.SlotSource:
+        """Return the own region's slots, or those with spill to others."""
+        self._others = [
+            allocations.create_client(
+                identity,
+                self._parts.ownership,
+                self._owners,
+                self._links,
+                clock,
+                region,
+            )
+            for region in self._parts.other_regions
+        ]
+        if not self._others or not self._settings.link_bytes:
+            return self.client
+        budget = spills.LinkBudget(self._settings.link_bytes)
+        return spills.SpillSource(self.client, self._others, budget, clock)
+
     def _read_status(self) -> dict[str, typing.Any]:
         return {
             'host': self._settings.host,
@@ -206,6 +233,7 @@
         folder=pathlib.Path(folder) if folder else None,
         linger_seconds=section.getfloat('linger', _DEFAULT_LINGER_SECONDS),
         connections=section.getint('connections', _DEFAULT_CONNECTIONS),
+        link_bytes=section.getfloat('link_bytes', 0.0),
     )
 
 
--- /dev/null
+++ b/wagtailspread/entry/spills.py
@@ -0,0 +1,201 @@
+"""Slots of other regions, within a budget of bytes on the link.
+
+A request goes to another region only when its own refuses it for lack of
+capacity. The link is narrow and paid by volume: the less urgent a request, the
+more of the budget must be left for it to use the link.
+"""
+
+import dataclasses
+import itertools
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures, identifiers, outcomes
+from wagtailspread.core import priorities
+from wagtailspread.entry import interfaces, slots
+
+#: Time whose bytes may be sent at once, in seconds.
+BURST_SECONDS = 2.0
+#: Bytes assumed of a request until some were measured.
+FIRST_ESTIMATE_BYTES = 8192.0
+#: Weight of the newest request in the estimate.
+_ESTIMATE_WEIGHT = 0.1
+#: Share of the burst that must be left, by priority.
+_RESERVES = {
+    priorities.Priority.URGENT: 0.0,
+    priorities.Priority.STANDARD: 1 / 3,
+    priorities.Priority.BULK: 2 / 3,
+}
+_CAPACITY_REASONS = frozenset(
+    (
+        outcomes.RefusalReason.NO_CAPACITY,
+        outcomes.RefusalReason.QUEUE_FULL,
+        outcomes.RefusalReason.DEADLINE_UNREACHABLE,
+    )
+)
+
+Decision = result.Result[slots.Grant, failures.Refusal]
+
+
+class LinkBudget:
+    """Bytes that this host may send and receive over a link.
+
+    >>> budget = LinkBudget(1000.0)
+    >>> budget.take(priorities.Priority.BULK, 500.0, 0.0)
+    True
+    >>> budget.take(priorities.Priority.BULK, 500.0, 0.0)
+    False
+    >>> budget.take(priorities.Priority.URGENT, 500.0, 0.0)
+    True
+
+    :param rate: bytes per second, both ways together.
+    """
+
+    def __init__(self, rate: float) -> None:
+        """Start with a full burst."""
+        self._rate = rate
+        self._burst = rate * BURST_SECONDS
+        self._left = self._burst
+        self._filled_at = 0.0
+
+    def take(
+        self,
+        priority: priorities.Priority,
+        size: float,
+        now: float,
+    ) -> bool:
+        """Take bytes if the priority may; tell whether it did.
+
+        :param size: expected bytes, both ways.
+        """
+        gained = (now - self._filled_at) * self._rate
+        self._left = min(self._burst, self._left + gained)
+        self._filled_at = now
+        if self._left - size < _RESERVES[priority] * self._burst:
+            return False
+        self._left -= size
+        return True
+
+    def correct(self, size: float) -> None:
+        """Take further bytes that were used, or give back a negative size."""
+        self._left -= size
+
+
+@dataclasses.dataclass(slots=True)
+class _Spilled:
+    """A lease of another region."""
+
+    source: interfaces.SlotSource
+    lease: identifiers.LeaseId
+    expected: float
+
+
+class SpillSource:
+    """Slots of the own region, else of others.
+
+    :param home: gives the slots of the own region.
+    :param others: give the slots of the other regions, in order.
+    """
+
+    def __init__(
+        self,
+        home: interfaces.SlotSource,
+        others: typing.Sequence[interfaces.SlotSource],
+        budget: LinkBudget,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start with no leases of other regions."""
+        self._home = home
+        self._others = others
+        self._budget = budget
+        self._clock = clock
+        self._estimates: dict[identifiers.ServiceName, float] = {}
+        self._spilled: dict[identifiers.LeaseId, _Spilled] = {}
+        self._ids = itertools.count(1)
+
+    async def acquire(
+        self,
+        service: identifiers.ServiceName,
+        request: slots.SlotRequest,
+    ) -> Decision:
+        """Return a slot of the own region or, for lack of it, of another."""
+        decision = await self._home.acquire(service, request)
+        if isinstance(decision, result.Success):
+            return decision
+        if decision.failure().reason not in _CAPACITY_REASONS:
+            return decision
+        if not self._others or request.deadline <= self._clock.now():
+            return decision
+        return await self._spill(service, request, decision)
+
+    def complete(
+        self,
+        service: identifiers.ServiceName,
+        completion: slots.Completion,
+        transferred: int = 0,
+    ) -> None:
+        """Return a lease to the region that granted it."""
+        spilled = self._spilled.pop(completion.lease, None)
+        if spilled is None:
+            self._home.complete(service, completion, transferred)
+            return
+        self._budget.correct(transferred - spilled.expected)
+        known = self._estimates.get(service, FIRST_ESTIMATE_BYTES)
+        difference = transferred - known
+        self._estimates[service] = known + _ESTIMATE_WEIGHT * difference
+        spilled.source.complete(
+            service,
+            slots.Completion(
+                spilled.lease,
+                completion.result,
+                completion.seconds,
+            ),
+            transferred,
+        )
+
+    async def _spill(
+        self,
+        service: identifiers.ServiceName,
+        request: slots.SlotRequest,
+        refused: Decision,
+    ) -> Decision:
+        expected = self._estimates.get(service, FIRST_ESTIMATE_BYTES)
+        now = self._clock.now()
+        if not self._budget.take(request.priority, expected, now):
+            return result.Failure(
+                failures.Refusal(
+                    request.request,
+                    outcomes.RefusalReason.LINK_BUDGET,
+                    refused.failure().retry_after,
+                ),
+            )
+        granted: slots.Grant | None = None
+        try:
+            granted = await self._ask(service, request, expected)
+        finally:
+            if granted is None:
+                self._budget.correct(-expected)
+        return refused if granted is None else result.Success(granted)
+
+    async def _ask(
+        self,
+        service: identifiers.ServiceName,
+        request: slots.SlotRequest,
+        expected: float,
+    ) -> slots.Grant | None:
+        for source in self._others:
+            decision = await source.acquire(service, request)
+            if isinstance(decision, result.Success):
+                return self._record(source, decision.unwrap(), expected)
+        return None
+
+    def _record(
+        self,
+        source: interfaces.SlotSource,
+        grant: slots.Grant,
+        expected: float,
+    ) -> slots.Grant:
+        lease = identifiers.LeaseId(-next(self._ids))
+        self._spilled[lease] = _Spilled(source, grant.lease, expected)
+        return dataclasses.replace(grant, lease=lease)
--- a/wagtailspread/entry/streaming.py
+++ b/wagtailspread/entry/streaming.py
@@ -83,6 +83,7 @@
             return outcomes.ExchangeResult.TRUNCATED
         if not piece:
             break
+        reply.streamed += len(piece)
     await response.write_eof()
     return reply.classify()
 
--- /dev/null
+++ b/wagtailspread/entry/subscriptions.py
@@ -0,0 +1,214 @@
+"""The host's copy of the configuration, and how it follows the accepted one.
+
+The host holds a long poll open at a replica. When no replica answers, or when
+gossip shows a newer version, it fetches from a peer. A version never goes
+back, and the copy stays in force whatever else fails.
+"""
+
+import asyncio
+import os
+import pathlib
+import typing
+
+from returns import result
+
+from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.wire import links, listeners, messages
+
+#: Longest time that a long poll waits for a change, in seconds.
+POLL_SECONDS = 3.0
+#: Time between tries while nothing answers, in seconds.
+RETRY_SECONDS = 0.5
+#: A host without contact for this long is not ready, in seconds.
+CONTACT_SECONDS = 5.0
+_CALL_SECONDS = 2.0
+_COPY_NAME = 'configuration.bin'
+
+
+class ConfigurationHolder(typing.Protocol):
+    """The configuration in force on this host."""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+
+    def apply(
+        self,
+        delta: messages.Struct,
+    ) -> result.Result[int, failures.Failure]:
+        """Check a ``ConfigurationDelta`` and put it in force."""
+
+    def read_delta(self, known_version: int) -> messages.Struct:
+        """Return the delta from a version, or the full text."""
+
+
+class ConfigurationSource(typing.Protocol):
+    """Replicas, as the host reads them."""
+
+    async def fetch_configuration(
+        self,
+        known_version: int,
+        wait: float,
+    ) -> result.Result[messages.Struct, failures.Failure]:
+        """Return the delta from a version once there is a newer one."""
+
+
+class CopyFile:
+    """The last copy of the configuration on disk.
+
+    :param folder: where it is kept.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Keep the path."""
+        self._path = folder / _COPY_NAME
+
+    def write(self, delta: messages.Struct) -> None:
+        """Replace the copy so that it is whole after any crash.
+
+        :raises OSError: if the disk refuses it.
+        """
+        partial = self._path.with_suffix('.new')
+        with partial.open('wb') as opened:
+            opened.write(messages.encode(delta))
+            opened.flush()
+            os.fsync(opened.fileno())
+        partial.replace(self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def read(self) -> messages.Struct | None:
+        """Return the copy, ``None`` if there is no readable one."""
+        try:
+            payload = self._path.read_bytes()
+            return messages.decode(
+                messages.structs.ConfigurationDelta,
+                payload,
+            )
+        except (OSError, messages.DecodeError):
+            return None
+
+
+class Subscription:
+    """Keeps the copy of the configuration up to date.
+
+    :param list_peers: returns the control addresses of live hosts.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        source: ConfigurationSource,
+        list_peers: typing.Callable[
+            [],
+            typing.Sequence[identifiers.Address],
+        ],
+        pool: links.LinkPool,
+        clock: clocks.Clock,
+        copy: CopyFile | None = None,
+    ) -> None:
+        """Start from the copy on disk, if there is one."""
+        self._holder = holder
+        self._source = source
+        self._list_peers = list_peers
+        self._pool = pool
+        self._clock = clock
+        self._copy = copy
+        self._contact_at = float('-inf')
+        self._changed = asyncio.Event()
+        saved = None if copy is None else copy.read()
+        if saved is not None:
+            self._take(saved)
+
+    async def run(self) -> None:
+        """Follow the replicas, else the peers, until cancelled."""
+        while True:
+            if await self.poll():
+                continue
+            await self.fetch_from_peers()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def poll(self) -> bool:
+        """Wait for a change at a replica; tell whether one answered."""
+        answer = await self._source.fetch_configuration(
+            self._holder.version,
+            POLL_SECONDS,
+        )
+        if not isinstance(answer, result.Success):
+            return False
+        self._contact_at = self._clock.now()
+        self._take(answer.unwrap())
+        return True
+
+    async def fetch_from_peers(self) -> bool:
+        """Ask peers in turn until one answers; tell whether one did."""
+        for address in self._list_peers():
+            if await self.fetch_from(address):
+                return True
+        return False
+
+    async def fetch_from(self, address: identifiers.Address) -> bool:
+        """Fetch from one peer, for example one with a newer version."""
+        answer = await self._pool.find(address).call(
+            messages.methods.FETCH_CONFIGURATION,
+            messages.structs.FetchConfiguration(
+                known_version=self._holder.version,
+                wait_ms=0,
+            ),
+            messages.structs.ConfigurationDelta,
+            _CALL_SECONDS,
+        )
+        if not isinstance(answer, result.Success):
+            return False
+        self._contact_at = self._clock.now()
+        self._take(answer.unwrap())
+        return True
+
+    def is_current(self) -> bool:
+        """Tell whether the host knows that its copy may be the latest.
+
+        A fleet of one host has nobody to ask and is exempt.
+        """
+        if not self._holder.version:
+            return False
+        if not self._list_peers():
+            return True
+        return self._clock.now() - self._contact_at < CONTACT_SECONDS
+
+    def register(self, listener: listeners.Listener) -> None:
+        """Serve the copy to peers."""
+        listener.add(
+            messages.methods.FETCH_CONFIGURATION,
+            messages.structs.FetchConfiguration,
+            self.answer_fetch,
+        )
+
+    async def answer_fetch(
+        self,
+        _call: listeners.Call,
+        struct: messages.Struct,
+    ) -> listeners.HandlerResult:
+        """Answer a peer, at once or when there is a newer version."""
+        known = struct.known_version or 0
+        wait = min((struct.wait_ms or 0) / 1000, POLL_SECONDS)
+        if known >= self._holder.version and wait > 0:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._changed.wait()
+            except TimeoutError:
+                return result.Success(self._holder.read_delta(known))
+        return result.Success(self._holder.read_delta(known))
+
+    def _take(self, delta: messages.Struct) -> None:
+        if (delta.to_version or 0) <= self._holder.version:
+            return
+        applied = self._holder.apply(delta)
+        if not isinstance(applied, result.Success):
+            return
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self._copy is not None:
+            self._copy.write(self._holder.read_delta(0))
--- a/wagtailspread/entry/tests/test_processes.py
+++ b/wagtailspread/entry/tests/test_processes.py
@@ -162,6 +162,24 @@
         assert upstream.most_running <= 6
 
 
+async def test_stopping_host_serves_a_request_that_is_still_arriving(
+    tmp_path,
+):
+    """Guards against connections closed in the middle of a request head."""
+    async with start_processes(tmp_path, 1) as (hosts, _):
+        ip, _, port = hosts[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b'GET /vitrina/a HTTP/1.1\r\n')
+        await asyncio.sleep(0.1)
+        hosts[0].process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        writer.write(b'Host: a\r\n\r\n')
+        answer = await asyncio.wait_for(reader.read(), 3)
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert await asyncio.wait_for(hosts[0].process.wait(), 5) == 0
+        writer.close()
+
+
 def test_settings_are_read_from_an_ini_text():
     """Guards against settings that are dropped or mixed up."""
     text = SETTINGS.format(key='k', host='h1', caller='a:1', control='a:2')
--- /dev/null
+++ b/wagtailspread/entry/tests/test_silence.py
@@ -0,0 +1,69 @@
+"""What speaks for and against silent connections."""
+
+from wagtailspread.entry import ledgers, silence
+
+
+class Pool:
+    """A pool with given records of connections."""
+
+    def __init__(self, *records):
+        self.generation = 1
+        self._records = list(records)
+
+    def list_records(self):
+        return self._records
+
+
+def create_stall(generation=0, *, is_reused=True):
+    record = ledgers.ConnectionRecord(generation, opened_at=5.0)
+    progress = ledgers.Progress(True, is_reused, connection=record)
+    return silence.Stall(progress, 10.0, None, None)
+
+
+def create_record(opened_at, succeeded_at):
+    return ledgers.ConnectionRecord(1, opened_at, succeeded_at)
+
+
+WORKS_ANEW = create_record(11.0, 12.0)
+
+
+def test_new_connection_that_works_shows_silence():
+    """Guards against upstreams blamed for silent connections."""
+    detector = silence.SilenceDetector()
+    assert detector.judge(Pool(WORKS_ANEW), create_stall(), 13.0)
+
+
+def test_no_new_connection_that_works_shows_no_silence():
+    """Guards against a hanging upstream that is not blamed."""
+    detector = silence.SilenceDetector()
+    assert not detector.judge(Pool(), create_stall(), 13.0)
+    early = create_record(9.0, 12.0)
+    assert not detector.judge(Pool(early), create_stall(), 13.0)
+
+
+def test_old_connection_that_still_works_speaks_against_silence():
+    """Guards against random hangs that pass for silence."""
+    pool = Pool(WORKS_ANEW, create_record(4.0, 12.0))
+    assert not silence.SilenceDetector().judge(pool, create_stall(), 13.0)
+
+
+def test_timeout_on_a_new_connection_speaks_against_silence():
+    """Guards against random hangs that pass for silence."""
+    detector = silence.SilenceDetector()
+    pool = Pool(WORKS_ANEW)
+    fresh = create_stall(is_reused=False)
+    assert not detector.judge(pool, fresh, 12.5)
+    assert not detector.judge(pool, create_stall(), 13.0)
+    later = 13.0 + silence.MEMORY_SECONDS
+    assert detector.judge(pool, create_stall(), later)
+
+
+def test_only_one_generation_in_a_while_counts_as_silent():
+    """Guards against an upstream that hangs on every old connection."""
+    detector = silence.SilenceDetector()
+    pool = Pool(WORKS_ANEW)
+    assert detector.judge(pool, create_stall(0), 13.0)
+    assert detector.judge(pool, create_stall(0), 13.1)
+    assert not detector.judge(pool, create_stall(1), 14.0)
+    later = 13.0 + silence.MEMORY_SECONDS
+    assert detector.judge(pool, create_stall(1), later)
--- /dev/null
+++ b/wagtailspread/entry/tests/test_subscriptions.py
@@ -0,0 +1,128 @@
+"""The host's copy of the configuration."""
+
+import asyncio
+
+from returns import result
+
+from wagtailspread.core import clocks, failures
+from wagtailspread.entry import subscriptions
+from wagtailspread.entry.tests import fleets
+from wagtailspread.wire import credentials, links, listeners, messages
+
+
+class Holder:
+    """Keeps one section as the whole configuration."""
+
+    def __init__(self, version=0):
+        self.version = version
+        self.applied = []
+
+    def apply(self, delta):
+        self.version = delta.to_version
+        self.applied.append(delta)
+        return result.Success(self.version)
+
+    def read_delta(self, known_version):
+        return messages.structs.ConfigurationDelta(
+            from_version=known_version,
+            to_version=self.version,
+            sections=[],
+        )
+
+
+class Source:
+    """A replica that answers with a version, or not at all."""
+
+    def __init__(self, version=None):
+        self.version = version
+
+    async def fetch_configuration(self, known_version, wait):
+        if self.version is None:
+            return result.Failure(failures.Unreachable(''))
+        return result.Success(Holder(self.version).read_delta(known_version))
+
+
+def create_links():
+    peer = credentials.Peer(fleets.SITE, 'h9', 'entry')
+    own = credentials.Credentials(peer, fleets.KEY)
+    return own, links.LinkPool(own, fleets.DIRECTORY)
+
+
+def subscribe(holder, source, peers=(), copy=None, clock=None):
+    _, pool = create_links()
+    return subscriptions.Subscription(
+        holder,
+        source,
+        lambda: list(peers),
+        pool,
+        clock or clocks.SystemClock(),
+        copy,
+    )
+
+
+async def test_version_never_goes_back():
+    """Guards against a replica that is behind and reverts a host."""
+    holder = Holder(7)
+    await subscribe(holder, Source(5)).poll()
+    assert holder.version == 7
+    await subscribe(holder, Source(8)).poll()
+    assert holder.version == 8
+
+
+async def test_host_without_replicas_follows_a_peer():
+    """Guards against hosts that miss a change while replicas are gone."""
+    own, _ = create_links()
+    listener = listeners.create_listener(own, fleets.DIRECTORY)
+    subscribe(Holder(9), Source()).register(listener)
+    address = await listener.start(fleets.ANY_PORT)
+    holder = Holder(3)
+    subscription = subscribe(holder, Source(), [address])
+    running = asyncio.create_task(subscription.run())
+    await asyncio.sleep(0.2)
+    assert holder.version == 9
+    assert subscription.is_current()
+    running.cancel()
+    await listener.close()
+
+
+async def test_peer_that_waits_is_told_at_once():
+    """Guards against changes that spread only with the next poll."""
+    source = Source(4)
+    holder = Holder(3)
+    subscription = subscribe(holder, source)
+    request = messages.structs.FetchConfiguration(
+        known_version=3,
+        wait_ms=2000,
+    )
+    waiting = asyncio.create_task(subscription.answer_fetch(None, request))
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    await subscription.poll()
+    answer = await asyncio.wait_for(waiting, 0.1)
+    assert answer.unwrap().to_version == 4
+
+
+async def test_host_starts_from_its_copy_and_survives_a_torn_one(tmp_path):
+    """Guards against a restart without any replica or peer."""
+    copy = subscriptions.CopyFile(tmp_path)
+    await subscribe(Holder(), Source(6), copy=copy).poll()
+    holder = Holder()
+    subscribe(holder, Source(), copy=copy)
+    assert holder.version == 6
+    path = tmp_path / 'configuration.bin'
+    path.write_bytes(path.read_bytes()[:3])
+    torn = Holder()
+    subscribe(torn, Source(), copy=copy)
+    assert torn.version == 0
+
+
+async def test_host_without_contact_is_not_current_unless_alone():
+    """Guards against callers sent to a host that is cut off."""
+    clock = clocks.ManualClock(100)
+    subscription = subscribe(Holder(1), Source(2), ['a:1'], clock=clock)
+    assert not subscription.is_current()
+    await subscription.poll()
+    assert subscription.is_current()
+    clock.advance(subscriptions.CONTACT_SECONDS)
+    assert not subscription.is_current()
+    assert subscribe(Holder(1), Source(), clock=clock).is_current()
