--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -24,8 +24,7 @@
 class Forwarder:
     """Forwards checked requests to upstreams.
 
-    :param start: distinguishes this start of the host from earlier ones in
-        request and attempt ids.
+    :param observer: is told of every finished request.
     """
 
     def __init__(
@@ -35,12 +34,14 @@
         keeper: keys.KeyKeeper,
         tracer: interfaces.Tracer,
         clock: clocks.Clock,
+        observer: interfaces.RequestObserver | None = None,
     ) -> None:
         """Keep the parts of the path."""
         self._identity = identity
         self._runner = runner
         self._keeper = keeper
         self._tracer = tracer
+        self._observer = observer
         self._clock = clock
         self._prefix = f'{identity.host}.{int(clock.wall() * 1000):x}.'
         self._ids = itertools.count(1)
@@ -53,7 +54,29 @@
         ledger: ledgers.RunLedger,
     ) -> web.StreamResponse:
         """Answer a request by way of an upstream."""
-        deadline = self._clock.now() + checked.deadline
+        started = self._clock.now()
+        response = await self._forward(request, checked, ledger, started)
+        if self._observer is not None:
+            record = interfaces.RequestRecord(
+                checked.route,
+                checked.caller,
+                response.headers.get(outcomes.OUTCOME_HEADER, ''),
+                response.headers.get(outcomes.REASON_HEADER, ''),
+                response.status,
+                len(ledger.attempts),
+                self._clock.now() - started,
+            )
+            self._observer.note_request(record)
+        return response
+
+    async def _forward(
+        self,
+        request: web.BaseRequest,
+        checked: requests.CheckedRequest,
+        ledger: ledgers.RunLedger,
+        started: float,
+    ) -> web.StreamResponse:
+        deadline = started + checked.deadline
         body: bodies.RequestBody | None = None
         if checked.length != 0:
             received = await bodies.read_body(request, checked, deadline)
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -55,6 +55,7 @@
     """What the other packages contribute to an entry host.
 
     :param list_services: services of the configuration in force.
+    :param observer: logs and counts finished requests.
     :param other_regions: regions that requests may spill to.
     :param conditions: all must hold for the host to be ready.
     :param tasks: run as long as the host; start them with the listener open.
@@ -71,6 +72,7 @@
     create_coordinator: owners.AllocatorFactory
     key_store: interfaces.KeyStore
     tracer: interfaces.Tracer
+    observer: interfaces.RequestObserver | None = None
     other_regions: typing.Sequence[identifiers.RegionName] = ()
     conditions: typing.Sequence[draining.Condition] = ()
     tasks: typing.Sequence[
@@ -139,6 +141,7 @@
             keys.KeyKeeper(parts.key_store, identity.host, clock),
             parts.tracer,
             clock,
+            parts.observer,
         )
         self.drain = draining.Drain(
             parts.conditions,
--- a/wagtailspread/entry/tests/test_exchanges.py
+++ b/wagtailspread/entry/tests/test_exchanges.py
@@ -212,6 +212,57 @@
         assert ups[0].counts['runs'] == 1
 
 
+async def test_upload_to_a_slow_upstream_is_held_back():
+    """Guards against bodies that pile up in memory."""
+
+    async def script(upstream, reader, writer):
+        await upstream.read_head(reader)
+        await asyncio.sleep(2)
+
+    async with fleets.start_fleet(max_body=1 << 30) as (hosts, ups):
+        await start_script(hosts[0], ups, script)
+        ip, _, port = hosts[0].address.rpartition(':')
+        _, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b'POST /vitrina HTTP/1.1\r\nHost: a\r\n')
+        writer.write(b'Content-Length: 500000000\r\n\r\n')
+        sent = 0
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.7):
+                while sent < 500_000_000:
+                    writer.write(bytes(1 << 20))
+                    await writer.drain()
+                    sent += 1 << 20
+        assert sent < 30_000_000
+        writer.close()
+
+
+async def test_headers_of_the_fleet_cannot_come_from_an_upstream():
+    """Guards against an upstream that says its request was not run."""
+
+    async def script(upstream, reader, writer):
+        await upstream.read_head(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nWagtailspread-Outcome: not-run\r\n')
+        writer.write(b'Wagtailspread-Reason: draining\r\n')
+        writer.write(b'Content-Length: 0\r\n\r\n')
+        await asyncio.sleep(1)
+
+    async with fleets.start_fleet() as (hosts, ups):
+        await start_script(hosts[0], ups, script)
+        answer, _ = await fetch(hosts[0])
+        assert outcome_of(answer) == 'upstream'
+        assert outcomes.REASON_HEADER not in answer.headers
+
+
+async def test_every_finished_request_is_recorded_once():
+    """Guards against requests that logs and metrics do not see."""
+    async with fleets.start_fleet(upstream_count=2) as (hosts, ups):
+        for up in ups:
+            up.mode.reset_ratio = 1.0
+        await fetch(hosts[0], Wagtailspread_Deadline_Ms='900')
+        (record,) = hosts[0].records
+        assert (record.outcome, record.attempts) == ('unknown', 2)
+
+
 async def test_frozen_connections_are_left_and_not_blamed_on_the_upstream():
     """Guards against ejections for connections that went silent."""
     async with fleets.start_fleet() as (hosts, ups):
