Use one subscription, count requests, and spill as configured

Cause: two subscriptions stood side by side; finished requests reached neither log nor metrics; spill to the other region had fixed settings. After: the configuration in force sets the regions and each host's part of the link; /-/metrics renders the metrics.

--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -72,7 +72,7 @@
         self.book = leases.LeaseBook()
         self.states: dict[identifiers.ServiceName, ServiceState] = {}
         self._identity = identity
-        self._region = region
+        self.region = region
         self._ownership = ownership
         self._own = own
         self._pool = pool
@@ -149,7 +149,7 @@
         now = self._clock.now()
         if now - state.ranked_at >= RANK_SECONDS:
             state.ranked_at = now
-            ranked = self._ownership.rank_owners(service, self._region)
+            ranked = self._ownership.rank_owners(service, self.region)
             self._move(state, ranked[0] if ranked else None, now)
         return state
 
@@ -167,10 +167,10 @@
         share = shares.OwnShare(
             table,
             self._identity.domain,
-            lambda: self._ownership.count_hosts(self._region),
+            lambda: self._ownership.count_hosts(self.region),
             self._clock,
         )
-        is_home = self._region == self._identity.region
+        is_home = self.region == self._identity.region
         vote = votes.VoteCaster(self._started_at if is_home else math.inf)
         return ServiceState(service, table, share, vote)
 
@@ -299,7 +299,7 @@
     ) -> interfaces.OwnerPlace | None:
         if state.place is not None and state.place.host == host:
             return state.place
-        ranked = self._ownership.rank_owners(state.service, self._region)
+        ranked = self._ownership.rank_owners(state.service, self.region)
         return next((place for place in ranked if place.host == host), None)
 
     def _flush(
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -31,8 +31,6 @@
     :param folder: where the last configuration is kept, if anywhere.
     :param linger_seconds: for which a host that stops still serves.
     :param connections: most connections to one upstream.
-    :param link_bytes: bytes per second that this host may use between
-        regions; 0 for none.
     """
 
     member: identifiers.MemberId
@@ -47,7 +45,6 @@
     folder: pathlib.Path | None = None
     linger_seconds: float = _DEFAULT_LINGER_SECONDS
     connections: int = _DEFAULT_CONNECTIONS
-    link_bytes: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,11 +53,11 @@
 
     :param list_services: services of the configuration in force.
     :param observer: logs and counts finished requests.
-    :param other_regions: regions that requests may spill to.
     :param conditions: all must hold for the host to be ready.
     :param tasks: run as long as the host; start them with the listener open.
     :param leave: tells the other hosts that this one stops.
     :param read_status: fields of the status page.
+    :param read_metrics: metrics in the text format for scraping.
     """
 
     routing: interfaces.Routing
@@ -73,13 +70,13 @@
     key_store: interfaces.KeyStore
     tracer: interfaces.Tracer
     observer: interfaces.RequestObserver | None = None
-    other_regions: typing.Sequence[identifiers.RegionName] = ()
     conditions: typing.Sequence[draining.Condition] = ()
     tasks: typing.Sequence[
         typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]]
     ] = ()
     leave: typing.Callable[[], typing.Awaitable[None]] | None = None
     read_status: typing.Callable[[], dict[str, typing.Any]] = dict
+    read_metrics: typing.Callable[[], bytes] = bytes
 
 
 #: Makes the parts once the links and the listener of the host exist.
@@ -114,13 +111,11 @@
         self._pools = connections.PoolTable(settings.connections)
         self.owners = owners.OwnerTable(parts.create_coordinator, clock)
         handlers.OwnerHandlers(self.owners, clock).register(listener)
-        self.client = allocations.create_client(
-            identity,
-            parts.ownership,
-            self.owners,
-            pool,
-            clock,
-        )
+        self._identity = identity
+        self._clock = clock
+        self._budget = spills.LinkBudget(0.0)
+        self._others: list[allocations.AllocationClient] = []
+        self.client = self._create_client(settings.region)
         self._beater = beats.Beater(
             identity,
             self.client,
@@ -134,7 +129,12 @@
             attempts.AttemptRunner(
                 identity.host,
                 identity.domain,
-                self._create_source(identity, clock),
+                spills.SpillSource(
+                    self.client,
+                    self._others,
+                    self._budget,
+                    clock,
+                ),
                 exchanges.Exchanger(self._pools, clock),
                 clock,
             ),
@@ -153,6 +153,7 @@
             announcements.AnnouncementGate(parts.routing, self.client, clock),
             self.drain,
             self._read_status,
+            read_metrics=parts.read_metrics,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -181,27 +182,34 @@
         self.owners.close()
         await self._links.close()
 
-    def _create_source(
+    def change_link(
         self,
-        identity: allocations.HostIdentity,
-        clock: clocks.Clock,
-    ) -> interfaces.SlotSource:
-        """Return the own region's slots, or those with spill to others."""
-        self._others = [
-            allocations.create_client(
-                identity,
-                self._parts.ownership,
-                self._owners,
-                self._links,
-                clock,
-                region,
-            )
-            for region in self._parts.other_regions
-        ]
-        if not self._others or not self._settings.link_bytes:
-            return self.client
-        budget = spills.LinkBudget(self._settings.link_bytes)
-        return spills.SpillSource(self.client, self._others, budget, clock)
+        regions: typing.Iterable[identifiers.RegionName],
+        rate: float,
+    ) -> None:
+        """Take the other regions and this host's part of the link.
+
+        :param regions: regions that requests may spill to.
+        :param rate: bytes per second, both ways together; 0 for no spill.
+        """
+        known = {client.region for client in self._others}
+        for region in regions:
+            if region not in known:
+                self._others.append(self._create_client(region))
+        self._budget.change_rate(rate)
+
+    def _create_client(
+        self,
+        region: identifiers.RegionName,
+    ) -> allocations.AllocationClient:
+        return allocations.create_client(
+            self._identity,
+            self._parts.ownership,
+            self.owners,
+            self._links,
+            self._clock,
+            region,
+        )
 
     def _read_status(self) -> dict[str, typing.Any]:
         return {
@@ -236,7 +244,6 @@
         folder=pathlib.Path(folder) if folder else None,
         linger_seconds=section.getfloat('linger', _DEFAULT_LINGER_SECONDS),
         connections=section.getint('connections', _DEFAULT_CONNECTIONS),
-        link_bytes=section.getfloat('link_bytes', 0.0),
     )
 
 
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -41,6 +41,7 @@
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
         limits: protections.HeadLimits,
+        read_metrics: typing.Callable[[], bytes] = bytes,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
         self._routing = routing
@@ -49,6 +50,7 @@
         self._readiness = readiness
         self._read_status = read_status
         self._limits = limits
+        self._read_metrics = read_metrics
         self._runner: web.ServerRunner | None = None
         self._server: protections.GuardedServer | None = None
         self._site: web.TCPSite | None = None
@@ -121,6 +123,11 @@
     ) -> web.StreamResponse:
         if path == '/-/announce':
             return await self._announce(request)
+        if path == '/-/metrics':
+            return web.Response(
+                body=self._read_metrics(),
+                content_type='text/plain',
+            )
         if path == '/-/ready':
             ready = self._readiness.is_ready()
             return web.Response(status=200 if ready else 503)
@@ -169,6 +176,7 @@
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
     limits: protections.HeadLimits = protections.DEFAULT_LIMITS,
+    read_metrics: typing.Callable[[], bytes] = bytes,
 ) -> EntryServer:
     """Return a server that is not started."""
     return EntryServer(
@@ -178,4 +186,5 @@
         readiness,
         read_status,
         limits,
+        read_metrics,
     )
--- a/wagtailspread/entry/spills.py
+++ b/wagtailspread/entry/spills.py
@@ -59,6 +59,12 @@
         self._left = self._burst
         self._filled_at = 0.0
 
+    def change_rate(self, rate: float) -> None:
+        """Take another rate in bytes per second; 0 allows nothing."""
+        self._rate = rate
+        self._burst = rate * BURST_SECONDS
+        self._left = min(self._left, self._burst)
+
     def take(
         self,
         priority: priorities.Priority,
--- a/wagtailspread/entry/subscriptions.py
+++ b/wagtailspread/entry/subscriptions.py
@@ -29,7 +29,7 @@
     """The configuration in force on this host."""
 
     @property
-    def version(self) -> int:
+    def version(self) -> identifiers.ConfigurationVersion:
         """Return the version in force, 0 for none."""
 
     def apply(
@@ -47,7 +47,7 @@
 
     async def fetch_configuration(
         self,
-        known_version: int,
+        known_version: identifiers.ConfigurationVersion,
         wait: float,
     ) -> result.Result[messages.Struct, failures.Failure]:
         """Return the delta from a version once there is a newer one."""
--- a/wagtailspread/processes/copies.py
+++ b/wagtailspread/processes/copies.py
@@ -1,28 +1,41 @@
 """A host's copy of the configuration in force.
 
-The copy only moves to higher versions. It is written to the host's folder, if
-it has one, so that a restart begins with it.
+The copy only moves to higher versions.
+
+See also: :mod:`wagtailspread.entry.subscriptions` keeps it up to date.
 """
 
-import json
-import os
-import pathlib
-import random
+import dataclasses
 import typing
 
+from returns import result
+
 from wagtailspread.configuration import deltas, loaders, routes, schemas
-from wagtailspread.core import identifiers
+from wagtailspread.core import failures, identifiers
 from wagtailspread.observability import logs
 from wagtailspread.wire import messages
 
 _LOGGER = logs.get_logger('configuration')
-_FORMAT = 1
-_FILE_NAME = 'configuration.json'
 
 #: Called after a new version is in force.
 ChangeListener = typing.Callable[[schemas.Settings], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StaleDelta(failures.Failure):
+    """A delta that does not continue the version in force."""
+
+    version: int
+    in_force: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MissingMember(failures.Failure):
+    """A configuration without settings for the host's member."""
+
+    member: identifiers.MemberId
+
+
 class ConfigurationCopy:
     """Files, settings and routes of the version in force on this host.
 
@@ -34,7 +47,6 @@
         self,
         member: identifiers.MemberId,
         trusted_keys: dict[identifiers.MemberId, bytes],
-        folder: pathlib.Path | None,
     ) -> None:
         """Start without a version."""
         self.version = identifiers.ConfigurationVersion(0)
@@ -42,7 +54,6 @@
         self.listeners: list[ChangeListener] = []
         self._member = member
         self._trusted_keys = trusted_keys
-        self._folder = folder
         self._texts: dict[str, str] = {}
         self._loader = loaders.create_loader()
         self._routes: routes.RouteTable | None = None
@@ -69,57 +80,44 @@
             return None
         return self.settings.services.get(service)
 
-    def apply(self, delta: messages.Struct) -> bool:
-        """Take a delta and tell whether the version rose.
+    def apply(
+        self,
+        delta: messages.Struct,
+    ) -> result.Result[int, failures.Failure]:
+        """Put a delta in force if it leads to a higher version.
 
-        A delta that starts from another version than the one in force is not
-        applied; the host then asks for the full text.
+        A delta that starts from another version than the one in force would
+        give a configuration that was never accepted, and is refused.
         """
         if delta.to_version <= self.version:
-            return False
+            return result.Failure(StaleDelta(delta.to_version, self.version))
         if delta.from_version not in {0, self.version}:
-            return False
+            return result.Failure(StaleDelta(delta.from_version, self.version))
         texts = deltas.apply_delta(self._texts, delta)
-        if not self._adopt(texts, delta.to_version):
-            return False
-        self._save()
-        return True
+        return self._adopt(texts, delta.to_version)
 
-    def delta_since(self, version: int) -> messages.Struct:
+    def read_delta(self, known_version: int) -> messages.Struct:
         """Return the full text for a peer that has an older version."""
-        if self.version <= version:
+        if self.version <= known_version:
             return messages.structs.ConfigurationDelta(
-                from_version=version,
-                to_version=version,
+                from_version=known_version,
+                to_version=known_version,
                 sections=[],
             )
         return deltas.create_full(self._texts, self.version)
 
-    def load(self) -> None:
-        """Begin with the copy in the host's folder, if there is one."""
-        if self._folder is None:
-            return
-        path = self._folder / _FILE_NAME
-        if not path.exists():
-            return
-        try:
-            saved = json.loads(path.read_text('utf-8'))
-            texts, version = saved['texts'], saved['version']
-        except (ValueError, KeyError, TypeError):
-            _LOGGER.warning('saved configuration is unreadable')
-            return
-        if saved.get('format') == _FORMAT:
-            self._adopt(texts, version)
-
-    def _adopt(self, texts: dict[str, str], version: int) -> bool:
-        checked = self._loader.load(texts)
-        settings = checked.value_or({}).get(self._member)
+    def _adopt(
+        self,
+        texts: dict[str, str],
+        version: int,
+    ) -> result.Result[int, failures.Failure]:
+        settings = self._loader.load(texts).value_or({}).get(self._member)
         if settings is None:
             _LOGGER.error(
                 'configuration has no settings for this member',
                 extra={'version': version, 'member': self._member},
             )
-            return False
+            return result.Failure(MissingMember(self._member))
         self._texts = texts
         self._routes = routes.create_route_table(settings)
         self.settings = settings
@@ -127,24 +125,4 @@
         _LOGGER.info('configuration in force', extra={'version': version})
         for listener in self.listeners:
             listener(settings)
-        return True
-
-    def _save(self) -> None:
-        if self._folder is None:
-            return
-        self._folder.mkdir(parents=True, exist_ok=True)
-        path = self._folder / _FILE_NAME
-        # A random name keeps two processes on one folder from mixing writes.
-        partial = path.with_suffix(f'.{random.getrandbits(32):08x}')
-        text = json.dumps(
-            {
-                'format': _FORMAT,
-                'version': self.version,
-                'texts': self._texts,
-            }
-        )
-        with partial.open('w', encoding='utf-8') as stream:
-            stream.write(text)
-            stream.flush()
-            os.fsync(stream.fileno())
-        partial.replace(path)
+        return result.Success(version)
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -6,24 +6,25 @@
 import sys
 import typing
 
+from wagtailspread.configuration import schemas
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import processes
+from wagtailspread.entry import processes, subscriptions
 from wagtailspread.membership import agents, drivers, tables
 from wagtailspread.observability import logs, metrics, traces
 from wagtailspread.processes import (
     allocators,
     copies,
+    observers,
     ownerships,
     settings,
     statuses,
-    subscriptions,
 )
 from wagtailspread.replica import clients
 from wagtailspread.wire import links, listeners
 
 _LOGGER = logs.get_logger('entry')
-#: A host that heard of nobody for this long turns unready, in seconds.
-ISOLATION_SECONDS = 5.0
+#: Time between looks for a peer with a newer configuration, in seconds.
+RELAY_SECONDS = 0.2
 #: Time between looks at the number of hosts that can vote, in seconds.
 REFRESH_SECONDS = 0.5
 #: Connections of one host to one upstream: 330 connections over 44 hosts.
@@ -43,7 +44,6 @@
         self.copy = copies.ConfigurationCopy(
             process.member,
             process.trusted_keys,
-            part.folder,
         )
         self.metrics = metrics.create_metrics(process.host)
         self.tracing = traces.create_tracing(
@@ -66,25 +66,25 @@
             self.agent,
             self.metrics,
         )
-        self.copy.listeners.append(lambda _settings: self.factory.refresh())
+        self._process = process
         self._part = part
         self._clock = clock
         self._subscription: subscriptions.Subscription | None = None
         self._driver: drivers.Driver | None = None
-        self.copy.load()
         self.host = processes.create_host(
             _create_entry_settings(process, part),
             self.copy,
             self._create_parts,
         )
+        self.copy.listeners.append(self._apply_settings)
+        if self.copy.settings is not None:
+            self._apply_settings(self.copy.settings)
 
     async def start(self) -> None:
         """Open the listeners and join the fleet."""
         await self.host.start()
         if self._driver is not None:
             self._driver.start()
-        if self._subscription is not None:
-            self._subscription.start()
         _LOGGER.info(
             'entry host started',
             extra={
@@ -97,27 +97,16 @@
         """Turn unready, serve on, finish all requests, then close."""
         _LOGGER.info('draining', extra={'seconds': self._part.drain})
         await self.host.stop()
-        if self._subscription is not None:
-            await self._subscription.close()
         if self._driver is not None:
             await self._driver.close()
         self.tracing.close()
         _LOGGER.info('entry host stopped')
 
     def is_current(self) -> bool:
-        """Tell whether the host can know the configuration in force.
-
-        A host that reaches neither a replica nor a peer cannot. A fleet of
-        one host is exempt, since it has nobody to hear of.
-        """
-        if self.copy.settings is None:
-            return False
-        if not self._part.seeds or len(self.agent.members()) > 1:
-            return True
-        if self._subscription is None:
-            return False
-        silence = self._clock.now() - self._subscription.replica_heard
-        return silence <= ISOLATION_SECONDS
+        """Tell whether the host can know the configuration in force."""
+        return self._subscription is not None and (
+            self._subscription.is_current()
+        )
 
     def _create_parts(
         self,
@@ -128,14 +117,9 @@
         replicas = clients.create_client(self._part.replicas, pool)
         self._driver = drivers.create_driver(self.agent, pool, self._clock)
         self._driver.attach(listener)
-        self._subscription = subscriptions.Subscription(
-            self.copy,
-            replicas,
-            self.agent,
-            pool,
-            self._clock,
-        )
-        self._subscription.attach(listener)
+        subscription = self._create_subscription(replicas, pool)
+        subscription.register(listener)
+        self._subscription = subscription
         return processes.EntryParts(
             routing=self.copy,
             list_services=self._list_services,
@@ -147,12 +131,66 @@
             create_coordinator=self.factory.create,
             key_store=replicas,
             tracer=self.tracing,
+            observer=observers.RequestObserver(self.metrics),
             conditions=(self.is_current,),
-            tasks=(self._refresh_allocators,),
+            tasks=(
+                self._refresh_allocators,
+                self._relay_configuration,
+                subscription.run,
+            ),
             leave=self._driver.leave,
             read_status=self._read_status,
+            read_metrics=self.metrics.render,
+        )
+
+    def _apply_settings(self, applied: schemas.Settings) -> None:
+        """Bring the limits of this host to a version in force."""
+        self.factory.refresh()
+        own = applied.regions.get(self._process.region)
+        rate = own.link_bytes / own.hosts if own else 0
+        others = [
+            name for name in applied.regions if own is None or name != own.name
+        ]
+        self.host.change_link(others, rate)
+
+    def _create_subscription(
+        self,
+        replicas: clients.ReplicaClient,
+        pool: links.LinkPool,
+    ) -> subscriptions.Subscription:
+        folder = self._part.folder
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+        return subscriptions.Subscription(
+            self.copy,
+            replicas,
+            self._list_peers,
+            pool,
+            self._clock,
+            subscriptions.CopyFile(folder) if folder else None,
         )
 
+    def _list_peers(self) -> list[identifiers.Address]:
+        """Return live hosts in random order, or the seeds if none is known.
+
+        With the seeds, a host that is cut off from all others still counts
+        as one that has somebody to ask.
+        """
+        own = self.agent.identity.host
+        live = [row.address for row in self.agent.members() if row.host != own]
+        own_address = self._part.control_address
+        seeds = [seed for seed in self._part.seeds if seed != own_address]
+        return random.sample(live, len(live)) or seeds
+
+    async def _relay_configuration(self) -> None:
+        """Fetch from a peer that gossip shows to have a newer version."""
+        while True:
+            self.agent.configuration_version = self.copy.version
+            newest = self.agent.find_newest()
+            if newest is not None and self._subscription is not None:
+                await self._subscription.fetch_from(newest.address)
+            await asyncio.sleep(RELAY_SECONDS)
+
     async def _refresh_allocators(self) -> None:
         while True:
             await asyncio.sleep(REFRESH_SECONDS)
--- /dev/null
+++ b/wagtailspread/processes/observers.py
@@ -0,0 +1,44 @@
+"""Takes finished requests to the log and the metrics."""
+
+from wagtailspread.core import outcomes
+from wagtailspread.entry import interfaces
+from wagtailspread.observability import logs, metrics
+
+_LOGGER = logs.get_logger('request')
+_BROKEN = 'broken'
+
+
+class RequestObserver:
+    """Logs and counts finished requests.
+
+    A request that an upstream answered is only counted; one that the fleet
+    answered itself, or whose transfer broke, is logged too.
+    """
+
+    def __init__(self, host_metrics: metrics.Metrics) -> None:
+        """Keep where records go."""
+        self._metrics = host_metrics
+
+    def note_request(self, record: interfaces.RequestRecord) -> None:
+        """Take one finished request."""
+        priority = record.route.priority.name.lower()
+        outcome = record.outcome or _BROKEN
+        self._metrics.count('requests', priority, outcome)
+        self._metrics.record_seconds(priority, record.seconds)
+        if outcome == outcomes.Outcome.UPSTREAM.value:
+            return
+        self._metrics.count('refusals', priority, record.reason or outcome)
+        _LOGGER.info(
+            f'request {outcome}',
+            extra={
+                'request': record.request,
+                'route': record.route.name,
+                'service': record.route.service,
+                'priority': priority,
+                'caller': record.caller,
+                'reason': record.reason,
+                'status': record.status,
+                'attempts': record.attempts,
+                'seconds': round(record.seconds, 4),
+            },
+        )
--- a/wagtailspread/processes/tests/test_copies.py
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -7,6 +7,7 @@
 
 from wagtailspread.configuration import deltas, versions
 from wagtailspread.core import identifiers
+from wagtailspread.entry import subscriptions
 from wagtailspread.processes import copies, machines
 from wagtailspread.testing import fleets
 from wagtailspread.wire import credentials, messages
@@ -25,8 +26,8 @@
     return text.replace('floor = 50%', f'floor = {floor}%')
 
 
-def create_copy(folder=None):
-    return copies.ConfigurationCopy(MEMBER, {MEMBER: PUBLIC}, folder)
+def create_copy():
+    return copies.ConfigurationCopy(MEMBER, {MEMBER: PUBLIC})
 
 
 def create_deltas():
@@ -45,6 +46,13 @@
     return created
 
 
+def write_last_version():
+    copy = create_copy()
+    for delta in create_deltas():
+        copy.apply(delta).unwrap()
+    return copy.read_delta(0)
+
+
 def read_floor(copy):
     return round(copy.settings.services['vitrina'].floor * 100)
 
@@ -68,28 +76,30 @@
     first, _, third = create_deltas()
     copy = create_copy()
     copy.apply(first)
-    assert not copy.apply(third)
+    assert isinstance(copy.apply(third).failure(), copies.StaleDelta)
     assert (copy.version, read_floor(copy)) == (1, 50)
 
 
-def test_restart_begins_with_the_saved_copy(tmp_path):
+async def test_restart_begins_with_the_saved_copy(tmp_path):
     """Guards against a host that serves nothing until replicas answer."""
-    copy = create_copy(tmp_path)
-    for delta in create_deltas():
-        copy.apply(delta)
-    again = create_copy(tmp_path)
-    again.load()
+    file = subscriptions.CopyFile(tmp_path)
+    file.write(write_last_version())
+    again = create_copy()
+    subscriptions.Subscription(again, None, list, None, None, file)
     assert (again.version, read_floor(again)) == (3, 70)
     assert again.match('GET', '/columns/1').service == 'vitrina'
 
 
-def test_damaged_copy_is_ignored(tmp_path):
+async def test_damaged_copy_is_ignored(tmp_path):
     """Guards against a host that cannot start after a torn write."""
-    (tmp_path / 'configuration.json').write_text('{"texts": ')
-    copy = create_copy(tmp_path)
-    copy.load()
+    file = subscriptions.CopyFile(tmp_path)
+    file.write(write_last_version())
+    path = tmp_path / 'configuration.bin'
+    path.write_bytes(path.read_bytes()[:40])
+    copy = create_copy()
+    subscriptions.Subscription(copy, None, list, None, None, file)
     assert copy.version == 0
-    assert copy.apply(create_deltas()[0])
+    copy.apply(create_deltas()[0]).unwrap()
 
 
 def test_peer_with_an_older_version_gets_the_full_text():
@@ -98,9 +108,9 @@
     for delta in create_deltas():
         copy.apply(delta)
     peer = create_copy()
-    assert peer.apply(copy.delta_since(peer.version))
+    peer.apply(copy.read_delta(peer.version)).unwrap()
     assert (peer.version, read_floor(peer)) == (3, 70)
-    assert not peer.apply(copy.delta_since(peer.version))
+    peer.apply(copy.read_delta(peer.version)).failure()
 
 
 def test_first_version_comes_from_the_bootstrap_entry():
