Name no program and no encoding that the caller did not name

The list of skipped headers made aiohttp copy the headers of each request; two defaults do the same. The effect is within the noise of the shared machine.

--- a/wagtailspread/entry/connections.py
+++ b/wagtailspread/entry/connections.py
@@ -114,7 +114,6 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         )
 
 
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -17,6 +17,9 @@
 
 #: Header that carries the trace context.
 TRACE_HEADER = 'traceparent'
+#: Sent if the caller names no program, since the client library would name
+#: itself; it would also invent an Accept-Encoding that the caller may not know.
+_AGENT = 'wagtailspread'
 _FINGERPRINT_BYTES = 16
 _SEPARATOR = b'\0'
 
@@ -88,6 +91,8 @@
         parent = request.headers.get(TRACE_HEADER, '')
         with self._tracer.start_span(checked.route.name, parent) as span:
             headers = requests.copy_headers(request.headers)
+            headers.setdefault('Accept-Encoding', 'identity')
+            headers.setdefault('User-Agent', _AGENT)
             if span.header:
                 headers[TRACE_HEADER] = span.header
             job = self._create_job(checked, headers, body, deadline)
