--- a/wagtailspread/processes/observers.py
+++ b/wagtailspread/processes/observers.py
@@ -31,7 +31,6 @@
         _LOGGER.info(
             f'request {outcome}',
             extra={
-                'request': record.request,
                 'route': record.route.name,
                 'service': record.route.service,
                 'priority': priority,
