--- a/wagtailspread/allocation/selection.py
+++ b/wagtailspread/allocation/selection.py
@@ -29,7 +29,7 @@
 
     ``parked`` holds the upstreams that the judge does not accept from there,
     and ``usable`` is the number of the others that are announced and not
-    draining.
+    draining. ``heaps`` hold the near and the far ones with free slots.
     """
 
     def __init__(self, domain: identifiers.FailureDomain) -> None:
@@ -37,19 +37,19 @@
         self.domain = domain
         self.usable = 0
         self.parked: dict[identifiers.UpstreamId, tables.UpstreamRow] = {}
-        self._heaps: tuple[list[_Entry], list[_Entry]] = ([], [])
+        self.heaps: tuple[list[_Entry], list[_Entry]] = ([], [])
 
     def push(self, row: tables.UpstreamRow, tiebreak: float) -> None:
         """Offer a row that has a free slot."""
         if row.upstream in self.parked:
             return
-        heap = self._heaps[row.domain != self.domain]
+        heap = self.heaps[row.domain != self.domain]
         load = row.in_use / row.usable
         heapq.heappush(heap, (load, tiebreak, row.version, row))
 
     def pop(self) -> tables.UpstreamRow | None:
         """Take out the best row, or none if no row has a free slot."""
-        for heap in self._heaps:
+        for heap in self.heaps:
             while heap:
                 entry = heapq.heappop(heap)
                 if entry[2] == entry[3].version:
@@ -58,19 +58,19 @@
 
     def has_candidate(self) -> bool:
         """Return whether a row with a free slot is left."""
-        return any(_has_current(heap) for heap in self._heaps)
+        return any(_has_current(heap) for heap in self.heaps)
 
     def has_near_candidate(self) -> bool:
         """Return whether one in the failure domain of the view is left."""
-        return _has_current(self._heaps[0])
+        return _has_current(self.heaps[0])
 
     def count_entries(self) -> int:
         """Return the number of entries, outdated ones included."""
-        return len(self._heaps[0]) + len(self._heaps[1])
+        return len(self.heaps[0]) + len(self.heaps[1])
 
     def clear(self) -> None:
         """Forget all entries."""
-        for heap in self._heaps:
+        for heap in self.heaps:
             heap.clear()
 
 
@@ -128,9 +128,12 @@
         row.version += 1
         if row.in_use >= row.usable or not row.check_active(now):
             return
-        tiebreak = self._random.random()
+        load = row.in_use / row.usable
+        entry = (load, self._random.random(), row.version, row)
         for view in self.views.values():
-            view.push(row, tiebreak)
+            if not view.parked or row.upstream not in view.parked:
+                is_far = row.domain != view.domain
+                heapq.heappush(view.heaps[is_far], entry)
 
     def choose(
         self,
