--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -33,7 +33,7 @@
 #: Time constant of the times of successful answers, in seconds.
 TIMES_SECONDS = 4.0
 #: Time between two decays, in seconds.
-DECAY_SECONDS = 0.25
+DECAY_SECONDS = 0.5
 #: A row with fewer weighted samples than this is cleared.
 NEGLIGIBLE = 0.02
 #: Shortest time that is told apart, in seconds.
@@ -51,6 +51,9 @@
 SUSPICIOUS_FAILURES = 2.5
 #: Share of failures below which it is not looked at, unless a run is on.
 SUSPICIOUS_RATIO = 0.1
+#: How far above the service's share it must be. An upstream counts in that
+#: share itself, so that this is less than what a verdict requires.
+SUSPICIOUS_EXCESS = 0.02
 
 #: Number of the cell that holds the results from all domains.
 ALL_DOMAINS = 0
@@ -188,8 +191,12 @@
             self._cells[base + cells.LATE_ONSET] + (self._epoch or 0.0),
         )
 
-    def is_suspicious(self, row: int) -> bool:
-        """Tell at little cost whether the failures of a row may matter."""
+    def is_suspicious(self, row: int, usual: float) -> bool:
+        """Tell at little cost whether the failures of a row may matter.
+
+        :param usual: share of failures in the slow window of the service.
+        """
+        limit = max(SUSPICIOUS_RATIO, usual + SUSPICIOUS_EXCESS)
         table = self._cells
         start = row * self._width * cells.FIELDS
         if table[start + cells.RUN_BAD] >= SUSPICIOUS_FAILURES:
@@ -199,10 +206,15 @@
             if table[base + cells.RUN_BAD] >= SUSPICIOUS_FAILURES:
                 return True
             failures = table[base + cells.SLOW_BAD]
-            if failures > SUSPICIOUS_RATIO * table[base + cells.SLOW]:
+            if failures > limit * table[base + cells.SLOW]:
                 return True
         return False
 
+    def count_run(self, row: int, number: int = ALL_DOMAINS) -> float:
+        """Return the failures of the current run of a cell."""
+        base = (row * self._width + number) * cells.FIELDS
+        return self._cells[base + cells.RUN_BAD]
+
     def count_late(self, row: int) -> float:
         """Return the length of the run of slow answers of a row."""
         return self._cells[row * self._width * cells.FIELDS + cells.LATE]
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -80,8 +80,9 @@
         self._total = self._evidence.summarize_all()
         self._note_times(self._total.times)
         active = sorted(self._evidence.active)
+        usual = self._total.slow.ratio
         suspicious = [
-            row for row in active if self._evidence.is_suspicious(row)
+            row for row in active if self._evidence.is_suspicious(row, usual)
         ]
         late = [row for row in active if self._is_late(row)]
         faults: list[Fault] = []
@@ -192,8 +193,8 @@
         row: int,
         number: int = evidence.ALL_DOMAINS,
     ) -> bool:
-        run = self._evidence.find_run(row, number).counts
-        return run.failures >= comparison.MIN_FAILURES
+        failures = self._evidence.count_run(row, number)
+        return failures >= comparison.MIN_FAILURES
 
     def _find_slowness(self, row: int) -> list[Fault]:
         late = self._evidence.find_late_run(row)
@@ -253,7 +254,7 @@
     def _list_seen(self, row: int) -> _Names:
         seen = []
         for number, name in enumerate(self._evidence.domains, start=1):
-            if self._evidence.find_run(row, number).counts.failures:
+            if self._evidence.count_run(row, number):
                 seen.append(name)
         return tuple(seen)
 
