--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -150,12 +150,15 @@
 
         :param number: number of the domain, or all of them.
         """
-        if number != ALL_DOMAINS:
-            base = (row * self._width + number) * cells.FIELDS
-            window = self._cells[base : base + cells.WINDOW_FIELDS]
-            return summaries.create_summary(window)
-        return summaries.add_all(
-            self.summarize(row, one) for one in range(1, self._width)
+        numbers = [number] if number else range(1, self._width)
+        windows = []
+        for one in numbers:
+            base = (row * self._width + one) * cells.FIELDS
+            windows.append(self._cells[base : base + cells.WINDOW_FIELDS])
+        if len(windows) == 1:
+            return summaries.create_summary(windows[0])
+        return summaries.create_summary(
+            [sum(fields) for fields in zip(*windows, strict=True)],
         )
 
     def summarize_all(self) -> summaries.Summary:
