Admit learners under load; bound kept entries and queues in bytes

A learner had to hold every committed entry at the moment of the check. With changes all the time and a link of a few milliseconds the last ones are always on their way, so it was never admitted; the new test fails with that rule. It has to hold what was committed at a mark that is at most half an election timeout old. Leader completeness does not depend on the choice.

With stored answers of 64 KiB the 2,048 kept entries take 128 MB and the queue of a silent peer up to 512 MB. Both are bounded in bytes (4 and 16 MiB).

--- a/wagtailspread/consensus/logs.py
+++ b/wagtailspread/consensus/logs.py
@@ -131,13 +131,26 @@
             first = identifiers.LogIndex(first - 1)
         return first
 
-    def compact(self, snapshot: messages.Snapshot, kept: int) -> None:
+    def compact(
+        self,
+        snapshot: messages.Snapshot,
+        kept: int,
+        kept_bytes: int = 0,
+    ) -> None:
         """Drop entries that ``snapshot`` covers.
 
-        :param kept: how many of the covered entries stay.
+        :param kept: how many of the covered entries stay at most.
+        :param kept_bytes: how many bytes of them stay at most.
         """
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.index - kept)
+        base = snapshot.index
+        first = max(self.base_index, snapshot.index - kept)
+        while base > first:
+            place = base - self.base_index - 1
+            kept_bytes -= len(self._entries[place].payload)
+            if kept_bytes < 0:
+                break
+            base = identifiers.LogIndex(base - 1)
         dropped = base - self.base_index
         if not dropped:
             return
--- a/wagtailspread/consensus/reconfiguration.py
+++ b/wagtailspread/consensus/reconfiguration.py
@@ -63,6 +63,8 @@
         """Work on ``state``."""
         self._state = state
         self._introduced: dict[identifiers.Address, _Introduced] = {}
+        self._mark = state.commit
+        self._marked_at = float('-inf')
 
     def introduce(self, node: messages.ReplicaNode, now: float) -> None:
         """Note the identity that answers at a listed address."""
@@ -71,6 +73,7 @@
     def find_next(self, now: float) -> MembershipChange | None:
         """Return the step that brings the membership up to date, if any."""
         state = self._state
+        self._set_mark(now)
         if self._find_obstacle() is not None:
             return None
         for node in self._list_introduced(now):
@@ -106,13 +109,24 @@
         identity: identifiers.ReplicaId,
         now: float,
     ) -> bool:
-        """Tell whether a learner is live and holds all committed entries."""
+        """Tell whether a learner is live and holds the committed entries.
+
+        Under load the last entries are always on their way, so it has to hold
+        what was committed at the last mark, which is set anew every half an
+        election timeout.
+        """
         state = self._state
+        self._set_mark(now)
         progress = state.progress.get(identity)
         if progress is None:
             return False
         is_live = now - progress.active_at < state.policy.election_timeout
-        return is_live and progress.match >= state.commit
+        return is_live and progress.match >= self._mark
+
+    def _set_mark(self, now: float) -> None:
+        if now - self._marked_at >= self._state.policy.election_timeout / 2:
+            self._mark = self._state.commit
+            self._marked_at = now
 
     def _find_obstacle(self) -> str | None:
         state = self._state
--- a/wagtailspread/consensus/replicas.py
+++ b/wagtailspread/consensus/replicas.py
@@ -161,7 +161,8 @@
         if term is not None and index > log.snapshot.index:
             membership = log.find_membership(index)
             snapshot = messages.Snapshot(index, term, membership, payload)
-            log.compact(snapshot, self.state.policy.kept_entries)
+            policy = self.state.policy
+            log.compact(snapshot, policy.kept_entries, policy.kept_bytes)
 
     def flush(self, now: float) -> messages.Output:
         """Return the output of the proposals made since the last step."""
--- a/wagtailspread/consensus/states.py
+++ b/wagtailspread/consensus/states.py
@@ -37,6 +37,7 @@
     max_entries_in_flight: int = 8192
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 2048
+    kept_bytes: int = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
--- a/wagtailspread/consensus/tests/test_files.py
+++ b/wagtailspread/consensus/tests/test_files.py
@@ -106,6 +106,19 @@
     assert list_indexes(store.folder) == [1, 2]
 
 
+def test_write_that_is_torn_anywhere_is_cut_off(store):
+    """Guards against a length or checksum that is torn itself."""
+    write(store, entries=create_entries(1, 2))
+    path = find_journal(store)
+    whole = path.read_bytes()
+    frame = frames.pack_frame(journals.pack_record(*create_entries(3, 3)))
+    for size, _byte in enumerate(frame):
+        path.write_bytes(whole + frame[:size])
+        assert list_indexes(store.folder) == [1, 2]
+    path.write_bytes(whole + frame)
+    assert list_indexes(store.folder) == [1, 2, 3]
+
+
 def test_damage_of_a_frame_that_was_synced_last_is_found(store):
     """Guards against an acknowledged entry that is cut off as torn."""
     write(store, entries=create_entries(1, 2))
--- a/wagtailspread/consensus/tests/test_replicas.py
+++ b/wagtailspread/consensus/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """Steps of replicas in memory: changes, snapshots, hand-over, repair."""
 
+import dataclasses
 import itertools
 import random
 
@@ -303,6 +304,70 @@
     assert fleet.nodes[follower].applied == fleet.nodes[leader].applied
 
 
+class LateFleet(networks.SimulatedFleet):
+    """Holds what is sent to one replica until it is released."""
+
+    slow = None
+
+    def __init__(self, *arguments, **options):
+        self.held = []
+        super().__init__(*arguments, **options)
+
+    def post(self, source, outgoing):
+        super().post(source, outgoing)
+        late = [one for one in self.in_flight if one[1] == self.slow]
+        self.held.extend(late)
+        self.in_flight = [one for one in self.in_flight if one[1] != self.slow]
+
+    def release(self):
+        held, self.held = self.held, []
+        node = self.nodes[self.slow]
+        for _source, _target, message in held:
+            node.take(node.replica.receive(message, self.now))
+
+
+def test_learner_is_admitted_while_changes_go_on():
+    """Guards against a replica that stays a learner for as long as there is
+    load, since the last entries are always on their way to it.
+    """
+    fleet = LateFleet(3, policy=POLICY)
+    fleet.run(3.0)
+    fleet.slow = find_followers(fleet)[0]
+    fleet.wipe(fleet.slow)
+    for _ in range(80):
+        fleet.advance(0.05)
+        propose_many(fleet, 1)
+        fleet.release()
+        fleet.settle()
+    assert find_state(fleet, fleet.slow).is_voter()
+
+
+def test_learner_that_holds_nothing_is_not_caught_up():
+    """Guards against a mark that an empty log reaches."""
+    fleet = create_fleet(3, spares=1)
+    replica = fleet.nodes[find_leader(fleet)].replica
+    replica.state.progress['empty'] = states.Progress(
+        0,
+        1,
+        active_at=fleet.now,
+    )
+    assert not replica.reconfiguration.is_caught_up('empty', fleet.now)
+
+
+def test_kept_entries_are_bounded_in_bytes():
+    """Guards against memory that grows with the size of stored answers."""
+    fleet = create_fleet()
+    leader = find_leader(fleet)
+    state = find_state(fleet, leader)
+    policy = dataclasses.replace(POLICY, kept_entries=100, kept_bytes=30)
+    state.policy = policy
+    propose_many(fleet, 20)
+    fleet.run(0.5)
+    fleet.nodes[leader].compact()
+    kept = state.log.read(state.log.base_index + 1, state.log.snapshot.index)
+    assert 1 <= len(kept) <= 3
+
+
 def test_message_for_another_identity_is_dropped():
     """Guards against a new identity that votes for the old one."""
     fleet = create_fleet()
--- a/wagtailspread/replica/peers.py
+++ b/wagtailspread/replica/peers.py
@@ -15,6 +15,8 @@
 CALL_SECONDS = 1.0
 #: Messages kept for a peer that takes none; older ones are dropped first.
 MAX_QUEUED = 1024
+#: Payload bytes kept for such a peer.
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
 #: Payload bytes after which a batch is closed.
 MAX_BATCH_BYTES = 1024 * 1024
 #: Batches of one peer that may be under way at a time.
@@ -36,9 +38,8 @@
         self._own = own
         self._address = address
         self._pool = pool
-        self._queue: collections.deque[wire.Struct] = collections.deque(
-            maxlen=MAX_QUEUED,
-        )
+        self._queue: collections.deque[wire.Struct] = collections.deque()
+        self._queued_bytes = 0
         self._calls: set[asyncio.Task[None]] = set()
 
     def add(self, message: AnyMessage) -> None:
@@ -48,6 +49,9 @@
             payload=wire.encode(messages.to_struct(message)),
         )
         self._queue.append(packed)
+        self._queued_bytes += len(packed.payload)
+        while self._is_too_long():
+            self._take_one()
         if len(self._calls) < MAX_CALLS:
             call = asyncio.create_task(self._send())
             self._calls.add(call)
@@ -79,11 +83,21 @@
         taken = []
         size = 0
         while self._queue and size < MAX_BATCH_BYTES:
-            packed = self._queue.popleft()
+            packed = self._take_one()
             size += len(packed.payload)
             taken.append(packed)
         return taken
 
+    def _take_one(self) -> wire.Struct:
+        packed = self._queue.popleft()
+        self._queued_bytes -= len(packed.payload)
+        return packed
+
+    def _is_too_long(self) -> bool:
+        if len(self._queue) > MAX_QUEUED:
+            return True
+        return self._queued_bytes > MAX_QUEUED_BYTES
+
 
 class PeerSender:
     """Finds the address of an identity and sends to it."""
