--- a/benchmarks/configuration_measures.py
+++ b/benchmarks/configuration_measures.py
@@ -98,12 +98,12 @@
         )
         for number in range(1, scale.changes + 1)
     ]
-    seconds, submitted = _time(
+    seconds, submitted = _measure_time(
         lambda: [state.submit(submission) for submission in submissions],
     )
     _require(all(answer.status == 'accepted' for answer in submitted))
     rate = scale.changes / seconds
-    yield _line('changes-rate', f'{small.routes}-routes', rate, '1/s')
+    yield _write_line('changes-rate', f'{small.routes}-routes', rate, '1/s')
 
 
 def _create_first(base: str) -> messages.Struct:
@@ -132,34 +132,36 @@
 def _measure_versions(scale: Scale) -> typing.Iterator[str]:
     scenario = f'{scale.routes}-routes'
     base = write_base(scale)
-    yield _line('base-file-size', scenario, len(base) / _MEBIBYTE, 'MiB')
+    yield _write_line('base-file-size', scenario, len(base) / _MEBIBYTE, 'MiB')
     loader = loaders.create_loader()
-    seconds, loaded = _time(lambda: loader.load({'base.ini': base}))
-    yield _line('check-whole', scenario, seconds, 's')
+    seconds, loaded = _measure_time(lambda: loader.load({'base.ini': base}))
+    yield _write_line('check-whole', scenario, seconds, 's')
     state = versions.create_configuration()
     first = _create_first(base)
-    seconds, _ = _time(lambda: state.submit(first))
-    yield _line('submit-first', scenario, seconds, 's')
+    seconds, _ = _measure_time(lambda: state.submit(first))
+    yield _write_line('submit-first', scenario, seconds, 's')
     known = state.files
     changed = base.replace(_CHANGED, '/w/0/changed\n', 1)
     second = _create_change(1, {'base.ini': changed})
-    seconds, answer = _time(lambda: state.submit(second))
+    seconds, answer = _measure_time(lambda: state.submit(second))
     _require(answer.status == 'accepted')
-    yield _line('submit-one-route', scenario, seconds, 's')
-    seconds, delta = _time(lambda: state.delta_since(1))
-    yield _line('delta-time', scenario, seconds, 's')
-    yield _line('delta-size', scenario, len(messages.encode(delta)), 'B')
+    yield _write_line('submit-one-route', scenario, seconds, 's')
+    seconds, delta = _measure_time(lambda: state.delta_since(1))
+    yield _write_line('delta-time', scenario, seconds, 's')
+    yield _write_line('delta-size', scenario, len(messages.encode(delta)), 'B')
     loader.load(known)
-    seconds, updated = _time(lambda: deltas.apply_delta(known, delta))
+    seconds, updated = _measure_time(lambda: deltas.apply_delta(known, delta))
     _require(updated == state.files)
-    yield _line('delta-apply', scenario, seconds, 's')
-    seconds, _ = _time(lambda: loader.load(updated))
-    yield _line('host-load-one-route', scenario, seconds, 's')
+    yield _write_line('delta-apply', scenario, seconds, 's')
+    seconds, _ = _measure_time(lambda: loader.load(updated))
+    yield _write_line('host-load-one-route', scenario, seconds, 's')
     snapshot = state.take_snapshot()
-    yield _line('snapshot-size', scenario, len(snapshot) / _MEBIBYTE, 'MiB')
+    yield _write_line(
+        'snapshot-size', scenario, len(snapshot) / _MEBIBYTE, 'MiB'
+    )
     other = versions.create_configuration()
-    seconds, _ = _time(lambda: other.restore(snapshot))
-    yield _line('restore', scenario, seconds, 's')
+    seconds, _ = _measure_time(lambda: other.restore(snapshot))
+    yield _write_line('restore', scenario, seconds, 's')
     yield from _measure_routes(scale, loaded.unwrap()[MEMBER])
 
 
@@ -168,8 +170,8 @@
     settings: schemas.Settings,
 ) -> typing.Iterator[str]:
     scenario = f'{scale.routes}-routes'
-    seconds, table = _time(lambda: routes.create_route_table(settings))
-    yield _line('route-table', scenario, seconds, 's')
+    seconds, table = _measure_time(lambda: routes.create_route_table(settings))
+    yield _write_line('route-table', scenario, seconds, 's')
     paths = [
         f'/w/{number // 7}/{number}/page/{number}'
         for number in range(scale.routes)
@@ -182,10 +184,10 @@
             for number in range(count)
         )
 
-    seconds, found = _time(match_all)
+    seconds, found = _measure_time(match_all)
     _require(found == count)
     each = seconds / count * _MICROSECONDS
-    yield _line('route-match', scenario, each, 'us')
+    yield _write_line('route-match', scenario, each, 'us')
 
 
 def _measure_claims(scale: Scale) -> typing.Iterator[str]:
@@ -199,38 +201,46 @@
         table.finish(_create_finish(number), now)
     gc.collect()
     each = (_read_memory() - before) / scale.keys
-    yield _line('key-memory', scenario, each, 'B')
+    yield _write_line('key-memory', scenario, each, 'B')
     projected = each * _MILLION / _MEBIBYTE
-    yield _line('memory-projected', '1000000-keys', projected, 'MiB')
-    seconds, _ = _time(table.freeze)
-    yield _line('freeze-time', scenario, seconds, 's')
-    seconds, snapshot = _time(table.take_snapshot)
-    yield _line('snapshot-time', scenario, seconds, 's')
-    yield _line('snapshot-size', scenario, len(snapshot) / _MEBIBYTE, 'MiB')
-    seconds, _ = _time(lambda: claims.create_claim_table().restore(snapshot))
-    yield _line('restore-time', scenario, seconds, 's')
-    seconds, forgotten = _time(
+    yield _write_line('memory-projected', '1000000-keys', projected, 'MiB')
+    seconds, _ = _measure_time(table.freeze)
+    yield _write_line('freeze-time', scenario, seconds, 's')
+    seconds, snapshot = _measure_time(table.take_snapshot)
+    yield _write_line('snapshot-time', scenario, seconds, 's')
+    yield _write_line(
+        'snapshot-size', scenario, len(snapshot) / _MEBIBYTE, 'MiB'
+    )
+    seconds, _ = _measure_time(
+        lambda: claims.create_claim_table().restore(snapshot)
+    )
+    yield _write_line('restore-time', scenario, seconds, 's')
+    seconds, forgotten = _measure_time(
         lambda: table.expire(2 * claims.DAY_SECONDS),
     )
     _require(forgotten == scale.keys)
-    yield _line('expire-time', scenario, seconds, 's')
+    yield _write_line('expire-time', scenario, seconds, 's')
 
 
 def _measure_claim_rates(scale: Scale) -> typing.Iterator[str]:
     scenario = f'{scale.timed_keys}-keys'
     table = claims.create_claim_table()
     requests = [_create_claim(number) for number in range(scale.timed_keys)]
-    seconds, answers = _time(
+    seconds, answers = _measure_time(
         lambda: [table.claim(request, 0) for request in requests],
     )
     _require(all(answer.state == 'granted' for answer in answers))
-    yield _line('claims-rate', scenario, scale.timed_keys / seconds, '1/s')
+    yield _write_line(
+        'claims-rate', scenario, scale.timed_keys / seconds, '1/s'
+    )
     finishes = [_create_finish(number) for number in range(scale.timed_keys)]
-    seconds, finished = _time(
+    seconds, finished = _measure_time(
         lambda: [table.finish(finish, 1) for finish in finishes],
     )
     _require(all(finished))
-    yield _line('finishes-rate', scenario, scale.timed_keys / seconds, '1/s')
+    yield _write_line(
+        'finishes-rate', scenario, scale.timed_keys / seconds, '1/s'
+    )
 
 
 def _create_claim(number: int) -> messages.Struct:
@@ -279,7 +289,7 @@
     return pages * os.sysconf('SC_PAGE_SIZE')
 
 
-def _time(
+def _measure_time(
     action: typing.Callable[[], typing.Any],
 ) -> tuple[float, typing.Any]:
     started = time.perf_counter()
@@ -287,7 +297,7 @@
     return time.perf_counter() - started, outcome
 
 
-def _line(measure: str, scenario: str, ours: float, unit: str) -> str:
+def _write_line(measure: str, scenario: str, ours: float, unit: str) -> str:
     return f'{measure} {scenario} ours={ours:.4g} unit={unit}'
 
 
--- a/wagtailspread/commands/renderings.py
+++ b/wagtailspread/commands/renderings.py
@@ -60,8 +60,8 @@
     after: checks.SiteSettings,
 ) -> list[Difference]:
     """Return the settings that differ between two sets of files."""
-    old = {_place(one): one.shown for one in list_settings(before)}
-    new = {_place(one): one.shown for one in list_settings(after)}
+    old = {_locate(one): one.shown for one in list_settings(before)}
+    new = {_locate(one): one.shown for one in list_settings(after)}
     return [
         Difference(*place, old.get(place, ''), new.get(place, ''))
         for place in dict.fromkeys((*old, *new))
@@ -145,7 +145,7 @@
     return f'{size}GiB'
 
 
-def _place(setting: Setting) -> tuple[str, str, str]:
+def _locate(setting: Setting) -> tuple[str, str, str]:
     return setting.site, setting.subject, setting.key
 
 
--- a/wagtailspread/configuration/changes.py
+++ b/wagtailspread/configuration/changes.py
@@ -82,7 +82,7 @@
             findings.Finding(
                 self._own.name,
                 agreement.line,
-                f'[{_header(agreement)}]',
+                f'[{_show_header(agreement)}]',
                 expected,
                 _Kind.VOID_AGREEMENT,
             )
@@ -103,7 +103,7 @@
             self._sink.append(
                 findings.Finding(
                     overlay.name,
-                    _line_of(overlay),
+                    _find_leave_line(overlay),
                     '[leave]',
                     'another member that stays',
                     _Kind.NOT_PERMITTED,
@@ -118,13 +118,13 @@
         for name in self._overlays:
             overlay = self._overlays[name]
             if approvals.is_leaving(overlay):
-                self._refuse_first(name, _line_of(overlay), '[leave]')
+                self._refuse_first(name, _find_leave_line(overlay), '[leave]')
         for name, agreements in self._agreements.items():
             for agreement in agreements:
                 self._refuse_first(
                     schemas.overlay_name(name),
                     agreement.line,
-                    f'[{_header(agreement)}]',
+                    f'[{_show_header(agreement)}]',
                 )
 
     def _refuse_first(self, file: str, line: int, header: str) -> None:
@@ -188,12 +188,12 @@
     return agreements
 
 
-def _header(agreement: approvals.Agreement) -> str:
+def _show_header(agreement: approvals.Agreement) -> str:
     is_join = agreement.kind is approvals.ChangeKind.JOIN
     kind = 'approval' if is_join else 'removal'
     return f'{kind} {agreement.subject}'
 
 
-def _line_of(overlay: files.ParsedFile) -> int:
+def _find_leave_line(overlay: files.ParsedFile) -> int:
     section = overlay.find(sections.LEAVE.kind)
     return section.line if section else 0
--- a/wagtailspread/configuration/loaders.py
+++ b/wagtailspread/configuration/loaders.py
@@ -36,7 +36,7 @@
         problems: list[findings.Finding] = []
         parsed = self._parse_all(texts, problems)
         if schemas.BASE_FILE not in texts:
-            problems.append(_missing_base())
+            problems.append(_report_missing_base())
         if problems:
             return result.Failure(findings.sort_findings(problems))
         self._parsed = parsed
@@ -46,7 +46,7 @@
         try:
             in_force = memberships.read_membership(listed) if listed else None
         except (KeyError, ValueError):
-            return result.Failure((_broken_members(),))
+            return result.Failure((_report_broken_members(),))
         checked = checks.check_files(
             base,
             tuple(others.values()),
@@ -81,7 +81,7 @@
     return create_loader().load(texts)
 
 
-def _missing_base() -> findings.Finding:
+def _report_missing_base() -> findings.Finding:
     return findings.Finding(
         schemas.BASE_FILE,
         0,
@@ -91,7 +91,7 @@
     )
 
 
-def _broken_members() -> findings.Finding:
+def _report_broken_members() -> findings.Finding:
     return findings.Finding(
         schemas.MEMBERS_FILE,
         0,
--- a/wagtailspread/configuration/sections.py
+++ b/wagtailspread/configuration/sections.py
@@ -79,15 +79,17 @@
         return tuple(rule.key for rule in self.rules)
 
 
-def _text(key: str, about: str, default: str | None = None) -> KeyRule:
+def _create_text(key: str, about: str, default: str | None = None) -> KeyRule:
     return KeyRule(key, default=default, about=about)
 
 
-def _share(key: str, default: str, is_overridable: bool = False) -> KeyRule:
+def _create_share(
+    key: str, default: str, is_overridable: bool = False
+) -> KeyRule:
     return KeyRule(key, units.SHARE, default, '0%', '100%', is_overridable)
 
 
-def _duration(
+def _create_duration(
     key: str,
     default: str,
     low: str,
@@ -97,7 +99,7 @@
     return KeyRule(key, units.DURATION, default, low, high, is_overridable)
 
 
-def _queue(priority: str) -> KeyRule:
+def _create_queue(priority: str) -> KeyRule:
     return KeyRule(
         f'queue_{priority}',
         units.COUNT,
@@ -111,21 +113,21 @@
 FLEET = SectionKind(
     'fleet',
     is_named=False,
-    rules=(_text('name', 'the name of the fleet'),),
+    rules=(_create_text('name', 'the name of the fleet'),),
 )
 MEMBER = SectionKind(
     'member',
     is_named=True,
     rules=(
-        _text('public_key', 'an Ed25519 public key in base64'),
-        _text('contact', 'whom to ask', default=''),
+        _create_text('public_key', 'an Ed25519 public key in base64'),
+        _create_text('contact', 'whom to ask', default=''),
     ),
 )
 REGION = SectionKind(
     'region',
     is_named=True,
     rules=(
-        _text('domains', 'the failure domains of the region'),
+        _create_text('domains', 'the failure domains of the region'),
         KeyRule('hosts', units.COUNT, low='1', high='100000'),
         KeyRule('link', units.RATE, low='1kbit/s', high='1000Gbit/s'),
     ),
@@ -134,35 +136,37 @@
     'service',
     is_named=True,
     rules=(
-        _share('floor', '60%'),
-        _share('share_urgent', '60%', is_overridable=True),
-        _share('share_standard', '30%', is_overridable=True),
-        _share('share_bulk', '10%', is_overridable=True),
-        _queue('urgent'),
-        _queue('standard'),
-        _queue('bulk'),
-        _duration('deadline', '2s', '10ms', '1h', is_overridable=True),
+        _create_share('floor', '60%'),
+        _create_share('share_urgent', '60%', is_overridable=True),
+        _create_share('share_standard', '30%', is_overridable=True),
+        _create_share('share_bulk', '10%', is_overridable=True),
+        _create_queue('urgent'),
+        _create_queue('standard'),
+        _create_queue('bulk'),
+        _create_duration('deadline', '2s', '10ms', '1h', is_overridable=True),
         KeyRule('max_body', units.SIZE, '1MiB', '0B', '16GiB', True),
-        _duration('warm_up', '10s', '0s', '1h', is_overridable=True),
-        _share('retry_share', '10%'),
-        _duration('quarantine', '60s', '1s', '24h'),
-        _duration('key_lifetime', '24h', '1min', '30d'),
+        _create_duration('warm_up', '10s', '0s', '1h', is_overridable=True),
+        _create_share('retry_share', '10%'),
+        _create_duration('quarantine', '60s', '1s', '24h'),
+        _create_duration('key_lifetime', '24h', '1min', '30d'),
     ),
 )
 ROUTE = SectionKind(
     'route',
     is_named=True,
     rules=(
-        _text('service', 'the name of a service'),
-        _text('path', 'an absolute path, such as /columns'),
-        _text('methods', 'HTTP methods', default='GET HEAD'),
-        _text('priority', 'urgent, standard or bulk', default='standard'),
-        _text('idempotent', 'yes or no', default=''),
+        _create_text('service', 'the name of a service'),
+        _create_text('path', 'an absolute path, such as /columns'),
+        _create_text('methods', 'HTTP methods', default='GET HEAD'),
+        _create_text(
+            'priority', 'urgent, standard or bulk', default='standard'
+        ),
+        _create_text('idempotent', 'yes or no', default=''),
     ),
 )
 _AGREEMENT_RULES = (
-    _text('digest', 'the digest of the member section'),
-    _text('membership', 'the digest of the members in force'),
+    _create_text('digest', 'the digest of the member section'),
+    _create_text('membership', 'the digest of the members in force'),
 )
 APPROVAL = SectionKind('approval', is_named=True, rules=_AGREEMENT_RULES)
 REMOVAL = SectionKind('removal', is_named=True, rules=_AGREEMENT_RULES)
--- a/wagtailspread/idempotency/claims.py
+++ b/wagtailspread/idempotency/claims.py
@@ -20,10 +20,15 @@
 """
 
 import dataclasses
-import sys
 import typing
 
-from wagtailspread.idempotency import expiries, keys, records, snapshots
+from wagtailspread.idempotency import (
+    expiries,
+    keys,
+    records,
+    requests,
+    snapshots,
+)
 from wagtailspread.wire import messages
 
 #: Default lifetime of a key in seconds.
@@ -103,19 +108,21 @@
         :returns: a thrift ``ClaimAnswer``; see :class:`keys.ClaimState`.
         """
         now = self._advance(now)
-        scope = _scope_of(request)
+        scope = requests.read_scope(request)
         record = self._find(scope, now)
         if record is None:
-            return _answer(self._claim_new(scope, request, now))
-        if _attempt_of(request) in record.released:
-            return _answer(_Claimed.RELEASED)
+            return requests.create_answer(self._claim_new(scope, request, now))
+        if requests.read_attempt(request) in record.released:
+            return requests.create_answer(_Claimed.RELEASED)
         if record.fingerprint not in {None, request.fingerprint or b''}:
-            return _answer(_Claimed.MISMATCH)
+            return requests.create_answer(_Claimed.MISMATCH)
         if record.state is _State.FINISHED:
-            return _answer(_Claimed.FINISHED, record.answer)
+            return requests.create_answer(_Claimed.FINISHED, record.answer)
         if record.state is _State.RELEASED:
-            return _answer(self._claim_released(scope, record, request, now))
-        return _answer(self._claim_taken(record, request))
+            return requests.create_answer(
+                self._claim_released(scope, record, request, now)
+            )
+        return requests.create_answer(self._claim_taken(record, request))
 
     def finish(self, request: messages.Struct, now: float) -> bool:
         """Store the answer of the running attempt, or that it is unknown.
@@ -125,9 +132,9 @@
         :returns: whether the attempt was running; if not, nothing changes.
         """
         now = self._advance(now)
-        scope = _scope_of(request)
+        scope = requests.read_scope(request)
         record = self._find(scope, now)
-        if record is None or not _is_running(record, request):
+        if record is None or not requests.is_running(record, request):
             return False
         if request.state != _Claimed.FINISHED.value:
             ended = dataclasses.replace(record, state=_State.UNKNOWN)
@@ -153,11 +160,11 @@
             the store has no room to remember it.
         """
         now = self._advance(now)
-        scope = _scope_of(request)
+        scope = requests.read_scope(request)
         record = self._find(scope, now)
         if record is None:
             return self._release_early(scope, request, now)
-        attempt = _attempt_of(request)
+        attempt = requests.read_attempt(request)
         if attempt in record.released:
             return True
         if record.attempt != attempt:
@@ -270,7 +277,7 @@
     ) -> keys.ClaimState:
         if record.state is _State.UNKNOWN:
             return _Claimed.UNKNOWN
-        is_resent = record.attempt == _attempt_of(request)
+        is_resent = record.attempt == requests.read_attempt(request)
         return _Claimed.GRANTED if is_resent else _Claimed.RUNNING
 
     def _grant(
@@ -284,8 +291,8 @@
         lifetime = self._lifetimes.find_lifetime(request.service_name)
         return records.Record(
             state=_State.RUNNING,
-            attempt=_attempt_of(request),
-            host=_intern(request.host),
+            attempt=requests.read_attempt(request),
+            host=requests.share_host(request.host),
             fingerprint=request.fingerprint or b'',
             deadline=deadline,
             expires=max(
@@ -326,7 +333,7 @@
             fingerprint=None,
             deadline=0,
             expires=now + lifetime,
-            released=(_attempt_of(request),),
+            released=(requests.read_attempt(request),),
         )
         self._add(scope, record)
         return True
@@ -369,38 +376,3 @@
     :param lifetimes: lifetimes of keys; 24 h by default.
     """
     return ClaimTable(policy or ClaimPolicy(), lifetimes or FixedLifetimes())
-
-
-def _scope_of(request: messages.Struct) -> keys.Scope:
-    return keys.digest_scope(
-        request.service_name or '',
-        request.caller or '',
-        request.key or '',
-    )
-
-
-def _attempt_of(request: messages.Struct) -> str:
-    """Return the attempt; bytes that are not UTF-8 are kept as surrogates."""
-    attempt = request.attempt or ''
-    return snapshots.decode_text(attempt)
-
-
-def _intern(host: str | None) -> str:
-    """Return the one copy of a host's id that all its records share."""
-    return sys.intern(host) if isinstance(host, str) else ''
-
-
-def _is_running(record: records.Record, request: messages.Struct) -> bool:
-    if record.state is not _State.RUNNING:
-        return False
-    return record.attempt == _attempt_of(request)
-
-
-def _answer(
-    state: keys.ClaimState,
-    stored: bytes | None = None,
-) -> messages.Struct:
-    answer = None
-    if stored is not None:
-        answer = messages.decode(messages.structs.StoredAnswer, stored)
-    return messages.structs.ClaimAnswer(state=state.value, answer=answer)
--- a/wagtailspread/idempotency/tests/test_claim_machine.py
+++ b/wagtailspread/idempotency/tests/test_claim_machine.py
@@ -325,7 +325,7 @@
     """Lets a second end of an attempt replace the first answer."""
 
     def finish(self, request, now):
-        scope = claims._scope_of(request)
+        scope = claims.requests.read_scope(request)
         record = self._records.get(scope)
         if record and record.answer:
             answer = records.bound_answer(request.answer, 1000)
