--- a/wagtailspread/idempotency/tests/test_claim_machine.py
+++ b/wagtailspread/idempotency/tests/test_claim_machine.py
@@ -23,7 +23,7 @@
 #: A machine with a broken table only has to fail, not to fail briefly.
 BROKEN_SETTINGS = hypothesis.settings(
     SETTINGS,
-    max_examples=400,
+    max_examples=2000,
     phases=[hypothesis.Phase.generate],
 )
 
@@ -325,7 +325,7 @@
     """Lets a second end of an attempt replace the first answer."""
 
     def finish(self, request, now):
-        scope = claims._scope_of(request)
+        scope = claims.requests.read_scope(request)
         record = self._records.get(scope)
         if record and record.answer:
             answer = records.bound_answer(request.answer, 1000)
