Keep one record for each lease and one timer for each exchange

Leases go by request, so a grant is no longer copied to change its id, and the exchange's own timer replaces a timeout context.

--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -2,7 +2,8 @@
 
 Both proxies run in processes of their own in front of the same fake
 upstreams. Requests per second per core are requests divided by the processor
-time that the proxy used in the median of many short alternating slices. Added latency is the latency through a proxy minus
+time that the proxy used in the median of many
+short alternating slices. Added latency is the latency through a proxy minus
 the latency of the same load sent to the upstreams directly.
 
 Run it with ``python -m benchmarks.entry_measures``.
--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -15,7 +15,7 @@
 
 from returns import result
 
-from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.core import clocks, failures, identifiers, outcomes
 from wagtailspread.entry import decisions, interfaces, leases, liveness
 from wagtailspread.entry import owners, rows, shares, slots, votes
 from wagtailspread.wire import links, messages
@@ -108,16 +108,20 @@
     def complete(
         self,
         service: identifiers.ServiceName,
-        completion: slots.Completion,
+        grant: slots.Grant,
+        ended: outcomes.ExchangeResult,
+        seconds: float,
         transferred: int = 0,
     ) -> None:
-        """Return a lease; it is sent within 5 ms."""
-        lease = self.book.close(completion.lease)
+        """Return the lease of a grant; it is sent within 5 ms."""
+        lease = self.book.close(grant.request)
         if lease is None:
             return
-        self._complete_at(lease.host, lease.lease, lease, completion)
+        completion = slots.Completion(grant.lease, ended, seconds)
+        self._complete_at(lease.host, lease, completion)
         for place in lease.adopted:
-            self._complete_at(place.host, place.lease, lease, completion)
+            completion = slots.Completion(place.lease, ended, seconds)
+            self._complete_at(place.host, lease, completion)
 
     def announce(self, announcement: slots.Announcement) -> None:
         """Pass an announcement to the owner of its service."""
@@ -247,8 +251,7 @@
         host: identifiers.HostId | None,
     ) -> owners.Decision:
         if isinstance(decision, result.Success):
-            grant = self.book.open(service, decision.unwrap(), host)
-            return result.Success(grant)
+            self.book.open(service, decision.unwrap(), host)
         return decision
 
     def _cancel(
@@ -267,17 +270,15 @@
     def _complete_at(
         self,
         host: identifiers.HostId | None,
-        known: identifiers.LeaseId,
         lease: leases.OpenLease,
-        ended: slots.Completion,
+        completion: slots.Completion,
     ) -> None:
-        completion = slots.Completion(known, ended.result, ended.seconds)
         if host == self._identity.host:
             self._own.find(lease.service).complete(completion)
             return
         state = self.find_state(lease.service)
         if host is None:
-            state.share.complete(lease.upstream)
+            state.share.complete(lease.grant.upstream)
             return
         place = self._find_place(state, host)
         if place is None:
--- a/wagtailspread/entry/attempts.py
+++ b/wagtailspread/entry/attempts.py
@@ -208,7 +208,9 @@
         seconds = self._clock.now() - started
         self._source.complete(
             job.service,
-            slots.Completion(grant.lease, ended, seconds),
+            grant,
+            ended,
+            seconds,
             received + sent,
         )
 
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -111,41 +111,26 @@
         pool = self._pools.find(address)
         now = self._clock.now()
         pool.last_used = now
-        limit = asyncio.timeout_at(None)
+        task = asyncio.current_task()
         stall = silence.Stall(
             progress,
             now,
             self._create_repeat(pool, outgoing),
-            limit,
-        )
-        quiet_at = now + _quiet_seconds(pool)
-        quiet = asyncio.get_running_loop().call_at(
-            min(quiet_at, outgoing.deadline),
-            self._note_quiet,
-            pool,
-            stall,
-            outgoing.deadline,
+            task,
         )
+        watch = _Watch(self._detector, pool, stall, outgoing.deadline)
+        watch.start(min(now + _quiet_seconds(pool), outgoing.deadline))
         try:
-            async with limit:
-                return await self._exchange(pool, outgoing, progress)
-        except TimeoutError:
+            return await self._exchange(pool, outgoing, progress)
+        except asyncio.CancelledError:
+            if not stall.is_expired or task is None or task.uncancel():
+                raise
             return self._conclude(pool, stall)
         finally:
-            quiet.cancel()
+            watch.stop()
             if stall.is_noted:
                 self._forget(pool, stall)
 
-    def _note_quiet(
-        self,
-        pool: connections.UpstreamPool,
-        stall: silence.Stall,
-        deadline: float,
-    ) -> None:
-        """Arm the deadline, which few exchanges live to need."""
-        stall.limit.reschedule(deadline)
-        self._detector.note_quiet(pool, stall, self._clock.now())
-
     def _forget(
         self,
         pool: connections.UpstreamPool,
@@ -243,6 +228,44 @@
         return Reply(response, body, is_whole, pool, generation)
 
 
+class _Watch:
+    """The timer of an exchange: first for quiet, then for its deadline.
+
+    One timer that is cancelled is cheaper than a timeout and a timer, and few
+    exchanges live until it fires.
+    """
+
+    __slots__ = ('_detector', '_pool', '_stall', '_deadline', '_timer')
+
+    def __init__(
+        self,
+        detector: silence.SilenceDetector,
+        pool: connections.UpstreamPool,
+        stall: silence.Stall,
+        deadline: float,
+    ) -> None:
+        self._detector = detector
+        self._pool = pool
+        self._stall = stall
+        self._deadline = deadline
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, when: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(when, self._fire, when)
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _fire(self, when: float) -> None:
+        if when >= self._deadline:
+            self._stall.expire()
+            return
+        self._detector.note_quiet(self._pool, self._stall, when)
+        self.start(self._deadline)
+
+
 def classify_status(status: int) -> outcomes.ExchangeResult:
     """Return the result that a whole answer with this status stands for.
 
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from wagtailspread.core import failures, identifiers, priorities
+from wagtailspread.core import failures, identifiers, outcomes, priorities
 from wagtailspread.entry import slots
 from wagtailspread.wire import messages
 
@@ -123,11 +123,14 @@
     def complete(
         self,
         service: identifiers.ServiceName,
-        completion: slots.Completion,
+        grant: slots.Grant,
+        ended: outcomes.ExchangeResult,
+        seconds: float,
         transferred: int = 0,
     ) -> None:
-        """Return a lease; does not wait.
+        """Return the lease of a grant; does not wait.
 
+        :param seconds: time that the exchange took at the upstream.
         :param transferred: bytes of both bodies.
         """
 
--- a/wagtailspread/entry/leases.py
+++ b/wagtailspread/entry/leases.py
@@ -1,11 +1,11 @@
 """Open leases of a host and where each of them is known.
 
-Lease ids of two owners may be equal, so requests get ids of this book. An
-adopted lease has a random negative id, which no owner grants by itself.
+Lease ids of two owners may be equal, so the book goes by request; a request has
+one lease at a time. An adopted lease has a random negative id, which no owner
+grants by itself.
 """
 
 import dataclasses
-import itertools
 import secrets
 
 from wagtailspread.core import identifiers
@@ -27,15 +27,12 @@
     """A lease that a request of this host uses.
 
     :param host: the owner that granted it, ``None`` for the own share.
-    :param lease: its id there.
     :param adopted: the owners that were told of it later.
     """
 
     service: identifiers.ServiceName
-    upstream: identifiers.UpstreamId
-    expires: float
+    grant: slots.Grant
     host: identifiers.HostId | None
-    lease: identifiers.LeaseId
     adopted: tuple[LeasePlace, ...] = ()
 
 
@@ -44,8 +41,7 @@
 
     def __init__(self) -> None:
         """Start with none."""
-        self._leases: dict[identifiers.LeaseId, OpenLease] = {}
-        self._ids = itertools.count(1)
+        self._leases: dict[identifiers.RequestId, OpenLease] = {}
 
     def __len__(self) -> int:
         """Return the number of open leases."""
@@ -56,28 +52,13 @@
         service: identifiers.ServiceName,
         grant: slots.Grant,
         host: identifiers.HostId | None,
-    ) -> slots.Grant:
-        """Record a grant; return it with the id of this book."""
-        own = identifiers.LeaseId(next(self._ids))
-        self._leases[own] = OpenLease(
-            service,
-            grant.upstream,
-            grant.expires,
-            host,
-            grant.lease,
-        )
-        return slots.Grant(
-            grant.request,
-            own,
-            grant.upstream,
-            grant.address,
-            grant.expires,
-            grant.is_trial,
-        )
-
-    def close(self, lease: identifiers.LeaseId) -> OpenLease | None:
-        """Forget a lease and return where it is known."""
-        return self._leases.pop(lease, None)
+    ) -> None:
+        """Record a grant of an owner, or of the own share."""
+        self._leases[grant.request] = OpenLease(service, grant, host)
+
+    def close(self, request: identifiers.RequestId) -> OpenLease | None:
+        """Forget the lease of a request and return where it is known."""
+        return self._leases.pop(request, None)
 
     def adopt(
         self,
@@ -95,11 +76,12 @@
             known = lease.host == owner or any(
                 place.host == owner for place in lease.adopted
             )
-            if lease.service != service or known or lease.expires <= now:
+            grant = lease.grant
+            if lease.service != service or known or grant.expires <= now:
                 continue
             adopted = identifiers.LeaseId(-secrets.randbits(_ADOPTED_BITS))
             lease.adopted = (*lease.adopted, LeasePlace(owner, adopted))
             claims.append(
-                slots.LeaseClaim(adopted, host, lease.upstream, lease.expires),
+                slots.LeaseClaim(adopted, host, grant.upstream, grant.expires),
             )
         return claims
--- a/wagtailspread/entry/silence.py
+++ b/wagtailspread/entry/silence.py
@@ -41,17 +41,24 @@
     """An exchange that may be stuck on a silent connection.
 
     :param repeat: repeats it, ``None`` where that is not allowed.
-    :param limit: its time limit; expiring it early ends the wait.
+    :param task: runs it; :meth:`expire` ends its wait.
     :param rescue: the answer from a new connection.
     """
 
     progress: ledgers.Progress
     started: float
     repeat: Repeat | None
-    limit: asyncio.Timeout
+    task: asyncio.Task[typing.Any] | None
     rescue: typing.Any = None
-    task: asyncio.Task[None] | None = None
+    rescuer: asyncio.Task[None] | None = None
     is_noted: bool = False
+    is_expired: bool = False
+
+    def expire(self) -> None:
+        """End the wait for the exchange, once."""
+        if not self.is_expired and self.task is not None:
+            self.is_expired = True
+            self.task.cancel()
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +97,7 @@
         stall.is_noted = True
         if record.generation == pool.generation:
             pool.renew()
-        is_comparing = any(one.task is not None for one in state.stalls)
+        is_comparing = any(one.rescuer for one in state.stalls)
         if not is_comparing and now >= state.paused_until:
             self._start(pool, stall)
 
@@ -109,8 +116,8 @@
         if state is None:
             return
         state.stalls.discard(stall)
-        if stall.task is not None:
-            stall.task.cancel()
+        if stall.rescuer is not None:
+            stall.rescuer.cancel()
             if stall.rescue is None:
                 state.paused_until = now + PAUSE_SECONDS
 
@@ -158,7 +165,7 @@
 
     def _start(self, pool: connections.UpstreamPool, stall: Stall) -> None:
         if stall.repeat is not None:
-            stall.task = asyncio.create_task(
+            stall.rescuer = asyncio.create_task(
                 self._rescue(pool, stall, stall.repeat),
             )
 
@@ -173,11 +180,11 @@
             return
         stall.rescue = reply
         now = asyncio.get_running_loop().time()
-        stall.limit.reschedule(now)
+        stall.expire()
         if not self.judge(pool, stall, now):
             return
         for other in self._find(pool).stalls:
-            if other.task is None:
+            if other.rescuer is None:
                 self._start(pool, other)
 
 
--- a/wagtailspread/entry/spills.py
+++ b/wagtailspread/entry/spills.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import itertools
 import typing
 
 from returns import result
@@ -87,7 +86,6 @@
     """A lease of another region."""
 
     source: interfaces.SlotSource
-    lease: identifiers.LeaseId
     expected: float
 
 
@@ -111,8 +109,7 @@
         self._budget = budget
         self._clock = clock
         self._estimates: dict[identifiers.ServiceName, float] = {}
-        self._spilled: dict[identifiers.LeaseId, _Spilled] = {}
-        self._ids = itertools.count(1)
+        self._spilled: dict[identifiers.RequestId, _Spilled] = {}
 
     async def acquire(
         self,
@@ -132,27 +129,21 @@
     def complete(
         self,
         service: identifiers.ServiceName,
-        completion: slots.Completion,
+        grant: slots.Grant,
+        ended: outcomes.ExchangeResult,
+        seconds: float,
         transferred: int = 0,
     ) -> None:
         """Return a lease to the region that granted it."""
-        spilled = self._spilled.pop(completion.lease, None)
+        spilled = self._spilled.pop(grant.request, None)
         if spilled is None:
-            self._home.complete(service, completion, transferred)
+            self._home.complete(service, grant, ended, seconds, transferred)
             return
         self._budget.correct(transferred - spilled.expected)
         known = self._estimates.get(service, FIRST_ESTIMATE_BYTES)
         difference = transferred - known
         self._estimates[service] = known + _ESTIMATE_WEIGHT * difference
-        spilled.source.complete(
-            service,
-            slots.Completion(
-                spilled.lease,
-                completion.result,
-                completion.seconds,
-            ),
-            transferred,
-        )
+        spilled.source.complete(service, grant, ended, seconds, transferred)
 
     async def _spill(
         self,
@@ -187,15 +178,6 @@
         for source in self._others:
             decision = await source.acquire(service, request)
             if isinstance(decision, result.Success):
-                return self._record(source, decision.unwrap(), expected)
+                self._spilled[request.request] = _Spilled(source, expected)
+                return decision.unwrap()
         return None
-
-    def _record(
-        self,
-        source: interfaces.SlotSource,
-        grant: slots.Grant,
-        expected: float,
-    ) -> slots.Grant:
-        lease = identifiers.LeaseId(-next(self._ids))
-        self._spilled[lease] = _Spilled(source, grant.lease, expected)
-        return dataclasses.replace(grant, lease=lease)
--- a/wagtailspread/entry/tests/test_failover.py
+++ b/wagtailspread/entry/tests/test_failover.py
@@ -157,8 +157,7 @@
             grants.append(decision.unwrap())
         for grant in grants:
             ended = outcomes.ExchangeResult.SUCCESS
-            completion = slots.Completion(grant.lease, ended, 0.1)
-            hosts[1].client.complete(fleets.SERVICE, completion)
+            hosts[1].client.complete(fleets.SERVICE, grant, ended, 0.1)
             await asyncio.sleep(0.001)
         await asyncio.sleep(0.1)
         assert batches == [2]
--- a/wagtailspread/entry/tests/test_spills.py
+++ b/wagtailspread/entry/tests/test_spills.py
@@ -30,8 +30,8 @@
             slots.Grant(request.request, 1, 'u1', 'a:1', 9.0),
         )
 
-    def complete(self, _service, completion, transferred=0):
-        self.completed.append((completion.lease, transferred))
+    def complete(self, _service, grant, _ended, _seconds, transferred=0):
+        self.completed.append((grant.lease, transferred))
 
 
 def create_source(home, away, rate=1_000_000.0):
@@ -67,8 +67,8 @@
     home, away = Region(REASONS.NO_CAPACITY), Region()
     source = create_source(home, away)
     grant = (await ask(source)).unwrap()
-    ended = slots.Completion(grant.lease, outcomes.ExchangeResult.SUCCESS, 0.1)
-    source.complete(fleets.SERVICE, ended, 500)
+    ended = outcomes.ExchangeResult.SUCCESS
+    source.complete(fleets.SERVICE, grant, ended, 0.1, 500)
     assert away.completed == [(1, 500)]
     assert not home.completed
 
@@ -90,8 +90,8 @@
     """Guards against a budget that counts requests instead of bytes."""
     source = create_source(Region(REASONS.QUEUE_FULL), Region(), 100_000.0)
     grant = (await ask(source, URGENT)).unwrap()
-    ended = slots.Completion(grant.lease, outcomes.ExchangeResult.SUCCESS, 0.1)
-    source.complete(fleets.SERVICE, ended, 900_000)
+    ended = outcomes.ExchangeResult.SUCCESS
+    source.complete(fleets.SERVICE, grant, ended, 0.1, 900_000)
     assert isinstance(await ask(source, URGENT), result.Failure)
 
 
