Hand ejections over to a new owner of a service

Cause: a new allocator started without ejections, so that a gray upstream got work again at each failover. Ruled out: a store at the replicas, which may be unreachable for hours; the hosts remember the ejections of the last owner and tell the next one in their heartbeats. Before: with the report switched off the test fails. After: 136 tests of the entry package pass.

--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -42,6 +42,8 @@
 
     :param table: rows that the host falls back to.
     :param place: the owner that is addressed.
+    :param ejected: upstreams that the owner has ejected, as last heard.
+    :param ejected_by: the owner that told of them.
     """
 
     service: identifiers.ServiceName
@@ -51,6 +53,26 @@
     place: interfaces.OwnerPlace | None = None
     ranked_at: float = float('-inf')
     used_at: float = float('-inf')
+    ejected: list[identifiers.UpstreamId] = dataclasses.field(
+        default_factory=list,
+    )
+    ejected_by: identifiers.HostId | None = None
+
+    def report_ejections(
+        self,
+        owner: identifiers.HostId,
+    ) -> list[identifiers.UpstreamId]:
+        """Return the ejections that a new owner has to be told of."""
+        return [] if owner == self.ejected_by else self.ejected
+
+    def note_ejections(
+        self,
+        owner: identifiers.HostId,
+        ejected: list[identifiers.UpstreamId],
+    ) -> None:
+        """Remember the ejections of an owner that answered."""
+        self.ejected = ejected
+        self.ejected_by = owner
 
 
 class AllocationClient:
--- a/wagtailspread/entry/beats.py
+++ b/wagtailspread/entry/beats.py
@@ -75,6 +75,7 @@
             service_name=service,
             host=self._identity.host,
             vote_stamp=state.vote.cast(place.host, self._clock.now()),
+            ejected=state.report_ejections(place.host),
         )
         answer = await calls.call(
             messages.methods.HELLO,
@@ -86,6 +87,7 @@
             return
         seen = answer.unwrap()
         state.vote.note_stamp(place.host, seen.stamp or 0)
+        state.note_ejections(place.host, seen.ejected or [])
         now = self._clock.now()
         if seen.table_digest == state.table.compute_digest(now):
             state.table.refresh(seen.ages_ms or [], now)
@@ -103,6 +105,8 @@
         if stamp:
             allocator.note_vote(place.host, stamp)
         state.vote.note_stamp(place.host, allocator.issue_stamp())
+        allocator.adopt_ejections(state.report_ejections(place.host))
+        state.note_ejections(place.host, allocator.list_ejected())
         allocator.tick()
 
     async def _fetch_rows(
--- a/wagtailspread/entry/handlers.py
+++ b/wagtailspread/entry/handlers.py
@@ -107,11 +107,13 @@
             return result.Success(messages.structs.HeartbeatAnswer(stamp=0))
         allocator = self._own.find(service)
         allocator.note_vote(call.peer.host, struct.vote_stamp or 0)
+        allocator.adopt_ejections(struct.ejected or [])
         now = self._clock.now()
         answer = messages.structs.HeartbeatAnswer(
             stamp=allocator.issue_stamp(),
             table_digest=allocator.rows.compute_digest(now),
             ages_ms=allocator.rows.list_ages_ms(now),
+            ejected=allocator.list_ejected(),
         )
         return result.Success(answer)
 
@@ -137,9 +139,10 @@
     ) -> listeners.HandlerResult:
         """Return the rows that a host falls back to."""
         service = identifiers.ServiceName(struct.service_name)
-        listed = self._own.find(service).rows.list_rows(self._clock.now())
+        allocator = self._own.find(service)
+        listed = allocator.rows.list_rows(self._clock.now())
         answer = messages.structs.UpstreamList(
             upstreams=[decisions.write_announcement(row) for row in listed],
-            ejected=[],
+            ejected=allocator.list_ejected(),
         )
         return result.Success(answer)
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -87,6 +87,16 @@
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Renew the vote of ``host`` for this allocator."""
 
+    def adopt(
+        self,
+        ejected: typing.Iterable[identifiers.UpstreamId],
+        now: float,
+    ) -> None:
+        """Take over ejections of an earlier owner."""
+
+    def find_ejected(self) -> list[identifiers.UpstreamId]:
+        """Return the ejected upstreams."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerPlace:
--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -130,6 +130,20 @@
         """Take over a lease of an earlier allocator."""
         self.coordinator.adopt(claim, self._clock.now())
 
+    def adopt_ejections(
+        self,
+        ejected: typing.Sequence[identifiers.UpstreamId],
+    ) -> None:
+        """Take over ejections that a host knows from an earlier owner."""
+        if self._register is not None and ejected:
+            self._register.adopt(ejected, self._clock.now())
+
+    def list_ejected(self) -> list[identifiers.UpstreamId]:
+        """Return the ejected upstreams, for the hosts to remember."""
+        if self._register is None:
+            return []
+        return self._register.find_ejected()
+
     def issue_stamp(self) -> int:
         """Return the stamp that a vote for this allocator must carry."""
         return self._stamps.issue()
--- /dev/null
+++ b/wagtailspread/entry/tests/test_ejections.py
@@ -0,0 +1,52 @@
+"""Ejections outlive the allocator that decided them."""
+
+from wagtailspread.entry.tests import fleets
+
+
+class StubRegister:
+    """Remembers what it is told."""
+
+    def __init__(self, ejected=()):
+        self.ejected = list(ejected)
+
+    def note_vote(self, host, now):
+        """Ignore votes."""
+
+    def adopt(self, ejected, now):
+        self.ejected.extend(set(ejected) - set(self.ejected))
+
+    def find_ejected(self):
+        return self.ejected
+
+
+def install(host, register):
+    host.owners._create_coordinator = lambda _service: (
+        host.coordinator,
+        register,
+    )
+
+
+async def test_new_owner_learns_the_ejections_of_the_lost_one():
+    """Guards against a gray upstream that gets work again at each failover."""
+    registers = [StubRegister(['u0']), StubRegister(), StubRegister()]
+    async with fleets.start_fleet(3, upstream_count=0) as (hosts, _):
+        for host, register in zip(hosts, registers, strict=True):
+            install(host, register)
+        await hosts[2].beater.beat(fleets.SERVICE)
+        places = hosts[2].client._ownership.places
+        places.append(places.pop(0))
+        hosts[2].client.states[fleets.SERVICE].ranked_at = float('-inf')
+        await hosts[2].beater.beat(fleets.SERVICE)
+        assert registers[1].ejected == ['u0']
+        assert not registers[2].ejected
+
+
+async def test_owner_that_readmitted_is_not_told_again():
+    """Guards against an ejection that its own readmission cannot end."""
+    register = StubRegister(['u0'])
+    async with fleets.start_fleet(2, upstream_count=0) as (hosts, _):
+        install(hosts[0], register)
+        await hosts[1].beater.beat(fleets.SERVICE)
+        register.ejected.clear()
+        await hosts[1].beater.beat(fleets.SERVICE)
+        assert not register.ejected
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -69,6 +69,18 @@
         """Renew the vote of a host for this allocator."""
         self.judge.note_vote(host, now)
 
+    def adopt(
+        self,
+        ejected: typing.Iterable[identifiers.UpstreamId],
+        now: float,
+    ) -> None:
+        """Take over ejections of an earlier owner."""
+        self.judge.adopt(ejected, now)
+
+    def find_ejected(self) -> list[identifiers.UpstreamId]:
+        """Return the ejected upstreams."""
+        return self.judge.find_ejected()
+
     def tick(
         self,
         capacities: typing.Sequence[allocation_judges.Capacity],
--- a/wagtailspread/testing/demonstration.py
+++ b/wagtailspread/testing/demonstration.py
@@ -191,7 +191,7 @@
             status = await fleets.read_status(self._session, entry)
             for owned in status.get('allocators', {}).values():
                 for change in owned['changes']:
-                    if change.startswith(f'{upstream} ejected'):
+                    if change.startswith(stopped):
                         return str(change)
         return ''
 
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -140,6 +140,8 @@
   1: string service_name
   2: string host
   3: i64 vote_stamp
+  // Ejections that an earlier owner told of; sent to a new owner only.
+  4: list<string> ejected
 }
 
 struct HeartbeatAnswer {
@@ -148,6 +150,7 @@
   2: i64 table_digest
   // Age of each row, in the order of the upstream ids.
   3: list<i32> ages_ms
+  4: list<string> ejected
 }
 
 struct Empty {
