Compare a run with the peers' results since it began

After: the results of all upstreams are remembered for four seconds, and a run must also stand out from what the peers did since it began. Ruled out: a score of 2 against those results, which kept the false ejection.

--- a/benchmarks/health_measures.py
+++ b/benchmarks/health_measures.py
@@ -19,8 +19,8 @@
 ANDINO_REGION = health_choosers.Site('andino-region', 5, 6, 22)
 PENANG_REGION = health_choosers.Site('penang-region', 5, 3, 22)
 #: When a fault begins and when its scenario ends, in seconds.
-FAULT_BEGINS = 8.0
-FAULT_ENDS = 15.0
+FAULT_BEGINS = 6.0
+FAULT_ENDS = 13.0
 #: Length of the noisy but healthy scenario, in seconds.
 HEALTHY_SECONDS = 3600.0
 #: Its load, which is low so that it takes seconds to simulate, requests/s.
--- a/wagtailspread/health/evidence.py
+++ b/wagtailspread/health/evidence.py
@@ -87,6 +87,9 @@
         self.domains: list[identifiers.FailureDomain] = []
         self.active: set[int] = set()
         self.usual_logarithm = math.inf
+        #: Results and failures of all upstreams since the start.
+        self.samples = 0
+        self.failures = 0
         self._index = index
         self._width = 1
         self._cells = array.array('f')
@@ -130,9 +133,11 @@
         self.active.add(row)
         moment = now - self._epoch
         cell = base + number * cells.FIELDS
+        self.samples += 1
         if outcome is outcomes.ExchangeResult.SUCCESS:
             self._add_success(base, cell, seconds, moment)
             return
+        self.failures += 1
         self._failing_hosts[row] |= bit
         self._failing_lately[row] |= bit
         is_answer = outcome is outcomes.ExchangeResult.ERROR
--- a/wagtailspread/health/tests/test_judges.py
+++ b/wagtailspread/health/tests/test_judges.py
@@ -13,6 +13,7 @@
 CAUSE = reports.Cause
 V3 = 'v3'
 GENERATOR = random.Random(7)
+FAILING_SHARE = 0.3
 
 
 def list_upstreams(changes, state):
@@ -60,6 +61,11 @@
     return (RESULT.ERROR if step > 50 else RESULT.SUCCESS), 0.01
 
 
+def fail_all_in_part(_upstream, _domain, _host, step):
+    is_bad = step > 500 and GENERATOR.random() < FAILING_SHARE
+    return (RESULT.ERROR if is_bad else RESULT.SUCCESS), 0.05
+
+
 def slow_all(_upstream, _domain, _host, step):
     usual = 0.25 if step > 500 else 0.05
     return RESULT.SUCCESS, usual * GENERATOR.lognormvariate(0, 0.7)
@@ -79,6 +85,7 @@
     'all are healthy': services.succeed,
     'all fail': fail_all,
     'all begin to fail': fail_all_later,
+    'all begin to fail in part': fail_all_in_part,
     'all become slow': slow_all,
     'six requests fail in one burst': fail_in_one_burst,
     'it stalls once for a moment': stall_once,
--- a/wagtailspread/health/verdicts.py
+++ b/wagtailspread/health/verdicts.py
@@ -1,5 +1,6 @@
 """Faults that the evidence shows: of an upstream, or of one path to it."""
 
+import collections
 import dataclasses
 import math
 import statistics
@@ -30,6 +31,14 @@
 LONG_RUN_SECONDS = 2.0
 #: Score that the fast window must then reach.
 AGREEING_SCORE = 2.0
+#: Time for which counts of all upstreams are remembered, in seconds.
+HISTORY_SECONDS = 4.0
+#: Results of the peers since a run began below which they prove nothing.
+MIN_PEER_SAMPLES = 20.0
+#: Precision of the moment at which a run began, in seconds.
+MOMENT_SECONDS = 0.001
+#: Score that a run must reach against the peers' results since it began.
+ONSET_SCORE = 4.0
 #: Shortest duration of a run of slow answers, in seconds, so that one stall
 #: of a healthy upstream is none.
 SLOW_RUN_SECONDS = 1.0
@@ -53,6 +62,15 @@
     domain: identifiers.FailureDomain | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """Results and failures of all upstreams up to a time."""
+
+    time: float
+    samples: int
+    failures: int
+
+
 class Examiner:
     """Compares each upstream with the others of its service.
 
@@ -72,10 +90,12 @@
         self._now = 0.0
         self._total = summaries.Summary()
         self._domain_totals: dict[int, summaries.Summary] = {}
+        self._history: collections.deque[_Snapshot] = collections.deque()
 
     def find_faults(self, now: float) -> list[Fault]:
         """Return the faults of the upstreams with results, worst first."""
         self._now = now
+        self._remember()
         self._domain_totals.clear()
         self._total = self._evidence.summarize_all()
         self._note_times(self._total.times)
@@ -139,18 +159,41 @@
         run = self._evidence.find_run(row, number)
         duration = run.measure_duration(self._now)
         if duration >= FAILING_SECONDS:
-            is_long = duration >= LONG_RUN_SECONDS
-            if _is_run_failing(run.counts, peers, is_long):
-                return run.counts
-            unanswered = run.counts.unanswered
-            if _is_run_unanswered(unanswered, peers, is_long):
-                return unanswered
+            found = _find_failing_run(run, duration, peers)
+            if found and self._is_worse_since_onset(run):
+                return found
         if not comparison.is_failing(own.slow, peers.slow):
             return None
         rate = own.fast.samples / evidence.FAST_SECONDS
         missed = own.slow.ratio * rate * (self._now - run.last_failure)
         return own.slow if missed < ENDED_FAILURES else None
 
+    def _remember(self) -> None:
+        self._history.append(
+            _Snapshot(
+                self._now,
+                self._evidence.samples,
+                self._evidence.failures,
+            ),
+        )
+        while self._now - self._history[0].time > HISTORY_SECONDS:
+            self._history.popleft()
+
+    def _is_worse_since_onset(self, run: summaries.Run) -> bool:
+        # The windows lag when all upstreams begin to fail in part.
+        onset = run.onset - MOMENT_SECONDS
+        before = [one for one in self._history if one.time < onset]
+        if not before:
+            return True
+        then = before[-1]
+        peers = summaries.Counts(
+            self._evidence.samples - then.samples - run.counts.samples,
+            self._evidence.failures - then.failures - run.counts.failures,
+        )
+        if peers.samples < MIN_PEER_SAMPLES:
+            return True
+        return comparison.is_failing(run.counts, peers, ONSET_SCORE)
+
     def _find_failing_paths(self, row: int) -> list[Fault]:
         faults = []
         for number, name in enumerate(self._evidence.domains, start=1):
@@ -259,6 +302,20 @@
         return tuple(seen)
 
 
+def _find_failing_run(
+    run: summaries.Run,
+    duration: float,
+    peers: summaries.Summary,
+) -> summaries.Counts | None:
+    is_long = duration >= LONG_RUN_SECONDS
+    if _is_run_failing(run.counts, peers, is_long):
+        return run.counts
+    unanswered = run.counts.unanswered
+    return (
+        unanswered if _is_run_unanswered(unanswered, peers, is_long) else None
+    )
+
+
 def _is_run_failing(
     run: summaries.Counts,
     peers: summaries.Summary,
