Let a replica introduce itself when it hears no leader

A run of the fault machine with a random seed left one of five replicas behind for good: its log held the entry that added it as a learner, the leader that wrote the entry was cut off, and the next leader did not know it. It took itself for a member and no longer introduced itself. It does now after two election timeouts of silence; a leader ignores identities that it knows.

--- a/wagtailspread/consensus/replicas.py
+++ b/wagtailspread/consensus/replicas.py
@@ -141,6 +141,21 @@
         """Note that ``node`` asks to be a member; a leader admits it."""
         self.reconfiguration.introduce(node, now)
 
+    def needs_introduction(self, now: float) -> bool:
+        """Tell whether the leader may not know this replica.
+
+        The own membership does not settle it: the entry that added this
+        replica may have been lost with the leader that sent it.
+        """
+        state = self.state
+        if state.is_void:
+            return False
+        if state.membership.find(state.identity) is None:
+            return True
+        silence = now - (now if state.heard_at is None else state.heard_at)
+        is_silent = silence > 2 * state.policy.election_timeout
+        return is_silent and not self.is_leader
+
     def form(self, first: logs.Log, now: float) -> messages.Output:
         """Start a new fleet with the log of :func:`create_first_log`."""
         state = self.state
--- a/wagtailspread/consensus/tests/test_replicas.py
+++ b/wagtailspread/consensus/tests/test_replicas.py
@@ -304,6 +304,33 @@
     assert fleet.nodes[follower].applied == fleet.nodes[leader].applied
 
 
+def test_learner_whose_admission_was_lost_introduces_itself_again():
+    """Guards against a replica that takes itself for a member for ever.
+
+    Its log holds the entry that added it, but the leader that wrote the entry
+    was lost with it.
+    """
+    fleet = create_fleet(5)
+    leader = find_leader(fleet)
+    wiped, *others = find_followers(fleet)
+    fleet.wipe(wiped)
+    for other in others:
+        fleet.isolate(other)
+    identity = find_state(fleet, wiped).identity
+    while find_state(fleet, wiped).membership.find(identity) is None:
+        fleet.run(0.05)
+    fleet.nodes[leader].crash()
+    fleet.heal()
+    fleet.isolate(wiped)
+    fleet.run(3.0)
+    fleet.nodes[leader].restart()
+    fleet.run(1.0)
+    assert find_state(fleet, leader).membership.find(identity) is None
+    fleet.heal()
+    fleet.run(5.0)
+    assert find_state(fleet, wiped).is_voter()
+
+
 class LateFleet(networks.SimulatedFleet):
     """Holds what is sent to one replica until it is released."""
 
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -240,9 +240,9 @@
         state = driver.replica.state
         if state.is_void:
             self._void.set()
-        if state.membership.find(state.identity) is not None:
-            return
         now = self._clock.now()
+        if not driver.replica.needs_introduction(now):
+            return
         is_formed = _is_formed(driver)
         if not is_formed:
             self._form(driver, known, now)
--- a/wagtailspread/testing/networks.py
+++ b/wagtailspread/testing/networks.py
@@ -312,10 +312,9 @@
         self.observer.check_held(logs, self.wiped)
 
     def _introduce(self, node: SimulatedReplica) -> None:
-        state = node.replica.state
-        if state.membership.find(state.identity) is not None:
+        if not node.replica.needs_introduction(self.now):
             return
-        own = messages.ReplicaNode(state.identity, node.address)
+        own = messages.ReplicaNode(node.store.identity, node.address)
         for other in self.list_up():
             if (node.address, other.address) not in self.cuts:
                 other.replica.introduce(own, self.now)
