--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -20,8 +20,8 @@
 TICK_SECONDS = 0.005
 #: Time between ticks of an idle allocator, in seconds.
 IDLE_TICK_SECONDS = 0.1
-#: Time that a lease outlives the deadline of its request, in seconds.
-LEASE_MARGIN_SECONDS = 1.0
+#: Time between looks for leases that ended without a completion, in seconds.
+PURGE_SECONDS = 1.0
 
 Decision = result.Result[slots.Grant, failures.Refusal]
 
@@ -48,7 +48,8 @@
             asyncio.Future[Decision],
         ] = {}
         self._granted: dict[identifiers.RequestId, identifiers.LeaseId] = {}
-        self._requests: dict[identifiers.LeaseId, identifiers.RequestId] = {}
+        self._grants: dict[identifiers.LeaseId, typing.Any] = {}
+        self._purged_at = clock.now()
         self.rows = rows.RowTable()
         self._stamps = votes.StampBook(clock)
         self._timer: asyncio.TimerHandle | None = None
@@ -56,6 +57,11 @@
         self._arriving: identifiers.RequestId | None = None
         self._instant: Decision | None = None
 
+    @property
+    def open_leases(self) -> int:
+        """Return the number of grants without a completion."""
+        return len(self._grants)
+
     @property
     def waiting(self) -> int:
         """Return the number of undecided requests."""
@@ -145,6 +151,8 @@
         now = self._clock.now()
         for decision in self.coordinator.tick(now):
             self._deliver(decision, now)
+        if now - self._purged_at >= PURGE_SECONDS:
+            self._purge(now)
 
     def close(self) -> None:
         """Stop the timer."""
@@ -170,7 +178,7 @@
         if isinstance(decision, failures.Refusal):
             return result.Failure(decision)
         self._granted[decision.request] = decision.lease
-        self._requests[decision.lease] = decision.request
+        self._grants[decision.lease] = decision
         return result.Success(decision)
 
     def _abandon(
@@ -194,9 +202,16 @@
         self.coordinator.complete(slots.Completion(lease, ended, 0.0), now)
 
     def _forget_lease(self, lease: identifiers.LeaseId) -> None:
-        request = self._requests.pop(lease, None)
-        if request is not None:
-            self._granted.pop(request, None)
+        grant = self._grants.pop(lease, None)
+        if grant is not None:
+            self._granted.pop(grant.request, None)
+
+    def _purge(self, now: float) -> None:
+        """Forget the leases that ended because their hosts are gone."""
+        self._purged_at = now
+        for grant in list(self._grants.values()):
+            if grant.expires <= now:
+                self._forget_lease(grant.lease)
 
     def start(self) -> None:
         """Start the timer of regular ticks."""
--- /dev/null
+++ b/wagtailspread/entry/tests/test_owners.py
@@ -0,0 +1,82 @@
+"""The allocators that a host owns, on manual time."""
+
+import asyncio
+
+from returns import result
+
+from wagtailspread.core import clocks, outcomes
+from wagtailspread.entry import owners, slots
+from wagtailspread.entry.tests import fleets
+from wagtailspread.testing import stand_ins
+
+
+def create_allocator(slot_count=1):
+    clock = clocks.ManualClock(100)
+    allocator = owners.OwnedAllocator(
+        stand_ins.SimpleCoordinator(),
+        None,
+        clock,
+    )
+    allocator.announce(
+        slots.Announcement(
+            fleets.SERVICE,
+            'u1',
+            'a:1',
+            fleets.REGION,
+            fleets.DOMAIN,
+            slot_count,
+            400,
+            slots.UpstreamState.READY,
+            1,
+        ),
+    )
+    return allocator, clock
+
+
+def create_request(name, clock):
+    deadline = clock.now() + 5
+    return slots.SlotRequest(name, 'h1', fleets.DOMAIN, 1, deadline)
+
+
+async def test_leases_of_hosts_that_are_gone_are_forgotten():
+    """Guards against memory that grows with every lost host."""
+    allocator, clock = create_allocator()
+    await allocator.acquire(create_request('a', clock))
+    clock.advance(7)
+    allocator.tick()
+    assert allocator.open_leases == 0
+
+
+async def test_waiting_request_gets_the_slot_of_an_ended_lease_at_once():
+    """Guards against slots that stay free until the next tick."""
+    allocator, clock = create_allocator()
+    first = (await allocator.acquire(create_request('a', clock))).unwrap()
+    waiting = asyncio.create_task(
+        allocator.acquire(create_request('b', clock)),
+    )
+    await asyncio.sleep(0)
+    assert allocator.waiting == 1
+    ended = outcomes.ExchangeResult.SUCCESS
+    allocator.complete(slots.Completion(first.lease, ended, 0.1))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert waiting.done()
+    allocator.close()
+
+
+async def test_cancelled_wait_returns_a_grant_decided_meanwhile():
+    """Guards against a slot lost between its grant and a caller's leave."""
+    allocator, clock = create_allocator()
+    first = (await allocator.acquire(create_request('a', clock))).unwrap()
+    waiting = asyncio.create_task(
+        allocator.acquire(create_request('b', clock)),
+    )
+    await asyncio.sleep(0)
+    ended = outcomes.ExchangeResult.SUCCESS
+    allocator.complete(slots.Completion(first.lease, ended, 0.1))
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert allocator.open_leases == 0
+    again = await allocator.acquire(create_request('c', clock))
+    assert isinstance(again, result.Success)
+    allocator.close()
