Tell a shed request from one whose repetition may run

A quiet exchange is repeated on a new connection. If the old connection then answered as shed, the caller was told not-run although the repetition had been sent. The ledger now sees the repetition.

--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -115,7 +115,7 @@
         stall = silence.Stall(
             progress,
             now,
-            self._create_repeat(pool, outgoing),
+            self._create_repeat(pool, outgoing, progress),
             task,
         )
         watch = _Watch(self._detector, pool, stall, outgoing.deadline)
@@ -163,12 +163,15 @@
         self,
         pool: connections.UpstreamPool,
         outgoing: Outgoing,
+        progress: ledgers.Progress,
     ) -> silence.Repeat | None:
         if not outgoing.may_repeat:
             return None
 
         async def repeat() -> Reply | None:
-            outcome = await self._exchange(pool, outgoing, ledgers.Progress())
+            again = ledgers.Progress()
+            progress.repetition = again
+            outcome = await self._exchange(pool, outgoing, again)
             if isinstance(outcome, result.Success):
                 return outcome.unwrap()
             return None
--- a/wagtailspread/entry/ledgers.py
+++ b/wagtailspread/entry/ledgers.py
@@ -32,16 +32,21 @@
     :param is_reused: whether the connection carried an earlier exchange.
     :param is_shed: whether the upstream said that it did not run it.
     :param connection: record of the connection.
+    :param repetition: the same attempt sent again on a new connection; it may
+        have run even if this one was shed.
     """
 
     is_connected: bool = False
     is_reused: bool = False
     is_shed: bool = False
     connection: ConnectionRecord | None = None
+    repetition: typing.Optional['Progress'] = None
 
     @property
     def may_have_run(self) -> bool:
         """Tell whether the upstream may have run the request."""
+        if self.repetition is not None and self.repetition.may_have_run:
+            return True
         return self.is_connected and not self.is_shed
 
 
--- a/wagtailspread/entry/tests/test_exchanges.py
+++ b/wagtailspread/entry/tests/test_exchanges.py
@@ -276,6 +276,29 @@
         assert seen <= {RESULTS.SILENT, RESULTS.SUCCESS}
 
 
+async def test_shed_answer_after_a_repetition_was_sent_is_unknown():
+    """Guards against a not-run answer while a repetition may run."""
+
+    async def script(upstream, reader, writer):
+        number = upstream.connections
+        await upstream.read_head(reader)
+        if number > 1:
+            await asyncio.sleep(2)
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        await upstream.read_head(reader)
+        await asyncio.sleep(0.5)
+        writer.write(b'HTTP/1.1 503 No\r\nWagtailspread-Shed: 1\r\n')
+        writer.write(b'Content-Length: 0\r\n\r\n')
+        await asyncio.sleep(1)
+
+    async with fleets.start_fleet() as (hosts, ups):
+        scripted = await start_script(hosts[0], ups, script)
+        await fetch(hosts[0])
+        answer, _ = await fetch(hosts[0], Wagtailspread_Deadline_Ms='1500')
+        assert scripted.connections == 2
+        assert outcome_of(answer) == 'unknown'
+
+
 async def test_upstream_that_hangs_at_random_is_blamed():
     """Guards against a gray upstream that passes for silent connections."""
     async with fleets.start_fleet() as (hosts, ups):
