Let a new owner adopt leases before it grants their slots

Cause: the entry process never told its allocators to wait, so a new owner could grant slots that the requests of the former one still used. After: the test fails without the wait (grant at 10.1) and passes with it.

--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -7,7 +7,7 @@
 
 from wagtailspread.allocation import coordination, policies
 from wagtailspread.allocation import judges as allocation_judges
-from wagtailspread.core import identifiers, outcomes
+from wagtailspread.core import clocks, identifiers, outcomes
 from wagtailspread.health import authority, judges, reports
 from wagtailspread.membership import agents
 from wagtailspread.observability import logs, metrics
@@ -16,6 +16,9 @@
 _LOGGER = logs.get_logger('health')
 #: Changes of health that the status page shows for one service.
 KEPT_CHANGES = 50
+#: Time in which hosts tell a new owner of their open leases, in seconds. Their
+#: slots would otherwise be granted twice.
+ADOPTION_SECONDS = 0.25
 
 
 class ReportingJudge:
@@ -124,8 +127,10 @@
         region: identifiers.RegionName,
         agent: agents.Agent,
         host_metrics: metrics.Metrics,
+        clock: clocks.Clock,
     ) -> None:
         """Start without allocators."""
+        self._clock = clock
         self.owned: dict[identifiers.ServiceName, OwnedService] = {}
         self._copy = copy
         self._region = region
@@ -150,6 +155,7 @@
             self._metrics,
         )
         coordinator = coordination.create_coordinator(policy, judge, source)
+        coordinator.await_adoptions(self._clock.now() + ADOPTION_SECONDS)
         self.owned[service] = OwnedService(coordinator, judge)
         return coordinator, judge
 
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -65,6 +65,7 @@
             process.region,
             self.agent,
             self.metrics,
+            clock,
         )
         self._process = process
         self._part = part
--- a/wagtailspread/processes/tests/test_allocators.py
+++ b/wagtailspread/processes/tests/test_allocators.py
@@ -2,7 +2,8 @@
 
 import random
 
-from wagtailspread.core import identifiers
+from wagtailspread.allocation import messages
+from wagtailspread.core import clocks, identifiers, priorities
 from wagtailspread.membership import agents, tables
 from wagtailspread.observability import metrics
 from wagtailspread.processes import allocators
@@ -31,6 +32,7 @@
         REGION,
         create_agent(),
         metrics.create_metrics('h0'),
+        clocks.ManualClock(10.0),
     )
     copy.listeners.append(lambda _settings: factory.refresh())
     return copy, factory, later
@@ -62,3 +64,23 @@
     assert not judge.judge.authority.holds_votes(10.0)
     judge.note_vote('h2', 10.0)
     assert judge.judge.authority.holds_votes(10.0)
+
+
+def test_new_owner_grants_nothing_before_leases_are_adopted():
+    """Guards against slots that an earlier owner's requests still use."""
+    _, factory, _ = create_factory()
+    coordinator, _ = factory.create(SERVICE)
+    coordinator.announce(
+        messages.Announcement(
+            SERVICE, 'u0', '127.0.0.1:2', REGION, 'andes-bog', 1, 9
+        ),
+        10.0,
+    )
+    request = messages.SlotRequest(
+        'r1', 'h1', 'andes-bog', priorities.Priority.URGENT, 12.0
+    )
+    coordinator.submit(request, 10.0)
+    assert not coordinator.tick(10.1)
+    coordinator.adopt(messages.AdoptedLease(5, 'h2', 'u0', 11.0), 10.1)
+    assert not coordinator.tick(10.0 + allocators.ADOPTION_SECONDS)
+    assert [grant.upstream for grant in coordinator.tick(11.1)] == ['u0']
