Take the host of a slot request from the authenticated connection

The test of batches also set its longer batch time too early, so that a completion from its preparation could join; it is set after that now.

--- a/wagtailspread/entry/decisions.py
+++ b/wagtailspread/entry/decisions.py
@@ -40,14 +40,19 @@
     )
 
 
-def read_request(struct: messages.Struct, now: float) -> slots.SlotRequest:
+def read_request(
+    struct: messages.Struct,
+    host: identifiers.HostId,
+    now: float,
+) -> slots.SlotRequest:
     """Return the slot request of a struct.
 
+    :param host: the proven sender.
     :raises ValueError: if the priority is not one.
     """
     return slots.SlotRequest(
         request=identifiers.RequestId(struct.request),
-        host=identifiers.HostId(struct.host),
+        host=host,
         domain=identifiers.FailureDomain(struct.domain),
         priority=priorities.Priority(struct.priority),
         deadline=now + struct.deadline_ms / _MS,
--- a/wagtailspread/entry/handlers.py
+++ b/wagtailspread/entry/handlers.py
@@ -42,7 +42,11 @@
     ) -> listeners.HandlerResult:
         """Answer one slot request when it is decided."""
         try:
-            request = decisions.read_request(struct, self._clock.now())
+            request = decisions.read_request(
+                struct,
+                call.peer.host,
+                self._clock.now(),
+            )
         except (TypeError, ValueError):
             return result.Failure(MalformedCall())
         service = identifiers.ServiceName(struct.service_name)
--- /dev/null
+++ b/wagtailspread/entry/tests/test_decisions.py
@@ -0,0 +1,43 @@
+"""Slot messages on the wire."""
+
+from returns import result
+
+from wagtailspread.core import failures, outcomes, priorities
+from wagtailspread.entry import decisions, slots
+from wagtailspread.entry.tests import fleets
+from wagtailspread.wire import messages
+
+NOW = 50.0
+
+
+def send(struct):
+    return messages.decode(type(struct), messages.encode(struct))
+
+
+def test_slot_request_survives_the_wire_with_the_proven_host():
+    """Guards against hosts that ask in the name of others."""
+    request = slots.SlotRequest(
+        'r1',
+        'forged',
+        fleets.DOMAIN,
+        priorities.Priority.BULK,
+        NOW + 2,
+        2,
+        b'f',
+        ('u1', 'u2'),
+    )
+    struct = decisions.write_request(fleets.SERVICE, request, NOW, 7)
+    seen = decisions.read_request(send(struct), 'h1', NOW)
+    assert (seen.host, seen.deadline) == ('h1', NOW + 2)
+    assert (seen.attempt, seen.excluded) == (2, ('u1', 'u2'))
+    assert seen.priority is priorities.Priority.BULK
+
+
+def test_decisions_survive_the_wire():
+    """Guards against grants and refusals that change on the way."""
+    grant = slots.Grant('r1', 5, 'u1', 'a:1', NOW + 3, True)
+    struct = decisions.write_decision(result.Success(grant), NOW, 9)
+    assert decisions.read_decision(send(struct), NOW).unwrap() == grant
+    refusal = failures.Refusal('r1', outcomes.RefusalReason.QUEUE_FULL, 1.5)
+    struct = decisions.write_decision(result.Failure(refusal), NOW)
+    assert decisions.read_decision(send(struct), NOW).failure() == refusal
--- a/wagtailspread/entry/tests/test_failover.py
+++ b/wagtailspread/entry/tests/test_failover.py
@@ -137,9 +137,9 @@
 
 async def test_completions_to_one_owner_share_messages(monkeypatch):
     """Guards against a message for each completion."""
-    monkeypatch.setattr(allocations, 'RELEASE_SECONDS', 0.1)
     async with fleets.start_fleet(2) as (hosts, ups):
         await prepare(hosts, ups)
+        monkeypatch.setattr(allocations, 'RELEASE_SECONDS', 0.1)
         route = hosts[0].listener.routes[messages.methods.RELEASE]
         batches = []
 
