Tell the judge of hanging requests before they time out

Cause: the judge can take open requests beyond the usual time as evidence, and nothing told it of them; a hang was noticed only at the deadlines. After: the new test fails without the call; 208 tests pass.

--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -90,6 +90,7 @@
         )
         self._upkeep = upkeep.Upkeep(
             self.table,
+            self.leases,
             self._selector,
             self.shares,
             self._results,
--- a/wagtailspread/allocation/judges.py
+++ b/wagtailspread/allocation/judges.py
@@ -1,6 +1,7 @@
 """What an allocator needs to know about the health of upstreams."""
 
 import dataclasses
+import math
 import typing
 
 from collections import abc
@@ -50,6 +51,18 @@
     ) -> bool:
         """Return whether an ejected upstream gets one trial request now."""
 
+    def hang_seconds(self) -> float:
+        """Return the age at which an open request counts as hanging."""
+
+    def note_overdue(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> None:
+        """Take an open request that has reached this age as evidence."""
+
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Renew the vote of a host for this allocator."""
 
@@ -95,6 +108,19 @@
         """Return false, since nothing is ejected."""
         return False
 
+    def hang_seconds(self) -> float:
+        """Return infinity, since nothing is evidence."""
+        return math.inf
+
+    def note_overdue(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> None:
+        """Ignore the evidence."""
+
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Ignore the vote."""
 
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -71,6 +71,7 @@
     :param row: the row of the upstream.
     :param granted: when it was granted, in seconds; none if it was adopted.
     :param expires: when it ends if nobody returns it, in seconds.
+    :param is_overdue: whether its age has been taken as evidence.
     """
 
     lease: identifiers.LeaseId
@@ -84,6 +85,7 @@
     expires: float
     is_trial: bool = False
     is_passing: bool = False
+    is_overdue: bool = False
 
 
 class UpstreamTable:
@@ -306,6 +308,7 @@
         lease.request = request
         lease.fingerprint = fingerprint
         lease.granted = now
+        lease.is_overdue = False
         lease.expires = expires
         self._push(lease)
 
@@ -318,6 +321,19 @@
             ]
             heapq.heapify(self._ends)
 
+    def take_overdue(self, granted_before: float) -> list[Lease]:
+        """Return the leases granted before a time, each of them once."""
+        overdue = [
+            lease
+            for lease in self.leases.values()
+            if lease.granted is not None
+            and lease.granted <= granted_before
+            and not lease.is_overdue
+        ]
+        for lease in overdue:
+            lease.is_overdue = True
+        return overdue
+
     def remove(self, lease_id: identifiers.LeaseId) -> Lease | None:
         """Close a lease and return it, or none if it is not open."""
         lease = self.leases.pop(lease_id, None)
--- a/wagtailspread/allocation/tests/test_faults.py
+++ b/wagtailspread/allocation/tests/test_faults.py
@@ -317,3 +317,25 @@
     assert sorted(used) == ['u0', 'u0', 'u1']
     retried = builders.submit_all(fallback, 1, 0.1, attempt=2)
     assert builders.list_reasons(retried) == [REASON.RETRY_BUDGET]
+
+
+class HangingJudge(RecordingJudge):
+    """Calls a request hanging after half a second."""
+
+    def hang_seconds(self):
+        return 0.5
+
+    def note_overdue(self, upstream, host, domain, now):
+        self.evidence.append((upstream, 'overdue', now))
+
+
+def test_hanging_request_is_evidence_once_before_its_deadline():
+    """Guards against hangs that are noticed only when requests time out."""
+    judge = HangingJudge()
+    coordinator = builders.make_coordinator(judge)
+    builders.announce_all(coordinator, 1)
+    grant_one(coordinator, 0.0, deadline=5.0)
+    for tenth in range(1, 12):
+        coordinator.tick(tenth / 10)
+    assert [one[1] for one in judge.evidence] == ['overdue']
+    assert 0.5 <= judge.evidence[0][2] <= 0.7
--- a/wagtailspread/allocation/upkeep.py
+++ b/wagtailspread/allocation/upkeep.py
@@ -22,6 +22,7 @@
     def __init__(
         self,
         table: tables.UpstreamTable,
+        leases: tables.LeaseTable,
         selector: selection.Selector,
         shares: scheduling.Shares,
         recorder: results.ResultRecorder,
@@ -29,6 +30,7 @@
     ) -> None:
         """Work on the tables of one allocator."""
         self._table = table
+        self._leases = leases
         self._selector = selector
         self._shares = shares
         self._recorder = recorder
@@ -47,6 +49,7 @@
         self._due = now + REFRESH_SECONDS
         self._refresh_rows(now)
         self._recorder.tick(now)
+        self._note_overdue(now)
         changes = self._judge.tick(self._list_capacities(now), now)
         self._changes.extend(changes)
         del self._changes[:-_CHANGES_LIMIT]
@@ -65,6 +68,17 @@
         self._changes = []
         return changes
 
+    def _note_overdue(self, now: float) -> None:
+        """Tell the judge of requests that hang before they time out."""
+        begun = now - self._judge.hang_seconds()
+        for lease in self._leases.take_overdue(begun):
+            self._judge.note_overdue(
+                lease.row.upstream,
+                lease.host,
+                lease.domain,
+                now,
+            )
+
     def _refresh_rows(self, now: float) -> None:
         for row in list(self._table.rows.values()):
             if self._table.expire(row, now):
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -68,6 +68,20 @@
         """Return whether an ejected upstream gets one trial request now."""
         return self.judge.claim_trial(upstream, now)
 
+    def hang_seconds(self) -> float:
+        """Return the age at which an open request counts as hanging."""
+        return self.judge.hang_seconds()
+
+    def note_overdue(
+        self,
+        upstream: identifiers.UpstreamId,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        now: float,
+    ) -> None:
+        """Take an open request that has reached this age as evidence."""
+        self.judge.note_overdue(upstream, host, domain, now)
+
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Renew the vote of a host for this allocator."""
         self.judge.note_vote(host, now)
