--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -20,11 +20,15 @@
 
 from aiohttp import client, web
 
+from wagtailspread.allocation import coordination, policies
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.entry import allocations, announcements, attempts
 from wagtailspread.entry import connections
 from wagtailspread.entry import exchanges, forwarding, interfaces, keys
 from wagtailspread.entry import owners, processes, servers, slots
+from wagtailspread.health import judges
+from wagtailspread.observability import metrics, traces
+from wagtailspread.processes import observers
 from wagtailspread.testing import stand_ins
 from wagtailspread.wire import credentials, links
 
@@ -106,8 +110,13 @@
         'entry',
     )
     own = credentials.Credentials(peer, credentials.create_key())
-    coordinator = stand_ins.SimpleCoordinator()
-    table = owners.OwnerTable(lambda _service: (coordinator, None), clock)
+    judge = judges.create_judge(judges.HealthPolicy(), random.Random(SEED))
+    coordinator = coordination.create_coordinator(
+        policies.AllocationPolicy(),
+        judge,
+        random.Random(SEED),
+    )
+    table = owners.OwnerTable(lambda _service: (coordinator, judge), clock)
     identity = allocations.HostIdentity(
         peer.host,
         identifiers.RegionName('costa-norte'),
@@ -121,8 +130,14 @@
         links.LinkPool(own, credentials.FixedDirectory({})),
         clock,
     )
-    for number, address in enumerate(upstreams):
-        allocator.announce(_create_row(number, address, identity))
+
+    async def announce() -> None:
+        while True:
+            for number, address in enumerate(upstreams):
+                allocator.announce(_create_row(number, address, identity))
+            await asyncio.sleep(1)
+
+    announcing = asyncio.create_task(announce())
     forwarder = forwarding.Forwarder(
         identity,
         attempts.AttemptRunner(
@@ -133,8 +148,9 @@
             clock,
         ),
         keys.KeyKeeper(stand_ins.MemoryKeyStore(), peer.host, clock),
-        stand_ins.SilentTracer(),
+        traces.create_tracing(traces.TraceSettings(peer.host)),
         clock,
+        observers.RequestObserver(metrics.create_metrics(peer.host)),
     )
     routes = [stand_ins.FixedRoute('reads', _SERVICE, '/vitrina')]
     routing = stand_ins.FixedRouting(routes)
@@ -148,7 +164,7 @@
     bound = await server.start(identifiers.Address('127.0.0.1:0'))
     processes.tune_collector()
     print(bound, flush=True)
-    await asyncio.Event().wait()
+    await announcing
 
 
 def measure_entry() -> list[str]:
