Derive the reporting judge from the judge

Cause: the judge's interface stood in four places, one of them a wrapper that passed every call on; each decision went through it. After: one protocol in the allocation package, and a subclass that overrides two methods; behaviour as before.

--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -48,55 +48,12 @@
     tie_breaker: identifiers.HostId | None = None
 
 
-class HealthJudge(typing.Protocol):
-    """What the allocator asks about the health of upstreams."""
-
-    def record(
-        self,
-        upstream: identifiers.UpstreamId,
-        host: identifiers.HostId,
-        domain: identifiers.FailureDomain,
-        outcome: outcomes.ExchangeResult,
-        seconds: float,
-        now: float,
-    ) -> None:
-        """Take the result of one exchange."""
-
-    def is_usable(
-        self,
-        upstream: identifiers.UpstreamId,
-        domain: identifiers.FailureDomain,
-        now: float,
-    ) -> bool:
-        """Tell whether ordinary work may go to an upstream."""
-
-    def claim_trial(
-        self,
-        upstream: identifiers.UpstreamId,
-        now: float,
-    ) -> bool:
-        """Tell whether one trial request may go to an ejected upstream."""
-
-    def note_vote(self, host: identifiers.HostId, now: float) -> None:
-        """Renew the vote of a host."""
-
-    def adopt(
-        self,
-        ejected: typing.Iterable[identifiers.UpstreamId],
-        now: float,
-    ) -> None:
-        """Take over ejections that hosts report of an earlier owner."""
-
-    def tick(
-        self,
-        capacities: typing.Iterable[tables.CapacityRow],
-        now: float,
-    ) -> list[reports.HealthChange]:
-        """Evaluate the evidence and return what changed."""
-
-
 class Judge:
-    """Implements :class:`HealthJudge`. Use :func:`create_judge`."""
+    """Judge of one service in one region. Use :func:`create_judge`.
+
+    See also: :class:`wagtailspread.allocation.judges.HealthJudge`, what an
+    allocator asks of it.
+    """
 
     def __init__(
         self,
--- a/wagtailspread/observability/metrics.py
+++ b/wagtailspread/observability/metrics.py
@@ -82,7 +82,7 @@
             ),
             'exchanges': self._create_counter(
                 'exchanges',
-                'Exchanges with upstreams by service and result.',
+                'Results by service; an overdue exchange adds a timeout.',
                 ('service', 'result'),
             ),
             'ejections': self._create_counter(
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -6,9 +6,8 @@
 import typing
 
 from wagtailspread.allocation import coordination, policies
-from wagtailspread.allocation import judges as allocation_judges
 from wagtailspread.core import clocks, identifiers, outcomes
-from wagtailspread.health import authority, judges, reports
+from wagtailspread.health import authority, judges, reports, tables
 from wagtailspread.membership import agents
 from wagtailspread.observability import logs, metrics
 from wagtailspread.processes import copies
@@ -21,17 +20,18 @@
 ADOPTION_SECONDS = 0.25
 
 
-class ReportingJudge:
+class ReportingJudge(judges.Judge):
     """A judge whose changes are logged, counted and kept for the status."""
 
     def __init__(
         self,
-        judge: judges.Judge,
+        policy: judges.HealthPolicy,
+        index: authority.HostIndex,
         service: identifiers.ServiceName,
         host_metrics: metrics.Metrics,
     ) -> None:
-        """Wrap a judge."""
-        self.judge = judge
+        """Start without upstreams."""
+        super().__init__(policy, random.Random(), index)
         self.changes: collections.deque[reports.HealthChange] = (
             collections.deque(maxlen=KEPT_CHANGES)
         )
@@ -43,73 +43,26 @@
         upstream: identifiers.UpstreamId,
         host: identifiers.HostId,
         domain: identifiers.FailureDomain,
-        result: outcomes.ExchangeResult,
+        outcome: outcomes.ExchangeResult,
         seconds: float,
         now: float,
     ) -> None:
-        """Take the result of one exchange as evidence."""
-        self._metrics.count('exchanges', self._service, result.name.lower())
-        self.judge.record(upstream, host, domain, result, seconds, now)
-
-    def is_usable(
-        self,
-        upstream: identifiers.UpstreamId,
-        domain: identifiers.FailureDomain,
-        now: float,
-    ) -> bool:
-        """Return whether it is neither ejected nor blocked from there."""
-        return self.judge.is_usable(upstream, domain, now)
-
-    def claim_trial(
-        self,
-        upstream: identifiers.UpstreamId,
-        now: float,
-    ) -> bool:
-        """Return whether an ejected upstream gets one trial request now."""
-        return self.judge.claim_trial(upstream, now)
-
-    def hang_seconds(self) -> float:
-        """Return the age at which an open request counts as hanging."""
-        return self.judge.hang_seconds()
-
-    def note_overdue(
-        self,
-        upstream: identifiers.UpstreamId,
-        host: identifiers.HostId,
-        domain: identifiers.FailureDomain,
-        now: float,
-    ) -> None:
-        """Take an open request that has reached this age as evidence."""
-        self.judge.note_overdue(upstream, host, domain, now)
-
-    def note_vote(self, host: identifiers.HostId, now: float) -> None:
-        """Renew the vote of a host for this allocator."""
-        self.judge.note_vote(host, now)
-
-    def adopt(
-        self,
-        ejected: typing.Iterable[identifiers.UpstreamId],
-        now: float,
-    ) -> None:
-        """Take over ejections of an earlier owner."""
-        self.judge.adopt(ejected, now)
-
-    def find_ejected(self) -> list[identifiers.UpstreamId]:
-        """Return the ejected upstreams."""
-        return self.judge.find_ejected()
+        """Take the result of one exchange as evidence, and count it."""
+        self._metrics.count('exchanges', self._service, outcome.name.lower())
+        super().record(upstream, host, domain, outcome, seconds, now)
 
     def tick(
         self,
-        capacities: typing.Sequence[allocation_judges.Capacity],
+        capacities: typing.Iterable[tables.CapacityRow],
         now: float,
-    ) -> typing.Sequence[reports.HealthChange]:
+    ) -> list[reports.HealthChange]:
         """Eject and readmit upstreams; report the changes."""
-        changes = self.judge.tick(capacities, now)
+        changes = super().tick(capacities, now)
         for change in changes:
-            self._report(change)
+            self._publish(change)
         return changes
 
-    def _report(self, change: reports.HealthChange) -> None:
+    def _publish(self, change: reports.HealthChange) -> None:
         self.changes.append(change)
         if change.state is reports.HealthState.EJECTED:
             cause = change.reason.cause.value
@@ -158,17 +111,17 @@
     ) -> tuple[coordination.Coordinator, ReportingJudge]:
         """Return a coordinator and its register of votes."""
         policy = self._create_policy(service)
-        source = random.Random()
         judge = ReportingJudge(
-            judges.create_judge(
-                self._create_health_policy(policy),
-                source,
-                self._index,
-            ),
+            self._create_health_policy(policy),
+            self._index,
             service,
             self._metrics,
         )
-        coordinator = coordination.create_coordinator(policy, judge, source)
+        coordinator = coordination.create_coordinator(
+            policy,
+            judge,
+            random.Random(),
+        )
         coordinator.await_adoptions(self._clock.now() + ADOPTION_SECONDS)
         self.owned[service] = OwnedService(coordinator, judge)
         return coordinator, judge
@@ -183,7 +136,7 @@
             policy = self._create_policy(service)
             if policy != owned.coordinator.policy:
                 owned.coordinator.change_policy(policy)
-            owned.judge.judge.change_policy(self._create_health_policy(policy))
+            owned.judge.change_policy(self._create_health_policy(policy))
 
     def count_hosts(self) -> int:
         """Return the number of hosts of the region that can vote.
--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -45,7 +45,7 @@
 ) -> Report:
     owned = host.factory.owned[service]
     coordinator, judge = owned.coordinator, owned.judge
-    ejected = set(judge.judge.find_ejected())
+    ejected = set(judge.find_ejected())
     return {
         'upstreams': [
             {
@@ -60,8 +60,8 @@
             }
             for row in coordinator.list_rows(now)
         ],
-        'votes': judge.judge.authority.count_votes(now),
-        'holds_votes': judge.judge.authority.holds_votes(now),
+        'votes': judge.authority.count_votes(now),
+        'holds_votes': judge.authority.holds_votes(now),
         'queues': {
             priority.name.lower(): coordinator.queues.counts[priority]
             for priority in priorities.Priority
--- a/wagtailspread/processes/tests/test_allocators.py
+++ b/wagtailspread/processes/tests/test_allocators.py
@@ -61,9 +61,9 @@
     factory.refresh()
     for host in ('h0', 'h1'):
         judge.note_vote(host, 10.0)
-    assert not judge.judge.authority.holds_votes(10.0)
+    assert not judge.authority.holds_votes(10.0)
     judge.note_vote('h2', 10.0)
-    assert judge.judge.authority.holds_votes(10.0)
+    assert judge.authority.holds_votes(10.0)
 
 
 def test_new_owner_grants_nothing_before_leases_are_adopted():
