Let the base file name a region's tie breaker

Cause: exactly half of the votes was never enough, so that the loss of one of two failure domains stopped all ejections of the region. Ruled out: the lowest host id as the tie breaker, since two sides can disagree about which hosts there are. After: the new test fails without the key and passes with it; 249 tests pass.

--- a/wagtailspread/commands/renderings.py
+++ b/wagtailspread/commands/renderings.py
@@ -169,6 +169,7 @@
         'domains': ','.join(region.domains),
         'hosts': str(region.hosts),
         'link': f'{rate:g}Mbit/s',
+        'tie_breaker': region.tie_breaker or 'none',
     }
 
 
--- a/wagtailspread/configuration/schemas.py
+++ b/wagtailspread/configuration/schemas.py
@@ -73,12 +73,15 @@
 
     :param hosts: number of configured hosts, of which a majority votes.
     :param link_bytes: bytes per second towards the other region.
+    :param tie_breaker: host whose vote decides when exactly half vote; empty
+        for none.
     """
 
     name: identifiers.RegionName
     domains: tuple[identifiers.FailureDomain, ...]
     hosts: int
     link_bytes: float
+    tie_breaker: identifiers.HostId = identifiers.HostId('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/configuration/sections.py
+++ b/wagtailspread/configuration/sections.py
@@ -130,6 +130,7 @@
         _create_text('domains', 'the failure domains of the region'),
         KeyRule('hosts', units.COUNT, low='1', high='100000'),
         KeyRule('link', units.RATE, low='1kbit/s', high='1000Gbit/s'),
+        KeyRule('tie_breaker', default=''),
     ),
 )
 SERVICE = SectionKind(
--- a/wagtailspread/configuration/service_checks.py
+++ b/wagtailspread/configuration/service_checks.py
@@ -50,6 +50,7 @@
         domains=tuple(map(identifiers.FailureDomain, domains)),
         hosts=reader.read_count('hosts'),
         link_bytes=reader.read_number('link'),
+        tie_breaker=identifiers.HostId(reader.read_text('tie_breaker')),
     )
 
 
--- a/wagtailspread/health/authority.py
+++ b/wagtailspread/health/authority.py
@@ -88,6 +88,13 @@
         """
         self._host_count = host_count
 
+    def change_tie_breaker(
+        self,
+        tie_breaker: identifiers.HostId | None,
+    ) -> None:
+        """Take another host whose vote decides when exactly half vote."""
+        self._tie_breaker = tie_breaker
+
     def note_vote(self, host: identifiers.HostId, now: float) -> None:
         """Count a vote of ``host`` until two seconds after ``now``.
 
--- a/wagtailspread/health/judges.py
+++ b/wagtailspread/health/judges.py
@@ -93,6 +93,7 @@
         """Take another floor and number of hosts; the evidence stays."""
         self._table.change_floor(policy.floor)
         self.authority.change_host_count(policy.host_count)
+        self.authority.change_tie_breaker(policy.tie_breaker)
 
     def record(
         self,
--- a/wagtailspread/processes/allocators.py
+++ b/wagtailspread/processes/allocators.py
@@ -6,6 +6,7 @@
 import typing
 
 from wagtailspread.allocation import coordination, policies
+from wagtailspread.configuration import schemas
 from wagtailspread.core import clocks, identifiers, outcomes
 from wagtailspread.health import authority, judges, reports, tables
 from wagtailspread.membership import agents
@@ -144,8 +145,7 @@
         More hosts than configured may be alive; a majority of fewer hosts
         than there are could exist twice.
         """
-        settings = self._copy.settings
-        region = settings.regions.get(self._region) if settings else None
+        region = self._find_region()
         alive = len(self._agent.find_alive(self._region))
         return max(alive, region.hosts if region else 1)
 
@@ -153,7 +153,16 @@
         self,
         policy: policies.AllocationPolicy,
     ) -> judges.HealthPolicy:
-        return judges.HealthPolicy(policy.floor, self.count_hosts())
+        region = self._find_region()
+        return judges.HealthPolicy(
+            policy.floor,
+            self.count_hosts(),
+            (region.tie_breaker or None) if region else None,
+        )
+
+    def _find_region(self) -> schemas.RegionSettings | None:
+        settings = self._copy.settings
+        return settings.regions.get(self._region) if settings else None
 
     def _create_policy(
         self,
--- a/wagtailspread/processes/tests/test_allocators.py
+++ b/wagtailspread/processes/tests/test_allocators.py
@@ -3,6 +3,7 @@
 import random
 
 from wagtailspread.allocation import messages
+from wagtailspread.configuration import deltas
 from wagtailspread.core import clocks, identifiers, priorities
 from wagtailspread.membership import agents, tables
 from wagtailspread.observability import metrics
@@ -84,3 +85,20 @@
     coordinator.adopt(messages.AdoptedLease(5, 'h2', 'u0', 11.0), 10.1)
     assert not coordinator.tick(10.0 + allocators.ADOPTION_SECONDS)
     assert [grant.upstream for grant in coordinator.tick(11.1)] == ['u0']
+
+
+def test_half_of_the_hosts_is_enough_with_the_configured_tie_breaker():
+    """Guards against ejections that end with the loss of one of two domains."""
+    copy, factory, _ = create_factory()
+    _, judge = factory.create(SERVICE)
+    judge.note_vote('h0', 10.0)
+    assert not judge.authority.holds_votes(10.0)
+    texts = {
+        'base.ini': test_copies.create_base(50).replace(
+            'hosts = 2',
+            'hosts = 2\ntie_breaker = h0',
+        ),
+    }
+    copy.apply(deltas.create_full(texts, 2)).unwrap()
+    judge.note_vote('h0', 10.1)
+    assert judge.authority.holds_votes(10.1)
