Give each hop of a traced request its span

Cause: only the entry host's span existed, so a trace did not tell waiting for a slot from the exchange. After: spans allocate and exchange for traced requests only; the test fails without the tracer.

--- a/wagtailspread/entry/attempts.py
+++ b/wagtailspread/entry/attempts.py
@@ -20,6 +20,13 @@
 _RETRYABLE_STATUS = frozenset((500, 502, 503, 504))
 
 
+#: Header that carries the trace context.
+TRACE_HEADER = 'traceparent'
+#: End of a trace context whose trace is recorded.
+_TRACED = '-01'
+_Result = typing.TypeVar('_Result')
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """A request that is ready to be attempted.
@@ -94,8 +101,10 @@
         source: interfaces.SlotSource,
         exchanger: exchanges.Exchanger,
         clock: clocks.Clock,
+        tracer: interfaces.Tracer | None = None,
     ) -> None:
         """Keep the parts."""
+        self._tracer = tracer
         self._host = host
         self._domain = domain
         self._source = source
@@ -114,11 +123,13 @@
         state = _RunState()
         while state.attempt < MAX_ATTEMPTS:
             state.attempt += 1
-            decision = await self._acquire(job, state)
+            acquiring = self._acquire(job, state)
+            decision = await self._trace('allocate', job, acquiring)
             if not isinstance(decision, result.Success):
                 return state.settle(decision.failure())
             grant = decision.unwrap()
-            if await self._attempt(job, grant, ledger, state):
+            attempting = self._attempt(job, grant, ledger, state)
+            if await self._trace('exchange', job, attempting):
                 break
             state.excluded = (*state.excluded, grant.upstream)
         return state.settle(_create_refusal(job))
@@ -138,6 +149,19 @@
         received = len(reply.body) + reply.streamed
         self._complete(job, held.grant, ended, held.started, received)
 
+    async def _trace(
+        self,
+        name: str,
+        job: Job,
+        hop: typing.Awaitable[_Result],
+    ) -> _Result:
+        """Run one hop of a request, in a span if the request is traced."""
+        header = job.outgoing.headers.get(TRACE_HEADER, '')
+        if self._tracer is None or not header.endswith(_TRACED):
+            return await hop
+        with self._tracer.start_span(name, header):
+            return await hop
+
     def _acquire(
         self,
         job: Job,
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -15,8 +15,6 @@
 from wagtailspread.entry import exchanges, interfaces, keys, ledgers
 from wagtailspread.entry import requests, streaming
 
-#: Header that carries the trace context.
-TRACE_HEADER = 'traceparent'
 #: Sent if the caller names no program, since the client library would name
 #: itself; it would also invent an Accept-Encoding that the caller may not know.
 _AGENT = 'wagtailspread'
@@ -88,13 +86,13 @@
                 proof = ledger.prove_not_run()
                 return answers.create_fault(fault, proof).to_response()
             body = received.unwrap()
-        parent = request.headers.get(TRACE_HEADER, '')
+        parent = request.headers.get(attempts.TRACE_HEADER, '')
         with self._tracer.start_span(checked.route.name, parent) as span:
             headers = requests.copy_headers(request.headers)
             headers.setdefault('Accept-Encoding', 'identity')
             headers.setdefault('User-Agent', _AGENT)
             if span.header:
-                headers[TRACE_HEADER] = span.header
+                headers[attempts.TRACE_HEADER] = span.header
             job = self._create_job(checked, headers, body, deadline)
             return await self._answer(request, checked, job, ledger)
 
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/processes.py
@@ -137,6 +137,7 @@
                 ),
                 exchanges.Exchanger(self._pools, clock),
                 clock,
+                parts.tracer,
             ),
             keys.KeyKeeper(parts.key_store, identity.host, clock),
             parts.tracer,
--- a/wagtailspread/entry/tests/test_exchanges.py
+++ b/wagtailspread/entry/tests/test_exchanges.py
@@ -9,6 +9,7 @@
 from wagtailspread.core import outcomes
 from wagtailspread.entry import slots
 from wagtailspread.entry.tests import fleets, sockets
+from wagtailspread.testing import stand_ins
 
 RESULTS = outcomes.ExchangeResult
 
@@ -312,3 +313,29 @@
             await asyncio.gather(*calls)
         seen = results_of(hosts[0])
         assert seen.count(RESULTS.TIMEOUT) > 2 * seen.count(RESULTS.SILENT)
+
+
+class CountingTracer(stand_ins.SilentTracer):
+    """Remembers the names of the spans."""
+
+    def __init__(self):
+        self.names = []
+
+    def start_span(self, name, parent_header):
+        self.names.append(name)
+        return super().start_span(name, parent_header)
+
+
+async def test_traced_request_has_a_span_for_each_hop():
+    """Guards against traces that do not show where the time went."""
+    async with fleets.start_fleet() as (hosts, _):
+        tracer = CountingTracer()
+        hosts[0].forwarder._runner._tracer = tracer
+        trace = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331'
+        for flag, names in (('00', []), ('01', ['allocate', 'exchange'])):
+            answer, _ = await fetch(
+                hosts[0],
+                traceparent=f'{trace}-{flag}',
+            )
+            assert answer.status == 200
+            assert tracer.names == names
