Count the bytes between regions in the metrics

Cause: the link budget knew the bytes of spilled requests, and no metric did. After: region_bytes by priority; the new test fails without the call.

--- a/wagtailspread/entry/spills.py
+++ b/wagtailspread/entry/spills.py
@@ -93,6 +93,11 @@
 
     source: interfaces.SlotSource
     expected: float
+    priority: priorities.Priority
+
+
+#: Counts bytes between regions by priority.
+ByteCounter = typing.Callable[[priorities.Priority, int], None]
 
 
 class SpillSource:
@@ -100,6 +105,7 @@
 
     :param home: gives the slots of the own region.
     :param others: give the slots of the other regions, in order.
+    :param note_bytes: is told of the bytes between regions, both ways.
     """
 
     def __init__(
@@ -108,8 +114,10 @@
         others: typing.Sequence[interfaces.SlotSource],
         budget: LinkBudget,
         clock: clocks.Clock,
+        note_bytes: ByteCounter | None = None,
     ) -> None:
         """Start with no leases of other regions."""
+        self._note_bytes = note_bytes
         self._home = home
         self._others = others
         self._budget = budget
@@ -145,6 +153,8 @@
         if spilled is None:
             self._home.complete(service, grant, ended, seconds, transferred)
             return
+        if self._note_bytes is not None:
+            self._note_bytes(spilled.priority, transferred)
         self._budget.correct(transferred - spilled.expected)
         known = self._estimates.get(service, FIRST_ESTIMATE_BYTES)
         difference = transferred - known
@@ -184,6 +194,10 @@
         for source in self._others:
             decision = await source.acquire(service, request)
             if isinstance(decision, result.Success):
-                self._spilled[request.request] = _Spilled(source, expected)
+                self._spilled[request.request] = _Spilled(
+                    source,
+                    expected,
+                    request.priority,
+                )
                 return decision.unwrap()
         return None
--- a/wagtailspread/entry/tests/test_spills.py
+++ b/wagtailspread/entry/tests/test_spills.py
@@ -105,3 +105,19 @@
             REASONS.NO_CAPACITY
         )
     assert away.asked == 3
+
+
+async def test_bytes_between_regions_are_counted_by_priority():
+    """Guards against paid traffic that no metric shows."""
+    counted = []
+    source = spills.SpillSource(
+        Region(REASONS.NO_CAPACITY),
+        [Region()],
+        spills.LinkBudget(1_000_000.0),
+        clocks.ManualClock(1.0),
+        lambda priority, size: counted.append((priority, size)),
+    )
+    grant = (await ask(source, URGENT)).unwrap()
+    ended = outcomes.ExchangeResult.SUCCESS
+    source.complete(fleets.SERVICE, grant, ended, 0.1, 5000)
+    assert counted == [(URGENT, 5000)]
--- a/wagtailspread/observability/metrics.py
+++ b/wagtailspread/observability/metrics.py
@@ -92,8 +92,8 @@
             ),
             'region_bytes': self._create_counter(
                 'region_bytes',
-                'Bytes between regions by direction and priority.',
-                ('direction', 'priority'),
+                'Bytes of spilled requests between regions, both ways.',
+                ('priority',),
             ),
         }
         # Looking up a child by labels costs more than raising it.
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -121,6 +121,7 @@
         subscription = self._create_subscription(replicas, pool)
         subscription.register(listener)
         self._subscription = subscription
+        observer = observers.RequestObserver(self.metrics)
         return processes.EntryParts(
             routing=self.copy,
             list_services=self._list_services,
@@ -132,7 +133,8 @@
             create_coordinator=self.factory.create,
             key_store=replicas,
             tracer=self.tracing,
-            observer=observers.RequestObserver(self.metrics),
+            observer=observer,
+            note_link_bytes=observer.note_link_bytes,
             conditions=(self.is_current,),
             tasks=(
                 self._refresh_allocators,
--- a/wagtailspread/processes/observers.py
+++ b/wagtailspread/processes/observers.py
@@ -1,6 +1,6 @@
 """Takes finished requests to the log and the metrics."""
 
-from wagtailspread.core import outcomes
+from wagtailspread.core import outcomes, priorities
 from wagtailspread.entry import interfaces
 from wagtailspread.observability import logs, metrics
 
@@ -19,6 +19,15 @@
         """Keep where records go."""
         self._metrics = host_metrics
 
+    def note_link_bytes(
+        self,
+        priority: priorities.Priority,
+        transferred: int,
+    ) -> None:
+        """Count the bytes of a spilled request between regions."""
+        name = priority.name.lower()
+        self._metrics.count('region_bytes', name, amount=transferred)
+
     def note_request(self, record: interfaces.RequestRecord) -> None:
         """Take one finished request."""
         priority = record.route.priority.name.lower()
