Show pending members in the status of a replica

Cause: the status told nothing of the configuration, so that nobody saw for whose approval a candidate waits. After: version, members and pending changes with agreed, missing and void approvals.

--- a/wagtailspread/processes/machines.py
+++ b/wagtailspread/processes/machines.py
@@ -1,5 +1,7 @@
 """The replicas' state machine with the fleet's own parts."""
 
+import typing
+
 from wagtailspread.configuration import schemas, versions
 from wagtailspread.core import identifiers
 from wagtailspread.idempotency import claims
@@ -52,6 +54,24 @@
         found = self.state.members.get(member)
         return found.public_key if found else None
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the version, the members and what waits for approvals."""
+        return {
+            'version': self.state.version,
+            'members': list(self.state.members),
+            'pending': [
+                {
+                    'change': pending.kind.value,
+                    'subject': pending.subject,
+                    'digest': pending.digest,
+                    'agreed': list(pending.agreed),
+                    'missing': list(pending.missing),
+                    'void': list(pending.void),
+                }
+                for pending in self.state.pending
+            ],
+        }
+
     def find_lifetime(self, service: str) -> float:
         """Return how long idempotency keys of a service live, in seconds."""
         return self.state.find_lifetime(service)
--- a/wagtailspread/processes/tests/test_copies.py
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wagtailspread.configuration import deltas, versions
+from wagtailspread.configuration import deltas, signatures, versions
 from wagtailspread.core import identifiers
 from wagtailspread.entry import subscriptions
 from wagtailspread.processes import copies, machines
@@ -137,3 +137,31 @@
     assert messages.encode(
         restored.configuration.delta_since(0),
     ) == messages.encode(machine.configuration.delta_since(0))
+
+
+def test_status_shows_who_has_not_approved_a_candidate():
+    """Guards against a new site that waits and nobody knows for whom."""
+    machine = machines.create_machine()
+    base = create_base(50)
+    machine.configuration.start(base)
+    candidate = credentials.public_bytes(credentials.create_key())
+    key = base64.b64encode(candidate).decode()
+    section = f'[member costa-norte]\npublic_key = {key}\n\n[region centro'
+    submission = messages.structs.Submission(
+        id='add',
+        based_on=1,
+        files=[
+            messages.structs.SubmittedFile(
+                name='base.ini',
+                text=base.replace('[region centro', section, 1),
+            ),
+        ],
+        member=MEMBER,
+        signature=b'',
+    )
+    signatures.sign_submission(submission, KEY)
+    assert machine.configuration.submit(submission).status == 'accepted'
+    shown = machine.configuration.describe()
+    assert shown['members'] == [MEMBER]
+    assert [one['subject'] for one in shown['pending']] == ['costa-norte']
+    assert shown['pending'][0]['missing'] == [MEMBER]
--- a/wagtailspread/replica/handlers.py
+++ b/wagtailspread/replica/handlers.py
@@ -178,6 +178,8 @@
         )
         report['region'] = self._place.region
         report['domain'] = self._place.domain
+        machine = typing.cast(machines.StateMachine, self._driver.machine)
+        report['configuration'] = machine.configuration.describe()
         return result.Success(
             messages.structs.StatusReport(json=json.dumps(report)),
         )
--- a/wagtailspread/replica/machines.py
+++ b/wagtailspread/replica/machines.py
@@ -47,6 +47,9 @@
     def find_key(self, member: identifiers.MemberId) -> bytes | None:
         """Return the public key of an approved member."""
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return what the status shows, as a map that JSON can hold."""
+
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
 
--- a/wagtailspread/testing/machines.py
+++ b/wagtailspread/testing/machines.py
@@ -1,6 +1,7 @@
 """In-memory stand-ins for the parts of the replicas' state machine."""
 
 import json
+import typing
 
 from wagtailspread.core import identifiers
 from wagtailspread.replica import machines
@@ -59,6 +60,10 @@
         """Return the key of a member, if one was set."""
         return self.keys.get(member)
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the version."""
+        return {'version': self.version}
+
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
         return json.dumps([self.texts, self._answers]).encode()
