Keep one reader of process settings; tune the collector in the process

Cause: the entry package had an unchecked reader of settings and a run function that only its tests used, under the name of the processes package; and the joined process never called the collector's tuning that the benchmark measures with.

--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -25,7 +25,7 @@
 from wagtailspread.entry import allocations, announcements, attempts
 from wagtailspread.entry import connections
 from wagtailspread.entry import exchanges, forwarding, interfaces, keys
-from wagtailspread.entry import owners, processes, servers, slots
+from wagtailspread.entry import hosts, owners, servers, slots
 from wagtailspread.health import judges
 from wagtailspread.observability import metrics, traces
 from wagtailspread.processes import observers
@@ -162,7 +162,7 @@
         lambda: {'cpu': time.process_time()},
     )
     bound = await server.start(identifiers.Address('127.0.0.1:0'))
-    processes.tune_collector()
+    hosts.tune_collector()
     print(bound, flush=True)
     await announcing
 
--- a/wagtailspread/entry/processes.py
+++ b/wagtailspread/entry/hosts.py
@@ -1,11 +1,13 @@
-"""The entry host process: its settings, its parts and its life."""
+"""An entry host: its settings, its parts and its life.
+
+See also: :mod:`wagtailspread.processes.entries` joins it with the packages
+that it only knows as protocols, and runs it as a process.
+"""
 
 import asyncio
-import configparser
 import dataclasses
 import gc
 import pathlib
-import signal
 import typing
 
 from wagtailspread.core import clocks, identifiers
@@ -17,7 +19,6 @@
 
 #: Objects until a collection of the first, second and third generation.
 _COLLECTOR_THRESHOLDS = (20_000, 20, 20)
-_SECTION = 'entry'
 _DEFAULT_LINGER_SECONDS = 5.0
 _DEFAULT_CONNECTIONS = 9
 
@@ -225,32 +226,6 @@
         }
 
 
-def read_settings(text: str) -> EntrySettings:
-    """Return the settings in the ``[entry]`` section of an INI text.
-
-    :raises KeyError: if a required key is missing.
-    :raises ValueError: if a number is not one.
-    """
-    parser = configparser.ConfigParser(interpolation=None)
-    parser.read_string(text)
-    section = parser[_SECTION]
-    folder = section.get('configuration_folder')
-    return EntrySettings(
-        member=identifiers.MemberId(section['member']),
-        key_file=pathlib.Path(section['key_file']),
-        host=identifiers.HostId(section['host']),
-        region=identifiers.RegionName(section['region']),
-        domain=identifiers.FailureDomain(section['failure_domain']),
-        caller_address=identifiers.Address(section['caller_address']),
-        control_address=identifiers.Address(section['control_address']),
-        replicas=_split(section.get('replicas', '')),
-        seeds=_split(section.get('seeds', '')),
-        folder=pathlib.Path(folder) if folder else None,
-        linger_seconds=section.getfloat('linger', _DEFAULT_LINGER_SECONDS),
-        connections=section.getint('connections', _DEFAULT_CONNECTIONS),
-    )
-
-
 def create_host(
     settings: EntrySettings,
     directory: credentials.MemberDirectory,
@@ -278,26 +253,3 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*_COLLECTOR_THRESHOLDS)
-
-
-async def run_entry(
-    settings: EntrySettings,
-    directory: credentials.MemberDirectory,
-    create_parts: PartsFactory,
-) -> None:
-    """Run an entry host until SIGTERM or SIGINT, then stop gracefully."""
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    host = create_host(settings, directory, create_parts)
-    caller, control = await host.start()
-    tune_collector()
-    print(f'caller={caller} control={control}', flush=True)
-    await stopping.wait()
-    await host.stop()
-
-
-def _split(text: str) -> tuple[identifiers.Address, ...]:
-    named = (part.strip() for part in text.split(','))
-    return tuple(identifiers.Address(part) for part in named if part)
--- a/wagtailspread/entry/tests/stand_in_host.py
+++ b/wagtailspread/entry/tests/stand_in_host.py
@@ -5,19 +5,72 @@
 """
 
 import asyncio
+import configparser
 import pathlib
+import signal
 import sys
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import interfaces, processes
+from wagtailspread.entry import hosts, interfaces
 from wagtailspread.entry.tests import fleets
 from wagtailspread.testing import stand_ins
 from wagtailspread.wire import credentials
 
+SECTION = 'entry'
+
+
+def read_settings(text: str) -> hosts.EntrySettings:
+    """Return the settings in the ``[entry]`` section of an INI text.
+
+    :raises KeyError: if a required key is missing.
+    :raises ValueError: if a number is not one.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    section = parser[SECTION]
+    folder = section.get('configuration_folder')
+    return hosts.EntrySettings(
+        member=identifiers.MemberId(section['member']),
+        key_file=pathlib.Path(section['key_file']),
+        host=identifiers.HostId(section['host']),
+        region=identifiers.RegionName(section['region']),
+        domain=identifiers.FailureDomain(section['failure_domain']),
+        caller_address=identifiers.Address(section['caller_address']),
+        control_address=identifiers.Address(section['control_address']),
+        replicas=split_addresses(section.get('replicas', '')),
+        seeds=split_addresses(section.get('seeds', '')),
+        folder=pathlib.Path(folder) if folder else None,
+        linger_seconds=section.getfloat('linger', 5.0),
+        connections=section.getint('connections', 9),
+    )
+
+
+async def run_entry(
+    settings: hosts.EntrySettings,
+    directory: credentials.MemberDirectory,
+    create_parts: hosts.PartsFactory,
+) -> None:
+    """Run an entry host until SIGTERM or SIGINT, then stop gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    host = hosts.create_host(settings, directory, create_parts)
+    caller, control = await host.start()
+    hosts.tune_collector()
+    print(f'caller={caller} control={control}', flush=True)
+    await stopping.wait()
+    await host.stop()
+
+
+def split_addresses(text: str) -> tuple[identifiers.Address, ...]:
+    named = (part.strip() for part in text.split(','))
+    return tuple(identifiers.Address(part) for part in named if part)
+
 
 def create_parts(places):
     def create(_settings, _pool, _listener):
-        return processes.EntryParts(
+        return hosts.EntryParts(
             routing=stand_ins.FixedRouting(fleets.ROUTES),
             list_services=lambda: [fleets.SERVICE],
             ownership=stand_ins.FixedOwnership(places),
@@ -34,7 +87,7 @@
 
 def main():
     path, *named = sys.argv[1:]
-    settings = processes.read_settings(pathlib.Path(path).read_text())
+    settings = read_settings(pathlib.Path(path).read_text())
     places = [
         interfaces.OwnerPlace(
             identifiers.HostId(name.partition('=')[0]),
@@ -47,7 +100,7 @@
         {settings.member: credentials.public_bytes(key)},
     )
     asyncio.run(
-        processes.run_entry(settings, directory, create_parts(places)),
+        run_entry(settings, directory, create_parts(places)),
     )
 
 
--- a/wagtailspread/entry/tests/test_processes.py
+++ b/wagtailspread/entry/tests/test_processes.py
@@ -10,8 +10,7 @@
 
 from aiohttp import client
 
-from wagtailspread.entry import processes
-from wagtailspread.entry.tests import fleets, test_exchanges
+from wagtailspread.entry.tests import fleets, stand_in_host, test_exchanges
 from wagtailspread.testing import callers, upstreams
 from wagtailspread.wire import credentials
 
@@ -183,9 +182,9 @@
 def test_settings_are_read_from_an_ini_text():
     """Guards against settings that are dropped or mixed up."""
     text = SETTINGS.format(key='k', host='h1', caller='a:1', control='a:2')
-    settings = processes.read_settings(f'{text}seeds = b:1, b:2\n')
+    settings = stand_in_host.read_settings(f'{text}seeds = b:1, b:2\n')
     assert settings.host == 'h1'
     assert settings.seeds == ('b:1', 'b:2')
     assert settings.linger_seconds == pytest.approx(0.6)
     with pytest.raises(KeyError):
-        processes.read_settings('[entry]\nmember = a\n')
+        stand_in_host.read_settings('[entry]\nmember = a\n')
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -8,7 +8,7 @@
 
 from wagtailspread.configuration import schemas
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import processes, subscriptions
+from wagtailspread.entry import hosts, subscriptions
 from wagtailspread.membership import agents, drivers, tables
 from wagtailspread.observability import logs, metrics, traces
 from wagtailspread.processes import (
@@ -72,7 +72,7 @@
         self._clock = clock
         self._subscription: subscriptions.Subscription | None = None
         self._driver: drivers.Driver | None = None
-        self.host = processes.create_host(
+        self.host = hosts.create_host(
             _create_entry_settings(process, part),
             self.copy,
             self._create_parts,
@@ -111,10 +111,10 @@
 
     def _create_parts(
         self,
-        _settings: processes.EntrySettings,
+        _settings: hosts.EntrySettings,
         pool: links.LinkPool,
         listener: listeners.Listener,
-    ) -> processes.EntryParts:
+    ) -> hosts.EntryParts:
         replicas = clients.create_client(self._part.replicas, pool)
         self._driver = drivers.create_driver(self.agent, pool, self._clock)
         self._driver.attach(listener)
@@ -122,7 +122,7 @@
         subscription.register(listener)
         self._subscription = subscription
         observer = observers.RequestObserver(self.metrics)
-        return processes.EntryParts(
+        return hosts.EntryParts(
             routing=self.copy,
             list_services=self._list_services,
             ownership=ownerships.GossipedOwnership(
@@ -234,6 +234,7 @@
     with handler.applicationbound():
         host = create_process(process, part)
         await host.start()
+        hosts.tune_collector()
         await stopping.wait()
         await host.stop()
     handler.close_windows()
@@ -257,8 +258,8 @@
 def _create_entry_settings(
     process: settings.ProcessSettings,
     part: settings.EntryPart,
-) -> processes.EntrySettings:
-    return processes.EntrySettings(
+) -> hosts.EntrySettings:
+    return hosts.EntrySettings(
         member=process.member,
         key_file=process.key_file,
         host=process.host,
