Remove an unused dataclass from the request path's benchmark

Cause: Measure was left behind when the slices began to alternate; nothing used it. No test changed.

--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import dataclasses
 import itertools
 import random
 import statistics
@@ -54,20 +53,6 @@
 _BODY = b'x' * 2048
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Measure:
-    """Processor time and latencies of one proxy."""
-
-    requests: int
-    cpu_seconds: float
-    latencies: tuple[float, ...]
-
-    @property
-    def rate(self) -> float:
-        """Return requests per second of processor time."""
-        return self.requests / self.cpu_seconds
-
-
 async def run_upstream() -> None:
     """Answer every request with a fixed body."""
 
