--- a/wagtailspread/consensus/reconfiguration.py
+++ b/wagtailspread/consensus/reconfiguration.py
@@ -5,6 +5,9 @@
 same address and then admits the new one. Each step is an entry of the log, so
 a new leader goes on where the last one stopped.
 
+Where the policy says so, a replica at a new address takes the place of a voter
+that has been silent for a while, so a lost machine needs no operator.
+
 References: D. Ongaro, Consensus: Bridging Theory and Practice, chapter 4.
 """
 
@@ -83,6 +86,10 @@
             change = self._find_step(learner, now)
             if change is not None:
                 return change
+        voters = state.membership.voters
+        silent = self._find_silent_voter(now)
+        if silent is not None and len(voters) > state.policy.least_voters:
+            return MembershipChange(ChangeKind.REMOVE, silent)
         return None
 
     def prepare(
@@ -151,8 +158,24 @@
                 if self._is_live(voter, now):
                     return None
                 return MembershipChange(ChangeKind.REMOVE, voter)
+        silent = self._find_silent_voter(now)
+        is_full = len(state.membership.voters) >= state.policy.least_voters
+        if silent is not None and is_full:
+            return MembershipChange(ChangeKind.REMOVE, silent)
         return MembershipChange(ChangeKind.PROMOTE, learner)
 
+    def _find_silent_voter(self, now: float) -> messages.ReplicaNode | None:
+        """Return a voter that may be replaced, the most silent one first."""
+        state = self._state
+        since = now - state.policy.silent_voter_seconds
+        silent: messages.ReplicaNode | None = None
+        for voter in state.membership.voters:
+            progress = state.progress.get(voter.identity)
+            if progress is not None and progress.active_at < since:
+                since = progress.active_at
+                silent = voter
+        return silent
+
     def _is_superseded(
         self,
         learner: messages.ReplicaNode,
--- a/wagtailspread/consensus/states.py
+++ b/wagtailspread/consensus/states.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import random as random_module
 
 from wagtailspread.consensus import logs, messages
@@ -27,6 +28,10 @@
     :param lease_share: share of the election timeout for which a leader that
         a majority answered may serve reads; less than one, for clocks that
         run at different speeds.
+    :param silent_voter_seconds: silence after which a voter may be removed
+        to make room for a replica at another address; the default never does.
+    :param least_voters: voters are only removed for their silence if this
+        many remain or a replica that holds the log takes the place.
     """
 
     election_timeout: float = 1.0
@@ -38,6 +43,8 @@
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 2048
     kept_bytes: int = 4 * 1024 * 1024
+    silent_voter_seconds: float = math.inf
+    least_voters: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/wagtailspread/core/clocks.py
+++ b/wagtailspread/core/clocks.py
@@ -25,6 +25,21 @@
     wall = staticmethod(time.time)
 
 
+class SuspensionClock:
+    """A clock that also counts the time for which the machine is suspended.
+
+    Leases must end while their holder is suspended, and the monotonic clock
+    stands still then.
+    """
+
+    def now(self) -> float:
+        """Return seconds since the machine started, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    #: Seconds since the epoch.
+    wall = staticmethod(time.time)
+
+
 class ManualClock:
     """A clock that stands still until it is advanced.
 
--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -50,8 +50,13 @@
         limit: int,
         idle_seconds: float,
         deadline: float,
+        kept_bytes: int = PREFIX_BYTES,
     ) -> None:
-        """Keep the stream; nothing is read yet."""
+        """Keep the stream; nothing is read yet.
+
+        :param kept_bytes: longest start that is read before sending.
+        """
+        self._kept_bytes = kept_bytes
         self.prefix = b''
         self.size = 0
         self.is_whole = False
@@ -78,8 +83,8 @@
         pieces: list[bytes] = []
         size = 0
         try:
-            while size < PREFIX_BYTES:
-                piece = await self._read(PREFIX_BYTES - size)
+            while size < self._kept_bytes:
+                piece = await self._read(self._kept_bytes - size)
                 if not piece:
                     self.is_whole = True
                     break
@@ -131,7 +136,7 @@
     :param idle_seconds: longest time without a byte.
     """
     if 'Expect' in request.headers:
-        await _send_continue(request)
+        await send_continue(request)
     body = RequestBody(
         request.content,
         checked.limits.max_body,
@@ -144,7 +149,8 @@
     return result.Success(body)
 
 
-async def _send_continue(request: web.BaseRequest) -> None:
+async def send_continue(request: web.BaseRequest) -> None:
+    """Let a caller that asked first send its body."""
     transport = request.transport
     if isinstance(transport, asyncio.WriteTransport):
         transport.write(_CONTINUE)
--- a/wagtailspread/entry/ledgers.py
+++ b/wagtailspread/entry/ledgers.py
@@ -16,11 +16,13 @@
     :param generation: generation of connections that it belongs to.
     :param opened_at: seconds on the host's clock.
     :param succeeded_at: when it last carried a whole answer.
+    :param was_reset: whether it ended by a reset or an error.
     """
 
     generation: int
     opened_at: float
     succeeded_at: float = -1.0
+    was_reset: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -189,7 +189,7 @@
         if name in headers and len(headers.getall(name)) > 1:
             return f'repeated {name}'
     if 'Content-Length' in headers or 'Transfer-Encoding' in headers:
-        detail = _check_lengths(headers)
+        detail = check_framing(headers)
         if detail:
             return detail
     if 'Expect' not in headers:
@@ -199,7 +199,8 @@
     return ''
 
 
-def _check_lengths(headers: typing.Any) -> str:
+def check_framing(headers: typing.Any) -> str:
+    """Return what is wrong with the headers that delimit a body."""
     lengths = headers.getall('Content-Length', ())
     codings = headers.getall('Transfer-Encoding', ())
     if lengths and codings:
--- /dev/null
+++ b/wagtailspread/gateway/hosts.py
@@ -0,0 +1,239 @@
+"""A host that places requests by itself: its parts and its life."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import logbook
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.gateway import attempts, exchanges, headers, servers
+from wagtailspread.health import doubts
+from wagtailspread.placement import budgets, costs, selection
+from wagtailspread.registry import followers, records, tallies
+from wagtailspread.routing import tables, terms
+from wagtailspread.wire import credentials, links, messages
+
+ROLE = 'host'
+#: Time after the request to stop for which new connections are accepted, in
+#: seconds. The balancer takes a host out after two questions, one a second.
+ACCEPT_SECONDS = 2.6
+#: Time between looks whether all requests are finished, in seconds.
+STOP_STEP_SECONDS = 0.05
+#: Part of the time to stop that is kept for closing, in seconds.
+CLOSING_SECONDS = 0.4
+
+_log = logbook.Logger('gateway')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """The fleet's budget of repeated sends to one service.
+
+    :param ratio: repeated sends for each request.
+    :param slack: repeated sends in a window beside these.
+    :param window: length of the window in seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of one host.
+
+    :param ready_path: path of the balancer's question.
+    :param find_seeds: returns the addresses of some replicas as of now.
+    :param stop_seconds: time from the request to stop to the end.
+    """
+
+    host: identifiers.HostId
+    place: costs.Place
+    caller_address: identifiers.Address
+    ready_address: identifiers.Address
+    ready_path: str
+    find_seeds: typing.Callable[[], typing.Iterable[identifiers.Address]]
+    own: credentials.Credentials
+    directory: credentials.MemberDirectory
+    names: headers.HeaderNames
+    retries: RetryTerms
+    stop_seconds: float
+
+
+class DocumentReader(typing.Protocol):
+    """Reads the configuration document of the platform."""
+
+    def __call__(self, body: bytes) -> terms.RoutingSettings | None:
+        """Return the settings, or ``None`` if the document is invalid."""
+
+
+class GatewayHost:
+    """One host with all its parts. Use :func:`create_host`."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        read_document: DocumentReader,
+        clock: clocks.Clock,
+    ) -> None:
+        """Create the parts; needs a running event loop."""
+        self._settings = settings
+        self._read_document = read_document
+        self._clock = clock
+        self._hosts = 0
+        self._is_stopping = False
+        self._pool = links.LinkPool(settings.own, settings.directory)
+        self._book = tallies.TallyBook()
+        self.selector = selection.create_selector(settings.place)
+        self._exchanger = exchanges.create_exchanger(settings.names)
+        runner = attempts.AttemptRunner(
+            self.selector,
+            self._exchanger,
+            self._create_budget(settings.retries),
+            self._book,
+            self._hurry,
+        )
+        self.server = servers.create_server(
+            runner,
+            settings.names,
+            tables.SplitCounter(random.Random()),
+        )
+        self._readiness = servers.ReadinessServer(
+            settings.ready_path,
+            self.is_ready,
+        )
+        self.follower = followers.Follower(
+            settings.host,
+            settings.place.domain,
+            followers.SourceList(settings.find_seeds, self._measure),
+            self._pool,
+            clock,
+            self._apply,
+            self._book.take,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        is_informed = self.server.routes is not None
+        has_upstreams = bool(self.selector.registry.rows)
+        return is_informed and has_upstreams and not self._is_stopping
+
+    async def start(self) -> None:
+        """Listen, and follow the replicas."""
+        self._tasks = [
+            asyncio.create_task(self.follower.follow()),
+            asyncio.create_task(self.follower.report()),
+        ]
+        await self._readiness.start(self._settings.ready_address)
+        await self.server.start(self._settings.caller_address)
+        _log.info('host {} started', self._settings.host)
+
+    async def stop(self) -> None:
+        """Turn unready, serve on, finish all requests, then close."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._settings.stop_seconds - CLOSING_SECONDS
+        self._is_stopping = True
+        self.server.close_after_answers()
+        await asyncio.sleep(ACCEPT_SECONDS)
+        await self.server.stop_listening()
+        while self.server.count_active() and loop.time() < until:
+            await asyncio.sleep(STOP_STEP_SECONDS)
+        left = self.server.count_active()
+        await self.server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._exchanger.close()
+        await self._readiness.close()
+        await self._pool.close()
+        _log.info('host stopped with {} requests open', left)
+
+    def _hurry(self) -> None:
+        self.follower.hurry()
+
+    def _create_budget(self, retries: RetryTerms) -> budgets.SharedRetryBudget:
+        return budgets.SharedRetryBudget(
+            retries.ratio,
+            retries.slack,
+            retries.window,
+            lambda: self._hosts,
+        )
+
+    def _measure(self, domain: identifiers.FailureDomain) -> int:
+        """Return the distance of a replica: domain, region, or farther."""
+        place = self._settings.place
+        if domain == place.domain:
+            return 0
+        own = place.regions.get(place.domain)
+        return 1 if place.regions.get(domain) == own else 2
+
+    def _apply(self, batch: messages.Struct) -> None:
+        """Take the changes that a replica passed on."""
+        now = self._clock.now()
+        registry = self.selector.registry
+        for row in batch.rows:
+            record = records.from_row(row)
+            if registry.merge(record, now):
+                _log.debug('upstream {}', record)
+            if record.state is records.UpstreamState.GONE:
+                self.selector.shared.forget(record.upstream)
+        registry.forget_departed(now)
+        self.selector.silent = frozenset(batch.silent)
+        self._hosts = batch.hosts
+        for tally in batch.tallies:
+            add_tally(self.selector.shared, tally, now)
+        if batch.document is not None:
+            self._apply_document(batch)
+
+    def _apply_document(self, batch: messages.Struct) -> None:
+        if batch.document_version <= self.follower.document_version:
+            return
+        settings = self._read_document(batch.document)
+        if settings is None:
+            _log.error('version {} is invalid', batch.document_version)
+            return
+        self.follower.document_version = batch.document_version
+        self.server.routes = tables.RouteTable(settings)
+        _log.info('version {} is in force', batch.document_version)
+
+
+def add_tally(
+    shared: doubts.DoubtTable,
+    tally: tallies.Tally,
+    now: float,
+) -> None:
+    """Add the results that another host reported."""
+    upstream = identifiers.UpstreamId(tally.upstream)
+    if tally.good:
+        shared.add_good(upstream, tally.good, tally.good_ms / 1000, now)
+    if tally.bad:
+        shared.add_bad(upstream, now, tally.bad)
+    if tally.unreachable:
+        shared.add_unreachable(upstream, now, tally.unreachable)
+    if tally.shed:
+        shared.add_shed(upstream, now)
+
+
+def create_host(
+    settings: GatewaySettings,
+    read_document: DocumentReader,
+    clock: clocks.Clock | None = None,
+) -> GatewayHost:
+    """Return a host that is not started; needs a running event loop."""
+    return GatewayHost(settings, read_document, clock or LoopClock())
+
+
+class LoopClock:
+    """The clock of the event loop, which all parts of a host share."""
+
+    def now(self) -> float:
+        """Return the event loop's seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return clocks.SystemClock.wall()
--- /dev/null
+++ b/wagtailspread/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream runs a request, decided by each host from shared evidence."""
--- /dev/null
+++ b/wagtailspread/placement/budgets.py
@@ -0,0 +1,81 @@
+"""The share of one host in a service's budget of repeated sends.
+
+The budget holds for all hosts together: a share of the requests plus a fixed
+number in each window. Every host may use that share of its own requests and
+its part of the number, so the sum keeps the budget without any message.
+
+>>> budget = SharedRetryBudget(0.2, 44.0, 10.0, lambda: 44)
+>>> for _ in range(10): budget.add_request('vitrina', 0.0)
+>>> [budget.spend('vitrina', 0.0) for _ in range(4)]
+[True, True, False, False]
+"""
+
+import collections
+import typing
+
+from wagtailspread.core import identifiers
+
+#: Part of the budget that the hosts use; the rest covers requests that callers
+#: gave up on and windows that do not fall together.
+USED_SHARE = 0.9
+#: Least number of hosts among which the fixed number is divided, before the
+#: true number is known.
+_LEAST_HOSTS = 8
+
+
+class SharedRetryBudget:
+    """Repeated sends by service in a sliding window.
+
+    :param ratio: repeated sends for each request.
+    :param slack: repeated sends of the whole fleet in a window beside these.
+    :param window: length of the window in seconds.
+    :param count_hosts: returns the number of hosts that share the slack.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window: float,
+        count_hosts: typing.Callable[[], int],
+    ) -> None:
+        """Start with an empty window."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._count_hosts = count_hosts
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._repeats: dict[str, collections.deque[float]] = {}
+
+    def add_request(
+        self,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> None:
+        """Count a request of a caller."""
+        self._list_recent(self._requests, service, now).append(now)
+
+    def spend(self, service: identifiers.ServiceName, now: float) -> bool:
+        """Count a repeated send if the budget allows one more."""
+        requests = self._list_recent(self._requests, service, now)
+        repeats = self._list_recent(self._repeats, service, now)
+        hosts = max(self._count_hosts(), _LEAST_HOSTS)
+        allowed = self._ratio * len(requests) + self._slack / hosts
+        if len(repeats) + 1 > USED_SHARE * allowed:
+            return False
+        repeats.append(now)
+        return True
+
+    def _list_recent(
+        self,
+        table: dict[str, collections.deque[float]],
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> collections.deque[float]:
+        recent = table.get(service)
+        if recent is None:
+            recent = collections.deque()
+            table[service] = recent
+        while recent and recent[0] < now - self._window:
+            recent.popleft()
+        return recent
--- /dev/null
+++ b/wagtailspread/platform/controls.py
@@ -0,0 +1,151 @@
+"""Serves the platform's calls to replicas: upstreams and operators."""
+
+import json
+import time
+import typing
+
+import logbook
+
+from aiohttp import web
+
+from wagtailspread.core import identifiers
+from wagtailspread.platform import documents, heartbeats, names, values
+from wagtailspread.registry import records, services
+from wagtailspread.replica import documents as replicated
+
+#: Largest body of a call, in bytes: a configuration of 11,000 routes takes
+#: some 2 MB.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+_MILLISECONDS = 1000
+
+_log = logbook.Logger('control')
+
+
+class ControlServer:
+    """Translates calls over HTTP to the registry and the document.
+
+    :param find_document: returns the document service in force, if any.
+    """
+
+    def __init__(
+        self,
+        registry: services.RegistryService,
+        find_document: typing.Callable[[], replicated.DocumentService | None],
+    ) -> None:
+        """Keep the parts; nothing is opened yet."""
+        self._registry = registry
+        self._find_document = find_document
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, address: identifiers.Address) -> None:
+        """Listen on ``address``."""
+        server = web.Server(self._handle)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        ip, _, port = address.rpartition(':')
+        await web.TCPSite(self._runner, ip, int(port), backlog=512).start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path
+        if path == names.GET_PATH:
+            return await self._read_document()
+        if request.method != 'POST':
+            return web.Response(status=_NOT_FOUND)
+        body = await _read_body(request)
+        if body is None:
+            return web.Response(status=_TOO_LARGE)
+        if path == names.PUT_PATH:
+            return await self._put_document(body)
+        if path.startswith(names.INSTANCES_PREFIX):
+            rest = path.removeprefix(names.INSTANCES_PREFIX)
+            return await self._handle_instance(rest, body)
+        return web.Response(status=_NOT_FOUND)
+
+    async def _handle_instance(
+        self,
+        rest: str,
+        body: bytes,
+    ) -> web.StreamResponse:
+        upstream, _, call = rest.partition('/')
+        try:
+            if f'/{call}' == names.HEARTBEAT_SUFFIX:
+                record = heartbeats.decode(upstream, body)
+            elif f'/{call}' == names.LEAVE_SUFFIX:
+                record = self._create_departure(upstream, body)
+            else:
+                return web.Response(status=_NOT_FOUND)
+        except values.FormatError as error:
+            _log.info('a call of upstream {} is malformed: {}', upstream, error)
+            return web.Response(status=_BAD_REQUEST)
+        if record.state is records.UpstreamState.READY:
+            self._registry.register(record)
+            return _answer_json({})
+        if await self._registry.register_departure(record):
+            return _answer_json({})
+        return web.Response(status=_UNAVAILABLE)
+
+    def _create_departure(
+        self,
+        upstream: str,
+        body: bytes,
+    ) -> records.UpstreamRecord:
+        """Return the record of an upstream that leaves without draining."""
+        birth = heartbeats.decode_leave(body)
+        if birth is None:
+            birth = int(time.time() * _MILLISECONDS)
+        return self._registry.create_departure(
+            identifiers.UpstreamId(upstream),
+            birth,
+        )
+
+    async def _put_document(self, body: bytes) -> web.StreamResponse:
+        settings = documents.read_valid(body)
+        if settings is None:
+            return web.Response(status=_BAD_REQUEST)
+        service = self._find_document()
+        if service is not None and await service.put(settings.version, body):
+            return _answer_json({})
+        return web.Response(status=_UNAVAILABLE)
+
+    async def _read_document(self) -> web.StreamResponse:
+        service = self._find_document()
+        found = None if service is None else await service.read()
+        if found is None:
+            return web.Response(status=_UNAVAILABLE)
+        return web.Response(
+            body=found.body,
+            content_type='application/json',
+        )
+
+
+async def _read_body(request: web.BaseRequest) -> bytes | None:
+    """Return the body, or ``None`` if it is too large."""
+    pieces: list[bytes] = []
+    size = 0
+    while True:
+        piece = await request.content.readany()
+        if not piece:
+            return b''.join(pieces)
+        pieces.append(piece)
+        size += len(piece)
+        if size > MAX_BODY_BYTES:
+            return None
+
+
+def _answer_json(fields: dict[str, str]) -> web.Response:
+    return web.Response(
+        text=json.dumps(fields),
+        content_type='application/json',
+        status=_OK,
+    )
--- /dev/null
+++ b/wagtailspread/platform/documents.py
@@ -0,0 +1,116 @@
+"""Decodes the platform's configuration into routes and limits."""
+
+import typing
+
+from wagtailspread.core import identifiers
+from wagtailspread.platform import values
+from wagtailspread.routing import terms
+
+#: Route of the platform without a time limit of its own.
+_NO_LIMIT: float | None = None
+
+
+def decode_version(body: bytes) -> int:
+    """Return the version of a document.
+
+    :raises values.FormatError: if there is none.
+    """
+    return values.read_whole(values.read_object(body), 'version')
+
+
+def decode(body: bytes) -> terms.RoutingSettings:
+    """Return what a document says.
+
+    :raises values.FormatError: if it cannot be read in full.
+    """
+    fields = values.read_object(body)
+    routes: list[terms.RouteTerms] = []
+    for host in values.read_objects(fields, 'virtualHosts'):
+        name = values.read_text(host, 'host')
+        for route in values.read_objects(host, 'pathRoutes'):
+            routes.append(_decode_route(name, route))
+    services = values.read_objects(fields, 'services')
+    return terms.RoutingSettings(
+        version=values.read_whole(fields, 'version'),
+        routes=tuple(routes),
+        connections=dict(map(_decode_service, services)),
+        limits=_decode_limits(fields.get('limits')),
+    )
+
+
+def read_valid(body: bytes) -> terms.RoutingSettings | None:
+    """Return what a document says, or ``None`` if it is invalid."""
+    try:
+        settings = decode(body)
+    except values.FormatError:
+        return None
+    return settings if terms.find_fault(settings) is None else None
+
+
+def _decode_service(
+    fields: dict[str, typing.Any],
+) -> tuple[identifiers.ServiceName, int]:
+    name = identifiers.ServiceName(values.read_text(fields, 'name'))
+    return name, values.read_whole(fields, 'maxConnections')
+
+
+def _decode_limits(fields: typing.Any) -> terms.CallerLimits:
+    if fields is None:
+        return terms.CallerLimits()
+    if not isinstance(fields, dict):
+        raise values.FormatError('limits')
+    return terms.CallerLimits(
+        header_bytes=values.read_whole(fields, 'maxHeaderBytes'),
+        body_bytes=values.read_whole(fields, 'maxBodyBytes'),
+        header_seconds=values.read_seconds(fields.get('headerTimeout')),
+        idle_seconds=values.read_seconds(fields.get('idleTimeout')),
+    )
+
+
+def _decode_route(
+    host: str,
+    fields: dict[str, typing.Any],
+) -> terms.RouteTerms:
+    try:
+        kind = terms.RequestKind(fields.get('kind'))
+    except ValueError as error:
+        raise values.FormatError('kind') from error
+    prefix = fields.get('pathPrefix')
+    if not isinstance(prefix, str):
+        raise values.FormatError('pathPrefix')
+    return terms.RouteTerms(
+        name=values.read_text(fields, 'name'),
+        host=host,
+        prefix=prefix,
+        kind=kind,
+        parts=_decode_parts(fields),
+        max_attempts=values.read_whole(fields, 'maxAttempts'),
+        priority=int(fields.get('priority') or 0),
+        timeout=_decode_duration(fields, 'timeout'),
+        # The platform calls the objective an SLO's latency.
+        objective=_decode_duration(fields, 'sloLatency'),
+    )
+
+
+def _decode_duration(
+    fields: dict[str, typing.Any],
+    name: str,
+) -> float | None:
+    if fields.get(name) is None:
+        return _NO_LIMIT
+    return values.read_seconds(fields[name])
+
+
+def _decode_parts(
+    fields: dict[str, typing.Any],
+) -> tuple[terms.SplitPart, ...]:
+    if fields.get('trafficSplit') is None:
+        service = values.read_text(fields, 'service')
+        return (terms.SplitPart(identifiers.ServiceName(service), 1.0),)
+    return tuple(
+        terms.SplitPart(
+            identifiers.ServiceName(values.read_text(part, 'service')),
+            values.read_number(part, 'weight'),
+        )
+        for part in values.read_objects(fields, 'trafficSplit')
+    )
--- /dev/null
+++ b/wagtailspread/registry/feeds.py
@@ -0,0 +1,239 @@
+"""The changes that a replica passes on to those that follow it.
+
+A follower names the last position that it has seen. Rows are kept in the
+table, so any position can be continued; results and signs of life are kept
+for a short while, since older ones are worth nothing.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+from wagtailspread.core import identifiers
+from wagtailspread.registry import records, tables, tallies
+from wagtailspread.wire import messages
+
+#: Reports that are kept for followers that are behind.
+MAX_REPORTS = 4096
+#: A follower that asked for nothing for this long is not counted, in seconds.
+FOLLOWER_SECONDS = 2.0
+#: Age up to which results are given to a host that has just started, seconds.
+RECENT_SECONDS = 3.0
+#: Epoch that a follower names before its first answer.
+NO_EPOCH = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    position: int
+    reported_at: float
+    host: identifiers.HostId
+    is_first_hand: bool
+    tallies: tuple[tallies.Tally, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Follower:
+    is_replica: bool
+    position: int
+    asked_at: float
+
+
+class ChangeFeed:
+    """Registrations and results at one replica.
+
+    :param table: the upstreams that this replica knows.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        """Start empty.
+
+        :param epoch: tells this start of the replica from its earlier ones.
+        """
+        self.epoch = epoch
+        self.table = tables.create_table()
+        self.remote_hosts: dict[identifiers.HostId, int] = {}
+        self._reports: collections.deque[_Report]
+        self._reports = collections.deque(maxlen=MAX_REPORTS)
+        self._heard: collections.deque[tuple[int, identifiers.UpstreamId]]
+        self._heard = collections.deque(maxlen=MAX_REPORTS)
+        self._followers: dict[identifiers.HostId, _Follower] = {}
+        self._changed = asyncio.Event()
+
+    @property
+    def position(self) -> int:
+        """Position of the last change."""
+        return self.table.position
+
+    def register(self, record: records.UpstreamRecord, now: float) -> None:
+        """Take what an upstream says of itself to this replica."""
+        if self.table.merge(record, now):
+            self.wake()
+        self.table.note_heard(record.upstream, now)
+        self.table.position += 1
+        self._heard.append((self.table.position, record.upstream))
+
+    def learn(self, batch: messages.Struct, now: float) -> None:
+        """Take what another replica passes on."""
+        is_changed = False
+        for row in batch.rows:
+            if self.table.merge(records.from_row(row), now):
+                is_changed = True
+        for upstream in batch.heard:
+            self.table.note_heard(upstream, now)
+        if batch.tallies:
+            self._keep_report(identifiers.HostId(''), batch.tallies, now)
+        elif is_changed:
+            self.wake()
+
+    def add_report(
+        self,
+        host: identifiers.HostId,
+        reported: list[tallies.Tally],
+        now: float,
+    ) -> None:
+        """Keep the results that a host reports for the followers."""
+        self._keep_report(host, reported, now)
+
+    def wake(self) -> None:
+        """Let the followers that wait look again."""
+        waiting = self._changed
+        self._changed = asyncio.Event()
+        waiting.set()
+
+    def note_follower(
+        self,
+        host: identifiers.HostId,
+        is_replica: bool,
+        position: int,
+        now: float,
+    ) -> None:
+        """Note what a follower has seen."""
+        self._followers[host] = _Follower(is_replica, position, now)
+
+    def count_hosts(self, now: float) -> int:
+        """Return the hosts that follow this replica."""
+        since = now - FOLLOWER_SECONDS
+        live = [
+            one
+            for one in self._followers.values()
+            if one.asked_at > since and not one.is_replica
+        ]
+        return len(live)
+
+    def has_spread(self, position: int, replicas: int, now: float) -> bool:
+        """Tell whether the live followers have seen ``position``.
+
+        :param replicas: other replicas that must have seen it.
+        """
+        since = now - FOLLOWER_SECONDS
+        live = [one for one in self._followers.values() if one.asked_at > since]
+        if any(one.position < position for one in live):
+            return False
+        return self.count_informed(position, now) >= replicas
+
+    def count_informed(self, position: int, now: float) -> int:
+        """Return the other replicas that have seen ``position``."""
+        since = now - FOLLOWER_SECONDS
+        informed = [
+            one
+            for one in self._followers.values()
+            if one.is_replica
+            and one.asked_at > since
+            and one.position >= position
+        ]
+        return len(informed)
+
+    async def wait(self, position: int, seconds: float) -> None:
+        """Wait until there is something after ``position``, or a while."""
+        if self._has_news(position):
+            return
+        waiting = self._changed
+        try:
+            async with asyncio.timeout(seconds):
+                await waiting.wait()
+        except TimeoutError:
+            return
+
+    def collect(
+        self,
+        request: messages.Struct,
+        now: float,
+    ) -> messages.Struct:
+        """Return what the follower has not seen; the caller adds the rest."""
+        known = request.position if request.epoch == self.epoch else 0
+        return messages.structs.ChangeBatch(
+            epoch=self.epoch,
+            position=self.table.position,
+            rows=[
+                records.to_row(_shorten_warm_up(row, now))
+                for row in self.table.list_changed(known)
+            ],
+            tallies=self._list_tallies(request, now),
+            heard=self._list_heard(known) if request.is_replica else [],
+            silent=self.table.list_silent(now),
+        )
+
+    def _keep_report(
+        self,
+        host: identifiers.HostId,
+        reported: list[tallies.Tally],
+        now: float,
+    ) -> None:
+        self.table.position += 1
+        report = _Report(
+            self.table.position,
+            now,
+            host,
+            bool(host),
+            tuple(reported),
+        )
+        self._reports.append(report)
+        self.wake()
+
+    def _has_news(self, position: int) -> bool:
+        if self._reports and self._reports[-1].position > position:
+            return True
+        return bool(self.table.list_changed(position))
+
+    def _list_tallies(
+        self,
+        request: messages.Struct,
+        now: float,
+    ) -> list[tallies.Tally]:
+        """Return the results reported by others that the follower lacks.
+
+        Replicas get what hosts reported here; the rest they have themselves.
+        A host that comes from another replica has got most results there.
+        """
+        found: list[tallies.Tally] = []
+        if request.epoch not in {self.epoch, NO_EPOCH}:
+            return found
+        for report in reversed(self._reports):
+            if report.position <= request.position:
+                break
+            if report.reported_at < now - RECENT_SECONDS:
+                break
+            if request.is_replica and not report.is_first_hand:
+                continue
+            if report.host != request.host:
+                found.extend(report.tallies)
+        return found
+
+    def _list_heard(self, known: int) -> list[identifiers.UpstreamId]:
+        heard = set()
+        for position, upstream in reversed(self._heard):
+            if position <= known:
+                break
+            heard.add(upstream)
+        return sorted(heard)
+
+
+def _shorten_warm_up(
+    row: tables.RegistryRow,
+    now: float,
+) -> records.UpstreamRecord:
+    """Return the record with the warm-up time that is left now."""
+    left = max(0.0, row.warm_at - now)
+    return dataclasses.replace(row.record, warm_seconds=left)
--- /dev/null
+++ b/wagtailspread/registry/followers.py
@@ -0,0 +1,243 @@
+"""Follows the changes at one replica after another.
+
+A host follows the nearest replica that is in touch with most of the others;
+a replica follows every other one.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+
+from returns import result
+
+from wagtailspread.configuration import documents
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.registry import feeds
+from wagtailspread.wire import links, messages
+
+#: Longest time that a replica holds back its answer for lack of news, seconds.
+WAIT_SECONDS = 0.5
+#: Longest time without an answer beyond that wait, in seconds. The replica or
+#: the connection to it has failed then.
+ANSWER_SECONDS = 0.6
+#: Time for which a replica that failed is asked last, in seconds.
+FAILED_SECONDS = 2.0
+#: Time between looks for a nearer replica, in seconds.
+RETURN_SECONDS = 5.0
+#: Pause after a failed call, in seconds.
+PAUSE_SECONDS = 0.05
+#: Time between two reports of results that are not urgent, in seconds.
+REPORT_SECONDS = 0.5
+#: Time in which urgent results are collected before they go, in seconds.
+URGENT_SECONDS = 0.01
+
+_log = logbook.Logger('follower')
+
+
+@dataclasses.dataclass(slots=True)
+class _Source:
+    """A replica that may be followed.
+
+    :param distance: 0 for the own failure domain, 1 for the region, else 2.
+    """
+
+    address: identifiers.Address
+    distance: int
+    avoided_until: float = 0.0
+
+
+class SourceList:
+    """The replicas that a host knows, the best one first.
+
+    :param measure: returns the distance of a failure domain.
+    """
+
+    def __init__(
+        self,
+        find_seeds: typing.Callable[[], typing.Iterable[identifiers.Address]],
+        measure: typing.Callable[[identifiers.FailureDomain], int],
+    ) -> None:
+        """Start with the seeds, whose distance is not known."""
+        self._find_seeds = find_seeds
+        self._measure = measure
+        self._sources: dict[identifiers.Address, _Source] = {}
+        self._current: identifiers.Address | None = None
+        self._chosen_at = 0.0
+
+    def choose(self, now: float) -> identifiers.Address | None:
+        """Return the replica to ask next.
+
+        It stays the same while it works, but for a look at a nearer one.
+        """
+        if not self._has_usable(now):
+            self._add_seeds()
+        current = self._sources.get(self._current or identifiers.Address(''))
+        if current is not None and current.avoided_until <= now:
+            if now - self._chosen_at < RETURN_SECONDS:
+                return current.address
+        best = min(
+            self._sources.values(),
+            key=lambda one: (one.avoided_until > now, one.distance),
+            default=None,
+        )
+        if best is None:
+            return None
+        self._chosen_at = now
+        self._current = best.address
+        return best.address
+
+    def avoid(self, address: identifiers.Address, now: float) -> None:
+        """Ask other replicas first for a while."""
+        source = self._sources.get(address)
+        if source is not None:
+            source.avoided_until = now + FAILED_SECONDS
+
+    def learn(self, places: list[messages.Struct]) -> None:
+        """Take the replicas that a replica names."""
+        named = {}
+        for place in places:
+            address = identifiers.Address(place.address)
+            distance = self._measure(identifiers.FailureDomain(place.domain))
+            source = self._sources.get(address, _Source(address, distance))
+            source.distance = distance
+            named[address] = source
+        if named:
+            self._sources = named
+
+    def _has_usable(self, now: float) -> bool:
+        return any(one.avoided_until <= now for one in self._sources.values())
+
+    def _add_seeds(self) -> None:
+        for address in self._find_seeds():
+            if address not in self._sources:
+                self._sources[address] = _Source(address, 1)
+
+
+class Follower:
+    """Keeps a host up to date.
+
+    :param apply: takes each batch of changes.
+    :param take_tallies: returns the results to report.
+    """
+
+    def __init__(
+        self,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        sources: SourceList,
+        pool: links.LinkPool,
+        clock: clocks.Clock,
+        apply: typing.Callable[[messages.Struct], None],
+        take_tallies: typing.Callable[[], list[messages.Struct]],
+    ) -> None:
+        """Keep the parts; nothing is opened yet."""
+        self.document_version = documents.NO_VERSION
+        self.followed: identifiers.Address | None = None
+        self._host = host
+        self._domain = domain
+        self._sources = sources
+        self._pool = pool
+        self._clock = clock
+        self._apply = apply
+        self._take_tallies = take_tallies
+        self._epoch = feeds.NO_EPOCH
+        self._position = 0
+        self._urgent = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Report soon."""
+        self._urgent.set()
+
+    async def follow(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            address = self._sources.choose(self._clock.now())
+            if address is None or not await self.follow_once(address):
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def report(self) -> None:
+        """Report results until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(REPORT_SECONDS):
+                    await self._urgent.wait()
+            except TimeoutError:
+                self._urgent.clear()
+            else:
+                self._urgent.clear()
+                await asyncio.sleep(URGENT_SECONDS)
+            await self._send_report()
+
+    async def follow_once(self, address: identifiers.Address) -> bool:
+        """Ask one replica for changes; tell whether it answered."""
+        request = messages.structs.FollowChanges(
+            host=self._host,
+            domain=self._domain,
+            is_replica=False,
+            epoch=self._epoch,
+            position=self._position,
+            document_version=self.document_version,
+            wait_ms=int(WAIT_SECONDS * 1000),
+        )
+        answer = await self._pool.find(address).call(
+            messages.methods.FOLLOW,
+            request,
+            messages.structs.ChangeBatch,
+            WAIT_SECONDS + ANSWER_SECONDS,
+        )
+        now = self._clock.now()
+        if not isinstance(answer, result.Success):
+            self._note_failure(address, answer.failure().describe(), now)
+            await self._pool.forget(address)
+            return False
+        batch = answer.unwrap()
+        self._take(address, batch, now)
+        return True
+
+    def _take(
+        self,
+        address: identifiers.Address,
+        batch: messages.Struct,
+        now: float,
+    ) -> None:
+        self.followed = address
+        self._epoch = batch.epoch
+        self._position = batch.position
+        self._sources.learn(batch.replicas)
+        if not batch.has_quorum:
+            # It may miss what the others acknowledge.
+            self._sources.avoid(address, now)
+        self._apply(batch)
+
+    def _note_failure(
+        self,
+        address: identifiers.Address,
+        reason: str,
+        now: float,
+    ) -> None:
+        if self.followed == address:
+            _log.warning('lost the replica {}: {}', address, reason)
+        self.followed = None
+        self._sources.avoid(address, now)
+
+    async def _send_report(self) -> None:
+        tallies = self._take_tallies()
+        address = self.followed
+        if not tallies or address is None:
+            # Results are worth nothing by the time that a replica is found.
+            return
+        report = messages.structs.ReportTallies(
+            host=self._host,
+            tallies=tallies,
+        )
+        sent = await self._pool.find(address).call(
+            messages.methods.REPORT,
+            report,
+            messages.structs.Empty,
+            ANSWER_SECONDS,
+        )
+        if not isinstance(sent, result.Success):
+            failure = sent.failure().describe()
+            _log.info('a report of results was lost: {}', failure)
--- /dev/null
+++ b/wagtailspread/registry/services.py
@@ -0,0 +1,289 @@
+"""The registry at a replica: registrations, followers, other replicas."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import logbook
+
+from returns import result
+
+from wagtailspread.configuration import documents
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.registry import feeds, followers, records
+from wagtailspread.wire import links, listeners, messages
+
+#: Time in which changes are collected before a follower gets them, in seconds.
+COLLECT_SECONDS = 0.025
+#: Time between two answers to another replica without news, in seconds.
+PEER_WAIT_SECONDS = 1.0
+#: Longest wait until the followers know of a departure, in seconds. Upstreams
+#: turn to another replica after a second.
+SPREAD_SECONDS = 0.7
+#: Time between looks whether the followers know, in seconds.
+SPREAD_STEP_SECONDS = 0.02
+#: Time between looks for replicas that are not followed yet, in seconds.
+PEERS_SECONDS = 0.25
+_MAX_EPOCH = 1 << 62
+
+_log = logbook.Logger('registry')
+
+
+class Neighbourhood(typing.Protocol):
+    """What the registry needs to know of the replicas."""
+
+    def list_replicas(self) -> list[identifiers.Address]:
+        """Return the addresses of all replicas, the own one included."""
+
+    def has_quorum(self) -> bool:
+        """Tell whether most replicas are in touch with this one."""
+
+    def count_needed(self) -> int:
+        """Return how many other replicas make a majority with this one."""
+
+    def read_document(self) -> documents.VersionedDocument:
+        """Return the newest document that this replica has applied."""
+
+
+class RegistryService:
+    """Keeps the registry of one replica. Use :func:`create_service`."""
+
+    def __init__(
+        self,
+        address: identifiers.Address,
+        domain: identifiers.FailureDomain,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start empty."""
+        self.feed = feeds.ChangeFeed(random.randrange(1, _MAX_EPOCH))
+        self._address = address
+        self._domain = domain
+        self._clock = clock
+        self._neighbourhood: Neighbourhood | None = None
+        self._domains: dict[identifiers.Address, identifiers.FailureDomain]
+        self._domains = {address: domain}
+        self._remote_hosts: dict[identifiers.Address, int] = {}
+        self._peers: dict[identifiers.Address, asyncio.Task[None]] = {}
+
+    def attach(
+        self,
+        listener: listeners.Listener,
+        neighbourhood: Neighbourhood,
+    ) -> None:
+        """Serve followers on ``listener``."""
+        structs = messages.structs
+        self._neighbourhood = neighbourhood
+        listener.add(
+            messages.methods.FOLLOW,
+            structs.FollowChanges,
+            self._answer_follower,
+        )
+        listener.add(
+            messages.methods.REPORT,
+            structs.ReportTallies,
+            self._take_report,
+        )
+
+    def register(self, record: records.UpstreamRecord) -> None:
+        """Take a heartbeat of an upstream that takes work."""
+        self.feed.register(record, self._clock.now())
+
+    async def register_departure(self, record: records.UpstreamRecord) -> bool:
+        """Take word that an upstream drains or left.
+
+        :returns: whether all hosts in touch know, so that it may be confirmed.
+        """
+        self.feed.register(record, self._clock.now())
+        position = self.feed.position
+        until = self._clock.now() + SPREAD_SECONDS
+        needed = self._count_needed()
+        while self._clock.now() < until:
+            if self.feed.has_spread(position, needed, self._clock.now()):
+                return True
+            await asyncio.sleep(SPREAD_STEP_SECONDS)
+        return self.feed.count_informed(position, self._clock.now()) >= needed
+
+    def create_departure(
+        self,
+        upstream: identifiers.UpstreamId,
+        born_ms: int,
+    ) -> records.UpstreamRecord:
+        """Return the record of an upstream that left.
+
+        :param born_ms: start of the incarnation, used if it is not known.
+        """
+        row = self.feed.table.rows.get(upstream)
+        if row is not None:
+            gone = records.UpstreamState.GONE
+            return dataclasses.replace(row.record, state=gone)
+        return records.UpstreamRecord(
+            upstream=upstream,
+            service=identifiers.ServiceName(''),
+            address=identifiers.Address(''),
+            domain=identifiers.FailureDomain(''),
+            slots=0,
+            state=records.UpstreamState.GONE,
+            born_ms=born_ms,
+            sequence=0,
+        )
+
+    async def run(self, pool: links.LinkPool) -> None:
+        """Follow the other replicas until cancelled."""
+        try:
+            while True:
+                self._follow_new_peers(pool)
+                self.feed.table.forget_departed(self._clock.now())
+                await asyncio.sleep(PEERS_SECONDS)
+        finally:
+            for task in self._peers.values():
+                task.cancel()
+            self._peers.clear()
+
+    def _count_needed(self) -> int:
+        if self._neighbourhood is None:
+            return 0
+        return self._neighbourhood.count_needed()
+
+    def _list_peers(self) -> list[identifiers.Address]:
+        if self._neighbourhood is None:
+            return []
+        known = self._neighbourhood.list_replicas()
+        return [one for one in known if one != self._address]
+
+    def _follow_new_peers(self, pool: links.LinkPool) -> None:
+        peers = self._list_peers()
+        for address in peers:
+            if address not in self._peers:
+                following = self._follow_peer(address, pool)
+                self._peers[address] = asyncio.create_task(following)
+        for address in list(self._peers):
+            if address not in peers:
+                self._peers.pop(address).cancel()
+                self._remote_hosts.pop(address, None)
+
+    async def _follow_peer(
+        self,
+        address: identifiers.Address,
+        pool: links.LinkPool,
+    ) -> None:
+        epoch = feeds.NO_EPOCH
+        position = 0
+        while True:
+            request = messages.structs.FollowChanges(
+                host=self._address,
+                domain=self._domain,
+                is_replica=True,
+                epoch=epoch,
+                position=position,
+                document_version=documents.NO_VERSION,
+                wait_ms=int(PEER_WAIT_SECONDS * 1000),
+            )
+            answer = await pool.find(address).call(
+                messages.methods.FOLLOW,
+                request,
+                messages.structs.ChangeBatch,
+                PEER_WAIT_SECONDS + followers.ANSWER_SECONDS,
+            )
+            if not isinstance(answer, result.Success):
+                await pool.forget(address)
+                self._remote_hosts.pop(address, None)
+                await asyncio.sleep(followers.PAUSE_SECONDS)
+                continue
+            batch = answer.unwrap()
+            epoch = batch.epoch
+            position = batch.position
+            self._learn(address, batch)
+
+    def _learn(
+        self,
+        address: identifiers.Address,
+        batch: messages.Struct,
+    ) -> None:
+        self._remote_hosts[address] = batch.hosts
+        for place in batch.replicas:
+            named = identifiers.Address(place.address)
+            if named == address:
+                domain = identifiers.FailureDomain(place.domain)
+                self._domains[named] = domain
+        self.feed.learn(batch, self._clock.now())
+
+    async def _take_report(
+        self,
+        _call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        host = identifiers.HostId(request.host)
+        self.feed.add_report(host, request.tallies, self._clock.now())
+        return result.Success(messages.structs.Empty())
+
+    async def _answer_follower(
+        self,
+        call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        feed = self.feed
+        position = request.position if request.epoch == feed.epoch else 0
+        host = identifiers.HostId(request.host)
+        feed.note_follower(
+            host,
+            request.is_replica,
+            position,
+            self._clock.now(),
+        )
+        wait = min(request.wait_ms / 1000, call.timeout)
+        if not self._has_newer_document(request):
+            await feed.wait(position, wait)
+            await asyncio.sleep(COLLECT_SECONDS)
+        batch = feed.collect(request, self._clock.now())
+        self._complete(batch, request)
+        return result.Success(batch)
+
+    def _has_newer_document(self, request: messages.Struct) -> bool:
+        if request.is_replica or self._neighbourhood is None:
+            return False
+        held = self._neighbourhood.read_document()
+        return held.version > request.document_version
+
+    def _complete(
+        self,
+        batch: messages.Struct,
+        request: messages.Struct,
+    ) -> None:
+        """Add what does not come from the feed."""
+        neighbourhood = self._neighbourhood
+        own = self.feed.count_hosts(self._clock.now())
+        batch.hosts = own
+        batch.replicas = self._list_places(request)
+        batch.document_version = documents.NO_VERSION
+        batch.has_quorum = False
+        if request.is_replica or neighbourhood is None:
+            return
+        batch.hosts = own + sum(self._remote_hosts.values())
+        batch.has_quorum = neighbourhood.has_quorum()
+        held = neighbourhood.read_document()
+        batch.document_version = held.version
+        if held.version > request.document_version:
+            batch.document = held.body
+
+    def _list_places(self, request: messages.Struct) -> list[messages.Struct]:
+        """Return where replicas are; a replica needs only the own place."""
+        addresses = [self._address]
+        if not request.is_replica:
+            addresses.extend(self._list_peers())
+        return [
+            messages.structs.ReplicaPlace(
+                address=address,
+                domain=self._domains.get(address, ''),
+            )
+            for address in addresses
+        ]
+
+
+def create_service(
+    address: identifiers.Address,
+    domain: identifiers.FailureDomain,
+    clock: clocks.Clock,
+) -> RegistryService:
+    """Return a registry that knows no upstreams."""
+    return RegistryService(address, domain, clock)
--- /dev/null
+++ b/wagtailspread/registry/tables.py
@@ -0,0 +1,158 @@
+"""The table of upstreams, free of I/O and clocks.
+
+>>> from wagtailspread.registry import records
+>>> table = RegistryTable()
+>>> ready = records.UpstreamRecord(
+...     'u1', 'vitrina', '10.0.0.1:80', 'bog', 6,
+...     records.UpstreamState.READY, born_ms=1, sequence=4)
+>>> left = dataclasses.replace(
+...     ready, state=records.UpstreamState.GONE, sequence=0)
+>>> table.merge(ready, 0.0), table.merge(left, 0.1), table.merge(ready, 0.2)
+(True, True, False)
+>>> table.list_ready('vitrina')
+[]
+"""
+
+import dataclasses
+import typing
+
+from wagtailspread.core import identifiers
+from wagtailspread.registry import records
+
+#: Silence of an upstream after which it counts as silent, in seconds: three
+#: of its heartbeats, which come each 1.5 s.
+SILENT_SECONDS = 4.5
+#: Time for which an upstream that left is remembered, in seconds. Heartbeats
+#: that were delayed by a partition arrive within it.
+TOMBSTONE_SECONDS = 120.0
+
+
+@dataclasses.dataclass(slots=True)
+class RegistryRow:
+    """One upstream.
+
+    :param position: of its last change in this table.
+    :param heard_at: when any replica last heard of it, in seconds.
+    :param warm_at: when it is warmed up, in seconds.
+    """
+
+    record: records.UpstreamRecord
+    position: int
+    heard_at: float
+    warm_at: float
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new work."""
+        return self.record.state is records.UpstreamState.READY
+
+
+class RegistryTable:
+    """Upstreams by id. Each change gets the next position.
+
+    :param position: of the last change.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.position = 0
+        self.rows: dict[identifiers.UpstreamId, RegistryRow] = {}
+        self._owners: dict[identifiers.Address, identifiers.UpstreamId] = {}
+
+    def merge(self, record: records.UpstreamRecord, now: float) -> bool:
+        """Take a record if it is newer; tell whether the table changed.
+
+        An upstream that starts at an address ends the earlier one there: its
+        messages may still be on their way.
+        """
+        known = self.rows.get(record.upstream)
+        if known is not None:
+            if record.rank() <= known.record.rank():
+                return False
+            if record.describes_same(known.record):
+                known.record = record
+                known.heard_at = now
+                return False
+        self._store(record, now)
+        self._settle_address(record, now)
+        return True
+
+    def note_heard(self, upstream: identifiers.UpstreamId, now: float) -> None:
+        """Note that a replica heard of an upstream."""
+        row = self.rows.get(upstream)
+        if row is not None:
+            row.heard_at = now
+
+    def list_changed(self, position: int) -> list[RegistryRow]:
+        """Return the rows that changed after ``position``."""
+        if position >= self.position:
+            return []
+        return [row for row in self.rows.values() if row.position > position]
+
+    def list_ready(
+        self,
+        service: identifiers.ServiceName,
+    ) -> list[RegistryRow]:
+        """Return the upstreams of a service that take new work."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.record.service == service and row.is_ready
+        ]
+
+    def list_silent(self, now: float) -> list[identifiers.UpstreamId]:
+        """Return the ready upstreams that were not heard of late."""
+        since = now - SILENT_SECONDS
+        return [
+            upstream
+            for upstream, row in self.rows.items()
+            if row.is_ready and row.heard_at < since
+        ]
+
+    def forget_departed(self, now: float) -> None:
+        """Drop the rows of upstreams that left long ago."""
+        since = now - TOMBSTONE_SECONDS
+        for upstream, row in list(self.rows.items()):
+            is_gone = row.record.state is records.UpstreamState.GONE
+            if is_gone and row.heard_at < since:
+                self.rows.pop(upstream)
+
+    def _store(self, record: records.UpstreamRecord, now: float) -> None:
+        self.position += 1
+        warm_at = now + record.warm_seconds
+        row = RegistryRow(record, self.position, now, warm_at)
+        self.rows[record.upstream] = row
+
+    def _settle_address(
+        self,
+        record: records.UpstreamRecord,
+        now: float,
+    ) -> None:
+        """Keep one upstream for each address, the one that started last."""
+        if record.state is records.UpstreamState.GONE:
+            return
+        owner = self._owners.get(record.address)
+        other = None if owner is None else self.rows.get(owner)
+        if other is None or owner == record.upstream:
+            self._owners[record.address] = record.upstream
+            return
+        older = other.record
+        if older.born_ms > record.born_ms:
+            older = record
+        else:
+            self._owners[record.address] = record.upstream
+        if older.state is not records.UpstreamState.GONE:
+            if older.address == record.address:
+                gone = records.UpstreamState.GONE
+                self._store(dataclasses.replace(older, state=gone), now)
+
+
+def create_table(
+    known: typing.Iterable[records.UpstreamRecord] = (),
+    now: float = 0.0,
+) -> RegistryTable:
+    """Return a table of these records."""
+    table = RegistryTable()
+    for record in known:
+        table.merge(record, now)
+    return table
--- a/wagtailspread/replica/machines.py
+++ b/wagtailspread/replica/machines.py
@@ -1,4 +1,4 @@
-"""State machine of the replica process: configuration and idempotency claims.
+"""State machine of the replica process: configuration, documents, claims.
 
 A command is a thrift struct with its kind, the request as it came, and the
 wall time of the leader, so that every replica computes the same from it.
@@ -10,6 +10,7 @@
 
 import logbook
 
+from wagtailspread.configuration import documents
 from wagtailspread.core import identifiers
 from wagtailspread.wire import messages
 
@@ -26,6 +27,8 @@
     CLAIM_KEY = 3
     FINISH_KEY = 4
     RELEASE_KEY = 5
+    #: Put a configuration document; the highest version is in force.
+    PUT_DOCUMENT = 6
 
 
 class ConfigurationPart(typing.Protocol):
@@ -91,9 +94,10 @@
         configuration: ConfigurationPart,
         claims: ClaimPart,
     ) -> None:
-        """Start with two empty parts."""
+        """Start with empty parts."""
         self.configuration = configuration
         self.claims = claims
+        self.document = documents.VersionedDocument()
         self._wall_ms = 0
 
     def apply(self, index: identifiers.LogIndex, command: bytes) -> bytes:
@@ -118,16 +122,20 @@
         return messages.encode(self._run(kind, request))
 
     def take_snapshot(self) -> bytes:
-        """Return the state of both parts."""
+        """Return the state of all parts."""
         snapshot = messages.structs.MachineSnapshot(
             configuration=self.configuration.take_snapshot(),
             claims=self.claims.take_snapshot(),
             wall_ms=self._wall_ms,
+            document=messages.structs.DocumentState(
+                version=self.document.version,
+                body=self.document.body,
+            ),
         )
         return messages.encode(snapshot)
 
     def restore(self, snapshot: bytes) -> None:
-        """Replace the state of both parts."""
+        """Replace the state of all parts."""
         decoded = messages.decode_own(
             messages.structs.MachineSnapshot,
             snapshot,
@@ -135,6 +143,9 @@
         self.configuration.restore(decoded.configuration)
         self.claims.restore(decoded.claims)
         self._wall_ms = decoded.wall_ms
+        self.document = documents.VersionedDocument()
+        if decoded.document is not None:
+            self.document.put(decoded.document.version, decoded.document.body)
 
     def _run(
         self,
@@ -146,6 +157,10 @@
         if kind is CommandKind.START:
             self.configuration.start(request.text)
             return messages.structs.Empty()
+        if kind is CommandKind.PUT_DOCUMENT:
+            self.document.put(request.version, request.body)
+            held = self.document.version
+            return messages.structs.DocumentAnswer(held_version=held)
         return self._run_claim(kind, request)
 
     def _run_claim(
@@ -171,6 +186,7 @@
     CommandKind.CLAIM_KEY: messages.structs.ClaimKey,
     CommandKind.FINISH_KEY: messages.structs.FinishKey,
     CommandKind.RELEASE_KEY: messages.structs.ReleaseKey,
+    CommandKind.PUT_DOCUMENT: messages.structs.DocumentState,
 }
 
 
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -26,6 +26,11 @@
 ROLE = 'replica'
 _log = logbook.Logger('replica')
 MachineFactory = typing.Callable[[], machines.StateMachine]
+#: Adds handlers of an embedding process to the listener of a replica.
+Extension = typing.Callable[
+    [listeners.Listener, drivers.Driver, links.LinkPool],
+    None,
+]
 #: Longest wait for another replica to take over at a graceful stop, seconds.
 HAND_OVER_SECONDS = 2.0
 
@@ -46,6 +51,8 @@
         own included; empty for a replica that is only admitted.
     :param first_base: path of the base file that the first membership starts
         with; needed by the founders.
+    :param admits_unknown: whether replicas at other addresses than those of
+        the peers may be admitted.
     :param trusted_keys: raw public keys of members, in force until the
         configuration is known and beside it.
     """
@@ -62,6 +69,7 @@
     founders: tuple[identifiers.Address, ...] = ()
     first_base: pathlib.Path | None = None
     policy: states.Policy = dataclasses.field(default_factory=states.Policy)
+    admits_unknown: bool = False
 
 
 class ReplicaServer:
@@ -75,8 +83,10 @@
         settings: ReplicaSettings,
         machine: machines.StateMachine,
         clock: clocks.Clock,
+        extend: Extension | None = None,
     ) -> None:
         """Keep the settings; nothing is opened yet."""
+        self._extend = extend
         self.settings = settings
         self.machine = machine
         self._clock = clock
@@ -107,6 +117,8 @@
             wire.structs.ConsensusMessage,
             self._take_batch,
         )
+        if self._extend is not None:
+            self._extend(listener, driver, self._pool)
         await listener.start(self.settings.address)
         self.is_listening.set()
         jobs = [
@@ -210,7 +222,8 @@
         introduction: messages.Introduction,
     ) -> None:
         known = self._introductions
-        if known is None or introduction.address not in self.settings.peers:
+        is_listed = introduction.address in self.settings.peers
+        if known is None or not (is_listed or self.settings.admits_unknown):
             return
         now = self._clock.now()
         is_kept = known.hear(introduction, now)
@@ -221,12 +234,27 @@
             return
         node = messages.ReplicaNode(introduction.sender, introduction.address)
         driver.replica.introduce(node, now)
+        self._relay(driver, introduction)
         answer = known.create(
             introduction.sender,
             is_formed=_is_formed(driver),
         )
         self._sender.send_to(introduction.address, answer)
 
+    def _relay(
+        self,
+        driver: drivers.Driver,
+        introduction: messages.Introduction,
+    ) -> None:
+        """Pass an introduction on to the leader.
+
+        A replica that is new knows only a few addresses, and the leader need
+        not be at any of them.
+        """
+        leader = driver.replica.find_leader_address()
+        if self.settings.admits_unknown and leader is not None:
+            self._sender.send_to(leader, introduction)
+
     async def _introduce(self) -> None:
         while True:
             self._introduce_once()
@@ -246,13 +274,26 @@
         is_formed = _is_formed(driver)
         if not is_formed:
             self._form(driver, known, now)
-        for address in known.tick(now):
+        for address in self._list_introduced_to(driver, known.tick(now)):
             introduction = known.create(
                 introductions.ANYONE,
                 is_formed=is_formed,
             )
             self._sender.send_to(address, introduction)
 
+    def _list_introduced_to(
+        self,
+        driver: drivers.Driver,
+        peers: list[identifiers.Address],
+    ) -> list[identifiers.Address]:
+        """Return the peers, and with them the members that are known."""
+        if not peers or not self.settings.admits_unknown:
+            return peers
+        nodes = driver.replica.state.membership.nodes()
+        known = {*peers, *(node.address for node in nodes)}
+        known.discard(self.settings.address)
+        return sorted(known)
+
     def _form(
         self,
         driver: drivers.Driver,
@@ -306,9 +347,11 @@
     settings: ReplicaSettings,
     machine: machines.StateMachine,
     clock: clocks.Clock | None = None,
+    extend: Extension | None = None,
 ) -> ReplicaServer:
     """Return a server that is not running."""
-    return ReplicaServer(settings, machine, clock or clocks.SystemClock())
+    known_clock = clock or clocks.SystemClock()
+    return ReplicaServer(settings, machine, known_clock, extend)
 
 
 async def run_replica(
--- /dev/null
+++ b/wagtailspread/replica/supervision.py
@@ -0,0 +1,190 @@
+"""Keeps a replica running on a machine that nobody looks after.
+
+A storage that fails is opened again, since a full or slow disk recovers; a
+damaged one is given up as if the disk were lost, and the replica comes back as
+a new one.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import typing
+
+import logbook
+
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from wagtailspread.consensus import journals, states
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.registry import services
+from wagtailspread.replica import documents, drivers, servers
+from wagtailspread.wire import credentials, links, listeners
+
+#: Time between two tries to open a storage that failed, in seconds.
+REOPEN_SECONDS = 0.5
+#: Silence after which another replica may take the place of a voter, seconds.
+SILENT_VOTER_SECONDS = 2.0
+#: Time between two heartbeats of a leader, in seconds.
+HEARTBEAT_SECONDS = 0.2
+
+_log = logbook.Logger('supervisor')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SupervisorSettings:
+    """Settings of a supervised replica.
+
+    :param find_seeds: returns the addresses of some replicas as of now.
+    :param is_first_start: whether the seeds form a new fleet.
+    :param tolerated: lost disks that a confirmed change must survive.
+    """
+
+    member: identifiers.MemberId
+    host: identifiers.HostId
+    address: identifiers.Address
+    data_folder: pathlib.Path
+    find_seeds: typing.Callable[[], typing.Iterable[identifiers.Address]]
+    is_first_start: bool
+    domain: identifiers.FailureDomain
+    region: identifiers.RegionName
+    key: ed25519.Ed25519PrivateKey
+    tolerated: int
+
+
+class Supervisor:
+    """Runs one life of a replica after another. Use :func:`create_supervisor`."""
+
+    def __init__(
+        self,
+        settings: SupervisorSettings,
+        registry: services.RegistryService,
+        clock: clocks.Clock,
+        create_machine: servers.MachineFactory,
+    ) -> None:
+        """Keep the parts; nothing is opened yet."""
+        self._create_machine = create_machine
+        self._settings = settings
+        self._registry = registry
+        self._clock = clock
+        self._document: documents.DocumentService | None = None
+        self._pool: links.LinkPool | None = None
+
+    def find_document(self) -> documents.DocumentService | None:
+        """Return the document service of the present life."""
+        return self._document
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Run until ``stopping`` is set."""
+        while not stopping.is_set():
+            server = servers.create_server(
+                self._create_settings(),
+                self._create_machine(),
+                self._clock,
+                self._extend,
+            )
+            await self._run_life(server, stopping)
+            self._document = None
+            if server.is_void:
+                _log.warning('the identity is void; starting with a new one')
+                server.discard()
+
+    async def _run_life(
+        self,
+        server: servers.ReplicaServer,
+        stopping: asyncio.Event,
+    ) -> None:
+        following: asyncio.Task[None] | None = None
+        try:
+            async with asyncio.TaskGroup() as group:
+                running = group.create_task(server.run())
+                stop = group.create_task(stopping.wait())
+                following = group.create_task(self._follow_peers(server))
+                await asyncio.wait(
+                    (running, stop),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if stopping.is_set():
+                    await server.hand_over()
+                for task in (running, stop, following):
+                    task.cancel()
+        except* drivers.ReplicaStopped as stopped:
+            await self._recover(server, stopped)
+
+    async def _recover(
+        self,
+        server: servers.ReplicaServer,
+        stopped: 'ExceptionGroup[drivers.ReplicaStopped]',
+    ) -> None:
+        failure = stopped.exceptions[0]
+        _log.error('the storage failed: {}', failure)
+        is_damaged = isinstance(failure, drivers.ReplicaStopped) and isinstance(
+            failure.failure,
+            journals.StorageDamaged,
+        )
+        if is_damaged:
+            server.discard()
+        await asyncio.sleep(REOPEN_SECONDS)
+
+    async def _follow_peers(self, server: servers.ReplicaServer) -> None:
+        await server.is_listening.wait()
+        if self._pool is not None:
+            await self._registry.run(self._pool)
+
+    def _extend(
+        self,
+        listener: listeners.Listener,
+        driver: drivers.Driver,
+        pool: links.LinkPool,
+    ) -> None:
+        """Serve the registry and the document beside the replica."""
+        service = documents.DocumentService(
+            driver,
+            pool,
+            self._clock,
+            self._settings.tolerated,
+        )
+        service.register(listener)
+        self._registry.attach(listener, service)
+        wake_subscribers = driver.on_apply
+
+        def wake() -> None:
+            wake_subscribers()
+            self._registry.feed.wake()
+
+        driver.on_apply = wake
+        self._document = service
+        self._pool = pool
+
+    def _create_settings(self) -> servers.ReplicaSettings:
+        own = self._settings
+        seeds = tuple(own.find_seeds())
+        is_founder = own.is_first_start and own.address in seeds
+        public = credentials.public_bytes(own.key)
+        return servers.ReplicaSettings(
+            member=own.member,
+            host=own.host,
+            address=own.address,
+            data_folder=own.data_folder,
+            peers=seeds,
+            region=own.region,
+            domain=own.domain,
+            key=own.key,
+            trusted_keys={own.member: public},
+            founders=seeds if is_founder else (),
+            policy=states.Policy(
+                heartbeat_interval=HEARTBEAT_SECONDS,
+                silent_voter_seconds=SILENT_VOTER_SECONDS,
+                least_voters=2 * own.tolerated + 1,
+            ),
+            admits_unknown=True,
+        )
+
+
+def create_supervisor(
+    settings: SupervisorSettings,
+    registry: services.RegistryService,
+    clock: clocks.Clock,
+    create_machine: servers.MachineFactory,
+) -> Supervisor:
+    """Return a supervisor that runs nothing yet."""
+    return Supervisor(settings, registry, clock, create_machine)
--- /dev/null
+++ b/wagtailspread/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes by host and path prefix, their terms, and weighted splits."""
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -19,6 +19,10 @@
   ADOPT = 12
   CANCEL = 13
   LIST_UPSTREAMS = 14
+  FOLLOW = 15
+  REPORT = 16
+  PUT_DOCUMENT = 17
+  READ_DOCUMENT = 18
 }
 
 struct Envelope {
@@ -408,11 +412,24 @@
   3: i64 wall_ms
 }
 
+// The configuration document of the highest version.
+struct DocumentState {
+  1: i64 version
+  2: binary body
+}
+
+// Answer to a document that was put: the version held afterwards.
+struct DocumentAnswer {
+  1: i64 held_version
+}
+
 // Snapshot of the replicas' state machine.
 struct MachineSnapshot {
   1: binary configuration
   2: binary claims
   3: i64 wall_ms
+  // Absent in snapshots of older replicas.
+  4: optional DocumentState document
 }
 
 // One idempotency key in a snapshot of the replicas.
@@ -456,3 +473,68 @@
   11: binary released_counts
   12: TextColumn released
 }
+
+// What is known of one upstream.
+struct UpstreamRow {
+  1: string upstream
+  2: string service_name
+  3: string address
+  4: string domain
+  5: i32 slots
+  6: i16 state
+  // Start of the upstream's incarnation, milliseconds since the epoch.
+  7: i64 born_ms
+  8: i64 sequence
+  // Time until it is warmed up, counted from the sending of this row.
+  9: i32 warm_ms
+}
+
+// Results of one host at one upstream since its last report.
+struct ResultTally {
+  1: string upstream
+  2: i32 good
+  3: i32 bad
+  4: i32 shed
+  5: i32 unreachable
+  // Time of the good ones together.
+  6: i64 good_ms
+}
+
+// Long poll for what changed at a replica after a position.
+struct FollowChanges {
+  1: string host
+  2: string domain
+  3: bool is_replica
+  // The replica's epoch and the position known of it; zeros at first.
+  4: i64 epoch
+  5: i64 position
+  6: i64 document_version
+  7: i32 wait_ms
+}
+
+struct ReplicaPlace {
+  1: string address
+  2: string domain
+}
+
+struct ChangeBatch {
+  1: i64 epoch
+  2: i64 position
+  3: list<UpstreamRow> rows
+  4: list<ResultTally> tallies
+  // Upstreams heard since the position; for replicas only.
+  5: list<string> heard
+  // All upstreams that no replica has heard of late.
+  6: list<string> silent
+  7: i64 document_version
+  8: optional binary document
+  9: list<ReplicaPlace> replicas
+  10: bool has_quorum
+  // Hosts that follow any replica.
+  11: i32 hosts
+}
+
+struct ReportTallies {
+  1: string host
+  2: list<ResultTally> tallies
+}
