--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -3,22 +3,20 @@
 import asyncio
 import dataclasses
 import enum
-import typing
 
 import logbook
 
-from wagtailspread.entry import ledgers
-from wagtailspread.gateway import exchanges
-from wagtailspread.placement import budgets, retries, selection
-from wagtailspread.registry import records, tallies
 from wagtailspread.core import identifiers
+from wagtailspread.entry import ledgers
+from wagtailspread.gateway import exchanges, placements
+from wagtailspread.placement import messages, retries
 from wagtailspread.routing import terms
 
-#: Time at an upstream, as a multiple of the usual time there, after which a
-#: request without an answer counts as failed.
-OVERDUE_FACTOR = 4.0
-#: Least time of that kind, in seconds.
-OVERDUE_SECONDS = 1.5
+#: Time in which an answer is worth most if the route does not say, in seconds.
+DEFAULT_OBJECTIVE_SECONDS = 2.0
+#: Time of a request without an answer at its end from which on that counts
+#: against the upstream, in seconds.
+EXPIRED_SECONDS = 1.5
 
 _log = logbook.Logger('attempts')
 
@@ -28,7 +26,7 @@
 
     #: The service has no upstream left to try.
     NO_UPSTREAM = 'no-upstream'
-    #: The upstreams that were tried did not run it.
+    #: No upstream that was tried ran it, or none has room in time.
     NO_ROOM = 'no-room'
     #: Its time is over.
     NO_TIME = 'no-time'
@@ -54,11 +52,20 @@
     """How a request ended: an answer or a refusal.
 
     :param proof: that no attempt can have run, if that is so.
+    :param retry_after: seconds after which there may be room.
     """
 
     answer: exchanges.Answer | None
     refusal: Refusal | None
     proof: ledgers.NotRun | None
+    retry_after: float = 0.0
+
+
+_REFUSALS = {
+    messages.Decision.NO_UPSTREAM: Refusal.NO_UPSTREAM,
+    messages.Decision.NO_ROOM: Refusal.NO_ROOM,
+    messages.Decision.NO_BUDGET: Refusal.NO_ROOM,
+}
 
 
 class _State:
@@ -82,174 +89,134 @@
             is_repeatable=self.job.route.is_repeatable,
         )
 
-    def conclude(self, refusal: Refusal) -> Conclusion:
+    def conclude(
+        self,
+        refusal: Refusal,
+        retry_after: float = 0.0,
+    ) -> Conclusion:
         """Return the last answer, or a refusal that is true."""
         proof = self.ledger.prove_not_run()
         if self.answer is not None:
             return Conclusion(self.answer, None, proof)
         if proof is None and refusal is not Refusal.NO_TIME:
             refusal = Refusal.ANSWER_LOST
-        return Conclusion(None, refusal, proof)
+        return Conclusion(None, refusal, proof, retry_after)
 
 
 class AttemptRunner:
-    """Runs the attempts of requests.
-
-    :param book: takes the results for the other hosts.
-    :param hurry: is called when a result should be reported soon.
-    """
+    """Runs the attempts of requests."""
 
     def __init__(
         self,
-        selector: selection.Selector,
+        host: identifiers.HostId,
+        domain: identifiers.FailureDomain,
+        placer: placements.Placer,
         exchanger: exchanges.Exchanger,
-        budget: budgets.SharedRetryBudget,
-        book: tallies.TallyBook,
-        hurry: typing.Callable[[], None],
     ) -> None:
         """Keep the parts."""
-        self._hurry = hurry
-        self._selector = selector
+        self._host = host
+        self._domain = domain
+        self._placer = placer
         self._exchanger = exchanger
-        self._budget = budget
-        self._book = book
 
     async def run(self, job: Job) -> Conclusion:
         """Send a request until there is an answer or no more way."""
         state = _State(job)
-        self._budget.add_request(job.service, _now())
         while True:
-            refusal = self._find_obstacle(state)
-            if refusal is not None:
-                return state.conclude(refusal)
-            row = self._selector.choose(_create_need(state), _now())
-            if row is None:
-                refusal = Refusal.NO_UPSTREAM
-                if state.trials.sends:
-                    refusal = Refusal.NO_ROOM
-                return state.conclude(refusal)
-            outcome = await self._send(row.record, state)
+            left = job.outgoing.deadline - _now()
+            if left < exchanges.LEAST_SECONDS:
+                return state.conclude(Refusal.NO_TIME)
+            if not state.may_go_on():
+                return state.conclude(Refusal.NO_ROOM)
+            need = self._create_need(state)
+            placed = await self._placer.place(need)
+            if placed.answer.record is None:
+                refusal = _REFUSALS[placed.answer.decision]
+                return state.conclude(refusal, placed.answer.retry_after)
+            outcome = await self._send(need, placed, state)
             if isinstance(outcome, exchanges.Answer):
                 state.answer = outcome
                 if not outcome.is_server_error:
                     return state.conclude(Refusal.NO_ROOM)
 
-    def _find_obstacle(self, state: _State) -> Refusal | None:
-        """Return why the request is not sent to another upstream."""
-        left = state.job.outgoing.deadline - _now()
-        if left < exchanges.LEAST_SECONDS:
-            return Refusal.NO_TIME
-        if not state.may_go_on():
-            return Refusal.NO_ROOM
-        if state.trials.sends:
-            if not self._budget.spend(state.job.service, _now()):
-                return Refusal.NO_ROOM
-        return None
+    def _create_need(self, state: _State) -> messages.Need:
+        job = state.job
+        return messages.Need(
+            request=self._placer.create_id(),
+            host=self._host,
+            domain=self._domain,
+            service=job.service,
+            deadline=job.outgoing.deadline,
+            objective=job.route.objective or DEFAULT_OBJECTIVE_SECONDS,
+            size=job.size,
+            priority=job.route.priority,
+            excluded=frozenset(state.excluded),
+            is_repeat=state.trials.sends > 0,
+            is_repeatable=job.route.is_repeatable,
+        )
 
     async def _send(
         self,
-        record: records.UpstreamRecord,
+        need: messages.Need,
+        placed: placements.Placement,
         state: _State,
     ) -> exchanges.Outcome:
-        job = state.job
+        record = placed.answer.record
+        if record is None:
+            raise ValueError(placed)
         state.excluded.add(record.upstream)
-        self._selector.start(record.upstream)
-        overdue = asyncio.get_running_loop().call_later(
-            self._find_overdue_seconds(job.service),
-            self._note,
-            record,
-            tallies.Evidence.BAD,
-        )
-        progress = state.ledger.open_attempt()
+        started = _now()
+        evidence = messages.Evidence.NONE
         try:
-            outcome = await self._exchanger.send(record, job.outgoing, progress)
+            outcome = await self._exchanger.send(
+                record,
+                state.job.outgoing,
+                state.ledger.open_attempt(),
+            )
+            evidence = _judge(outcome, _now() - started)
         finally:
-            overdue.cancel()
-            self._selector.finish(record.upstream)
+            seconds = _now() - started
+            self._placer.settle(need.request, placed, evidence, seconds)
         if isinstance(outcome, exchanges.NoConnection):
             state.trials.note_failed_connection()
         else:
             state.trials.note_sent()
-        self._judge(record, outcome, job)
+        if evidence is not messages.Evidence.GOOD:
+            _log.info(
+                'attempt {} failed at {}: {}',
+                state.job.outgoing.attempt,
+                record.upstream,
+                _describe(outcome),
+            )
         return outcome
 
-    def _find_overdue_seconds(self, service: identifiers.ServiceName) -> float:
-        usual = self._selector.find_usual_seconds(service, _now())
-        return max(OVERDUE_SECONDS, OVERDUE_FACTOR * usual)
-
-    def _judge(
-        self,
-        record: records.UpstreamRecord,
-        outcome: exchanges.Outcome,
-        job: Job,
-    ) -> None:
-        """Take an outcome as evidence about its upstream."""
-        if isinstance(outcome, exchanges.Answer):
-            if not outcome.is_server_error:
-                self._note_good(record, outcome.seconds)
-                return
-            self._note(record, tallies.Evidence.BAD)
-            detail = str(outcome.status)
-        elif isinstance(outcome, exchanges.NotExecuted):
-            self._note_not_executed(record, outcome)
-            detail = 'not executed'
-        elif isinstance(outcome, exchanges.NoConnection):
-            self._selector.block(record.upstream, _now())
-            self._note(record, tallies.Evidence.UNREACHABLE)
-            detail = 'no connection'
-        else:
-            if not outcome.is_expired:
-                self._note(record, tallies.Evidence.BAD)
-            detail = outcome.reason
-        _log.info(
-            'attempt {} failed at {}: {}',
-            job.outgoing.attempt,
-            record.upstream,
-            detail,
-        )
-
-    def _note_good(
-        self,
-        record: records.UpstreamRecord,
-        seconds: float,
-    ) -> None:
-        self._book.add_good(record.upstream, seconds)
-        shared = self._selector.shared
-        shared.add_good(record.upstream, 1, seconds, _now())
 
-    def _note_not_executed(
-        self,
-        record: records.UpstreamRecord,
-        outcome: exchanges.NotExecuted,
-    ) -> None:
+def _judge(
+    outcome: exchanges.Outcome,
+    seconds: float,
+) -> messages.Evidence:
+    """Return what an outcome says of its upstream."""
+    if isinstance(outcome, exchanges.Answer):
+        if outcome.is_server_error:
+            return messages.Evidence.BAD
+        return messages.Evidence.GOOD
+    if isinstance(outcome, exchanges.NotExecuted):
         if outcome.is_another:
-            self._selector.block(record.upstream, _now())
-            self._note(record, tallies.Evidence.UNREACHABLE)
-        else:
-            self._note(record, tallies.Evidence.SHED)
-
-    def _note(
-        self,
-        record: records.UpstreamRecord,
-        evidence: tallies.Evidence,
-    ) -> None:
-        self._book.add(record.upstream, evidence)
-        self._hurry()
-        shared = self._selector.shared
-        if evidence is tallies.Evidence.BAD:
-            shared.add_bad(record.upstream, _now())
-        elif evidence is tallies.Evidence.SHED:
-            shared.add_shed(record.upstream, _now())
-        else:
-            shared.add_unreachable(record.upstream, _now())
-
-
-def _create_need(state: _State) -> selection.Need:
-    return selection.Need(
-        state.job.service,
-        state.job.size,
-        frozenset(state.excluded),
-    )
+            return messages.Evidence.UNREACHABLE
+        return messages.Evidence.SHED
+    if isinstance(outcome, exchanges.NoConnection):
+        return messages.Evidence.UNREACHABLE
+    if outcome.is_expired and seconds < EXPIRED_SECONDS:
+        return messages.Evidence.NONE
+    return messages.Evidence.BAD
+
+
+def _describe(outcome: exchanges.Outcome) -> str:
+    if isinstance(outcome, exchanges.Answer):
+        return f'status {outcome.status}'
+    if isinstance(outcome, exchanges.Loss):
+        return outcome.reason
+    return type(outcome).__name__
 
 
 def _now() -> float:
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -8,10 +8,11 @@
 import logbook
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import attempts, exchanges, headers, servers
-from wagtailspread.health import doubts
+from wagtailspread.gateway import attempts, exchanges, headers
+from wagtailspread.gateway import placements, servers
 from wagtailspread.placement import budgets, costs, selection
-from wagtailspread.registry import followers, records, tallies
+from wagtailspread.registry import followers, records
+from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, messages
 
@@ -23,6 +24,8 @@
 STOP_STEP_SECONDS = 0.05
 #: Part of the time to stop that is kept for closing, in seconds.
 CLOSING_SECONDS = 0.4
+#: Hosts that are assumed to share a budget until their number is known.
+LEAST_HOSTS = 40
 
 _log = logbook.Logger('gateway')
 
@@ -86,15 +89,24 @@
         self._hosts = 0
         self._is_stopping = False
         self._pool = links.LinkPool(settings.own, settings.directory)
-        self._book = tallies.TallyBook()
-        self.selector = selection.create_selector(settings.place)
+        self.selector = selection.create_selector(
+            registries.create_table(),
+            settings.place.regions,
+        )
+        self._placer = placements.create_placer(
+            settings.host,
+            settings.place,
+            self._pool,
+            self.selector,
+            self._create_budget(settings.retries),
+            clock,
+        )
         self._exchanger = exchanges.create_exchanger(settings.names)
         runner = attempts.AttemptRunner(
-            self.selector,
+            settings.host,
+            settings.place.domain,
+            self._placer,
             self._exchanger,
-            self._create_budget(settings.retries),
-            self._book,
-            self._hurry,
         )
         self.server = servers.create_server(
             runner,
@@ -112,7 +124,6 @@
             self._pool,
             clock,
             self._apply,
-            self._book.take,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -124,10 +135,7 @@
 
     async def start(self) -> None:
         """Listen, and follow the replicas."""
-        self._tasks = [
-            asyncio.create_task(self.follower.follow()),
-            asyncio.create_task(self.follower.report()),
-        ]
+        self._tasks = [asyncio.create_task(self.follower.follow())]
         await self._readiness.start(self._settings.ready_address)
         await self.server.start(self._settings.caller_address)
         _log.info('host {} started', self._settings.host)
@@ -147,20 +155,18 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._placer.close()
         await self._exchanger.close()
         await self._readiness.close()
         await self._pool.close()
         _log.info('host stopped with {} requests open', left)
 
-    def _hurry(self) -> None:
-        self.follower.hurry()
-
     def _create_budget(self, retries: RetryTerms) -> budgets.SharedRetryBudget:
         return budgets.SharedRetryBudget(
             retries.ratio,
             retries.slack,
             retries.window,
-            lambda: self._hosts,
+            lambda: max(self._hosts, LEAST_HOSTS),
         )
 
     def _measure(self, domain: identifiers.FailureDomain) -> int:
@@ -184,8 +190,7 @@
         registry.forget_departed(now)
         self.selector.silent = frozenset(batch.silent)
         self._hosts = batch.hosts
-        for tally in batch.tallies:
-            add_tally(self.selector.shared, tally, now)
+        self._placer.learn(batch.replicas)
         if batch.document is not None:
             self._apply_document(batch)
 
@@ -201,23 +206,6 @@
         _log.info('version {} is in force', batch.document_version)
 
 
-def add_tally(
-    shared: doubts.DoubtTable,
-    tally: tallies.Tally,
-    now: float,
-) -> None:
-    """Add the results that another host reported."""
-    upstream = identifiers.UpstreamId(tally.upstream)
-    if tally.good:
-        shared.add_good(upstream, tally.good, tally.good_ms / 1000, now)
-    if tally.bad:
-        shared.add_bad(upstream, now, tally.bad)
-    if tally.unreachable:
-        shared.add_unreachable(upstream, now, tally.unreachable)
-    if tally.shed:
-        shared.add_shed(upstream, now)
-
-
 def create_host(
     settings: GatewaySettings,
     read_document: DocumentReader,
--- /dev/null
+++ b/wagtailspread/gateway/placements.py
@@ -0,0 +1,304 @@
+"""Gets upstreams for the requests of one host.
+
+It asks the allocator of its region. All hosts of a region ask the same
+replica as long as it answers; when it fails they turn to the next one, and
+with none left a host decides by itself from what it has seen.
+"""
+
+import asyncio
+import itertools
+import random
+import typing
+
+import logbook
+
+from returns import result
+
+from wagtailspread.core import clocks, identifiers
+from wagtailspread.placement import budgets, costs, messages, selection
+from wagtailspread.registry import records
+from wagtailspread.wire import links
+from wagtailspread.wire import messages as wire
+
+#: Longest time for which an allocator holds back its answer, in seconds.
+WAIT_SECONDS = 0.15
+#: Longest time without an answer beyond that, in seconds: several round trips
+#: to another failure domain and some work of a busy machine.
+ANSWER_SECONDS = 0.12
+#: Time between two looks at an allocator that failed, in seconds.
+REVIVE_SECONDS = 1.0
+#: Longest time for the end of a request to reach the allocator, in seconds.
+SETTLE_SECONDS = 1.0
+#: Allocators that are tried for one request.
+MAX_ALLOCATORS = 2
+
+_MILLISECONDS = 1000
+_MAX_INCARNATION = 1 << 62
+
+_log = logbook.Logger('placement')
+
+
+class Placement(typing.NamedTuple):
+    """Where to send a request, or why not.
+
+    :param allocator: who granted it; ``None`` for the host itself.
+    """
+
+    answer: messages.Answer
+    allocator: identifiers.Address | None
+
+
+class Placer:
+    """Places the requests of one host. Use :func:`create_placer`."""
+
+    def __init__(
+        self,
+        host: identifiers.HostId,
+        place: costs.Place,
+        pool: links.LinkPool,
+        selector: selection.Selector,
+        budget: budgets.SharedRetryBudget,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start without a known allocator."""
+        self._host = host
+        self._place = place
+        self._pool = pool
+        self._selector = selector
+        self._budget = budget
+        self._clock = clock
+        self._incarnation = random.randrange(_MAX_INCARNATION)
+        self._numbers = itertools.count()
+        self._allocators: list[identifiers.Address] = []
+        self._failed: dict[identifiers.Address, asyncio.Task[None]] = {}
+        self._settling: set[asyncio.Task[None]] = set()
+
+    def learn(self, places: list[wire.Struct]) -> None:
+        """Take the replicas that may allocate.
+
+        Those of the own region come first; the order is the same at all hosts
+        of a region.
+        """
+        ordered = sorted(
+            places,
+            key=lambda one: (
+                not self._place.is_same_region(
+                    identifiers.FailureDomain(one.domain),
+                ),
+                one.address,
+            ),
+        )
+        self._allocators = [
+            identifiers.Address(place.address) for place in ordered
+        ]
+
+    def create_id(self) -> identifiers.RequestId:
+        """Return a new id of one attempt to place a request."""
+        number = next(self._numbers)
+        text = f'{self._host}.{self._incarnation:x}.{number}'
+        return identifiers.RequestId(text)
+
+    async def place(self, need: messages.Need) -> Placement:
+        """Return where to send a request, or why it is not sent."""
+        usable = [one for one in self._allocators if one not in self._failed]
+        for allocator in usable[:MAX_ALLOCATORS]:
+            answer = await self._ask(allocator, need)
+            if answer is not None:
+                if answer.record is not None:
+                    self._selector.start(answer.record.upstream)
+                return Placement(answer, allocator)
+        return Placement(self._decide(need), None)
+
+    def settle(
+        self,
+        request: identifiers.RequestId,
+        placement: Placement,
+        evidence: messages.Evidence,
+        seconds: float,
+    ) -> None:
+        """Tell how a placed request ended; does not wait."""
+        record = placement.answer.record
+        if record is None:
+            return
+        self._selector.finish(record.upstream)
+        self._selector.take_evidence(
+            self._host,
+            record.upstream,
+            evidence,
+            seconds,
+            self._clock.now(),
+        )
+        if placement.allocator is not None:
+            settlement = wire.structs.Settlement(
+                request=request,
+                upstream=record.upstream,
+                evidence=int(evidence),
+                took_ms=int(seconds * _MILLISECONDS),
+            )
+            self._start_settling(placement.allocator, [settlement])
+
+    async def close(self) -> None:
+        """Stop looking for allocators; the last settlements go out."""
+        for reviving in self._failed.values():
+            reviving.cancel()
+        await asyncio.gather(*self._settling, return_exceptions=True)
+
+    async def _ask(
+        self,
+        allocator: identifiers.Address,
+        need: messages.Need,
+    ) -> messages.Answer | None:
+        """Return an allocator's answer, or ``None`` if it fails."""
+        try:
+            while True:
+                answer = await self._call(allocator, need)
+                if answer is None:
+                    self._start_settling(allocator, [_withdraw(need)])
+                    self._note_failure(allocator)
+                    return None
+                if answer.decision is not messages.Decision.WAITING:
+                    return answer
+                if self._clock.now() >= need.deadline:
+                    self._start_settling(allocator, [_withdraw(need)])
+                    return messages.Answer(messages.Decision.NO_ROOM)
+        except asyncio.CancelledError:
+            self._start_settling(allocator, [_withdraw(need)])
+            raise
+
+    async def _call(
+        self,
+        allocator: identifiers.Address,
+        need: messages.Need,
+    ) -> messages.Answer | None:
+        limit = WAIT_SECONDS + ANSWER_SECONDS
+        try:
+            async with asyncio.timeout(limit):
+                answer = await self._pool.find(allocator).call(
+                    wire.methods.PLACE,
+                    self._write_need(need),
+                    wire.structs.PlaceAnswer,
+                    limit,
+                )
+        except TimeoutError:
+            return None
+        if not isinstance(answer, result.Success):
+            return None
+        found = answer.unwrap()
+        record = None if found.row is None else records.from_row(found.row)
+        return messages.Answer(
+            messages.Decision(found.decision),
+            record,
+            found.retry_after_ms / _MILLISECONDS,
+        )
+
+    def _write_need(self, need: messages.Need) -> wire.Struct:
+        left = need.deadline - self._clock.now()
+        return wire.structs.PlaceRequest(
+            request=need.request,
+            host=self._host,
+            incarnation=self._incarnation,
+            domain=need.domain,
+            service_name=need.service,
+            size=need.size,
+            priority=need.priority,
+            deadline_ms=max(0, int(left * _MILLISECONDS)),
+            excluded=sorted(need.excluded),
+            is_repeat=need.is_repeat,
+            is_repeatable=need.is_repeatable,
+            objective_ms=int(need.objective * _MILLISECONDS),
+            wait_ms=int(WAIT_SECONDS * _MILLISECONDS),
+        )
+
+    def _decide(self, need: messages.Need) -> messages.Answer:
+        """Decide without an allocator."""
+        now = self._clock.now()
+        if not need.is_repeat:
+            self._budget.add_request(need.service, now)
+        elif not self._budget.spend(need.service, now):
+            return messages.Answer(messages.Decision.NO_BUDGET)
+        chosen = self._selector.draw(self._selector.rate(need, now))
+        if chosen is None:
+            return messages.Answer(messages.Decision.NO_UPSTREAM)
+        record = chosen.row.record
+        self._selector.start(record.upstream)
+        return messages.Answer(messages.Decision.GRANTED, record)
+
+    def _start_settling(
+        self,
+        allocator: identifiers.Address,
+        settlements: list[wire.Struct],
+    ) -> None:
+        settling = asyncio.create_task(self._settle(allocator, settlements))
+        self._settling.add(settling)
+        settling.add_done_callback(self._settling.discard)
+
+    async def _settle(
+        self,
+        allocator: identifiers.Address,
+        settlements: list[wire.Struct],
+    ) -> None:
+        if allocator in self._failed:
+            # It ends the request by itself after its deadline.
+            return
+        if not await self._tell(allocator, settlements):
+            self._note_failure(allocator)
+
+    async def _tell(
+        self,
+        allocator: identifiers.Address,
+        settlements: list[wire.Struct],
+    ) -> bool:
+        request = wire.structs.SettleRequests(
+            host=self._host,
+            settlements=settlements,
+        )
+        try:
+            async with asyncio.timeout(SETTLE_SECONDS):
+                told = await self._pool.find(allocator).call(
+                    wire.methods.SETTLE,
+                    request,
+                    wire.structs.Empty,
+                    SETTLE_SECONDS,
+                )
+        except TimeoutError:
+            return False
+        return isinstance(told, result.Success)
+
+    def _note_failure(self, allocator: identifiers.Address) -> None:
+        if allocator not in self._failed:
+            _log.warning('the allocator {} does not answer', allocator)
+            reviving = asyncio.create_task(self._revive(allocator))
+            self._failed[allocator] = reviving
+
+    async def _revive(self, allocator: identifiers.Address) -> None:
+        """Look at an allocator until it answers again."""
+        await self._pool.forget(allocator)
+        while True:
+            await asyncio.sleep(REVIVE_SECONDS)
+            if await self._tell(allocator, []):
+                break
+            await self._pool.forget(allocator)
+        self._failed.pop(allocator, None)
+        _log.info('the allocator {} answers again', allocator)
+
+
+def _withdraw(need: messages.Need) -> wire.Struct:
+    """Return the end of a request that was not sent."""
+    return wire.structs.Settlement(
+        request=need.request,
+        upstream='',
+        evidence=int(messages.Evidence.NONE),
+        took_ms=0,
+    )
+
+
+def create_placer(
+    host: identifiers.HostId,
+    place: costs.Place,
+    pool: links.LinkPool,
+    selector: selection.Selector,
+    budget: budgets.SharedRetryBudget,
+    clock: clocks.Clock,
+) -> Placer:
+    """Return a placer that knows no allocator yet."""
+    return Placer(host, place, pool, selector, budget, clock)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -17,7 +17,7 @@
 KEPT_BYTES = 1024 * 1024
 #: Time that a request has if neither its caller nor its route says, seconds.
 DEFAULT_SECONDS = 30.0
-#: Time after which a refused caller may come back, in seconds.
+#: Time after which a refused caller may come back if nothing is known, seconds.
 RETRY_AFTER_SECONDS = 1.0
 #: Beyond the idle time of the configuration, so that a caller which keeps to
 #: it never meets a closed connection, in seconds.
@@ -161,7 +161,10 @@
             concluded.refusal,
         )
         if concluded.proof is not None:
-            return self._refuse(str(concluded.refusal))
+            return self._refuse(
+                str(concluded.refusal),
+                concluded.retry_after,
+            )
         if concluded.refusal is attempts.Refusal.NO_TIME:
             return web.Response(status=_GATEWAY_TIMEOUT)
         return web.Response(status=_BAD_GATEWAY)
@@ -217,11 +220,16 @@
             body=answer.body,
         )
 
-    def _refuse(self, reason: str) -> web.Response:
+    def _refuse(
+        self,
+        reason: str,
+        retry_after: float = 0.0,
+    ) -> web.Response:
         """Return the promise that a request has not run and never will."""
         _log.debug('refused: {}', reason)
-        retry_after = {self._names.retry_after: str(RETRY_AFTER_SECONDS)}
-        return web.Response(status=_UNAVAILABLE, headers=retry_after)
+        seconds = f'{retry_after or RETRY_AFTER_SECONDS:.2f}'
+        own = {self._names.retry_after: seconds}
+        return web.Response(status=_UNAVAILABLE, headers=own)
 
 
 class ReadinessServer:
--- /dev/null
+++ b/wagtailspread/placement/allocators.py
@@ -0,0 +1,266 @@
+"""Decides for all hosts of a region which upstream runs which request.
+
+It knows every open request of the region, so no upstream gets more than its
+slots, and what one host finds out about an upstream counts for all at once.
+A request waits here for a slot rather than at an upstream: until it is sent it
+can still go anywhere, and an upstream that turns gray fails no queue.
+
+The allocator is soft state. Hosts turn to another one when it fails, which
+starts with no open requests; upstreams that are sent too much say so.
+"""
+
+import dataclasses
+import itertools
+
+from wagtailspread.core import identifiers
+from wagtailspread.placement import budgets, messages, selection
+
+#: Waiting that one step of priority is worth, in seconds. Urgent work goes
+#: first, but a flood of it does not keep the rest waiting for ever.
+PRIORITY_SECONDS = 1.0
+#: Cost above the cheapest upstream from which on a request rather waits for a
+#: slot there than goes to one that is free.
+PATIENCE_COST = 0.2
+#: Part of the objective for which it does so.
+PATIENCE_PART = 0.25
+#: Time after the deadline at which an open request is taken to be over, in
+#: seconds. It is not settled if its host has failed.
+SETTLE_SECONDS = 1.0
+#: Multiple of the usual time after which a request without an end counts as
+#: failed, and the least time of that kind in seconds.
+OVERDUE_FACTOR = 4.0
+OVERDUE_SECONDS = 1.5
+#: Time of a request if nothing is known, in seconds.
+DEFAULT_SECONDS = 0.5
+#: Time of silence after which a waiting request is dropped, in seconds; hosts
+#: ask again several times a second.
+ABANDONED_SECONDS = 1.0
+#: Least and most time to tell a refused caller to stay away, in seconds.
+LEAST_RETRY_AFTER = 0.2
+MOST_RETRY_AFTER = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    need: messages.Need
+    upstream: identifiers.UpstreamId
+    granted_at: float
+    is_overdue: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    need: messages.Need
+    order: tuple[float, int]
+    since: float
+    asked_at: float
+
+
+class Allocator:
+    """Places the requests of a region. Use :func:`create_allocator`."""
+
+    def __init__(
+        self,
+        selector: selection.Selector,
+        budget: budgets.SharedRetryBudget,
+    ) -> None:
+        """Start without open requests."""
+        self.selector = selector
+        self._budget = budget
+        self._numbers = itertools.count()
+        self._leases: dict[identifiers.RequestId, _Lease] = {}
+        self._waiting: dict[identifiers.RequestId, _Waiting] = {}
+        self._granted: dict[identifiers.RequestId, messages.Answer] = {}
+
+    def submit(self, need: messages.Need, now: float) -> messages.Answer:
+        """Place a request, or tell that it waits or why it is refused.
+
+        A host asks again with the same need while its request waits.
+        """
+        waiting = self._waiting.get(need.request)
+        if waiting is not None:
+            waiting.asked_at = now
+            return messages.Answer(messages.Decision.WAITING)
+        decided = self._granted.pop(need.request, None)
+        if decided is not None:
+            return decided
+        if need.is_repeat:
+            if not self._budget.spend(need.service, now):
+                return self._refuse(need, messages.Decision.NO_BUDGET, now)
+        else:
+            self._budget.add_request(need.service, now)
+        return self._place_first(need, now)
+
+    def settle(
+        self,
+        request: identifiers.RequestId,
+        upstream: identifiers.UpstreamId,
+        evidence: messages.Evidence,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """End an open request and take what it showed of its upstream."""
+        lease = self._leases.pop(request, None)
+        self._waiting.pop(request, None)
+        self._granted.pop(request, None)
+        host = identifiers.HostId('')
+        if lease is not None:
+            host = lease.need.host
+            self.selector.finish(lease.upstream)
+            is_known_bad = lease.is_overdue and (
+                evidence is messages.Evidence.BAD
+            )
+            if is_known_bad:
+                return
+        self.selector.take_evidence(host, upstream, evidence, seconds, now)
+
+    def drop_host(self, host: identifiers.HostId) -> None:
+        """Forget the requests of a host that has started anew."""
+        for request, lease in list(self._leases.items()):
+            if lease.need.host == host:
+                self._leases.pop(request)
+                self.selector.finish(lease.upstream)
+        for request, waiting in list(self._waiting.items()):
+            if waiting.need.host == host:
+                self._waiting.pop(request)
+
+    def tick(self, now: float) -> list[identifiers.RequestId]:
+        """Grant free slots to what waits; return what was decided."""
+        self._end_overdue(now)
+        decided: list[identifiers.RequestId] = []
+        ordered = sorted(self._waiting.values(), key=lambda one: one.order)
+        blocked: set[identifiers.ServiceName] = set()
+        for waiting in ordered:
+            need = waiting.need
+            if now - waiting.asked_at > ABANDONED_SECONDS:
+                self._waiting.pop(need.request)
+                continue
+            is_hopeless = need.deadline - now < self._find_seconds(need, now)
+            if need.service in blocked and not is_hopeless:
+                continue
+            answer = self._try(need, waiting.since, now)
+            if answer is None and is_hopeless:
+                answer = self._refuse(need, messages.Decision.NO_ROOM, now)
+            if answer is None:
+                blocked.add(need.service)
+                continue
+            self._waiting.pop(need.request)
+            decided.append(need.request)
+            self._granted[need.request] = answer
+        return decided
+
+    def take_decision(
+        self,
+        request: identifiers.RequestId,
+    ) -> messages.Answer | None:
+        """Return the decision on a request that waited."""
+        return self._granted.pop(request, None)
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._waiting)
+
+    def _place_first(
+        self,
+        need: messages.Need,
+        now: float,
+    ) -> messages.Answer:
+        answer = None
+        if not self._is_behind_others(need):
+            answer = self._try(need, now, now)
+        if answer is not None:
+            return answer
+        if not self._can_wait(need, now):
+            return self._refuse(need, messages.Decision.NO_ROOM, now)
+        urgency = now + PRIORITY_SECONDS * need.priority
+        order = (urgency, next(self._numbers))
+        self._waiting[need.request] = _Waiting(need, order, now, now)
+        return messages.Answer(messages.Decision.WAITING)
+
+    def _is_behind_others(self, need: messages.Need) -> bool:
+        """Tell whether others of the same service wait for a slot."""
+        return any(
+            waiting.need.service == need.service
+            and waiting.need.priority <= need.priority
+            for waiting in self._waiting.values()
+        )
+
+    def _try(
+        self,
+        need: messages.Need,
+        since: float,
+        now: float,
+    ) -> messages.Answer | None:
+        """Return a grant or a refusal, or ``None`` if the request waits."""
+        candidates = self.selector.rate(need, now)
+        if not candidates:
+            return self._refuse(need, messages.Decision.NO_UPSTREAM, now)
+        free = [one for one in candidates if not one.is_full]
+        if now - since < PATIENCE_PART * need.objective:
+            least = min(one.cost for one in candidates)
+            limit = least + PATIENCE_COST
+            free = [one for one in free if one.cost <= limit]
+        chosen = self.selector.draw(free)
+        if chosen is None:
+            return None
+        record = chosen.row.record
+        self._leases[need.request] = _Lease(need, record.upstream, now)
+        self.selector.start(record.upstream)
+        return messages.Answer(messages.Decision.GRANTED, record)
+
+    def _can_wait(self, need: messages.Need, now: float) -> bool:
+        """Tell whether a slot is likely to become free in time."""
+        seconds = self._find_seconds(need, now)
+        wait = self._find_wait(need, seconds)
+        return now + wait + seconds < need.deadline
+
+    def _find_wait(self, need: messages.Need, seconds: float) -> float:
+        """Return the time until the request gets a slot, as estimated."""
+        rows = self.selector.registry.list_ready(need.service)
+        slots = sum(row.record.slots for row in rows)
+        ahead = sum(
+            one.need.service == need.service for one in self._waiting.values()
+        )
+        return (ahead + 1) * seconds / max(slots, 1)
+
+    def _find_seconds(self, need: messages.Need, now: float) -> float:
+        usual = self.selector.find_usual_seconds(need.service, now)
+        return usual or DEFAULT_SECONDS
+
+    def _refuse(
+        self,
+        need: messages.Need,
+        decision: messages.Decision,
+        now: float,
+    ) -> messages.Answer:
+        """Refuse a request, with the time after which there may be room."""
+        wait = self._find_wait(need, self._find_seconds(need, now))
+        retry_after = min(max(wait, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
+        return messages.Answer(decision, None, retry_after)
+
+    def _end_overdue(self, now: float) -> None:
+        """Count late requests as failed, and end those of failed hosts."""
+        for request, lease in list(self._leases.items()):
+            if now > lease.need.deadline + SETTLE_SECONDS:
+                self._leases.pop(request)
+                self.selector.finish(lease.upstream)
+                continue
+            usual = self._find_seconds(lease.need, now)
+            limit = max(OVERDUE_SECONDS, OVERDUE_FACTOR * usual)
+            if not lease.is_overdue and now - lease.granted_at > limit:
+                lease.is_overdue = True
+                self.selector.take_evidence(
+                    lease.need.host,
+                    lease.upstream,
+                    messages.Evidence.BAD,
+                    0.0,
+                    now,
+                )
+
+
+def create_allocator(
+    selector: selection.Selector,
+    budget: budgets.SharedRetryBudget,
+) -> Allocator:
+    """Return an allocator without open requests."""
+    return Allocator(selector, budget)
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -1,8 +1,8 @@
-"""The share of one host in a service's budget of repeated sends.
+"""The share of one decider in a service's budget of repeated sends.
 
-The budget holds for all hosts together: a share of the requests plus a fixed
-number in each window. Every host may use that share of its own requests and
-its part of the number, so the sum keeps the budget without any message.
+The budget holds for the whole fleet: a share of the requests plus a fixed
+number in each window. Every decider may use that share of the requests that it
+sees and its part of the number, so the sum keeps the budget without messages.
 
 >>> budget = SharedRetryBudget(0.2, 44.0, 10.0, lambda: 44)
 >>> for _ in range(10): budget.add_request('vitrina', 0.0)
@@ -18,9 +18,6 @@
 #: Part of the budget that the hosts use; the rest covers requests that callers
 #: gave up on and windows that do not fall together.
 USED_SHARE = 0.9
-#: Least number of hosts among which the fixed number is divided, before the
-#: true number is known.
-_LEAST_HOSTS = 8
 
 
 class SharedRetryBudget:
@@ -29,7 +26,7 @@
     :param ratio: repeated sends for each request.
     :param slack: repeated sends of the whole fleet in a window beside these.
     :param window: length of the window in seconds.
-    :param count_hosts: returns the number of hosts that share the slack.
+    :param count_hosts: returns the number of deciders that share the slack.
     """
 
     def __init__(
@@ -59,7 +56,7 @@
         """Count a repeated send if the budget allows one more."""
         requests = self._list_recent(self._requests, service, now)
         repeats = self._list_recent(self._repeats, service, now)
-        hosts = max(self._count_hosts(), _LEAST_HOSTS)
+        hosts = max(self._count_hosts(), 1)
         allowed = self._ratio * len(requests) + self._slack / hosts
         if len(repeats) + 1 > USED_SHARE * allowed:
             return False
--- a/wagtailspread/placement/costs.py
+++ b/wagtailspread/placement/costs.py
@@ -13,9 +13,9 @@
 
 #: Cost of an exchange with another failure domain, for its round trips and
 #: the bytes of a small request; source: prices of the users' sites.
-DOMAIN_COST = 0.01
+DOMAIN_COST = 0.015
 #: The same to another region.
-REGION_COST = 0.03
+REGION_COST = 0.06
 #: Cost of each KiB of a body to another failure domain. A body of 60 KiB costs
 #: 0.12: it crosses where that prevents one failure in eight.
 DOMAIN_COST_PER_KIB = 0.002
@@ -26,15 +26,16 @@
 #: Cost of an upstream to which this host could not connect just now.
 BLOCKED_COST = 0.6
 #: Cost of an upstream that refused to run a request just now.
-SHED_COST = 0.4
-#: Share of the slots in use from which on a request may have to wait.
-FREE_SHARE = 0.5
-#: Cost of waiting behind each further slots' worth of requests.
-WAITING_COST = 0.2
+SHED_COST = 0.3
+#: Cost of the last free slot; upstreams slow down when they are nearly full.
+FULL_COST = 0.05
 #: Cost of each multiple by which an upstream is slower than its peers.
 SLOWNESS_COST = 0.06
 #: Cost of an upstream that is not warmed up; it works at half its speed.
 COLD_COST = 0.05
+#: Part of the risk that counts for a request that may be sent again. Its
+#: failure costs a repeat, and shows whether the upstream has recovered.
+REPEATABLE_RISK_PART = 0.3
 
 _KIB = 1024
 
@@ -49,6 +50,11 @@
     domain: identifiers.FailureDomain
     regions: dict[identifiers.FailureDomain, identifiers.RegionName]
 
+    def is_same_region(self, domain: identifiers.FailureDomain) -> bool:
+        """Tell whether a failure domain is in the own region."""
+        own = self.regions.get(self.domain)
+        return own is not None and self.regions.get(domain) == own
+
     def find_distance_cost(
         self,
         domain: identifiers.FailureDomain,
@@ -60,31 +66,31 @@
         """
         if domain == self.domain:
             return 0.0
-        own = self.regions.get(self.domain)
-        if own is not None and self.regions.get(domain) == own:
+        if self.is_same_region(domain):
             return DOMAIN_COST + DOMAIN_COST_PER_KIB * size / _KIB
         return REGION_COST + REGION_COST_PER_KIB * size / _KIB
 
 
-@dataclasses.dataclass(slots=True)
-class LocalView:
-    """What only this host knows of an upstream.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Work at an upstream as far as it is known.
 
-    :param open_requests: its own requests at work there.
-    :param blocked_until: end of the time for which it is avoided after a
-        failed connection, in seconds.
+    :param open_requests: requests that were sent and not finished.
+    :param blocked: whether the host could not connect to it just now.
     """
 
     open_requests: int = 0
-    blocked_until: float = 0.0
+    blocked: bool = False
 
 
 def find_cost(
     row: tables.RegistryRow,
-    local: LocalView,
+    load: Load,
     shared: doubts.DoubtTable,
     usual_seconds: float,
     now: float,
+    *,
+    is_repeatable: bool = False,
 ) -> float:
     """Return the cost of the next request at an upstream, distance aside.
 
@@ -93,16 +99,16 @@
     """
     upstream = row.record.upstream
     cost = shared.find_risk(upstream, now)
-    if local.blocked_until > now:
+    if is_repeatable:
+        cost *= REPEATABLE_RISK_PART
+    if load.blocked:
         cost += BLOCKED_COST
     if shared.has_shed(upstream, now):
         cost += SHED_COST
     if row.warm_at > now:
         cost += COLD_COST
-    load = max(shared.find_load(upstream, now), local.open_requests)
-    waiting = (load + 1) / row.record.slots - FREE_SHARE
-    if waiting > 0:
-        cost += WAITING_COST * waiting
+    used = load.open_requests / row.record.slots
+    cost += FULL_COST * used * used
     mean = shared.find_mean(upstream)
     if usual_seconds > 0 and mean > usual_seconds:
         cost += SLOWNESS_COST * (mean / usual_seconds - 1)
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -1,8 +1,7 @@
-"""Chooses upstreams for the requests of one host.
+"""Finds the upstream with the least cost for a request.
 
-Each host decides alone, from the same evidence as all others. Among upstreams
-of nearly the same cost it draws by lot, so that hosts that see the same do not
-all choose the same upstream.
+Among upstreams of nearly the same cost it draws by lot, so that several that
+decide alone and see the same do not all choose the same upstream.
 """
 
 import dataclasses
@@ -13,11 +12,11 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.health import doubts
-from wagtailspread.placement import costs
+from wagtailspread.placement import costs, messages
 from wagtailspread.registry import tables
 
 #: Difference in cost that makes an upstream less likely by a factor of e.
-LOT_SCALE = 0.012
+LOT_SCALE = 0.008
 #: Time for which a host avoids an upstream that it cannot connect to, seconds.
 BLOCKED_SECONDS = 2.0
 #: Time for which the mean time of a service is used, in seconds.
@@ -25,16 +24,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Need:
-    """A request that needs an upstream.
+class Candidate:
+    """An upstream that may take a request, and what that would cost."""
 
-    :param size: bytes of the body.
-    :param excluded: upstreams that were tried.
-    """
-
-    service: identifiers.ServiceName
-    size: int = 0
-    excluded: frozenset[identifiers.UpstreamId] = frozenset()
+    row: tables.RegistryRow
+    cost: float
+    is_full: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,60 +39,83 @@
 
 
 class Selector:
-    """Chooses upstreams. Use :func:`create_selector`.
+    """Rates upstreams. Use :func:`create_selector`.
 
     :param registry: the upstreams that are known.
-    :param shared: the evidence of all hosts.
+    :param shared: the evidence about them.
     :param silent: upstreams that no replica has heard of late.
     """
 
     def __init__(
         self,
         registry: tables.RegistryTable,
-        shared: doubts.DoubtTable,
-        place: costs.Place,
+        regions: dict[identifiers.FailureDomain, identifiers.RegionName],
         random: random_module.Random,
     ) -> None:
-        """Keep the tables; they are changed from outside."""
+        """Keep the table; it is changed from outside."""
         self.registry = registry
-        self.shared = shared
+        self.shared = doubts.DoubtTable()
         self.silent: typing.Collection[identifiers.UpstreamId] = frozenset()
-        self._place = place
+        self._regions = regions
         self._random = random
-        self._local: dict[identifiers.UpstreamId, costs.LocalView] = {}
+        self._open: dict[identifiers.UpstreamId, int] = {}
+        self._blocked: dict[
+            tuple[identifiers.HostId, identifiers.UpstreamId],
+            float,
+        ] = {}
         self._usual: dict[identifiers.ServiceName, _Usual] = {}
 
-    def choose(self, need: Need, now: float) -> tables.RegistryRow | None:
-        """Return an upstream, or ``None`` if the service has none left."""
-        rows = [
-            row
+    def rate(self, need: messages.Need, now: float) -> list[Candidate]:
+        """Return the upstreams of a service that were not tried."""
+        place = costs.Place(need.domain, self._regions)
+        return [
+            self._rate(row, need, place, now)
             for row in self.registry.list_ready(need.service)
             if row.record.upstream not in need.excluded
         ]
-        if not rows:
+
+    def draw(self, candidates: list[Candidate]) -> Candidate | None:
+        """Return one of the cheapest, or ``None`` if there are none."""
+        if not candidates:
             return None
-        found = [self._find_cost(row, need, now) for row in rows]
-        least = min(found)
+        least = min(candidate.cost for candidate in candidates)
         weights = [
-            row.record.slots * math.exp((least - cost) / LOT_SCALE)
-            for row, cost in zip(rows, found, strict=True)
+            math.exp((least - candidate.cost) / LOT_SCALE)
+            for candidate in candidates
         ]
-        (chosen,) = self._random.choices(rows, weights)
+        (chosen,) = self._random.choices(candidates, weights)
         return chosen
 
     def start(self, upstream: identifiers.UpstreamId) -> None:
         """Count a request that begins at an upstream."""
-        self._find_local(upstream).open_requests += 1
+        self._open[upstream] = self._open.get(upstream, 0) + 1
 
     def finish(self, upstream: identifiers.UpstreamId) -> None:
         """Count a request that ended at an upstream."""
-        local = self._find_local(upstream)
-        local.open_requests -= 1
+        left = self._open.get(upstream, 0) - 1
+        if left > 0:
+            self._open[upstream] = left
+        else:
+            self._open.pop(upstream, None)
 
-    def block(self, upstream: identifiers.UpstreamId, now: float) -> None:
-        """Avoid an upstream to which no connection could be opened."""
-        local = self._find_local(upstream)
-        local.blocked_until = now + BLOCKED_SECONDS
+    def take_evidence(
+        self,
+        host: identifiers.HostId,
+        upstream: identifiers.UpstreamId,
+        evidence: messages.Evidence,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take what an exchange of a host showed of an upstream."""
+        if evidence is messages.Evidence.GOOD:
+            self.shared.add_good(upstream, 1, seconds, now)
+        elif evidence is messages.Evidence.BAD:
+            self.shared.add_bad(upstream, now)
+        elif evidence is messages.Evidence.SHED:
+            self.shared.add_shed(upstream, now)
+        elif evidence is messages.Evidence.UNREACHABLE:
+            self.shared.add_unreachable(upstream, now)
+            self._blocked[host, upstream] = now + BLOCKED_SECONDS
 
     def find_usual_seconds(
         self,
@@ -117,43 +135,35 @@
         self._usual[service] = _Usual(seconds, now)
         return seconds
 
-    def _find_cost(
+    def _rate(
         self,
         row: tables.RegistryRow,
-        need: Need,
+        need: messages.Need,
+        place: costs.Place,
         now: float,
-    ) -> float:
+    ) -> Candidate:
         record = row.record
+        upstream = record.upstream
+        open_requests = self._open.get(upstream, 0)
+        blocked_until = self._blocked.get((need.host, upstream), now)
         cost = costs.find_cost(
             row,
-            self._find_local(record.upstream),
+            costs.Load(open_requests, blocked_until > now),
             self.shared,
             self.find_usual_seconds(need.service, now),
             now,
+            is_repeatable=need.is_repeatable and not need.is_repeat,
         )
-        if record.upstream in self.silent:
+        if upstream in self.silent:
             cost += costs.SILENT_COST
-        return cost + self._place.find_distance_cost(record.domain, need.size)
-
-    def _find_local(
-        self,
-        upstream: identifiers.UpstreamId,
-    ) -> costs.LocalView:
-        local = self._local.get(upstream)
-        if local is None:
-            local = costs.LocalView()
-            self._local[upstream] = local
-        return local
+        cost += place.find_distance_cost(record.domain, need.size)
+        return Candidate(row, cost, open_requests >= record.slots)
 
 
 def create_selector(
-    place: costs.Place,
+    registry: tables.RegistryTable,
+    regions: dict[identifiers.FailureDomain, identifiers.RegionName],
     random: random_module.Random | None = None,
 ) -> Selector:
-    """Return a selector that knows no upstreams."""
-    return Selector(
-        tables.create_table(),
-        doubts.DoubtTable(),
-        place,
-        random or random_module.Random(),
-    )
+    """Return a selector that has no evidence."""
+    return Selector(registry, regions, random or random_module.Random())
--- a/wagtailspread/platform/programs.py
+++ b/wagtailspread/platform/programs.py
@@ -13,7 +13,8 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.gateway import hosts
 from wagtailspread.observability import logs
-from wagtailspread.placement import costs
+from wagtailspread.placement import allocators, budgets, costs, selection
+from wagtailspread.placement import services as placing_services
 from wagtailspread.platform import controls, documents, names, settings, values
 from wagtailspread.processes import machines
 from wagtailspread.registry import services
@@ -58,17 +59,21 @@
     stopping = _watch_signals()
     clock = clocks.SuspensionClock()
     registry = services.create_service(boot.link_address, boot.domain, clock)
+    placing = _create_placing(boot, registry, clock)
     supervisor = supervision.create_supervisor(
         _create_replica_settings(boot),
         registry,
         clock,
         machines.create_machine,
+        lambda listener, _driver, _pool: placing.register(listener),
     )
     control = controls.ControlServer(registry, supervisor.find_document)
     await control.start(identifiers.Address(boot.listen['control']))
+    looking_after = asyncio.create_task(placing.run())
     try:
         await supervisor.run(stopping)
     finally:
+        looking_after.cancel()
         await control.close()
 
 
@@ -99,6 +104,39 @@
     _log.info('the settings changed')
 
 
+def _create_placing(
+    boot: settings.BootSettings,
+    registry: services.RegistryService,
+    clock: clocks.Clock,
+) -> placing_services.PlacementService:
+    """Return the allocator that this replica has for its region."""
+    table = registry.feed.table
+    regions = max(1, len(set(boot.regions.values())))
+    terms = _create_retry_terms(boot)
+    budget = budgets.SharedRetryBudget(
+        terms.ratio,
+        terms.slack,
+        terms.window,
+        lambda: regions,
+    )
+    selector = selection.create_selector(table, boot.regions)
+    allocator = allocators.create_allocator(selector, budget)
+    return placing_services.create_service(
+        allocator,
+        clock,
+        table.list_silent,
+    )
+
+
+def _create_retry_terms(boot: settings.BootSettings) -> hosts.RetryTerms:
+    bounds = boot.bounds
+    return hosts.RetryTerms(
+        bounds.get('retryRatio', DEFAULT_RETRY_RATIO),
+        bounds.get('retrySlack', 0.0),
+        bounds.get('retryWindow', DEFAULT_RETRY_WINDOW_SECONDS),
+    )
+
+
 def _create_own(
     boot: settings.BootSettings,
     role: str,
@@ -125,11 +163,7 @@
         own=own,
         directory=directory,
         names=names.HEADERS,
-        retries=hosts.RetryTerms(
-            bounds.get('retryRatio', DEFAULT_RETRY_RATIO),
-            bounds.get('retrySlack', 0.0),
-            bounds.get('retryWindow', DEFAULT_RETRY_WINDOW_SECONDS),
-        ),
+        retries=_create_retry_terms(boot),
         stop_seconds=bounds.get('grace', DEFAULT_GRACE_SECONDS),
     )
 
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -1,8 +1,8 @@
 """The changes that a replica passes on to those that follow it.
 
 A follower names the last position that it has seen. Rows are kept in the
-table, so any position can be continued; results and signs of life are kept
-for a short while, since older ones are worth nothing.
+table, so any position can be continued; signs of life are kept for a short
+while, since older ones are worth nothing.
 """
 
 import asyncio
@@ -11,28 +11,17 @@
 import random
 
 from wagtailspread.core import identifiers
-from wagtailspread.registry import records, tables, tallies
+from wagtailspread.registry import records, tables
 from wagtailspread.wire import messages
 
-#: Reports that are kept for followers that are behind.
-MAX_REPORTS = 4096
+#: Signs of life that are kept for replicas that are behind.
+MAX_HEARD = 4096
 #: A follower that asked for nothing for this long is not counted, in seconds.
 FOLLOWER_SECONDS = 2.0
-#: Age up to which results are given to a host that has just started, seconds.
-RECENT_SECONDS = 3.0
 #: Epoch that a follower names before its first answer.
 NO_EPOCH = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Report:
-    position: int
-    reported_at: float
-    host: identifiers.HostId
-    is_first_hand: bool
-    tallies: tuple[tallies.Tally, ...]
-
-
 @dataclasses.dataclass(slots=True)
 class _Follower:
     is_replica: bool
@@ -41,7 +30,7 @@
 
 
 class ChangeFeed:
-    """Registrations and results at one replica.
+    """Registrations at one replica.
 
     :param table: the upstreams that this replica knows.
     """
@@ -53,11 +42,8 @@
         """
         self.epoch = epoch
         self.table = tables.create_table()
-        self.remote_hosts: dict[identifiers.HostId, int] = {}
-        self._reports: collections.deque[_Report]
-        self._reports = collections.deque(maxlen=MAX_REPORTS)
         self._heard: collections.deque[tuple[int, identifiers.UpstreamId]]
-        self._heard = collections.deque(maxlen=MAX_REPORTS)
+        self._heard = collections.deque(maxlen=MAX_HEARD)
         self._followers: dict[identifiers.HostId, _Follower] = {}
         self._changed = asyncio.Event()
 
@@ -82,20 +68,9 @@
                 is_changed = True
         for upstream in batch.heard:
             self.table.note_heard(upstream, now)
-        if batch.tallies:
-            self._keep_report(identifiers.HostId(''), batch.tallies, now)
-        elif is_changed:
+        if is_changed:
             self.wake()
 
-    def add_report(
-        self,
-        host: identifiers.HostId,
-        reported: list[tallies.Tally],
-        now: float,
-    ) -> None:
-        """Keep the results that a host reports for the followers."""
-        self._keep_report(host, reported, now)
-
     def wake(self) -> None:
         """Let the followers that wait look again."""
         waiting = self._changed
@@ -147,7 +122,7 @@
 
     async def wait(self, position: int, seconds: float) -> None:
         """Wait until there is something after ``position``, or a while."""
-        if self._has_news(position):
+        if self.table.list_changed(position):
             return
         waiting = self._changed
         try:
@@ -170,57 +145,10 @@
                 records.to_row(_shorten_warm_up(row, now))
                 for row in self.table.list_changed(known)
             ],
-            tallies=self._list_tallies(request, now),
             heard=self._list_heard(known) if request.is_replica else [],
             silent=self.table.list_silent(now),
         )
 
-    def _keep_report(
-        self,
-        host: identifiers.HostId,
-        reported: list[tallies.Tally],
-        now: float,
-    ) -> None:
-        self.table.position += 1
-        report = _Report(
-            self.table.position,
-            now,
-            host,
-            bool(host),
-            tuple(reported),
-        )
-        self._reports.append(report)
-        self.wake()
-
-    def _has_news(self, position: int) -> bool:
-        if self._reports and self._reports[-1].position > position:
-            return True
-        return bool(self.table.list_changed(position))
-
-    def _list_tallies(
-        self,
-        request: messages.Struct,
-        now: float,
-    ) -> list[tallies.Tally]:
-        """Return the results reported by others that the follower lacks.
-
-        Replicas get what hosts reported here; the rest they have themselves.
-        A host that comes from another replica has got most results there.
-        """
-        found: list[tallies.Tally] = []
-        if request.epoch not in {self.epoch, NO_EPOCH}:
-            return found
-        for report in reversed(self._reports):
-            if report.position <= request.position:
-                break
-            if report.reported_at < now - RECENT_SECONDS:
-                break
-            if request.is_replica and not report.is_first_hand:
-                continue
-            if report.host != request.host:
-                found.extend(report.tallies)
-        return found
-
     def _list_heard(self, known: int) -> list[identifiers.UpstreamId]:
         heard = set()
         for position, upstream in reversed(self._heard):
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -18,7 +18,7 @@
 from wagtailspread.wire import links, messages
 
 #: Longest time that a replica holds back its answer for lack of news, seconds.
-WAIT_SECONDS = 0.5
+WAIT_SECONDS = 0.7
 #: Longest time without an answer beyond that wait, in seconds. The replica or
 #: the connection to it has failed then.
 ANSWER_SECONDS = 0.6
@@ -28,11 +28,6 @@
 RETURN_SECONDS = 5.0
 #: Pause after a failed call, in seconds.
 PAUSE_SECONDS = 0.05
-#: Time between two reports of results that are not urgent, in seconds.
-REPORT_SECONDS = 0.5
-#: Time in which urgent results are collected before they go, in seconds.
-URGENT_SECONDS = 0.01
-
 _log = logbook.Logger('follower')
 
 
@@ -119,7 +114,6 @@
     """Keeps a host up to date.
 
     :param apply: takes each batch of changes.
-    :param take_tallies: returns the results to report.
     """
 
     def __init__(
@@ -130,7 +124,6 @@
         pool: links.LinkPool,
         clock: clocks.Clock,
         apply: typing.Callable[[messages.Struct], None],
-        take_tallies: typing.Callable[[], list[messages.Struct]],
     ) -> None:
         """Keep the parts; nothing is opened yet."""
         self.document_version = documents.NO_VERSION
@@ -141,14 +134,8 @@
         self._pool = pool
         self._clock = clock
         self._apply = apply
-        self._take_tallies = take_tallies
         self._epoch = feeds.NO_EPOCH
         self._position = 0
-        self._urgent = asyncio.Event()
-
-    def hurry(self) -> None:
-        """Report soon."""
-        self._urgent.set()
 
     async def follow(self) -> None:
         """Follow until cancelled."""
@@ -157,19 +144,6 @@
             if address is None or not await self.follow_once(address):
                 await asyncio.sleep(PAUSE_SECONDS)
 
-    async def report(self) -> None:
-        """Report results until cancelled."""
-        while True:
-            try:
-                async with asyncio.timeout(REPORT_SECONDS):
-                    await self._urgent.wait()
-            except TimeoutError:
-                self._urgent.clear()
-            else:
-                self._urgent.clear()
-                await asyncio.sleep(URGENT_SECONDS)
-            await self._send_report()
-
     async def follow_once(self, address: identifiers.Address) -> bool:
         """Ask one replica for changes; tell whether it answered."""
         request = messages.structs.FollowChanges(
@@ -221,23 +195,3 @@
             _log.warning('lost the replica {}: {}', address, reason)
         self.followed = None
         self._sources.avoid(address, now)
-
-    async def _send_report(self) -> None:
-        tallies = self._take_tallies()
-        address = self.followed
-        if not tallies or address is None:
-            # Results are worth nothing by the time that a replica is found.
-            return
-        report = messages.structs.ReportTallies(
-            host=self._host,
-            tallies=tallies,
-        )
-        sent = await self._pool.find(address).call(
-            messages.methods.REPORT,
-            report,
-            messages.structs.Empty,
-            ANSWER_SECONDS,
-        )
-        if not isinstance(sent, result.Success):
-            failure = sent.failure().describe()
-            _log.info('a report of results was lost: {}', failure)
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -79,11 +79,6 @@
             structs.FollowChanges,
             self._answer_follower,
         )
-        listener.add(
-            messages.methods.REPORT,
-            structs.ReportTallies,
-            self._take_report,
-        )
 
     def register(self, record: records.UpstreamRecord) -> None:
         """Take a heartbeat of an upstream that takes work."""
@@ -208,15 +203,6 @@
                 self._domains[named] = domain
         self.feed.learn(batch, self._clock.now())
 
-    async def _take_report(
-        self,
-        _call: listeners.Call,
-        request: messages.Struct,
-    ) -> listeners.HandlerResult:
-        host = identifiers.HostId(request.host)
-        self.feed.add_report(host, request.tallies, self._clock.now())
-        return result.Success(messages.structs.Empty())
-
     async def _answer_follower(
         self,
         call: listeners.Call,
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -60,8 +60,10 @@
         registry: services.RegistryService,
         clock: clocks.Clock,
         create_machine: servers.MachineFactory,
+        extension: servers.Extension | None = None,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
+        self._extension = extension
         self._create_machine = create_machine
         self._settings = settings
         self._registry = registry
@@ -144,6 +146,8 @@
             self._settings.tolerated,
         )
         service.register(listener)
+        if self._extension is not None:
+            self._extension(listener, driver, pool)
         self._registry.attach(listener, service)
         wake_subscribers = driver.on_apply
 
@@ -185,6 +189,10 @@
     registry: services.RegistryService,
     clock: clocks.Clock,
     create_machine: servers.MachineFactory,
+    extension: servers.Extension | None = None,
 ) -> Supervisor:
-    """Return a supervisor that runs nothing yet."""
-    return Supervisor(settings, registry, clock, create_machine)
+    """Return a supervisor that runs nothing yet.
+
+    :param extension: adds what the process serves beside the replica.
+    """
+    return Supervisor(settings, registry, clock, create_machine, extension)
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -20,9 +20,10 @@
   CANCEL = 13
   LIST_UPSTREAMS = 14
   FOLLOW = 15
-  REPORT = 16
-  PUT_DOCUMENT = 17
-  READ_DOCUMENT = 18
+  PUT_DOCUMENT = 16
+  READ_DOCUMENT = 17
+  PLACE = 18
+  SETTLE = 19
 }
 
 struct Envelope {
@@ -489,17 +490,6 @@
   9: i32 warm_ms
 }
 
-// Results of one host at one upstream since its last report.
-struct ResultTally {
-  1: string upstream
-  2: i32 good
-  3: i32 bad
-  4: i32 shed
-  5: i32 unreachable
-  // Time of the good ones together.
-  6: i64 good_ms
-}
-
 // Long poll for what changed at a replica after a position.
 struct FollowChanges {
   1: string host
@@ -521,7 +511,6 @@
   1: i64 epoch
   2: i64 position
   3: list<UpstreamRow> rows
-  4: list<ResultTally> tallies
   // Upstreams heard since the position; for replicas only.
   5: list<string> heard
   // All upstreams that no replica has heard of late.
@@ -534,7 +523,43 @@
   11: i32 hosts
 }
 
-struct ReportTallies {
+// A host asks where to send a request, or asks again while it waits.
+struct PlaceRequest {
+  1: string request
+  2: string host
+  // Tells this start of the host from its earlier ones.
+  3: i64 incarnation
+  4: string domain
+  5: string service_name
+  6: i32 size
+  7: i16 priority
+  8: i32 deadline_ms
+  9: list<string> excluded
+  10: bool is_repeat
+  11: bool is_repeatable
+  12: i32 objective_ms
+  // Longest time to hold back the answer.
+  13: i32 wait_ms
+}
+
+struct PlaceAnswer {
+  // A value of placement.messages.Decision.
+  1: i16 decision
+  2: optional UpstreamRow row
+  // Time after which a refused caller may come back.
+  3: i32 retry_after_ms
+}
+
+// How a placed request ended at its upstream.
+struct Settlement {
+  1: string request
+  2: string upstream
+  // A value of placement.messages.Evidence.
+  3: i16 evidence
+  4: i32 took_ms
+}
+
+struct SettleRequests {
   1: string host
-  2: list<ResultTally> tallies
+  2: list<Settlement> settlements
 }
