--- /dev/null
+++ b/wagtailspread/consensus/tests/test_replacements.py
@@ -0,0 +1,78 @@
+"""Replacement of lost replicas by others at new addresses, in memory."""
+
+import dataclasses
+
+from wagtailspread.consensus import messages
+from wagtailspread.consensus.tests import test_replicas
+from wagtailspread.testing import networks
+
+_POLICY = dataclasses.replace(
+    test_replicas.POLICY,
+    silent_voter_seconds=2.0,
+    least_voters=3,
+)
+
+
+def create_fleet(spares=0):
+    """Return a fleet of three replicas and some that do not belong to it."""
+    fleet = networks.SimulatedFleet(3, spares, policy=_POLICY)
+    fleet.run(3.0)
+    return fleet
+
+
+def list_voters(fleet):
+    """Return the addresses of the voters as the leader knows them."""
+    leader = test_replicas.find_leader(fleet)
+    membership = test_replicas.find_state(fleet, leader).membership
+    return {node.address for node in membership.voters}
+
+
+def introduce(fleet, address):
+    """Let the leader hear of a replica at a new address."""
+    identity = test_replicas.find_state(fleet, address).identity
+    node = messages.ReplicaNode(identity, address)
+    leader = test_replicas.find_leader(fleet)
+    fleet.nodes[leader].replica.introduce(node, fleet.now)
+
+
+def run_with(fleet, address, seconds):
+    """Run while a replica goes on introducing itself."""
+    for _ in range(int(seconds / 0.5)):
+        introduce(fleet, address)
+        fleet.run(0.5)
+
+
+def test_a_replica_at_a_new_address_takes_the_place_of_a_lost_one():
+    """Guards against a fleet that tolerates less after each replacement."""
+    fleet = create_fleet(spares=1)
+    spare = list(fleet.nodes)[-1]
+    lost = test_replicas.find_followers(fleet)[0]
+    assert lost != spare
+    fleet.isolate(lost)
+    run_with(fleet, spare, 5.0)
+    voters = list_voters(fleet)
+    assert spare in voters
+    assert lost not in voters
+    assert len(voters) == 3
+
+
+def test_a_silent_voter_stays_while_nothing_can_take_its_place():
+    """Guards against a fleet that shrinks below what it tolerates."""
+    fleet = create_fleet()
+    lost = test_replicas.find_followers(fleet)[0]
+    fleet.isolate(lost)
+    fleet.run(6.0)
+    assert lost in list_voters(fleet)
+
+
+def test_a_voter_beyond_the_needed_number_is_removed_when_it_is_silent():
+    """Guards against a majority that counts replicas which are gone."""
+    fleet = create_fleet(spares=1)
+    spare = list(fleet.nodes)[-1]
+    run_with(fleet, spare, 3.0)
+    assert len(list_voters(fleet)) == 4
+    lost = test_replicas.find_followers(fleet)[0]
+    fleet.isolate(lost)
+    fleet.run(5.0)
+    assert lost not in list_voters(fleet)
+    assert len(list_voters(fleet)) == 3
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -197,14 +197,11 @@
 ) -> messages.Evidence:
     """Return what an outcome says of its upstream."""
     if isinstance(outcome, exchanges.Answer):
-        if outcome.is_server_error:
-            return messages.Evidence.BAD
-        return messages.Evidence.GOOD
-    if isinstance(outcome, exchanges.NotExecuted):
-        if outcome.is_another:
-            return messages.Evidence.UNREACHABLE
+        is_bad = outcome.is_server_error
+        return messages.Evidence.BAD if is_bad else messages.Evidence.GOOD
+    if isinstance(outcome, exchanges.NotExecuted) and not outcome.is_another:
         return messages.Evidence.SHED
-    if isinstance(outcome, exchanges.NoConnection):
+    if not isinstance(outcome, exchanges.Loss):
         return messages.Evidence.UNREACHABLE
     if outcome.is_expired and seconds < EXPIRED_SECONDS:
         return messages.Evidence.NONE
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_exchanges.py
@@ -0,0 +1,153 @@
+"""Contract tests of exchanges with upstreams that misbehave."""
+
+import asyncio
+
+import multidict
+import pytest
+
+from wagtailspread.entry import ledgers
+from wagtailspread.gateway import exchanges
+from wagtailspread.gateway.tests import raw_upstreams
+from wagtailspread.platform import names
+from wagtailspread.registry import records
+
+
+async def send(upstream, *, seconds=2.0, method='GET', body=None):
+    """Send one request; return the outcome and the progress."""
+    exchanger = exchanges.create_exchanger(names.HEADERS)
+    record = create_record(upstream.address)
+    progress = ledgers.Progress()
+    outgoing = exchanges.Outgoing(
+        method,
+        '/a/x?y=%2F',
+        multidict.CIMultiDict({'Attempt-Id': 'a1', 'Host': 'a.example'}),
+        body,
+        'a1',
+        asyncio.get_running_loop().time() + seconds,
+    )
+    try:
+        outcome = await exchanger.send(record, outgoing, progress)
+    finally:
+        await exchanger.close()
+    return outcome, progress
+
+
+def create_record(address):
+    """Return the record of an upstream at this address."""
+    return records.UpstreamRecord(
+        upstream='u1',
+        service='columns',
+        address=address,
+        domain='north',
+        slots=1,
+        state=records.UpstreamState.READY,
+        born_ms=1,
+        sequence=1,
+    )
+
+
+async def test_a_whole_answer_is_passed_on_unchanged():
+    """Guards against a changed path, query, status or body."""
+    async with raw_upstreams.RawUpstream(raw_upstreams.reply()) as upstream:
+        outcome, progress = await send(upstream)
+    assert outcome.body == b'whole'
+    assert outcome.headers['Response-Signature'] == 's1'
+    assert progress.may_have_run
+    (head,) = upstream.requests
+    assert head.startswith('GET /a/x?y=%2F HTTP/1.1')
+    assert raw_upstreams.read_header(head, 'Expected-Instance') == 'u1'
+    assert 0 < int(raw_upstreams.read_header(head, 'Deadline-Ms')) <= 2000
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        raw_upstreams.reply(attempt='another'),
+        raw_upstreams.reply(signature=''),
+        raw_upstreams.reply(length=50),
+        raw_upstreams.reply(headers=['Content-Encoding: gzip']),
+        raw_upstreams.reply(length=0, reset=True),
+        raw_upstreams.reset,
+    ],
+    ids=['other-id', 'unsigned', 'short', 'encoded', 'cut', 'reset'],
+)
+async def test_a_spoilt_answer_is_a_loss(answer):
+    """Guards against passing on what is not the whole own answer."""
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
+async def test_a_body_without_length_ends_with_its_connection():
+    """Guards against losing answers whose end is that of the connection."""
+    answer = raw_upstreams.reply(length=0)
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, _ = await send(upstream)
+    assert outcome.body == b'whole'
+
+
+@pytest.mark.parametrize(
+    ('answer', 'is_another'),
+    [
+        (raw_upstreams.reply(503, headers=['Not-Executed: 1']), False),
+        (raw_upstreams.reply(421), True),
+    ],
+)
+async def test_a_rejected_request_has_not_run(answer, is_another):
+    """Guards against giving up on a request that no upstream began."""
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert outcome == exchanges.NotExecuted(is_another)
+    assert not progress.may_have_run
+
+
+async def test_an_unavailable_status_alone_does_not_prove_anything():
+    """Guards against taking an upstream's own failure for a rejection."""
+    answer = raw_upstreams.reply(503)
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert outcome.status == 503
+    assert progress.may_have_run
+
+
+async def test_no_answer_in_time_may_have_run():
+    """Guards against calling a request that hangs at its upstream not run."""
+    async with raw_upstreams.RawUpstream(raw_upstreams.hang) as upstream:
+        outcome, progress = await send(upstream, seconds=0.3)
+    assert outcome.is_expired
+    assert progress.may_have_run
+
+
+async def test_a_refused_connection_has_sent_nothing():
+    """Guards against counting a failed connection as a send."""
+    upstream = raw_upstreams.RawUpstream(raw_upstreams.hang)
+    async with upstream:
+        """Only the address is needed."""
+    await asyncio.sleep(0.05)
+    outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.NoConnection)
+    assert not progress.may_have_run
+
+
+async def test_an_early_answer_to_a_long_upload_does_not_wait_for_it():
+    """Guards against waiting until an upstream reads a body it rejected."""
+
+    class Upload:
+        """A body that is never read to its end."""
+
+        def open(self):
+            """Return more than any buffer holds."""
+            return bytes(32 * 1024 * 1024)
+
+    async def answer_early(_reader, writer, _head):
+        writer.write(
+            b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n',
+        )
+        await asyncio.sleep(5)
+
+    async with raw_upstreams.RawUpstream(answer_early) as upstream:
+        async with asyncio.timeout(2):
+            outcome, _ = await send(upstream, method='POST', body=Upload())
+    assert outcome == exchanges.NotExecuted(is_another=False)
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -0,0 +1,237 @@
+"""Tests of the request path from a caller to upstreams and back."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+import aiohttp
+import pytest
+
+from wagtailspread.gateway import attempts, exchanges, placements, servers
+from wagtailspread.gateway.tests import raw_upstreams
+from wagtailspread.placement import budgets, costs, selection
+from wagtailspread.platform import names
+from wagtailspread.registry import records
+from wagtailspread.registry import tables as registries
+from wagtailspread.routing import tables, terms
+
+_REGIONS = {'north': 'r1'}
+_HEADERS = {'Host': 'a.example', 'Attempt-Id': 'a1', 'Deadline-Ms': '3000'}
+_NOT_RUN = raw_upstreams.reply(503, headers=['Not-Executed: 1'])
+
+
+class LoopClock:
+    """The clock of the event loop."""
+
+    def now(self):
+        """Return the event loop's seconds."""
+        return asyncio.get_running_loop().time()
+
+
+def create_route(kind, **changes):
+    """Return a route of this kind."""
+    part = terms.SplitPart('columns', 1.0)
+    route = terms.RouteTerms('r1', 'a.example', '/a/', kind, (part,), 2)
+    return dataclasses.replace(route, **changes)
+
+
+def create_record(number, address):
+    """Return the record of an upstream at this address."""
+    return records.UpstreamRecord(
+        upstream=f'u{number}',
+        service='columns',
+        address=address,
+        domain='north',
+        slots=6,
+        state=records.UpstreamState.READY,
+        born_ms=number + 1,
+        sequence=1,
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_server(upstreams, kind=terms.RequestKind.UNSAFE, **changes):
+    """Yield a server before these upstreams and its address."""
+    selector = selection.create_selector(
+        registries.create_table(
+            create_record(number, upstream.address)
+            for number, upstream in enumerate(upstreams)
+        ),
+        _REGIONS,
+        random.Random(1),
+    )
+    placer = placements.create_placer(
+        'h1',
+        costs.Place('north', _REGIONS),
+        None,
+        selector,
+        budgets.SharedRetryBudget(0.2, 100.0, 10.0, lambda: 1),
+        LoopClock(),
+    )
+    exchanger = exchanges.create_exchanger(names.HEADERS)
+    server = servers.create_server(
+        attempts.AttemptRunner('h1', 'north', placer, exchanger),
+        names.HEADERS,
+        tables.SplitCounter(random.Random(1)),
+    )
+    route = create_route(kind, **changes)
+    settings = terms.RoutingSettings(1, (route,), {'columns': 390})
+    server.routes = tables.RouteTable(settings)
+    await server.start('127.0.0.1:0')
+    port = server._site_runner.addresses[0][1]
+    try:
+        yield server, f'http://127.0.0.1:{port}'
+    finally:
+        await server.close()
+        await exchanger.close()
+
+
+async def call(base, path='/a/x', method='POST', **options):
+    """Return the status, headers and body of one answer."""
+    options.setdefault('headers', _HEADERS)
+    async with aiohttp.ClientSession() as session:
+        async with session.request(method, base + path, **options) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+def count_requests(*upstreams):
+    """Return the requests that reached upstreams."""
+    return sum(len(upstream.requests) for upstream in upstreams)
+
+
+@contextlib.asynccontextmanager
+async def run_upstreams(*answers):
+    """Yield one upstream for each answer."""
+    async with contextlib.AsyncExitStack() as stack:
+        yield [
+            await stack.enter_async_context(raw_upstreams.RawUpstream(answer))
+            for answer in answers
+        ]
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [raw_upstreams.reset, raw_upstreams.reply(length=50)],
+)
+async def test_an_order_that_may_have_run_is_not_sent_again(answer):
+    """Guards against a second run, and against calling it not run."""
+    async with run_upstreams(answer, answer) as upstreams:
+        async with run_server(upstreams) as (_, base):
+            status, headers, _ = await call(base, data=b'order')
+    assert status == 502
+    assert 'Response-Signature' not in headers
+    assert count_requests(*upstreams) == 1
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+async def test_a_promise_of_an_upstream_that_ran_the_order_is_not_kept(status):
+    """Guards against telling a caller that an order that ran did not run."""
+    answer = raw_upstreams.reply(status)
+    if status == 421:
+        answer = raw_upstreams.reset
+    async with run_upstreams(answer) as upstreams:
+        async with run_server(upstreams) as (_, base):
+            answered, headers, _ = await call(base, data=b'order')
+    assert answered == 502
+    assert 'Response-Signature' not in headers
+
+
+async def test_an_order_that_no_upstream_ran_goes_to_another():
+    """Guards against giving up on an order that may still run."""
+    async with run_upstreams(_NOT_RUN, _NOT_RUN) as upstreams:
+        upstreams[0].answers.append(raw_upstreams.reply())
+        upstreams[1].answers.append(raw_upstreams.reply())
+        async with run_server(upstreams) as (_, base):
+            status, headers, _ = await call(base, data=b'order')
+            assert count_requests(*upstreams) == 2
+            assert {len(one.requests) for one in upstreams} == {1}
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+
+
+async def test_an_order_is_sent_to_no_more_upstreams_than_allowed():
+    """Guards against exceeding the attempts of a route."""
+    async with run_upstreams(*[_NOT_RUN] * 4) as upstreams:
+        async with run_server(upstreams, max_attempts=3) as (_, base):
+            status, _, _ = await call(base, data=b'order')
+    assert status == 503
+    assert count_requests(*upstreams) == 3
+
+
+async def test_a_lookup_is_sent_again_after_a_failure():
+    """Guards against losing lookups to one gray upstream."""
+    bad = raw_upstreams.RawUpstream(raw_upstreams.reset)
+    good = raw_upstreams.RawUpstream(raw_upstreams.reply())
+    kind = terms.RequestKind.SAFE
+    async with bad, good, run_server([bad, good], kind) as (_, base):
+        for _ in range(4):
+            status, _, body = await call(base, method='GET')
+            assert (status, body) == (200, b'whole')
+
+
+async def test_the_own_failure_of_an_upstream_is_passed_on():
+    """Guards against replacing an answer that an upstream made."""
+    answer = raw_upstreams.reply(500, b'sorry')
+    async with run_upstreams(answer) as upstreams:
+        async with run_server(upstreams) as (_, base):
+            status, headers, body = await call(base, data=b'order')
+    assert (status, body) == (500, b'sorry')
+    assert headers['Response-Signature'] == 's1'
+
+
+async def test_a_request_ends_at_the_timeout_of_its_route():
+    """Guards against keeping a caller waiting longer than allowed."""
+    async with run_upstreams(raw_upstreams.hang) as upstreams:
+        async with run_server(upstreams, timeout=0.3) as (_, base):
+            async with asyncio.timeout(0.8):
+                status, _, _ = await call(base, data=b'order')
+    assert status == 504
+
+
+async def test_nothing_is_promised_before_the_configuration_is_known():
+    """Guards against 404 for routes that a new host does not know yet."""
+    async with run_server([]) as (server, base):
+        server.routes = None
+        status, headers, _ = await call(base)
+        assert status == 503
+        assert 'Retry-After' in headers
+
+
+async def test_unknown_routes_and_large_bodies_are_refused():
+    """Guards against sending on what no route allows."""
+    async with run_server([]) as (server, base):
+        assert (await call(base, '/b/x'))[0] == 404
+        other = {**_HEADERS, 'Host': 'b.example'}
+        assert (await call(base, headers=other))[0] == 404
+        small = terms.CallerLimits(body_bytes=10)
+        settings = dataclasses.replace(server.routes.settings, limits=small)
+        server.routes = tables.RouteTable(settings)
+        assert (await call(base, data=b'x' * 11))[0] == 413
+
+
+async def test_without_upstreams_a_request_is_refused_at_once():
+    """Guards against holding what cannot be served."""
+    async with run_server([]) as (_, base):
+        async with asyncio.timeout(0.5):
+            status, headers, _ = await call(base, data=b'order')
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+
+
+async def test_work_ends_when_its_caller_leaves():
+    """Guards against work at upstreams that nobody waits for."""
+    ended = asyncio.Event()
+
+    async def notice_end(reader, _writer, head):
+        await raw_upstreams.read_body(reader, head)
+        assert await reader.read() == b''
+        ended.set()
+
+    async with run_upstreams(notice_end) as upstreams:
+        async with run_server(upstreams) as (_, base):
+            calling = asyncio.create_task(call(base, data=b'order'))
+            await asyncio.sleep(0.2)
+            calling.cancel()
+            async with asyncio.timeout(0.5):
+                await ended.wait()
--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -8,9 +8,9 @@
 
 >>> table = DoubtTable()
 >>> table.add_bad('u1', 1.0)
->>> table.find_risk('u1', 1.0) > 5 * table.find_risk('u2', 1.0)
+>>> table.find_risk('u1', 1.0) > 4 * table.find_risk('u2', 1.0)
 True
->>> table.add_good('u1', 3, 0.5, 1.1)
+>>> table.add_good('u1', 5, 2.5, 1.1)
 >>> table.find_risk('u1', 1.1) < 0.1
 True
 
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -135,18 +135,14 @@
             if now - waiting.asked_at > ABANDONED_SECONDS:
                 self._waiting.pop(need.request)
                 continue
-            is_hopeless = need.deadline - now < self._find_seconds(need, now)
-            if need.service in blocked and not is_hopeless:
-                continue
-            answer = self._try(need, waiting.since, now)
-            if answer is None and is_hopeless:
-                answer = self._refuse(need, messages.Decision.NO_ROOM, now)
+            is_behind = need.service in blocked
+            answer = self._decide_waiting(waiting, now, is_behind=is_behind)
             if answer is None:
                 blocked.add(need.service)
-                continue
-            self._waiting.pop(need.request)
-            decided.append(need.request)
-            self._granted[need.request] = answer
+            else:
+                self._waiting.pop(need.request)
+                self._granted[need.request] = answer
+                decided.append(need.request)
         return decided
 
     def take_decision(
@@ -177,6 +173,26 @@
         self._waiting[need.request] = _Waiting(need, order, now, now)
         return messages.Answer(messages.Decision.WAITING)
 
+    def _decide_waiting(
+        self,
+        waiting: _Waiting,
+        now: float,
+        *,
+        is_behind: bool,
+    ) -> messages.Answer | None:
+        """Return the decision on a request that waits, if there is one.
+
+        :param is_behind: whether an earlier one of its service goes on waiting.
+        """
+        need = waiting.need
+        answer = None
+        if not is_behind:
+            answer = self._try(need, waiting.since, now)
+        is_hopeless = need.deadline - now < self._find_seconds(need, now)
+        if answer is None and is_hopeless:
+            answer = self._refuse(need, messages.Decision.NO_ROOM, now)
+        return answer
+
     def _is_behind_others(self, need: messages.Need) -> bool:
         """Tell whether others of the same service wait for a slot."""
         return any(
--- /dev/null
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -0,0 +1,294 @@
+"""Tests of the allocator of a region, with the loads that it is meant for."""
+
+import collections
+import random
+
+import pytest
+
+from wagtailspread.placement import allocators, budgets, messages, selection
+from wagtailspread.registry import records, tables
+
+_REGIONS = {'north': 'r1', 'south': 'r1', 'far': 'r2'}
+_GRANTED = messages.Decision.GRANTED
+_WAITING = messages.Decision.WAITING
+
+
+class Region:
+    """An allocator with upstreams, and the time."""
+
+    def __init__(self, upstreams=4, slots=2, domain='north', ratio=10.0):
+        """Start with upstreams that answer well."""
+        rows = [create_record(f'u{n}', domain, slots) for n in range(upstreams)]
+        self.selector = selection.create_selector(
+            tables.create_table(rows),
+            _REGIONS,
+            random.Random(1),
+        )
+        self.allocator = allocators.create_allocator(
+            self.selector,
+            budgets.SharedRetryBudget(ratio, 0.0, 10.0, lambda: 1),
+        )
+        self.now = 0.0
+        self.numbers = iter(range(1_000_000))
+
+    def submit(self, **changes):
+        """Submit a request; return its id and the answer."""
+        need = self.create_need(**changes)
+        return need.request, self.allocator.submit(need, self.now)
+
+    def create_need(self, **changes):
+        """Return a need with the given changes."""
+        fields = {
+            'request': f'q{next(self.numbers)}',
+            'host': 'h1',
+            'domain': 'north',
+            'service': 'columns',
+            'deadline': self.now + 5,
+            'objective': 2.0,
+            **changes,
+        }
+        return messages.Need(**fields)
+
+    def settle(self, request, answer, evidence=messages.Evidence.GOOD):
+        """End a request after half a second of work."""
+        upstream = answer.record.upstream
+        self.allocator.settle(request, upstream, evidence, 0.5, self.now)
+
+
+def create_record(upstream, domain='north', slots=2, service='columns'):
+    """Return an upstream that takes work."""
+    return records.UpstreamRecord(
+        upstream=upstream,
+        service=service,
+        address=f'10.0.0.1:{upstream}',
+        domain=domain,
+        slots=slots,
+        state=records.UpstreamState.READY,
+        born_ms=1,
+        sequence=1,
+    )
+
+
+def test_a_burst_of_all_hosts_never_exceeds_the_slots_of_an_upstream():
+    """Guards against hosts that all choose the upstream that looks best.
+
+    Load pattern: 44 hosts send at the same moment, and one upstream has just
+    become the cheapest. Hosts that chose alone sent it 20 requests at once.
+    """
+    region = Region(upstreams=9, slots=6)
+    region.selector.shared.add_good('u3', 20, 10.0, 0.0)
+    granted = collections.Counter()
+    waiting = 0
+    for number in range(60):
+        _, answer = region.submit(host=f'h{number % 44}')
+        if answer.decision is _GRANTED:
+            granted[answer.record.upstream] += 1
+        waiting += answer.decision is _WAITING
+    assert max(granted.values()) <= 6
+    assert sum(granted.values()) == 54
+    assert waiting == 6
+
+
+def test_a_gray_upstream_loses_one_request_and_not_its_queue():
+    """Guards against requests that are lost while the evidence travels.
+
+    Load pattern: a steady flow of orders that cannot be sent again, and an
+    upstream that fails all of them from one moment on.
+    """
+    region = Region(upstreams=6, slots=6)
+    for number in range(6):
+        region.selector.shared.add_good(f'u{number}', 30, 15.0, 0.0)
+    open_requests = collections.deque()
+    lost = 0
+    for step in range(600):
+        region.now = step * 0.05
+        request, answer = region.submit()
+        if answer.record.upstream == 'u0' and region.now > 5:
+            lost += 1
+            region.settle(request, answer, messages.Evidence.BAD)
+        else:
+            open_requests.append((request, answer))
+        if len(open_requests) > 10:
+            region.settle(*open_requests.popleft())
+    assert lost <= 3
+
+
+def test_a_request_waits_for_a_slot_and_gets_the_next_one():
+    """Guards against refusing work that an upstream can soon take."""
+    region = Region(upstreams=1, slots=1)
+    first = region.submit()
+    request, answer = region.submit()
+    assert answer.decision is _WAITING
+    region.now = 0.4
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [request]
+    assert region.allocator.take_decision(request).decision is _GRANTED
+
+
+def test_urgent_work_goes_before_what_waits_longer():
+    """Guards against a flood of uploads that delays lookups."""
+    region = Region(upstreams=1, slots=1)
+    first = region.submit()
+    late, _ = region.submit(priority=2)
+    urgent, _ = region.submit(priority=0)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [urgent]
+    assert late not in region.allocator.tick(region.now)
+
+
+def test_the_least_urgent_work_is_not_kept_waiting_for_ever():
+    """Guards against starvation under a steady flood of urgent work."""
+    region = Region(upstreams=1, slots=1)
+    running = region.submit()
+    patient = region.create_need(priority=2, deadline=60.0)
+    region.allocator.submit(patient, 0.0)
+    served_after = None
+    for step in range(1, 100):
+        region.now = step * 0.1
+        region.submit(priority=0, deadline=region.now + 60)
+        region.allocator.submit(patient, region.now)
+        region.settle(*running)
+        (request,) = region.allocator.tick(region.now)
+        running = (request, region.allocator.take_decision(request))
+        if request == patient.request:
+            served_after = region.now
+            break
+    assert served_after is not None
+    assert served_after <= 2 * allocators.PRIORITY_SECONDS + 0.5
+
+
+def test_what_cannot_be_served_in_time_is_refused_at_once():
+    """Guards against holding a request that has no chance.
+
+    Load pattern: far more work than slots, with short deadlines.
+    """
+    region = Region(upstreams=1, slots=1)
+    region.selector.shared.add_good('u0', 10, 5.0, 0.0)
+    answers = [region.submit(deadline=1.6)[1] for _ in range(6)]
+    decisions = [answer.decision for answer in answers]
+    assert decisions[:3] == [_GRANTED, _WAITING, _WAITING]
+    assert set(decisions[3:]) == {messages.Decision.NO_ROOM}
+    assert answers[-1].retry_after >= allocators.LEAST_RETRY_AFTER
+
+
+def test_a_request_that_waited_too_long_is_refused_before_its_deadline():
+    """Guards against an answer that comes only when time is over."""
+    region = Region(upstreams=1, slots=1)
+    region.selector.shared.add_good('u0', 10, 5.0, 0.0)
+    region.submit(deadline=60.0)
+    need = region.create_need(deadline=2.0)
+    assert region.allocator.submit(need, 0.0).decision is _WAITING
+    region.now = 1.0
+    region.allocator.submit(need, 1.0)
+    assert region.allocator.tick(1.0) == []
+    region.now = 1.6
+    region.allocator.submit(need, 1.6)
+    assert region.allocator.tick(1.6) == [need.request]
+    decided = region.allocator.take_decision(need.request)
+    assert decided.decision is messages.Decision.NO_ROOM
+
+
+def test_a_hanging_upstream_is_noticed_before_its_deadline():
+    """Guards against filling all slots of an upstream that never answers."""
+    region = Region(upstreams=2, slots=6)
+    for number in range(2):
+        region.selector.shared.add_good(f'u{number}', 30, 15.0, 0.0)
+    _, answer = region.submit(deadline=30.0)
+    region.now = 2.5
+    region.allocator.tick(region.now)
+    hanging = answer.record.upstream
+    for _ in range(5):
+        _, answer = region.submit()
+        assert answer.record.upstream != hanging
+
+
+def test_slots_of_a_host_that_starts_anew_are_free_again():
+    """Guards against slots that are lost when hosts are killed."""
+    region = Region(upstreams=1, slots=2)
+    region.submit(host='h1')
+    region.submit(host='h1')
+    assert region.submit(host='h2')[1].decision is _WAITING
+    region.allocator.drop_host('h1')
+    assert len(region.allocator.tick(region.now)) == 1
+
+
+def test_slots_of_a_host_that_never_comes_back_are_free_after_the_deadline():
+    """Guards against slots that are lost for good."""
+    region = Region(upstreams=1, slots=1)
+    region.submit(deadline=5.0)
+    region.now = 5.0 + allocators.SETTLE_SECONDS + 0.1
+    region.allocator.tick(region.now)
+    assert region.submit()[1].decision is _GRANTED
+
+
+def test_a_doubtful_upstream_is_not_used_while_a_sound_one_is_nearly_free():
+    """Guards against sending an order to the only free, gray upstream."""
+    region = Region(upstreams=2, slots=1)
+    region.selector.shared.add_good('u0', 30, 15.0, 0.0)
+    for _ in range(3):
+        region.selector.shared.add_bad('u1', 0.0)
+    assert region.submit()[1].record.upstream == 'u0'
+    need = region.create_need()
+    assert region.allocator.submit(need, 0.0).decision is _WAITING
+    region.now = 0.6
+    region.allocator.submit(need, region.now)
+    region.allocator.tick(region.now)
+    decided = region.allocator.take_decision(need.request)
+    assert decided.record.upstream == 'u1'
+
+
+@pytest.mark.parametrize(
+    ('size', 'expected'),
+    [(300, 'u-south'), (60_000, 'u-north')],
+)
+def test_small_requests_cross_for_less_than_uploads(size, expected):
+    """Guards against uploads between failure domains for a slight doubt."""
+    region = Region(upstreams=0)
+    region.selector.registry.merge(create_record('u-north', 'north'), 0.0)
+    region.selector.registry.merge(create_record('u-south', 'south'), 0.0)
+    region.selector.shared.add_good('u-south', 30, 15.0, 0.0)
+    region.selector.shared.add_good('u-north', 2, 1.0, 0.0)
+    region.selector.shared.add_bad('u-north', 0.0)
+    region.selector.shared.add_good('u-north', 2, 1.0, 0.0)
+    risk = region.selector.shared.find_risk('u-north', 0.0)
+    assert 0.05 < risk < 0.13
+    counted = collections.Counter()
+    for _ in range(20):
+        request, answer = region.submit(size=size)
+        counted[answer.record.upstream] += 1
+        region.allocator.settle(
+            request,
+            answer.record.upstream,
+            messages.Evidence.NONE,
+            0.0,
+            0.0,
+        )
+    assert counted.most_common(1)[0][0] == expected
+
+
+def test_repeated_sends_keep_to_the_budget():
+    """Guards against repeats that feed an overload."""
+    region = Region(upstreams=30, slots=6, ratio=0.2)
+    for _ in range(20):
+        region.submit()
+    decisions = [region.submit(is_repeat=True)[1].decision for _ in range(20)]
+    assert decisions.count(_GRANTED) == 3
+    assert decisions[-1] is messages.Decision.NO_BUDGET
+
+
+def test_a_service_without_upstreams_is_refused():
+    """Guards against waiting for an upstream that does not exist."""
+    region = Region(upstreams=1)
+    _, answer = region.submit(service='unknown')
+    assert answer.decision is messages.Decision.NO_UPSTREAM
+
+
+def test_a_withdrawn_request_holds_no_slot():
+    """Guards against slots that are lost when callers leave."""
+    region = Region(upstreams=1, slots=1)
+    first = region.submit()
+    request, _ = region.submit()
+    region.allocator.settle(request, '', messages.Evidence.NONE, 0.0, 0.0)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == []
+    assert region.submit()[1].decision is _GRANTED
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import dataclasses
-import random
 
 from wagtailspread.core import identifiers
 from wagtailspread.registry import records, tables
--- a/wagtailspread/registry/records.py
+++ b/wagtailspread/registry/records.py
@@ -48,14 +48,12 @@
 
     def describes_same(self, other: 'UpstreamRecord') -> bool:
         """Tell whether both say the same except for their sequence."""
-        return (
-            self.born_ms == other.born_ms
-            and self.state is other.state
-            and self.address == other.address
-            and self.service == other.service
-            and self.slots == other.slots
-            and self.domain == other.domain
+        later = dataclasses.replace(
+            other,
+            sequence=self.sequence,
+            warm_seconds=self.warm_seconds,
         )
+        return self == later
 
 
 def to_row(record: UpstreamRecord) -> messages.Struct:
--- /dev/null
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -0,0 +1,111 @@
+"""Tests of the changes that a replica passes on."""
+
+import asyncio
+import dataclasses
+
+from wagtailspread.registry import feeds, records
+from wagtailspread.wire import messages
+
+_READY = records.UpstreamRecord(
+    upstream='u1',
+    service='columns',
+    address='10.0.0.1:80',
+    domain='north',
+    slots=6,
+    state=records.UpstreamState.READY,
+    born_ms=1000,
+    sequence=4,
+)
+
+
+def create_request(feed, position, *, is_replica=False, epoch=None):
+    """Return the request of a follower."""
+    return messages.structs.FollowChanges(
+        host='h1',
+        domain='north',
+        is_replica=is_replica,
+        epoch=feed.epoch if epoch is None else epoch,
+        position=position,
+        document_version=-1,
+        wait_ms=10,
+    )
+
+
+def test_a_follower_gets_each_change_once():
+    """Guards against full tables in each answer."""
+    feed = feeds.ChangeFeed(7)
+    feed.register(_READY, 0.0)
+    first = feed.collect(create_request(feed, 0), 0.0)
+    assert [row.upstream for row in first.rows] == ['u1']
+    second = feed.collect(create_request(feed, first.position), 0.0)
+    assert second.rows == []
+
+
+def test_a_follower_of_an_earlier_start_gets_everything():
+    """Guards against a gap after a replica has restarted."""
+    feed = feeds.ChangeFeed(7)
+    feed.register(_READY, 0.0)
+    request = create_request(feed, 1_000_000, epoch=6)
+    assert len(feed.collect(request, 0.0).rows) == 1
+
+
+def test_what_another_replica_heard_is_passed_on():
+    """Guards against a departure that stays with the replica it was told."""
+    there = feeds.ChangeFeed(1)
+    there.register(_READY, 0.0)
+    there.register(
+        dataclasses.replace(_READY, state=records.UpstreamState.GONE),
+        0.0,
+    )
+    here = feeds.ChangeFeed(2)
+    request = create_request(there, 0, is_replica=True)
+    here.learn(there.collect(request, 0.0), 5.0)
+    passed_on = here.collect(create_request(here, 0), 5.0)
+    assert [row.state for row in passed_on.rows] == [2]
+
+
+def test_signs_of_life_reach_other_replicas_without_rows():
+    """Guards against upstreams that seem silent at the replicas they skip."""
+    there = feeds.ChangeFeed(1)
+    there.register(_READY, 0.0)
+    here = feeds.ChangeFeed(2)
+    first = there.collect(create_request(there, 0, is_replica=True), 0.0)
+    here.learn(first, 0.0)
+    there.register(dataclasses.replace(_READY, sequence=9), 6.0)
+    request = create_request(there, first.position, is_replica=True)
+    batch = there.collect(request, 6.0)
+    assert batch.rows == []
+    here.learn(batch, 6.0)
+    assert here.table.list_silent(6.0) == []
+
+
+def test_a_departure_has_spread_when_every_live_follower_has_seen_it():
+    """Guards against confirming a departure that a host does not know."""
+    feed = feeds.ChangeFeed(1)
+    feed.register(_READY, 0.0)
+    position = feed.position
+    feed.note_follower('h1', False, position - 1, 0.0)
+    feed.note_follower('r2', True, position, 0.0)
+    assert not feed.has_spread(position, 1, 0.0)
+    feed.note_follower('h1', False, position, 0.1)
+    assert feed.has_spread(position, 1, 0.1)
+    assert not feed.has_spread(position, 2, 0.1)
+
+
+def test_a_follower_that_failed_does_not_hold_up_a_departure():
+    """Guards against departures that are never confirmed after a crash."""
+    feed = feeds.ChangeFeed(1)
+    feed.note_follower('h1', False, 0, 0.0)
+    feed.register(_READY, 5.0)
+    feed.note_follower('r2', True, feed.position, 5.0)
+    assert feed.has_spread(feed.position, 1, 5.0)
+
+
+async def test_a_waiting_follower_is_woken_by_a_change():
+    """Guards against changes that wait for the end of a long poll."""
+    feed = feeds.ChangeFeed(1)
+    waiting = asyncio.create_task(feed.wait(0, 30.0))
+    await asyncio.sleep(0)
+    feed.register(_READY, 0.0)
+    async with asyncio.timeout(1):
+        await waiting
--- /dev/null
+++ b/wagtailspread/registry/tests/test_tables.py
@@ -0,0 +1,101 @@
+"""Tests of the table of upstreams."""
+
+import dataclasses
+
+import pytest
+
+from wagtailspread.registry import records, tables
+
+_READY = records.UpstreamRecord(
+    upstream='u1',
+    service='columns',
+    address='10.0.0.1:80',
+    domain='north',
+    slots=6,
+    state=records.UpstreamState.READY,
+    born_ms=1000,
+    sequence=4,
+)
+_DRAINING = dataclasses.replace(
+    _READY,
+    state=records.UpstreamState.DRAINING,
+    sequence=5,
+)
+_GONE = dataclasses.replace(
+    _READY,
+    state=records.UpstreamState.GONE,
+    sequence=0,
+)
+
+
+def list_ready_ids(table, service='columns'):
+    """Return the ids of the upstreams that take work."""
+    return [row.record.upstream for row in table.list_ready(service)]
+
+
+@pytest.mark.parametrize('ending', [_DRAINING, _GONE])
+@pytest.mark.parametrize('sequence', [1, 4, 9])
+def test_a_delayed_heartbeat_does_not_bring_an_upstream_back(ending, sequence):
+    """Guards against work for an upstream whose departure was confirmed."""
+    table = tables.create_table([_READY, ending])
+    late = dataclasses.replace(_READY, sequence=sequence)
+    assert not table.merge(late, 1.0)
+    assert list_ready_ids(table) == []
+
+
+def test_an_upstream_that_starts_again_under_its_id_is_ready():
+    """Guards against a tombstone that outlives its incarnation."""
+    table = tables.create_table([_READY, _GONE])
+    assert table.merge(
+        dataclasses.replace(_READY, born_ms=2000, sequence=1),
+        1.0,
+    )
+    assert list_ready_ids(table) == ['u1']
+
+
+@pytest.mark.parametrize('order', [(0, 1), (1, 0)])
+def test_the_later_start_keeps_a_reused_address(order):
+    """Guards against the late heartbeat of an upstream that has crashed."""
+    later = dataclasses.replace(
+        _READY,
+        upstream='u2',
+        service='orders',
+        born_ms=2000,
+        sequence=1,
+    )
+    both = (_READY, later)
+    table = tables.create_table([both[place] for place in order])
+    assert list_ready_ids(table) == []
+    assert list_ready_ids(table, 'orders') == ['u2']
+
+
+def test_heartbeats_that_say_nothing_new_are_no_change():
+    """Guards against control traffic for every heartbeat."""
+    table = tables.create_table([_READY])
+    position = table.position
+    assert not table.merge(dataclasses.replace(_READY, sequence=5), 1.0)
+    assert table.list_changed(position) == []
+    assert table.rows['u1'].heard_at == 1.0
+
+
+def test_an_upstream_without_heartbeats_is_silent_but_ready():
+    """Guards against dropping upstreams that only the replicas cannot hear."""
+    table = tables.create_table([_READY], now=0.0)
+    assert table.list_silent(4.0) == []
+    assert table.list_silent(5.0) == ['u1']
+    assert list_ready_ids(table) == ['u1']
+
+
+def test_departed_upstreams_are_remembered_for_a_while_only():
+    """Guards against a table that grows with every release."""
+    table = tables.create_table([_READY, _GONE])
+    table.forget_departed(100.0)
+    assert 'u1' in table.rows
+    table.forget_departed(200.0)
+    assert 'u1' not in table.rows
+
+
+def test_rows_survive_the_wire():
+    """Guards against a field that is lost between processes."""
+    warm = dataclasses.replace(_READY, warm_seconds=2.5)
+    assert records.from_row(records.to_row(warm)) == warm
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -14,6 +14,7 @@
 from wagtailspread.consensus import files, messages, replicas, states
 from wagtailspread.core import clocks, failures, identifiers
 from wagtailspread.replica import (
+    directories,
     drivers,
     handlers,
     introductions,
@@ -92,7 +93,11 @@
         self._clock = clock
         self._folder = settings.data_folder / ROLE
         self._store = files.create_storage(self._folder)
-        self._directory = _Directory(settings, machine)
+        self._directory = directories.create_directory(
+            settings.member,
+            settings.trusted_keys,
+            machine,
+        )
         self._own = credentials.Credentials(
             credentials.Peer(settings.member, settings.host, ROLE),
             settings.key,
@@ -324,25 +329,6 @@
         return (command,)
 
 
-class _Directory:
-    """Keys of the settings, then those of the configuration in force."""
-
-    def __init__(
-        self,
-        settings: ReplicaSettings,
-        machine: machines.StateMachine,
-    ) -> None:
-        self._settings = settings
-        self._machine = machine
-
-    def find_key(self, member: identifiers.MemberId) -> bytes | None:
-        """Return the raw Ed25519 public key, or ``None`` if not approved."""
-        configuration = self._machine.configuration
-        if configuration.version > 0 and member != self._settings.member:
-            return configuration.find_key(member)
-        return self._settings.trusted_keys.get(member)
-
-
 def create_server(
     settings: ReplicaSettings,
     machine: machines.StateMachine,
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -52,7 +52,7 @@
 
 
 class Supervisor:
-    """Runs one life of a replica after another. Use :func:`create_supervisor`."""
+    """Runs one life of a replica after another."""
 
     def __init__(
         self,
--- a/wagtailspread/routing/tables.py
+++ b/wagtailspread/routing/tables.py
@@ -12,6 +12,7 @@
 ('long', None)
 """
 
+import math
 import random as random_module
 
 from wagtailspread.core import identifiers
@@ -78,7 +79,7 @@
         point = self._points.get(route.name)
         if point is None:
             point = self._random.random()
-        point = (point + _GOLDEN_RATIO) % 1.0
+        point, _ = math.modf(point + _GOLDEN_RATIO)
         self._points[route.name] = point
         left = point * sum(part.weight for part in route.parts)
         chosen = route.parts[0]
