--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -152,7 +152,9 @@
 
 async def test_an_order_is_sent_to_no_more_upstreams_than_allowed():
     """Guards against exceeding the attempts of a route."""
-    async with run_upstreams(*[_NOT_RUN] * 4) as upstreams:
+    async with run_upstreams(
+        _NOT_RUN, _NOT_RUN, _NOT_RUN, _NOT_RUN
+    ) as upstreams:
         async with run_server(upstreams, max_attempts=3) as (_, base):
             status, _, _ = await call(base, data=b'order')
     assert status == 503
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -180,7 +180,7 @@
     assert region.allocator.submit(need, 0.0).decision is _WAITING
     region.now = 1.0
     region.allocator.submit(need, 1.0)
-    assert region.allocator.tick(1.0) == []
+    assert not region.allocator.tick(1.0)
     region.now = 1.6
     region.allocator.submit(need, 1.6)
     assert region.allocator.tick(1.6) == [need.request]
@@ -290,5 +290,5 @@
     request, _ = region.submit()
     region.allocator.settle(request, '', messages.Evidence.NONE, 0.0, 0.0)
     region.settle(*first)
-    assert region.allocator.tick(region.now) == []
+    assert not region.allocator.tick(region.now)
     assert region.submit()[1].decision is _GRANTED
