--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -30,20 +30,6 @@
 _log = logbook.Logger('gateway')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryTerms:
-    """The fleet's budget of repeated sends to one service.
-
-    :param ratio: repeated sends for each request.
-    :param slack: repeated sends in a window beside these.
-    :param window: length of the window in seconds.
-    """
-
-    ratio: float
-    slack: float
-    window: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one host.
@@ -62,7 +48,7 @@
     own: credentials.Credentials
     directory: credentials.MemberDirectory
     names: headers.HeaderNames
-    retries: RetryTerms
+    retries: budgets.RetryTerms
     stop_seconds: float
 
 
@@ -161,7 +147,9 @@
         await self._pool.close()
         _log.info('host stopped with {} requests open', left)
 
-    def _create_budget(self, retries: RetryTerms) -> budgets.SharedRetryBudget:
+    def _create_budget(
+        self, retries: budgets.RetryTerms
+    ) -> budgets.SharedRetryBudget:
         return budgets.SharedRetryBudget(
             retries.ratio,
             retries.slack,
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import dataclasses
 import typing
 
 from wagtailspread.core import identifiers
@@ -20,6 +21,20 @@
 USED_SHARE = 0.9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """The fleet's budget of repeated sends to one service.
+
+    :param ratio: repeated sends for each request.
+    :param slack: repeated sends in a window beside these.
+    :param window: length of the window in seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
+
 class SharedRetryBudget:
     """Repeated sends by service in a sliding window.
 
--- a/wagtailspread/platform/__main__.py
+++ b/wagtailspread/platform/__main__.py
@@ -1,8 +1,33 @@
-"""Runs a program of the platform: ``python -m wagtailspread.platform ROLE``."""
+"""Runs a program of the platform: ``python -m wagtailspread.platform ROLE``.
 
+Each role loads only what it needs: a start costs processor time and memory,
+and hosts are started often.
+"""
+
+import asyncio
+import importlib
 import sys
 
-from wagtailspread.platform import programs
+from wagtailspread.observability import logs
+from wagtailspread.platform import settings
+
+_MODULES = {
+    'entry': 'wagtailspread.platform.entries',
+    'replica': 'wagtailspread.platform.replicas',
+}
+
+
+def run(role: str) -> None:
+    """Run the program of a role until it is stopped.
+
+    :param role: ``entry`` or ``replica``.
+    """
+    program = importlib.import_module(_MODULES[role])
+    boot = settings.load()
+    handler = logs.create_handler(boot.host, sys.stdout, level='INFO')
+    with handler.applicationbound():
+        asyncio.run(program.run(boot))
+
 
 if __name__ == '__main__':
-    programs.run(sys.argv[-1])
+    run(sys.argv[-1])
--- /dev/null
+++ b/wagtailspread/platform/entries.py
@@ -0,0 +1,41 @@
+"""The program on machines before callers."""
+
+from wagtailspread.core import identifiers
+from wagtailspread.gateway import hosts
+from wagtailspread.placement import costs
+from wagtailspread.platform import documents, names, processes, settings
+
+#: Time that the platform gives a process to stop, if it does not say.
+DEFAULT_GRACE_SECONDS = 6.0
+
+
+async def run(boot: settings.BootSettings) -> None:
+    """Run a host before callers until SIGTERM."""
+    stopping = processes.watch_signals()
+    host = hosts.create_host(
+        _create_host_settings(boot),
+        documents.read_valid,
+    )
+    await host.start()
+    await stopping.wait()
+    await host.stop()
+
+
+def _create_host_settings(
+    boot: settings.BootSettings,
+) -> hosts.GatewaySettings:
+    own, directory = processes.create_own(boot, hosts.ROLE)
+    bounds = boot.bounds
+    return hosts.GatewaySettings(
+        host=boot.host,
+        place=costs.Place(boot.domain, boot.regions),
+        caller_address=identifiers.Address(boot.listen['front']),
+        ready_address=identifiers.Address(boot.listen['readinessAddr']),
+        ready_path=names.READY_PATH,
+        find_seeds=processes.Seeds(boot).find,
+        own=own,
+        directory=directory,
+        names=names.HEADERS,
+        retries=processes.create_retry_terms(boot),
+        stop_seconds=bounds.get('grace', DEFAULT_GRACE_SECONDS),
+    )
--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -83,6 +83,7 @@
         self._start(f'host{number}', ip, listen=listen, dataDir=None)
 
     def _start(self, name, ip, **changes):
+        role = 'replica' if name.startswith('replica') else 'entry'
         zone = list(_ZONES)[len(self.processes) % len(_ZONES)]
         settings = {
             'nodeName': name,
@@ -100,7 +101,7 @@
         path.write_text(json.dumps(settings))
         with (self.folder / f'{name}.log').open('a') as log:
             self.processes[name] = subprocess.Popen(  # noqa: S603
-                [sys.executable, '-m', 'wagtailspread.platform', 'any'],
+                [sys.executable, '-m', 'wagtailspread.platform', role],
                 env={**os.environ, 'WAGTAILSPREAD_BOOT': str(path)},
                 stdout=log,
                 stderr=log,
