Open connections to replicas within 0.3 s and without a line

Calls behind a failed attempt now fail with it, registry and placement have connections of their own, and upstreams send heartbeats to the replica beside them, which spares bytes between regions.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -24,6 +24,9 @@
 STOP_STEP_SECONDS = 0.05
 #: Part of the time to stop that is kept for closing, in seconds.
 CLOSING_SECONDS = 0.4
+#: Longest time to open a connection to a replica, in seconds. A lost opening
+#: packet is sent again only after a second; a new attempt comes sooner.
+CONNECT_SECONDS = 0.3
 #: Hosts that are assumed to share a budget until their number is known.
 LEAST_HOSTS = 40
 
@@ -74,7 +77,10 @@
         self._clock = clock
         self._hosts = 0
         self._is_stopping = False
-        self._pool = links.LinkPool(settings.own, settings.directory)
+        # Registry and placement have connections of their own, so that calls
+        # which wait for the one do not hold up the other.
+        self._pool = _create_pool(settings)
+        self._placing_pool = _create_pool(settings)
         self.selector = selection.create_selector(
             registries.create_table(),
             settings.place.regions,
@@ -82,7 +88,7 @@
         self._placer = placements.create_placer(
             settings.host,
             settings.place,
-            self._pool,
+            self._placing_pool,
             self.selector,
             self._create_budget(settings.retries),
             clock,
@@ -145,6 +151,7 @@
         await self._exchanger.close()
         await self._readiness.close()
         await self._pool.close()
+        await self._placing_pool.close()
         _log.info('host stopped with {} requests open', left)
 
     def _create_budget(
@@ -203,6 +210,14 @@
     return GatewayHost(settings, read_document, clock or LoopClock())
 
 
+def _create_pool(settings: GatewaySettings) -> links.LinkPool:
+    return links.LinkPool(
+        settings.own,
+        settings.directory,
+        CONNECT_SECONDS,
+    )
+
+
 class LoopClock:
     """The clock of the event loop, which all parts of a host share."""
 
--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -42,9 +42,11 @@
         self._registry = registry
         self._find_document = find_document
         self._runner: web.ServerRunner | None = None
+        self._address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> None:
-        """Listen on ``address``."""
+        """Listen on ``address``; the port is the same at all replicas."""
+        self._address = address
         server = web.Server(self._handle)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
@@ -90,11 +92,23 @@
             return web.Response(status=_BAD_REQUEST)
         if record.state is records.UpstreamState.READY:
             self._registry.register(record)
-            return _answer_json({})
+            return self._confirm_heartbeat(record)
         if await self._registry.register_departure(record):
             return _answer_json({})
         return web.Response(status=_UNAVAILABLE)
 
+    def _confirm_heartbeat(
+        self,
+        record: records.UpstreamRecord,
+    ) -> web.StreamResponse:
+        """Confirm a heartbeat; name the replica beside the upstream."""
+        nearest = self._registry.find_nearest(record.domain)
+        if nearest is None:
+            return _answer_json({})
+        ip = nearest.rpartition(':')[0]
+        port = self._address.rpartition(':')[2]
+        return _answer_json({'heartbeatUrl': f'{ip}:{port}'})
+
     def _create_departure(
         self,
         upstream: str,
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -21,7 +21,7 @@
 WAIT_SECONDS = 0.7
 #: Longest time without an answer beyond that wait, in seconds. The replica or
 #: the connection to it has failed then.
-ANSWER_SECONDS = 0.6
+ANSWER_SECONDS = 0.4
 #: Time for which a replica that failed is asked last, in seconds.
 FAILED_SECONDS = 2.0
 #: Time between looks for a nearer replica, in seconds.
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -17,7 +17,7 @@
 #: Time in which changes are collected before a follower gets them, in seconds.
 COLLECT_SECONDS = 0.025
 #: Time between two answers to another replica without news, in seconds.
-PEER_WAIT_SECONDS = 1.0
+PEER_WAIT_SECONDS = 1.5
 #: Longest wait until the followers know of a departure, in seconds. Upstreams
 #: turn to another replica after a second.
 SPREAD_SECONDS = 0.7
@@ -123,6 +123,17 @@
             sequence=0,
         )
 
+    def find_nearest(
+        self,
+        domain: identifiers.FailureDomain,
+    ) -> identifiers.Address | None:
+        """Return the replica in a failure domain, if one answered of late."""
+        for address, place in sorted(self._domains.items()):
+            is_known = address == self._address or address in self._remote_hosts
+            if place == domain and is_known:
+                return address
+        return None
+
     async def run(self, pool: links.LinkPool) -> None:
         """Follow the other replicas until cancelled."""
         try:
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -25,7 +25,7 @@
 #: Silence after which another replica may take the place of a voter, seconds.
 SILENT_VOTER_SECONDS = 2.0
 #: Time between two heartbeats of a leader, in seconds.
-HEARTBEAT_SECONDS = 0.2
+HEARTBEAT_SECONDS = 0.25
 
 _log = logbook.Logger('supervisor')
 
--- a/wagtailspread/wire/links.py
+++ b/wagtailspread/wire/links.py
@@ -31,8 +31,11 @@
         address: identifiers.Address,
         own: credentials.Credentials,
         directory: credentials.MemberDirectory,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> None:
         """Keep what is needed to connect; nothing is opened yet."""
+        self._connect_seconds = connect_seconds
+        self._failures = 0
         self.address = address
         self.peer: credentials.Peer | None = None
         self._own = own
@@ -110,17 +113,23 @@
     async def _connect(self) -> bool:
         if self._writer is not None:
             return True
+        failures_before = self._failures
         async with self._connecting:
             if self._writer is not None:
                 return True
+            if self._failures != failures_before:
+                # The attempt that this call waited for has failed. Trying
+                # again would hold up the calls behind it one by one.
+                return False
             try:
-                async with asyncio.timeout(CONNECT_SECONDS):
+                async with asyncio.timeout(self._connect_seconds):
                     await self._open()
             except (
                 OSError,
                 asyncio.IncompleteReadError,
                 handshakes.HandshakeRefused,
             ):
+                self._failures += 1
                 return False
             return True
 
@@ -181,14 +190,19 @@
 
 
 class LinkPool:
-    """One link for each address."""
+    """One link for each address.
+
+    :param connect_seconds: longest time to open and authenticate one.
+    """
 
     def __init__(
         self,
         own: credentials.Credentials,
         directory: credentials.MemberDirectory,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> None:
         """Start with no links."""
+        self._connect_seconds = connect_seconds
         self._own = own
         self._directory = directory
         self._links: dict[identifiers.Address, Link] = {}
@@ -197,7 +211,12 @@
         """Return the link to this address; it opens on first use."""
         link = self._links.get(address)
         if link is None:
-            link = create_link(address, self._own, self._directory)
+            link = create_link(
+                address,
+                self._own,
+                self._directory,
+                self._connect_seconds,
+            )
             self._links[address] = link
         return link
 
@@ -217,6 +236,7 @@
     address: identifiers.Address,
     own: credentials.Credentials,
     directory: credentials.MemberDirectory,
+    connect_seconds: float = CONNECT_SECONDS,
 ) -> Link:
     """Return a link to the peer at ``address``; no connection is opened."""
-    return Link(address, own, directory)
+    return Link(address, own, directory, connect_seconds)
--- a/wagtailspread/wire/tests/test_links.py
+++ b/wagtailspread/wire/tests/test_links.py
@@ -1,6 +1,8 @@
 """Calls over authenticated connections, on real loopback sockets."""
 
 import asyncio
+import socket
+import time
 
 from returns import result
 
@@ -180,3 +182,31 @@
         async with asyncio.timeout(2.0):
             await listener.close()
         writer.close()
+
+
+async def test_calls_behind_a_failed_connection_fail_with_it():
+    """Guards against calls that wait for one attempt after the other.
+
+    A host that was cut off took three seconds to find a replica again, since
+    several calls stood in line for the same connection.
+    """
+    silent = socket.create_server(('127.0.0.1', 0))
+    address = '127.0.0.1:{}'.format(silent.getsockname()[1])
+    key = credentials.create_key()
+    own = credentials.Credentials(credentials.Peer('m', 'h', 'host'), key)
+    directory = credentials.FixedDirectory({})
+    link = links.create_link(address, own, directory, connect_seconds=0.2)
+    started = time.monotonic()
+    calls = [
+        link.call(
+            messages.methods.STATUS,
+            messages.structs.Empty(),
+            messages.structs.StatusReport,
+            5.0,
+        )
+        for _ in range(10)
+    ]
+    outcomes = await asyncio.gather(*calls)
+    assert time.monotonic() - started < 0.6
+    assert {type(one.failure()) for one in outcomes} == {failures.Unreachable}
+    silent.close()
