Let a host allocate when no replica of its region answers

Ruled out: the upstreams (they were reached), the routes (they were in force). Replicas name the same three hosts of each region to all; hosts turn to them after the replicas of their region.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -10,11 +10,12 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.gateway import attempts, exchanges, headers
 from wagtailspread.gateway import placements, servers
-from wagtailspread.placement import budgets, costs, selection
+from wagtailspread.placement import allocators, budgets, costs, selection
+from wagtailspread.placement import services
 from wagtailspread.registry import followers, records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
-from wagtailspread.wire import credentials, links, messages
+from wagtailspread.wire import credentials, links, listeners, messages
 
 ROLE = 'host'
 #: Time after the request to stop for which new connections are accepted, in
@@ -38,6 +39,7 @@
     """Settings of one host.
 
     :param ready_path: path of the balancer's question.
+    :param link_address: of the fleet's own protocol.
     :param find_seeds: returns the addresses of some replicas as of now.
     :param stop_seconds: time from the request to stop to the end.
     """
@@ -47,6 +49,7 @@
     caller_address: identifiers.Address
     ready_address: identifiers.Address
     ready_path: str
+    link_address: identifiers.Address
     find_seeds: typing.Callable[[], typing.Iterable[identifiers.Address]]
     own: credentials.Credentials
     directory: credentials.MemberDirectory
@@ -111,12 +114,19 @@
         )
         self.follower = followers.Follower(
             settings.host,
+            settings.link_address,
             settings.place.domain,
             followers.SourceList(settings.find_seeds, self._measure),
             self._pool,
             clock,
             self._apply,
         )
+        self._listener = listeners.create_listener(
+            settings.own,
+            settings.directory,
+        )
+        self._placing = self._create_placing(settings)
+        self._placing.register(self._listener)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -127,7 +137,11 @@
 
     async def start(self) -> None:
         """Listen, and follow the replicas."""
-        self._tasks = [asyncio.create_task(self.follower.follow())]
+        self._tasks = [
+            asyncio.create_task(self.follower.follow()),
+            asyncio.create_task(self._placing.run()),
+        ]
+        await self._listener.start(self._settings.link_address)
         await self._readiness.start(self._settings.ready_address)
         await self.server.start(self._settings.caller_address)
         _log.info('host {} started', self._settings.host)
@@ -148,19 +162,35 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._placer.close()
+        await self._listener.close()
         await self._exchanger.close()
         await self._readiness.close()
         await self._pool.close()
         await self._placing_pool.close()
         _log.info('host stopped with {} requests open', left)
 
+    def _create_placing(
+        self,
+        settings: GatewaySettings,
+    ) -> services.PlacementService:
+        """Return the allocator for when no replica of the region answers."""
+        regions = settings.place.regions
+        selector = selection.create_selector(self.selector.registry, regions)
+        budget = budgets.create_budget(
+            settings.retries,
+            lambda: len(set(regions.values())),
+        )
+        return services.create_service(
+            allocators.create_allocator(selector, budget),
+            self._clock,
+            lambda _now: self.selector.silent,
+        )
+
     def _create_budget(
         self, retries: budgets.RetryTerms
     ) -> budgets.SharedRetryBudget:
-        return budgets.SharedRetryBudget(
-            retries.ratio,
-            retries.slack,
-            retries.window,
+        return budgets.create_budget(
+            retries,
             lambda: max(self._hosts, LEAST_HOSTS),
         )
 
@@ -185,7 +215,7 @@
         registry.forget_departed(now)
         self.selector.silent = frozenset(batch.silent)
         self._hosts = batch.hosts
-        self._placer.learn(batch.replicas)
+        self._placer.learn(batch.replicas, batch.substitutes)
         if batch.document is not None:
             self._apply_document(batch)
 
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -1,8 +1,9 @@
 """Gets upstreams for the requests of one host.
 
 It asks the allocator of its region. All hosts of a region ask the same
-replica as long as it answers; when it fails they turn to the next one, and
-with none left a host decides by itself from what it has seen.
+replica as long as it answers; when it fails they turn to the next one. With no
+replica left they ask a host that all of them know, and if that fails as well a
+host decides by itself from what it has seen.
 """
 
 import asyncio
@@ -73,23 +74,23 @@
         self._failed: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._settling: set[asyncio.Task[None]] = set()
 
-    def learn(self, places: list[wire.Struct]) -> None:
-        """Take the replicas that may allocate.
+    def learn(
+        self,
+        replicas: list[wire.Struct],
+        substitutes: list[wire.Struct],
+    ) -> None:
+        """Take who may allocate: replicas of the region, then hosts of it.
 
-        Those of the own region come first; the order is the same at all hosts
-        of a region.
+        The order is the same at all hosts of a region.
         """
-        ordered = sorted(
-            places,
-            key=lambda one: (
-                not self._place.is_same_region(
-                    identifiers.FailureDomain(one.domain),
-                ),
-                one.address,
-            ),
-        )
+        ordered = sorted(replicas, key=lambda one: str(one.address))
+        ordered.extend(substitutes)
         self._allocators = [
-            identifiers.Address(place.address) for place in ordered
+            identifiers.Address(one.address)
+            for one in ordered
+            if self._place.is_same_region(
+                identifiers.FailureDomain(one.domain),
+            )
         ]
 
     def create_id(self) -> identifiers.RequestId:
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -0,0 +1,147 @@
+"""Tests of a host that looks for an allocator."""
+
+import asyncio
+import random
+
+from wagtailspread.gateway import placements
+from wagtailspread.placement import allocators, budgets, costs, messages
+from wagtailspread.placement import selection, services
+from wagtailspread.registry import records, tables
+from wagtailspread.wire import credentials, links, listeners
+from wagtailspread.wire import messages as wire
+
+_REGIONS = {'north': 'r1', 'far': 'r2'}
+_KEY = credentials.create_key()
+_DIRECTORY = credentials.FixedDirectory({'m': credentials.public_bytes(_KEY)})
+
+
+class LoopClock:
+    """The clock of the event loop."""
+
+    def now(self):
+        """Return the event loop's seconds."""
+        return asyncio.get_running_loop().time()
+
+
+def create_selector():
+    """Return a selector that knows one upstream with one slot."""
+    record = records.UpstreamRecord(
+        upstream='u1',
+        service='columns',
+        address='10.0.0.1:80',
+        domain='north',
+        slots=1,
+        state=records.UpstreamState.READY,
+        born_ms=1,
+        sequence=1,
+    )
+    table = tables.create_table([record])
+    return selection.create_selector(table, _REGIONS, random.Random(1))
+
+
+def create_own(role):
+    """Return the credentials of a process."""
+    return credentials.Credentials(credentials.Peer('m', 'h1', role), _KEY)
+
+
+async def start_allocator():
+    """Return a listener with an allocator, and its address."""
+    listener = listeners.create_listener(create_own('replica'), _DIRECTORY)
+    budget = budgets.SharedRetryBudget(0.2, 10.0, 10.0, lambda: 1)
+    allocator = allocators.create_allocator(create_selector(), budget)
+    service = services.create_service(allocator, LoopClock(), lambda _now: ())
+    service.register(listener)
+    return listener, await listener.start('127.0.0.1:0'), allocator
+
+
+def create_placer(*addresses):
+    """Return a placer that knows these allocators."""
+    placer = placements.create_placer(
+        'h1',
+        costs.Place('north', _REGIONS),
+        links.LinkPool(create_own('host'), _DIRECTORY, 0.2),
+        create_selector(),
+        budgets.SharedRetryBudget(0.2, 10.0, 10.0, lambda: 1),
+        LoopClock(),
+    )
+    placer.learn([], [])
+    placer._allocators = list(addresses)
+    return placer
+
+
+def create_need(placer, seconds=2.0):
+    """Return a need for an upstream."""
+    return messages.Need(
+        request=placer.create_id(),
+        host='h1',
+        domain='north',
+        service='columns',
+        deadline=LoopClock().now() + seconds,
+        objective=1.0,
+    )
+
+
+async def test_a_request_waits_until_the_slot_is_settled():
+    """Guards against a slot that is free and not given out."""
+    listener, address, _ = await start_allocator()
+    placer = create_placer(address)
+    first = create_need(placer)
+    placed = await placer.place(first)
+    assert placed.allocator == address
+    waiting = asyncio.create_task(placer.place(create_need(placer)))
+    await asyncio.sleep(0.3)
+    assert not waiting.done()
+    placer.settle(first.request, placed, messages.Evidence.GOOD, 0.1)
+    async with asyncio.timeout(0.3):
+        assert (await waiting).answer.record.upstream == 'u1'
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_caller_that_leaves_gives_its_place_up():
+    """Guards against slots held for callers that have left."""
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    await placer.place(create_need(placer))
+    leaving = asyncio.create_task(placer.place(create_need(placer)))
+    await asyncio.sleep(0.05)
+    assert allocator.count_waiting() == 1
+    leaving.cancel()
+    await asyncio.sleep(0.1)
+    assert allocator.count_waiting() == 0
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_silent_allocator_costs_a_fraction_of_a_second_once():
+    """Guards against requests that wait for a frozen replica one by one."""
+    silent = await asyncio.start_server(
+        lambda _reader, _writer: asyncio.sleep(10),
+        '127.0.0.1',
+        0,
+    )
+    port = silent.sockets[0].getsockname()[1]
+    placer = create_placer(f'127.0.0.1:{port}')
+    async with asyncio.timeout(0.6):
+        placed = await placer.place(create_need(placer))
+    assert placed.allocator is None
+    assert placed.answer.decision is messages.Decision.GRANTED
+    async with asyncio.timeout(0.05):
+        await placer.place(create_need(placer))
+    await placer.close()
+    silent.close()
+
+
+def test_replicas_of_the_region_come_before_hosts_of_it():
+    """Guards against asking another region, and against different orders."""
+    placer = create_placer()
+    place = wire.structs.ReplicaPlace
+    placer.learn(
+        [
+            place(address='r3:1', domain='north'),
+            place(address='r2:1', domain='far'),
+            place(address='r1:1', domain='north'),
+        ],
+        [place(address='h1:1', domain='north')],
+    )
+    assert placer._allocators == ['r1:1', 'r3:1', 'h1:1']
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -91,3 +91,19 @@
         while recent and recent[0] < now - self._window:
             recent.popleft()
         return recent
+
+
+def create_budget(
+    terms: RetryTerms,
+    count_hosts: typing.Callable[[], int],
+) -> SharedRetryBudget:
+    """Return a budget with an empty window.
+
+    :param count_hosts: returns the number of deciders that share the slack.
+    """
+    return SharedRetryBudget(
+        terms.ratio,
+        terms.slack,
+        terms.window,
+        count_hosts,
+    )
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -32,6 +32,7 @@
         caller_address=identifiers.Address(boot.listen['front']),
         ready_address=identifiers.Address(boot.listen['readinessAddr']),
         ready_path=names.READY_PATH,
+        link_address=boot.link_address,
         find_seeds=processes.Seeds(boot).find,
         own=own,
         directory=directory,
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -15,7 +15,12 @@
     """Run a replica until SIGTERM."""
     stopping = processes.watch_signals()
     clock = clocks.SuspensionClock()
-    registry = services.create_service(boot.link_address, boot.domain, clock)
+    registry = services.create_service(
+        boot.link_address,
+        boot.domain,
+        boot.regions,
+        clock,
+    )
     placing = _create_placing(boot, registry, clock)
     supervisor = supervision.create_supervisor(
         _create_replica_settings(boot),
@@ -43,12 +48,7 @@
     table = registry.feed.table
     regions = max(1, len(set(boot.regions.values())))
     terms = processes.create_retry_terms(boot)
-    budget = budgets.SharedRetryBudget(
-        terms.ratio,
-        terms.slack,
-        terms.window,
-        lambda: regions,
-    )
+    budget = budgets.create_budget(terms, lambda: regions)
     selector = selection.create_selector(table, boot.regions)
     allocator = allocators.create_allocator(selector, budget)
     return placing_services.create_service(
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -22,7 +22,16 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Follower:
+class Follower:
+    """A host or replica that follows this one.
+
+    :param address: where it speaks the fleet's own protocol.
+    :param position: what it has seen.
+    :param asked_at: when it asked last, in seconds.
+    """
+
+    address: identifiers.Address
+    domain: identifiers.FailureDomain
     is_replica: bool
     position: int
     asked_at: float
@@ -43,7 +52,7 @@
         self.table = tables.create_table()
         self._heard: collections.deque[tuple[int, identifiers.UpstreamId]]
         self._heard = collections.deque(maxlen=MAX_HEARD)
-        self._followers: dict[identifiers.HostId, _Follower] = {}
+        self._followers: dict[identifiers.HostId, Follower] = {}
         self._changed = asyncio.Event()
 
     @property
@@ -79,22 +88,20 @@
     def note_follower(
         self,
         host: identifiers.HostId,
-        is_replica: bool,
-        position: int,
-        now: float,
+        follower: Follower,
     ) -> None:
         """Note what a follower has seen."""
-        self._followers[host] = _Follower(is_replica, position, now)
+        self._followers[host] = follower
 
-    def count_hosts(self, now: float) -> int:
-        """Return the hosts that follow this replica."""
+    def list_hosts(self, now: float) -> list[Follower]:
+        """Return the hosts that follow this replica, in order of address."""
         since = now - FOLLOWER_SECONDS
         live = [
             one
             for one in self._followers.values()
             if one.asked_at > since and not one.is_replica
         ]
-        return len(live)
+        return sorted(live, key=lambda one: one.address)
 
     def has_spread(self, position: int, replicas: int, now: float) -> bool:
         """Tell whether the live followers have seen ``position``.
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -119,6 +119,7 @@
     def __init__(
         self,
         host: identifiers.HostId,
+        address: identifiers.Address,
         domain: identifiers.FailureDomain,
         sources: SourceList,
         pool: links.LinkPool,
@@ -129,6 +130,7 @@
         self.document_version = documents.NO_VERSION
         self.followed: identifiers.Address | None = None
         self._host = host
+        self._address = address
         self._domain = domain
         self._sources = sources
         self._pool = pool
@@ -154,6 +156,7 @@
             position=self._position,
             document_version=self.document_version,
             wait_ms=int(WAIT_SECONDS * 1000),
+            address=self._address,
         )
         answer = await self._pool.find(address).call(
             messages.methods.FOLLOW,
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import typing
 
@@ -25,6 +26,8 @@
 SPREAD_STEP_SECONDS = 0.02
 #: Time between looks for replicas that are not followed yet, in seconds.
 PEERS_SECONDS = 0.25
+#: Hosts of a region that allocate, in turn, when no replica answers.
+MAX_SUBSTITUTES = 3
 _MAX_EPOCH = 1 << 62
 
 _log = logbook.Logger('registry')
@@ -53,9 +56,14 @@
         self,
         address: identifiers.Address,
         domain: identifiers.FailureDomain,
+        regions: dict[identifiers.FailureDomain, identifiers.RegionName],
         clock: clocks.Clock,
     ) -> None:
-        """Start empty."""
+        """Start empty.
+
+        :param regions: the region of each failure domain.
+        """
+        self._regions = regions
         self.feed = feeds.ChangeFeed(random.randrange(1, _MAX_EPOCH))
         self._address = address
         self._domain = domain
@@ -63,7 +71,7 @@
         self._neighbourhood: Neighbourhood | None = None
         self._domains: dict[identifiers.Address, identifiers.FailureDomain]
         self._domains = {address: domain}
-        self._remote_hosts: dict[identifiers.Address, int] = {}
+        self._remote_hosts: dict[identifiers.Address, messages.Struct] = {}
         self._peers: dict[identifiers.Address, asyncio.Task[None]] = {}
 
     def attach(
@@ -184,6 +192,7 @@
                 position=position,
                 document_version=documents.NO_VERSION,
                 wait_ms=int(PEER_WAIT_SECONDS * 1000),
+                address=self._address,
             )
             answer = await pool.find(address).call(
                 messages.methods.FOLLOW,
@@ -206,7 +215,7 @@
         address: identifiers.Address,
         batch: messages.Struct,
     ) -> None:
-        self._remote_hosts[address] = batch.hosts
+        self._remote_hosts[address] = batch
         for place in batch.replicas:
             named = identifiers.Address(place.address)
             if named == address:
@@ -222,12 +231,14 @@
         feed = self.feed
         position = request.position if request.epoch == feed.epoch else 0
         host = identifiers.HostId(request.host)
-        feed.note_follower(
-            host,
+        follower = feeds.Follower(
+            identifiers.Address(request.address),
+            identifiers.FailureDomain(request.domain),
             request.is_replica,
             position,
             self._clock.now(),
         )
+        feed.note_follower(host, follower)
         wait = min(request.wait_ms / 1000, call.timeout)
         if not self._has_newer_document(request):
             await feed.wait(position, wait)
@@ -249,20 +260,61 @@
     ) -> None:
         """Add what does not come from the feed."""
         neighbourhood = self._neighbourhood
-        own = self.feed.count_hosts(self._clock.now())
-        batch.hosts = own
+        hosts = self.feed.list_hosts(self._clock.now())
+        batch.hosts = len(hosts)
+        batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_places(request)
         batch.document_version = documents.NO_VERSION
         batch.has_quorum = False
         if request.is_replica or neighbourhood is None:
             return
-        batch.hosts = own + sum(self._remote_hosts.values())
+        batch.hosts += sum(one.hosts for one in self._remote_hosts.values())
         batch.has_quorum = neighbourhood.has_quorum()
         held = neighbourhood.read_document()
         batch.document_version = held.version
         if held.version > request.document_version:
             batch.document = held.body
 
+    def _list_substitutes(
+        self,
+        hosts: list[feeds.Follower],
+        request: messages.Struct,
+    ) -> list[messages.Struct]:
+        """Return the first hosts by address; all replicas name the same.
+
+        A replica gets the first ones that follow this one, of each region; a
+        host gets the first ones of its region that follow any.
+        """
+        places = [
+            messages.structs.ReplicaPlace(
+                address=one.address,
+                domain=one.domain,
+            )
+            for one in hosts
+        ]
+        region = self._find_region(request)
+        if region is not None:
+            for batch in self._remote_hosts.values():
+                places.extend(batch.substitutes)
+        chosen: dict[identifiers.RegionName | None, list[messages.Struct]] = {}
+        for candidate in sorted(places, key=lambda one: one.address):
+            home = self._regions.get(candidate.domain)
+            named = chosen.setdefault(home, [])
+            if len(named) < MAX_SUBSTITUTES:
+                named.append(candidate)
+        if region is not None:
+            return chosen.get(region, [])
+        return list(itertools.chain.from_iterable(chosen.values()))
+
+    def _find_region(
+        self,
+        request: messages.Struct,
+    ) -> identifiers.RegionName | None:
+        """Return the region of a host that follows, ``None`` for a replica."""
+        if request.is_replica:
+            return None
+        return self._regions.get(identifiers.FailureDomain(request.domain))
+
     def _list_places(self, request: messages.Struct) -> list[messages.Struct]:
         """Return where replicas are; a replica needs only the own place."""
         addresses = [self._address]
@@ -280,7 +332,8 @@
 def create_service(
     address: identifiers.Address,
     domain: identifiers.FailureDomain,
+    regions: dict[identifiers.FailureDomain, identifiers.RegionName],
     clock: clocks.Clock,
 ) -> RegistryService:
     """Return a registry that knows no upstreams."""
-    return RegistryService(address, domain, clock)
+    return RegistryService(address, domain, regions, clock)
--- a/wagtailspread/registry/tests/test_feeds.py
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -28,6 +28,15 @@
         position=position,
         document_version=-1,
         wait_ms=10,
+        address='10.0.0.1:1',
+    )
+
+
+def note(feed, host, position, now, *, is_replica=False):
+    """Note what a follower has seen."""
+    feed.note_follower(
+        host,
+        feeds.Follower(f'{host}:1', 'north', is_replica, position, now),
     )
 
 
@@ -84,10 +93,10 @@
     feed = feeds.ChangeFeed(1)
     feed.register(_READY, 0.0)
     position = feed.position
-    feed.note_follower('h1', False, position - 1, 0.0)
-    feed.note_follower('r2', True, position, 0.0)
+    note(feed, 'h1', position - 1, 0.0)
+    note(feed, 'r2', position, 0.0, is_replica=True)
     assert not feed.has_spread(position, 1, 0.0)
-    feed.note_follower('h1', False, position, 0.1)
+    note(feed, 'h1', position, 0.1)
     assert feed.has_spread(position, 1, 0.1)
     assert not feed.has_spread(position, 2, 0.1)
 
@@ -95,9 +104,9 @@
 def test_a_follower_that_failed_does_not_hold_up_a_departure():
     """Guards against departures that are never confirmed after a crash."""
     feed = feeds.ChangeFeed(1)
-    feed.note_follower('h1', False, 0, 0.0)
+    note(feed, 'h1', 0, 0.0)
     feed.register(_READY, 5.0)
-    feed.note_follower('r2', True, feed.position, 5.0)
+    note(feed, 'r2', feed.position, 5.0, is_replica=True)
     assert feed.has_spread(feed.position, 1, 5.0)
 
 
--- /dev/null
+++ b/wagtailspread/registry/tests/test_services.py
@@ -0,0 +1,90 @@
+"""Tests of what a replica tells those that follow it."""
+
+from wagtailspread.configuration import documents
+from wagtailspread.registry import services
+from wagtailspread.wire import listeners, messages
+
+_REGIONS = {'north': 'r1', 'south': 'r1', 'far': 'r2'}
+_CALL = listeners.Call(None, 1.0, '')
+
+
+class Clock:
+    """A clock that stands still."""
+
+    def now(self):
+        """Return the same time always."""
+        return 100.0
+
+
+class Neighbours:
+    """Replicas that are all in touch."""
+
+    def list_replicas(self):
+        """Return two replicas."""
+        return ['r1:1', 'r2:1']
+
+    def has_quorum(self):
+        """Tell that most replicas are in touch."""
+        return True
+
+    def count_needed(self):
+        """Return that one other replica is needed."""
+        return 1
+
+    def read_document(self):
+        """Return no document."""
+        return documents.VersionedDocument()
+
+
+def create_service(address, domain):
+    """Return the registry of a replica."""
+    service = services.create_service(address, domain, _REGIONS, Clock())
+    service.attach(listeners.create_listener(None, None), Neighbours())
+    return service
+
+
+async def follow(service, host, domain, *, is_replica=False):
+    """Return the answer to a follower."""
+    request = messages.structs.FollowChanges(
+        host=host,
+        domain=domain,
+        is_replica=is_replica,
+        epoch=0,
+        position=0,
+        document_version=-1,
+        wait_ms=1,
+        address=f'{host}:2',
+    )
+    return (await service._answer_follower(_CALL, request)).unwrap()
+
+
+async def test_hosts_of_a_region_learn_the_same_substitutes():
+    """Guards against hosts that turn to different allocators.
+
+    Load pattern: most hosts of a region lose all replicas at once. Each host
+    on its own knows neither the load nor the evidence of the others.
+    """
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'south')
+    for host in ('h1', 'h3', 'h5'):
+        await follow(first, host, 'north')
+    for host in ('h2', 'h4'):
+        await follow(second, host, 'south')
+    await follow(second, 'h0', 'far')
+    first._learn('r2:1', await follow(second, 'r1:1', 'north', is_replica=True))
+    second._learn('r1:1', await follow(first, 'r2:1', 'south', is_replica=True))
+    named = [
+        [one.address for one in (await follow(*asking)).substitutes]
+        for asking in ((first, 'h5', 'north'), (second, 'h4', 'south'))
+    ]
+    assert named[0] == ['h1:2', 'h2:2', 'h3:2']
+    assert named[1] == named[0]
+
+
+async def test_hosts_are_counted_over_all_replicas():
+    """Guards against a budget that every host believes to be its own."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'south')
+    await follow(second, 'h2', 'south')
+    first._learn('r2:1', await follow(second, 'r1:1', 'north', is_replica=True))
+    assert (await follow(first, 'h1', 'north')).hosts == 2
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -500,8 +500,11 @@
   5: i64 position
   6: i64 document_version
   7: i32 wait_ms
+  // Where the follower speaks this protocol.
+  8: string address
 }
 
+// Where a replica, or a host that can stand in for one, speaks this protocol.
 struct ReplicaPlace {
   1: string address
   2: string domain
@@ -521,6 +524,8 @@
   10: bool has_quorum
   // Hosts that follow any replica.
   11: i32 hosts
+  // Hosts that allocate when no replica of the region answers.
+  12: list<ReplicaPlace> substitutes
 }
 
 // A host asks where to send a request, or asks again while it waits.
