--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -183,10 +183,14 @@
             state.trials.note_sent()
         if evidence is not messages.Evidence.GOOD:
             _log.info(
-                'attempt {} failed at {}: {}',
-                state.job.outgoing.attempt,
-                record.upstream,
-                _describe(outcome),
+                'attempt failed',
+                extra={
+                    'attempt': state.job.outgoing.attempt,
+                    'upstream': record.upstream,
+                    'reason': _describe(outcome),
+                    'allocator': placed.allocator or 'none',
+                    'seconds': round(seconds, 3),
+                },
             )
         return outcome
 
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -144,7 +144,7 @@
         await self._listener.start(self._settings.link_address)
         await self._readiness.start(self._settings.ready_address)
         await self.server.start(self._settings.caller_address)
-        _log.info('host {} started', self._settings.host)
+        _log.info('host started')
 
     async def stop(self) -> None:
         """Turn unready, serve on, finish all requests, then close."""
@@ -167,7 +167,7 @@
         await self._readiness.close()
         await self._pool.close()
         await self._placing_pool.close()
-        _log.info('host stopped with {} requests open', left)
+        _log.info('host stopped', extra={'open_requests': left})
 
     def _create_placing(
         self,
@@ -208,8 +208,7 @@
         registry = self.selector.registry
         for row in batch.rows:
             record = records.from_row(row)
-            if registry.merge(record, now):
-                _log.debug('upstream {}', record)
+            registry.merge(record, now)
             if record.state is records.UpstreamState.GONE:
                 self.selector.shared.forget(record.upstream)
         registry.forget_departed(now)
@@ -224,11 +223,17 @@
             return
         settings = self._read_document(batch.document)
         if settings is None:
-            _log.error('version {} is invalid', batch.document_version)
+            _log.error(
+                'configuration invalid',
+                extra={'configuration_version': batch.document_version},
+            )
             return
         self.follower.document_version = batch.document_version
         self.server.routes = tables.RouteTable(settings)
-        _log.info('version {} is in force', batch.document_version)
+        _log.info(
+            'configuration in force',
+            extra={'configuration_version': batch.document_version},
+        )
 
 
 def create_host(
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -271,7 +271,10 @@
 
     def _note_failure(self, allocator: identifiers.Address) -> None:
         if allocator not in self._failed:
-            _log.warning('the allocator {} does not answer', allocator)
+            _log.warning(
+                'allocator lost',
+                extra={'allocator': allocator},
+            )
             reviving = asyncio.create_task(self._revive(allocator))
             self._failed[allocator] = reviving
 
@@ -284,7 +287,7 @@
                 break
             await self._pool.forget(allocator)
         self._failed.pop(allocator, None)
-        _log.info('the allocator {} answers again', allocator)
+        _log.info('allocator found again', extra={'allocator': allocator})
 
 
 def _withdraw(need: messages.Need) -> wire.Struct:
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -114,7 +114,7 @@
         started = asyncio.get_running_loop().time()
         routes = self.routes
         if routes is None:
-            return self._refuse('no configuration')
+            return self._refuse()
         path = request.raw_path.partition('?')[0]
         route = routes.match(request.headers.get('Host', ''), path)
         if route is None:
@@ -154,17 +154,19 @@
         concluded = await self._runner.run(job)
         if concluded.answer is not None:
             return self._pass_on(concluded.answer, concluded)
+        refusal = concluded.refusal
         _log.info(
-            'request {} on {} ended: {}',
-            attempt,
-            route.name,
-            concluded.refusal,
+            'request ended without an answer',
+            extra={
+                'attempt': attempt,
+                'route': route.name,
+                'service': service,
+                'reason': '' if refusal is None else refusal.value,
+                'is_not_run': concluded.proof is not None,
+            },
         )
         if concluded.proof is not None:
-            return self._refuse(
-                str(concluded.refusal),
-                concluded.retry_after,
-            )
+            return self._refuse(concluded.retry_after)
         if concluded.refusal is attempts.Refusal.NO_TIME:
             return web.Response(status=_GATEWAY_TIMEOUT)
         return web.Response(status=_BAD_GATEWAY)
@@ -220,13 +222,8 @@
             body=answer.body,
         )
 
-    def _refuse(
-        self,
-        reason: str,
-        retry_after: float = 0.0,
-    ) -> web.Response:
+    def _refuse(self, retry_after: float = 0.0) -> web.Response:
         """Return the promise that a request has not run and never will."""
-        _log.debug('refused: {}', reason)
         seconds = f'{retry_after or RETRY_AFTER_SECONDS:.2f}'
         own = {self._names.retry_after: seconds}
         return web.Response(status=_UNAVAILABLE, headers=own)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -118,7 +118,7 @@
     ) -> None:
         known = self._incarnations.get(host)
         if known is not None and known != incarnation:
-            _log.info('host {} has started anew', host)
+            _log.info('host started anew', extra={'peer': host})
             self._allocator.drop_host(host)
         self._incarnations[host] = incarnation
 
--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -88,7 +88,10 @@
             else:
                 return web.Response(status=_NOT_FOUND)
         except values.FormatError as error:
-            _log.info('a call of upstream {} is malformed: {}', upstream, error)
+            _log.info(
+                'call malformed',
+                extra={'upstream': upstream, 'reason': str(error)},
+            )
             return web.Response(status=_BAD_REQUEST)
         if record.state is records.UpstreamState.READY:
             self._registry.register(record)
--- a/wagtailspread/platform/processes.py
+++ b/wagtailspread/platform/processes.py
@@ -49,7 +49,7 @@
 
 
 def _note_change() -> None:
-    _log.info('the settings changed')
+    _log.info('settings changed')
 
 
 def create_retry_terms(boot: settings.BootSettings) -> budgets.RetryTerms:
@@ -86,5 +86,5 @@
         try:
             self._known = settings.load().seeds
         except (OSError, values.FormatError) as error:
-            _log.warning('the settings cannot be read: {}', error)
+            _log.warning('settings unreadable', extra={'reason': str(error)})
         return self._known
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -195,6 +195,9 @@
         now: float,
     ) -> None:
         if self.followed == address:
-            _log.warning('lost the replica {}: {}', address, reason)
+            _log.warning(
+                'replica lost',
+                extra={'replica': address, 'reason': reason},
+            )
         self.followed = None
         self._sources.avoid(address, now)
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -87,7 +87,7 @@
             await self._run_life(server, stopping)
             self._document = None
             if server.is_void:
-                _log.warning('the identity is void; starting with a new one')
+                _log.warning('identity void')
                 server.discard()
 
     async def _run_life(
@@ -118,7 +118,7 @@
         stopped: 'ExceptionGroup[drivers.ReplicaStopped]',
     ) -> None:
         failure = stopped.exceptions[0]
-        _log.error('the storage failed: {}', failure)
+        _log.error('storage failed', extra={'reason': str(failure)})
         is_damaged = isinstance(failure, drivers.ReplicaStopped) and isinstance(
             failure.failure,
             journals.StorageDamaged,
