--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -19,6 +19,9 @@
 #: Longest time without a byte of a body, in seconds.
 IDLE_SECONDS = 5.0
 
+#: Detail of the fault of a body that came too slowly.
+SLOW_BODY = 'slow body'
+
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -117,7 +120,7 @@
             async with asyncio.timeout_at(min(idle_end, self._deadline)):
                 return await self._content.read(size)
         except TimeoutError as error:
-            self.fault = _broken('slow body')
+            self.fault = _broken(SLOW_BODY)
             raise BodyFault(self.fault) from error
         except (web.RequestPayloadError, ValueError) as error:
             self.fault = _broken('malformed body')
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -25,6 +25,7 @@
 
 _MILLISECONDS = 1000
 _NOT_FOUND = 404
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _BAD_REQUEST = 400
 _BAD_GATEWAY = 502
@@ -129,7 +130,7 @@
         if request.body_exists:
             body = await self._read_body(request, limits, deadline)
             if body.fault is not None:
-                return _close(web.Response(status=body.fault.status))
+                return _close(web.Response(status=_find_status(body.fault)))
         return await self._run(request, route, body, deadline)
 
     async def _run(
@@ -273,6 +274,16 @@
     return GatewayServer(runner, names, splits)
 
 
+def _find_status(fault: requests.RequestFault) -> int:
+    """Return the status for a body that was not sent on.
+
+    One that came too slowly is no fault of its caller, and has not run.
+    """
+    if fault.detail == bodies.SLOW_BODY:
+        return _REQUEST_TIMEOUT
+    return fault.status
+
+
 def _close(response: web.Response) -> web.Response:
     response.force_close()
     return response
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -237,3 +237,16 @@
             calling.cancel()
             async with asyncio.timeout(0.5):
                 await ended.wait()
+
+
+async def test_a_body_that_comes_too_slowly_has_not_run():
+    """Guards against blaming a caller for a slow link."""
+
+    async def send_slowly():
+        yield b'start'
+        await asyncio.sleep(5)
+
+    async with run_server([], timeout=0.3) as (_, base):
+        async with asyncio.timeout(2):
+            status, _, _ = await call(base, data=send_slowly())
+    assert status == 408
