Keep most upstreams of a service in use while its requests fail

Ruled out: lost registrations (all were listed as ready), full upstreams. While more than 6% of a service's requests of the last 2 s failed, upstreams without a request for 1.4 s come first until the floor of the settings and a margin are in use.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -13,7 +13,7 @@
 import itertools
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import budgets, messages, selection
+from wagtailspread.placement import budgets, floors, messages, selection
 
 #: Waiting that one step of priority is worth, in seconds. Urgent work goes
 #: first, but a flood of it does not keep the rest waiting for ever.
@@ -35,6 +35,8 @@
 #: Time of silence after which a waiting request is dropped, in seconds; hosts
 #: ask again several times a second.
 ABANDONED_SECONDS = 1.0
+#: Share of the upstreams of a service that stay in use while requests fail.
+DEFAULT_FLOOR_SHARE = 0.7
 #: Least and most time to tell a refused caller to stay away, in seconds.
 LEAST_RETRY_AFTER = 0.2
 MOST_RETRY_AFTER = 3.0
@@ -63,10 +65,12 @@
         self,
         selector: selection.Selector,
         budget: budgets.SharedRetryBudget,
+        floor: floors.FloorKeeper,
     ) -> None:
         """Start without open requests."""
         self.selector = selector
         self._budget = budget
+        self._floor = floor
         self._numbers = itertools.count()
         self._leases: dict[identifiers.RequestId, _Lease] = {}
         self._waiting: dict[identifiers.RequestId, _Waiting] = {}
@@ -107,6 +111,7 @@
         if lease is not None:
             host = lease.need.host
             self.selector.finish(lease.upstream)
+            self._note_end(lease.need, evidence, now)
             is_known_bad = lease.is_overdue and (
                 evidence is messages.Evidence.BAD
             )
@@ -216,14 +221,53 @@
             least = min(one.cost for one in candidates)
             limit = least + PATIENCE_COST
             free = [one for one in free if one.cost <= limit]
-        chosen = self.selector.draw(free)
+        chosen = self.selector.draw(
+            self._keep_floor(need, candidates, free, now)
+        )
         if chosen is None:
             return None
         record = chosen.row.record
+        self._floor.note_use(record.upstream, now)
         self._leases[need.request] = _Lease(need, record.upstream, now)
         self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
+    def _keep_floor(
+        self,
+        need: messages.Need,
+        candidates: list[selection.Candidate],
+        free: list[selection.Candidate],
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Return the upstreams to draw from.
+
+        Those that are idle come first while the service is strained and too
+        few of its upstreams in the region are in use.
+        """
+        if not self._floor.is_strained(need.service, now):
+            return free
+        near = [one for one in candidates if one.is_near]
+        idle = self._floor.find_idle(
+            [one.row.record.upstream for one in near],
+            now,
+        )
+        unused = [
+            one
+            for one in near
+            if one.row.record.upstream in idle and not one.is_full
+        ]
+        return unused or free
+
+    def _note_end(
+        self,
+        need: messages.Need,
+        evidence: messages.Evidence,
+        now: float,
+    ) -> None:
+        if evidence is not messages.Evidence.NONE:
+            is_served = evidence is messages.Evidence.GOOD
+            self._floor.note_end(need.service, is_served, now)
+
     def _can_wait(self, need: messages.Need, now: float) -> bool:
         """Tell whether a slot is likely to become free in time."""
         seconds = self._find_seconds(need, now)
@@ -250,6 +294,7 @@
         now: float,
     ) -> messages.Answer:
         """Refuse a request, with the time after which there may be room."""
+        self._floor.note_end(need.service, False, now)
         wait = self._find_wait(need, self._find_seconds(need, now))
         retry_after = min(max(wait, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
         return messages.Answer(decision, None, retry_after)
@@ -277,6 +322,11 @@
 def create_allocator(
     selector: selection.Selector,
     budget: budgets.SharedRetryBudget,
+    floor_share: float = DEFAULT_FLOOR_SHARE,
 ) -> Allocator:
-    """Return an allocator without open requests."""
-    return Allocator(selector, budget)
+    """Return an allocator without open requests.
+
+    :param floor_share: of the upstreams that stay in use while requests fail.
+    """
+    floor = floors.FloorKeeper(floor_share)
+    return Allocator(selector, budget, floor)
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -25,11 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """An upstream that may take a request, and what that would cost."""
+    """An upstream that may take a request, and what that would cost.
+
+    :param is_near: whether it is in the region of the request's host.
+    """
 
     row: tables.RegistryRow
     cost: float
     is_full: bool
+    is_near: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,7 +161,12 @@
         if upstream in self.silent:
             cost += costs.SILENT_COST
         cost += place.find_distance_cost(record.domain, need.size)
-        return Candidate(row, cost, open_requests >= record.slots)
+        return Candidate(
+            row,
+            cost,
+            open_requests >= record.slots,
+            place.is_same_region(record.domain),
+        )
 
 
 def create_selector(
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -227,6 +227,45 @@
     assert stuck <= 5
 
 
+def test_most_upstreams_stay_in_use_while_many_requests_fail():
+    """Guards against idle upstreams beside requests that are not served.
+
+    Load pattern: upstreams are released one after the other and answers are
+    lost, so that a quarter of the requests fails; the doubts leave most of the
+    upstreams unused although some of them would serve.
+    """
+    region = Region(upstreams=11, slots=6)
+    for number in range(11):
+        for _ in range(3 if number > 3 else 0):
+            region.selector.shared.add_bad(f'u{number}', 0.0)
+    used = collections.deque()
+    for step in range(200):
+        region.now = step * 0.05
+        request, answer = region.submit()
+        used.append((region.now, answer.record.upstream))
+        evidence = messages.Evidence.GOOD
+        if step % 4 == 0:
+            evidence = messages.Evidence.BAD
+        region.settle(request, answer, evidence)
+        while used[0][0] < region.now - 2.0:
+            used.popleft()
+        if region.now > 3:
+            assert len({upstream for _, upstream in used}) >= 0.7 * 11
+
+
+def test_doubtful_upstreams_are_left_alone_while_requests_succeed():
+    """Guards against losing requests for the sake of the floor alone."""
+    region = Region(upstreams=11, slots=6)
+    for number in range(4, 11):
+        for _ in range(3):
+            region.selector.shared.add_bad(f'u{number}', 0.0)
+    for step in range(40):
+        region.now = step * 0.05
+        request, answer = region.submit()
+        assert answer.record.upstream in {'u0', 'u1', 'u2', 'u3'}
+        region.settle(request, answer)
+
+
 def test_slots_of_a_host_that_starts_anew_are_free_again():
     """Guards against slots that are lost when hosts are killed."""
     region = Region(upstreams=1, slots=2)
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -50,7 +50,11 @@
     terms = processes.create_retry_terms(boot)
     budget = budgets.create_budget(terms, lambda: regions)
     selector = selection.create_selector(table, boot.regions)
-    allocator = allocators.create_allocator(selector, budget)
+    allocator = allocators.create_allocator(
+        selector,
+        budget,
+        boot.bounds.get('floorShare', allocators.DEFAULT_FLOOR_SHARE),
+    )
     return placing_services.create_service(
         allocator,
         clock,
