--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -207,11 +207,10 @@
         now = self._clock.now()
         registry = self.selector.registry
         for row in batch.rows:
-            record = records.from_row(row)
-            registry.merge(record, now)
-            if record.state is records.UpstreamState.GONE:
-                self.selector.shared.forget(record.upstream)
-        registry.forget_departed(now)
+            registry.merge(records.from_row(row), now)
+        if batch.rows:
+            registry.forget_departed(now)
+            self.selector.prune(now)
         self.selector.silent = frozenset(batch.silent)
         self._hosts = batch.hosts
         self._placer.learn(batch.replicas, batch.substitutes)
--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -20,6 +20,7 @@
 
 import dataclasses
 import math
+import typing
 
 from wagtailspread.core import identifiers
 
@@ -154,9 +155,14 @@
         doubt = self._doubts.get(upstream)
         return doubt is not None and now - doubt.shed_at < SHED_SECONDS
 
-    def forget(self, upstream: identifiers.UpstreamId) -> None:
-        """Drop what is known of an upstream that left."""
-        self._doubts.pop(upstream, None)
+    def keep(
+        self,
+        upstreams: typing.Container[identifiers.UpstreamId],
+    ) -> None:
+        """Drop what is known of all other upstreams."""
+        for upstream in list(self._doubts):
+            if upstream not in upstreams:
+                self._doubts.pop(upstream)
 
     def _find(self, upstream: identifiers.UpstreamId) -> Doubt:
         doubt = self._doubts.get(upstream)
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -58,6 +58,12 @@
     asked_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Decided:
+    answer: messages.Answer
+    decided_at: float
+
+
 class Allocator:
     """Places the requests of a region. Use :func:`create_allocator`."""
 
@@ -74,7 +80,7 @@
         self._numbers = itertools.count()
         self._leases: dict[identifiers.RequestId, _Lease] = {}
         self._waiting: dict[identifiers.RequestId, _Waiting] = {}
-        self._granted: dict[identifiers.RequestId, messages.Answer] = {}
+        self._decided: dict[identifiers.RequestId, _Decided] = {}
 
     def submit(self, need: messages.Need, now: float) -> messages.Answer:
         """Place a request, or tell that it waits or why it is refused.
@@ -85,7 +91,7 @@
         if waiting is not None:
             waiting.asked_at = now
             return messages.Answer(messages.Decision.WAITING)
-        decided = self._granted.pop(need.request, None)
+        decided = self.take_decision(need.request)
         if decided is not None:
             return decided
         if need.is_repeat:
@@ -106,7 +112,7 @@
         """End an open request and take what it showed of its upstream."""
         lease = self._leases.pop(request, None)
         self._waiting.pop(request, None)
-        self._granted.pop(request, None)
+        self._decided.pop(request, None)
         host = identifiers.HostId('')
         if lease is not None:
             host = lease.need.host
@@ -132,6 +138,7 @@
     def tick(self, now: float) -> list[identifiers.RequestId]:
         """Grant free slots to what waits; return what was decided."""
         self._end_overdue(now)
+        self._drop_unheard(now)
         decided: list[identifiers.RequestId] = []
         ordered = sorted(self._waiting.values(), key=lambda one: one.order)
         blocked: set[identifiers.ServiceName] = set()
@@ -146,7 +153,7 @@
                 blocked.add(need.service)
             else:
                 self._waiting.pop(need.request)
-                self._granted[need.request] = answer
+                self._decided[need.request] = _Decided(answer, now)
                 decided.append(need.request)
         return decided
 
@@ -155,7 +162,8 @@
         request: identifiers.RequestId,
     ) -> messages.Answer | None:
         """Return the decision on a request that waited."""
-        return self._granted.pop(request, None)
+        decided = self._decided.pop(request, None)
+        return None if decided is None else decided.answer
 
     def count_waiting(self) -> int:
         """Return the number of requests that wait."""
@@ -299,6 +307,16 @@
         retry_after = min(max(wait, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
         return messages.Answer(decision, None, retry_after)
 
+    def _drop_unheard(self, now: float) -> None:
+        """Drop decisions that no host has asked for; free their slots."""
+        for request, decided in list(self._decided.items()):
+            if now - decided.decided_at <= ABANDONED_SECONDS:
+                continue
+            self._decided.pop(request)
+            lease = self._leases.pop(request, None)
+            if lease is not None:
+                self.selector.finish(lease.upstream)
+
     def _end_overdue(self, now: float) -> None:
         """Count late requests as failed, and end those of failed hosts."""
         for request, lease in list(self._leases.items()):
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -102,6 +102,13 @@
         else:
             self._open.pop(upstream, None)
 
+    def prune(self, now: float) -> None:
+        """Drop what is known of upstreams that the registry has forgotten."""
+        self.shared.keep(self.registry.rows)
+        for path, until in list(self._blocked.items()):
+            if until < now:
+                self._blocked.pop(path)
+
     def take_evidence(
         self,
         host: identifiers.HostId,
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -15,6 +15,8 @@
 
 #: Time between two looks for overdue requests, in seconds.
 TICK_SECONDS = 0.05
+#: Time between two looks for upstreams that are forgotten, in seconds.
+PRUNE_SECONDS = 10.0
 _MILLISECONDS = 1000
 
 _log = logbook.Logger('placement')
@@ -52,11 +54,16 @@
 
     async def run(self) -> None:
         """Look after waiting and overdue requests until cancelled."""
+        selector = self._allocator.selector
+        prune_at = self._clock.now() + PRUNE_SECONDS
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.now()
-            self._allocator.selector.silent = self._find_silent(now)
+            selector.silent = self._find_silent(now)
             self._tick()
+            if now >= prune_at:
+                prune_at = now + PRUNE_SECONDS
+                selector.prune(now)
 
     async def _place(
         self,
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -356,3 +356,15 @@
     region.settle(*first)
     assert not region.allocator.tick(region.now)
     assert region.submit()[1].decision is _GRANTED
+
+
+def test_a_decision_that_no_host_asks_for_frees_its_slot():
+    """Guards against slots and memory lost to hosts that are cut off."""
+    region = Region(upstreams=1, slots=1)
+    first = region.submit()
+    region.submit(deadline=60.0)
+    region.settle(*first)
+    assert len(region.allocator.tick(0.0)) == 1
+    region.now = allocators.ABANDONED_SECONDS + 0.1
+    region.allocator.tick(region.now)
+    assert region.submit()[1].decision is _GRANTED
