Keep the floor over all regions; end the search for an allocator in time

Cause, by reading the rule beside the code: the floor counts the upstreams of both regions, and an allocator whose own requests succeed does not know that a service is strained elsewhere. Replicas now tell each other at once. Each has a test that fails without it.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -161,11 +161,12 @@
                     self._start_settling(allocator, [_withdraw(need)])
                     self._note_failure(allocator)
                     return None
-                if answer.decision is not messages.Decision.WAITING:
+                if answer.decision is messages.Decision.WAITING:
+                    continue
+                if self._clock.now() < need.deadline:
                     return answer
-                if self._clock.now() >= need.deadline:
-                    self._start_settling(allocator, [_withdraw(need)])
-                    return messages.Answer(messages.Decision.NO_ROOM)
+                self._start_settling(allocator, [_withdraw(need)])
+                return messages.Answer(messages.Decision.NO_ROOM)
         except asyncio.CancelledError:
             self._start_settling(allocator, [_withdraw(need)])
             raise
@@ -175,9 +176,12 @@
         allocator: identifiers.Address,
         need: messages.Need,
     ) -> messages.Answer | None:
+        left = need.deadline - self._clock.now()
+        if left <= 0:
+            return messages.Answer(messages.Decision.NO_ROOM)
         limit = WAIT_SECONDS + ANSWER_SECONDS
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(min(limit, left)):
                 answer = await self._pool.find(allocator).call(
                     wire.methods.PLACE,
                     self._write_need(need),
@@ -185,6 +189,9 @@
                     limit,
                 )
         except TimeoutError:
+            if left < limit:
+                # The time of the request is over, whatever the allocator does.
+                return messages.Answer(messages.Decision.NO_ROOM)
             return None
         if not isinstance(answer, result.Success):
             return None
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -139,6 +139,22 @@
     silent.close()
 
 
+async def test_a_request_is_not_held_past_its_deadline():
+    """Guards against looking for allocators when time is over."""
+    silent = await asyncio.start_server(
+        lambda _reader, _writer: asyncio.sleep(10),
+        '127.0.0.1',
+        0,
+    )
+    port = silent.sockets[0].getsockname()[1]
+    placer = create_placer(f'127.0.0.1:{port}')
+    async with asyncio.timeout(0.25):
+        placed = await placer.place(create_need(placer, seconds=0.05))
+    assert placed.answer.decision is messages.Decision.NO_ROOM
+    await placer.close()
+    silent.close()
+
+
 def test_replicas_of_the_region_come_before_hosts_of_it():
     """Guards against asking another region, and against different orders."""
     placer = create_placer()
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -76,7 +76,7 @@
         """Start without open requests."""
         self.selector = selector
         self._budget = budget
-        self._floor = floor
+        self.floor = floor
         self._numbers = itertools.count()
         self._leases: dict[identifiers.RequestId, _Lease] = {}
         self._waiting: dict[identifiers.RequestId, _Waiting] = {}
@@ -235,7 +235,7 @@
         if chosen is None:
             return None
         record = chosen.row.record
-        self._floor.note_use(record.upstream, now)
+        self.floor.note_use(record.upstream, now)
         self._leases[need.request] = _Lease(need, record.upstream, now)
         self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
@@ -252,10 +252,10 @@
         Those that are idle come first while the service is strained and too
         few of its upstreams in the region are in use.
         """
-        if not self._floor.is_strained(need.service, now):
+        if not self.floor.is_strained(need.service, now):
             return free
         near = [one for one in candidates if one.is_near]
-        idle = self._floor.find_idle(
+        idle = self.floor.find_idle(
             [one.row.record.upstream for one in near],
             now,
         )
@@ -274,7 +274,7 @@
     ) -> None:
         if evidence is not messages.Evidence.NONE:
             is_served = evidence is messages.Evidence.GOOD
-            self._floor.note_end(need.service, is_served, now)
+            self.floor.note_end(need.service, is_served, now)
 
     def _can_wait(self, need: messages.Need, now: float) -> bool:
         """Tell whether a slot is likely to become free in time."""
@@ -302,7 +302,7 @@
         now: float,
     ) -> messages.Answer:
         """Refuse a request, with the time after which there may be room."""
-        self._floor.note_end(need.service, False, now)
+        self.floor.note_end(need.service, False, now)
         wait = self._find_wait(need, self._find_seconds(need, now))
         retry_after = min(max(wait, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
         return messages.Answer(decision, None, retry_after)
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -42,6 +42,27 @@
         self._share = share
         self._ends: dict[identifiers.ServiceName, _Ends] = {}
         self._used: dict[identifiers.UpstreamId, float] = {}
+        self._strained_elsewhere: set[identifiers.ServiceName] = set()
+
+    def note_strained(
+        self,
+        services: set[identifiers.ServiceName],
+    ) -> None:
+        """Take the services that are strained at other allocators.
+
+        The floor counts all upstreams of a service, so a region in which
+        nothing fails has to keep its part as well.
+        """
+        self._strained_elsewhere = services
+
+    def list_strained(
+        self,
+        now: float,
+    ) -> frozenset[identifiers.ServiceName]:
+        """Return the services of which many requests failed here."""
+        return frozenset(
+            service for service in self._ends if self._has_failed(service, now)
+        )
 
     def note_end(
         self,
@@ -63,15 +84,9 @@
         now: float,
     ) -> bool:
         """Tell whether many requests of a service failed of late."""
-        ends = self._ends.get(service)
-        if ends is None:
-            return False
-        while ends and ends[0][0] < now - WINDOW_SECONDS:
-            ends.popleft()
-        if len(ends) < LEAST_ENDS:
-            return False
-        failed = sum(not is_served for _, is_served in ends)
-        return failed > STRAINED_SHARE * len(ends)
+        if service in self._strained_elsewhere:
+            return True
+        return self._has_failed(service, now)
 
     def find_idle(
         self,
@@ -88,3 +103,18 @@
         if in_use >= (self._share + MARGIN) * len(upstreams):
             return set()
         return idle
+
+    def _has_failed(
+        self,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> bool:
+        ends = self._ends.get(service)
+        if ends is None:
+            return False
+        while ends and ends[0][0] < now - WINDOW_SECONDS:
+            ends.popleft()
+        if len(ends) < LEAST_ENDS:
+            return False
+        failed = sum(not is_served for _, is_served in ends)
+        return failed > STRAINED_SHARE * len(ends)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -22,6 +22,19 @@
 _log = logbook.Logger('placement')
 
 
+class Neighbours(typing.Protocol):
+    """What the allocators of other regions find out."""
+
+    def note_strained(
+        self,
+        strained: frozenset[identifiers.ServiceName],
+    ) -> None:
+        """Tell them of which services many requests fail here."""
+
+    def list_strained(self) -> set[identifiers.ServiceName]:
+        """Return the services of which many requests fail there."""
+
+
 class PlacementService:
     """Answers hosts. Use :func:`create_service`.
 
@@ -37,8 +50,10 @@
             [float],
             typing.Collection[identifiers.UpstreamId],
         ],
+        neighbours: Neighbours | None = None,
     ) -> None:
         """Keep the allocator."""
+        self._neighbours = neighbours
         self._allocator = allocator
         self._clock = clock
         self._find_silent = find_silent
@@ -60,11 +75,18 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.now()
             selector.silent = self._find_silent(now)
+            self._exchange_strain(now)
             self._tick()
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 selector.prune(now)
 
+    def _exchange_strain(self, now: float) -> None:
+        if self._neighbours is not None:
+            floor = self._allocator.floor
+            self._neighbours.note_strained(floor.list_strained(now))
+            floor.note_strained(self._neighbours.list_strained())
+
     async def _place(
         self,
         _call: listeners.Call,
@@ -164,6 +186,7 @@
         [float],
         typing.Collection[identifiers.UpstreamId],
     ],
+    neighbours: Neighbours | None = None,
 ) -> PlacementService:
     """Return a service that is not running."""
-    return PlacementService(allocator, clock, find_silent)
+    return PlacementService(allocator, clock, find_silent, neighbours)
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -253,6 +253,22 @@
             assert len({upstream for _, upstream in used}) >= 0.7 * 11
 
 
+def test_a_region_without_failures_keeps_its_part_of_the_floor():
+    """Guards against idle upstreams of a service that fails elsewhere."""
+    region = Region(upstreams=10, slots=6)
+    for number in range(2, 10):
+        for _ in range(3):
+            region.selector.shared.add_bad(f'u{number}', 0.0)
+    region.allocator.floor.note_strained({'columns'})
+    used = set()
+    for step in range(30):
+        region.now = step * 0.05
+        request, answer = region.submit()
+        used.add(answer.record.upstream)
+        region.settle(request, answer)
+    assert len(used) >= 7
+
+
 def test_doubtful_upstreams_are_left_alone_while_requests_succeed():
     """Guards against losing requests for the sake of the floor alone."""
     region = Region(upstreams=11, slots=6)
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -59,6 +59,7 @@
         allocator,
         clock,
         table.list_silent,
+        registry,
     )
 
 
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -73,6 +73,7 @@
         self._domains = {address: domain}
         self._remote_hosts: dict[identifiers.Address, messages.Struct] = {}
         self._peers: dict[identifiers.Address, asyncio.Task[None]] = {}
+        self._strained: frozenset[identifiers.ServiceName] = frozenset()
 
     def attach(
         self,
@@ -131,6 +132,23 @@
             sequence=0,
         )
 
+    def note_strained(
+        self,
+        strained: frozenset[identifiers.ServiceName],
+    ) -> None:
+        """Tell the other replicas of which services many requests fail."""
+        if strained != self._strained:
+            self._strained = strained
+            self.feed.wake()
+
+    def list_strained(self) -> set[identifiers.ServiceName]:
+        """Return the services that other replicas told of."""
+        return {
+            identifiers.ServiceName(service)
+            for batch in self._remote_hosts.values()
+            for service in batch.strained
+        }
+
     def find_nearest(
         self,
         domain: identifiers.FailureDomain,
@@ -262,6 +280,7 @@
         neighbourhood = self._neighbourhood
         hosts = self.feed.list_hosts(self._clock.now())
         batch.hosts = len(hosts)
+        batch.strained = sorted(self._strained) if request.is_replica else []
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_places(request)
         batch.document_version = documents.NO_VERSION
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -88,3 +88,12 @@
     await follow(second, 'h2', 'south')
     first._learn('r2:1', await follow(second, 'r1:1', 'north', is_replica=True))
     assert (await follow(first, 'h1', 'north')).hosts == 2
+
+
+async def test_replicas_tell_each_other_of_strained_services():
+    """Guards against a floor that each region keeps for itself only."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'far')
+    first.note_strained(frozenset(['columns']))
+    second._learn('r1:1', await follow(first, 'r2:1', 'far', is_replica=True))
+    assert second.list_strained() == {'columns'}
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -526,6 +526,8 @@
   11: i32 hosts
   // Hosts that allocate when no replica of the region answers.
   12: list<ReplicaPlace> substitutes
+  // Services of which many requests fail at the allocator of this replica.
+  13: list<string> strained
 }
 
 // A host asks where to send a request, or asks again while it waits.
