--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -10,7 +10,7 @@
 
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.entry import announcements, answers, forwarding, interfaces
-from wagtailspread.entry import ledgers, protections, requests
+from wagtailspread.entry import ledgers, protections, requests, sites
 
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
@@ -49,55 +49,31 @@
         self._gate = gate
         self._readiness = readiness
         self._read_status = read_status
-        self._limits = limits
         self._read_metrics = read_metrics
-        self._runner: web.ServerRunner | None = None
-        self._server: protections.GuardedServer | None = None
-        self._site: web.TCPSite | None = None
-        self._is_closing = False
+        self.site = sites.create_site(self.handle, limits)
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
-        ip, _, port = address.rpartition(':')
-        self._server = protections.create_server(self.handle, self._limits)
-        self._runner = web.ServerRunner(self._server)
-        await self._runner.setup()
-        self._site = web.TCPSite(self._runner, ip, int(port), backlog=1024)
-        await self._site.start()
-        bound = self._runner.addresses[0]
-        return identifiers.Address(f'{bound[0]}:{bound[1]}')
+        return await self.site.start(address)
 
     def close_after_answers(self) -> None:
         """Close each connection of a caller after its next answer."""
-        self._is_closing = True
+        self.site.close_after_answers()
 
     async def stop_listening(self) -> None:
         """Accept no new connections; the open ones stay."""
-        if self._site is not None:
-            await self._site.stop()
+        await self.site.stop_listening()
 
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
-        return 0 if self._server is None else self._server.count_active()
+        return self.site.count_active()
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self.site.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        protocol = protections.enter(request)
-        try:
-            response = await self._handle(request)
-        finally:
-            if protocol is not None:
-                protocol.leave()
-        if self._is_closing and not response.prepared:
-            response.force_close()
-        return response
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         target = request.raw_path
         if target.startswith(OWN_PREFIX):
             return await self._handle_own(request, target)
--- /dev/null
+++ b/wagtailspread/entry/sites.py
@@ -0,0 +1,81 @@
+"""A guarded HTTP listener with a graceful end."""
+
+import typing
+
+from aiohttp import web
+
+from wagtailspread.core import identifiers
+from wagtailspread.entry import protections
+
+#: New connections that may wait to be accepted.
+BACKLOG = 1024
+
+Handler = typing.Callable[
+    [web.BaseRequest],
+    typing.Awaitable[web.StreamResponse],
+]
+
+
+class GuardedSite:
+    """Serves callers on one address. Use :func:`create_site`."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: protections.HeadLimits,
+    ) -> None:
+        """Keep the handler; nothing is opened yet."""
+        self._handler = handler
+        self._limits = limits
+        self._runner: web.ServerRunner | None = None
+        self._server: protections.GuardedServer | None = None
+        self._site: web.TCPSite | None = None
+        self._is_closing = False
+
+    async def start(self, address: identifiers.Address) -> identifiers.Address:
+        """Listen on ``address`` and return it with the port in use."""
+        ip, _, port = address.rpartition(':')
+        self._server = protections.create_server(self._handle, self._limits)
+        self._runner = web.ServerRunner(self._server)
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
+        await self._site.start()
+        bound = self._runner.addresses[0]
+        return identifiers.Address(f'{bound[0]}:{bound[1]}')
+
+    def close_after_answers(self) -> None:
+        """Close each connection of a caller after its next answer."""
+        self._is_closing = True
+
+    async def stop_listening(self) -> None:
+        """Accept no new connections; the open ones stay."""
+        if self._site is not None:
+            await self._site.stop()
+
+    def count_active(self) -> int:
+        """Return the number of requests being received or handled."""
+        return 0 if self._server is None else self._server.count_active()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        protocol = protections.enter(request)
+        try:
+            response = await self._handler(request)
+        finally:
+            if protocol is not None:
+                protocol.leave()
+        if self._is_closing and not response.prepared:
+            response.force_close()
+        return response
+
+
+def create_site(
+    handler: Handler,
+    limits: protections.HeadLimits,
+) -> GuardedSite:
+    """Return a listener that is not started."""
+    return GuardedSite(handler, limits)
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -143,7 +143,7 @@
         ]
         await self._listener.start(self._settings.link_address)
         await self._readiness.start(self._settings.ready_address)
-        await self.server.start(self._settings.caller_address)
+        await self.server.site.start(self._settings.caller_address)
         _log.info('host started')
 
     async def stop(self) -> None:
@@ -151,13 +151,13 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + self._settings.stop_seconds - CLOSING_SECONDS
         self._is_stopping = True
-        self.server.close_after_answers()
+        self.server.site.close_after_answers()
         await asyncio.sleep(ACCEPT_SECONDS)
-        await self.server.stop_listening()
-        while self.server.count_active() and loop.time() < until:
+        await self.server.site.stop_listening()
+        while self.server.site.count_active() and loop.time() < until:
             await asyncio.sleep(STOP_STEP_SECONDS)
-        left = self.server.count_active()
-        await self.server.close()
+        left = self.server.site.count_active()
+        await self.server.site.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import bodies, protections, requests
+from wagtailspread.entry import bodies, protections, requests, sites
 from wagtailspread.gateway import attempts, exchanges, headers
 from wagtailspread.routing import tables, terms
 
@@ -41,6 +41,7 @@
     """Serves callers. Use :func:`create_server`.
 
     :param routes: the routes in force; ``None`` until they are known.
+    :param site: its listener.
     """
 
     def __init__(
@@ -54,64 +55,19 @@
         self._runner = runner
         self._names = names
         self._splits = splits
-        self._site_runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
-        self._server: protections.GuardedServer | None = None
-        self._is_closing = False
-
-    async def start(self, address: identifiers.Address) -> None:
-        """Listen on ``address``."""
         limits = terms.CallerLimits()
-        self._server = protections.create_server(
+        idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
+        self.site = sites.create_site(
             self.handle,
             protections.HeadLimits(
-                seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
+                seconds=idle_seconds,
                 field_bytes=limits.header_bytes,
-                keepalive_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
+                keepalive_seconds=idle_seconds,
             ),
         )
-        self._site_runner = web.ServerRunner(self._server)
-        await self._site_runner.setup()
-        ip, _, port = address.rpartition(':')
-        self._site = web.TCPSite(
-            self._site_runner,
-            ip,
-            int(port),
-            backlog=1024,
-        )
-        await self._site.start()
-
-    def close_after_answers(self) -> None:
-        """Close each connection of a caller after its next answer."""
-        self._is_closing = True
-
-    async def stop_listening(self) -> None:
-        """Accept no new connections; the open ones stay."""
-        if self._site is not None:
-            await self._site.stop()
-
-    def count_active(self) -> int:
-        """Return the number of requests being received or handled."""
-        return 0 if self._server is None else self._server.count_active()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._site_runner is not None:
-            await self._site_runner.cleanup()
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
-        protocol = protections.enter(request)
-        try:
-            response = await self._handle(request)
-        finally:
-            if protocol is not None:
-                protocol.leave()
-        if self._is_closing:
-            response.force_close()
-        return response
-
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
         started = asyncio.get_running_loop().time()
         routes = self.routes
         if routes is None:
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -78,12 +78,11 @@
     route = create_route(kind, **changes)
     settings = terms.RoutingSettings(1, (route,), {'columns': 390})
     server.routes = tables.RouteTable(settings)
-    await server.start('127.0.0.1:0')
-    port = server._site_runner.addresses[0][1]
+    address = await server.site.start('127.0.0.1:0')
     try:
-        yield server, f'http://127.0.0.1:{port}'
+        yield server, f'http://{address}'
     finally:
-        await server.close()
+        await server.site.close()
         await exchanger.close()
 
 
