Give upstreams that join a first request soon

Ruled out: registration (they were listed as ready), warm-up (it was over). An upstream without results is now rated almost like a sound one; the replay of a steady flow in which one joins fails without it.

--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -28,8 +28,11 @@
 SOUND_FAILURE_SHARE = 0.015
 #: Share of the requests that a gray upstream fails.
 GRAY_FAILURE_SHARE = 0.7
-#: Probability that an upstream of which nothing is known is gray.
+#: Probability that an upstream is gray, to which older results drift.
 USUAL_GRAY_SHARE = 0.2
+#: The same for an upstream without results. It has joined of late, and gets
+#: work only if it seems about as good as those that are known to be sound.
+NEW_GRAY_SHARE = 0.02
 #: Time constant of the drift to the usual probability, in seconds.
 DRIFT_SECONDS = 6.0
 #: Least and largest probability, so that a change of state is seen soon.
@@ -125,7 +128,7 @@
     ) -> float:
         """Return the probability that the next request fails."""
         doubt = self._doubts.get(upstream)
-        gray = USUAL_GRAY_SHARE if doubt is None else _drift(doubt, now)
+        gray = NEW_GRAY_SHARE if doubt is None else _drift(doubt, now)
         extra = GRAY_FAILURE_SHARE - SOUND_FAILURE_SHARE
         return SOUND_FAILURE_SHARE + gray * extra
 
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -282,6 +282,24 @@
         region.settle(request, answer)
 
 
+def test_an_upstream_that_joins_gets_work():
+    """Guards against new upstreams that stay idle beside known ones.
+
+    Load pattern: a steady flow that the known upstreams carry with ease.
+    """
+    region = Region(upstreams=10, slots=6)
+    for number in range(10):
+        region.selector.shared.add_good(f'u{number}', 30, 15.0, 0.0)
+    region.selector.registry.merge(create_record('joined', slots=6), 0.0)
+    used = set()
+    for step in range(80):
+        region.now = step * 0.05
+        request, answer = region.submit()
+        used.add(answer.record.upstream)
+        region.settle(request, answer)
+    assert 'joined' in used
+
+
 def test_slots_of_a_host_that_starts_anew_are_free_again():
     """Guards against slots that are lost when hosts are killed."""
     region = Region(upstreams=1, slots=2)
