Keep idle connections as long as the configuration says

Cause: connections of callers were closed after the default idle time whatever the limits of the configuration in force; a deployment with a longer one would have had requests meet a closing connection. Found by reading; the sites of today have the default. The test fails without the change.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -179,6 +179,10 @@
             read_bufsize=self._limits.field_bytes * 8,
         )
 
+    def change_limits(self, limits: HeadLimits) -> None:
+        """Take other limits for the connections that come from now on."""
+        self._limits = limits
+
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
         active = [
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -43,6 +43,12 @@
         bound = self._runner.addresses[0]
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
+    def change_limits(self, limits: protections.HeadLimits) -> None:
+        """Take other limits for the connections that come from now on."""
+        self._limits = limits
+        if self._server is not None:
+            self._server.change_limits(limits)
+
     def close_after_answers(self) -> None:
         """Close each connection of a caller after its next answer."""
         self._is_closing = True
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -228,7 +228,7 @@
             )
             return
         self.follower.document_version = batch.document_version
-        self.server.routes = tables.RouteTable(settings)
+        self.server.put_in_force(settings)
         _log.info(
             'configuration in force',
             extra={'configuration_version': batch.document_version},
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -55,17 +55,16 @@
         self._runner = runner
         self._names = names
         self._splits = splits
-        limits = terms.CallerLimits()
-        idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
         self.site = sites.create_site(
             self.handle,
-            protections.HeadLimits(
-                seconds=idle_seconds,
-                field_bytes=limits.header_bytes,
-                keepalive_seconds=idle_seconds,
-            ),
+            _create_head_limits(terms.CallerLimits()),
         )
 
+    def put_in_force(self, settings: terms.RoutingSettings) -> None:
+        """Handle requests by these routes and limits from now on."""
+        self.routes = tables.RouteTable(settings)
+        self.site.change_limits(_create_head_limits(settings.limits))
+
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
         started = asyncio.get_running_loop().time()
@@ -230,6 +229,19 @@
     return GatewayServer(runner, names, splits)
 
 
+def _create_head_limits(limits: terms.CallerLimits) -> protections.HeadLimits:
+    """Return the limits of connections.
+
+    A caller may be silent before its first request as between two others.
+    """
+    idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
+    return protections.HeadLimits(
+        seconds=idle_seconds,
+        field_bytes=limits.header_bytes,
+        keepalive_seconds=idle_seconds,
+    )
+
+
 def _find_status(fault: requests.RequestFault) -> int:
     """Return the status for a body that was not sent on.
 
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -77,7 +77,7 @@
     )
     route = create_route(kind, **changes)
     settings = terms.RoutingSettings(1, (route,), {'columns': 390})
-    server.routes = tables.RouteTable(settings)
+    server.put_in_force(settings)
     address = await server.site.start('127.0.0.1:0')
     try:
         yield server, f'http://{address}'
@@ -207,7 +207,7 @@
         assert (await call(base, headers=other))[0] == 404
         small = terms.CallerLimits(body_bytes=10)
         settings = dataclasses.replace(server.routes.settings, limits=small)
-        server.routes = tables.RouteTable(settings)
+        server.put_in_force(settings)
         assert (await call(base, data=b'x' * 11))[0] == 413
 
 
@@ -249,3 +249,16 @@
         async with asyncio.timeout(2):
             status, _, _ = await call(base, data=send_slowly())
     assert status == 408
+
+
+async def test_idle_connections_stay_open_as_long_as_configured():
+    """Guards against closing a connection that a caller may still use."""
+    async with run_server([]) as (server, base):
+        patient = terms.CallerLimits(idle_seconds=60.0)
+        settings = dataclasses.replace(server.routes.settings, limits=patient)
+        server.put_in_force(settings)
+        async with aiohttp.ClientSession() as session:
+            async with session.get(base + '/b/') as answer:
+                assert answer.status == 404
+            (connection,) = server.site._server.connections
+            assert connection._keepalive_timeout >= 60
