Refuse routes without time and two routes at one place

Two routes with one host and prefix are refused as well: the platform's list of disruptions has them, and which one holds is not said. The new cases fail without the change.

--- a/wagtailspread/platform/tests/test_documents.py
+++ b/wagtailspread/platform/tests/test_documents.py
@@ -78,6 +78,7 @@
         {'pathPrefix': 'a/'},
         {'kind': 'other'},
         {'timeout': 5000},
+        {'timeout': '0ms'},
         {'name': None},
     ],
 )
--- a/wagtailspread/routing/terms.py
+++ b/wagtailspread/routing/terms.py
@@ -90,6 +90,10 @@
     OBJECTIVE_BEYOND_TIMEOUT = 'objective-beyond-timeout'
     NO_ATTEMPTS = 'no-attempts'
     BARE_PREFIX = 'bare-prefix'
+    #: A timeout of zero: no request could be served.
+    NO_TIMEOUT = 'no-timeout'
+    #: Two routes with one host and prefix: which one holds is not said.
+    SAME_PLACE = 'same-place'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,8 +106,13 @@
 
 def find_fault(settings: RoutingSettings) -> RouteFault | None:
     """Return the first thing that makes a configuration invalid."""
+    places: set[tuple[str, str]] = set()
     for route in settings.routes:
         kind = _check_route(route, settings)
+        place = (route.host.lower(), route.prefix)
+        if place in places:
+            kind = FaultKind.SAME_PLACE
+        places.add(place)
         if kind is not None:
             return RouteFault(route.name, kind)
     return None
@@ -117,6 +126,8 @@
         return FaultKind.BARE_PREFIX
     if route.max_attempts < 1:
         return FaultKind.NO_ATTEMPTS
+    if route.timeout is not None and route.timeout <= 0:
+        return FaultKind.NO_TIMEOUT
     if route.objective is not None and route.timeout is not None:
         excess = route.objective - route.timeout
         if excess >= MAX_OBJECTIVE_EXCESS_SECONDS:
--- a/wagtailspread/routing/tests/test_terms.py
+++ b/wagtailspread/routing/tests/test_terms.py
@@ -20,6 +20,9 @@
 _CASES = [
     ({'prefix': 'a/'}, terms.FaultKind.BARE_PREFIX),
     ({'max_attempts': 0}, terms.FaultKind.NO_ATTEMPTS),
+    ({'timeout': 0.0}, terms.FaultKind.NO_TIMEOUT),
+    ({'prefix': '/a/'}, terms.FaultKind.SAME_PLACE),
+    ({'prefix': '/a/', 'host': 'A.example'}, terms.FaultKind.SAME_PLACE),
     ({'objective': 65.0}, terms.FaultKind.OBJECTIVE_BEYOND_TIMEOUT),
     (
         {'parts': (terms.SplitPart('unknown', 1.0),)},
@@ -38,7 +41,7 @@
 
 def find_fault(**changes):
     """Return the fault of a configuration with one changed route."""
-    route = dataclasses.replace(_ROUTE, **changes)
+    route = dataclasses.replace(_ROUTE, **{'prefix': '/b/', **changes})
     settings = terms.RoutingSettings(1, (_ROUTE, route), {'columns': 390})
     return terms.find_fault(settings)
 
@@ -57,6 +60,7 @@
         {'timeout': None, 'objective': 500.0},
         {'parts': (_PART, terms.SplitPart('columns', 0.0))},
         {'prefix': '/'},
+        {'prefix': '/a/', 'host': 'b.example'},
     ],
 )
 def test_a_valid_route_is_accepted(changes):
