--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -5,8 +5,9 @@
 sees and its part of the number, so the sum keeps the budget without messages.
 
 >>> budget = SharedRetryBudget(0.2, 44.0, 10.0, lambda: 44)
->>> for _ in range(10): budget.add_request('vitrina', 0.0)
->>> [budget.spend('vitrina', 0.0) for _ in range(4)]
+>>> budget.add_request('vitrina', 0.0)
+>>> for _ in range(10): budget.add_request('vitrina', 10.0)
+>>> [budget.spend('vitrina', 10.0) for _ in range(4)]
 [True, True, False, False]
 """
 
@@ -56,6 +57,7 @@
         self._slack = slack
         self._window = window
         self._count_hosts = count_hosts
+        self._started_at: float | None = None
         self._requests: dict[str, collections.deque[float]] = {}
         self._repeats: dict[str, collections.deque[float]] = {}
 
@@ -65,19 +67,32 @@
         now: float,
     ) -> None:
         """Count a request of a caller."""
+        if self._started_at is None:
+            self._started_at = now
         self._list_recent(self._requests, service, now).append(now)
 
     def spend(self, service: identifiers.ServiceName, now: float) -> bool:
         """Count a repeated send if the budget allows one more."""
         requests = self._list_recent(self._requests, service, now)
         repeats = self._list_recent(self._repeats, service, now)
-        hosts = max(self._count_hosts(), 1)
-        allowed = self._ratio * len(requests) + self._slack / hosts
+        allowed = self._ratio * len(requests) + self._find_slack(now)
         if len(repeats) + 1 > USED_SHARE * allowed:
             return False
         repeats.append(now)
         return True
 
+    def _find_slack(self, now: float) -> float:
+        """Return the part of the fixed number that may be used now.
+
+        A decider that has just started takes over from one that may have used
+        all of it, so its part grows to the whole over one window.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        hosts = max(self._count_hosts(), 1)
+        grown = min(1.0, (now - self._started_at) / self._window)
+        return self._slack / hosts * grown
+
     def _list_recent(
         self,
         table: dict[str, collections.deque[float]],
