Remove the load estimate that the allocator made dead

Doubts kept a decayed sum of work from the time when hosts chose alone; the allocator knows open requests, and nothing read the estimate any more. The package's line on who decides is corrected.

--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -41,8 +41,6 @@
 #: Odds that an upstream is at fault if a host cannot open a connection; the
 #: path of that host may be at fault instead.
 UNREACHABLE_ODDS = 4.0
-#: Time for which results count towards the load, in seconds.
-LOAD_SECONDS = 2.0
 #: Weight of the newest good answers in the mean time of an upstream.
 _TIME_WEIGHT = 0.2
 #: Time for which a refusal to run a request counts as being full, in seconds.
@@ -54,15 +52,12 @@
     """What is known of one upstream.
 
     :param gray: probability of the gray state at ``updated_at``.
-    :param busy: seconds of work finished, decayed over the load time.
     :param mean_seconds: time of its good answers; 0 before the first.
     :param shed_at: when it last refused to run a request.
     """
 
     gray: float = USUAL_GRAY_SHARE
     updated_at: float = -math.inf
-    busy: float = 0.0
-    busy_at: float = 0.0
     mean_seconds: float = 0.0
     shed_at: float = -math.inf
 
@@ -88,7 +83,6 @@
         doubt = self._find(upstream)
         odds = (1 - GRAY_FAILURE_SHARE) / (1 - SOUND_FAILURE_SHARE)
         _update(doubt, odds**count, now)
-        _add_load(doubt, seconds, now)
         mean = seconds / count
         if doubt.mean_seconds:
             mean = _TIME_WEIGHT * mean + (1 - _TIME_WEIGHT) * doubt.mean_seconds
@@ -132,18 +126,6 @@
         extra = GRAY_FAILURE_SHARE - SOUND_FAILURE_SHARE
         return SOUND_FAILURE_SHARE + gray * extra
 
-    def find_load(
-        self,
-        upstream: identifiers.UpstreamId,
-        now: float,
-    ) -> float:
-        """Return the requests at work on average, from finished ones."""
-        doubt = self._doubts.get(upstream)
-        if doubt is None:
-            return 0.0
-        decayed = doubt.busy * math.exp((doubt.busy_at - now) / LOAD_SECONDS)
-        return decayed / LOAD_SECONDS
-
     def find_mean(self, upstream: identifiers.UpstreamId) -> float:
         """Return the mean time of good answers in seconds, 0 if unknown."""
         doubt = self._doubts.get(upstream)
@@ -188,9 +170,3 @@
     gray = gray * odds / (gray * odds + 1 - gray)
     doubt.gray = min(max(gray, _LEAST), _MOST)
     doubt.updated_at = now
-
-
-def _add_load(doubt: Doubt, seconds: float, now: float) -> None:
-    decay = math.exp((doubt.busy_at - now) / LOAD_SECONDS)
-    doubt.busy = doubt.busy * decay + seconds
-    doubt.busy_at = now
--- a/wagtailspread/placement/__init__.py
+++ b/wagtailspread/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Which upstream runs a request, decided by each host from shared evidence."""
+"""Which upstream runs a request, decided for all hosts of a region."""
