Keep most sound upstreams in use at all times, and no gray ones for it

Requests that are sent for the floor, and failed ones that are repeated, no longer count as strain. So the floor holds at all times over the upstreams weighted by how likely they are sound; one that has just failed has no weight.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -152,7 +152,8 @@
             priority=job.route.priority,
             excluded=frozenset(state.excluded),
             is_repeat=state.trials.sends > 0,
-            is_repeatable=job.route.is_repeatable,
+            is_repeatable=job.route.is_repeatable
+            and state.trials.sends + 1 < job.route.max_attempts,
         )
 
     async def _send(
--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -33,8 +33,9 @@
 #: The same for an upstream without results. It has joined of late, and gets
 #: work only if it seems about as good as those that are known to be sound.
 NEW_GRAY_SHARE = 0.02
-#: Time constant of the drift to the usual probability, in seconds.
-DRIFT_SECONDS = 6.0
+#: Time constant of the drift to the usual probability, in seconds; source: the
+#: users' upstreams stay gray for 9 s and more.
+DRIFT_SECONDS = 9.0
 #: Least and largest probability, so that a change of state is seen soon.
 _LEAST = 0.004
 _MOST = 0.99
@@ -121,11 +122,19 @@
         now: float,
     ) -> float:
         """Return the probability that the next request fails."""
-        doubt = self._doubts.get(upstream)
-        gray = NEW_GRAY_SHARE if doubt is None else _drift(doubt, now)
+        gray = self.find_gray(upstream, now)
         extra = GRAY_FAILURE_SHARE - SOUND_FAILURE_SHARE
         return SOUND_FAILURE_SHARE + gray * extra
 
+    def find_gray(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> float:
+        """Return the probability that an upstream is gray."""
+        doubt = self._doubts.get(upstream)
+        return NEW_GRAY_SHARE if doubt is None else _drift(doubt, now)
+
     def find_mean(self, upstream: identifiers.UpstreamId) -> float:
         """Return the mean time of good answers in seconds, 0 if unknown."""
         doubt = self._doubts.get(upstream)
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -35,7 +35,7 @@
 #: Time of silence after which a waiting request is dropped, in seconds; hosts
 #: ask again several times a second.
 ABANDONED_SECONDS = 1.0
-#: Share of the upstreams of a service that stay in use while requests fail.
+#: Share of the sound upstreams of a service that stay in use.
 DEFAULT_FLOOR_SHARE = 0.7
 #: Least and most time to tell a refused caller to stay away, in seconds.
 LEAST_RETRY_AFTER = 0.2
@@ -44,9 +44,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lease:
+    """An open request.
+
+    :param is_for_floor: whether it was sent to keep its upstream in use.
+    """
+
     need: messages.Need
     upstream: identifiers.UpstreamId
     granted_at: float
+    is_for_floor: bool = False
     is_overdue: bool = False
 
 
@@ -117,7 +123,7 @@
         if lease is not None:
             host = lease.need.host
             self.selector.finish(lease.upstream)
-            self._note_end(lease.need, evidence, now)
+            self._note_end(lease, evidence, now)
             is_known_bad = lease.is_overdue and (
                 evidence is messages.Evidence.BAD
             )
@@ -229,52 +235,60 @@
             least = min(one.cost for one in candidates)
             limit = least + PATIENCE_COST
             free = [one for one in free if one.cost <= limit]
-        chosen = self.selector.draw(
-            self._keep_floor(need, candidates, free, now)
-        )
+        unused = self._find_unused(need, candidates, now)
+        chosen = self.selector.draw(unused or free)
         if chosen is None:
             return None
         record = chosen.row.record
         self.floor.note_use(record.upstream, now)
-        self._leases[need.request] = _Lease(need, record.upstream, now)
+        self._leases[need.request] = _Lease(
+            need,
+            record.upstream,
+            now,
+            is_for_floor=bool(unused),
+        )
         self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
-    def _keep_floor(
+    def _find_unused(
         self,
         need: messages.Need,
         candidates: list[selection.Candidate],
-        free: list[selection.Candidate],
         now: float,
     ) -> list[selection.Candidate]:
-        """Return the upstreams to draw from.
+        """Return idle upstreams that have to be used for the floor.
 
-        Those that are idle come first while the service is strained and too
-        few of its upstreams in the region are in use.
+        They come first while too few of the upstreams in the region that are
+        likely to be sound are in use; all count while the service is strained.
         """
-        if not self.floor.is_strained(need.service, now):
-            return free
+        is_strained = self.floor.is_strained(need.service, now)
         near = [one for one in candidates if one.is_near]
-        idle = self.floor.find_idle(
-            [one.row.record.upstream for one in near],
-            now,
-        )
-        unused = [
+        sound = {
+            one.row.record.upstream: 1.0 if is_strained else one.sound
+            for one in near
+        }
+        idle = self.floor.find_idle(need.service, sound, now)
+        return [
             one
             for one in near
             if one.row.record.upstream in idle and not one.is_full
         ]
-        return unused or free
 
     def _note_end(
         self,
-        need: messages.Need,
+        lease: _Lease,
         evidence: messages.Evidence,
         now: float,
     ) -> None:
-        if evidence is not messages.Evidence.NONE:
-            is_served = evidence is messages.Evidence.GOOD
-            self.floor.note_end(need.service, is_served, now)
+        if evidence is messages.Evidence.BAD:
+            self.floor.note_failure(lease.upstream, now)
+        if evidence is messages.Evidence.NONE or lease.is_for_floor:
+            return
+        is_served = evidence is messages.Evidence.GOOD
+        if lease.need.is_repeatable and not is_served:
+            # Its repeat decides whether it is served.
+            return
+        self.floor.note_end(lease.need.service, is_served, now)
 
     def _can_wait(self, need: messages.Need, now: float) -> bool:
         """Tell whether a slot is likely to become free in time."""
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -1,8 +1,13 @@
-"""Keeps most upstreams of a service in use while its requests fail.
+"""Keeps most sound upstreams of a service in use.
 
-Sending everything to the few upstreams that look best is right while that
-works. When many requests fail all the same, the doubts are of little worth,
-and upstreams that could serve must not be left idle for them.
+Sending everything to the few upstreams that look best loses the least at that
+moment. But an upstream that gets nothing shows nothing: it stays in doubt long
+after it has recovered, and the rest has to carry its load. So most of the
+upstreams that are likely to be sound are kept in use; one that has just failed
+is left alone until it is likely to have recovered.
+
+When many requests fail all the same, the doubts are of little worth, and most
+of all upstreams are kept in use.
 
 >>> floors = FloorKeeper(0.7)
 >>> for number in range(20): floors.note_end('columns', number % 4 > 0, 0.0)
@@ -13,6 +18,7 @@
 """
 
 import collections
+import math
 
 from wagtailspread.core import identifiers
 
@@ -21,12 +27,18 @@
 #: Time within which an upstream must have got a request to count as in use, in
 #: seconds; shorter than the window, since a request has yet to arrive.
 USE_SECONDS = 1.4
-#: Share of failed requests from which on the floor is kept.
-STRAINED_SHARE = 0.06
+#: Share of failed requests from which on the floor is kept; source: the floor
+#: of the users' platform holds while more than a tenth is not served.
+STRAINED_SHARE = 0.08
 #: Least ended requests from which that share is taken.
 LEAST_ENDS = 10
+#: Least failed requests; single ordinary errors come at any time.
+LEAST_FAILURES = 3
+#: Time for which an upstream that failed a request is not needed in use, in
+#: seconds; source: it counts as sound again after that time.
+FAILED_SECONDS = 2.0
 #: Part above the floor that is kept in use, for upstreams that leave.
-MARGIN = 0.05
+MARGIN = 0.02
 
 _Ends = collections.deque[tuple[float, bool]]
 
@@ -42,6 +54,7 @@
         self._share = share
         self._ends: dict[identifiers.ServiceName, _Ends] = {}
         self._used: dict[identifiers.UpstreamId, float] = {}
+        self._failed: dict[identifiers.UpstreamId, float] = {}
         self._strained_elsewhere: set[identifiers.ServiceName] = set()
 
     def note_strained(
@@ -70,14 +83,26 @@
         is_served: bool,
         now: float,
     ) -> None:
-        """Count the end of a request."""
-        ends = self._ends.setdefault(service, collections.deque())
-        ends.append((now, is_served))
+        """Count the end of a request.
+
+        Requests that were sent for the sake of the floor are left out: they
+        fail because they go to doubtful upstreams, and would keep the service
+        strained by themselves.
+        """
+        self._list_recent(service, now).append((now, is_served))
 
     def note_use(self, upstream: identifiers.UpstreamId, now: float) -> None:
         """Note that an upstream gets a request."""
         self._used[upstream] = now
 
+    def note_failure(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> None:
+        """Note that an upstream failed a request."""
+        self._failed[upstream] = now
+
     def is_strained(
         self,
         service: identifiers.ServiceName,
@@ -90,17 +115,32 @@
 
     def find_idle(
         self,
-        upstreams: list[identifiers.UpstreamId],
+        service: identifiers.ServiceName,
+        sound: dict[identifiers.UpstreamId, float],
         now: float,
     ) -> set[identifiers.UpstreamId]:
-        """Return the idle upstreams if too few are in use, else none."""
+        """Return the idle upstreams if too few are in use, else none.
+
+        A service with fewer requests than upstreams cannot use most of them.
+
+        :param sound: how likely each upstream is sound. Those that failed a
+            request just now do not count, whatever is given.
+        """
+        if len(self._list_recent(service, now)) < len(sound):
+            return set()
+        weights = {
+            upstream: weight
+            for upstream, weight in sound.items()
+            if self._failed.get(upstream, -math.inf) < now - FAILED_SECONDS
+        }
         idle = {
             upstream
-            for upstream in upstreams
-            if self._used.get(upstream, -WINDOW_SECONDS) < now - USE_SECONDS
+            for upstream in weights
+            if self._used.get(upstream, -math.inf) < now - USE_SECONDS
         }
-        in_use = len(upstreams) - len(idle)
-        if in_use >= (self._share + MARGIN) * len(upstreams):
+        total = sum(weights.values())
+        unused = sum(weights[upstream] for upstream in idle)
+        if total - unused >= (self._share + MARGIN) * total:
             return set()
         return idle
 
@@ -109,12 +149,19 @@
         service: identifiers.ServiceName,
         now: float,
     ) -> bool:
-        ends = self._ends.get(service)
-        if ends is None:
-            return False
-        while ends and ends[0][0] < now - WINDOW_SECONDS:
-            ends.popleft()
+        ends = self._list_recent(service, now)
         if len(ends) < LEAST_ENDS:
             return False
         failed = sum(not is_served for _, is_served in ends)
-        return failed > STRAINED_SHARE * len(ends)
+        return failed >= max(LEAST_FAILURES, STRAINED_SHARE * len(ends))
+
+    def _list_recent(
+        self,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> _Ends:
+        """Return the ends within the window; drop older ones."""
+        ends = self._ends.setdefault(service, collections.deque())
+        while ends and ends[0][0] < now - WINDOW_SECONDS:
+            ends.popleft()
+        return ends
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -28,12 +28,14 @@
     """An upstream that may take a request, and what that would cost.
 
     :param is_near: whether it is in the region of the request's host.
+    :param sound: the probability that it is not gray.
     """
 
     row: tables.RegistryRow
     cost: float
     is_full: bool
     is_near: bool
+    sound: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,6 +175,7 @@
             cost,
             open_requests >= record.slots,
             place.is_same_region(record.domain),
+            1.0 - self.shared.find_gray(upstream, now),
         )
 
 
