Notice lost answers sooner, wait longer for a sound slot, find routes at once

Changes: a request counts as silent after 2.5 times the usual time, which is taken back if it is answered; the risk that a request accepts grows with its wait; a doubtful upstream runs one request at a time; look-ups take no risk while repeats are short; a replica without quorum answers a host without routes at once and hides no other replica. Ruled out: hosts that decide alone (none did), the allocators' evidence.

--- a/wagtailspread/health/doubts.py
+++ b/wagtailspread/health/doubts.py
@@ -99,6 +99,15 @@
         odds = GRAY_FAILURE_SHARE / SOUND_FAILURE_SHARE
         _update(self._find(upstream), odds**count, now)
 
+    def withdraw_bad(
+        self,
+        upstream: identifiers.UpstreamId,
+        now: float,
+    ) -> None:
+        """Take back the failure of a request that has an answer after all."""
+        odds = SOUND_FAILURE_SHARE / GRAY_FAILURE_SHARE
+        _update(self._find(upstream), odds, now)
+
     def add_unreachable(
         self,
         upstream: identifiers.UpstreamId,
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -18,18 +18,20 @@
 #: Waiting that one step of priority is worth, in seconds. Urgent work goes
 #: first, but a flood of it does not keep the rest waiting for ever.
 PRIORITY_SECONDS = 1.0
-#: Cost above the cheapest upstream from which on a request rather waits for a
-#: slot there than goes to one that is free.
-PATIENCE_COST = 0.2
-#: Part of the objective for which it does so.
-PATIENCE_PART = 0.25
+#: Cost above the cheapest upstream for which a request does not wait.
+PATIENCE_COST = 0.05
+#: Cost above it that a request accepts for each objective that it has waited.
+#: After an objective its answer is late, whatever the upstream.
+WAITED_COST = 2.5
 #: Time after the deadline at which an open request is taken to be over, in
 #: seconds. It is not settled if its host has failed.
 SETTLE_SECONDS = 1.0
 #: Multiple of the usual time after which a request without an end counts as
-#: failed, and the least time of that kind in seconds.
-OVERDUE_FACTOR = 4.0
-OVERDUE_SECONDS = 1.5
+#: failed. Two in a hundred good answers take longer, about as many as a sound
+#: upstream fails, so both say the same of it.
+OVERDUE_FACTOR = 2.5
+#: The least time of that kind, in seconds: a lost packet is sent again in it.
+OVERDUE_SECONDS = 0.6
 #: Time of a request if nothing is known, in seconds.
 DEFAULT_SECONDS = 0.5
 #: Time of silence after which a waiting request is dropped, in seconds; hosts
@@ -124,11 +126,10 @@
             host = lease.need.host
             self.selector.finish(lease.upstream)
             self._note_end(lease, evidence, now)
-            is_known_bad = lease.is_overdue and (
-                evidence is messages.Evidence.BAD
-            )
-            if is_known_bad:
+            if lease.is_overdue and evidence is messages.Evidence.BAD:
                 return
+            if lease.is_overdue and evidence is messages.Evidence.GOOD:
+                self.selector.shared.withdraw_bad(upstream, now)
         self.selector.take_evidence(host, upstream, evidence, seconds, now)
 
     def drop_host(self, host: identifiers.HostId) -> None:
@@ -227,14 +228,14 @@
         now: float,
     ) -> messages.Answer | None:
         """Return a grant or a refusal, or ``None`` if the request waits."""
-        candidates = self.selector.rate(need, now)
+        candidates = self._rate(need, now)
         if not candidates:
             return self._refuse(need, messages.Decision.NO_UPSTREAM, now)
         free = [one for one in candidates if not one.is_full]
-        if now - since < PATIENCE_PART * need.objective:
-            least = min(one.cost for one in candidates)
-            limit = least + PATIENCE_COST
-            free = [one for one in free if one.cost <= limit]
+        waited = (now - since) / need.objective
+        limit = PATIENCE_COST + WAITED_COST * waited
+        least = min(one.cost for one in candidates)
+        free = [one for one in free if one.cost <= least + limit]
         unused = self._find_unused(need, candidates, now)
         chosen = self.selector.draw(unused or free)
         if chosen is None:
@@ -250,6 +251,20 @@
         self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
+    def _rate(
+        self,
+        need: messages.Need,
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Return the upstreams that may take a request.
+
+        One that could be repeated avoids risks like any other while the budget
+        of repeated sends is short: its failure would be final.
+        """
+        if need.is_repeatable and not self._budget.is_ample(need.service, now):
+            need = dataclasses.replace(need, is_repeatable=False)
+        return self.selector.rate(need, now)
+
     def _find_unused(
         self,
         need: messages.Need,
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -20,6 +20,8 @@
 #: Part of the budget that the hosts use; the rest covers requests that callers
 #: gave up on and windows that do not fall together.
 USED_SHARE = 0.9
+#: Part of the budget within which requests may take a risk and be repeated.
+AMPLE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,14 +75,28 @@
 
     def spend(self, service: identifiers.ServiceName, now: float) -> bool:
         """Count a repeated send if the budget allows one more."""
-        requests = self._list_recent(self._requests, service, now)
         repeats = self._list_recent(self._repeats, service, now)
-        allowed = self._ratio * len(requests) + self._find_slack(now)
-        if len(repeats) + 1 > USED_SHARE * allowed:
+        if len(repeats) + 1 > self._find_allowed(service, now):
             return False
         repeats.append(now)
         return True
 
+    def is_ample(self, service: identifiers.ServiceName, now: float) -> bool:
+        """Tell whether less than half of the budget is used."""
+        repeats = self._list_recent(self._repeats, service, now)
+        allowed = self._find_allowed(service, now)
+        return len(repeats) + 1 <= AMPLE_SHARE * allowed
+
+    def _find_allowed(
+        self,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> float:
+        """Return the repeated sends that are allowed in the window."""
+        requests = self._list_recent(self._requests, service, now)
+        allowed = self._ratio * len(requests) + self._find_slack(now)
+        return USED_SHARE * allowed
+
     def _find_slack(self, now: float) -> float:
         """Return the part of the fixed number that may be used now.
 
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -13,12 +13,15 @@
 from wagtailspread.core import identifiers
 from wagtailspread.health import doubts
 from wagtailspread.placement import costs, messages
-from wagtailspread.registry import tables
+from wagtailspread.registry import records, tables
 
 #: Difference in cost that makes an upstream less likely by a factor of e.
 LOT_SCALE = 0.008
 #: Time for which a host avoids an upstream that it cannot connect to, seconds.
 BLOCKED_SECONDS = 2.0
+#: Probability of being sound below which an upstream gets one request at a
+#: time.
+DOUBTFUL_SOUND = 0.5
 #: Time for which the mean time of a service is used, in seconds.
 USUAL_SECONDS = 0.5
 
@@ -170,14 +173,27 @@
         if upstream in self.silent:
             cost += costs.SILENT_COST
         cost += place.find_distance_cost(record.domain, need.size)
+        sound = 1.0 - self.shared.find_gray(upstream, now)
         return Candidate(
             row,
             cost,
-            open_requests >= record.slots,
+            open_requests >= self._count_slots(record, sound),
             place.is_same_region(record.domain),
-            1.0 - self.shared.find_gray(upstream, now),
+            sound,
         )
 
+    def _count_slots(
+        self,
+        record: records.UpstreamRecord,
+        sound: float,
+    ) -> int:
+        """Return how many requests an upstream may run at a time.
+
+        A gray upstream fails requests at once, so it always has free slots and
+        would take all that waits.
+        """
+        return 1 if sound < DOUBTFUL_SOUND else record.slots
+
 
 def create_selector(
     registry: tables.RegistryTable,
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -202,6 +202,45 @@
         assert answer.record.upstream != hanging
 
 
+def test_lost_answers_are_noticed_before_a_request_is_late():
+    """Guards against sending orders to an upstream that loses its answers.
+
+    Load pattern: an upstream runs orders of half a second and their answers
+    are lost, so that nothing but their silence shows it.
+    """
+    region = Region(upstreams=2, slots=6)
+    for number in range(2):
+        region.selector.shared.add_good(f'u{number}', 30, 15.0, 0.0)
+    request, answer = region.submit()
+    region.now = 1.3
+    region.allocator.tick(region.now)
+    silent = answer.record.upstream
+    assert region.submit()[1].record.upstream != silent
+    risk = region.selector.shared.find_risk(silent, region.now)
+    region.settle(request, answer)
+    assert region.selector.shared.find_risk(silent, region.now) < risk / 2
+
+
+def test_requests_take_no_risk_while_repeated_sends_are_short():
+    """Guards against a first failure that is final for lack of a repeat.
+
+    Load pattern: most upstreams turn gray, and look-ups that tried them first
+    used up the budget of repeated sends.
+    """
+    region = Region(upstreams=2, slots=6, ratio=0.2)
+    region.selector.shared.add_good('u0', 30, 30.0, 0.0)
+    region.selector.shared.add_bad('u1', 0.0)
+    for _ in range(3):
+        region.settle(*region.submit())
+    need = region.create_need(is_repeatable=True)
+    (doubtful,) = (
+        one
+        for one in region.allocator._rate(need, 0.0)
+        if one.row.record.upstream == 'u1'
+    )
+    assert doubtful.cost > region.selector.shared.find_risk('u1', 0.0) * 0.9
+
+
 def test_an_upstream_that_turns_slow_gets_few_requests_before_it_shows():
     """Guards against filling the slots of a slow upstream.
 
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -89,9 +89,18 @@
         if source is not None:
             source.avoided_until = now + FAILED_SECONDS
 
-    def learn(self, places: list[messages.Struct]) -> None:
-        """Take the replicas that a replica names."""
-        named = {}
+    def learn(
+        self,
+        places: list[messages.Struct],
+        *,
+        is_complete: bool = True,
+    ) -> None:
+        """Take the replicas that a replica names.
+
+        :param is_complete: whether it knows all of them. One that has lost
+            its disk knows few, and the others stay worth asking.
+        """
+        named = {} if is_complete else dict(self._sources)
         for place in places:
             address = identifiers.Address(place.address)
             distance = self._measure(identifiers.FailureDomain(place.domain))
@@ -182,7 +191,7 @@
         self.followed = address
         self._epoch = batch.epoch
         self._position = batch.position
-        self._sources.learn(batch.replicas)
+        self._sources.learn(batch.replicas, is_complete=batch.has_quorum)
         if not batch.has_quorum:
             # It may miss what the others acknowledge.
             self._sources.avoid(address, now)
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -19,6 +19,9 @@
 COLLECT_SECONDS = 0.025
 #: Time between two answers to another replica without news, in seconds.
 PEER_WAIT_SECONDS = 1.5
+#: Longest time to hold back the answer to a host without a configuration while
+#: this replica is out of touch with most of the others, in seconds.
+UNINFORMED_WAIT_SECONDS = 0.05
 #: Longest wait until the followers know of a departure, in seconds. Upstreams
 #: turn to another replica after a second.
 SPREAD_SECONDS = 0.7
@@ -257,7 +260,7 @@
             self._clock.now(),
         )
         feed.note_follower(host, follower)
-        wait = min(request.wait_ms / 1000, call.timeout)
+        wait = min(self._find_wait(request), call.timeout)
         if not self._has_newer_document(request):
             await feed.wait(position, wait)
             await asyncio.sleep(COLLECT_SECONDS)
@@ -265,6 +268,21 @@
         self._complete(batch, request)
         return result.Success(batch)
 
+    def _find_wait(self, request: messages.Struct) -> float:
+        """Return how long an answer may be held back for news, in seconds.
+
+        A host without a configuration serves nobody. Another replica may have
+        one while this one has lost touch, or its disk.
+        """
+        wait = request.wait_ms / 1000
+        neighbourhood = self._neighbourhood
+        if request.is_replica or neighbourhood is None:
+            return wait
+        is_informed = request.document_version > documents.NO_VERSION
+        if is_informed or neighbourhood.has_quorum():
+            return wait
+        return min(wait, UNINFORMED_WAIT_SECONDS)
+
     def _has_newer_document(self, request: messages.Struct) -> bool:
         if request.is_replica or self._neighbourhood is None:
             return False
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -1,7 +1,9 @@
 """Tests of what a replica tells those that follow it."""
 
+import asyncio
+
 from wagtailspread.configuration import documents
-from wagtailspread.registry import services
+from wagtailspread.registry import followers, services
 from wagtailspread.wire import listeners, messages
 
 _REGIONS = {'north': 'r1', 'south': 'r1', 'far': 'r2'}
@@ -17,15 +19,19 @@
 
 
 class Neighbours:
-    """Replicas that are all in touch."""
+    """Another replica."""
 
     def list_replicas(self):
         """Return two replicas."""
         return ['r1:1', 'r2:1']
 
+    def __init__(self, *, is_in_touch=True):
+        """Keep whether most replicas are in touch."""
+        self._is_in_touch = is_in_touch
+
     def has_quorum(self):
-        """Tell that most replicas are in touch."""
-        return True
+        """Tell whether most replicas are in touch."""
+        return self._is_in_touch
 
     def count_needed(self):
         """Return that one other replica is needed."""
@@ -36,14 +42,15 @@
         return documents.VersionedDocument()
 
 
-def create_service(address, domain):
+def create_service(address, domain, *, is_in_touch=True):
     """Return the registry of a replica."""
     service = services.create_service(address, domain, _REGIONS, Clock())
-    service.attach(listeners.create_listener(None, None), Neighbours())
+    neighbours = Neighbours(is_in_touch=is_in_touch)
+    service.attach(listeners.create_listener(None, None), neighbours)
     return service
 
 
-async def follow(service, host, domain, *, is_replica=False):
+async def follow(service, host, domain, *, is_replica=False, wait_ms=1):
     """Return the answer to a follower."""
     request = messages.structs.FollowChanges(
         host=host,
@@ -52,7 +59,7 @@
         epoch=0,
         position=0,
         document_version=-1,
-        wait_ms=1,
+        wait_ms=wait_ms,
         address=f'{host}:2',
     )
     return (await service._answer_follower(_CALL, request)).unwrap()
@@ -97,3 +104,26 @@
     first.note_strained(frozenset(['columns']))
     second._learn('r1:1', await follow(first, 'r2:1', 'far', is_replica=True))
     assert second.list_strained() == {'columns'}
+
+
+async def test_a_host_without_a_configuration_is_sent_elsewhere_at_once():
+    """Guards against hosts that refuse all callers while they wait for news.
+
+    Load pattern: all processes start again, two replicas without their disks;
+    a host that asked one of these first stayed without routes for 1.5 s.
+    """
+    service = create_service('r1:1', 'north', is_in_touch=False)
+    async with asyncio.timeout(0.4):
+        batch = await follow(service, 'h1', 'north', wait_ms=700)
+    assert not batch.has_quorum
+
+
+def test_a_replica_that_knows_few_others_hides_none():
+    """Guards against hosts that only ask a replica without its disk."""
+    sources = followers.SourceList(lambda: ['r1:1'], lambda _domain: 1)
+    place = messages.structs.ReplicaPlace
+    known = [place(address=f'r{n}:1', domain='north') for n in (1, 2, 3)]
+    sources.learn(known, is_complete=True)
+    sources.learn(known[:1], is_complete=False)
+    sources.avoid('r1:1', 0.0)
+    assert sources.choose(0.1) in {'r2:1', 'r3:1'}
