Hold back from replicas what other replicas told this one

Cause, by counting the messages of one registration: each of five replicas passes it on to the four others as soon as it learns it, so 20 answers follow instead of 4, 12 of them between regions; each change of a strained service wakes all of them as well. Rows that came from another replica now wait up to 0.4 s for a change of the replica's own, and a strained service is told of for 3 s beyond its end.

--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -34,6 +34,9 @@
 LEAST_ENDS = 10
 #: Least failed requests; single ordinary errors come at any time.
 LEAST_FAILURES = 3
+#: Time for which other regions are told of a strained service beyond its end,
+#: in seconds; each change costs a message to every replica.
+STRAINED_SECONDS = 3.0
 #: Time for which an upstream that failed a request is not needed in use, in
 #: seconds; source: it counts as sound again after that time.
 FAILED_SECONDS = 2.0
@@ -55,6 +58,7 @@
         self._ends: dict[identifiers.ServiceName, _Ends] = {}
         self._used: dict[identifiers.UpstreamId, float] = {}
         self._failed: dict[identifiers.UpstreamId, float] = {}
+        self._strained_until: dict[identifiers.ServiceName, float] = {}
         self._strained_elsewhere: set[identifiers.ServiceName] = set()
 
     def note_strained(
@@ -72,9 +76,14 @@
         self,
         now: float,
     ) -> frozenset[identifiers.ServiceName]:
-        """Return the services of which many requests failed here."""
+        """Return the services of which many requests failed here of late."""
+        failing = [one for one in self._ends if self._has_failed(one, now)]
+        until = now + STRAINED_SECONDS
+        self._strained_until.update(dict.fromkeys(failing, until))
         return frozenset(
-            service for service in self._ends if self._has_failed(service, now)
+            service
+            for service, end in self._strained_until.items()
+            if now < end
         )
 
     def note_end(
@@ -150,10 +159,9 @@
         now: float,
     ) -> bool:
         ends = self._list_recent(service, now)
-        if len(ends) < LEAST_ENDS:
-            return False
         failed = sum(not is_served for _, is_served in ends)
-        return failed >= max(LEAST_FAILURES, STRAINED_SHARE * len(ends))
+        least = max(LEAST_FAILURES, STRAINED_SHARE * len(ends))
+        return len(ends) >= LEAST_ENDS and failed >= least
 
     def _list_recent(
         self,
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -17,6 +17,11 @@
 MAX_HEARD = 4096
 #: A follower that asked for nothing for this long is not counted, in seconds.
 FOLLOWER_SECONDS = 2.0
+#: Time for which changes that came from another replica are held back from
+#: replicas, in seconds. They mostly have them already, and each answer crosses
+#: the link between regions; those that are cut off from the origin get them
+#: early enough to stop work within the 2 s of a departure.
+RELAY_SECONDS = 0.4
 #: Epoch that a follower names before its first answer.
 NO_EPOCH = 0
 
@@ -54,6 +59,8 @@
         self._heard = collections.deque(maxlen=MAX_HEARD)
         self._followers: dict[identifiers.HostId, Follower] = {}
         self._changed = asyncio.Event()
+        #: Position of the last change that was told to this replica itself.
+        self._own_position = 0
 
     @property
     def position(self) -> int:
@@ -63,6 +70,7 @@
     def register(self, record: records.UpstreamRecord, now: float) -> None:
         """Take what an upstream says of itself to this replica."""
         if self.table.merge(record, now):
+            self._own_position = self.table.position
             self.wake()
         self.table.note_heard(record.upstream, now)
         self.table.position += 1
@@ -126,14 +134,34 @@
         ]
         return len(informed)
 
-    async def wait(self, position: int, seconds: float) -> None:
-        """Wait until there is something after ``position``, or a while."""
-        if self.table.list_changed(position):
-            return
-        waiting = self._changed
+    async def wait(
+        self,
+        position: int,
+        seconds: float,
+        *,
+        is_replica: bool = False,
+    ) -> None:
+        """Wait until there is something after ``position``, or a while.
+
+        :param is_replica: whether a replica waits. It gets changes that came
+            from another one a little later, many at a time.
+        """
+        if not self.table.list_changed(position):
+            waiting = self._changed
+            try:
+                async with asyncio.timeout(seconds):
+                    await waiting.wait()
+            except TimeoutError:
+                return
+        if is_replica and self._own_position <= position:
+            await self._wait_for_own(position)
+
+    async def _wait_for_own(self, position: int) -> None:
+        """Wait for a change that was told to this replica, or a while."""
         try:
-            async with asyncio.timeout(seconds):
-                await waiting.wait()
+            async with asyncio.timeout(RELAY_SECONDS):
+                while self._own_position <= position:
+                    await self._changed.wait()
         except TimeoutError:
             return
 
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -262,7 +262,7 @@
         feed.note_follower(host, follower)
         wait = min(self._find_wait(request), call.timeout)
         if not self._has_newer_document(request):
-            await feed.wait(position, wait)
+            await feed.wait(position, wait, is_replica=request.is_replica)
             await asyncio.sleep(COLLECT_SECONDS)
         batch = feed.collect(request, self._clock.now())
         self._complete(batch, request)
--- a/wagtailspread/registry/tests/test_feeds.py
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -118,3 +118,38 @@
     feed.register(_READY, 0.0)
     async with asyncio.timeout(1):
         await waiting
+
+
+async def test_replicas_get_what_came_from_another_one_a_little_later():
+    """Guards against answers between regions that say nothing new.
+
+    Load pattern: upstreams start one after the other. Each replica passed each
+    of them on at once to all others, which knew it already.
+    """
+    feed = feeds.ChangeFeed(1)
+    other = feeds.ChangeFeed(2)
+    other.register(_READY, 0.0)
+    host = asyncio.create_task(feed.wait(0, 30.0))
+    replica = asyncio.create_task(feed.wait(0, 30.0, is_replica=True))
+    await asyncio.sleep(0)
+    request = create_request(other, 0, is_replica=True)
+    feed.learn(other.collect(request, 0.0), 0.0)
+    async with asyncio.timeout(1):
+        await host
+        assert not replica.done()
+        await replica
+
+
+async def test_replicas_get_what_was_told_here_at_once():
+    """Guards against a departure that other regions learn too late."""
+    feed = feeds.ChangeFeed(1)
+    other = feeds.ChangeFeed(2)
+    other.register(dataclasses.replace(_READY, upstream='u2'), 0.0)
+    replica = asyncio.create_task(feed.wait(0, 30.0, is_replica=True))
+    await asyncio.sleep(0)
+    request = create_request(other, 0, is_replica=True)
+    feed.learn(other.collect(request, 0.0), 0.0)
+    await asyncio.sleep(0)
+    feed.register(_READY, 0.0)
+    async with asyncio.timeout(feeds.RELAY_SECONDS / 2):
+        await replica
