Keep a copy of the committed document on each replica's disk

A replica that has just started refuses to vote for 1 s, since a leader that it does not remember may still hold its lease, so the election cannot come sooner. A document that was applied is committed and may be in force at once; reads are still answered by a leader only.

--- a/wagtailspread/replica/documents.py
+++ b/wagtailspread/replica/documents.py
@@ -37,6 +37,7 @@
     """The document at one replica, for one life of its driver.
 
     :param tolerated: lost disks that a confirmed change must survive.
+    :param saved: a document that was in force before the start.
     """
 
     def __init__(
@@ -45,8 +46,10 @@
         pool: links.LinkPool,
         clock: clocks.Clock,
         tolerated: int,
+        saved: documents.VersionedDocument,
     ) -> None:
         """Keep the parts."""
+        self._saved = saved
         self._driver = driver
         self._pool = pool
         self._clock = clock
@@ -111,6 +114,15 @@
         return self._driver.replica.state.membership.quorum() - 1
 
     def read_document(self) -> documents.VersionedDocument:
+        """Return the newest document that is known to be committed.
+
+        It may be older than what the leader has confirmed.
+        """
+        applied = self.read_applied()
+        is_behind = applied.version < self._saved.version
+        return self._saved if is_behind else applied
+
+    def read_applied(self) -> documents.VersionedDocument:
         """Return the newest document that this replica has applied."""
         return typing.cast(machines.StateMachine, self._driver.machine).document
 
@@ -172,7 +184,7 @@
             return result.Failure(found.failure())
         while self._driver.applied < found.unwrap():
             await asyncio.sleep(RETRY_SECONDS)
-        held = self.read_document()
+        held = self.read_applied()
         if held.version == documents.NO_VERSION:
             return result.Failure(failures.NotLeader())
         state = messages.structs.DocumentState(
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -14,10 +14,11 @@
 
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
+from wagtailspread.configuration import documents as configurations
 from wagtailspread.consensus import journals, states
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.registry import services
-from wagtailspread.replica import documents, drivers, servers
+from wagtailspread.replica import copies, documents, drivers, servers
 from wagtailspread.wire import credentials, links, listeners
 
 #: Time between two tries to open a storage that failed, in seconds.
@@ -70,6 +71,8 @@
         self._clock = clock
         self._document: documents.DocumentService | None = None
         self._pool: links.LinkPool | None = None
+        self._copy = copies.create_copy(settings.data_folder)
+        self._saved_version = configurations.NO_VERSION
 
     def find_document(self) -> documents.DocumentService | None:
         """Return the document service of the present life."""
@@ -144,6 +147,7 @@
             pool,
             self._clock,
             self._settings.tolerated,
+            self._copy.load(),
         )
         service.register(listener)
         if self._extension is not None:
@@ -153,12 +157,19 @@
 
         def wake() -> None:
             wake_subscribers()
+            self._save(service.read_applied())
             self._registry.feed.wake()
 
         driver.on_apply = wake
         self._document = service
         self._pool = pool
 
+    def _save(self, applied: configurations.VersionedDocument) -> None:
+        """Keep a copy of a document that is newly in force."""
+        if applied.version > self._saved_version:
+            self._saved_version = applied.version
+            self._copy.save(applied)
+
     def _create_settings(self) -> servers.ReplicaSettings:
         own = self._settings
         seeds = tuple(own.find_seeds())
