Keep uploads in their failure domain when the floor is kept

The requests that start beside an idle upstream are enough to keep it in use. Uses of departed upstreams are forgotten as well.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -275,6 +275,8 @@
 
         They come first while too few of the upstreams in the region that are
         likely to be sound are in use; all count while the service is strained.
+        Large bodies do not leave their failure domain for it: the requests
+        that start beside an idle upstream are enough.
         """
         is_strained = self.floor.is_strained(need.service, now)
         near = [one for one in candidates if one.is_near]
@@ -286,7 +288,9 @@
         return [
             one
             for one in near
-            if one.row.record.upstream in idle and not one.is_full
+            if one.row.record.upstream in idle
+            and not one.is_full
+            and one.distance < PATIENCE_COST
         ]
 
     def _note_end(
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -19,6 +19,7 @@
 
 import collections
 import math
+import typing
 
 from wagtailspread.core import identifiers
 
@@ -112,6 +113,14 @@
         """Note that an upstream failed a request."""
         self._failed[upstream] = now
 
+    def keep(
+        self,
+        upstreams: typing.Container[identifiers.UpstreamId],
+    ) -> None:
+        """Drop what is known of all other upstreams."""
+        self._used = _keep(self._used, upstreams)
+        self._failed = _keep(self._failed, upstreams)
+
     def is_strained(
         self,
         service: identifiers.ServiceName,
@@ -173,3 +182,10 @@
         while ends and ends[0][0] < now - WINDOW_SECONDS:
             ends.popleft()
         return ends
+
+
+def _keep(
+    known: dict[identifiers.UpstreamId, float],
+    upstreams: typing.Container[identifiers.UpstreamId],
+) -> dict[identifiers.UpstreamId, float]:
+    return {one: at for one, at in known.items() if one in upstreams}
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -31,6 +31,7 @@
     """An upstream that may take a request, and what that would cost.
 
     :param is_near: whether it is in the region of the request's host.
+    :param distance: part of the cost for the way to it.
     :param sound: the probability that it is not gray.
     """
 
@@ -38,6 +39,7 @@
     cost: float
     is_full: bool
     is_near: bool
+    distance: float
     sound: float
 
 
@@ -172,13 +174,14 @@
         )
         if upstream in self.silent:
             cost += costs.SILENT_COST
-        cost += place.find_distance_cost(record.domain, need.size)
+        distance = place.find_distance_cost(record.domain, need.size)
         sound = 1.0 - self.shared.find_gray(upstream, now)
         return Candidate(
             row,
-            cost,
+            cost + distance,
             open_requests >= self._count_slots(record, sound),
             place.is_same_region(record.domain),
+            distance,
             sound,
         )
 
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -80,6 +80,7 @@
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 selector.prune(now)
+                self._allocator.floor.keep(selector.registry.rows)
 
     def _exchange_strain(self, now: float) -> None:
         if self._neighbours is not None:
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -315,6 +315,37 @@
             assert len({upstream for _, upstream in used}) >= 0.7 * 10
 
 
+def test_uploads_do_not_cross_for_the_floor():
+    """Guards against large bodies between failure domains for a test.
+
+    Load pattern: uploads of one failure domain, and upstreams of another one
+    that were in doubt and get nothing.
+    """
+    region = Region(upstreams=2, slots=6)
+    for away in ('away1', 'away2'):
+        region.selector.registry.merge(create_record(away, 'south', 6), 0.0)
+        region.selector.shared.add_good(away, 30, 15.0, 0.0)
+        region.selector.shared.add_bad(away, 0.0)
+    for number in range(2):
+        region.selector.shared.add_good(f'u{number}', 30, 15.0, 0.0)
+    for step in range(200):
+        region.now = step * 0.05
+        request, answer = region.submit(size=60_000)
+        assert answer.record.domain == 'north'
+        region.settle(request, answer)
+
+
+def test_what_is_known_of_departed_upstreams_is_dropped():
+    """Guards against memory that grows with each release of a service."""
+    region = Region(upstreams=2)
+    floor = region.allocator.floor
+    request, answer = region.submit()
+    region.settle(request, answer, messages.Evidence.BAD)
+    floor.keep({})
+    assert not floor._used
+    assert not floor._failed
+
+
 def test_a_region_without_failures_keeps_its_part_of_the_floor():
     """Guards against idle upstreams of a service that fails elsewhere."""
     region = Region(upstreams=10, slots=6)
