--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -13,7 +13,8 @@
 import itertools
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import budgets, floors, messages, selection
+from wagtailspread.placement import budgets, floors, leases, messages
+from wagtailspread.placement import selection
 
 #: Waiting that one step of priority is worth, in seconds. Urgent work goes
 #: first, but a flood of it does not keep the rest waiting for ever.
@@ -23,6 +24,8 @@
 #: Cost above it that a request accepts for each objective that it has waited.
 #: After an objective its answer is late, whatever the upstream.
 WAITED_COST = 2.5
+#: Multiple of the usual time that a request must have left to wait in turn.
+HASTY_FACTOR = 3.0
 #: Time after the deadline at which an open request is taken to be over, in
 #: seconds. It is not settled if its host has failed.
 SETTLE_SECONDS = 1.0
@@ -44,34 +47,6 @@
 MOST_RETRY_AFTER = 3.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Lease:
-    """An open request.
-
-    :param is_for_floor: whether it was sent to keep its upstream in use.
-    """
-
-    need: messages.Need
-    upstream: identifiers.UpstreamId
-    granted_at: float
-    is_for_floor: bool = False
-    is_overdue: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Waiting:
-    need: messages.Need
-    order: tuple[float, int]
-    since: float
-    asked_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Decided:
-    answer: messages.Answer
-    decided_at: float
-
-
 class Allocator:
     """Places the requests of a region. Use :func:`create_allocator`."""
 
@@ -86,9 +61,9 @@
         self._budget = budget
         self.floor = floor
         self._numbers = itertools.count()
-        self._leases: dict[identifiers.RequestId, _Lease] = {}
-        self._waiting: dict[identifiers.RequestId, _Waiting] = {}
-        self._decided: dict[identifiers.RequestId, _Decided] = {}
+        self._leases: dict[identifiers.RequestId, leases.Lease] = {}
+        self._waiting: dict[identifiers.RequestId, leases.Waiting] = {}
+        self._decided: dict[identifiers.RequestId, leases.Decided] = {}
 
     def submit(self, need: messages.Need, now: float) -> messages.Answer:
         """Place a request, or tell that it waits or why it is refused.
@@ -160,7 +135,7 @@
                 blocked.add(need.service)
             else:
                 self._waiting.pop(need.request)
-                self._decided[need.request] = _Decided(answer, now)
+                self._decided[need.request] = leases.Decided(answer, now)
                 decided.append(need.request)
         return decided
 
@@ -181,21 +156,20 @@
         need: messages.Need,
         now: float,
     ) -> messages.Answer:
+        order = self._find_order(need, now)
         answer = None
-        if not self._is_behind_others(need):
+        if not self._count_ahead(need, order):
             answer = self._try(need, now, now)
         if answer is not None:
             return answer
-        if not self._can_wait(need, now):
+        if not self._can_wait(need, order, now):
             return self._refuse(need, messages.Decision.NO_ROOM, now)
-        urgency = now + PRIORITY_SECONDS * need.priority
-        order = (urgency, next(self._numbers))
-        self._waiting[need.request] = _Waiting(need, order, now, now)
+        self._waiting[need.request] = leases.Waiting(need, order, now, now)
         return messages.Answer(messages.Decision.WAITING)
 
     def _decide_waiting(
         self,
-        waiting: _Waiting,
+        waiting: leases.Waiting,
         now: float,
         *,
         is_behind: bool,
@@ -213,11 +187,22 @@
             answer = self._refuse(need, messages.Decision.NO_ROOM, now)
         return answer
 
-    def _is_behind_others(self, need: messages.Need) -> bool:
-        """Tell whether others of the same service wait for a slot."""
-        return any(
-            waiting.need.service == need.service
-            and waiting.need.priority <= need.priority
+    def _find_order(self, need: messages.Need, now: float) -> leases.Order:
+        """Return the place of a request among those that wait.
+
+        One of a route with a timeout that leaves no time to wait goes first.
+        Behind others with more time every request of such a route would be
+        refused while the service is full.
+        """
+        seconds = self._find_seconds(need, now)
+        can_wait = need.deadline - now > HASTY_FACTOR * seconds
+        due = now + PRIORITY_SECONDS * need.priority
+        return (can_wait, due, next(self._numbers))
+
+    def _count_ahead(self, need: messages.Need, order: leases.Order) -> int:
+        """Return how many others of the same service get a slot before."""
+        return sum(
+            waiting.need.service == need.service and waiting.order < order
             for waiting in self._waiting.values()
         )
 
@@ -242,7 +227,7 @@
             return None
         record = chosen.row.record
         self.floor.note_use(record.upstream, now)
-        self._leases[need.request] = _Lease(
+        self._leases[need.request] = leases.Lease(
             need,
             record.upstream,
             now,
@@ -295,7 +280,7 @@
 
     def _note_end(
         self,
-        lease: _Lease,
+        lease: leases.Lease,
         evidence: messages.Evidence,
         now: float,
     ) -> None:
@@ -309,19 +294,29 @@
             return
         self.floor.note_end(lease.need.service, is_served, now)
 
-    def _can_wait(self, need: messages.Need, now: float) -> bool:
+    def _can_wait(
+        self,
+        need: messages.Need,
+        order: leases.Order,
+        now: float,
+    ) -> bool:
         """Tell whether a slot is likely to become free in time."""
         seconds = self._find_seconds(need, now)
-        wait = self._find_wait(need, seconds)
+        wait = self._find_wait(need, self._count_ahead(need, order), seconds)
         return now + wait + seconds < need.deadline
 
-    def _find_wait(self, need: messages.Need, seconds: float) -> float:
-        """Return the time until the request gets a slot, as estimated."""
+    def _find_wait(
+        self,
+        need: messages.Need,
+        ahead: int,
+        seconds: float,
+    ) -> float:
+        """Return the time until a request gets a slot, as estimated.
+
+        :param ahead: requests of the service that get one before it.
+        """
         rows = self.selector.registry.list_ready(need.service)
         slots = sum(row.record.slots for row in rows)
-        ahead = sum(
-            one.need.service == need.service for one in self._waiting.values()
-        )
         return (ahead + 1) * seconds / max(slots, 1)
 
     def _find_seconds(self, need: messages.Need, now: float) -> float:
@@ -336,7 +331,9 @@
     ) -> messages.Answer:
         """Refuse a request, with the time after which there may be room."""
         self.floor.note_end(need.service, False, now)
-        wait = self._find_wait(need, self._find_seconds(need, now))
+        order = self._find_order(need, now)
+        ahead = self._count_ahead(need, order)
+        wait = self._find_wait(need, ahead, self._find_seconds(need, now))
         retry_after = min(max(wait, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
         return messages.Answer(decision, None, retry_after)
 
