Let uploads wait beside their callers for a quarter of the objective again

Since the risk that a request accepts grows with its wait, an upload crossed for its price of 0.32 after a ninth of its objective instead of a quarter. The way now counts 2.3 times while a request waits; one without an upstream beside it crosses at once. Both tests fail without their part.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -24,6 +24,10 @@
 #: Cost above it that a request accepts for each objective that it has waited.
 #: After an objective its answer is late, whatever the upstream.
 WAITED_COST = 2.5
+#: Weight of the way to an upstream beyond its cost while a request waits: a
+#: large body waits for a slot in its failure domain for a quarter of the
+#: objective.
+DISTANCE_PATIENCE = 1.3
 #: Multiple of the usual time that a request must have left to wait in turn.
 HASTY_FACTOR = 3.0
 #: Time after the deadline at which an open request is taken to be over, in
@@ -219,8 +223,8 @@
         free = [one for one in candidates if not one.is_full]
         waited = (now - since) / need.objective
         limit = PATIENCE_COST + WAITED_COST * waited
-        least = min(one.cost for one in candidates)
-        free = [one for one in free if one.cost <= least + limit]
+        limit += min(_find_reluctance(one) for one in candidates)
+        free = [one for one in free if _find_reluctance(one) <= limit]
         unused = self._find_unused(need, candidates, now)
         chosen = self.selector.draw(unused or free)
         if chosen is None:
@@ -367,6 +371,11 @@
                 )
 
 
+def _find_reluctance(candidate: selection.Candidate) -> float:
+    """Return the cost of an upstream to a request that may wait instead."""
+    return candidate.cost + DISTANCE_PATIENCE * candidate.distance
+
+
 def create_allocator(
     selector: selection.Selector,
     budget: budgets.SharedRetryBudget,
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import pytest
+
 from wagtailspread.placement import allocators
 from wagtailspread.placement import messages
 from wagtailspread.placement.tests import regions
@@ -111,6 +113,33 @@
     assert len(hasty.intersection(callers.granted)) >= 0.25 * len(hasty)
 
 
+@pytest.mark.parametrize(('waited', 'crosses'), [(0.2, False), (0.3, True)])
+def test_uploads_wait_beside_their_caller_for_a_quarter_of_the_objective(
+    waited,
+    crosses,
+):
+    """Guards against large bodies that cross for a moment of waiting.
+
+    Load pattern: the upstreams of a failure domain are full for a while, and
+    those of another one are free.
+    """
+    region = regions.Region(upstreams=1, slots=1)
+    region.selector.registry.merge(regions.create_record('away', 'south'), 0)
+    for upstream in ('u0', 'away'):
+        region.selector.shared.add_good(upstream, 30, 15.0, 0.0)
+    region.submit(size=60_000)
+    need = region.create_need(size=60_000)
+    region.allocator.submit(need, 0.0)
+    decided = region.allocator.tick(waited * need.objective)
+    assert decided == ([need.request] if crosses else [])
+
+
+def test_an_upload_without_an_upstream_beside_it_crosses_at_once():
+    """Guards against waiting for a slot that does not exist."""
+    region = regions.Region(upstreams=1, domain='south')
+    assert region.submit(size=60_000)[1].decision is _GRANTED
+
+
 def test_what_cannot_be_served_in_time_is_refused_at_once():
     """Guards against holding a request that has no chance.
 
