--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -161,12 +161,13 @@
         now: float,
     ) -> messages.Answer:
         order = self._find_order(need, now)
+        ahead = self._count_ahead(need, order)
         answer = None
-        if not self._count_ahead(need, order):
+        if not ahead:
             answer = self._try(need, now, now)
         if answer is not None:
             return answer
-        if not self._can_wait(need, order, now):
+        if not self._can_wait(need, ahead, now):
             return self._refuse(need, messages.Decision.NO_ROOM, now)
         self._waiting[need.request] = leases.Waiting(need, order, now, now)
         return messages.Answer(messages.Decision.WAITING)
@@ -301,12 +302,15 @@
     def _can_wait(
         self,
         need: messages.Need,
-        order: leases.Order,
+        ahead: int,
         now: float,
     ) -> bool:
-        """Tell whether a slot is likely to become free in time."""
+        """Tell whether a slot is likely to become free in time.
+
+        :param ahead: requests of the service that get one before it.
+        """
         seconds = self._find_seconds(need, now)
-        wait = self._find_wait(need, self._count_ahead(need, order), seconds)
+        wait = self._find_wait(need, ahead, seconds)
         return now + wait + seconds < need.deadline
 
     def _find_wait(
