Log how far a host is behind the newest configuration

Operators saw `replica lost` on hosts that answered 404 for new routes, but no line told which version such a host had in force, whether it knew of a newer one, and since when.

Cause: the host kept only the version in force, and a document that did not come into force left no line unless it was invalid.

`replica lost` now has the version in force, the highest version heard of, the time behind it and the time since a replica answered last. A warning `configuration behind` comes once for each newer version that a replica names and that is not in force after its answer. `configuration in force` tells how long the host knew that it was behind. What is done with documents is the same.

Without the fields and the new line both tests of test_hosts.py fail.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -216,6 +216,10 @@
         self._placer.learn(batch.replicas, batch.substitutes)
         if batch.document is not None:
             self._apply_document(batch)
+        lag = self.follower.lag
+        heard = batch.document_version
+        if lag.note(heard, self.follower.document_version, now):
+            _log.warning('configuration behind', extra=lag.describe(now))
 
     def _apply_document(self, batch: messages.Struct) -> None:
         if batch.document_version <= self.follower.document_version:
@@ -229,9 +233,13 @@
             return
         self.follower.document_version = batch.document_version
         self.server.put_in_force(settings)
+        lag = self.follower.lag.describe(self._clock.now())
         _log.info(
             'configuration in force',
-            extra={'configuration_version': batch.document_version},
+            extra={
+                'configuration_version': batch.document_version,
+                'behind_seconds': lag['behind_seconds'],
+            },
         )
 
 
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -0,0 +1,143 @@
+"""Tests of the lines that a host writes on its configuration and its end."""
+
+import logbook
+
+from returns import result
+
+from wagtailspread.core import clocks, failures
+from wagtailspread.gateway import hosts
+from wagtailspread.gateway.tests import test_servers
+from wagtailspread.placement import budgets, costs
+from wagtailspread.platform import names
+from wagtailspread.routing import terms
+from wagtailspread.wire import credentials, messages
+
+_ANY_PORT = '127.0.0.1:0'
+
+
+def read_document(body):
+    """Return settings of the version in the body; ``bad`` is invalid."""
+    if body == b'bad':
+        return None
+    route = test_servers.create_route(terms.RequestKind.SAFE)
+    return terms.RoutingSettings(int(body), (route,), {})
+
+
+def create_batch(version, document=None, position=1):
+    """Return a replica's answer."""
+    return messages.structs.ChangeBatch(
+        epoch=1,
+        position=position,
+        rows=[],
+        silent=[],
+        document_version=version,
+        document=document,
+        replicas=[],
+        substitutes=[],
+        has_quorum=True,
+        hosts=1,
+    )
+
+
+class ScriptedPool:
+    """Answers calls to replicas in turn."""
+
+    def __init__(self, *answers):
+        """Keep the answers."""
+        self.answers = list(answers)
+
+    def find(self, _address):
+        """Return what answers the calls."""
+        return self
+
+    async def call(self, *_):
+        """Return the next answer."""
+        return self.answers.pop(0)
+
+    async def forget(self, _address):
+        """Close nothing."""
+
+
+def create_host(clock=None):
+    """Return a host that is not started."""
+    key = credentials.create_key()
+    own = credentials.Credentials(
+        credentials.Peer('m1', 'h1', hosts.ROLE),
+        key,
+    )
+    settings = hosts.GatewaySettings(
+        host='h1',
+        place=costs.Place('north', {'north': 'r1'}),
+        caller_address=_ANY_PORT,
+        ready_address=_ANY_PORT,
+        ready_path='/ready',
+        link_address=_ANY_PORT,
+        find_seeds=list,
+        own=own,
+        directory=credentials.FixedDirectory({}),
+        names=names.HEADERS,
+        retries=budgets.RetryTerms(0.1, 10.0, 10.0),
+        stop_seconds=2.0,
+    )
+    return hosts.create_host(settings, read_document, clock)
+
+
+def list_events(handler, event):
+    """Return the fields of the lines of one event."""
+    return [
+        dict(record.extra)
+        for record in handler.records
+        if record.message == event
+    ]
+
+
+async def test_a_version_that_is_not_in_force_is_reported_once():
+    """Guards against a host that is behind and does not say so."""
+    clock = clocks.ManualClock(10.0)
+    host = create_host(clock)
+    host.follower._pool = ScriptedPool(
+        result.Success(create_batch(4, b'4')),
+        result.Success(create_batch(5)),
+        result.Success(create_batch(5)),
+        result.Success(create_batch(6, b'bad')),
+        result.Success(create_batch(6, b'6')),
+    )
+    with logbook.TestHandler() as handler:
+        for _ in range(5):
+            await host.follower.follow_once('replica:1')
+            clock.advance(1.0)
+    behind = list_events(handler, 'configuration behind')
+    known = [
+        (one['configuration_version'], one['heard_version']) for one in behind
+    ]
+    assert known == [(4, 5), (4, 6)]
+    assert [one['behind_seconds'] for one in behind] == [0.0, 2.0]
+    in_force = list_events(handler, 'configuration in force')
+    assert in_force == [
+        {'configuration_version': 4, 'behind_seconds': 0.0},
+        {'configuration_version': 6, 'behind_seconds': 3.0},
+    ]
+
+
+async def test_a_lost_replica_is_reported_with_the_version_in_force():
+    """Guards against a host of which nobody knows how old its routes are."""
+    clock = clocks.ManualClock(10.0)
+    host = create_host(clock)
+    host.follower._pool = ScriptedPool(
+        result.Success(create_batch(4, b'4')),
+        result.Success(create_batch(5)),
+        result.Failure(failures.Failure()),
+    )
+    with logbook.TestHandler() as handler:
+        for _ in range(3):
+            await host.follower.follow_once('replica:1')
+            clock.advance(1.0)
+    (lost,) = list_events(handler, 'replica lost')
+    assert lost.pop('reason')
+    assert lost == {
+        'replica': 'replica:1',
+        'configuration_version': 4,
+        'heard_version': 5,
+        'behind_seconds': 1.0,
+        'unanswered_seconds': 1.0,
+    }
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -14,7 +14,7 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import feeds
+from wagtailspread.registry import feeds, lags
 from wagtailspread.wire import links, messages
 
 #: Longest time that a replica holds back its answer for lack of news, seconds.
@@ -138,6 +138,7 @@
         """Keep the parts; nothing is opened yet."""
         self.document_version = documents.NO_VERSION
         self.followed: identifiers.Address | None = None
+        self.lag = lags.create_lag()
         self._host = host
         self._address = address
         self._domain = domain
@@ -206,7 +207,11 @@
         if self.followed == address:
             _log.warning(
                 'replica lost',
-                extra={'replica': address, 'reason': reason},
+                extra={
+                    'replica': address,
+                    'reason': reason,
+                    **self.lag.describe(now),
+                },
             )
         self.followed = None
         self._sources.avoid(address, now)
--- /dev/null
+++ b/wagtailspread/registry/lags.py
@@ -0,0 +1,70 @@
+"""How far a host is behind the newest configuration that it has heard of.
+
+>>> lag = create_lag()
+>>> lag.note(heard=5, in_force=4, now=1.0), lag.note(5, 4, 2.0)
+(True, False)
+>>> lag.describe(3.0)['behind_seconds']
+2.0
+"""
+
+import typing
+
+from wagtailspread.configuration import documents
+
+
+class VersionLag:
+    """Compares the versions of replicas with the one in force here.
+
+    Use :func:`create_lag`.
+
+    :param heard: highest version that a replica named.
+    :param in_force: version in force on this host.
+    """
+
+    def __init__(self) -> None:
+        """Start without a version and without an answer."""
+        self.heard = documents.NO_VERSION
+        self.in_force = documents.NO_VERSION
+        self._behind_since: float | None = None
+        self._answered_at: float | None = None
+
+    def note(self, heard: int, in_force: int, now: float) -> bool:
+        """Take an answer of a replica.
+
+        :param heard: version that the replica named.
+        :param in_force: version in force after the answer.
+        :param now: seconds of the host's clock.
+        :returns: whether ``heard`` is the newest version named so far and is
+            not in force.
+        """
+        is_new = heard > self.heard
+        self.heard = max(heard, self.heard)
+        self.in_force = in_force
+        self._answered_at = now
+        if in_force >= self.heard:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        return is_new and heard > in_force
+
+    def describe(self, now: float) -> dict[str, typing.Any]:
+        """Return the fields of a log line.
+
+        ``unanswered_seconds`` is the time since a replica answered last: a
+        version that was confirmed since then is not known here.
+        """
+        return {
+            'configuration_version': self.in_force,
+            'heard_version': self.heard,
+            'behind_seconds': _measure(self._behind_since, now) or 0.0,
+            'unanswered_seconds': _measure(self._answered_at, now),
+        }
+
+
+def create_lag() -> VersionLag:
+    """Return a lag that knows of no version."""
+    return VersionLag()
+
+
+def _measure(since: float | None, now: float) -> float | None:
+    return None if since is None else round(now - since, 3)
