Log and count every answer of a host that is no success

Operators could not tell why callers got DENIED: a 404, a 400 for framing or for a body, a 413, a 408 and a 503 of a host without routes wrote no line, and a 4xx of an upstream that was passed on without a signature looked like one of the host.

Each such answer now leaves one line `request answered: REASON` with the status, the request without its query, the configuration version in force and its age, whether an upstream got the request, and what came before on the connection. The reason is part of the event, since the log handler limits equal events and a flood of 503 would hide a 404. All answers are counted by status and reason; `answers counted` has the counts every 10 s if they changed, `host stopped` the last ones. `request ended without an answer` is replaced by the reasons no-room, no-upstream, no-time and answer-lost. What callers get is the same.

The age and requests of a connection are counted from its first request; the connection layer would know them from its opening.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -53,12 +53,16 @@
 
     :param proof: that no attempt can have run, if that is so.
     :param retry_after: seconds after which there may be room.
+    :param sends: upstreams that the request was sent to.
+    :param upstream: the last one that was tried.
     """
 
     answer: exchanges.Answer | None
     refusal: Refusal | None
     proof: ledgers.NotRun | None
     retry_after: float = 0.0
+    sends: int = 0
+    upstream: identifiers.UpstreamId | None = None
 
 
 _REFUSALS = {
@@ -77,6 +81,7 @@
         self.trials = retries.Trials(job.route.max_attempts)
         self.excluded: set[identifiers.UpstreamId] = set()
         self.answer: exchanges.Answer | None = None
+        self.upstream: identifiers.UpstreamId | None = None
 
     def may_go_on(self) -> bool:
         """Tell whether the request may be sent once more."""
@@ -96,11 +101,16 @@
     ) -> Conclusion:
         """Return the last answer, or a refusal that is true."""
         proof = self.ledger.prove_not_run()
-        if self.answer is not None:
-            return Conclusion(self.answer, None, proof)
         if proof is None and refusal is not Refusal.NO_TIME:
             refusal = Refusal.ANSWER_LOST
-        return Conclusion(None, refusal, proof, retry_after)
+        return Conclusion(
+            self.answer,
+            refusal if self.answer is None else None,
+            proof,
+            retry_after if self.answer is None else 0.0,
+            self.trials.sends,
+            self.upstream,
+        )
 
 
 class AttemptRunner:
@@ -166,6 +176,7 @@
         if record is None:
             raise ValueError(placed)
         state.excluded.add(record.upstream)
+        state.upstream = record.upstream
         started = _now()
         evidence = messages.Evidence.NONE
         try:
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -140,6 +140,7 @@
         self._tasks = [
             asyncio.create_task(self.follower.follow()),
             asyncio.create_task(self._placing.run()),
+            asyncio.create_task(self.server.answers.run()),
         ]
         await self._listener.start(self._settings.link_address)
         await self._readiness.start(self._settings.ready_address)
@@ -167,7 +168,11 @@
         await self._readiness.close()
         await self._pool.close()
         await self._placing_pool.close()
-        _log.info('host stopped', extra={'open_requests': left})
+        counts = self.server.answers.counts
+        _log.info(
+            'host stopped',
+            extra={'open_requests': left, 'counts': dict(counts)},
+        )
 
     def _create_placing(
         self,
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -3,13 +3,12 @@
 import asyncio
 import typing
 
-import logbook
-
 from aiohttp import web
 
 from wagtailspread.core import identifiers
 from wagtailspread.entry import bodies, protections, requests, sites
-from wagtailspread.gateway import attempts, exchanges, headers
+from wagtailspread.gateway import answers, attempts, connections
+from wagtailspread.gateway import exchanges, headers
 from wagtailspread.routing import tables, terms
 
 #: Bytes of a body that are read before it is sent. A body that fits can be
@@ -33,8 +32,16 @@
 _GATEWAY_TIMEOUT = 504
 #: Statuses by which a host promises that a request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
+_FIRST_REDIRECT = 300
+_FIRST_SERVER_ERROR = 500
+
+_BODY_REASONS = {
+    _BAD_REQUEST: answers.Reason.BODY_BROKEN,
+    _REQUEST_TIMEOUT: answers.Reason.BODY_SLOW,
+    _TOO_LARGE: answers.Reason.BODY_TOO_LARGE,
+}
 
-_log = logbook.Logger('gateway')
+_Details = dict[str, typing.Any]
 
 
 class GatewayServer:
@@ -42,6 +49,7 @@
 
     :param routes: the routes in force; ``None`` until they are known.
     :param site: its listener.
+    :param answers: lines and counts of the answers that are no success.
     """
 
     def __init__(
@@ -52,9 +60,13 @@
     ) -> None:
         """Keep the parts; nothing is opened yet."""
         self.routes: tables.RouteTable | None = None
+        self.answers = answers.create_log()
         self._runner = runner
         self._names = names
         self._splits = splits
+        self._connections = connections.create_table()
+        #: Seconds of the event loop.
+        self._in_force_since = 0.0
         self.site = sites.create_site(
             self.handle,
             _create_head_limits(terms.CallerLimits()),
@@ -63,29 +75,58 @@
     def put_in_force(self, settings: terms.RoutingSettings) -> None:
         """Handle requests by these routes and limits from now on."""
         self.routes = tables.RouteTable(settings)
+        self._in_force_since = asyncio.get_running_loop().time()
         self.site.change_limits(_create_head_limits(settings.limits))
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
         started = asyncio.get_running_loop().time()
         routes = self.routes
+        self._connections.note_request(
+            request.transport,
+            self._find_version(),
+            started,
+        )
         if routes is None:
-            return self._refuse()
+            return self._refuse(answers.Reason.NO_ROUTES, request, {})
         path = request.raw_path.partition('?')[0]
         route = routes.match(request.headers.get('Host', ''), path)
         if route is None:
-            return web.Response(status=_NOT_FOUND)
-        if requests.check_framing(request.headers):
-            return _close(web.Response(status=_BAD_REQUEST))
+            return self._answer(_NOT_FOUND, answers.Reason.NO_ROUTE, request)
+        details: _Details = {
+            'route': route.name,
+            'limits_version': routes.settings.version,
+        }
+        fault = requests.check_framing(request.headers)
+        if fault:
+            details['fault'] = fault
+            return self._reject(
+                _BAD_REQUEST,
+                answers.Reason.BAD_FRAMING,
+                request,
+                details,
+            )
         limits = routes.settings.limits
         if (request.content_length or 0) > limits.body_bytes:
-            return _close(web.Response(status=_TOO_LARGE))
+            return self._reject(
+                _TOO_LARGE,
+                answers.Reason.BODY_TOO_LARGE,
+                request,
+                details,
+            )
         deadline = started + self._find_seconds(request, route)
         body = None
         if request.body_exists:
             body = await self._read_body(request, limits, deadline)
             if body.fault is not None:
-                return _close(web.Response(status=_find_status(body.fault)))
+                details['fault'] = body.fault.detail
+                status = _find_status(body.fault)
+                return self._reject(
+                    status,
+                    _BODY_REASONS[status],
+                    request,
+                    details,
+                )
         return await self._run(request, route, body, deadline)
 
     async def _run(
@@ -108,24 +149,34 @@
         service = self._splits.choose(route)
         job = attempts.Job(route, service, outgoing, size)
         concluded = await self._runner.run(job)
+        details = {
+            'route': route.name,
+            'service': service,
+            'is_sent': concluded.sends > 0,
+            'is_not_run': concluded.proof is not None,
+            'upstream': concluded.upstream,
+        }
         if concluded.answer is not None:
-            return self._pass_on(concluded.answer, concluded)
-        refusal = concluded.refusal
-        _log.info(
-            'request ended without an answer',
-            extra={
-                'attempt': attempt,
-                'route': route.name,
-                'service': service,
-                'reason': '' if refusal is None else refusal.value,
-                'is_not_run': concluded.proof is not None,
-            },
-        )
+            return self._pass_on(concluded.answer, concluded, request, details)
+        if body is not None and body.fault is not None:
+            details['fault'] = body.fault.detail
+        return self._end(concluded, request, details)
+
+    def _end(
+        self,
+        concluded: attempts.Conclusion,
+        request: web.BaseRequest,
+        details: _Details,
+    ) -> web.Response:
+        """Return the answer to a request that no upstream answered."""
+        refusal = concluded.refusal or attempts.Refusal.ANSWER_LOST
+        reason = answers.Reason(refusal.value)
         if concluded.proof is not None:
-            return self._refuse(concluded.retry_after)
-        if concluded.refusal is attempts.Refusal.NO_TIME:
-            return web.Response(status=_GATEWAY_TIMEOUT)
-        return web.Response(status=_BAD_GATEWAY)
+            seconds = concluded.retry_after
+            return self._refuse(reason, request, details, seconds)
+        is_late = refusal is attempts.Refusal.NO_TIME
+        status = _GATEWAY_TIMEOUT if is_late else _BAD_GATEWAY
+        return self._answer(status, reason, request, details)
 
     def _find_seconds(
         self,
@@ -163,13 +214,18 @@
         self,
         answer: exchanges.Answer,
         concluded: attempts.Conclusion,
+        request: web.BaseRequest,
+        details: _Details,
     ) -> web.Response:
         """Return an upstream's answer, or a failure if it promises too much.
 
         A status that promises that a request has not run is only passed on
         with the upstream's word for it, which is another outcome.
         """
-        if answer.status in _PROMISES and concluded.proof is None:
+        is_promise = answer.status in _PROMISES and concluded.proof is None
+        if is_promise or answer.status >= _FIRST_REDIRECT:
+            self._note_upstream(answer, request, details, is_kept=is_promise)
+        if is_promise:
             return web.Response(status=_BAD_GATEWAY)
         return web.Response(
             status=answer.status,
@@ -178,11 +234,100 @@
             body=answer.body,
         )
 
-    def _refuse(self, retry_after: float = 0.0) -> web.Response:
+    def _note_upstream(
+        self,
+        answer: exchanges.Answer,
+        request: web.BaseRequest,
+        details: _Details,
+        *,
+        is_kept: bool,
+    ) -> None:
+        """Note an upstream's answer that is no success.
+
+        A failure of the upstream that is passed on is only counted: its line
+        is that of the failed attempt.
+
+        :param is_kept: whether another status replaces that of the upstream.
+        """
+        is_signed = self._names.signature in answer.headers
+        reason = answers.Reason.UPSTREAM_UNSIGNED
+        if is_signed:
+            reason = answers.Reason.UPSTREAM_SIGNED
+        if not is_kept and answer.status >= _FIRST_SERVER_ERROR:
+            self.answers.count(answer.status, reason)
+            return
+        found = {
+            **details,
+            'upstream_status': answer.status,
+            'is_signed': is_signed,
+            'echoes_attempt': self._names.attempt in answer.headers,
+        }
+        if is_kept:
+            reason = answers.Reason.UPSTREAM_PROMISE
+        status = _BAD_GATEWAY if is_kept else answer.status
+        self._note(status, reason, request, found)
+
+    def _reject(
+        self,
+        status: int,
+        reason: answers.Reason,
+        request: web.BaseRequest,
+        details: _Details,
+    ) -> web.Response:
+        """Return an answer after which the connection is closed."""
+        response = self._answer(status, reason, request, details)
+        response.force_close()
+        return response
+
+    def _refuse(
+        self,
+        reason: answers.Reason,
+        request: web.BaseRequest,
+        details: _Details,
+        retry_after: float = 0.0,
+    ) -> web.Response:
         """Return the promise that a request has not run and never will."""
+        response = self._answer(_UNAVAILABLE, reason, request, details)
         seconds = f'{retry_after or RETRY_AFTER_SECONDS:.2f}'
-        own = {self._names.retry_after: seconds}
-        return web.Response(status=_UNAVAILABLE, headers=own)
+        response.headers[self._names.retry_after] = seconds
+        return response
+
+    def _answer(
+        self,
+        status: int,
+        reason: answers.Reason,
+        request: web.BaseRequest,
+        details: _Details | None = None,
+    ) -> web.Response:
+        """Return an answer of the host's own, with its line written."""
+        self._note(status, reason, request, details or {})
+        return web.Response(status=status)
+
+    def _note(
+        self,
+        status: int,
+        reason: answers.Reason,
+        request: web.BaseRequest,
+        details: _Details,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        version = self._find_version()
+        seconds = None if version is None else now - self._in_force_since
+        self.answers.note(
+            status,
+            reason,
+            {
+                **answers.describe_request(request, self._names),
+                'configuration_version': version,
+                'configuration_seconds': seconds and round(seconds, 3),
+                'is_sent': False,
+                **self._connections.describe(request.transport, now),
+                **details,
+            },
+        )
+
+    def _find_version(self) -> int | None:
+        return None if self.routes is None else self.routes.settings.version
 
 
 class ReadinessServer:
@@ -250,8 +395,3 @@
     if fault.detail == bodies.SLOW_BODY:
         return _REQUEST_TIMEOUT
     return fault.status
-
-
-def _close(response: web.Response) -> web.Response:
-    response.force_close()
-    return response
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_answers.py
@@ -0,0 +1,330 @@
+"""Tests of the lines and counts that answers without success leave."""
+
+import asyncio
+import contextlib
+import dataclasses
+import gc
+
+import aiohttp
+import logbook
+import pytest
+
+from aiohttp import streams, web
+
+from wagtailspread.gateway import answers, attempts, connections
+from wagtailspread.gateway.tests import raw_upstreams, test_servers
+from wagtailspread.routing import terms
+
+_ANSWERED = 'request answered: '
+_NOT_RUN = raw_upstreams.reply(503, headers=['Not-Executed: 1'])
+_HEAD = 'POST /a/x?secret=1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n'
+
+
+@contextlib.contextmanager
+def record_lines():
+    """Yield a list of the fields of the lines on answers."""
+    lines = []
+
+    class Recorder(logbook.TestHandler):
+        def emit(self, record):
+            if record.message.startswith(_ANSWERED):
+                named = record.message.removeprefix(_ANSWERED)
+                assert record.extra['reason'] == named
+                assert record.level == logbook.INFO
+                lines.append(dict(record.extra))
+
+    with Recorder().applicationbound():
+        yield lines
+
+
+def change(server, *, version=7, **limits):
+    """Put another version with these limits in force."""
+    settings = dataclasses.replace(
+        server.routes.settings,
+        version=version,
+        limits=terms.CallerLimits(**limits),
+    )
+    server.put_in_force(settings)
+
+
+def check(lines, server, status, reason):
+    """Return the only line, which must tell of this answer."""
+    (line,) = lines
+    assert (line['status'], line['reason']) == (status, reason)
+    assert line['configuration_version'] == 7
+    assert 0 <= line['configuration_seconds'] < 5
+    assert (line['attempt'], line['request_host']) == ('a1', 'a.example')
+    assert server.answers.counts == {f'{status} {reason}': 1}
+    return line
+
+
+async def send_raw(base, text):
+    """Send bytes and return the status of the answer."""
+    host, _, port = base.removeprefix('http://').rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(text.encode())
+    status = int((await reader.readline()).split()[1])
+    writer.close()
+    return status
+
+
+async def test_a_request_without_a_route_leaves_a_line():
+    """Guards against a 404 whose configuration version nobody knows."""
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            change(server)
+            path = f'/b/{"x" * 200}?secret=1'
+            status, _, _ = await test_servers.call(base, path)
+    assert status == 404
+    line = check(lines, server, 404, 'no-route')
+    assert line['path'] == f'/b/{"x" * 200}'[: answers.MAX_PATH_CHARACTERS]
+    assert not line['is_sent']
+
+
+async def test_a_host_without_routes_leaves_a_line():
+    """Guards against refusals of a new host that no log shows."""
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            server.routes = None
+            status, _, _ = await test_servers.call(base)
+    assert status == 503
+    (line,) = lines
+    assert (line['status'], line['reason']) == (503, 'no-routes')
+    assert line['configuration_version'] is None
+    assert server.answers.counts == {'503 no-routes': 1}
+
+
+async def test_wrong_framing_leaves_a_line():
+    """Guards against a 400 that is not told from that for a broken body."""
+    text = f'{_HEAD}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n'
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            change(server)
+            assert await send_raw(base, text) == 400
+    line = check(lines, server, 400, 'bad-framing')
+    assert (line['path'], line['fault']) == ('/a/x', 'Transfer-Encoding')
+
+
+async def test_a_broken_body_leaves_a_line(monkeypatch):
+    """Guards against a 400 for a body that is not told from other ones.
+
+    The compiled parser of aiohttp reports no malformed chunk to the reader of
+    the body, so the error is raised here.
+    """
+
+    async def fail(*_):
+        raise web.RequestPayloadError
+
+    monkeypatch.setattr(streams.StreamReader, 'read', fail)
+    text = f'{_HEAD}Content-Length: 5\r\n\r\n'
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            change(server)
+            assert await send_raw(base, text) == 400
+    line = check(lines, server, 400, 'body-broken')
+    assert (line['route'], line['fault']) == ('r1', 'malformed body')
+
+
+@pytest.mark.parametrize('is_announced', [True, False])
+async def test_a_body_that_is_too_large_leaves_a_line(is_announced):
+    """Guards against a 413 by limits that nobody can find out."""
+
+    async def send_unannounced():
+        yield b'x' * 11
+
+    body = b'x' * 11 if is_announced else send_unannounced()
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            change(server, body_bytes=10)
+            status, _, _ = await test_servers.call(base, data=body)
+    assert status == 413
+    line = check(lines, server, 413, 'body-too-large')
+    assert (line['route'], line['limits_version']) == ('r1', 7)
+
+
+async def test_a_slow_body_leaves_a_line():
+    """Guards against a 408 that no log shows."""
+
+    async def send_slowly():
+        yield b'start'
+        await asyncio.sleep(5)
+
+    with record_lines() as lines:
+        async with test_servers.run_server([], timeout=0.3) as (server, base):
+            change(server)
+            status, _, _ = await test_servers.call(base, data=send_slowly())
+    assert status == 408
+    line = check(lines, server, 408, 'body-slow')
+    assert (line['route'], line['is_sent']) == ('r1', False)
+
+
+@pytest.mark.parametrize(
+    'answer, status, reason, is_sent',
+    [
+        (None, 503, 'no-upstream', False),
+        (_NOT_RUN, 503, 'no-upstream', True),
+        (raw_upstreams.reset, 502, 'answer-lost', True),
+        (raw_upstreams.hang, 504, 'no-time', True),
+        (raw_upstreams.reply(429), 502, 'upstream-promise', True),
+    ],
+)
+async def test_a_request_that_no_upstream_answered_leaves_a_line(
+    answer,
+    status,
+    reason,
+    is_sent,
+):
+    """Guards against failures whose cause and configuration nobody knows."""
+    scripts = [] if answer is None else [answer]
+    with record_lines() as lines:
+        async with contextlib.AsyncExitStack() as stack:
+            upstreams = await stack.enter_async_context(
+                test_servers.run_upstreams(*scripts)
+            )
+            server, base = await stack.enter_async_context(
+                test_servers.run_server(upstreams, timeout=0.5)
+            )
+            change(server)
+            answered, _, _ = await test_servers.call(base, data=b'order')
+    assert answered == status
+    line = check(lines, server, status, reason)
+    assert (line['route'], line['is_sent']) == ('r1', is_sent)
+    assert line['upstream'] == (None if answer is None else 'u0')
+
+
+async def test_a_full_service_leaves_a_line():
+    """Guards against not telling a full service from one without upstreams."""
+    scripts = (_NOT_RUN, _NOT_RUN, _NOT_RUN)
+    with record_lines() as lines:
+        async with test_servers.run_upstreams(*scripts) as upstreams:
+            async with test_servers.run_server(upstreams) as (server, base):
+                change(server)
+                status, _, _ = await test_servers.call(base, data=b'order')
+    assert status == 503
+    assert check(lines, server, 503, 'no-room')['is_not_run']
+
+
+@pytest.mark.parametrize('status', [302, 404, 400])
+@pytest.mark.parametrize('signature', ['s1', ''])
+async def test_a_refusal_of_an_upstream_leaves_a_line(status, signature):
+    """Guards against taking an upstream's refusal for one of the host.
+
+    A refusal without a signature may be that of another process.
+    """
+    answer = raw_upstreams.reply(status, signature=signature)
+    with record_lines() as lines:
+        async with test_servers.run_upstreams(answer) as upstreams:
+            async with test_servers.run_server(upstreams) as (server, base):
+                change(server)
+                answered, _, body = await test_servers.call(
+                    base,
+                    data=b'order',
+                    allow_redirects=False,
+                )
+    assert (answered, body) == (status, b'whole')
+    reason = 'upstream-signed' if signature else 'upstream-unsigned'
+    line = check(lines, server, status, reason)
+    assert (line['upstream'], line['is_sent']) == ('u0', True)
+    assert line['is_signed'] is bool(signature)
+    assert line['echoes_attempt']
+
+
+async def test_a_success_leaves_nothing():
+    """Guards against a line for each request."""
+    with record_lines() as lines:
+        async with test_servers.run_upstreams(
+            raw_upstreams.reply()
+        ) as upstreams:
+            async with test_servers.run_server(upstreams) as (server, base):
+                status, _, _ = await test_servers.call(base, data=b'order')
+    assert (status, lines, server.answers.counts) == (200, [], {})
+
+
+async def test_a_failure_of_an_upstream_is_counted():
+    """Guards against counts without the failures that are passed on."""
+    with record_lines() as lines:
+        async with test_servers.run_upstreams(
+            raw_upstreams.reply(500)
+        ) as upstreams:
+            async with test_servers.run_server(upstreams) as (server, base):
+                await test_servers.call(base, data=b'order')
+    assert not lines
+    assert server.answers.counts == {'500 upstream-signed': 1}
+
+
+async def test_the_line_tells_what_came_before_on_the_connection():
+    """Guards against not finding out that an old connection was refused."""
+    with record_lines() as lines:
+        async with test_servers.run_server([]) as (server, base):
+            async with aiohttp.ClientSession() as session:
+                for version in (7, 8):
+                    change(server, version=version)
+                    async with session.get(f'{base}/b/') as answer:
+                        assert answer.status == 404
+                    await asyncio.sleep(0.05)
+                assert len(server._connections) == 1
+    first, second = lines
+    assert first['connection_requests'] == 0
+    assert second['connection_requests'] == 1
+    assert second['connection_seconds'] >= 0.05
+    assert second['connection_version'] == 7
+    assert second['configuration_version'] == 8
+
+
+async def test_closed_connections_are_forgotten():
+    """Guards against a table that grows with each connection."""
+    async with test_servers.run_server([]) as (server, base):
+        for _ in range(5):
+            await test_servers.call(base, '/b/')
+        # The ends of the connections are handled in the next rounds.
+        await asyncio.sleep(0.1)
+        gc.collect()
+        assert not len(server._connections)
+
+
+def test_a_connection_that_is_gone_has_no_fields():
+    """Guards against a failure on a caller that left."""
+    table = connections.create_table()
+    table.note_request(None, 7, 0.0)
+    assert table.describe(None, 0.0) == {}
+
+
+def test_each_refusal_is_a_reason():
+    """Guards against a refusal that fails when its line is written."""
+    for refusal in attempts.Refusal:
+        assert answers.Reason(refusal.value).name == refusal.name
+
+
+def test_counts_are_written_when_they_changed():
+    """Guards against lines that repeat themselves, and against lost counts."""
+    log = answers.create_log()
+    with logbook.TestHandler() as handler:
+        log.write_counts()
+        log.note(404, answers.Reason.NO_ROUTE, {})
+        log.note(404, answers.Reason.NO_ROUTE, {})
+        log.write_counts()
+        log.write_counts()
+        log.count(500, answers.Reason.UPSTREAM_SIGNED)
+        log.write_counts()
+    written = [
+        record.extra['counts']
+        for record in handler.records
+        if record.message == 'answers counted'
+    ]
+    assert written == [
+        {'404 no-route': 2},
+        {'404 no-route': 2, '500 upstream-signed': 1},
+    ]
+
+
+async def test_counts_are_written_by_themselves(monkeypatch):
+    """Guards against counts that only the end of a host shows."""
+    monkeypatch.setattr(answers, 'COUNT_SECONDS', 0.01)
+    log = answers.create_log()
+    log.count(404, answers.Reason.NO_ROUTE)
+    with logbook.TestHandler() as handler:
+        running = asyncio.create_task(log.run())
+        await asyncio.sleep(0.1)
+        running.cancel()
+    events = [record.message for record in handler.records]
+    assert events == ['answers counted']
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -1,5 +1,7 @@
 """Tests of the lines that a host writes on its configuration and its end."""
 
+import contextlib
+
 import logbook
 
 from returns import result
@@ -82,6 +84,17 @@
     return hosts.create_host(settings, read_document, clock)
 
 
+@contextlib.asynccontextmanager
+async def open_host(clock, *answers):
+    """Yield a host that is not started, to which replicas answer so."""
+    host = create_host(clock)
+    host.follower._pool = ScriptedPool(*answers)
+    try:
+        yield host
+    finally:
+        await host._exchanger.close()
+
+
 def list_events(handler, event):
     """Return the fields of the lines of one event."""
     return [
@@ -94,18 +107,18 @@
 async def test_a_version_that_is_not_in_force_is_reported_once():
     """Guards against a host that is behind and does not say so."""
     clock = clocks.ManualClock(10.0)
-    host = create_host(clock)
-    host.follower._pool = ScriptedPool(
+    answers = (
         result.Success(create_batch(4, b'4')),
         result.Success(create_batch(5)),
         result.Success(create_batch(5)),
         result.Success(create_batch(6, b'bad')),
         result.Success(create_batch(6, b'6')),
     )
-    with logbook.TestHandler() as handler:
-        for _ in range(5):
-            await host.follower.follow_once('replica:1')
-            clock.advance(1.0)
+    async with open_host(clock, *answers) as host:
+        with logbook.TestHandler() as handler:
+            for _ in answers:
+                await host.follower.follow_once('replica:1')
+                clock.advance(1.0)
     behind = list_events(handler, 'configuration behind')
     known = [
         (one['configuration_version'], one['heard_version']) for one in behind
@@ -122,16 +135,16 @@
 async def test_a_lost_replica_is_reported_with_the_version_in_force():
     """Guards against a host of which nobody knows how old its routes are."""
     clock = clocks.ManualClock(10.0)
-    host = create_host(clock)
-    host.follower._pool = ScriptedPool(
+    answers = (
         result.Success(create_batch(4, b'4')),
         result.Success(create_batch(5)),
         result.Failure(failures.Failure()),
     )
-    with logbook.TestHandler() as handler:
-        for _ in range(3):
-            await host.follower.follow_once('replica:1')
-            clock.advance(1.0)
+    async with open_host(clock, *answers) as host:
+        with logbook.TestHandler() as handler:
+            for _ in answers:
+                await host.follower.follow_once('replica:1')
+                clock.advance(1.0)
     (lost,) = list_events(handler, 'replica lost')
     assert lost.pop('reason')
     assert lost == {
@@ -141,3 +154,18 @@
         'behind_seconds': 1.0,
         'unanswered_seconds': 1.0,
     }
+
+
+async def test_a_host_that_stops_leaves_its_counts(monkeypatch):
+    """Guards against losing the counts since the last line with them."""
+    monkeypatch.setattr(hosts, 'ACCEPT_SECONDS', 0.1)
+    host = create_host()
+    with logbook.TestHandler() as handler:
+        await host.start()
+        runner = host.server.site._runner
+        ip, port = runner.addresses[0]
+        status, _, _ = await test_servers.call(f'http://{ip}:{port}')
+        await host.stop()
+    assert status == 503
+    (stopped,) = list_events(handler, 'host stopped')
+    assert stopped['counts'] == {'503 no-routes': 1}
