--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -9,7 +9,7 @@
 
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.gateway import attempts, exchanges, headers
-from wagtailspread.gateway import placements, servers
+from wagtailspread.gateway import placements, readiness, servers
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
 from wagtailspread.registry import followers, records
@@ -108,7 +108,7 @@
             settings.names,
             tables.SplitCounter(random.Random()),
         )
-        self._readiness = servers.ReadinessServer(
+        self._readiness = readiness.ReadinessServer(
             settings.ready_path,
             self.is_ready,
         )
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -1,11 +1,10 @@
-"""The HTTP side of a host: callers, and the platform's balancer."""
+"""The HTTP side of a host for callers."""
 
 import asyncio
 import typing
 
 from aiohttp import web
 
-from wagtailspread.core import identifiers
 from wagtailspread.entry import bodies, protections, requests, sites
 from wagtailspread.gateway import answers, attempts, connections
 from wagtailspread.gateway import exchanges, headers
@@ -330,41 +329,6 @@
         return None if self.routes is None else self.routes.settings.version
 
 
-class ReadinessServer:
-    """Tells the platform's balancer whether to send callers.
-
-    :param path: of the question.
-    """
-
-    def __init__(
-        self,
-        path: str,
-        is_ready: typing.Callable[[], bool],
-    ) -> None:
-        """Keep the question; nothing is opened yet."""
-        self._path = path
-        self._is_ready = is_ready
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self, address: identifiers.Address) -> None:
-        """Listen on ``address``."""
-        self._runner = web.ServerRunner(web.Server(self._answer))
-        await self._runner.setup()
-        ip, _, port = address.rpartition(':')
-        await web.TCPSite(self._runner, ip, int(port)).start()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path != self._path:
-            return web.Response(status=_NOT_FOUND)
-        is_ready = self._is_ready()
-        return web.Response(status=200 if is_ready else _UNAVAILABLE)
-
-
 def create_server(
     runner: attempts.AttemptRunner,
     names: headers.HeaderNames,
