Add failing tests of large configurations behind slow links

Callers got 404 for routes of a configuration that was confirmed more than 2.5 s before. The tests run a host against a replica through a relay of 2 Mbit/s with 11,000 routes, the size of docs/CAPACITY.md, and expect the 5 s of the same page.

--- /dev/null
+++ b/wagtailspread/gateway/tests/test_configurations.py
@@ -0,0 +1,96 @@
+"""Tests of how a configuration reaches a host behind a slow link."""
+
+import asyncio
+
+from wagtailspread.gateway.tests import configured_fleets as fleets
+
+#: Routes of a configuration at the size to design for (docs/CAPACITY.md).
+ROUTES = 11_000
+#: Time in which a change is in force everywhere, in seconds (the same page).
+IN_FORCE_SECONDS = 5.0
+#: What one change may cost a host: 7 KB/s for control (the same page) in the
+#: time in which it has to be in force.
+CHANGE_BYTES = 7_000 * IN_FORCE_SECONDS
+#: About half of what such a configuration takes on a link.
+HALF_BYTES = 70_000
+
+
+async def test_a_large_configuration_reaches_a_host_behind_a_slow_link():
+    """Guards against hosts that refuse callers by a configuration of before.
+
+    The whole document was one answer with a time limit that a slow link could
+    not keep, and each new try began from nothing.
+    """
+    routes = fleets.create_routes(ROUTES)
+    async with fleets.Replica() as replica:
+        replica.put(1, fleets.create_body(1, routes[:10]))
+        async with fleets.run_host(replica) as host:
+            await fleets.wait_for_version(host, 1, 2.0)
+            replica.put(2, fleets.create_body(2, routes))
+            await fleets.wait_for_version(host, 2, IN_FORCE_SECONDS)
+
+
+async def test_a_change_of_a_large_configuration_costs_what_it_changes():
+    """Guards against links filled by what a host already has."""
+    routes = fleets.create_routes(ROUTES)
+    async with fleets.Replica(rate=10 * fleets.SLOW_RATE) as replica:
+        replica.put(1, fleets.create_body(1, routes))
+        async with fleets.run_host(replica) as host:
+            await fleets.wait_for_version(host, 1, IN_FORCE_SECONDS)
+            before = replica.link.passed
+            routes.insert(ROUTES // 2, fleets.create_routes(1, seed=2)[0])
+            replica.put(2, fleets.create_body(2, routes))
+            await fleets.wait_for_version(host, 2, IN_FORCE_SECONDS)
+            assert replica.link.passed - before < CHANGE_BYTES
+
+
+async def test_a_download_goes_on_at_another_replica():
+    """Guards against a download that begins anew when a replica is lost."""
+    body = fleets.create_body(1, fleets.create_routes(ROUTES))
+    async with fleets.Replica() as first, fleets.Replica() as second:
+        first.put(1, body)
+        second.put(1, body)
+        async with fleets.run_host(first, second) as host:
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                while first.link.passed + second.link.passed < HALF_BYTES:
+                    await asyncio.sleep(0.01)
+            lost, left = first, second
+            if second.link.passed > first.link.passed:
+                lost, left = second, first
+            passed = left.link.passed
+            await lost.close()
+            await fleets.wait_for_version(host, 1, IN_FORCE_SECONDS)
+            assert left.link.passed - passed < lost.link.passed + HALF_BYTES
+
+
+async def test_changes_that_come_faster_than_a_download_do_not_hold_it_up():
+    """Guards against downloads that never end while operators go on."""
+    routes = fleets.create_routes(ROUTES)
+    async with fleets.Replica() as replica, fleets.run_host(replica) as host:
+        for version in range(1, 30):
+            fresh = fleets.create_routes(1, seed=100 + version)
+            routes[version * 300] = fresh[0]
+            replica.put(version, fleets.create_body(version, routes))
+            await asyncio.sleep(0.1)
+        assert host.server.routes is not None
+        await fleets.wait_for_version(host, 29, IN_FORCE_SECONDS)
+
+
+async def test_upstreams_are_learnt_while_a_configuration_is_on_its_way():
+    """Guards against a download that holds up the registry.
+
+    A departure is confirmed within 0.7 s only if every host has heard of it.
+    """
+    body = fleets.create_body(1, fleets.create_routes(ROUTES))
+    async with fleets.Replica(rate=fleets.SLOW_RATE // 4) as replica:
+        replica.register(1)
+        replica.put(1, body)
+        async with fleets.run_host(replica) as host:
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                while not host.selector.registry.rows:
+                    await asyncio.sleep(0.01)
+            for number in range(2, 6):
+                assert host.server.routes is None
+                assert await replica.drain(number - 1)
+                replica.register(number)
+                await asyncio.sleep(0.05)
