Send the configuration document in parts, and only what is new of it

Cause: the whole document was part of one answer to the call by which a host follows a replica. The call ends after 1.1 s, of which up to 0.7 s may be over when the document is sent. A link of 2 Mbit/s needs 0.85 s for 213 KB, besides what callers send. The host then drops the connection and asks for the same again, and every later change sends the whole document again. Until it arrives the host answers by the older version. The same call carries the registry, and the link carries the calls to the allocator, so both failed with it ("replica lost" and "allocator lost" in the logs).

Change: a replica cuts the document into chunks at content-defined ends and names them in a manifest. A host asks for those that it lacks, some at a time, compressed, on a connection of their own. It asks for less after a call that failed. Chunks that came are kept over calls, replicas and versions, so a download never begins anew.

--- /dev/null
+++ b/wagtailspread/configuration/tests/test_chunks.py
@@ -0,0 +1,84 @@
+"""Tests of documents in chunks."""
+
+import random
+
+import hypothesis
+import pytest
+
+from hypothesis import strategies
+from wagtailspread.configuration import chunks
+
+_BODIES = strategies.one_of(
+    strategies.binary(max_size=4096),
+    strategies.lists(
+        strategies.sampled_from([b'}', b'\n', b'a' * 700, b'{"a":1}', b'\0']),
+        max_size=400,
+    ).map(b''.join),
+)
+
+
+@hypothesis.given(body=_BODIES)
+def test_a_document_is_what_its_chunks_make_up(body):
+    """Guards against a document that loses or repeats a part."""
+    pieces = chunks.split(body)
+    assert b''.join(pieces) == body
+    assert all(0 < len(one) <= chunks.MOST_BYTES for one in pieces)
+    manifest = chunks.describe(3, body)
+    assembly = chunks.create_assembly()
+    assembly.start(manifest)
+    for chunk in pieces:
+        assembly.take(chunk)
+    assert not assembly.list_missing()
+    assert assembly.finish() == body
+
+
+@pytest.mark.parametrize('size', [200_000, chunks.MOST_BYTES + 1])
+@pytest.mark.parametrize('byte', [b'x', b'}', b'\n'])
+def test_a_document_of_one_byte_is_cut(size, byte):
+    """Guards against a chunk that no slow link carries in time."""
+    pieces = chunks.split(byte * size)
+    assert max(map(len, pieces)) <= chunks.MOST_BYTES
+    assert b''.join(pieces) == byte * size
+
+
+def test_chunks_of_another_document_are_refused():
+    """Guards against a document of parts of two versions."""
+    assembly = chunks.create_assembly()
+    manifest = chunks.describe(1, b'first')
+    assembly.start(chunks.Manifest(2, b'other', manifest.chunks))
+    assembly.take(b'first')
+    with pytest.raises(chunks.DamagedDocument):
+        assembly.finish()
+    assembly.start(manifest)
+    assert assembly.list_missing() == list(manifest.chunks)
+
+
+def test_chunks_are_kept_for_a_newer_version():
+    """Guards against a download that begins anew with each change."""
+    draw = random.Random(1)
+    lines = [b'%x\n' % draw.getrandbits(800) for _ in range(1000)]
+    assembly = chunks.create_assembly()
+    assembly.start(chunks.describe(1, b''.join(lines)))
+    for chunk in chunks.split(b''.join(lines))[:20]:
+        assembly.take(chunk)
+    lines[900] = b'changed\n'
+    newer = b''.join(lines)
+    assembly.start(chunks.describe(2, newer))
+    expected = len(chunks.split(newer)) - 20
+    assert len(assembly.list_missing()) == expected
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        b'',
+        b'no zlib',
+        chunks.pack([b'a' * 100])[:-4],
+        chunks.pack([b'a' * 2000]),
+    ],
+    ids=['empty', 'other', 'cut', 'large'],
+)
+def test_packed_chunks_that_cannot_be_read_are_refused(packed):
+    """Guards against a peer that fills the memory or sends other bytes."""
+    with pytest.raises(chunks.DamagedChunks):
+        chunks.unpack(packed, 1000)
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -12,7 +12,7 @@
 from wagtailspread.gateway import placements, readiness, servers
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
-from wagtailspread.registry import followers, records
+from wagtailspread.registry import downloads, followers, records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
@@ -80,9 +80,10 @@
         self._clock = clock
         self._hosts = 0
         self._is_stopping = False
-        # Registry and placement have connections of their own, so that calls
-        # which wait for the one do not hold up the other.
+        # Registry, documents and placement have connections of their own, so
+        # that calls which wait for the one do not hold up the others.
         self._pool = _create_pool(settings)
+        self._document_pool = _create_pool(settings)
         self._placing_pool = _create_pool(settings)
         self.selector = selection.create_selector(
             registries.create_table(),
@@ -112,15 +113,21 @@
             settings.ready_path,
             self.is_ready,
         )
+        sources = followers.SourceList(settings.find_seeds, self._measure)
         self.follower = followers.Follower(
             settings.host,
             settings.link_address,
             settings.place.domain,
-            followers.SourceList(settings.find_seeds, self._measure),
+            sources,
             self._pool,
             clock,
             self._apply,
         )
+        self.downloader = downloads.DocumentDownloader(
+            self._document_pool,
+            lambda: sources.list_addresses(clock.now()),
+            self._apply_document,
+        )
         self._listener = listeners.create_listener(
             settings.own,
             settings.directory,
@@ -139,6 +146,7 @@
         """Listen, and follow the replicas."""
         self._tasks = [
             asyncio.create_task(self.follower.follow()),
+            asyncio.create_task(self.downloader.run()),
             asyncio.create_task(self._placing.run()),
             asyncio.create_task(self.server.answers.run()),
         ]
@@ -167,6 +175,7 @@
         await self._exchanger.close()
         await self._readiness.close()
         await self._pool.close()
+        await self._document_pool.close()
         await self._placing_pool.close()
         counts = self.server.answers.counts
         _log.info(
@@ -219,30 +228,24 @@
         self.selector.silent = frozenset(batch.silent)
         self._hosts = batch.hosts
         self._placer.learn(batch.replicas, batch.substitutes)
-        if batch.document is not None:
-            self._apply_document(batch)
-        lag = self.follower.lag
-        heard = batch.document_version
-        if lag.note(heard, self.follower.document_version, now):
-            _log.warning('configuration behind', extra=lag.describe(now))
+        if self.follower.lag.is_behind:
+            self.downloader.get(self.follower.lag.heard)
 
-    def _apply_document(self, batch: messages.Struct) -> None:
-        if batch.document_version <= self.follower.document_version:
-            return
-        settings = self._read_document(batch.document)
+    def _apply_document(self, version: int, body: bytes) -> None:
+        settings = self._read_document(body)
         if settings is None:
             _log.error(
                 'configuration invalid',
-                extra={'configuration_version': batch.document_version},
+                extra={'configuration_version': version},
             )
             return
-        self.follower.document_version = batch.document_version
         self.server.put_in_force(settings)
         lag = self.follower.lag.describe(self._clock.now())
+        self.follower.lag.put_in_force(version)
         _log.info(
             'configuration in force',
             extra={
-                'configuration_version': batch.document_version,
+                'configuration_version': version,
                 'behind_seconds': lag['behind_seconds'],
             },
         )
--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -6,7 +6,7 @@
 import random
 
 from wagtailspread.configuration import documents
-from wagtailspread.core import clocks
+from wagtailspread.core import clocks, identifiers
 from wagtailspread.gateway import hosts
 from wagtailspread.gateway.tests import slow_links
 from wagtailspread.placement import budgets, costs
@@ -18,7 +18,7 @@
 REGIONS = {'north': 'r1'}
 #: Bandwidth of a host's link on the slowest machines, bytes/s: 2 Mbit/s.
 SLOW_RATE = 250_000
-_MEMBER = 'm'
+_MEMBER = identifiers.MemberId('m')
 _KEY = credentials.create_key()
 _DIRECTORY = credentials.FixedDirectory(
     {_MEMBER: credentials.public_bytes(_KEY)},
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -25,7 +25,7 @@
     return terms.RoutingSettings(int(body), (route,), {})
 
 
-def create_batch(version, document=None, position=1):
+def create_batch(version, position=1):
     """Return a replica's answer."""
     return messages.structs.ChangeBatch(
         epoch=1,
@@ -33,7 +33,6 @@
         rows=[],
         silent=[],
         document_version=version,
-        document=document,
         replicas=[],
         substitutes=[],
         has_quorum=True,
@@ -107,24 +106,22 @@
 async def test_a_version_that_is_not_in_force_is_reported_once():
     """Guards against a host that is behind and does not say so."""
     clock = clocks.ManualClock(10.0)
-    answers = (
-        result.Success(create_batch(4, b'4')),
-        result.Success(create_batch(5)),
-        result.Success(create_batch(5)),
-        result.Success(create_batch(6, b'bad')),
-        result.Success(create_batch(6, b'6')),
-    )
+    steps = [(4, b'4'), (5, None), (5, None), (6, b'bad'), (6, b'6')]
+    answers = [result.Success(create_batch(version)) for version, _ in steps]
     async with open_host(clock, *answers) as host:
         with logbook.TestHandler() as handler:
-            for _ in answers:
+            for version, document in steps:
                 await host.follower.follow_once('replica:1')
+                if document is not None:
+                    host._apply_document(version, document)
                 clock.advance(1.0)
     behind = list_events(handler, 'configuration behind')
     known = [
         (one['configuration_version'], one['heard_version']) for one in behind
     ]
-    assert known == [(4, 5), (4, 6)]
-    assert [one['behind_seconds'] for one in behind] == [0.0, 2.0]
+    assert known == [(-1, 4), (4, 5), (4, 6)]
+    assert [one['behind_seconds'] for one in behind] == [0.0, 0.0, 2.0]
+    assert len(list_events(handler, 'configuration invalid')) == 1
     in_force = list_events(handler, 'configuration in force')
     assert in_force == [
         {'configuration_version': 4, 'behind_seconds': 0.0},
@@ -136,14 +133,16 @@
     """Guards against a host of which nobody knows how old its routes are."""
     clock = clocks.ManualClock(10.0)
     answers = (
-        result.Success(create_batch(4, b'4')),
+        result.Success(create_batch(4)),
         result.Success(create_batch(5)),
         result.Failure(failures.Failure()),
     )
     async with open_host(clock, *answers) as host:
         with logbook.TestHandler() as handler:
-            for _ in answers:
+            for number, _ in enumerate(answers):
                 await host.follower.follow_once('replica:1')
+                if not number:
+                    host._apply_document(4, b'4')
                 clock.advance(1.0)
     (lost,) = list_events(handler, 'replica lost')
     assert lost.pop('reason')
--- /dev/null
+++ b/wagtailspread/registry/downloads.py
@@ -0,0 +1,212 @@
+"""Gets the configuration document from replicas, over links of any speed.
+
+Each call asks for a part that the link carries in the time of the call, and
+what has come stays. So a download goes on over a slow link, at another replica
+and towards a newer version; it never begins anew.
+"""
+
+import asyncio
+import typing
+
+import logbook
+
+from returns import result
+
+from wagtailspread.configuration import chunks, documents
+from wagtailspread.core import identifiers
+from wagtailspread.registry import publications
+from wagtailspread.wire import links, messages
+
+#: Time for one call at first, in seconds. A replica that was lost is noticed
+#: in that time.
+FIRST_CALL_SECONDS = 0.5
+#: Longest time for one call, in seconds.
+MOST_CALL_SECONDS = 2.0
+#: Bytes of chunks that the first call asks for, before compression.
+FIRST_BYTES = 16 * 1024
+#: Chunks that are named in one call.
+MAX_NAMED = publications.MOST_ANSWER_BYTES // chunks.LEAST_BYTES
+#: Most bytes of an answer: those asked for, or one chunk, with their lengths.
+MOST_RECEIVED_BYTES = 2 * publications.MOST_ANSWER_BYTES
+#: Pause when no replica has the version, in seconds.
+PAUSE_SECONDS = 0.1
+
+_log = logbook.Logger('downloads')
+
+
+class DocumentDownloader:
+    """Keeps a host at the newest document that it has heard of.
+
+    :param version: of the last whole document.
+    """
+
+    def __init__(
+        self,
+        pool: links.LinkPool,
+        list_sources: typing.Callable[[], list[identifiers.Address]],
+        apply: typing.Callable[[int, bytes], None],
+    ) -> None:
+        """Hold no document.
+
+        :param list_sources: returns the replicas to ask, the best one first.
+        :param apply: takes each whole document with its version.
+        """
+        self.version = documents.NO_VERSION
+        self._wanted = documents.NO_VERSION
+        self._pool = pool
+        self._list_sources = list_sources
+        self._apply = apply
+        self._assembly = chunks.create_assembly()
+        self._has_work = asyncio.Event()
+        self._call_seconds = FIRST_CALL_SECONDS
+        self._asked_bytes = FIRST_BYTES
+
+    def get(self, version: int) -> None:
+        """Get this version or a newer one."""
+        if version > self._wanted:
+            self._wanted = version
+            self._has_work.set()
+
+    async def run(self) -> None:
+        """Download until cancelled."""
+        while True:
+            await self._has_work.wait()
+            self._has_work.clear()
+            while self.version < self._wanted:
+                if not await self._ask_all():
+                    await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _ask_all(self) -> bool:
+        """Ask one replica after another; tell whether one was enough."""
+        for address in self._list_sources():
+            if await self._download(address):
+                return True
+        return False
+
+    async def _download(self, address: identifiers.Address) -> bool:
+        """Get the document of one replica; tell whether it is whole."""
+        before: chunks.Manifest | None = None
+        while True:
+            manifest = await self._read_manifest(address)
+            if manifest is None or manifest.version <= self.version:
+                return False
+            if manifest == before:
+                _log.warning(
+                    'chunks missing at a replica',
+                    extra={'replica': address, 'version': manifest.version},
+                )
+                return False
+            self._assembly.start(manifest)
+            if not await self._fetch_missing(address):
+                return False
+            if not self._assembly.list_missing():
+                return self._finish(manifest.version)
+            before = manifest
+
+    async def _fetch_missing(self, address: identifiers.Address) -> bool:
+        """Get chunks until none are missing; tell whether all calls worked.
+
+        It ends too when the replica has none of them, since it has gone on to
+        a newer version.
+        """
+        while missing := self._assembly.list_missing():
+            taken = await self._read_chunks(address, missing)
+            if not taken:
+                return taken is not None
+        return True
+
+    def _finish(self, version: int) -> bool:
+        try:
+            body = self._assembly.finish()
+        except chunks.DamagedDocument:
+            _log.error('document damaged', extra={'version': version})
+            return False
+        self.version = version
+        self._apply(version, body)
+        return True
+
+    async def _read_manifest(
+        self,
+        address: identifiers.Address,
+    ) -> chunks.Manifest | None:
+        answer = await self._call(
+            address,
+            messages.methods.READ_MANIFEST,
+            messages.structs.Empty(),
+            messages.structs.DocumentManifest,
+        )
+        if answer is None:
+            return None
+        return chunks.Manifest(
+            answer.version,
+            answer.digest,
+            chunks.split_ids(answer.chunks),
+        )
+
+    async def _read_chunks(
+        self,
+        address: identifiers.Address,
+        missing: list[chunks.ChunkId],
+    ) -> int | None:
+        """Return how many missing chunks came, ``None`` after a failure."""
+        request = messages.structs.ReadChunks(
+            chunks=chunks.join_ids(missing[:MAX_NAMED]),
+            most_bytes=self._asked_bytes,
+        )
+        answer = await self._call(
+            address,
+            messages.methods.READ_CHUNKS,
+            request,
+            messages.structs.ChunkBatch,
+        )
+        if answer is None:
+            return None
+        try:
+            received = chunks.unpack(answer.packed, MOST_RECEIVED_BYTES)
+        except chunks.DamagedChunks as error:
+            self._note_failure(address, str(error))
+            return None
+        wanted = set(missing)
+        for chunk in received:
+            wanted.discard(self._assembly.take(chunk))
+        return len(missing) - len(wanted)
+
+    async def _call(
+        self,
+        address: identifiers.Address,
+        method: int,
+        request: messages.Struct,
+        answer_type: typing.Any,
+    ) -> messages.Struct | None:
+        """Return the answer; adapt the size of the next one to the link."""
+        answer = await self._pool.find(address).call(
+            method,
+            request,
+            answer_type,
+            self._call_seconds,
+        )
+        if isinstance(answer, result.Success):
+            if method == messages.methods.READ_CHUNKS:
+                self._call_seconds = FIRST_CALL_SECONDS
+                self._asked_bytes = min(
+                    2 * self._asked_bytes,
+                    publications.MOST_ANSWER_BYTES,
+                )
+            return answer.unwrap()
+        self._note_failure(address, answer.failure().describe())
+        self._call_seconds = min(2 * self._call_seconds, MOST_CALL_SECONDS)
+        # One chunk is answered even if it is larger.
+        self._asked_bytes = max(self._asked_bytes // 2, chunks.LEAST_BYTES)
+        await self._pool.forget(address)
+        return None
+
+    def _note_failure(self, address: identifiers.Address, reason: str) -> None:
+        _log.warning(
+            'configuration part not received',
+            extra={
+                'replica': address,
+                'reason': reason,
+                'wanted_version': self._wanted,
+                'asked_bytes': self._asked_bytes,
+            },
+        )
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -12,7 +12,6 @@
 
 from returns import result
 
-from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.registry import feeds, lags
 from wagtailspread.wire import links, messages
@@ -83,6 +82,14 @@
         self._current = best.address
         return best.address
 
+    def list_addresses(self, now: float) -> list[identifiers.Address]:
+        """Return the replicas, the best one first."""
+        ordered = sorted(
+            self._sources.values(),
+            key=lambda one: (one.avoided_until > now, one.distance),
+        )
+        return [one.address for one in ordered]
+
     def avoid(self, address: identifiers.Address, now: float) -> None:
         """Ask other replicas first for a while."""
         source = self._sources.get(address)
@@ -123,6 +130,7 @@
     """Keeps a host up to date.
 
     :param apply: takes each batch of changes.
+    :param lag: which versions of the document are known and in force.
     """
 
     def __init__(
@@ -136,7 +144,6 @@
         apply: typing.Callable[[messages.Struct], None],
     ) -> None:
         """Keep the parts; nothing is opened yet."""
-        self.document_version = documents.NO_VERSION
         self.followed: identifiers.Address | None = None
         self.lag = lags.create_lag()
         self._host = host
@@ -164,7 +171,7 @@
             is_replica=False,
             epoch=self._epoch,
             position=self._position,
-            document_version=self.document_version,
+            document_version=self.lag.heard,
             wait_ms=int(WAIT_SECONDS * 1000),
             address=self._address,
         )
@@ -192,6 +199,8 @@
         self.followed = address
         self._epoch = batch.epoch
         self._position = batch.position
+        if self.lag.note(batch.document_version, now):
+            _log.info('configuration behind', extra=self.lag.describe(now))
         self._sources.learn(batch.replicas, is_complete=batch.has_quorum)
         if not batch.has_quorum:
             # It may miss what the others acknowledge.
--- a/wagtailspread/registry/lags.py
+++ b/wagtailspread/registry/lags.py
@@ -1,10 +1,13 @@
 """How far a host is behind the newest configuration that it has heard of.
 
 >>> lag = create_lag()
->>> lag.note(heard=5, in_force=4, now=1.0), lag.note(5, 4, 2.0)
+>>> lag.note(heard=5, now=1.0), lag.note(heard=5, now=2.0)
 (True, False)
 >>> lag.describe(3.0)['behind_seconds']
 2.0
+>>> lag.put_in_force(5)
+>>> lag.is_behind
+False
 """
 
 import typing
@@ -28,24 +31,31 @@
         self._behind_since: float | None = None
         self._answered_at: float | None = None
 
-    def note(self, heard: int, in_force: int, now: float) -> bool:
+    @property
+    def is_behind(self) -> bool:
+        """Whether a replica named a newer version than the one in force."""
+        return self.heard > self.in_force
+
+    def note(self, heard: int, now: float) -> bool:
         """Take an answer of a replica.
 
         :param heard: version that the replica named.
-        :param in_force: version in force after the answer.
         :param now: seconds of the host's clock.
         :returns: whether ``heard`` is the newest version named so far and is
             not in force.
         """
         is_new = heard > self.heard
         self.heard = max(heard, self.heard)
-        self.in_force = in_force
         self._answered_at = now
-        if in_force >= self.heard:
-            self._behind_since = None
-        elif self._behind_since is None:
+        if self.is_behind and self._behind_since is None:
             self._behind_since = now
-        return is_new and heard > in_force
+        return is_new and self.is_behind
+
+    def put_in_force(self, version: int) -> None:
+        """Take the version that is in force from now on."""
+        self.in_force = version
+        if not self.is_behind:
+            self._behind_since = None
 
     def describe(self, now: float) -> dict[str, typing.Any]:
         """Return the fields of a log line.
--- /dev/null
+++ b/wagtailspread/registry/publications.py
@@ -0,0 +1,133 @@
+"""Hands out the configuration document of a replica, chunk by chunk.
+
+A manifest is 500 times smaller than its document, and an answer with chunks
+is as large as the follower wants it, so no answer holds up a slow link.
+"""
+
+import dataclasses
+import typing
+
+from returns import result
+
+from wagtailspread.configuration import chunks, documents
+from wagtailspread.core import failures
+from wagtailspread.wire import listeners, messages
+
+#: Most bytes of chunks in one answer before compression.
+MOST_ANSWER_BYTES = 64 * 1024
+
+
+class NoDocument(failures.Failure):
+    """The replica knows no document yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Published:
+    """A version in chunks."""
+
+    manifest: chunks.Manifest
+    chunks: dict[chunks.ChunkId, bytes]
+
+
+_NOTHING = _Published(chunks.Manifest(documents.NO_VERSION, b'', ()), {})
+
+
+class DocumentPublisher:
+    """Answers the followers of one replica.
+
+    :param read_document: returns the newest document known to be committed.
+    """
+
+    def __init__(
+        self,
+        read_document: typing.Callable[[], documents.VersionedDocument],
+    ) -> None:
+        """Publish nothing yet."""
+        self._read_document = read_document
+        self._newest = _NOTHING
+        # Followers that have begun with it go on while a newer one comes.
+        self._before = _NOTHING
+
+    def register(self, listener: listeners.Listener) -> None:
+        """Serve the followers."""
+        structs = messages.structs
+        listener.add(
+            messages.methods.READ_MANIFEST,
+            structs.Empty,
+            self._answer_manifest,
+        )
+        listener.add(
+            messages.methods.READ_CHUNKS,
+            structs.ReadChunks,
+            self._answer_chunks,
+        )
+
+    def find_manifest(self) -> chunks.Manifest | None:
+        """Return the manifest of the newest document, if there is one."""
+        document = self._read_document()
+        if document.version != self._newest.manifest.version:
+            self._before = self._newest
+            self._newest = _Published(
+                *chunks.cut(document.version, document.body),
+            )
+        manifest = self._newest.manifest
+        return None if manifest.version == documents.NO_VERSION else manifest
+
+    def collect(
+        self,
+        wanted: typing.Iterable[chunks.ChunkId],
+        most_bytes: int,
+    ) -> list[bytes]:
+        """Return the first wanted chunks that are held.
+
+        :param most_bytes: bound on all but the first of them.
+        """
+        found: list[bytes] = []
+        left = min(most_bytes, MOST_ANSWER_BYTES)
+        for identity in wanted:
+            chunk = self._newest.chunks.get(identity)
+            if chunk is None:
+                chunk = self._before.chunks.get(identity)
+            if chunk is None:
+                continue
+            left -= len(chunk)
+            if found and left < 0:
+                break
+            found.append(chunk)
+        return found
+
+    async def _answer_manifest(
+        self,
+        _call: listeners.Call,
+        _request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        manifest = self.find_manifest()
+        if manifest is None:
+            return result.Failure(NoDocument())
+        return result.Success(
+            messages.structs.DocumentManifest(
+                version=manifest.version,
+                digest=manifest.digest,
+                chunks=chunks.join_ids(manifest.chunks),
+            ),
+        )
+
+    async def _answer_chunks(
+        self,
+        _call: listeners.Call,
+        request: messages.Struct,
+    ) -> listeners.HandlerResult:
+        self.find_manifest()
+        found = self.collect(
+            chunks.split_ids(request.chunks),
+            request.most_bytes,
+        )
+        packed = chunks.pack(found)
+        return result.Success(messages.structs.ChunkBatch(packed=packed))
+
+
+def create_publisher(
+    read_document: typing.Callable[[], documents.VersionedDocument],
+) -> DocumentPublisher:
+    """Return a publisher that has read no document yet."""
+    return DocumentPublisher(read_document)
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -12,7 +12,7 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import feeds, followers, records
+from wagtailspread.registry import feeds, followers, publications, records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time in which changes are collected before a follower gets them, in seconds.
@@ -91,6 +91,8 @@
             structs.FollowChanges,
             self._answer_follower,
         )
+        publisher = publications.create_publisher(neighbourhood.read_document)
+        publisher.register(listener)
 
     def register(self, record: records.UpstreamRecord) -> None:
         """Take a heartbeat of an upstream that takes work."""
@@ -307,10 +309,7 @@
             return
         batch.hosts += sum(one.hosts for one in self._remote_hosts.values())
         batch.has_quorum = neighbourhood.has_quorum()
-        held = neighbourhood.read_document()
-        batch.document_version = held.version
-        if held.version > request.document_version:
-            batch.document = held.body
+        batch.document_version = neighbourhood.read_document().version
 
     def _list_substitutes(
         self,
--- /dev/null
+++ b/wagtailspread/registry/tests/test_downloads.py
@@ -0,0 +1,118 @@
+"""Tests of how a download adapts to links and replicas that fail."""
+
+import asyncio
+
+from returns import result
+
+from wagtailspread.configuration import documents
+from wagtailspread.core import failures
+from wagtailspread.registry import downloads, publications
+from wagtailspread.wire import messages
+
+
+class Pool:
+    """Answers from publishers by address; some calls time out.
+
+    :param asked: address, method and bytes asked for of each call.
+    """
+
+    def __init__(self, publishers, *, timeouts=0):
+        """Let the first calls for chunks time out."""
+        self.asked = []
+        self._publishers = publishers
+        self._timeouts = timeouts
+        self._address = ''
+
+    def find(self, address):
+        """Return what answers the calls to an address."""
+        self._address = address
+        return self
+
+    async def forget(self, _address):
+        """Close nothing."""
+
+    async def call(self, method, request, _answer_type, timeout):
+        """Return the answer of the publisher at the address."""
+        publisher = self._publishers[self._address]
+        if method == messages.methods.READ_MANIFEST:
+            self.asked.append((self._address, None, timeout))
+            return await publisher._answer_manifest(None, request)
+        self.asked.append((self._address, request.most_bytes, timeout))
+        if self._timeouts:
+            self._timeouts -= 1
+            failure = failures.CallTimeout(self._address, timeout)
+            return result.Failure(failure)
+        return await publisher._answer_chunks(None, request)
+
+
+def create_document(version, lines):
+    """Return a document with numbered lines."""
+    document = documents.VersionedDocument()
+    body = b''.join(b'line %d of a document\n' % one for one in range(lines))
+    document.put(version, body)
+    return document
+
+
+async def download(pool, version, *sources):
+    """Return the documents that a download to a version came to."""
+    taken = []
+    downloader = downloads.DocumentDownloader(
+        pool,
+        lambda: list(sources),
+        lambda *document: taken.append(document),
+    )
+    downloader.get(version)
+    running = asyncio.create_task(downloader.run())
+    async with asyncio.timeout(5):
+        while downloader.version < version:
+            await asyncio.sleep(0.01)
+    running.cancel()
+    return taken
+
+
+def publish(document):
+    """Return the publisher of a document."""
+    return publications.create_publisher(lambda: document)
+
+
+async def test_a_link_that_is_too_slow_is_asked_for_less():
+    """Guards against the same call again that no answer can come to."""
+    document = create_document(2, 20_000)
+    pool = Pool({'r1': publish(document)}, timeouts=3)
+    assert await download(pool, 2, 'r1') == [(2, document.body)]
+    asked = [size for _, size, _ in pool.asked if size is not None]
+    seconds = [one for _, size, one in pool.asked if size is not None]
+    assert asked[:4] == [16384, 8192, 4096, 2048]
+    assert seconds[:4] == [0.5, 1.0, 2.0, downloads.MOST_CALL_SECONDS]
+    assert asked[-1] > asked[3]
+    assert max(asked) <= publications.MOST_ANSWER_BYTES
+
+
+async def test_a_replica_that_is_behind_is_not_enough():
+    """Guards against a host that stays at the version of its own replica."""
+    publishers = {
+        'near': publish(create_document(1, 10)),
+        'far': publish(create_document(2, 20)),
+    }
+    taken = await download(Pool(publishers), 2, 'near', 'far')
+    assert [version for version, _ in taken] == [1, 2]
+
+
+async def test_an_answer_is_bounded_whatever_is_asked():
+    """Guards against a replica that sends all it has to a follower."""
+    document = create_document(1, 50_000)
+    publisher = publish(document)
+    wanted = publisher.find_manifest().chunks
+    found = publisher.collect(wanted, 1 << 30)
+    assert sum(map(len, found)) <= publications.MOST_ANSWER_BYTES
+    assert len(publisher.collect(wanted, 0)) == 1
+
+
+async def test_chunks_of_the_version_before_are_still_answered():
+    """Guards against downloads cut off by each change."""
+    document = create_document(1, 1000)
+    publisher = publish(document)
+    before = publisher.find_manifest().chunks
+    document.put(2, b'other')
+    assert publisher.find_manifest().version == 2
+    assert publisher.collect(before, 1024)
--- a/wagtailspread/registry/tests/test_lags.py
+++ b/wagtailspread/registry/tests/test_lags.py
@@ -6,13 +6,14 @@
 def test_each_newer_version_is_reported_once():
     """Guards against a line for each answer, and against none."""
     lag = lags.create_lag()
-    assert not lag.note(heard=-1, in_force=-1, now=0.0)
-    assert not lag.note(heard=4, in_force=4, now=1.0)
-    assert lag.note(heard=5, in_force=4, now=2.0)
-    assert not lag.note(heard=5, in_force=4, now=3.0)
-    assert lag.note(heard=6, in_force=4, now=4.0)
+    assert not lag.note(heard=-1, now=0.0)
+    assert lag.note(heard=4, now=1.0)
+    lag.put_in_force(4)
+    assert lag.note(heard=5, now=2.0)
+    assert not lag.note(heard=5, now=3.0)
+    assert lag.note(heard=6, now=4.0)
     # Another replica is behind itself.
-    assert not lag.note(heard=5, in_force=4, now=5.0)
+    assert not lag.note(heard=5, now=5.0)
     assert lag.describe(7.5) == {
         'configuration_version': 4,
         'heard_version': 6,
@@ -25,8 +26,10 @@
     """Guards against a time that goes on when the version is in force."""
     lag = lags.create_lag()
     assert lag.describe(1.0)['unanswered_seconds'] is None
-    lag.note(heard=5, in_force=4, now=1.0)
-    lag.note(heard=5, in_force=5, now=2.0)
+    lag.note(heard=5, now=1.0)
+    lag.put_in_force(4)
+    assert lag.describe(2.0)['behind_seconds'] == 1.0
+    lag.put_in_force(5)
     assert lag.describe(3.0)['behind_seconds'] == 0.0
-    lag.note(heard=7, in_force=5, now=4.0)
+    lag.note(heard=7, now=4.0)
     assert lag.describe(5.0)['behind_seconds'] == 1.0
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -24,6 +24,8 @@
   READ_DOCUMENT = 17
   PLACE = 18
   SETTLE = 19
+  READ_MANIFEST = 20
+  READ_CHUNKS = 21
 }
 
 struct Envelope {
@@ -510,6 +512,26 @@
   2: string domain
 }
 
+// What the version in force at a replica is made of.
+struct DocumentManifest {
+  1: i64 version
+  2: binary digest
+  // Ids of the chunks in order, 8 bytes each.
+  3: binary chunks
+}
+
+struct ReadChunks {
+  // Ids of the chunks that the follower lacks.
+  1: binary chunks
+  // Most bytes of them before compression; at least one chunk is answered.
+  2: i32 most_bytes
+}
+
+// The first of the chunks asked for that the replica holds.
+struct ChunkBatch {
+  1: binary packed
+}
+
 struct ChangeBatch {
   1: i64 epoch
   2: i64 position
@@ -518,8 +540,8 @@
   5: list<string> heard
   // All upstreams that no replica has heard of late.
   6: list<string> silent
+  // The version to ask for with READ_MANIFEST. Field 8 was the document.
   7: i64 document_version
-  8: optional binary document
   9: list<ReplicaPlace> replicas
   10: bool has_quorum
   // Hosts that follow any replica.
