Bound the registry rows in one answer to a follower

What callers would see: hosts without upstreams, or with upstreams that left, as long as a replica's table does not fit the 1.1 s of one answer. A follower of a replica that has just started gets all rows at once: 252 today, some 25 KB, and 31,000 at the size to design for, 3 MB or 12 s over 2 Mbit/s.

Change: an answer has 256 rows at most, the oldest changes first, and names the position that it comes to. The follower asks again there.

The new test fails before: "assert 513 <= 256".

--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -22,6 +22,8 @@
 #: the link between regions; those that are cut off from the origin get them
 #: early enough to stop work within the 2 s of a departure.
 RELAY_SECONDS = 0.4
+#: Rows in one answer: some 25 KB, which a link of 2 Mbit/s carries in 0.1 s.
+MAX_ROWS = 256
 #: Epoch that a follower names before its first answer.
 NO_EPOCH = 0
 
@@ -170,14 +172,23 @@
         request: messages.Struct,
         now: float,
     ) -> messages.Struct:
-        """Return what the follower has not seen; the caller adds the rest."""
+        """Return what the follower has not seen; the caller adds the rest.
+
+        The oldest changes come first. A follower that has missed many asks
+        again at the position that it has come to.
+        """
         known = request.position if request.epoch == self.epoch else 0
+        position = self.table.position
+        changed = self.table.list_changed(known)
+        if len(changed) > MAX_ROWS:
+            changed.sort(key=lambda row: row.position)
+            changed = changed[:MAX_ROWS]
+            position = changed[-1].position
         return messages.structs.ChangeBatch(
             epoch=self.epoch,
-            position=self.table.position,
+            position=position,
             rows=[
-                records.to_row(_shorten_warm_up(row, now))
-                for row in self.table.list_changed(known)
+                records.to_row(_shorten_warm_up(row, now)) for row in changed
             ],
             heard=self._list_heard(known) if request.is_replica else [],
             silent=self.table.list_silent(now),
--- a/wagtailspread/registry/tests/test_feeds.py
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -153,3 +153,26 @@
     feed.register(_READY, 0.0)
     async with asyncio.timeout(feeds.RELAY_SECONDS / 2):
         await replica
+
+
+def test_many_changes_come_in_answers_of_bounded_size():
+    """Guards against answers that a slow link does not carry in time."""
+    feed = feeds.ChangeFeed(7)
+    expected = [f'u{number}' for number in range(2 * feeds.MAX_ROWS + 1)]
+    rows = [
+        dataclasses.replace(_READY, upstream=name, address=f'10.0.0.1:{place}')
+        for place, name in enumerate(expected)
+    ]
+    learnt = [records.to_row(row) for row in rows]
+    batch = messages.structs.ChangeBatch(rows=learnt, heard=[])
+    feed.learn(batch, 0.0)
+    told = []
+    position = 0
+    for _ in range(3):
+        batch = feed.collect(create_request(feed, position), 0.0)
+        assert len(batch.rows) <= feeds.MAX_ROWS
+        told.extend(row.upstream for row in batch.rows)
+        position = batch.position
+    assert told == expected
+    assert position == feed.position
+    assert not feed.collect(create_request(feed, position), 0.0).rows
