Refuse nothing by a configuration that may be out of date

What callers saw: a 404 from hosts that had not got the newest configuration, for a route that it has. No caller comes again after a 404 or a 413.

Cause: a host treats the version it holds as the one in force, however long ago a replica confirmed that. A document in parts makes the time shorter; a host that is cut off, or whose replica is, still holds an old one for as long.

Change: an answer that only a version of the configuration justifies (404 for an unknown route, 413 for a body) is given while the version is known to be the newest: no newer one was named, and a replica in touch with most others answered within 1.1 s. Otherwise it is 503 with a time to come back, which promises that nothing has run.

The new test fails before: "assert 404 == 503", "assert 413 == 503".

--- a/wagtailspread/gateway/answers.py
+++ b/wagtailspread/gateway/answers.py
@@ -36,6 +36,9 @@
 
     #: The host has no configuration yet.
     NO_ROUTES = 'no-routes'
+    #: What the configuration in force forbids, a newer one may allow, and the
+    #: host may be behind it.
+    NOT_CURRENT = 'not-current'
     #: The configuration in force has no route for the request.
     NO_ROUTE = 'no-route'
     #: The headers that delimit the body are wrong.
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -108,6 +108,7 @@
             runner,
             settings.names,
             tables.SplitCounter(random.Random()),
+            lambda: self.follower.lag.is_current(clock.now()),
         )
         self._readiness = readiness.ReadinessServer(
             settings.ready_path,
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -47,6 +47,7 @@
     """Serves callers. Use :func:`create_server`.
 
     :param routes: the routes in force; ``None`` until they are known.
+    :param is_current: tells whether they are those of the newest version.
     :param site: its listener.
     :param answers: lines and counts of the answers that are no success.
     """
@@ -56,8 +57,10 @@
         runner: attempts.AttemptRunner,
         names: headers.HeaderNames,
         splits: tables.SplitCounter,
+        is_current: typing.Callable[[], bool],
     ) -> None:
         """Keep the parts; nothing is opened yet."""
+        self._is_current = is_current
         self.routes: tables.RouteTable | None = None
         self.answers = answers.create_log()
         self._runner = runner
@@ -91,7 +94,7 @@
         path = request.raw_path.partition('?')[0]
         route = routes.match(request.headers.get('Host', ''), path)
         if route is None:
-            return self._answer(_NOT_FOUND, answers.Reason.NO_ROUTE, request)
+            return self._forbid(_NOT_FOUND, answers.Reason.NO_ROUTE, request)
         details: _Details = {
             'route': route.name,
             'limits_version': routes.settings.version,
@@ -99,33 +102,30 @@
         fault = requests.check_framing(request.headers)
         if fault:
             details['fault'] = fault
-            return self._reject(
-                _BAD_REQUEST,
-                answers.Reason.BAD_FRAMING,
-                request,
-                details,
+            return _close(
+                self._answer(
+                    _BAD_REQUEST,
+                    answers.Reason.BAD_FRAMING,
+                    request,
+                    details,
+                ),
             )
         limits = routes.settings.limits
         if (request.content_length or 0) > limits.body_bytes:
-            return self._reject(
-                _TOO_LARGE,
-                answers.Reason.BODY_TOO_LARGE,
-                request,
-                details,
+            return _close(
+                self._forbid(
+                    _TOO_LARGE,
+                    answers.Reason.BODY_TOO_LARGE,
+                    request,
+                    details,
+                ),
             )
         deadline = started + self._find_seconds(request, route)
         body = None
         if request.body_exists:
             body = await self._read_body(request, limits, deadline)
             if body.fault is not None:
-                details['fault'] = body.fault.detail
-                status = _find_status(body.fault)
-                return self._reject(
-                    status,
-                    _BODY_REASONS[status],
-                    request,
-                    details,
-                )
+                return _close(self._answer_body_fault(body, request, details))
         return await self._run(request, route, body, deadline)
 
     async def _run(
@@ -266,17 +266,37 @@
         status = _BAD_GATEWAY if is_kept else answer.status
         self._note(status, reason, request, found)
 
-    def _reject(
+    def _forbid(
         self,
         status: int,
         reason: answers.Reason,
         request: web.BaseRequest,
+        details: _Details | None = None,
+    ) -> web.Response:
+        """Return the answer to what the configuration in force forbids.
+
+        A newer version may allow it. While this host may be behind, the
+        caller is told to come back, since it would never return after a 4xx.
+        """
+        if self._is_current():
+            return self._answer(status, reason, request, details)
+        found = {**(details or {}), 'forbidden_by': reason.value}
+        return self._refuse(answers.Reason.NOT_CURRENT, request, found)
+
+    def _answer_body_fault(
+        self,
+        body: bodies.RequestBody,
+        request: web.BaseRequest,
         details: _Details,
     ) -> web.Response:
-        """Return an answer after which the connection is closed."""
-        response = self._answer(status, reason, request, details)
-        response.force_close()
-        return response
+        """Return the answer to a body that was not sent on."""
+        fault = body.fault
+        if fault is None:
+            raise ValueError(body)
+        status = _find_status(fault)
+        found = {**details, 'fault': fault.detail}
+        answer = self._forbid if status == _TOO_LARGE else self._answer
+        return answer(status, _BODY_REASONS[status], request, found)
 
     def _refuse(
         self,
@@ -333,9 +353,14 @@
     runner: attempts.AttemptRunner,
     names: headers.HeaderNames,
     splits: tables.SplitCounter,
+    is_current: typing.Callable[[], bool],
 ) -> GatewayServer:
-    """Return a server that is not started."""
-    return GatewayServer(runner, names, splits)
+    """Return a server that is not started.
+
+    :param is_current: tells whether the configuration that was put in force
+        last is the newest one.
+    """
+    return GatewayServer(runner, names, splits, is_current)
 
 
 def _create_head_limits(limits: terms.CallerLimits) -> protections.HeadLimits:
@@ -359,3 +384,9 @@
     if fault.detail == bodies.SLOW_BODY:
         return _REQUEST_TIMEOUT
     return fault.status
+
+
+def _close(response: web.Response) -> web.Response:
+    """Return an answer after which the connection is closed."""
+    response.force_close()
+    return response
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -51,7 +51,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server(upstreams, kind=terms.RequestKind.UNSAFE, **changes):
+async def run_server(
+    upstreams,
+    kind=terms.RequestKind.UNSAFE,
+    *,
+    is_current=True,
+    **changes,
+):
     """Yield a server before these upstreams and its address."""
     selector = selection.create_selector(
         registries.create_table(
@@ -74,6 +80,7 @@
         attempts.AttemptRunner('h1', 'north', placer, exchanger),
         names.HEADERS,
         tables.SplitCounter(random.Random(1)),
+        lambda: is_current,
     )
     route = create_route(kind, **changes)
     settings = terms.RoutingSettings(1, (route,), {'columns': 390})
@@ -262,3 +269,32 @@
                 assert answer.status == 404
             (connection,) = server.site._server.connections
             assert connection._keepalive_timeout >= 60
+
+
+@pytest.mark.parametrize('is_current', [True, False])
+@pytest.mark.parametrize(
+    ('path', 'body', 'status'),
+    [('/b/x', b'', 404), ('/a/x', bytes(2000), 413)],
+    ids=['route', 'body'],
+)
+async def test_a_host_that_may_be_behind_forbids_nothing(
+    is_current,
+    path,
+    body,
+    status,
+):
+    """Guards against a refusal by a version that is no longer in force.
+
+    No caller comes again after a 404 or 413, though a newer version may allow
+    its request.
+    """
+    async with run_server([], is_current=is_current) as (server, base):
+        limits = terms.CallerLimits(body_bytes=1000)
+        settings = dataclasses.replace(server.routes.settings, limits=limits)
+        server.put_in_force(settings)
+        answered, headers, _ = await call(base, path, data=body)
+    if is_current:
+        assert answered == status
+        return
+    assert answered == 503
+    assert float(headers['Retry-After']) > 0
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -199,7 +199,11 @@
         self.followed = address
         self._epoch = batch.epoch
         self._position = batch.position
-        if self.lag.note(batch.document_version, now):
+        if self.lag.note(
+            batch.document_version,
+            now,
+            has_quorum=batch.has_quorum,
+        ):
             _log.info('configuration behind', extra=self.lag.describe(now))
         self._sources.learn(batch.replicas, is_complete=batch.has_quorum)
         if not batch.has_quorum:
--- a/wagtailspread/registry/lags.py
+++ b/wagtailspread/registry/lags.py
@@ -14,6 +14,11 @@
 
 from wagtailspread.configuration import documents
 
+#: Age of the last answer of a replica in touch with most others up to which
+#: the version in force counts as the newest, in seconds. An answer comes each
+#: 0.7 s at the latest, and the call for it ends after 1.1 s.
+CURRENT_SECONDS = 1.1
+
 
 class VersionLag:
     """Compares the versions of replicas with the one in force here.
@@ -30,23 +35,34 @@
         self.in_force = documents.NO_VERSION
         self._behind_since: float | None = None
         self._answered_at: float | None = None
+        self._confirmed_at: float | None = None
 
     @property
     def is_behind(self) -> bool:
         """Whether a replica named a newer version than the one in force."""
         return self.heard > self.in_force
 
-    def note(self, heard: int, now: float) -> bool:
+    def is_current(self, now: float) -> bool:
+        """Tell whether no newer version can have been in force for long."""
+        if self.is_behind or self._confirmed_at is None:
+            return False
+        return now - self._confirmed_at <= CURRENT_SECONDS
+
+    def note(self, heard: int, now: float, *, has_quorum: bool = True) -> bool:
         """Take an answer of a replica.
 
         :param heard: version that the replica named.
         :param now: seconds of the host's clock.
+        :param has_quorum: whether the replica is in touch with most others,
+            so that it knows of confirmed versions.
         :returns: whether ``heard`` is the newest version named so far and is
             not in force.
         """
         is_new = heard > self.heard
         self.heard = max(heard, self.heard)
         self._answered_at = now
+        if has_quorum:
+            self._confirmed_at = now
         if self.is_behind and self._behind_since is None:
             self._behind_since = now
         return is_new and self.is_behind
--- a/wagtailspread/registry/tests/test_lags.py
+++ b/wagtailspread/registry/tests/test_lags.py
@@ -33,3 +33,19 @@
     assert lag.describe(3.0)['behind_seconds'] == 0.0
     lag.note(heard=7, now=4.0)
     assert lag.describe(5.0)['behind_seconds'] == 1.0
+
+
+def test_a_version_is_current_while_a_replica_in_touch_confirms_it():
+    """Guards against refusals by a host that newer versions do not reach."""
+    lag = lags.create_lag()
+    assert not lag.is_current(0.0)
+    lag.note(heard=4, now=1.0)
+    assert not lag.is_current(1.0)
+    lag.put_in_force(4)
+    assert lag.is_current(1.0 + lags.CURRENT_SECONDS)
+    lag.note(heard=4, now=3.0, has_quorum=False)
+    assert not lag.is_current(3.0)
+    lag.note(heard=4, now=3.5)
+    assert lag.is_current(4.0)
+    lag.note(heard=5, now=4.0)
+    assert not lag.is_current(4.0)
