Treat answers without a signature as lost, whatever their status

Failing before: test_an_unsigned_failure_is_a_loss for 301, 400, 401, 404, 408, 413, 429, 431, 500, 503 and 504, for example AssertionError: assert False + where False = isinstance(Answer(status=404, ...), <class 'Loss'>) test_an_unsigned_refusal_does_not_reach_a_caller for 302, 400 and 404: assert 404 == 502 test_a_lookup_is_sent_again_after_an_unsigned_refusal: assert (404, b'whole') == (200, b'whole') test_an_unrequested_upgrade_is_a_loss: the caller got status 101.

Cause: only a success had to bear the signature. Bytes of an upstream in trouble, or of another one at an address that was given away, reached a caller as a refusal, after which no caller comes again.

Change: every final answer needs the signature, unless it says that the request did not run. 3xx and 4xx end a request for good, so without proof they are a loss: 502 for an order, another attempt for a lookup. 5xx are treated alike. They may be another's as well, and 502 and 504 promise no more than they did, so a caller loses nothing. An answer below 200 is not a final one: no upgrade is ever asked for.

Result: the tests above pass, and so do test_exchanges.py and test_servers.py; test_an_unavailable_status_alone_does_not_prove_anything is unchanged and passes.

--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -30,7 +30,6 @@
 
 _MISDIRECTED = 421
 _FIRST_SUCCESS = 200
-_FIRST_REDIRECT = 300
 _SERVER_ERROR = 500
 _MILLISECONDS = 1000
 _OWN_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -247,9 +246,12 @@
         was_reset = progress.connection and progress.connection.was_reset
         if was_reset and not is_framed:
             return 'reset before the end of the body'
-        is_success = _FIRST_SUCCESS <= response.status < _FIRST_REDIRECT
-        if is_success and self._names.signature not in found:
-            return 'success without a signature'
+        if response.status < _FIRST_SUCCESS:
+            return 'no final answer'
+        # A refusal ends a request for good, so it needs the same proof as a
+        # success; 5xx are treated alike, for they may be another's as well.
+        if self._names.signature not in found:
+            return f'status {response.status} without a signature'
         return ''
 
 
--- a/wagtailspread/gateway/tests/test_exchanges.py
+++ b/wagtailspread/gateway/tests/test_exchanges.py
@@ -79,6 +79,41 @@
     assert progress.may_have_run
 
 
+@pytest.mark.parametrize(
+    'status',
+    [301, 304, 400, 401, 404, 408, 413, 429, 431, 500, 503, 504],
+)
+async def test_an_unsigned_failure_is_a_loss(status):
+    """Guards against passing on a refusal that the upstream never made.
+
+    A caller that gets 400 or 404 does not come again.
+    """
+    answer = raw_upstreams.reply(status, signature='')
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
+@pytest.mark.parametrize('status', [301, 400, 404, 500])
+async def test_a_signed_failure_is_passed_on(status):
+    """Guards against replacing a failure that the upstream made."""
+    answer = raw_upstreams.reply(status)
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, _ = await send(upstream)
+    assert outcome.status == status
+    assert outcome.headers['Response-Signature'] == 's1'
+
+
+async def test_an_unrequested_upgrade_is_a_loss():
+    """Guards against passing on an answer that is not a final one."""
+    answer = raw_upstreams.reply(101, b'', headers=['Upgrade: websocket'])
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
 async def test_a_body_without_length_ends_with_its_connection():
     """Guards against losing answers whose end is that of the connection."""
     answer = raw_upstreams.reply(length=0)
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -181,6 +181,32 @@
     assert headers['Response-Signature'] == 's1'
 
 
+@pytest.mark.parametrize('status', [302, 400, 404])
+async def test_an_unsigned_refusal_does_not_reach_a_caller(status):
+    """Guards against refusing an order by bytes that prove nothing."""
+    answer = raw_upstreams.reply(status, signature='')
+    async with run_upstreams(answer, answer) as upstreams:
+        async with run_server(upstreams) as (_, base):
+            answered, _, _ = await call(
+                base,
+                data=b'order',
+                allow_redirects=False,
+            )
+    assert answered == 502
+    assert count_requests(*upstreams) == 1
+
+
+async def test_a_lookup_is_sent_again_after_an_unsigned_refusal():
+    """Guards against losing lookups to bytes that prove nothing."""
+    bad = raw_upstreams.RawUpstream(raw_upstreams.reply(404, signature=''))
+    good = raw_upstreams.RawUpstream(raw_upstreams.reply())
+    kind = terms.RequestKind.SAFE
+    async with bad, good, run_server([bad, good], kind) as (_, base):
+        for _ in range(4):
+            status, _, body = await call(base, method='GET')
+            assert (status, body) == (200, b'whole')
+
+
 async def test_a_request_ends_at_the_timeout_of_its_route():
     """Guards against keeping a caller waiting longer than allowed."""
     async with run_upstreams(raw_upstreams.hang) as upstreams:
