Believe only answers that echo the attempt, not-run words included

Failing before: test_an_answer_without_the_id_of_its_request_is_a_loss in 19 of 24 cases, for example, an answer 421 or 503 to another request: + where False = isinstance(NotExecuted(is_another=False), <class 'Loss'>) and an answer 404 without any id: + where False = isinstance(Answer(status=404, ...), <class 'Loss'>) Also test_an_answer_with_two_ids_is_a_loss and test_a_success_that_says_not_run_is_a_loss.

Cause: the not-run word and 421 were believed before the echo was looked at, so a request that ran could be called not run and run twice, or be refused as not run. An answer with no echo passed as if it had the right one.

Change: the echo is looked at first, and must be there. The users' PROTOCOL says that targets echo the id in their responses, without an exception, so an answer without it is no target's: accepting one is not safe for successes, and no safer for failures, since a refusal ends a request. Where a sound upstream ever left it out, the caller would get 502, which promises nothing. The one exception is a request without an id, whose answer has none. Every echo of an answer must fit, and a status below 400 together with the not-run word is a contradiction and so a loss.

The fake answer of test_an_early_answer_to_a_long_upload_does_not_wait_for_it lacked the echo; it has it now. What the test asserts is unchanged.

--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -30,6 +30,7 @@
 
 _MISDIRECTED = 421
 _FIRST_SUCCESS = 200
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 _MILLISECONDS = 1000
 _OWN_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -198,10 +199,12 @@
             body = await _read_body(response)
         finally:
             response.close()
+        if not self._is_own(response, outgoing):
+            return Loss('answer without the id of its request')
         if self._is_not_run(response):
             progress.is_shed = True
             return NotExecuted(response.status == _MISDIRECTED)
-        fault = self._find_fault(response, outgoing, progress)
+        fault = self._find_fault(response, progress)
         if fault:
             return Loss(fault)
         return Answer(
@@ -225,21 +228,33 @@
         own[names.expected_upstream] = record.upstream
         return own
 
+    def _is_own(
+        self,
+        response: aiohttp.ClientResponse,
+        outgoing: Outgoing,
+    ) -> bool:
+        """Tell whether an answer echoes the attempt, which all answers do.
+
+        Without the echo nothing that an answer says is of this request, and
+        least of all that it did not run.
+        """
+        found = response.headers.getall(self._names.attempt, [''])
+        return all(attempt == outgoing.attempt for attempt in found)
+
     def _is_not_run(self, response: aiohttp.ClientResponse) -> bool:
+        """Tell whether the upstream rejected the request; a success did not."""
         if response.status == _MISDIRECTED:
             return True
-        return self._names.not_run in response.headers
+        is_word = self._names.not_run in response.headers
+        return is_word and response.status >= _CLIENT_ERROR
 
     def _find_fault(
         self,
         response: aiohttp.ClientResponse,
-        outgoing: Outgoing,
         progress: ledgers.Progress,
     ) -> str:
         """Return why an answer is not the upstream's whole own answer."""
         found = response.headers
-        if found.get(self._names.attempt, outgoing.attempt) != outgoing.attempt:
-            return 'answer to another request'
         if 'Content-Encoding' in found:
             return 'encoded body'
         is_framed = 'Content-Length' in found or 'Transfer-Encoding' in found
@@ -250,6 +265,8 @@
             return 'no final answer'
         # A refusal ends a request for good, so it needs the same proof as a
         # success; 5xx are treated alike, for they may be another's as well.
+        if self._names.not_run in found:
+            return f'status {response.status} with the not-run word'
         if self._names.signature not in found:
             return f'status {response.status} without a signature'
         return ''
--- a/wagtailspread/gateway/tests/raw_upstreams.py
+++ b/wagtailspread/gateway/tests/raw_upstreams.py
@@ -58,13 +58,19 @@
     length=None,
     reset=False,
 ):
-    """Return an answer with these parts."""
+    """Return an answer with these parts.
+
+    :param attempt: id of the answer instead of that of the request; an empty
+        text leaves it out.
+    """
 
     async def answer(reader, writer, head):
         await read_body(reader, head)
         lines = [f'HTTP/1.1 {status} Text']
-        echoed = attempt or read_header(head, 'Attempt-Id')
-        lines.append(f'Attempt-Id: {echoed}')
+        own = read_header(head, 'Attempt-Id')
+        echoed = own if attempt is None else attempt
+        if echoed:
+            lines.append(f'Attempt-Id: {echoed}')
         if signature:
             lines.append(f'Response-Signature: {signature}')
         if length != 0:
--- a/wagtailspread/gateway/tests/test_exchanges.py
+++ b/wagtailspread/gateway/tests/test_exchanges.py
@@ -12,17 +12,25 @@
 from wagtailspread.registry import records
 
 
-async def send(upstream, *, seconds=2.0, method='GET', body=None):
+async def send(
+    upstream,
+    *,
+    seconds=2.0,
+    method='GET',
+    body=None,
+    attempt='a1',
+):
     """Send one request; return the outcome and the progress."""
+    own = {'Attempt-Id': attempt} if attempt else {}
     exchanger = exchanges.create_exchanger(names.HEADERS)
     record = create_record(upstream.address)
     progress = ledgers.Progress()
     outgoing = exchanges.Outgoing(
         method,
         '/a/x?y=%2F',
-        multidict.CIMultiDict({'Attempt-Id': 'a1', 'Host': 'a.example'}),
+        multidict.CIMultiDict({'Host': 'a.example', **own}),
         body,
-        'a1',
+        attempt,
         asyncio.get_running_loop().time() + seconds,
     )
     try:
@@ -137,6 +145,55 @@
     assert not progress.may_have_run
 
 
+@pytest.mark.parametrize('attempt', ['', 'another'], ids=['none', 'another'])
+@pytest.mark.parametrize('status', [200, 404, 421, 429, 500, 503])
+@pytest.mark.parametrize('headers', [[], ['Not-Executed: 1']])
+async def test_an_answer_without_the_id_of_its_request_is_a_loss(
+    status,
+    attempt,
+    headers,
+):
+    """Guards against believing what was said of another request.
+
+    The not-run word of another request would let this one run twice.
+    """
+    answer = raw_upstreams.reply(status, attempt=attempt, headers=headers)
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
+async def test_an_answer_with_two_ids_is_a_loss():
+    """Guards against picking the id that fits."""
+    answer = raw_upstreams.reply(
+        503,
+        headers=['Attempt-Id: another', 'Not-Executed: 1'],
+    )
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
+async def test_a_success_that_says_not_run_is_a_loss():
+    """Guards against repeating a request on a contradictory answer."""
+    answer = raw_upstreams.reply(headers=['Not-Executed: 1'])
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream)
+    assert isinstance(outcome, exchanges.Loss)
+    assert progress.may_have_run
+
+
+async def test_a_request_without_an_id_may_be_rejected():
+    """Guards against asking for an id that the caller did not send."""
+    answer = raw_upstreams.reply(400, headers=['Not-Executed: 1'])
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, progress = await send(upstream, attempt='')
+    assert outcome == exchanges.NotExecuted(is_another=False)
+    assert not progress.may_have_run
+
+
 async def test_an_unavailable_status_alone_does_not_prove_anything():
     """Guards against taking an upstream's own failure for a rejection."""
     answer = raw_upstreams.reply(503)
@@ -178,7 +235,7 @@
     async def answer_early(_reader, writer, _head):
         writer.write(
             b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
-            b'Content-Length: 0\r\n\r\n',
+            b'Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n',
         )
         await asyncio.sleep(5)
 
