Bound the bytes, memory and time that answers without end may cost a host

Change: gateway/intakes.py counts bytes as they leave the socket, before aiohttp parses them, so all that its reader and parser hold is counted. Heads are parsed 4 KiB at a time. gateway/buffers.py has the bounds: - a head with the interim answers before it: 64 KiB, and 2 s from its first byte to its end; the clock stands still between an interim answer and the next head - a declared length: 1/16 of the memory, looked at with the head - no declared length: 1/64 of the memory, or 4 s of the link if that is less - framing: 1 MiB beyond as much as the content - all together: 1/8 of the memory, and 4 s of the link for those without a length; the largest unfinished answer gives way The head is judged before the body is read, so most bytes that are no answer end there. A body without end is otherwise told by its missing length: a large one that declares it ends by itself. A cut closes the connection at once, is a loss and bad evidence, and writes `answer cut`. The platform's memoryMb and linkMbps are decoded; a host of which nothing is known has 256 MB.

An answer of more than 1/16 of the memory was passed on up to 64 MiB and is a loss now. While an answer is passed on to a slow caller, it is not counted.

--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -7,24 +7,20 @@
 
 import asyncio
 import dataclasses
-import functools
 import typing
 
 import aiohttp
+import logbook
 import multidict
 import yarl
 
-from aiohttp import client_proto
-
 from wagtailspread.entry import bodies, connections, ledgers
-from wagtailspread.gateway import headers
+from wagtailspread.gateway import buffers, headers, intakes
 from wagtailspread.registry import records
 
 #: Time to open a connection, in seconds: 25 round trips to another region. A
 #: lost opening packet is sent again only after a second.
 CONNECT_SECONDS = 0.4
-#: Largest answer that is accepted, in bytes.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 #: Least time left with which a request is sent, in seconds.
 LEAST_SECONDS = 0.02
 
@@ -37,6 +33,8 @@
 #: The deadline of a request is kept by the exchange.
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
+_log = logbook.Logger('exchanges')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -61,7 +59,7 @@
     status: int
     reason: str | None
     headers: 'multidict.CIMultiDictProxy[str]'
-    body: bytes
+    body: bytes | bytearray
     seconds: float
 
     @property
@@ -98,54 +96,23 @@
 Outcome = Answer | NotExecuted | NoConnection | Loss
 
 
-class _WatchedProtocol(client_proto.ResponseHandler):
-    """Records whether a connection was reset.
+class Exchanger:
+    """Sends requests to upstreams. Use :func:`create_exchanger`.
 
-    A body without a length ends with its connection, and the client library
-    takes a reset for its end.
+    :param budgets: what the answers that are being read hold.
     """
 
-    record: ledgers.ConnectionRecord | None = None
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if exc is not None and self.record is not None:
-            self.record.was_reset = True
-        super().connection_lost(exc)
-
-
-class _WatchedConnector(connections.TrackingConnector):
-    def __init__(self) -> None:
-        super().__init__(
-            0,
-            limit=0,
-            force_close=True,
-            socket_factory=connections.create_socket,
-        )
-        loop = asyncio.get_running_loop()
-        create: typing.Any = functools.partial(_WatchedProtocol, loop=loop)
-        self._factory = create
-
-    async def connect(
+    def __init__(
         self,
-        req: typing.Any,
-        traces: typing.Any,
-        timeout: typing.Any,
-    ) -> typing.Any:
-        connection = await super().connect(req, traces, timeout)
-        protocol = connection.protocol
-        if isinstance(protocol, _WatchedProtocol):
-            protocol.record = self.records.get(protocol)
-        return connection
-
-
-class Exchanger:
-    """Sends requests to upstreams. Use :func:`create_exchanger`."""
-
-    def __init__(self, names: headers.HeaderNames) -> None:
+        names: headers.HeaderNames,
+        limits: buffers.AnswerLimits,
+    ) -> None:
         """Open a session; needs a running event loop."""
+        self.budgets = intakes.create_budgets(limits)
         self._names = names
+        self._limits = limits
         self._session = aiohttp.ClientSession(
-            connector=_WatchedConnector(),
+            connector=intakes.BoundedConnector(),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_OWN_HEADERS,
@@ -162,19 +129,25 @@
 
         :param progress: is kept up to date, whatever happens.
         """
+        intake = intakes.Intake(self._limits, self.budgets)
         connections.track(progress)
+        intakes.track(intake)
         try:
             async with asyncio.timeout_at(outgoing.deadline):
-                return await self._exchange(record, outgoing, progress)
+                return await self._exchange(record, outgoing, progress, intake)
         except TimeoutError:
-            reason = 'no answer in time'
+            intake.expire()
+            loss = Loss('no answer in time', is_expired=True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            if progress.is_connected:
-                return Loss(type(error).__name__)
-            return NoConnection()
-        if progress.is_connected:
-            return Loss(reason, is_expired=True)
-        return NoConnection()
+            loss = Loss(type(error).__name__)
+        finally:
+            intake.close()
+        if intake.reason is not None:
+            _log_cut(record, outgoing, intake)
+            # A body with a length ends by itself, so the time was too short.
+            is_ending = loss.is_expired and not intake.is_unsized
+            return Loss(intake.reason.value, is_expired=is_ending)
+        return loss if progress.is_connected else NoConnection()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -185,34 +158,49 @@
         record: records.UpstreamRecord,
         outgoing: Outgoing,
         progress: ledgers.Progress,
+        intake: intakes.Intake,
     ) -> Outcome:
-        started = asyncio.get_running_loop().time()
         response = await self._session.request(
             outgoing.method,
             yarl.URL(f'http://{record.address}{outgoing.target}', encoded=True),
-            headers=self._create_headers(record, outgoing, started),
+            headers=self._create_headers(record, outgoing, intake.started),
             data=outgoing.body and outgoing.body.open(),
             allow_redirects=False,
             timeout=_TIMEOUT,
         )
         try:
-            body = await _read_body(response)
+            return await self._read(response, outgoing, progress, intake)
         finally:
             response.close()
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        outgoing: Outgoing,
+        progress: ledgers.Progress,
+        intake: intakes.Intake,
+    ) -> Outcome:
+        """Return what an answer proves; read its body only if it is of use."""
         if not self._is_own(response, outgoing):
             return Loss('answer without the id of its request')
         if self._is_not_run(response):
             progress.is_shed = True
             return NotExecuted(response.status == _MISDIRECTED)
-        fault = self._find_fault(response, progress)
+        fault = self._find_fault(response)
         if fault:
             return Loss(fault)
+        body = await intake.read(response.content)
+        found = response.headers
+        is_framed = 'Content-Length' in found or 'Transfer-Encoding' in found
+        was_reset = progress.connection and progress.connection.was_reset
+        if was_reset and not is_framed:
+            return Loss('reset before the end of the body')
         return Answer(
             response.status,
             response.reason,
-            response.headers,
+            found,
             body,
-            asyncio.get_running_loop().time() - started,
+            asyncio.get_running_loop().time() - intake.started,
         )
 
     def _create_headers(
@@ -248,19 +236,11 @@
         is_word = self._names.not_run in response.headers
         return is_word and response.status >= _CLIENT_ERROR
 
-    def _find_fault(
-        self,
-        response: aiohttp.ClientResponse,
-        progress: ledgers.Progress,
-    ) -> str:
-        """Return why an answer is not the upstream's whole own answer."""
+    def _find_fault(self, response: aiohttp.ClientResponse) -> str:
+        """Return why a head is not that of an upstream's own answer."""
         found = response.headers
         if 'Content-Encoding' in found:
             return 'encoded body'
-        is_framed = 'Content-Length' in found or 'Transfer-Encoding' in found
-        was_reset = progress.connection and progress.connection.was_reset
-        if was_reset and not is_framed:
-            return 'reset before the end of the body'
         if response.status < _FIRST_SUCCESS:
             return 'no final answer'
         # A refusal ends a request for good, so it needs the same proof as a
@@ -272,26 +252,31 @@
         return ''
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return the whole body.
-
-    It does not wait until the request is sent: an upstream may answer before
-    it has read all of it.
+def create_exchanger(
+    names: headers.HeaderNames,
+    limits: buffers.AnswerLimits | None = None,
+) -> Exchanger:
+    """Return an exchanger; needs a running event loop.
 
-    :raises ValueError: if the body is too large.
+    :param limits: bounds on answers; those of a host of which nothing is
+        known if it is ``None``.
     """
-    pieces: list[bytes] = []
-    size = 0
-    while True:
-        piece = await response.content.readany()
-        if not piece:
-            return b''.join(pieces)
-        pieces.append(piece)
-        size += len(piece)
-        if size > MAX_ANSWER_BYTES:
-            raise ValueError('answer too large')
-
-
-def create_exchanger(names: headers.HeaderNames) -> Exchanger:
-    """Return an exchanger; needs a running event loop."""
-    return Exchanger(names)
+    return Exchanger(names, limits or buffers.create_limits())
+
+
+def _log_cut(
+    record: records.UpstreamRecord,
+    outgoing: Outgoing,
+    intake: intakes.Intake,
+) -> None:
+    seconds = asyncio.get_running_loop().time() - intake.started
+    _log.warning(
+        'answer cut',
+        extra={
+            'attempt': outgoing.attempt,
+            'upstream': record.upstream,
+            'reason': intake.reason and intake.reason.value,
+            'bytes': intake.size,
+            'seconds': round(seconds, 3),
+        },
+    )
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -8,7 +8,7 @@
 import logbook
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import attempts, exchanges, headers
+from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, servers
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
@@ -42,6 +42,7 @@
     :param link_address: of the fleet's own protocol.
     :param find_seeds: returns the addresses of some replicas as of now.
     :param stop_seconds: time from the request to stop to the end.
+    :param answers: bounds on the answers that are being read.
     """
 
     host: identifiers.HostId
@@ -56,6 +57,7 @@
     names: headers.HeaderNames
     retries: budgets.RetryTerms
     stop_seconds: float
+    answers: buffers.AnswerLimits
 
 
 class DocumentReader(typing.Protocol):
@@ -96,7 +98,10 @@
             self._create_budget(settings.retries),
             clock,
         )
-        self._exchanger = exchanges.create_exchanger(settings.names)
+        self._exchanger = exchanges.create_exchanger(
+            settings.names,
+            settings.answers,
+        )
         runner = attempts.AttemptRunner(
             settings.host,
             settings.place.domain,
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_buffers.py
@@ -0,0 +1,93 @@
+"""Tests of the memory that answers share."""
+
+import dataclasses
+
+from wagtailspread.gateway import buffers
+
+_MEMORY = buffers.CutReason.MEMORY
+
+
+@dataclasses.dataclass(eq=False)
+class FakeHolder:
+    """An answer that is being read."""
+
+    budget: buffers.BufferBudget
+    size: int = 0
+    is_whole: bool = False
+    reason: buffers.CutReason | None = None
+
+    def cut(self, reason):
+        """Record why it was cut, and leave the budget."""
+        self.reason = reason
+        self.budget.release(self)
+
+
+def create_holders(total, *sizes):
+    """Return a budget and holders of these sizes."""
+    budget = buffers.BufferBudget(total, _MEMORY)
+    holders = [FakeHolder(budget) for _ in sizes]
+    for holder, size in zip(holders, sizes, strict=True):
+        budget.grow(holder, size)
+    return budget, holders
+
+
+def test_the_largest_answer_gives_way_to_a_small_one():
+    """Guards against cutting the answers of sound upstreams."""
+    budget, (large, small) = create_holders(100, 70, 20)
+    budget.grow(small, 20)
+    assert large.reason is _MEMORY
+    assert small.reason is None
+    assert budget.held == 40
+
+
+def test_an_answer_that_grows_beyond_all_others_gives_way_itself():
+    """Guards against cutting others for the one that is too large."""
+    budget, (first, second) = create_holders(100, 40, 30)
+    budget.grow(second, 60)
+    assert second.reason is _MEMORY
+    assert first.reason is None
+    assert budget.held == 40
+
+
+def test_a_whole_answer_does_not_give_way():
+    """Guards against losing an answer that is about to be passed on."""
+    budget, (whole, other) = create_holders(100, 70, 20)
+    whole.is_whole = True
+    budget.grow(other, 20)
+    assert whole.reason is None
+    assert other.reason is _MEMORY
+    assert budget.held == 70
+    budget.grow(whole, 40)
+    assert whole.reason is None
+
+
+def test_several_answers_give_way_for_a_whole_one():
+    """Guards against a budget that stays exceeded."""
+    budget, (first, second, whole) = create_holders(100, 30, 30, 10)
+    whole.is_whole = True
+    budget.grow(whole, 70)
+    assert first.reason is _MEMORY
+    assert second.reason is _MEMORY
+    assert whole.reason is None
+    assert budget.held == 80
+
+
+def test_the_budget_is_free_when_all_answers_are_released():
+    """Guards against a budget that shrinks with each answer."""
+    budget, holders = create_holders(100, 30, 30)
+    for holder in (*holders, *holders):
+        budget.release(holder)
+    assert budget.held == 0
+
+
+def test_limits_follow_the_memory_and_the_link():
+    """Guards against bounds that a small host cannot keep."""
+    limits = buffers.create_limits(200_000_000, 250_000)
+    assert limits.total_bytes == 25_000_000
+    assert limits.answer_bytes == 12_500_000
+    assert limits.unsized_total_bytes == 1_000_000
+    assert limits.unsized_bytes == 1_000_000
+    wide = buffers.create_limits(200_000_000, 125_000_000)
+    assert wide.unsized_bytes == 3_125_000
+    unknown = buffers.create_limits()
+    assert unknown.total_bytes * 8 == buffers.DEFAULT_MEMORY_BYTES
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_endless_answers.py
@@ -0,0 +1,381 @@
+"""Tests of upstreams whose bytes do not end, as fast as they can send."""
+
+import asyncio
+import contextlib
+import dataclasses
+import tracemalloc
+
+import logbook
+import multidict
+import pytest
+
+from wagtailspread.entry import ledgers
+from wagtailspread.gateway import buffers, exchanges
+from wagtailspread.gateway.tests import raw_upstreams
+from wagtailspread.gateway.tests import test_exchanges, test_servers
+from wagtailspread.platform import names
+from wagtailspread.routing import terms
+
+#: Deadline of the requests, in seconds; a bound must act well before it.
+_DEADLINE_SECONDS = 6.0
+#: Time in which bytes beyond a bound end an exchange here, in seconds.
+_CUT_SECONDS = 1.5
+#: Growth that upstreams in trouble may cause together, in bytes: the budget
+#: of the default limits and half a megabyte of buffers for each connection.
+_MOST_GROWTH_BYTES = 32_000_000 + 8 * 2 * 512 * 1024
+#: Parts of a whole answer's head.
+_OWN = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\n'
+_CHUNK = b'10000\r\n' + bytes(65536) + b'\r\n'
+
+
+class Endless(raw_upstreams.RawUpstream):
+    """Sends a beginning, then the same bytes until its caller closes.
+
+    :param seconds: time between two pieces.
+    """
+
+    def __init__(self, piece, beginning=b'', seconds=0.0):
+        """Start with nothing sent."""
+        super().__init__(self._flood)
+        self.sent = 0
+        self.closed = asyncio.Event()
+        self._piece = piece
+        self._beginning = beginning
+        self._seconds = seconds
+
+    async def _flood(self, reader, writer, head):
+        await raw_upstreams.read_body(reader, head)
+        writer.write(self._beginning)
+        with contextlib.suppress(OSError):
+            while not writer.is_closing():
+                writer.write(self._piece)
+                await writer.drain()
+                self.sent += len(self._piece)
+                await asyncio.sleep(self._seconds)
+        self.closed.set()
+
+
+async def exchange(exchanger, upstream, seconds=_DEADLINE_SECONDS):
+    """Return the outcome of one request."""
+    outgoing = exchanges.Outgoing(
+        'GET',
+        '/a/x',
+        multidict.CIMultiDict({'Attempt-Id': 'a1', 'Host': 'a.example'}),
+        None,
+        'a1',
+        asyncio.get_running_loop().time() + seconds,
+    )
+    return await exchanger.send(
+        test_exchanges.create_record(upstream.address),
+        outgoing,
+        ledgers.Progress(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_exchanger(*limits):
+    """Yield an exchanger."""
+    exchanger = exchanges.create_exchanger(names.HEADERS, *limits)
+    try:
+        yield exchanger
+    finally:
+        await exchanger.close()
+
+
+async def expect_cut(upstream, exchanger, seconds=_CUT_SECONDS):
+    """Return the outcome of a request that must be cut within this time."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    outcome = await exchange(exchanger, upstream)
+    assert isinstance(outcome, exchanges.Loss), outcome
+    assert loop.time() - started < seconds
+    assert not outcome.is_expired
+    async with asyncio.timeout(1):
+        await upstream.closed.wait()
+    return outcome
+
+
+@pytest.mark.parametrize(
+    ('piece', 'beginning'),
+    [
+        (b'\r\n' * 4096, b''),
+        (b'x' * 8192, b'HTTP/1.1 200 '),
+        (b'x' * 8192, f'{_OWN}X-Long: '.encode()),
+        (b'X-Many: 1\r\n' * 100, _OWN.encode()),
+        (b'HTTP/1.1 100 Continue\r\n\r\n' * 100, b''),
+        (b'HTTP/1.1 103 Early\r\nX-Some: 1\r\n\r\n' * 100, b''),
+        (
+            bytes(8192),
+            b'HTTP/1.1 100 Continue\r\nContent-Length: 9999999\r\n\r\n',
+        ),
+        (b'\x00\xff noise' * 1000, b''),
+    ],
+    ids=[
+        'line-ends',
+        'status-line',
+        'field',
+        'fields',
+        'continue',
+        'early-hints',
+        'interim-body',
+        'noise',
+    ],
+)
+async def test_a_head_without_end_is_cut(piece, beginning):
+    """Guards against reading a head until the deadline of the request."""
+    async with Endless(piece, beginning) as upstream, run_exchanger() as own:
+        await expect_cut(upstream, own)
+        assert upstream.sent < 8 * 1024 * 1024
+
+
+async def test_a_head_that_trickles_is_cut():
+    """Guards against waiting for the end of a head until the deadline."""
+    upstream = Endless(b'X', _OWN.encode(), seconds=0.05)
+    async with upstream, run_exchanger() as exchanger:
+        await expect_cut(upstream, exchanger, seconds=3)
+
+
+@pytest.mark.parametrize(
+    'framing',
+    ['Transfer-Encoding: chunked\r\n\r\n', '\r\n'],
+    ids=['chunked', 'until-close'],
+)
+async def test_bodies_without_end_leave_memory_to_others(framing):
+    """Guards against a host that is killed for its memory.
+
+    The answers of a sound upstream must keep coming meanwhile.
+    """
+    piece = _CHUNK if 'chunked' in framing else bytes(65536)
+    beginning = (_OWN + framing).encode()
+    sound = raw_upstreams.RawUpstream(raw_upstreams.reply(body=b'x' * 2000))
+    served = 0
+    async with contextlib.AsyncExitStack() as stack:
+        own = await stack.enter_async_context(run_exchanger())
+        await stack.enter_async_context(sound)
+        troubled = [
+            await stack.enter_async_context(Endless(piece, beginning))
+            for _ in range(8)
+        ]
+        tracemalloc.start()
+        stack.callback(tracemalloc.stop)
+        cuts = [
+            asyncio.create_task(exchange(own, one, 3.0)) for one in troubled
+        ]
+        while not all(cut.done() for cut in cuts):
+            outcome = await exchange(own, sound, 3.0)
+            assert isinstance(outcome, exchanges.Answer)
+            served += 1
+        peak = tracemalloc.get_traced_memory()[1]
+        assert peak < _MOST_GROWTH_BYTES
+        assert served
+        for cut, upstream in zip(cuts, troubled, strict=True):
+            outcome = await cut
+            assert isinstance(outcome, exchanges.Loss)
+            assert not outcome.is_expired
+            async with asyncio.timeout(1):
+                await upstream.closed.wait()
+
+
+async def test_a_declared_length_beyond_the_bound_is_cut_at_once():
+    """Guards against reading what can never be passed on."""
+    beginning = f'{_OWN}Content-Length: 60000000\r\n\r\n'.encode()
+    upstream = Endless(bytes(65536), beginning)
+    async with upstream, run_exchanger() as own:
+        outcome = await expect_cut(upstream, own)
+        assert outcome.reason == buffers.CutReason.DECLARED_SIZE.value
+        assert upstream.sent < 8 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n',
+        'HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nResponse-Signature: s1\r\n',
+        'HTTP/1.1 404 No\r\n',
+    ],
+    ids=['unsigned', 'other-id', 'bare'],
+)
+async def test_a_body_that_proves_nothing_is_not_read(head):
+    """Guards against reading a body whose head already made it a loss."""
+    beginning = f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode()
+    async with Endless(_CHUNK, beginning) as upstream, run_exchanger() as own:
+        await expect_cut(upstream, own)
+        assert upstream.sent < 8 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    'piece',
+    [b'1\r\nx\r\n' * 10000, b'1' + b';x=1' * 16000],
+    ids=['small-chunks', 'chunk-extension'],
+)
+async def test_framing_without_end_is_cut(piece):
+    """Guards against counting only the content of a body."""
+    beginning = f'{_OWN}Transfer-Encoding: chunked\r\n\r\n'.encode()
+    async with Endless(piece, beginning) as upstream, run_exchanger() as own:
+        tracemalloc.start()
+        try:
+            outcome = await expect_cut(upstream, own, seconds=4)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert peak < 16 * 1024 * 1024
+        assert outcome.reason == buffers.CutReason.FRAMING.value
+
+
+@pytest.mark.parametrize('size', [3_000_000, 12_000_000])
+async def test_a_large_answer_within_the_bounds_is_passed_on(size):
+    """Guards against a bound that sound answers meet."""
+    body = bytes(range(250)) * (size // 250)
+    answer = raw_upstreams.reply(body=body)
+    if size < 4_000_000:
+        answer = raw_upstreams.reply(body=body, length=0)
+    upstream = raw_upstreams.RawUpstream(answer)
+    async with upstream, run_exchanger() as exchanger:
+        outcome = await exchange(exchanger, upstream)
+    assert outcome.body == body
+
+
+async def test_the_length_of_an_answer_to_head_is_not_a_bound():
+    """Guards against refusing the answer to HEAD on a large resource."""
+    head = f'{_OWN}Content-Length: 60000000\r\n\r\n'.encode()
+
+    async def answer(_reader, writer, _head):
+        writer.write(head)
+        await asyncio.sleep(1)
+
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, _ = await test_exchanges.send(upstream, method='HEAD')
+    assert outcome.status == 200
+    assert outcome.body == b''
+
+
+async def test_the_time_between_an_interim_answer_and_the_next_head_is_free():
+    """Guards against cutting an upstream that works after it said continue."""
+
+    async def answer(_reader, writer, _head):
+        writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        await asyncio.sleep(0.5)
+        writer.write(f'{_OWN}Content-Length: 2\r\n\r\nok'.encode())
+
+    limits = dataclasses.replace(buffers.create_limits(), head_seconds=0.2)
+    upstream = raw_upstreams.RawUpstream(answer)
+    async with upstream, run_exchanger(limits) as exchanger:
+        outcome = await exchange(exchanger, upstream)
+    assert outcome.body == b'ok'
+
+
+async def test_a_head_after_an_interim_answer_has_its_own_time():
+    """Guards against an interim answer that stops the clock for good."""
+    beginning = b'HTTP/1.1 100 Continue\r\n\r\n' + _OWN.encode()
+    upstream = Endless(b'X', beginning, seconds=0.02)
+    limits = dataclasses.replace(buffers.create_limits(), head_seconds=0.2)
+    async with upstream, run_exchanger(limits) as exchanger:
+        await expect_cut(upstream, exchanger, seconds=1)
+
+
+async def test_answers_without_a_length_share_a_part_of_the_link():
+    """Guards against endless answers that take a slow link until a deadline.
+
+    The bytes that are received until all are cut stand for time of the link.
+    """
+    limits = buffers.create_limits(200_000_000, 250_000)
+    beginning = f'{_OWN}\r\n'.encode()
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        own = await stack.enter_async_context(run_exchanger(limits))
+        troubled = [
+            await stack.enter_async_context(
+                Endless(bytes(8192), beginning, seconds=0.005),
+            )
+            for _ in range(4)
+        ]
+        started = loop.time()
+        cuts = [asyncio.create_task(exchange(own, one)) for one in troubled]
+        most = 0
+        while not all(cut.done() for cut in cuts):
+            most = max(most, own.budgets.unsized.held)
+            await asyncio.sleep(0.001)
+        assert loop.time() - started < 4
+        assert 500_000 < most <= limits.unsized_total_bytes
+        assert own.budgets.unsized.held == own.budgets.total.held == 0
+        reasons = {(await cut).reason for cut in cuts}
+    assert buffers.CutReason.LINK.value in reasons
+
+
+async def test_the_largest_answer_gives_way_when_memory_is_used_up():
+    """Guards against a sound answer as the victim of an endless one."""
+    limits = buffers.AnswerLimits(400_000, 300_000, 400_000, 300_000)
+    release = asyncio.Event()
+
+    async def answer_late(_reader, writer, _head):
+        writer.write(f'{_OWN}Content-Length: 150000\r\n\r\n'.encode())
+        writer.write(b'x' * 149_999)
+        await release.wait()
+        writer.write(b'x')
+        await writer.drain()
+
+    endless = Endless(bytes(4096), f'{_OWN}\r\n'.encode(), seconds=0.001)
+    sound = raw_upstreams.RawUpstream(answer_late)
+    async with sound, endless, run_exchanger(limits) as own:
+        waiting = asyncio.create_task(exchange(own, sound))
+        while own.budgets.total.held < 150_000:
+            await asyncio.sleep(0.01)
+        outcome = await exchange(own, endless)
+        assert outcome.reason == buffers.CutReason.MEMORY.value
+        release.set()
+        outcome = await waiting
+    assert outcome.body == b'x' * 150_000
+
+
+async def test_a_cut_is_logged_with_its_reason_bytes_and_seconds():
+    """Guards against cuts that nobody can trace."""
+    endless = Endless(bytes(65536), f'{_OWN}\r\n'.encode())
+    handler = logbook.TestHandler()
+    async with endless, run_exchanger() as own:
+        with handler.applicationbound():
+            await exchange(own, endless)
+    (line,) = [one for one in handler.records if one.message == 'answer cut']
+    assert line.extra['upstream'] == 'u1'
+    assert line.extra['attempt'] == 'a1'
+    assert line.extra['reason'] == buffers.CutReason.UNSIZED.value
+    assert 0 < line.extra['bytes'] <= buffers.create_limits().unsized_bytes
+    assert line.extra['seconds'] < _CUT_SECONDS
+
+
+@pytest.mark.parametrize(
+    ('framing', 'is_expired'),
+    [('Content-Length: 9000000\r\n', True), ('', False)],
+    ids=['declared', 'undeclared'],
+)
+async def test_a_body_that_goes_on_at_the_deadline_is_a_loss(
+    framing,
+    is_expired,
+):
+    """Guards against endless answers that no evidence counts against.
+
+    One that declares its length would have ended, so it counts only as late.
+    """
+    beginning = f'{_OWN}{framing}\r\n'.encode()
+    endless = Endless(b'x' * 100, beginning, seconds=0.02)
+    async with endless, run_exchanger() as own:
+        outcome = await exchange(own, endless, seconds=0.3)
+        async with asyncio.timeout(1):
+            await endless.closed.wait()
+    assert outcome.reason == buffers.CutReason.DEADLINE.value
+    assert outcome.is_expired is is_expired
+
+
+async def test_lookups_are_served_beside_upstreams_without_end():
+    """Guards against losing lookups to one upstream in trouble."""
+    endless = Endless(bytes(65536), f'{_OWN}\r\n'.encode())
+    sound = raw_upstreams.RawUpstream(raw_upstreams.reply())
+    kind = terms.RequestKind.SAFE
+    async with (
+        endless,
+        sound,
+        test_servers.run_server([endless, sound], kind) as (_, base),
+    ):
+        for _ in range(4):
+            found = await test_servers.call(base, method='GET')
+            assert (found[0], found[2]) == (200, b'whole')
+    assert endless.requests
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -1,7 +1,7 @@
 """The program on machines before callers."""
 
 from wagtailspread.core import identifiers
-from wagtailspread.gateway import hosts
+from wagtailspread.gateway import buffers, hosts
 from wagtailspread.placement import costs
 from wagtailspread.platform import documents, names, processes, settings
 
@@ -39,4 +39,5 @@
         names=names.HEADERS,
         retries=processes.create_retry_terms(boot),
         stop_seconds=bounds.get('grace', DEFAULT_GRACE_SECONDS),
+        answers=buffers.create_limits(boot.memory_bytes, boot.link_rate),
     )
--- a/wagtailspread/platform/settings.py
+++ b/wagtailspread/platform/settings.py
@@ -8,6 +8,10 @@
 from wagtailspread.core import identifiers
 from wagtailspread.platform import names, values
 
+#: Bytes of a megabyte, and of a megabit.
+_MEGABYTE = 1_000_000.0
+_MEGABIT = 125_000.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BootSettings:
@@ -19,6 +23,8 @@
     :param is_first_start: whether the whole fleet starts for the first time.
     :param tolerated: replicas whose disks may be lost at the same time.
     :param bounds: limits of the platform by its names, in seconds or numbers.
+    :param memory_bytes: that the process may use; ``None`` if it is not said.
+    :param link_rate: of the machine's link, in bytes a second, if it is said.
     """
 
     host: identifiers.HostId
@@ -32,6 +38,8 @@
     data_folder: pathlib.Path | None
     tolerated: int
     bounds: dict[str, float]
+    memory_bytes: int | None
+    link_rate: float | None
 
     @property
     def link_address(self) -> identifiers.Address:
@@ -67,6 +75,7 @@
     listen = fields.get('listen')
     folder = fields.get('dataDir')
     tolerance = fields.get('faultTolerance') or {}
+    memory = _read_limit(fields, 'memoryMb', _MEGABYTE)
     return BootSettings(
         host=identifiers.HostId(values.read_text(fields, 'nodeName')),
         ip=values.read_text(fields, 'ip'),
@@ -79,9 +88,27 @@
         data_folder=pathlib.Path(folder) if folder else None,
         tolerated=int(tolerance.get('machines') or 0),
         bounds=_decode_bounds(fields.get('bounds') or []),
+        memory_bytes=None if memory is None else int(memory),
+        link_rate=_read_limit(fields, 'linkMbps', _MEGABIT),
     )
 
 
+def _read_limit(
+    fields: dict[str, typing.Any],
+    name: str,
+    unit: float,
+) -> float | None:
+    """Return a limit of the process in bytes, or ``None`` if it has none."""
+    limits = fields.get('limits')
+    if not isinstance(limits, dict):
+        return None
+    try:
+        found = values.read_number(limits, name)
+    except values.FormatError:
+        return None
+    return found * unit if found > 0 else None
+
+
 def _decode_seeds(
     seeds: typing.Any,
     port: int,
