Count no bytes for an exchange that is over

Failing before: test_bytes_after_the_end_of_an_exchange_are_not_counted: AssertionError: assert not True + where True = take_head(b'/1.1')

Cause: bytes that reach a protocol after its exchange left the budgets would be counted and never released. No path was seen on which that happens, since the connection is closed before; the budget does not rely on that any more.

--- a/wagtailspread/gateway/intakes.py
+++ b/wagtailspread/gateway/intakes.py
@@ -49,6 +49,7 @@
     :param reason: why it is read no further, if so.
     :param size: bytes that were received, with their framing.
     :param is_whole: whether its end has been received.
+    :param timer: the clock of the head, while it runs.
     :param is_unsized: whether its head is over and declares no length.
     """
 
@@ -70,8 +71,9 @@
         self._content = bytearray()
         self._payload = streams.EMPTY_PAYLOAD
         self._has_interim = False
+        self._is_closed = False
         self._last = b''
-        self._timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None
 
     def take_head(self, piece: bytes) -> bool:
         """Count a piece that may hold a part of the head.
@@ -89,10 +91,10 @@
         """
         self._last = (self._last + piece)[-_LONGEST_BLANK_LINE:]
         is_between = self._has_interim and self._last.endswith(_BLANK_LINES)
-        if self.is_head_over or is_between or self.reason is not None:
+        if self.is_head_over or is_between or self._is_closed:
             self._stop_timer()
-        elif self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(
+        elif self.timer is None:
+            self.timer = asyncio.get_running_loop().call_later(
                 self._limits.head_seconds,
                 self.cut,
                 buffers.CutReason.HEAD_TIME,
@@ -169,6 +171,7 @@
 
     def close(self) -> None:
         """End the exchange; a connection with an unfinished answer closes."""
+        self._is_closed = True
         self._stop_timer()
         for budget in self._budgets:
             budget.release(self)
@@ -179,7 +182,7 @@
         self._content = bytearray()
 
     def _count(self, size: int) -> bool:
-        if self.reason is not None:
+        if self._is_closed:
             return False
         self.size += size
         self._budgets.total.grow(self, size)
@@ -191,9 +194,9 @@
         self.is_whole = self.reason is None
 
     def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
 
 class BoundedProtocol(client_proto.ResponseHandler):
--- a/wagtailspread/gateway/tests/test_endless_answers.py
+++ b/wagtailspread/gateway/tests/test_endless_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from wagtailspread.entry import ledgers
-from wagtailspread.gateway import buffers, exchanges
+from wagtailspread.gateway import buffers, exchanges, intakes
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.gateway.tests import test_exchanges, test_servers
 from wagtailspread.platform import names
@@ -379,3 +379,18 @@
             found = await test_servers.call(base, method='GET')
             assert (found[0], found[2]) == (200, b'whole')
     assert endless.requests
+
+
+async def test_bytes_after_the_end_of_an_exchange_are_not_counted():
+    """Guards against a budget that shrinks with late bytes."""
+    limits = buffers.create_limits()
+    budgets = intakes.create_budgets(limits)
+    intake = intakes.Intake(limits, budgets)
+    assert intake.take_head(b'HTTP')
+    assert budgets.total.held == 4
+    intake.close()
+    assert not intake.take_head(b'/1.1')
+    assert not intake.take_body(4)
+    intake.watch_head(b'/1.1')
+    assert intake.timer is None
+    assert budgets.total.held == 0
