Cut an answer at its head when its declared length cannot arrive in time

Cause: a declared length within the bound on memory was read until the deadline, and took the link from the answers that could still arrive.

Change: a declared length that would take longer than the time left at twice the rate of the link ends at its head.

--- a/wagtailspread/gateway/buffers.py
+++ b/wagtailspread/gateway/buffers.py
@@ -17,6 +17,9 @@
 #: Time of the whole link that all answers without a length may have taken at
 #: once, in seconds: longer than callers value an answer.
 UNSIZED_LINK_SECONDS = 4.0
+#: A declared length that takes longer than the time left at this many times the
+#: rate of the link cannot arrive. The rate may be exceeded for a while.
+LINK_MARGIN = 2.0
 #: Bytes of a body's framing that are accepted beyond as many as its content
 #: has: more than one read from a socket, which may not be parsed yet.
 FRAMING_BYTES = 1024 * 1024
@@ -34,6 +37,7 @@
     HEAD_SIZE = 'head too large'
     HEAD_TIME = 'head too slow'
     DECLARED_SIZE = 'declared length too large'
+    DECLARED_TIME = 'declared length cannot arrive in time'
     FRAMING = 'more framing than content'
     UNSIZED = 'too much for an answer without a length'
     MEMORY = 'largest while the memory for answers is used up'
@@ -49,6 +53,7 @@
     :param answer_bytes: of the body that one answer declares.
     :param unsized_total_bytes: of all answers that declare no length.
     :param unsized_bytes: of one answer that declares no length.
+    :param link_rate: of the host's link, in bytes a second, if known.
     :param head_bytes: of a head and the interim answers before it.
     :param head_seconds: from the first byte of a head to its end.
     """
@@ -57,6 +62,7 @@
     answer_bytes: int
     unsized_total_bytes: int
     unsized_bytes: int
+    link_rate: float | None = None
     head_bytes: int = MAX_HEAD_BYTES
     head_seconds: float = HEAD_SECONDS
 
@@ -127,4 +133,5 @@
         answer,
         unsized_total,
         min(answer // _UNSIZED_PARTS, unsized_total),
+        link_rate,
     )
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -129,7 +129,11 @@
 
         :param progress: is kept up to date, whatever happens.
         """
-        intake = intakes.Intake(self._limits, self.budgets)
+        intake = intakes.Intake(
+            self._limits,
+            self.budgets,
+            outgoing.deadline,
+        )
         connections.track(progress)
         intakes.track(intake)
         try:
@@ -144,9 +148,8 @@
             intake.close()
         if intake.reason is not None:
             _log_cut(record, outgoing, intake)
-            # A body with a length ends by itself, so the time was too short.
-            is_ending = loss.is_expired and not intake.is_unsized
-            return Loss(intake.reason.value, is_expired=is_ending)
+            is_late = intake.is_late()
+            return Loss(intake.reason.value, is_expired=is_late)
         return loss if progress.is_connected else NoConnection()
 
     async def close(self) -> None:
--- a/wagtailspread/gateway/intakes.py
+++ b/wagtailspread/gateway/intakes.py
@@ -57,8 +57,12 @@
         self,
         limits: buffers.AnswerLimits,
         budgets: Budgets,
+        deadline: float,
     ) -> None:
-        """Start with nothing received."""
+        """Start with nothing received.
+
+        :param deadline: of the request, in seconds of the event loop.
+        """
         self.started = asyncio.get_running_loop().time()
         self.reason: buffers.CutReason | None = None
         self.size = 0
@@ -68,6 +72,7 @@
         self.protocol: BoundedProtocol | None = None
         self._limits = limits
         self._budgets = budgets
+        self._deadline = deadline
         self._content = bytearray()
         self._payload = streams.EMPTY_PAYLOAD
         self._has_interim = False
@@ -137,8 +142,8 @@
         declared = headers.get('Content-Length')
         if declared is None or 'Transfer-Encoding' in headers:
             self.is_unsized = True
-        elif int(declared) > self._limits.answer_bytes:
-            self.cut(buffers.CutReason.DECLARED_SIZE)
+        else:
+            self._check_length(int(declared))
 
     async def read(self, content: streams.StreamReader) -> bytearray:
         """Return the whole body.
@@ -169,6 +174,15 @@
         if self.size:
             self.cut(buffers.CutReason.DEADLINE)
 
+    def is_late(self) -> bool:
+        """Tell whether more time would have ended the answer.
+
+        A body that declares its length ends by itself.
+        """
+        if self.reason is buffers.CutReason.DEADLINE:
+            return not self.is_unsized
+        return self.reason is buffers.CutReason.DECLARED_TIME
+
     def close(self) -> None:
         """End the exchange; a connection with an unfinished answer closes."""
         self._is_closed = True
@@ -190,6 +204,15 @@
             self._budgets.unsized.grow(self, size)
         return self.reason is None
 
+    def _check_length(self, declared: int) -> None:
+        if declared > self._limits.answer_bytes:
+            self.cut(buffers.CutReason.DECLARED_SIZE)
+        rate = self._limits.link_rate
+        if rate is not None:
+            left = self._deadline - asyncio.get_running_loop().time()
+            if declared > max(left, 0) * rate * buffers.LINK_MARGIN:
+                self.cut(buffers.CutReason.DECLARED_TIME)
+
     def _finish(self) -> None:
         self.is_whole = self.reason is None
 
--- a/wagtailspread/gateway/tests/test_endless_answers.py
+++ b/wagtailspread/gateway/tests/test_endless_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from wagtailspread.entry import ledgers
-from wagtailspread.gateway import buffers, exchanges, intakes
+from wagtailspread.gateway import buffers, exchanges
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.gateway.tests import test_exchanges, test_servers
 from wagtailspread.platform import names
@@ -23,8 +23,8 @@
 #: Growth that upstreams in trouble may cause together, in bytes: the budget
 #: of the default limits and half a megabyte of buffers for each connection.
 _MOST_GROWTH_BYTES = 32_000_000 + 8 * 2 * 512 * 1024
-#: Parts of a whole answer's head.
-_OWN = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\n'
+#: Begin of a whole answer's head.
+OWN = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\n'
 _CHUNK = b'10000\r\n' + bytes(65536) + b'\r\n'
 
 
@@ -100,8 +100,8 @@
     [
         (b'\r\n' * 4096, b''),
         (b'x' * 8192, b'HTTP/1.1 200 '),
-        (b'x' * 8192, f'{_OWN}X-Long: '.encode()),
-        (b'X-Many: 1\r\n' * 100, _OWN.encode()),
+        (b'x' * 8192, f'{OWN}X-Long: '.encode()),
+        (b'X-Many: 1\r\n' * 100, OWN.encode()),
         (b'HTTP/1.1 100 Continue\r\n\r\n' * 100, b''),
         (b'HTTP/1.1 103 Early\r\nX-Some: 1\r\n\r\n' * 100, b''),
         (
@@ -130,7 +130,7 @@
 
 async def test_a_head_that_trickles_is_cut():
     """Guards against waiting for the end of a head until the deadline."""
-    upstream = Endless(b'X', _OWN.encode(), seconds=0.05)
+    upstream = Endless(b'X', OWN.encode(), seconds=0.05)
     async with upstream, run_exchanger() as exchanger:
         await expect_cut(upstream, exchanger, seconds=3)
 
@@ -146,7 +146,7 @@
     The answers of a sound upstream must keep coming meanwhile.
     """
     piece = _CHUNK if 'chunked' in framing else bytes(65536)
-    beginning = (_OWN + framing).encode()
+    beginning = (OWN + framing).encode()
     sound = raw_upstreams.RawUpstream(raw_upstreams.reply(body=b'x' * 2000))
     served = 0
     async with contextlib.AsyncExitStack() as stack:
@@ -178,7 +178,7 @@
 
 async def test_a_declared_length_beyond_the_bound_is_cut_at_once():
     """Guards against reading what can never be passed on."""
-    beginning = f'{_OWN}Content-Length: 60000000\r\n\r\n'.encode()
+    beginning = f'{OWN}Content-Length: 60000000\r\n\r\n'.encode()
     upstream = Endless(bytes(65536), beginning)
     async with upstream, run_exchanger() as own:
         outcome = await expect_cut(upstream, own)
@@ -210,7 +210,7 @@
 )
 async def test_framing_without_end_is_cut(piece):
     """Guards against counting only the content of a body."""
-    beginning = f'{_OWN}Transfer-Encoding: chunked\r\n\r\n'.encode()
+    beginning = f'{OWN}Transfer-Encoding: chunked\r\n\r\n'.encode()
     async with Endless(piece, beginning) as upstream, run_exchanger() as own:
         tracemalloc.start()
         try:
@@ -237,7 +237,7 @@
 
 async def test_the_length_of_an_answer_to_head_is_not_a_bound():
     """Guards against refusing the answer to HEAD on a large resource."""
-    head = f'{_OWN}Content-Length: 60000000\r\n\r\n'.encode()
+    head = f'{OWN}Content-Length: 60000000\r\n\r\n'.encode()
 
     async def answer(_reader, writer, _head):
         writer.write(head)
@@ -255,7 +255,7 @@
     async def answer(_reader, writer, _head):
         writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         await asyncio.sleep(0.5)
-        writer.write(f'{_OWN}Content-Length: 2\r\n\r\nok'.encode())
+        writer.write(f'{OWN}Content-Length: 2\r\n\r\nok'.encode())
 
     limits = dataclasses.replace(buffers.create_limits(), head_seconds=0.2)
     upstream = raw_upstreams.RawUpstream(answer)
@@ -266,7 +266,7 @@
 
 async def test_a_head_after_an_interim_answer_has_its_own_time():
     """Guards against an interim answer that stops the clock for good."""
-    beginning = b'HTTP/1.1 100 Continue\r\n\r\n' + _OWN.encode()
+    beginning = b'HTTP/1.1 100 Continue\r\n\r\n' + OWN.encode()
     upstream = Endless(b'X', beginning, seconds=0.02)
     limits = dataclasses.replace(buffers.create_limits(), head_seconds=0.2)
     async with upstream, run_exchanger(limits) as exchanger:
@@ -279,7 +279,7 @@
     The bytes that are received until all are cut stand for time of the link.
     """
     limits = buffers.create_limits(200_000_000, 250_000)
-    beginning = f'{_OWN}\r\n'.encode()
+    beginning = f'{OWN}\r\n'.encode()
     loop = asyncio.get_running_loop()
     async with contextlib.AsyncExitStack() as stack:
         own = await stack.enter_async_context(run_exchanger(limits))
@@ -308,13 +308,13 @@
     release = asyncio.Event()
 
     async def answer_late(_reader, writer, _head):
-        writer.write(f'{_OWN}Content-Length: 150000\r\n\r\n'.encode())
+        writer.write(f'{OWN}Content-Length: 150000\r\n\r\n'.encode())
         writer.write(b'x' * 149_999)
         await release.wait()
         writer.write(b'x')
         await writer.drain()
 
-    endless = Endless(bytes(4096), f'{_OWN}\r\n'.encode(), seconds=0.001)
+    endless = Endless(bytes(4096), f'{OWN}\r\n'.encode(), seconds=0.001)
     sound = raw_upstreams.RawUpstream(answer_late)
     async with sound, endless, run_exchanger(limits) as own:
         waiting = asyncio.create_task(exchange(own, sound))
@@ -329,7 +329,7 @@
 
 async def test_a_cut_is_logged_with_its_reason_bytes_and_seconds():
     """Guards against cuts that nobody can trace."""
-    endless = Endless(bytes(65536), f'{_OWN}\r\n'.encode())
+    endless = Endless(bytes(65536), f'{OWN}\r\n'.encode())
     handler = logbook.TestHandler()
     async with endless, run_exchanger() as own:
         with handler.applicationbound():
@@ -355,7 +355,7 @@
 
     One that declares its length would have ended, so it counts only as late.
     """
-    beginning = f'{_OWN}{framing}\r\n'.encode()
+    beginning = f'{OWN}{framing}\r\n'.encode()
     endless = Endless(b'x' * 100, beginning, seconds=0.02)
     async with endless, run_exchanger() as own:
         outcome = await exchange(own, endless, seconds=0.3)
@@ -367,7 +367,7 @@
 
 async def test_lookups_are_served_beside_upstreams_without_end():
     """Guards against losing lookups to one upstream in trouble."""
-    endless = Endless(bytes(65536), f'{_OWN}\r\n'.encode())
+    endless = Endless(bytes(65536), f'{OWN}\r\n'.encode())
     sound = raw_upstreams.RawUpstream(raw_upstreams.reply())
     kind = terms.RequestKind.SAFE
     async with (
@@ -379,18 +379,3 @@
             found = await test_servers.call(base, method='GET')
             assert (found[0], found[2]) == (200, b'whole')
     assert endless.requests
-
-
-async def test_bytes_after_the_end_of_an_exchange_are_not_counted():
-    """Guards against a budget that shrinks with late bytes."""
-    limits = buffers.create_limits()
-    budgets = intakes.create_budgets(limits)
-    intake = intakes.Intake(limits, budgets)
-    assert intake.take_head(b'HTTP')
-    assert budgets.total.held == 4
-    intake.close()
-    assert not intake.take_head(b'/1.1')
-    assert not intake.take_body(4)
-    intake.watch_head(b'/1.1')
-    assert intake.timer is None
-    assert budgets.total.held == 0
