--- a/wagtailspread/gateway/answers.py
+++ b/wagtailspread/gateway/answers.py
@@ -57,10 +57,8 @@
     #: An upstream sent a status by which a host promises that a request has
     #: not run. It may have run, so another status replaced it.
     UPSTREAM_PROMISE = 'upstream-promise'
-    #: An answer of an upstream was passed on, with its signature.
-    UPSTREAM_SIGNED = 'upstream-signed'
-    #: An answer of an upstream was passed on that bears no signature.
-    UPSTREAM_UNSIGNED = 'upstream-unsigned'
+    #: An answer of an upstream was passed on. It bears its signature.
+    UPSTREAM = 'upstream'
 
 
 class AnswerLog:
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -248,19 +248,11 @@
 
         :param is_kept: whether another status replaces that of the upstream.
         """
-        is_signed = self._names.signature in answer.headers
-        reason = answers.Reason.UPSTREAM_UNSIGNED
-        if is_signed:
-            reason = answers.Reason.UPSTREAM_SIGNED
+        reason = answers.Reason.UPSTREAM
         if not is_kept and answer.status >= _FIRST_SERVER_ERROR:
             self.answers.count(answer.status, reason)
             return
-        found = {
-            **details,
-            'upstream_status': answer.status,
-            'is_signed': is_signed,
-            'echoes_attempt': self._names.attempt in answer.headers,
-        }
+        found = {**details, 'upstream_status': answer.status}
         if is_kept:
             reason = answers.Reason.UPSTREAM_PROMISE
         status = _BAD_GATEWAY if is_kept else answer.status
--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -7,7 +7,7 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import hosts
+from wagtailspread.gateway import buffers, hosts
 from wagtailspread.gateway.tests import slow_links
 from wagtailspread.placement import budgets, costs
 from wagtailspread.platform import documents as decoding
@@ -161,6 +161,7 @@
             names=names.HEADERS,
             retries=budgets.RetryTerms(0.2, 10.0, 10.0),
             stop_seconds=hosts.ACCEPT_SECONDS + 1.0,
+            answers=buffers.create_limits(),
         ),
         decoding.read_valid,
     )
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures
-from wagtailspread.gateway import hosts
+from wagtailspread.gateway import buffers, hosts
 from wagtailspread.gateway.tests import test_servers
 from wagtailspread.placement import budgets, costs
 from wagtailspread.platform import names
@@ -79,6 +79,7 @@
         names=names.HEADERS,
         retries=budgets.RetryTerms(0.1, 10.0, 10.0),
         stop_seconds=2.0,
+        answers=buffers.create_limits(),
     )
     return hosts.create_host(settings, read_document, clock)
 
