Refuse a configuration whose priority is no number

What an operator saw: a closed connection or a server error instead of 400 for such a configuration. Cause: int() raises ValueError, which the reader of documents does not expect. The new test fails before with: "ValueError: invalid literal for int() with base 10: 'high'".

--- a/wagtailspread/platform/documents.py
+++ b/wagtailspread/platform/documents.py
@@ -85,13 +85,19 @@
         kind=kind,
         parts=_decode_parts(fields),
         max_attempts=values.read_whole(fields, 'maxAttempts'),
-        priority=int(fields.get('priority') or 0),
+        priority=_decode_priority(fields),
         timeout=_decode_duration(fields, 'timeout'),
         # The platform calls the objective an SLO's latency.
         objective=_decode_duration(fields, 'sloLatency'),
     )
 
 
+def _decode_priority(fields: dict[str, typing.Any]) -> int:
+    if fields.get('priority') is None:
+        return 0
+    return int(values.read_number(fields, 'priority'))
+
+
 def _decode_duration(
     fields: dict[str, typing.Any],
     name: str,
--- a/wagtailspread/platform/tests/test_documents.py
+++ b/wagtailspread/platform/tests/test_documents.py
@@ -105,3 +105,9 @@
 def test_unknown_fields_are_ignored():
     """Guards against refusing the documents of a newer platform."""
     assert documents.read_valid(encode(novelty={'x': 1})) is not None
+
+
+@pytest.mark.parametrize('priority', ['high', [], True, '1'])
+def test_a_priority_that_is_no_number_makes_a_document_invalid(priority):
+    """Guards against an error where a document is read."""
+    assert documents.read_valid(encode(priority=priority)) is None
