Keep downloading after a document that cannot be applied

Two faults of the new download, found by reading. An error of whoever takes a document ended the background task, and the host stayed at its version for good.

--- a/wagtailspread/registry/downloads.py
+++ b/wagtailspread/registry/downloads.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from wagtailspread.configuration import chunks, documents
-from wagtailspread.core import identifiers
+from wagtailspread.core import failures, identifiers
 from wagtailspread.registry import publications
 from wagtailspread.wire import links, messages
 
@@ -122,7 +122,11 @@
             _log.error('document damaged', extra={'version': version})
             return False
         self.version = version
-        self._apply(version, body)
+        try:
+            self._apply(version, body)
+        except Exception:
+            # The versions that follow must still be got.
+            _log.exception('document not applied', extra={'version': version})
         return True
 
     async def _read_manifest(
@@ -193,6 +197,9 @@
                     publications.MOST_ANSWER_BYTES,
                 )
             return answer.unwrap()
+        if isinstance(answer.failure(), failures.CallRejected):
+            # The replica holds no document yet; nothing is wrong with the link.
+            return None
         self._note_failure(address, answer.failure().describe())
         self._call_seconds = min(2 * self._call_seconds, MOST_CALL_SECONDS)
         # One chunk is answered even if it is larger.
--- a/wagtailspread/registry/tests/test_downloads.py
+++ b/wagtailspread/registry/tests/test_downloads.py
@@ -36,7 +36,11 @@
         publisher = self._publishers[self._address]
         if method == messages.methods.READ_MANIFEST:
             self.asked.append((self._address, None, timeout))
-            return await publisher._answer_manifest(None, request)
+            answer = await publisher._answer_manifest(None, request)
+            if isinstance(answer, result.Success):
+                return answer
+            name = type(answer.failure()).__name__
+            return result.Failure(failures.CallRejected(self._address, name))
         self.asked.append((self._address, request.most_bytes, timeout))
         if self._timeouts:
             self._timeouts -= 1
@@ -53,13 +57,13 @@
     return document
 
 
-async def download(pool, version, *sources):
+async def download(pool, version, *sources, apply=None):
     """Return the documents that a download to a version came to."""
     taken = []
     downloader = downloads.DocumentDownloader(
         pool,
         lambda: list(sources),
-        lambda *document: taken.append(document),
+        apply or (lambda *document: taken.append(document)),
     )
     downloader.get(version)
     running = asyncio.create_task(downloader.run())
@@ -116,3 +120,32 @@
     document.put(2, b'other')
     assert publisher.find_manifest().version == 2
     assert publisher.collect(before, 1024)
+
+
+async def test_a_replica_without_a_document_says_nothing_of_the_link():
+    """Guards against slow downloads behind replicas that have just started."""
+    document = create_document(1, 5000)
+    publishers = {
+        'new': publish(documents.VersionedDocument()),
+        'old': publish(document),
+    }
+    pool = Pool(publishers)
+    await download(pool, 1, 'new', 'old')
+    (_, size, seconds) = pool.asked[2]
+    assert (size, seconds) == (16384, downloads.FIRST_CALL_SECONDS)
+
+
+async def test_a_document_that_cannot_be_applied_ends_no_download():
+    """Guards against a host that stays at the version before the fault."""
+    document = create_document(1, 10)
+    applied = []
+
+    def apply(version, _body):
+        applied.append(version)
+        if version == 1:
+            document.put(2, b'two')
+            raise ValueError(version)
+
+    pool = Pool({'r1': publish(document)})
+    await download(pool, 2, 'r1', apply=apply)
+    assert applied == [1, 2]
