Log each refusal by the connection layer

A 400 or 431 of the connection layer and an answer after a failed handler wrote no line that names the connection, so logs could not tell on how old a connection and under which limits a caller was refused.

Failure before, in all four cases of the new tests:

(record,) = records E ValueError: not enough values to unpack (expected 1, got 0)

Cause: neither handle_error nor the end of an overdue head logged anything.

Change: each refusal writes one line with status, reason, age of the connection in seconds, requests before, limits of the connection and limits in force. No answer changes.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -7,9 +7,13 @@
 
 import asyncio
 import dataclasses
+import enum
 import math
+import types
 import typing
 
+import logbook
+
 from aiohttp import http_exceptions, web
 
 from wagtailspread.core import outcomes
@@ -28,12 +32,32 @@
     'Connection: close\r\n\r\n'
 ).encode()
 
+_log = logbook.Logger('connections')
+
 Handler = typing.Callable[
     [web.BaseRequest],
     typing.Awaitable[web.StreamResponse],
 ]
 
 
+class RefusalCause(enum.Enum):
+    """Why the connection layer refused a request."""
+
+    MALFORMED = 'malformed'
+    HEAD_TOO_LARGE = 'head-too-large'
+    HEAD_OVERDUE = 'head-overdue'
+    #: The handler failed; the request may have run.
+    SERVER_ERROR = 'server-error'
+
+
+_STATUSES = types.MappingProxyType(
+    {
+        RefusalCause.MALFORMED: _BAD_REQUEST,
+        RefusalCause.HEAD_TOO_LARGE: _HEAD_TOO_LARGE,
+    },
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeadLimits:
     """Limits of request heads.
@@ -65,21 +89,25 @@
 
     __slots__ = (
         'head_deadline',
-        '_head_seconds',
         '_is_busy',
         '_is_receiving',
+        '_limits',
+        '_opened',
+        '_server',
     )
 
     def __init__(
         self,
         manager: 'GuardedServer',
-        head_seconds: float,
+        limits: HeadLimits,
         **settings: typing.Any,
     ) -> None:
         """Wait for a first byte."""
         super().__init__(manager, **settings)
         self.head_deadline = math.inf
-        self._head_seconds = head_seconds
+        self._server = manager
+        self._limits = limits
+        self._opened = asyncio.get_running_loop().time()
         self._is_busy = False
         self._is_receiving = False
 
@@ -115,6 +143,11 @@
         """Refuse the head if it took too long."""
         if now < self.head_deadline:
             return
+        self._log_refusal(
+            _BAD_REQUEST,
+            RefusalCause.HEAD_OVERDUE,
+            self._request_count,
+        )
         if isinstance(self.transport, asyncio.WriteTransport):
             self.transport.write(_OVERDUE)
         self.force_close()
@@ -127,12 +160,16 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the answer to what could not be parsed."""
+        before = self._request_count - 1
         if status >= _SERVER_ERROR:
+            self._log_refusal(status, RefusalCause.SERVER_ERROR, before)
             answer = super().handle_error(request, status, exc, message)
             outcome = outcomes.Outcome.UNKNOWN
             answer.headers[outcomes.OUTCOME_HEADER] = outcome.value
             return answer
-        response = web.Response(status=_choose_status(exc))
+        cause = _find_cause(exc)
+        response = web.Response(status=_STATUSES[cause])
+        self._log_refusal(response.status, cause, before)
         outcome = outcomes.Outcome.NOT_RUN
         reason = outcomes.RefusalReason.BAD_REQUEST
         response.headers[outcomes.OUTCOME_HEADER] = outcome.value
@@ -142,7 +179,26 @@
 
     def _start_limit(self) -> None:
         now = asyncio.get_running_loop().time()
-        self.head_deadline = now + self._head_seconds
+        self.head_deadline = now + self._limits.seconds
+
+    def _log_refusal(
+        self,
+        status: int,
+        cause: RefusalCause,
+        requests_before: int,
+    ) -> None:
+        age = asyncio.get_running_loop().time() - self._opened
+        _log.info(
+            'request refused by the connection layer',
+            extra={
+                'status': status,
+                'reason': cause.value,
+                'age_seconds': round(age, 3),
+                'requests_before': requests_before,
+                'connection_limits': dataclasses.asdict(self._limits),
+                'limits_in_force': dataclasses.asdict(self._server.limits),
+            },
+        )
 
 
 def enter(request: web.BaseRequest) -> GuardedProtocol | None:
@@ -155,33 +211,36 @@
 
 
 class GuardedServer(web.Server):
-    """Makes guarded protocols and ends those with an overdue head."""
+    """Makes guarded protocols and ends those with an overdue head.
+
+    :param limits: the limits in force.
+    """
 
     def __init__(self, handler: Handler, limits: HeadLimits) -> None:
         """Start the sweep; needs a running event loop."""
         super().__init__(handler)
-        self._limits = limits
+        self.limits = limits
         self._sweeping = asyncio.create_task(self._sweep())
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         return GuardedProtocol(
             self,
-            self._limits.seconds,
+            self.limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            lingering_time=self._limits.linger_seconds,
+            lingering_time=self.limits.linger_seconds,
             auto_decompress=False,
-            keepalive_timeout=self._limits.keepalive_seconds,
-            max_line_size=self._limits.field_bytes,
-            max_field_size=self._limits.field_bytes,
-            max_headers=self._limits.fields,
-            read_bufsize=self._limits.field_bytes * 8,
+            keepalive_timeout=self.limits.keepalive_seconds,
+            max_line_size=self.limits.field_bytes,
+            max_field_size=self.limits.field_bytes,
+            max_headers=self.limits.fields,
+            read_bufsize=self.limits.field_bytes * 8,
         )
 
     def change_limits(self, limits: HeadLimits) -> None:
         """Take other limits for the connections that come from now on."""
-        self._limits = limits
+        self.limits = limits
 
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
@@ -213,9 +272,8 @@
     return server
 
 
-def _choose_status(exc: BaseException | None) -> int:
-    if isinstance(exc, http_exceptions.LineTooLong):
-        return _HEAD_TOO_LARGE
-    if 'Too many headers' in str(exc):
-        return _HEAD_TOO_LARGE
-    return _BAD_REQUEST
+def _find_cause(exc: BaseException | None) -> RefusalCause:
+    is_large = isinstance(exc, http_exceptions.LineTooLong)
+    if is_large or 'Too many headers' in str(exc):
+        return RefusalCause.HEAD_TOO_LARGE
+    return RefusalCause.MALFORMED
