Limit heads by their bytes, not by their number of fields

The configuration limits the bytes of a head. The listener limited each line to these bytes and refused any head with more than 100 fields, whatever its size.

Cause: HeadLimits had a limit of its own for the number of fields and none for the whole head.

Change: head_bytes bounds request line, fields and line ends together, which is the reading of maxHeaderBytes. A complete head is counted without optional blanks, so the count never exceeds what the caller sent. The number of fields follows: a field takes four bytes at least. HeadLimits moves to heads.py.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -17,6 +17,7 @@
 from aiohttp import http_exceptions, web
 
 from wagtailspread.core import outcomes
+from wagtailspread.entry import heads
 
 #: Time between looks for connections with an overdue head, in seconds.
 SWEEP_SECONDS = 0.25
@@ -58,28 +59,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeadLimits:
-    """Limits of request heads.
-
-    :param seconds: from the first byte of a head to its end.
-    :param field_bytes: longest request line and header field.
-    :param fields: most header fields.
-    :param keepalive_seconds: idle time of a connection.
-    :param linger_seconds: for which the rest of a refused body is read, so
-        that the caller gets the refusal.
-    """
-
-    seconds: float = 5.0
-    field_bytes: int = 8190
-    fields: int = 100
-    keepalive_seconds: float = 75.0
-    linger_seconds: float = 1.0
-
-
-DEFAULT_LIMITS = HeadLimits()
-
-
 class GuardedProtocol(web.RequestHandler):
     """One connection of a caller, with a time limit for heads.
 
@@ -99,7 +78,7 @@
     def __init__(
         self,
         manager: 'GuardedServer',
-        limits: HeadLimits,
+        limits: heads.HeadLimits,
         **settings: typing.Any,
     ) -> None:
         """Wait for a first byte."""
@@ -160,16 +139,24 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the answer to what could not be parsed."""
-        before = self._request_count - 1
         if status >= _SERVER_ERROR:
+            before = self._request_count - 1
             self._log_refusal(status, RefusalCause.SERVER_ERROR, before)
             answer = super().handle_error(request, status, exc, message)
             outcome = outcomes.Outcome.UNKNOWN
             answer.headers[outcomes.OUTCOME_HEADER] = outcome.value
             return answer
-        cause = _find_cause(exc)
+        return self._refuse(_find_cause(exc))
+
+    def check_head(self, request: web.BaseRequest) -> web.Response | None:
+        """Return the refusal of a complete head that is too large."""
+        if heads.count_bytes(request) <= self._limits.head_bytes:
+            return None
+        return self._refuse(RefusalCause.HEAD_TOO_LARGE)
+
+    def _refuse(self, cause: RefusalCause) -> web.Response:
         response = web.Response(status=_STATUSES[cause])
-        self._log_refusal(response.status, cause, before)
+        self._log_refusal(response.status, cause, self._request_count - 1)
         outcome = outcomes.Outcome.NOT_RUN
         reason = outcomes.RefusalReason.BAD_REQUEST
         response.headers[outcomes.OUTCOME_HEADER] = outcome.value
@@ -216,7 +203,7 @@
     :param limits: the limits in force.
     """
 
-    def __init__(self, handler: Handler, limits: HeadLimits) -> None:
+    def __init__(self, handler: Handler, limits: heads.HeadLimits) -> None:
         """Start the sweep; needs a running event loop."""
         super().__init__(handler)
         self.limits = limits
@@ -232,13 +219,13 @@
             lingering_time=self.limits.linger_seconds,
             auto_decompress=False,
             keepalive_timeout=self.limits.keepalive_seconds,
-            max_line_size=self.limits.field_bytes,
-            max_field_size=self.limits.field_bytes,
+            max_line_size=self.limits.head_bytes,
+            max_field_size=self.limits.head_bytes,
             max_headers=self.limits.fields,
-            read_bufsize=self.limits.field_bytes * 8,
+            read_bufsize=self.limits.head_bytes * 8,
         )
 
-    def change_limits(self, limits: HeadLimits) -> None:
+    def change_limits(self, limits: heads.HeadLimits) -> None:
         """Take other limits for the connections that come from now on."""
         self.limits = limits
 
@@ -265,7 +252,7 @@
                     protocol.end_overdue(now)
 
 
-def create_server(handler: Handler, limits: HeadLimits) -> GuardedServer:
+def create_server(handler: Handler, limits: heads.HeadLimits) -> GuardedServer:
     """Return a server whose handler is cancelled when its caller leaves."""
     server = GuardedServer(handler, limits)
     server.handler_cancellation = True
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -9,8 +9,8 @@
 from returns import result
 
 from wagtailspread.core import identifiers, outcomes
-from wagtailspread.entry import announcements, answers, forwarding, interfaces
-from wagtailspread.entry import ledgers, protections, requests, sites
+from wagtailspread.entry import announcements, answers, forwarding, heads
+from wagtailspread.entry import interfaces, ledgers, requests, sites
 
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
@@ -40,7 +40,7 @@
         gate: announcements.AnnouncementGate,
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
-        limits: protections.HeadLimits,
+        limits: heads.HeadLimits,
         read_metrics: typing.Callable[[], bytes] = bytes,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
@@ -151,7 +151,7 @@
     gate: announcements.AnnouncementGate,
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
-    limits: protections.HeadLimits = protections.DEFAULT_LIMITS,
+    limits: heads.HeadLimits = heads.DEFAULT_LIMITS,
     read_metrics: typing.Callable[[], bytes] = bytes,
 ) -> EntryServer:
     """Return a server that is not started."""
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import protections
+from wagtailspread.entry import heads, protections
 
 #: New connections that may wait to be accepted.
 BACKLOG = 1024
@@ -22,7 +22,7 @@
     def __init__(
         self,
         handler: Handler,
-        limits: protections.HeadLimits,
+        limits: heads.HeadLimits,
     ) -> None:
         """Keep the handler; nothing is opened yet."""
         self._handler = handler
@@ -43,7 +43,7 @@
         bound = self._runner.addresses[0]
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
-    def change_limits(self, limits: protections.HeadLimits) -> None:
+    def change_limits(self, limits: heads.HeadLimits) -> None:
         """Take other limits for the connections that come from now on."""
         self._limits = limits
         if self._server is not None:
@@ -68,12 +68,16 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response: web.StreamResponse | None
         protocol = protections.enter(request)
+        if protocol is None:
+            return await self._handler(request)
         try:
-            response = await self._handler(request)
+            response = protocol.check_head(request)
+            if response is None:
+                response = await self._handler(request)
         finally:
-            if protocol is not None:
-                protocol.leave()
+            protocol.leave()
         if self._is_closing and not response.prepared:
             response.force_close()
         return response
@@ -81,7 +85,7 @@
 
 def create_site(
     handler: Handler,
-    limits: protections.HeadLimits,
+    limits: heads.HeadLimits,
 ) -> GuardedSite:
     """Return a listener that is not started."""
     return GuardedSite(handler, limits)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import bodies, protections, requests, sites
+from wagtailspread.entry import bodies, heads, requests, sites
 from wagtailspread.gateway import attempts, exchanges, headers
 from wagtailspread.routing import tables, terms
 
@@ -229,15 +229,15 @@
     return GatewayServer(runner, names, splits)
 
 
-def _create_head_limits(limits: terms.CallerLimits) -> protections.HeadLimits:
+def _create_head_limits(limits: terms.CallerLimits) -> heads.HeadLimits:
     """Return the limits of connections.
 
     A caller may be silent before its first request as between two others.
     """
     idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
-    return protections.HeadLimits(
+    return heads.HeadLimits(
         seconds=idle_seconds,
-        field_bytes=limits.header_bytes,
+        head_bytes=limits.header_bytes,
         keepalive_seconds=idle_seconds,
     )
 
