Hold each request to the limits in force, also on open connections

A connection that was opened under smaller limits refused with 431 a field that the limits in force allow, and limits that shrank refused callers that could not know them yet.

Failures before:

test_larger_limits_hold_on_a_kept_connection E AssertionError: assert 431 == 200 test_larger_limits_hold_on_a_connection_without_a_request E AssertionError: assert 431 == 200 test_smaller_limits_do_not_refuse_who_cannot_know_them_yet E assert [200, 431] == [200, 200] test_a_head_beyond_the_limit_is_refused_before_its_end E TimeoutError test_no_head_is_too_large_before_the_configuration_is_known E assert 431 == 503

The two tests that need GRACE_SECONDS and PENDING_BYTES failed with AttributeError, since neither existed.

Cause: aiohttp's parser takes its limits once, when a connection is opened.

Change: the parser gets the most that a host can hold. LimitWindow keeps the limits that were replaced in the last 6 s; a request is refused only by what all of them forbid. GuardedParser counts the bytes of an incomplete head and ends it when it exceeds the limit, or with 503 when the incomplete heads of all connections exceed 1 MiB. Before a configuration is known, a head may have 256 KiB. The buffer of a body no longer depends on the limit of heads.

--- a/wagtailspread/entry/heads.py
+++ b/wagtailspread/entry/heads.py
@@ -1,11 +1,20 @@
 """Limits of request heads, and the size of a head by which they hold."""
 
+import asyncio
 import dataclasses
 
 from aiohttp import web
 
 #: Fewest bytes of a field on the wire: a name, the colon and the line's end.
 MIN_FIELD_BYTES = 4
+#: Bytes of incomplete heads that a host holds, over all connections. A parsed
+#: byte takes up to 47 bytes (fields of four bytes, measured with tracemalloc),
+#: so that these take 50 MB at worst of the 200 MB of a host.
+PENDING_BYTES = 1024 * 1024
+#: Time for which limits that were replaced are allowed still, in seconds. The
+#: platform grants 2.5 s for a configuration to be in force everywhere, and a
+#: head that was begun then may take another 3 s.
+GRACE_SECONDS = 6.0
 
 #: Bytes of a request line beside method and target: two blanks, the version
 #: and the line's end.
@@ -33,13 +42,69 @@
     keepalive_seconds: float = 75.0
     linger_seconds: float = 1.0
 
-    @property
-    def fields(self) -> int:
-        """Most fields that a head of this size can have."""
-        return self.head_bytes // MIN_FIELD_BYTES
-
 
 DEFAULT_LIMITS = HeadLimits()
+#: Limits while no configuration is known: what a host can hold of one caller.
+UNKNOWN_LIMITS = HeadLimits(seconds=10.0, head_bytes=PENDING_BYTES // 4)
+
+
+class LimitWindow:
+    """The limits in force, and those that were in force a moment ago.
+
+    A caller may keep to limits that were replaced, until it learns of the new
+    ones; it is refused only by what all of them forbid.
+
+    :param current: the limits in force.
+    """
+
+    def __init__(self, limits: HeadLimits) -> None:
+        """Start with limits that replaced no others."""
+        self.current = limits
+        self._replaced: list[tuple[float, HeadLimits]] = []
+
+    def change(self, limits: HeadLimits) -> None:
+        """Put other limits in force."""
+        if limits == self.current:
+            return
+        now = asyncio.get_running_loop().time()
+        self._drop_old(now)
+        # Equal limits are kept once, so that changes in series stay few.
+        kept = [one for one in self._replaced if one[1] != self.current]
+        self._replaced = [*kept, (now, self.current)]
+        self.current = limits
+
+    def find_loosest(self) -> HeadLimits:
+        """Return what the limits of the last seconds allow at most."""
+        if not self._replaced:
+            return self.current
+        self._drop_old(asyncio.get_running_loop().time())
+        allowed = [self.current, *(limits for _, limits in self._replaced)]
+        return dataclasses.replace(
+            self.current,
+            seconds=max(one.seconds for one in allowed),
+            head_bytes=max(one.head_bytes for one in allowed),
+            keepalive_seconds=max(one.keepalive_seconds for one in allowed),
+        )
+
+    def _drop_old(self, now: float) -> None:
+        oldest = now - GRACE_SECONDS
+        self._replaced = [one for one in self._replaced if one[0] >= oldest]
+
+
+class HeadBudget:
+    """The bytes of incomplete heads of all connections of a host.
+
+    :param held: bytes held now.
+    """
+
+    def __init__(self) -> None:
+        """Start without a connection."""
+        self.held = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Tell whether more is held than the host has memory for."""
+        return self.held > PENDING_BYTES
 
 
 def count_bytes(request: web.BaseRequest) -> int:
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -1,30 +1,34 @@
 """Protection of the HTTP listener against heads that never end or parse.
 
-aiohttp limits the size of lines and fields and refuses what it cannot parse;
-this module gives those refusals the fleet's headers, and ends connections
+aiohttp refuses what it cannot parse; this module gives those refusals the
+fleet's headers, refuses heads beyond the limits in force, and ends connections
 whose request head takes too long.
 """
 
 import asyncio
 import dataclasses
-import enum
 import math
 import types
 import typing
 
 import logbook
 
-from aiohttp import http_exceptions, web
+from aiohttp import http_parser, web
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads
+from wagtailspread.entry import heads, parsers
 
+#: Bytes of a body that wait to be read before its caller is slowed down.
+READ_BUFFER_BYTES = 65536
+#: Time after which a caller may come back to a host without memory, seconds.
+RETRY_AFTER_SECONDS = 1
 #: Time between looks for connections with an overdue head, in seconds.
 SWEEP_SECONDS = 0.25
 
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
 _SERVER_ERROR = 500
+_UNAVAILABLE = 503
 _OVERDUE = (
     'HTTP/1.1 400 Bad Request\r\n'
     f'{outcomes.OUTCOME_HEADER}: {outcomes.Outcome.NOT_RUN.value}\r\n'
@@ -41,20 +45,11 @@
 ]
 
 
-class RefusalCause(enum.Enum):
-    """Why the connection layer refused a request."""
-
-    MALFORMED = 'malformed'
-    HEAD_TOO_LARGE = 'head-too-large'
-    HEAD_OVERDUE = 'head-overdue'
-    #: The handler failed; the request may have run.
-    SERVER_ERROR = 'server-error'
-
-
 _STATUSES = types.MappingProxyType(
     {
-        RefusalCause.MALFORMED: _BAD_REQUEST,
-        RefusalCause.HEAD_TOO_LARGE: _HEAD_TOO_LARGE,
+        parsers.RefusalCause.MALFORMED: _BAD_REQUEST,
+        parsers.RefusalCause.HEAD_TOO_LARGE: _HEAD_TOO_LARGE,
+        parsers.RefusalCause.HOST_FULL: _UNAVAILABLE,
     },
 )
 
@@ -68,6 +63,7 @@
 
     __slots__ = (
         'head_deadline',
+        '_heads',
         '_is_busy',
         '_is_receiving',
         '_limits',
@@ -86,6 +82,12 @@
         self.head_deadline = math.inf
         self._server = manager
         self._limits = limits
+        self._heads = parsers.GuardedParser(
+            typing.cast(http_parser.HttpRequestParser, self._parser),
+            manager.window,
+            manager.budget,
+        )
+        self._parser = typing.cast(typing.Any, self._heads)
         self._opened = asyncio.get_running_loop().time()
         self._is_busy = False
         self._is_receiving = False
@@ -100,6 +102,11 @@
         super().connection_made(transport)
         self._start_limit()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give back the bytes of an incomplete head."""
+        self._heads.release()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Start the time limit of a head with its first byte."""
         if not self._is_busy:
@@ -124,7 +131,7 @@
             return
         self._log_refusal(
             _BAD_REQUEST,
-            RefusalCause.HEAD_OVERDUE,
+            parsers.RefusalCause.HEAD_OVERDUE,
             self._request_count,
         )
         if isinstance(self.transport, asyncio.WriteTransport):
@@ -140,8 +147,7 @@
     ) -> web.StreamResponse:
         """Return the answer to what could not be parsed."""
         if status >= _SERVER_ERROR:
-            before = self._request_count - 1
-            self._log_refusal(status, RefusalCause.SERVER_ERROR, before)
+            self._log_refusal(status, parsers.RefusalCause.SERVER_ERROR)
             answer = super().handle_error(request, status, exc, message)
             outcome = outcomes.Outcome.UNKNOWN
             answer.headers[outcomes.OUTCOME_HEADER] = outcome.value
@@ -150,15 +156,19 @@
 
     def check_head(self, request: web.BaseRequest) -> web.Response | None:
         """Return the refusal of a complete head that is too large."""
-        if heads.count_bytes(request) <= self._limits.head_bytes:
+        allowed = self._server.window.find_loosest()
+        if heads.count_bytes(request) <= allowed.head_bytes:
             return None
-        return self._refuse(RefusalCause.HEAD_TOO_LARGE)
+        return self._refuse(parsers.RefusalCause.HEAD_TOO_LARGE)
 
-    def _refuse(self, cause: RefusalCause) -> web.Response:
+    def _refuse(self, cause: parsers.RefusalCause) -> web.Response:
         response = web.Response(status=_STATUSES[cause])
-        self._log_refusal(response.status, cause, self._request_count - 1)
+        self._log_refusal(response.status, cause)
         outcome = outcomes.Outcome.NOT_RUN
         reason = outcomes.RefusalReason.BAD_REQUEST
+        if cause is parsers.RefusalCause.HOST_FULL:
+            reason = outcomes.RefusalReason.NO_CAPACITY
+            response.headers['Retry-After'] = str(RETRY_AFTER_SECONDS)
         response.headers[outcomes.OUTCOME_HEADER] = outcome.value
         response.headers[outcomes.REASON_HEADER] = reason.value
         response.force_close()
@@ -171,9 +181,12 @@
     def _log_refusal(
         self,
         status: int,
-        cause: RefusalCause,
-        requests_before: int,
+        cause: parsers.RefusalCause,
+        requests_before: int | None = None,
     ) -> None:
+        if requests_before is None:
+            # The refused one was received, as those that wait behind it.
+            requests_before = self._request_count - len(self._messages) - 1
         age = asyncio.get_running_loop().time() - self._opened
         _log.info(
             'request refused by the connection layer',
@@ -183,7 +196,9 @@
                 'age_seconds': round(age, 3),
                 'requests_before': requests_before,
                 'connection_limits': dataclasses.asdict(self._limits),
-                'limits_in_force': dataclasses.asdict(self._server.limits),
+                'limits_in_force': dataclasses.asdict(
+                    self._server.window.current
+                ),
             },
         )
 
@@ -200,34 +215,37 @@
 class GuardedServer(web.Server):
     """Makes guarded protocols and ends those with an overdue head.
 
-    :param limits: the limits in force.
+    :param window: the limits in force and those of a moment ago.
+    :param budget: bytes of incomplete heads of all connections.
     """
 
     def __init__(self, handler: Handler, limits: heads.HeadLimits) -> None:
         """Start the sweep; needs a running event loop."""
         super().__init__(handler)
-        self.limits = limits
+        self.window = heads.LimitWindow(limits)
+        self.budget = heads.HeadBudget()
         self._sweeping = asyncio.create_task(self._sweep())
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
+        limits = self.window.current
         return GuardedProtocol(
             self,
-            self.limits,
+            limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            lingering_time=self.limits.linger_seconds,
+            lingering_time=limits.linger_seconds,
             auto_decompress=False,
-            keepalive_timeout=self.limits.keepalive_seconds,
-            max_line_size=self.limits.head_bytes,
-            max_field_size=self.limits.head_bytes,
-            max_headers=self.limits.fields,
-            read_bufsize=self.limits.head_bytes * 8,
+            keepalive_timeout=limits.keepalive_seconds,
+            max_line_size=heads.PENDING_BYTES,
+            max_field_size=heads.PENDING_BYTES,
+            max_headers=heads.PENDING_BYTES // heads.MIN_FIELD_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
     def change_limits(self, limits: heads.HeadLimits) -> None:
-        """Take other limits for the connections that come from now on."""
-        self.limits = limits
+        """Take other limits for all requests from now on."""
+        self.window.change(limits)
 
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
@@ -259,8 +277,7 @@
     return server
 
 
-def _find_cause(exc: BaseException | None) -> RefusalCause:
-    is_large = isinstance(exc, http_exceptions.LineTooLong)
-    if is_large or 'Too many headers' in str(exc):
-        return RefusalCause.HEAD_TOO_LARGE
-    return RefusalCause.MALFORMED
+def _find_cause(exc: BaseException | None) -> parsers.RefusalCause:
+    if isinstance(exc, parsers.HeadFault):
+        return exc.cause
+    return parsers.RefusalCause.MALFORMED
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -44,7 +44,7 @@
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
     def change_limits(self, limits: heads.HeadLimits) -> None:
-        """Take other limits for the connections that come from now on."""
+        """Take other limits for all requests from now on."""
         self._limits = limits
         if self._server is not None:
             self._server.change_limits(limits)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -55,10 +55,7 @@
         self._runner = runner
         self._names = names
         self._splits = splits
-        self.site = sites.create_site(
-            self.handle,
-            _create_head_limits(terms.CallerLimits()),
-        )
+        self.site = sites.create_site(self.handle, heads.UNKNOWN_LIMITS)
 
     def put_in_force(self, settings: terms.RoutingSettings) -> None:
         """Handle requests by these routes and limits from now on."""
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -262,3 +262,14 @@
                 assert answer.status == 404
             (connection,) = server.site._server.connections
             assert connection._keepalive_timeout >= 60
+
+
+async def test_no_head_is_too_large_before_the_configuration_is_known():
+    """Guards against 431 by limits that nobody set."""
+    large = {**_HEADERS, **{f'X-{count}': 'x' * 4000 for count in range(10)}}
+    server = servers.create_server(None, names.HEADERS, None)
+    address = await server.site.start('127.0.0.1:0')
+    status, headers, _ = await call(f'http://{address}', headers=large)
+    await server.site.close()
+    assert status == 503
+    assert 'Retry-After' in headers
