Answer a late head with 408 and an idle connection with nothing

Cause: the time of a head ran from the opening of a connection and was the idle time plus slack, and its end was answered with 400. The idle time was aiohttp's timer, which has the value of the moment when the connection was opened and ends heads that have begun.

Change: the time of a head runs from its first byte and is that of the configuration plus 2 s, since a slow link delivers later than its caller sends. A late head gets 408 with Retry-After and Connection: close, after the answers of the requests before it. Idle connections are closed without an answer by the limits in force, and not while their socket has bytes to read. Refusals are HTTP/1.1, so that "Connection: close" is sent.

Three checks asserted what was wrong. test_head_that_never_ends_is_refused_in_time and the case of an overdue head in test_protections.py asserted 400 (or any status): a late head has not run and may be late by the host's fault, so they assert 408 and Connection: close. test_idle_connections_stay_open_as_long_as_configured read aiohttp's timer, which is not used any longer; it now asserts that a connection is open and used after 60 s and is closed after 65 s.

--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -5,6 +5,7 @@
 checked here, for the bytes of a head that have arrived so far.
 """
 
+import asyncio
 import enum
 import typing
 
@@ -47,6 +48,8 @@
 
     :param pending: bytes of the head that is being received; 0 between
         requests and within a body.
+    :param begun: when the first byte of that head arrived, in seconds of the
+        event loop; ``None`` without one.
     """
 
     def __init__(
@@ -57,11 +60,13 @@
     ) -> None:
         """Start before the first request of a connection."""
         self.pending = 0
+        self.begun: float | None = None
         self._parser = parser
         self._window = window
         self._budget = budget
         self._payload: streams.StreamReader | None = None
         self._is_failed = False
+        self._is_overdue = False
         # aiohttp calls these on its parser.
         self.message_consumed = parser.message_consumed
         self.pause_reading = parser.pause_reading
@@ -72,6 +77,10 @@
         """Tell whether the body of the last request has not ended."""
         return self._payload is not None and not self._payload.is_eof()
 
+    def end_overdue(self) -> None:
+        """Refuse the incomplete head at the next call of ``feed_data``."""
+        self._is_overdue = True
+
     def feed_data(self, received: bytes) -> Fed:
         """Return the requests that are complete with these bytes.
 
@@ -80,6 +89,9 @@
         """
         if self._is_failed:
             return (), False, b''
+        if self._is_overdue:
+            self._fail()
+            raise HeadFault(RefusalCause.HEAD_OVERDUE)
         was_in_body = self.is_in_body
         try:
             fed = self._parser.feed_data(received)
@@ -103,6 +115,7 @@
         """Give back what the incomplete head took of the host's bytes."""
         self._budget.held -= self.pending
         self.pending = 0
+        self.begun = None
 
     def _check_excess(
         self,
@@ -113,6 +126,8 @@
 
         :param error: what the parser found wrong with it.
         """
+        if size and self.begun is None:
+            self.begun = asyncio.get_running_loop().time()
         self.pending += size
         self._budget.held += size
         cause = None
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -8,35 +8,30 @@
 import asyncio
 import dataclasses
 import math
+import select
 import types
 import typing
 
 import logbook
 
-from aiohttp import http_parser, web
+from aiohttp import http, http_parser, web
 
 from wagtailspread.core import outcomes
 from wagtailspread.entry import heads, parsers
 
 #: Bytes of a body that wait to be read before its caller is slowed down.
 READ_BUFFER_BYTES = 65536
-#: Time after which a caller may come back to a host without memory, seconds.
+#: Time after which a caller may come back whose head was late, or whose host
+#: had no memory for it, in seconds.
 RETRY_AFTER_SECONDS = 1
-#: Time between looks for connections with an overdue head, in seconds.
+#: Time between looks for overdue heads and idle connections, in seconds.
 SWEEP_SECONDS = 0.25
 
 _BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 _HEAD_TOO_LARGE = 431
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
-_OVERDUE = (
-    'HTTP/1.1 400 Bad Request\r\n'
-    f'{outcomes.OUTCOME_HEADER}: {outcomes.Outcome.NOT_RUN.value}\r\n'
-    f'{outcomes.REASON_HEADER}: {outcomes.RefusalReason.BAD_REQUEST.value}\r\n'
-    'Content-Length: 0\r\n'
-    'Connection: close\r\n\r\n'
-).encode()
-
 _log = logbook.Logger('connections')
 
 Handler = typing.Callable[
@@ -49,23 +44,23 @@
     {
         parsers.RefusalCause.MALFORMED: _BAD_REQUEST,
         parsers.RefusalCause.HEAD_TOO_LARGE: _HEAD_TOO_LARGE,
+        parsers.RefusalCause.HEAD_OVERDUE: _REQUEST_TIMEOUT,
         parsers.RefusalCause.HOST_FULL: _UNAVAILABLE,
     },
 )
+#: Causes that may lie in the host or the link: the caller may come back.
+_RETURN_CAUSES = frozenset(
+    (parsers.RefusalCause.HEAD_OVERDUE, parsers.RefusalCause.HOST_FULL),
+)
 
 
 class GuardedProtocol(web.RequestHandler):
-    """One connection of a caller, with a time limit for heads.
-
-    :param head_deadline: when the head must be complete; infinite while a
-        request is handled or nothing was received.
-    """
+    """One connection of a caller, with time limits for heads and idling."""
 
     __slots__ = (
-        'head_deadline',
         '_heads',
+        '_idle_since',
         '_is_busy',
-        '_is_receiving',
         '_limits',
         '_opened',
         '_server',
@@ -79,7 +74,6 @@
     ) -> None:
         """Wait for a first byte."""
         super().__init__(manager, **settings)
-        self.head_deadline = math.inf
         self._server = manager
         self._limits = limits
         self._heads = parsers.GuardedParser(
@@ -90,17 +84,12 @@
         self._parser = typing.cast(typing.Any, self._heads)
         self._opened = asyncio.get_running_loop().time()
         self._is_busy = False
-        self._is_receiving = False
+        self._idle_since: float | None = None
 
     @property
     def is_active(self) -> bool:
         """Tell whether a request is being received or handled."""
-        return self._is_busy or self._is_receiving
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the time limit of the first head."""
-        super().connection_made(transport)
-        self._start_limit()
+        return self._is_busy or self._heads.begun is not None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back the bytes of an incomplete head."""
@@ -108,35 +97,34 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Start the time limit of a head with its first byte."""
-        if not self._is_busy:
-            self._is_receiving = True
-            if self.head_deadline == math.inf:
-                self._start_limit()
+        """End the idle time of the connection."""
+        self._idle_since = None
         super().data_received(data)
 
     def enter(self) -> None:
         """Note that a head is complete and its request is handled."""
         self._is_busy = True
-        self._is_receiving = False
-        self.head_deadline = math.inf
 
     def leave(self) -> None:
         """Note that the request was answered."""
         self._is_busy = False
 
     def end_overdue(self, now: float) -> None:
-        """Refuse the head if it took too long."""
-        if now < self.head_deadline:
-            return
-        self._log_refusal(
-            _BAD_REQUEST,
-            parsers.RefusalCause.HEAD_OVERDUE,
-            self._request_count,
-        )
-        if isinstance(self.transport, asyncio.WriteTransport):
-            self.transport.write(_OVERDUE)
-        self.force_close()
+        """Refuse a head that took too long; close an idle connection."""
+        limits = self._server.window.find_loosest()
+        begun = self._heads.begun
+        if begun is not None:
+            if now - begun >= limits.seconds:
+                self._heads.end_overdue()
+                # Lets the parser report the fault, in the order of requests.
+                self.data_received(b'')
+        elif self._waiter is None or self._waiter.done():
+            # A request is handled or answered.
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+        elif now - self._idle_since >= limits.keepalive_seconds:
+            self._close_idle()
 
     def handle_error(
         self,
@@ -152,6 +140,9 @@
             outcome = outcomes.Outcome.UNKNOWN
             answer.headers[outcomes.OUTCOME_HEADER] = outcome.value
             return answer
+        # aiohttp takes a request that it cannot parse for one of HTTP/1.0, to
+        # which "Connection: close" would not be sent.
+        request._version = http.HttpVersion11
         return self._refuse(_find_cause(exc))
 
     def check_head(self, request: web.BaseRequest) -> web.Response | None:
@@ -168,25 +159,30 @@
         reason = outcomes.RefusalReason.BAD_REQUEST
         if cause is parsers.RefusalCause.HOST_FULL:
             reason = outcomes.RefusalReason.NO_CAPACITY
+        if cause in _RETURN_CAUSES:
             response.headers['Retry-After'] = str(RETRY_AFTER_SECONDS)
         response.headers[outcomes.OUTCOME_HEADER] = outcome.value
         response.headers[outcomes.REASON_HEADER] = reason.value
         response.force_close()
         return response
 
-    def _start_limit(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self.head_deadline = now + self._limits.seconds
+    def _close_idle(self) -> None:
+        """Close the connection unless a request has just arrived."""
+        if self.transport is None:
+            return
+        poller = select.poll()
+        connected = self.transport.get_extra_info('socket')
+        poller.register(connected.fileno(), select.POLLIN)
+        if not poller.poll(0):
+            self.force_close()
 
     def _log_refusal(
         self,
         status: int,
         cause: parsers.RefusalCause,
-        requests_before: int | None = None,
     ) -> None:
-        if requests_before is None:
-            # The refused one was received, as those that wait behind it.
-            requests_before = self._request_count - len(self._messages) - 1
+        # The refused one was received, as those that wait behind it.
+        before = self._request_count - len(self._messages) - 1
         age = asyncio.get_running_loop().time() - self._opened
         _log.info(
             'request refused by the connection layer',
@@ -194,7 +190,7 @@
                 'status': status,
                 'reason': cause.value,
                 'age_seconds': round(age, 3),
-                'requests_before': requests_before,
+                'requests_before': before,
                 'connection_limits': dataclasses.asdict(self._limits),
                 'limits_in_force': dataclasses.asdict(
                     self._server.window.current
@@ -213,7 +209,7 @@
 
 
 class GuardedServer(web.Server):
-    """Makes guarded protocols and ends those with an overdue head.
+    """Makes guarded protocols; ends overdue heads and idle connections.
 
     :param window: the limits in force and those of a moment ago.
     :param budget: bytes of incomplete heads of all connections.
@@ -236,7 +232,8 @@
             access_log=None,
             lingering_time=limits.linger_seconds,
             auto_decompress=False,
-            keepalive_timeout=limits.keepalive_seconds,
+            # The sweep closes idle connections by the limits in force.
+            keepalive_timeout=math.inf,
             max_line_size=heads.PENDING_BYTES,
             max_field_size=heads.PENDING_BYTES,
             max_headers=heads.PENDING_BYTES // heads.MIN_FIELD_BYTES,
--- a/wagtailspread/entry/tests/test_protections.py
+++ b/wagtailspread/entry/tests/test_protections.py
@@ -23,7 +23,7 @@
     [
         (b'GET / HTTP/1.1\r\nA b: 1\r\n\r\n', 400, 'malformed'),
         (LARGE_FIELD, 431, 'head-too-large'),
-        (b'GET / HTTP/1.1\r\n', None, 'head-overdue'),
+        (b'GET / HTTP/1.1\r\n', 408, 'head-overdue'),
     ],
 )
 async def test_each_refusal_of_a_connection_is_logged_once(raw, status, reason):
@@ -36,7 +36,7 @@
                 site.change_limits(dataclasses.replace(LIMITS, seconds=0.2))
                 answer = await connections.exchange(connection, raw)
     (record,) = records
-    assert record['status'] == answer.status == status or status is None
+    assert record['status'] == answer.status == status
     assert (record['reason'], record['requests_before']) == (reason, 1)
     assert 0 <= record['age_seconds'] < 2
     assert record['connection_limits']['seconds'] == 0.3
--- a/wagtailspread/entry/tests/test_refusals.py
+++ b/wagtailspread/entry/tests/test_refusals.py
@@ -156,7 +156,8 @@
             hosts[0].address,
             b'GET /vitrina HTTP/1.1\r\nHost: a\r\n',
         )
-        assert answer.status == 400
+        assert answer.status == 408
+        assert answer.headers['connection'] == 'close'
         assert answer.headers['wagtailspread-outcome'] == 'not-run'
 
 
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -22,6 +22,9 @@
 #: Beyond the idle time of the configuration, so that a caller which keeps to
 #: it never meets a closed connection, in seconds.
 IDLE_SLACK_SECONDS = 2.0
+#: Beyond the time of the configuration for a head, since a slow link delivers
+#: later than its caller sends, in seconds.
+HEAD_SLACK_SECONDS = 2.0
 
 _MILLISECONDS = 1000
 _NOT_FOUND = 404
@@ -231,11 +234,10 @@
 
     A caller may be silent before its first request as between two others.
     """
-    idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
     return heads.HeadLimits(
-        seconds=idle_seconds,
+        seconds=limits.header_seconds + HEAD_SLACK_SECONDS,
         head_bytes=limits.header_bytes,
-        keepalive_seconds=idle_seconds,
+        keepalive_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
     )
 
 
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from wagtailspread.entry.tests import connections
 from wagtailspread.gateway import attempts, exchanges, placements, servers
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.placement import budgets, costs, selection
@@ -261,7 +262,34 @@
             async with session.get(base + '/b/') as answer:
                 assert answer.status == 404
             (connection,) = server.site._server.connections
-            assert connection._keepalive_timeout >= 60
+            now = asyncio.get_running_loop().time()
+            connection.end_overdue(now)
+            connection.end_overdue(now + 60)
+            async with session.get(base + '/b/') as answer:
+                assert answer.status == 404
+            assert server.site._server.connections == [connection]
+            now = asyncio.get_running_loop().time()
+            connection.end_overdue(now)
+            connection.end_overdue(now + 65)
+            await asyncio.sleep(0.05)
+            assert not server.site._server.connections
+
+
+async def test_a_head_has_the_time_of_the_configuration():
+    """Guards against the idle time as the limit of a late head."""
+    async with run_server([]) as (server, base):
+        address = base.removeprefix('http://')
+        async with connections.connect(address) as (reader, writer):
+            writer.write(b'GET /a/x HTTP/1.1\r\n')
+            await asyncio.sleep(0.05)
+            (connection,) = server.site._server.connections
+            now = asyncio.get_running_loop().time()
+            connection.end_overdue(now + terms.CallerLimits().header_seconds)
+            await asyncio.sleep(0.05)
+            assert not reader._buffer
+            connection.end_overdue(now + terms.CallerLimits().idle_seconds)
+            answer = await connections.read_answer(reader)
+    assert answer.status == 408
 
 
 async def test_no_head_is_too_large_before_the_configuration_is_known():
