Let a caller that still sends receive an early answer

The tests show that the rest of a body was never taken for the next head, with a length or in chunks, and that the connection was usable again if the rest came within one second. A caller that took longer was reset while it sent, on a connection that its answer had not closed.

Cause: aiohttp reads the rest of a body for a fixed time of 1 s and then closes the socket with unread bytes, which resets the connection; after a head that it refuses it reads nothing more.

Change: an answer before the end of a body says "Connection: close". After it, and after a refused head, the host ends its side of the connection, drops what still comes without parsing it, and closes when the caller ends its side, sends nothing for linger_seconds, or after 10 s.

--- a/wagtailspread/entry/heads.py
+++ b/wagtailspread/entry/heads.py
@@ -33,8 +33,8 @@
     :param head_bytes: largest head: request line, fields and line ends. It
         alone bounds the number of fields.
     :param keepalive_seconds: idle time of a connection.
-    :param linger_seconds: for which the rest of a refused body is read, so
-        that the caller gets the refusal.
+    :param linger_seconds: longest time without a byte for which the rest of a
+        refused request is read, so that the caller gets the refusal.
     """
 
     seconds: float = 5.0
--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -50,6 +50,7 @@
         requests and within a body.
     :param begun: when the first byte of that head arrived, in seconds of the
         event loop; ``None`` without one.
+    :param is_failed: whether all that comes is dropped.
     """
 
     def __init__(
@@ -65,7 +66,7 @@
         self._window = window
         self._budget = budget
         self._payload: streams.StreamReader | None = None
-        self._is_failed = False
+        self.is_failed = False
         self._is_overdue = False
         # aiohttp calls these on its parser.
         self.message_consumed = parser.message_consumed
@@ -87,7 +88,7 @@
         What follows a refused head is dropped, since it cannot be told where
         the next one begins.
         """
-        if self._is_failed:
+        if self.is_failed:
             return (), False, b''
         if self._is_overdue:
             self._fail()
@@ -111,6 +112,10 @@
             self._check_excess(len(begun))
         return fed
 
+    def drop_rest(self) -> None:
+        """Drop all that comes from now on."""
+        self._fail()
+
     def release(self) -> None:
         """Give back what the incomplete head took of the host's bytes."""
         self._budget.held -= self.pending
@@ -140,5 +145,5 @@
             raise HeadFault(cause) from error
 
     def _fail(self) -> None:
-        self._is_failed = True
+        self.is_failed = True
         self.release()
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -27,6 +27,10 @@
 #: Time between looks for overdue heads and idle connections, in seconds.
 SWEEP_SECONDS = 0.25
 
+#: Longest time for which the rest of a refused request is read, in seconds. A
+#: link of 0.25 MB/s carries 2.5 MB in it.
+LINGER_MOST_SECONDS = 10.0
+
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _HEAD_TOO_LARGE = 431
@@ -63,6 +67,7 @@
         '_is_busy',
         '_limits',
         '_opened',
+        '_received',
         '_server',
     )
 
@@ -83,6 +88,7 @@
         )
         self._parser = typing.cast(typing.Any, self._heads)
         self._opened = asyncio.get_running_loop().time()
+        self._received = self._opened
         self._is_busy = False
         self._idle_since: float | None = None
 
@@ -99,6 +105,7 @@
     def data_received(self, data: bytes) -> None:
         """End the idle time of the connection."""
         self._idle_since = None
+        self._received = asyncio.get_running_loop().time()
         super().data_received(data)
 
     def enter(self) -> None:
@@ -126,6 +133,20 @@
         elif now - self._idle_since >= limits.keepalive_seconds:
             self._close_idle()
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send an answer; let a caller that still sends receive it."""
+        finished = await super().finish_response(request, resp, start_time)
+        is_unread = self._heads.is_failed or not request.content.is_eof()
+        if is_unread and not finished[0].keep_alive:
+            await self._drop_rest()
+            self.force_close()
+        return finished
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -166,6 +187,28 @@
         response.force_close()
         return response
 
+    async def _drop_rest(self) -> None:
+        """Read what the caller still sends, until it ends the connection.
+
+        To close a connection with unread bytes resets it, and the caller may
+        lose an answer that it has not read yet.
+        """
+        self._heads.drop_rest()
+        if self.transport is None:
+            return
+        self.transport.write_eof()
+        # The body that was received may hold back what follows.
+        self._buffer_paused = False
+        self.resume_reading(resume_parser=False)
+        loop = asyncio.get_running_loop()
+        last = loop.time() + LINGER_MOST_SECONDS
+        # What was received before the answer tells nothing about the rest.
+        self._received = loop.time()
+        end = self._received + self._limits.linger_seconds
+        while loop.time() < end:
+            await asyncio.sleep(end - loop.time())
+            end = min(last, self._received + self._limits.linger_seconds)
+
     def _close_idle(self) -> None:
         """Close the connection unless a request has just arrived."""
         if self.transport is None:
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -78,7 +78,10 @@
                 response = await self._handler(request)
         finally:
             protocol.leave()
-        if self._is_closing and not response.prepared:
+        # The next head could not be told from the rest of a body that the
+        # caller may or may not send.
+        is_unread = not request.content.is_eof()
+        if (self._is_closing or is_unread) and not response.prepared:
             response.force_close()
         return response
 
--- a/wagtailspread/entry/streaming.py
+++ b/wagtailspread/entry/streaming.py
@@ -40,6 +40,9 @@
         reason=reply.response.reason,
         headers=_create_headers(reply),
     )
+    if not request.content.is_eof():
+        # The answer begins before the end of the request's body.
+        response.force_close()
     ended = outcomes.ExchangeResult.CANCELLED
     try:
         async with asyncio.timeout_at(deadline):
