Answer a body that comes too slowly with 408, or 504 if it may have run

Failures before:

test_slow_body_is_refused_before_it_takes_a_slot E AssertionError: assert 400 == 408 test_slow_body_that_was_sent_on_is_not_promised_to_have_not_run E AssertionError: assert 400 == 504 test_slow_announcement_may_come_again E AssertionError: assert 400 == 408

Cause: a body that did not come in time was treated as a malformed one. A slow link, or a host that reads slowly, is no fault of the caller, and after 400 it does not come again.

Change: the fault of a slow body has status 408 and reason request-timeout, as has a late head. If a part of the body was sent on, the request may have run, and the answer is 504 with outcome unknown: 408 promises that it has not run. A slow announcement of an upstream gets 408.

--- a/wagtailspread/core/outcomes.py
+++ b/wagtailspread/core/outcomes.py
@@ -65,6 +65,8 @@
     KEY_STORE_FULL = 'key-store-full'
     BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
+    #: The request came too slowly, by the fault of its caller, link or host.
+    REQUEST_TIMEOUT = 'request-timeout'
     DRAINING = 'draining'
     LINK_BUDGET = 'link-budget'
     UNSUPPORTED_METHOD = 'unsupported-method'
--- a/wagtailspread/entry/answers.py
+++ b/wagtailspread/entry/answers.py
@@ -11,6 +11,7 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
+_REQUEST_TIMEOUT = 408
 _CONFLICT = 409
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
@@ -78,10 +79,14 @@
     fault: requests.RequestFault,
     proof: ledgers.NotRun | None,
 ) -> FleetAnswer:
-    """Return the answer to a request that is wrong in itself."""
+    """Return the answer to a request that is wrong or late in itself."""
     outcome = outcomes.Outcome.NOT_RUN if proof else outcomes.Outcome.UNKNOWN
+    status = fault.status
+    if status == _REQUEST_TIMEOUT and proof is None:
+        # A 408 would promise that the request has not run.
+        status = _TIMEOUT
     return FleetAnswer(
-        fault.status,
+        status,
         outcome,
         fault.reason.value,
         closes=fault.closes,
--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -23,6 +23,7 @@
 SLOW_BODY = 'slow body'
 
 _BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -120,10 +121,10 @@
             async with asyncio.timeout_at(min(idle_end, self._deadline)):
                 return await self._content.read(size)
         except TimeoutError as error:
-            self.fault = _broken(SLOW_BODY)
+            self.fault = _slow()
             raise BodyFault(self.fault) from error
         except (web.RequestPayloadError, ValueError) as error:
-            self.fault = _broken('malformed body')
+            self.fault = _malformed()
             raise BodyFault(self.fault) from error
 
 
@@ -168,10 +169,19 @@
     )
 
 
-def _broken(detail: str) -> requests.RequestFault:
+def _slow() -> requests.RequestFault:
+    return requests.RequestFault(
+        _REQUEST_TIMEOUT,
+        outcomes.RefusalReason.REQUEST_TIMEOUT,
+        SLOW_BODY,
+        closes=True,
+    )
+
+
+def _malformed() -> requests.RequestFault:
     return requests.RequestFault(
         _BAD_REQUEST,
         outcomes.RefusalReason.BAD_REQUEST,
-        detail,
+        'malformed body',
         closes=True,
     )
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -180,6 +180,8 @@
         reason = outcomes.RefusalReason.BAD_REQUEST
         if cause is parsers.RefusalCause.HOST_FULL:
             reason = outcomes.RefusalReason.NO_CAPACITY
+        if cause is parsers.RefusalCause.HEAD_OVERDUE:
+            reason = outcomes.RefusalReason.REQUEST_TIMEOUT
         if cause in _RETURN_CAUSES:
             response.headers['Retry-After'] = str(RETRY_AFTER_SECONDS)
         response.headers[outcomes.OUTCOME_HEADER] = outcome.value
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -17,6 +17,7 @@
 
 _NO_CONTENT = 204
 _BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 #: Longest time to receive an announcement, in seconds.
 _ANNOUNCE_SECONDS = 2.0
@@ -126,7 +127,9 @@
         try:
             async with asyncio.timeout(_ANNOUNCE_SECONDS):
                 body = await request.read()
-        except (TimeoutError, web.RequestPayloadError):
+        except TimeoutError:
+            return web.Response(status=_REQUEST_TIMEOUT)
+        except web.RequestPayloadError:
             return web.Response(status=_BAD_REQUEST)
         fault = self._gate.receive(body)
         if fault is None:
--- a/wagtailspread/entry/tests/test_slow_callers.py
+++ b/wagtailspread/entry/tests/test_slow_callers.py
@@ -27,6 +27,7 @@
     assert answer.status == 408
     assert answer.headers['connection'] == 'close'
     assert answer.headers['wagtailspread-outcome'] == 'not-run'
+    assert answer.headers['wagtailspread-reason'] == 'request-timeout'
     assert float(answer.headers['retry-after']) > 0
     assert not rest
 
