--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -9,14 +9,15 @@
 from returns import result
 
 from wagtailspread.core import identifiers, outcomes
-from wagtailspread.entry import announcements, answers, forwarding, interfaces
-from wagtailspread.entry import ledgers, protections, requests, sites
+from wagtailspread.entry import announcements, answers, forwarding, heads
+from wagtailspread.entry import interfaces, ledgers, requests, sites
 
 #: Paths below this are the host's own.
 OWN_PREFIX = '/-/'
 
 _NO_CONTENT = 204
 _BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 #: Longest time to receive an announcement, in seconds.
 _ANNOUNCE_SECONDS = 2.0
@@ -40,7 +41,7 @@
         gate: announcements.AnnouncementGate,
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
-        limits: protections.HeadLimits,
+        limits: heads.HeadLimits,
         read_metrics: typing.Callable[[], bytes] = bytes,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
@@ -126,7 +127,9 @@
         try:
             async with asyncio.timeout(_ANNOUNCE_SECONDS):
                 body = await request.read()
-        except (TimeoutError, web.RequestPayloadError):
+        except TimeoutError:
+            return web.Response(status=_REQUEST_TIMEOUT)
+        except web.RequestPayloadError:
             return web.Response(status=_BAD_REQUEST)
         fault = self._gate.receive(body)
         if fault is None:
@@ -151,7 +154,7 @@
     gate: announcements.AnnouncementGate,
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
-    limits: protections.HeadLimits = protections.DEFAULT_LIMITS,
+    limits: heads.HeadLimits = heads.DEFAULT_LIMITS,
     read_metrics: typing.Callable[[], bytes] = bytes,
 ) -> EntryServer:
     """Return a server that is not started."""
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import protections
+from wagtailspread.entry import heads, protections
 
 #: New connections that may wait to be accepted.
 BACKLOG = 1024
@@ -22,7 +22,7 @@
     def __init__(
         self,
         handler: Handler,
-        limits: protections.HeadLimits,
+        limits: heads.HeadLimits,
     ) -> None:
         """Keep the handler; nothing is opened yet."""
         self._handler = handler
@@ -43,8 +43,8 @@
         bound = self._runner.addresses[0]
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
-    def change_limits(self, limits: protections.HeadLimits) -> None:
-        """Take other limits for the connections that come from now on."""
+    def change_limits(self, limits: heads.HeadLimits) -> None:
+        """Take other limits for all requests from now on."""
         self._limits = limits
         if self._server is not None:
             self._server.change_limits(limits)
@@ -68,20 +68,27 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response: web.StreamResponse | None
         protocol = protections.enter(request)
+        if protocol is None:
+            return await self._handler(request)
         try:
-            response = await self._handler(request)
+            response = protocol.check_head(request)
+            if response is None:
+                response = await self._handler(request)
         finally:
-            if protocol is not None:
-                protocol.leave()
-        if self._is_closing and not response.prepared:
+            protocol.leave()
+        # The next head could not be told from the rest of a body that the
+        # caller may or may not send.
+        is_unread = not request.content.is_eof()
+        if (self._is_closing or is_unread) and not response.prepared:
             response.force_close()
         return response
 
 
 def create_site(
     handler: Handler,
-    limits: protections.HeadLimits,
+    limits: heads.HeadLimits,
 ) -> GuardedSite:
     """Return a listener that is not started."""
     return GuardedSite(handler, limits)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from wagtailspread.entry import bodies, protections, requests, sites
+from wagtailspread.entry import bodies, heads, requests, sites
 from wagtailspread.gateway import answers, attempts, connections
 from wagtailspread.gateway import exchanges, headers
 from wagtailspread.routing import tables, terms
@@ -20,6 +20,9 @@
 #: Beyond the idle time of the configuration, so that a caller which keeps to
 #: it never meets a closed connection, in seconds.
 IDLE_SLACK_SECONDS = 2.0
+#: Beyond the time of the configuration for a head, since a slow link delivers
+#: later than its caller sends, in seconds.
+HEAD_SLACK_SECONDS = 2.0
 
 _MILLISECONDS = 1000
 _NOT_FOUND = 404
@@ -69,10 +72,7 @@
         self._connections = connections.create_table()
         #: Seconds of the event loop.
         self._in_force_since = 0.0
-        self.site = sites.create_site(
-            self.handle,
-            _create_head_limits(terms.CallerLimits()),
-        )
+        self.site = sites.create_site(self.handle, heads.UNKNOWN_LIMITS)
 
     def put_in_force(self, settings: terms.RoutingSettings) -> None:
         """Handle requests by these routes and limits from now on."""
@@ -355,16 +355,15 @@
     return GatewayServer(runner, names, splits, is_current)
 
 
-def _create_head_limits(limits: terms.CallerLimits) -> protections.HeadLimits:
+def _create_head_limits(limits: terms.CallerLimits) -> heads.HeadLimits:
     """Return the limits of connections.
 
     A caller may be silent before its first request as between two others.
     """
-    idle_seconds = limits.idle_seconds + IDLE_SLACK_SECONDS
-    return protections.HeadLimits(
-        seconds=idle_seconds,
-        field_bytes=limits.header_bytes,
-        keepalive_seconds=idle_seconds,
+    return heads.HeadLimits(
+        seconds=limits.header_seconds + HEAD_SLACK_SECONDS,
+        head_bytes=limits.header_bytes,
+        keepalive_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
     )
 
 
