Refuse no head or body by limits that may be out of date

What callers would see: 413 for a body that was allowed a moment before the limit was lowered, and 431 from a host that has not got a version with a larger limit. No caller comes again after either.

Change: bodies are checked by the same window of limits as heads, and while the host's version may not be the newest, the window has the limits of an unknown configuration too.

Both tests fail before: "assert 413 == 503", "assert 431 == 503". Tests that lowered a limit and expected the refusal at once start with the low limit now; the refusal itself is checked as before.

--- a/wagtailspread/entry/heads.py
+++ b/wagtailspread/entry/heads.py
@@ -1,7 +1,8 @@
-"""Limits of request heads, and the size of a head by which they hold."""
+"""Limits of requests, and the size of a head by which they hold."""
 
 import asyncio
 import dataclasses
+import typing
 
 from aiohttp import web
 
@@ -26,8 +27,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HeadLimits:
-    """Limits of request heads.
+class RequestLimits:
+    """Limits of requests and their connections.
 
     :param seconds: from the first byte of a head to its end.
     :param head_bytes: largest head: request line, fields and line ends. It
@@ -35,34 +36,51 @@
     :param keepalive_seconds: idle time of a connection.
     :param linger_seconds: longest time without a byte for which the rest of a
         refused request is read, so that the caller gets the refusal.
+    :param body_bytes: largest body, for handlers that look at it.
     """
 
     seconds: float = 5.0
     head_bytes: int = 8190
     keepalive_seconds: float = 75.0
     linger_seconds: float = 1.0
+    body_bytes: int = 0
 
 
-DEFAULT_LIMITS = HeadLimits()
+DEFAULT_LIMITS = RequestLimits()
 #: Limits while no configuration is known: what a host can hold of one caller.
-UNKNOWN_LIMITS = HeadLimits(seconds=10.0, head_bytes=PENDING_BYTES // 4)
+UNKNOWN_LIMITS = RequestLimits(seconds=10.0, head_bytes=PENDING_BYTES // 4)
+
+
+def trust_limits() -> bool:
+    """Tell that the limits put in force last are always the newest ones."""
+    return True
 
 
 class LimitWindow:
     """The limits in force, and those that were in force a moment ago.
 
     A caller may keep to limits that were replaced, until it learns of the new
-    ones; it is refused only by what all of them forbid.
+    ones; it is refused only by what all of them forbid. While newer limits may
+    be in force that this host does not have, they are unknown.
 
     :param current: the limits in force.
     """
 
-    def __init__(self, limits: HeadLimits) -> None:
-        """Start with limits that replaced no others."""
+    def __init__(
+        self,
+        limits: RequestLimits,
+        is_newest: typing.Callable[[], bool] = trust_limits,
+    ) -> None:
+        """Start with limits that replaced no others.
+
+        :param is_newest: tells whether the limits that were put in force last
+            are the newest ones.
+        """
         self.current = limits
-        self._replaced: list[tuple[float, HeadLimits]] = []
+        self._is_newest = is_newest
+        self._replaced: list[tuple[float, RequestLimits]] = []
 
-    def change(self, limits: HeadLimits) -> None:
+    def change(self, limits: RequestLimits) -> None:
         """Put other limits in force."""
         if limits == self.current:
             return
@@ -73,17 +91,21 @@
         self._replaced = [*kept, (now, self.current)]
         self.current = limits
 
-    def find_loosest(self) -> HeadLimits:
+    def find_loosest(self) -> RequestLimits:
         """Return what the limits of the last seconds allow at most."""
-        if not self._replaced:
+        is_newest = self._is_newest()
+        if is_newest and not self._replaced:
             return self.current
         self._drop_old(asyncio.get_running_loop().time())
         allowed = [self.current, *(limits for _, limits in self._replaced)]
+        if not is_newest:
+            allowed.append(UNKNOWN_LIMITS)
         return dataclasses.replace(
             self.current,
             seconds=max(one.seconds for one in allowed),
             head_bytes=max(one.head_bytes for one in allowed),
             keepalive_seconds=max(one.keepalive_seconds for one in allowed),
+            body_bytes=max(one.body_bytes for one in allowed),
         )
 
     def _drop_old(self, now: float) -> None:
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -74,7 +74,7 @@
     def __init__(
         self,
         manager: 'GuardedServer',
-        limits: heads.HeadLimits,
+        limits: heads.RequestLimits,
         **settings: typing.Any,
     ) -> None:
         """Wait for a first byte."""
@@ -260,10 +260,10 @@
     :param budget: bytes of incomplete heads of all connections.
     """
 
-    def __init__(self, handler: Handler, limits: heads.HeadLimits) -> None:
+    def __init__(self, handler: Handler, window: heads.LimitWindow) -> None:
         """Start the sweep; needs a running event loop."""
         super().__init__(handler)
-        self.window = heads.LimitWindow(limits)
+        self.window = window
         self.budget = heads.HeadBudget()
         self._sweeping = asyncio.create_task(self._sweep())
 
@@ -285,10 +285,6 @@
             read_bufsize=READ_BUFFER_BYTES,
         )
 
-    def change_limits(self, limits: heads.HeadLimits) -> None:
-        """Take other limits for all requests from now on."""
-        self.window.change(limits)
-
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
         active = [
@@ -312,9 +308,9 @@
                     protocol.end_overdue(now)
 
 
-def create_server(handler: Handler, limits: heads.HeadLimits) -> GuardedServer:
+def create_server(handler: Handler, window: heads.LimitWindow) -> GuardedServer:
     """Return a server whose handler is cancelled when its caller leaves."""
-    server = GuardedServer(handler, limits)
+    server = GuardedServer(handler, window)
     server.handler_cancellation = True
     return server
 
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -41,7 +41,7 @@
         gate: announcements.AnnouncementGate,
         readiness: Readiness,
         read_status: typing.Callable[[], dict[str, typing.Any]],
-        limits: heads.HeadLimits,
+        limits: heads.RequestLimits,
         read_metrics: typing.Callable[[], bytes] = bytes,
     ) -> None:
         """Keep the parts; nothing is opened yet."""
@@ -154,7 +154,7 @@
     gate: announcements.AnnouncementGate,
     readiness: Readiness,
     read_status: typing.Callable[[], dict[str, typing.Any]],
-    limits: heads.HeadLimits = heads.DEFAULT_LIMITS,
+    limits: heads.RequestLimits = heads.DEFAULT_LIMITS,
     read_metrics: typing.Callable[[], bytes] = bytes,
 ) -> EntryServer:
     """Return a server that is not started."""
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -22,11 +22,11 @@
     def __init__(
         self,
         handler: Handler,
-        limits: heads.HeadLimits,
+        window: heads.LimitWindow,
     ) -> None:
         """Keep the handler; nothing is opened yet."""
         self._handler = handler
-        self._limits = limits
+        self._window = window
         self._runner: web.ServerRunner | None = None
         self._server: protections.GuardedServer | None = None
         self._site: web.TCPSite | None = None
@@ -35,7 +35,7 @@
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
         ip, _, port = address.rpartition(':')
-        self._server = protections.create_server(self._handle, self._limits)
+        self._server = protections.create_server(self._handle, self._window)
         self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
@@ -43,11 +43,14 @@
         bound = self._runner.addresses[0]
         return identifiers.Address(f'{bound[0]}:{bound[1]}')
 
-    def change_limits(self, limits: heads.HeadLimits) -> None:
+    @property
+    def limits(self) -> heads.RequestLimits:
+        """Limits beyond which a request is refused now."""
+        return self._window.find_loosest()
+
+    def change_limits(self, limits: heads.RequestLimits) -> None:
         """Take other limits for all requests from now on."""
-        self._limits = limits
-        if self._server is not None:
-            self._server.change_limits(limits)
+        self._window.change(limits)
 
     def close_after_answers(self) -> None:
         """Close each connection of a caller after its next answer."""
@@ -88,7 +91,12 @@
 
 def create_site(
     handler: Handler,
-    limits: heads.HeadLimits,
+    limits: heads.RequestLimits,
+    is_newest: typing.Callable[[], bool] = heads.trust_limits,
 ) -> GuardedSite:
-    """Return a listener that is not started."""
-    return GuardedSite(handler, limits)
+    """Return a listener that is not started.
+
+    :param is_newest: tells whether the limits that were put in force last are
+        the newest ones; until then callers get the benefit of the doubt.
+    """
+    return GuardedSite(handler, heads.LimitWindow(limits, is_newest))
--- a/wagtailspread/entry/tests/test_early_answers.py
+++ b/wagtailspread/entry/tests/test_early_answers.py
@@ -10,7 +10,7 @@
 from wagtailspread.entry import heads
 from wagtailspread.entry.tests import connections, fleets, test_exchanges
 
-LIMITS = heads.HeadLimits(seconds=0.3, keepalive_seconds=5.0)
+LIMITS = heads.RequestLimits(seconds=0.3, keepalive_seconds=5.0)
 #: A body that looks like a request, which a host must never run.
 BODY = connections.create_head(target='/body') * 4000
 HALF = len(BODY) // 2
--- a/wagtailspread/entry/tests/test_limit_changes.py
+++ b/wagtailspread/entry/tests/test_limit_changes.py
@@ -7,7 +7,7 @@
 from wagtailspread.entry import heads
 from wagtailspread.entry.tests import connections
 
-NARROW = heads.HeadLimits(seconds=5.0, head_bytes=1000)
+NARROW = heads.RequestLimits(seconds=5.0, head_bytes=1000)
 WIDE = dataclasses.replace(NARROW, head_bytes=16384)
 SMALL_HEAD = connections.create_head()
 LARGE_HEAD = connections.create_head('A: {0}'.format('a' * 4000))
--- a/wagtailspread/entry/tests/test_protections.py
+++ b/wagtailspread/entry/tests/test_protections.py
@@ -8,8 +8,8 @@
 from wagtailspread.entry import heads
 from wagtailspread.entry.tests import connections
 
-LIMITS = heads.HeadLimits(seconds=0.3, head_bytes=1000)
-WIDE = heads.HeadLimits(seconds=0.3, head_bytes=16384)
+LIMITS = heads.RequestLimits(seconds=0.3, head_bytes=1000)
+WIDE = heads.RequestLimits(seconds=0.3, head_bytes=16384)
 LARGE_FIELD = connections.create_head(f'A: {"a" * 4000}')
 
 
@@ -61,7 +61,7 @@
     fields = [f'X-{number:03}: {"v" * 15}' for number in range(150)]
     head = connections.create_head(*fields)
     assert len(head) < 4096
-    limits = heads.HeadLimits(head_bytes=4096)
+    limits = heads.RequestLimits(head_bytes=4096)
     async with connections.run_site(limits) as (_, address):
         async with connections.connect(address) as connection:
             answer = await connections.exchange(connection, head)
@@ -77,7 +77,7 @@
     target = '/' + 'p' * 300
     fields = ['A:' + 'a' * 300, 'B:' + 'b' * 300]
     head = connections.create_head(*fields, target=target)
-    limits = heads.HeadLimits(head_bytes=len(head) - 1 - excess)
+    limits = heads.RequestLimits(head_bytes=len(head) - 1 - excess)
     async with connections.run_site(limits) as (_, address):
         async with connections.connect(address) as connection:
             answer = await connections.exchange(connection, head)
--- a/wagtailspread/entry/tests/test_refusals.py
+++ b/wagtailspread/entry/tests/test_refusals.py
@@ -150,7 +150,7 @@
 
 async def test_head_that_never_ends_is_refused_in_time():
     """Guards against callers that hold connections with unfinished heads."""
-    limits = heads.HeadLimits(seconds=0.3)
+    limits = heads.RequestLimits(seconds=0.3)
     async with fleets.start_fleet(limits=limits) as (hosts, _):
         answer = await sockets.request_raw(
             hosts[0].address,
--- a/wagtailspread/entry/tests/test_slow_callers.py
+++ b/wagtailspread/entry/tests/test_slow_callers.py
@@ -7,7 +7,7 @@
 from wagtailspread.entry import heads
 from wagtailspread.entry.tests import connections
 
-LIMITS = heads.HeadLimits(seconds=0.3, keepalive_seconds=0.9)
+LIMITS = heads.RequestLimits(seconds=0.3, keepalive_seconds=0.9)
 PATIENT = dataclasses.replace(LIMITS, keepalive_seconds=60.0)
 HEAD = connections.create_head()
 
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -72,13 +72,17 @@
         self._connections = connections.create_table()
         #: Seconds of the event loop.
         self._in_force_since = 0.0
-        self.site = sites.create_site(self.handle, heads.UNKNOWN_LIMITS)
+        self.site = sites.create_site(
+            self.handle,
+            heads.UNKNOWN_LIMITS,
+            is_current,
+        )
 
     def put_in_force(self, settings: terms.RoutingSettings) -> None:
         """Handle requests by these routes and limits from now on."""
         self.routes = tables.RouteTable(settings)
         self._in_force_since = asyncio.get_running_loop().time()
-        self.site.change_limits(_create_head_limits(settings.limits))
+        self.site.change_limits(_create_limits(settings.limits))
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
@@ -110,8 +114,7 @@
                     details,
                 ),
             )
-        limits = routes.settings.limits
-        if (request.content_length or 0) > limits.body_bytes:
+        if (request.content_length or 0) > self.site.limits.body_bytes:
             return _close(
                 self._forbid(
                     _TOO_LARGE,
@@ -123,7 +126,11 @@
         deadline = started + self._find_seconds(request, route)
         body = None
         if request.body_exists:
-            body = await self._read_body(request, limits, deadline)
+            body = await self._read_body(
+                request,
+                routes.settings.limits.idle_seconds,
+                deadline,
+            )
             if body.fault is not None:
                 return _close(self._answer_body_fault(body, request, details))
         return await self._run(request, route, body, deadline)
@@ -194,15 +201,15 @@
     async def _read_body(
         self,
         request: web.BaseRequest,
-        limits: terms.CallerLimits,
+        idle_seconds: float,
         deadline: float,
     ) -> bodies.RequestBody:
         if 'Expect' in request.headers:
             await bodies.send_continue(request)
         body = bodies.RequestBody(
             request.content,
-            limits.body_bytes,
-            limits.idle_seconds,
+            self.site.limits.body_bytes,
+            idle_seconds,
             deadline,
             KEPT_BYTES,
         )
@@ -355,15 +362,16 @@
     return GatewayServer(runner, names, splits, is_current)
 
 
-def _create_head_limits(limits: terms.CallerLimits) -> heads.HeadLimits:
-    """Return the limits of connections.
+def _create_limits(limits: terms.CallerLimits) -> heads.RequestLimits:
+    """Return the limits of requests.
 
     A caller may be silent before its first request as between two others.
     """
-    return heads.HeadLimits(
+    return heads.RequestLimits(
         seconds=limits.header_seconds + HEAD_SLACK_SECONDS,
         head_bytes=limits.header_bytes,
         keepalive_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
+        body_bytes=limits.body_bytes,
     )
 
 
--- a/wagtailspread/gateway/tests/test_answers.py
+++ b/wagtailspread/gateway/tests/test_answers.py
@@ -44,7 +44,7 @@
         version=version,
         limits=terms.CallerLimits(**limits),
     )
-    server.put_in_force(settings)
+    test_servers.put_in_force_for_long(server, settings)
 
 
 def check(lines, server, status, reason):
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -37,6 +37,19 @@
     return dataclasses.replace(route, **changes)
 
 
+def create_settings(kind, *, limits=None, **changes):
+    """Return a configuration with one route of this kind."""
+    route = create_route(kind, **changes)
+    used = limits or terms.CallerLimits()
+    return terms.RoutingSettings(1, (route,), {'columns': 390}, used)
+
+
+def put_in_force_for_long(server, settings):
+    """Put a configuration in force as if no other had been for a while."""
+    server.put_in_force(settings)
+    server.site._window._replaced.clear()
+
+
 def create_record(number, address):
     """Return the record of an upstream at this address."""
     return records.UpstreamRecord(
@@ -57,6 +70,7 @@
     kind=terms.RequestKind.UNSAFE,
     *,
     is_current=True,
+    settings=None,
     **changes,
 ):
     """Yield a server before these upstreams and its address."""
@@ -83,9 +97,7 @@
         tables.SplitCounter(random.Random(1)),
         lambda: is_current,
     )
-    route = create_route(kind, **changes)
-    settings = terms.RoutingSettings(1, (route,), {'columns': 390})
-    server.put_in_force(settings)
+    put_in_force_for_long(server, settings or create_settings(kind, **changes))
     address = await server.site.start('127.0.0.1:0')
     try:
         yield server, f'http://{address}'
@@ -241,7 +253,7 @@
         assert (await call(base, headers=other))[0] == 404
         small = terms.CallerLimits(body_bytes=10)
         settings = dataclasses.replace(server.routes.settings, limits=small)
-        server.put_in_force(settings)
+        put_in_force_for_long(server, settings)
         assert (await call(base, data=b'x' * 11))[0] == 413
 
 
@@ -290,7 +302,7 @@
     async with run_server([]) as (server, base):
         patient = terms.CallerLimits(idle_seconds=60.0)
         settings = dataclasses.replace(server.routes.settings, limits=patient)
-        server.put_in_force(settings)
+        put_in_force_for_long(server, settings)
         async with aiohttp.ClientSession() as session:
             async with session.get(base + '/b/') as answer:
                 assert answer.status == 404
@@ -328,7 +340,7 @@
 async def test_no_head_is_too_large_before_the_configuration_is_known():
     """Guards against 431 by limits that nobody set."""
     large = {**_HEADERS, **{f'X-{count}': 'x' * 4000 for count in range(10)}}
-    server = servers.create_server(None, names.HEADERS, None, None)
+    server = servers.create_server(None, names.HEADERS, None, bool)
     address = await server.site.start('127.0.0.1:0')
     status, headers, _ = await call(f'http://{address}', headers=large)
     await server.site.close()
@@ -353,13 +365,40 @@
     No caller comes again after a 404 or 413, though a newer version may allow
     its request.
     """
-    async with run_server([], is_current=is_current) as (server, base):
-        limits = terms.CallerLimits(body_bytes=1000)
-        settings = dataclasses.replace(server.routes.settings, limits=limits)
-        server.put_in_force(settings)
+    limits = terms.CallerLimits(body_bytes=1000)
+    settings = create_settings(terms.RequestKind.UNSAFE, limits=limits)
+    async with run_server([], settings=settings, is_current=is_current) as (
+        _,
+        base,
+    ):
         answered, headers, _ = await call(base, path, data=body)
     if is_current:
         assert answered == status
         return
     assert answered == 503
     assert float(headers['Retry-After']) > 0
+
+
+async def test_a_smaller_limit_refuses_no_body_at_once():
+    """Guards against 413 for a body that was allowed a moment ago."""
+    async with run_server([]) as (server, base):
+        limits = terms.CallerLimits(body_bytes=1000)
+        settings = dataclasses.replace(server.routes.settings, limits=limits)
+        server.put_in_force(settings)
+        status, _, _ = await call(base, data=bytes(2000))
+    assert status == 503
+
+
+@pytest.mark.parametrize('is_current', [True, False])
+async def test_a_host_that_may_be_behind_refuses_no_head(is_current):
+    """Guards against 431 by limits that newer ones may have replaced."""
+    limits = terms.CallerLimits(header_bytes=1000)
+    settings = create_settings(terms.RequestKind.UNSAFE, limits=limits)
+    own = {**_HEADERS, 'X-Note': 'a' * 2000}
+    async with run_server([], settings=settings, is_current=is_current) as (
+        server,
+        base,
+    ):
+        server.site._window._replaced.clear()
+        status, _, _ = await call(base, headers=own)
+    assert status == (431 if is_current else 503)
