Trust only replicas that have applied what was committed

What callers would see: 404 on a route that was confirmed long before, from a host whose replica hears its leader and does not apply what it hears. Found by review: with a sync of 4 s on the replica's disk the leader's heartbeats go on, the commit index covers version 2, and the replica answers version 1 "with quorum" for 2.4 s.

Cause: the answer to a follower tells whether the leader was heard, not how old what the replica knows is. A leader that wakes from a suspension says so too.

Change: an answer tells whether the replica has applied all that is committed and heard its leader within two heartbeats, or leads under its lease. Only such an answer makes the version of a host current.

The new test of a host fails with the word of before: "assert not True".

--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -63,7 +63,7 @@
         is_current: typing.Callable[[], bool],
     ) -> None:
         """Keep the parts; nothing is opened yet."""
-        self._is_current = is_current
+        self.is_current = is_current
         self.routes: tables.RouteTable | None = None
         self.answers = answers.create_log()
         self._runner = runner
@@ -277,7 +277,7 @@
         A newer version may allow it. While this host may be behind, the
         caller is told to come back, since it would never return after a 4xx.
         """
-        if self._is_current():
+        if self.is_current():
             return self._answer(status, reason, request, details)
         found = {**(details or {}), 'forbidden_by': reason.value}
         return self._refuse(answers.Reason.NOT_CURRENT, request, found)
--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -82,6 +82,7 @@
         self.document = documents.VersionedDocument()
         self.link = slow_links.SlowLink(rate)
         self.is_in_touch = True
+        self.is_lagging = False
         self.service = None
         self._listener = None
 
@@ -135,6 +136,10 @@
         """Tell whether this replica is in touch with the others."""
         return self.is_in_touch
 
+    def is_up_to_date(self):
+        """Tell whether this replica has applied what was committed."""
+        return self.is_in_touch and not self.is_lagging
+
     def count_needed(self):
         """Return that no other replica has to know of a departure."""
         return 0
--- a/wagtailspread/gateway/tests/test_configurations.py
+++ b/wagtailspread/gateway/tests/test_configurations.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from wagtailspread.gateway.tests import configured_fleets as fleets
+from wagtailspread.registry import lags
 
 #: Routes of a configuration at the size to design for (docs/CAPACITY.md).
 ROUTES = 11_000
@@ -94,3 +95,18 @@
                 assert await replica.drain(number - 1)
                 replica.register(number)
                 await asyncio.sleep(0.05)
+
+
+async def test_a_host_does_not_trust_a_replica_that_lags():
+    """Guards against 404 by the version of a replica with a slow disk."""
+    async with fleets.Replica() as replica:
+        replica.put(1, fleets.create_body(1, fleets.create_routes(1)))
+        async with fleets.run_host(replica) as host:
+            await fleets.wait_for_version(host, 1, IN_FORCE_SECONDS)
+            assert host.server.is_current()
+            replica.is_lagging = True
+            await asyncio.sleep(2 * lags.CURRENT_SECONDS)
+            assert not host.server.is_current()
+            replica.is_lagging = False
+            await asyncio.sleep(lags.CURRENT_SECONDS)
+            assert host.server.is_current()
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -36,6 +36,7 @@
         replicas=[],
         substitutes=[],
         has_quorum=True,
+        is_up_to_date=True,
         hosts=1,
     )
 
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -202,7 +202,7 @@
         if self.lag.note(
             batch.document_version,
             now,
-            has_quorum=batch.has_quorum,
+            is_certain=batch.is_up_to_date,
         ):
             _log.info('configuration behind', extra=self.lag.describe(now))
         self._sources.learn(batch.replicas, is_complete=batch.has_quorum)
--- a/wagtailspread/registry/lags.py
+++ b/wagtailspread/registry/lags.py
@@ -14,9 +14,10 @@
 
 from wagtailspread.configuration import documents
 
-#: Age of the last answer of a replica in touch with most others up to which
-#: the version in force counts as the newest, in seconds. An answer comes each
-#: 0.7 s at the latest, and the call for it ends after 1.1 s.
+#: Age of the last answer of a replica that is up to date up to which the
+#: version in force counts as the newest, in seconds. An answer comes each 0.7 s
+#: at the latest, and the call for it ends after 1.1 s. With 0.4 s on the way
+#: and 0.5 s of the replica that makes 2 s, the bound of the platform.
 CURRENT_SECONDS = 1.1
 
 
@@ -48,20 +49,20 @@
             return False
         return now - self._confirmed_at <= CURRENT_SECONDS
 
-    def note(self, heard: int, now: float, *, has_quorum: bool = True) -> bool:
+    def note(self, heard: int, now: float, *, is_certain: bool = True) -> bool:
         """Take an answer of a replica.
 
         :param heard: version that the replica named.
         :param now: seconds of the host's clock.
-        :param has_quorum: whether the replica is in touch with most others,
-            so that it knows of confirmed versions.
+        :param is_certain: whether the replica has applied all that was
+            committed a moment ago.
         :returns: whether ``heard`` is the newest version named so far and is
             not in force.
         """
         is_new = heard > self.heard
         self.heard = max(heard, self.heard)
         self._answered_at = now
-        if has_quorum:
+        if is_certain:
             self._confirmed_at = now
         if self.is_behind and self._behind_since is None:
             self._behind_since = now
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -45,6 +45,9 @@
     def has_quorum(self) -> bool:
         """Tell whether most replicas are in touch with this one."""
 
+    def is_up_to_date(self) -> bool:
+        """Tell whether this one has applied all that was committed of late."""
+
     def count_needed(self) -> int:
         """Return how many other replicas make a majority with this one."""
 
@@ -305,10 +308,12 @@
         batch.replicas = self._list_places(request)
         batch.document_version = documents.NO_VERSION
         batch.has_quorum = False
+        batch.is_up_to_date = False
         if request.is_replica or neighbourhood is None:
             return
         batch.hosts += sum(one.hosts for one in self._remote_hosts.values())
         batch.has_quorum = neighbourhood.has_quorum()
+        batch.is_up_to_date = neighbourhood.is_up_to_date()
         batch.document_version = neighbourhood.read_document().version
 
     def _list_substitutes(
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -33,6 +33,10 @@
         """Tell whether most replicas are in touch."""
         return self._is_in_touch
 
+    def is_up_to_date(self):
+        """Tell whether most replicas are in touch."""
+        return self._is_in_touch
+
     def count_needed(self):
         """Return that one other replica is needed."""
         return 1
--- a/wagtailspread/replica/documents.py
+++ b/wagtailspread/replica/documents.py
@@ -27,6 +27,10 @@
 #: Silence of the leader after which a follower is not in touch, in seconds.
 TOUCH_SECONDS = 1.2
 
+#: Silence of the leader up to which a follower knows what was committed, in
+#: seconds: two of its heartbeats.
+FRESH_SECONDS = 0.5
+
 _log = logbook.Logger('documents')
 
 
@@ -115,6 +119,22 @@
             return False
         return self._clock.now() - heard_at < TOUCH_SECONDS
 
+    def is_up_to_date(self) -> bool:
+        """Tell whether this replica has applied what was committed of late.
+
+        A replica whose disk is slow hears its leader and lags all the same; a
+        leader without its lease may have been replaced.
+        """
+        state = self._driver.replica.state
+        now = self._clock.now()
+        if self._driver.applied < state.commit:
+            return False
+        if self._driver.replica.is_leader:
+            index = self._driver.replica.read_index(now)
+            return isinstance(index, result.Success)
+        heard_at = state.heard_at
+        return heard_at is not None and now - heard_at < FRESH_SECONDS
+
     def count_needed(self) -> int:
         """Return how many other replicas make a majority with this one."""
         return self._driver.replica.state.membership.quorum() - 1
--- a/wagtailspread/replica/tests/test_copies.py
+++ b/wagtailspread/replica/tests/test_copies.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from wagtailspread.configuration import documents
-from wagtailspread.core import clocks
+from wagtailspread.core import clocks, failures
 from wagtailspread.processes import machines
 from wagtailspread.replica import copies
 from wagtailspread.replica import documents as documents_service
@@ -91,3 +91,53 @@
         create_document(7),
     )
     assert not isinstance(await service._read_here(), result.Success)
+
+
+class _Follower:
+    """A replica that hears its leader."""
+
+    def __init__(self, applied, commit, heard_at):
+        self.machine = machines.create_machine()
+        self.replica = self
+        self.state = self
+        self.is_leader = False
+        self.applied = applied
+        self.commit = commit
+        self.heard_at = heard_at
+
+
+@pytest.mark.parametrize(
+    ('applied', 'heard_at', 'expected'),
+    [(5, 9.9, True), (4, 9.9, False), (5, 9.0, False), (5, None, False)],
+    ids=['fresh', 'behind', 'silent', 'never'],
+)
+def test_a_replica_that_lags_is_not_up_to_date(applied, heard_at, expected):
+    """Guards against hosts that trust a replica with a slow disk.
+
+    It hears its leader, and answers with versions of before.
+    """
+    service = documents_service.DocumentService(
+        _Follower(applied, 5, heard_at),
+        None,
+        clocks.ManualClock(10.0),
+        2,
+        create_document(7),
+    )
+    assert service.is_up_to_date() is expected
+
+
+def test_a_leader_without_its_lease_is_not_up_to_date():
+    """Guards against trust in a leader that was replaced while it stood."""
+    leader = _Follower(5, 5, None)
+    leader.is_leader = True
+    leader.read_index = lambda _now: result.Failure(failures.NotLeader())
+    service = documents_service.DocumentService(
+        leader,
+        None,
+        clocks.ManualClock(10.0),
+        2,
+        create_document(7),
+    )
+    assert not service.is_up_to_date()
+    leader.read_index = lambda _now: result.Success(5)
+    assert service.is_up_to_date()
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -553,6 +553,8 @@
   12: list<ReplicaPlace> substitutes
   // Services of which many requests fail at the allocator of this replica.
   13: list<string> strained
+  // Whether the replica has applied all that was committed a moment ago.
+  14: bool is_up_to_date
 }
 
 // A host asks where to send a request, or asks again while it waits.
