Adapt downloads to each replica and ask the one that answers first

What callers would see: a host that gets a new configuration seconds late, since it asks nearer replicas that are lost, although the one that it follows has named the version.

Cause: the order was that of distance alone; the time of a call, once doubled for a lost replica, held for the next one too, and fell back after each answer, so a link that needs a second for a chunk had every second call cut.

Change: the replica that answered the follower last comes first. Time and size of calls are kept for each replica and change with how soon answers come. An answer that cannot be read is logged and ends no download.

Three of the new tests fail before: "('r1', None, 1.0) == ('r1', None, 0.5)", "{0.5, 1.0} == {1.0}", and no list of replicas in the new order.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -131,7 +131,7 @@
         )
         self.downloader = downloads.DocumentDownloader(
             self._document_pool,
-            lambda: sources.list_addresses(clock.now()),
+            self.follower.list_sources,
             self._apply_document,
         )
         self._listener = listeners.create_listener(
--- a/wagtailspread/registry/downloads.py
+++ b/wagtailspread/registry/downloads.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 import logbook
@@ -31,9 +32,36 @@
 #: Pause when no replica has the version, in seconds.
 PAUSE_SECONDS = 0.1
 
+#: An answer in one part of so many of the time of its call came soon.
+_SOON = 4
+
 _log = logbook.Logger('downloads')
 
 
+@dataclasses.dataclass(slots=True)
+class _Pace:
+    """What the link to one replica carries.
+
+    :param seconds: longest time for the next call.
+    :param size: bytes of chunks that the next call asks for.
+    """
+
+    seconds: float = FIRST_CALL_SECONDS
+    size: int = FIRST_BYTES
+
+    def slow_down(self) -> None:
+        """Ask for less, and wait longer, after a call that failed."""
+        self.seconds = min(2 * self.seconds, MOST_CALL_SECONDS)
+        # One chunk is answered even if it is larger.
+        self.size = max(self.size // 2, chunks.LEAST_BYTES)
+
+    def speed_up(self, took: float) -> None:
+        """Ask for more after an answer that came soon."""
+        if took * _SOON < self.seconds:
+            self.seconds = max(self.seconds / 2, FIRST_CALL_SECONDS)
+            self.size = min(2 * self.size, publications.MOST_ANSWER_BYTES)
+
+
 class DocumentDownloader:
     """Keeps a host at the newest document that it has heard of.
 
@@ -58,8 +86,7 @@
         self._apply = apply
         self._assembly = chunks.create_assembly()
         self._has_work = asyncio.Event()
-        self._call_seconds = FIRST_CALL_SECONDS
-        self._asked_bytes = FIRST_BYTES
+        self._paces: dict[identifiers.Address, _Pace] = {}
 
     def get(self, version: int) -> None:
         """Get this version or a newer one."""
@@ -73,8 +100,17 @@
             await self._has_work.wait()
             self._has_work.clear()
             while self.version < self._wanted:
-                if not await self._ask_all():
+                if not await self._try_all():
                     await asyncio.sleep(PAUSE_SECONDS)
+            self._paces.clear()
+
+    async def _try_all(self) -> bool:
+        """Ask all replicas; whatever they answer, the task goes on."""
+        try:
+            return await self._ask_all()
+        except Exception:
+            _log.exception('download failed')
+            return False
 
     async def _ask_all(self) -> bool:
         """Ask one replica after another; tell whether one was enough."""
@@ -155,7 +191,7 @@
         """Return how many missing chunks came, ``None`` after a failure."""
         request = messages.structs.ReadChunks(
             chunks=chunks.join_ids(missing[:MAX_NAMED]),
-            most_bytes=self._asked_bytes,
+            most_bytes=self._find_pace(address).size,
         )
         answer = await self._call(
             address,
@@ -182,31 +218,31 @@
         request: messages.Struct,
         answer_type: typing.Any,
     ) -> messages.Struct | None:
-        """Return the answer; adapt the size of the next one to the link."""
+        """Return the answer; adapt the next call to the link."""
+        pace = self._find_pace(address)
+        started = asyncio.get_running_loop().time()
         answer = await self._pool.find(address).call(
             method,
             request,
             answer_type,
-            self._call_seconds,
+            pace.seconds,
         )
         if isinstance(answer, result.Success):
             if method == messages.methods.READ_CHUNKS:
-                self._call_seconds = FIRST_CALL_SECONDS
-                self._asked_bytes = min(
-                    2 * self._asked_bytes,
-                    publications.MOST_ANSWER_BYTES,
-                )
+                took = asyncio.get_running_loop().time() - started
+                pace.speed_up(took)
             return answer.unwrap()
         if isinstance(answer.failure(), failures.CallRejected):
             # The replica holds no document yet; nothing is wrong with the link.
             return None
         self._note_failure(address, answer.failure().describe())
-        self._call_seconds = min(2 * self._call_seconds, MOST_CALL_SECONDS)
-        # One chunk is answered even if it is larger.
-        self._asked_bytes = max(self._asked_bytes // 2, chunks.LEAST_BYTES)
+        pace.slow_down()
         await self._pool.forget(address)
         return None
 
+    def _find_pace(self, address: identifiers.Address) -> _Pace:
+        return self._paces.setdefault(address, _Pace())
+
     def _note_failure(self, address: identifiers.Address, reason: str) -> None:
         _log.warning(
             'configuration part not received',
@@ -214,6 +250,6 @@
                 'replica': address,
                 'reason': reason,
                 'wanted_version': self._wanted,
-                'asked_bytes': self._asked_bytes,
+                'asked_bytes': self._find_pace(address).size,
             },
         )
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -163,6 +163,16 @@
             if address is None or not await self.follow_once(address):
                 await asyncio.sleep(PAUSE_SECONDS)
 
+    def list_sources(self) -> list[identifiers.Address]:
+        """Return the replicas to ask for a document, the best one first.
+
+        The one that answered last comes before all others: it named the
+        version, and nearer ones may be lost.
+        """
+        ordered = self._sources.list_addresses(self._clock.now())
+        ordered.sort(key=lambda address: address != self.followed)
+        return ordered
+
     async def follow_once(self, address: identifiers.Address) -> bool:
         """Ask one replica for changes; tell whether it answered."""
         request = messages.structs.FollowChanges(
--- a/wagtailspread/registry/tests/test_downloads.py
+++ b/wagtailspread/registry/tests/test_downloads.py
@@ -16,9 +16,14 @@
     :param asked: address, method and bytes asked for of each call.
     """
 
-    def __init__(self, publishers, *, timeouts=0):
-        """Let the first calls for chunks time out."""
+    def __init__(self, publishers, *, timeouts=0, took=0.0):
+        """Let the first calls for chunks time out.
+
+        :param took: seconds of each answer with chunks.
+        """
         self.asked = []
+        self.lost = set()
+        self._took = took
         self._publishers = publishers
         self._timeouts = timeouts
         self._address = ''
@@ -34,6 +39,10 @@
     async def call(self, method, request, _answer_type, timeout):
         """Return the answer of the publisher at the address."""
         publisher = self._publishers[self._address]
+        if self._address in self.lost:
+            self.asked.append((self._address, None, timeout))
+            failure = failures.CallTimeout(self._address, timeout)
+            return result.Failure(failure)
         if method == messages.methods.READ_MANIFEST:
             self.asked.append((self._address, None, timeout))
             answer = await publisher._answer_manifest(None, request)
@@ -46,6 +55,7 @@
             self._timeouts -= 1
             failure = failures.CallTimeout(self._address, timeout)
             return result.Failure(failure)
+        await asyncio.sleep(self._took)
         return await publisher._answer_chunks(None, request)
 
 
@@ -90,6 +100,26 @@
     assert seconds[:4] == [0.5, 1.0, 2.0, downloads.MOST_CALL_SECONDS]
     assert asked[-1] > asked[3]
     assert max(asked) <= publications.MOST_ANSWER_BYTES
+    assert seconds[-1] == downloads.FIRST_CALL_SECONDS
+
+
+async def test_a_link_that_needs_long_calls_keeps_them():
+    """Guards against connections closed by every second call."""
+    document = create_document(1, 1500)
+    pool = Pool({'r1': publish(document)}, timeouts=1, took=0.3)
+    await download(pool, 1, 'r1')
+    seconds = {one for _, size, one in pool.asked[2:] if size is not None}
+    assert seconds == {1.0}
+
+
+async def test_a_lost_replica_slows_no_other_down():
+    """Guards against a slow download at a sound replica behind a lost one."""
+    document = create_document(1, 10)
+    pool = Pool({'lost': publish(document), 'r1': publish(document)})
+    pool.lost.add('lost')
+    await download(pool, 1, 'lost', 'r1')
+    assert pool.asked[0] == ('lost', None, downloads.FIRST_CALL_SECONDS)
+    assert pool.asked[1] == ('r1', None, downloads.FIRST_CALL_SECONDS)
 
 
 async def test_a_replica_that_is_behind_is_not_enough():
@@ -149,3 +179,19 @@
     pool = Pool({'r1': publish(document)})
     await download(pool, 2, 'r1', apply=apply)
     assert applied == [1, 2]
+
+
+async def test_a_manifest_without_fields_ends_no_download():
+    """Guards against a task that ends with what one replica answers."""
+    document = create_document(1, 10)
+    pool = Pool({'odd': publish(document), 'r1': publish(document)})
+    answers = [messages.structs.DocumentManifest(version=1)]
+    call = pool.call
+
+    async def answer_oddly(*arguments):
+        if answers:
+            return result.Success(answers.pop())
+        return await call(*arguments)
+
+    pool.call = answer_oddly
+    assert await download(pool, 1, 'odd', 'r1') == [(1, document.body)]
--- a/wagtailspread/registry/tests/test_followers.py
+++ b/wagtailspread/registry/tests/test_followers.py
@@ -1,5 +1,6 @@
 """Tests of the choice of the replica to follow."""
 
+from wagtailspread.core import clocks
 from wagtailspread.registry import followers
 from wagtailspread.wire import messages
 
@@ -48,3 +49,22 @@
 def test_a_host_without_any_knowledge_asks_a_seed():
     """Guards against a host that never starts."""
     assert create_sources().choose(0.0) == 'seed:1'
+
+
+def test_the_replica_that_answered_last_is_asked_for_a_document_first():
+    """Guards against downloads that wait for a nearer replica that is lost."""
+    sources = create_sources('far', 'near', 'own')
+    follower = followers.Follower(
+        'h1',
+        'h1:1',
+        'own',
+        sources,
+        None,
+        clocks.ManualClock(),
+        None,
+    )
+    assert follower.list_sources() == ['own:1', 'near:1', 'far:1']
+    follower.followed = 'far:1'
+    assert follower.list_sources() == ['far:1', 'own:1', 'near:1']
+    sources.avoid('own:1', 0.0)
+    assert follower.list_sources() == ['far:1', 'near:1', 'own:1']
