Keep one account of a caller's connection for log lines

The gateway estimated the age of connections and their requests from what it handled; the connection layer knows both exactly since it logs its refusals.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -166,6 +166,18 @@
         request._version = http.HttpVersion11
         return self._refuse(_find_cause(exc))
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the connection's age, and the requests before the last one.
+
+        Requests that wait behind it are not counted.
+        """
+        now = asyncio.get_running_loop().time()
+        before = self._request_count - len(self._messages) - 1
+        return {
+            'connection_seconds': round(now - self._opened, 3),
+            'connection_requests': before,
+        }
+
     def check_head(self, request: web.BaseRequest) -> web.Response | None:
         """Return the refusal of a complete head that is too large."""
         allowed = self._server.window.find_loosest()
@@ -226,16 +238,12 @@
         status: int,
         cause: parsers.RefusalCause,
     ) -> None:
-        # The refused one was received, as those that wait behind it.
-        before = self._request_count - len(self._messages) - 1
-        age = asyncio.get_running_loop().time() - self._opened
         _log.info(
             'request refused by the connection layer',
             extra={
                 'status': status,
                 'reason': cause.value,
-                'age_seconds': round(age, 3),
-                'requests_before': before,
+                **self.describe(),
                 'connection_limits': dataclasses.asdict(self._limits),
                 'limits_in_force': dataclasses.asdict(
                     self._server.window.current
@@ -244,6 +252,12 @@
         )
 
 
+def describe_connection(request: web.BaseRequest) -> dict[str, typing.Any]:
+    """Return the fields of a log line on the connection of a request."""
+    protocol = request.protocol
+    return protocol.describe() if isinstance(protocol, GuardedProtocol) else {}
+
+
 def enter(request: web.BaseRequest) -> GuardedProtocol | None:
     """Note that a request is handled; return the protocol to ``leave``."""
     protocol = request.protocol
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -5,9 +5,8 @@
 
 from aiohttp import web
 
-from wagtailspread.entry import bodies, heads, requests, sites
-from wagtailspread.gateway import answers, attempts, connections
-from wagtailspread.gateway import exchanges, headers
+from wagtailspread.entry import bodies, heads, protections, requests, sites
+from wagtailspread.gateway import answers, attempts, exchanges, headers
 from wagtailspread.routing import tables, terms
 
 #: Bytes of a body that are read before it is sent. A body that fits can be
@@ -69,7 +68,6 @@
         self._runner = runner
         self._names = names
         self._splits = splits
-        self._connections = connections.create_table()
         #: Seconds of the event loop.
         self._in_force_since = 0.0
         self.site = sites.create_site(
@@ -88,11 +86,6 @@
         """Answer one request."""
         started = asyncio.get_running_loop().time()
         routes = self.routes
-        self._connections.note_request(
-            request.transport,
-            self._find_version(),
-            started,
-        )
         if routes is None:
             return self._refuse(answers.Reason.NO_ROUTES, request, {})
         path = request.raw_path.partition('?')[0]
@@ -339,7 +332,7 @@
                 'configuration_version': version,
                 'configuration_seconds': seconds and round(seconds, 3),
                 'is_sent': False,
-                **self._connections.describe(request.transport, now),
+                **protections.describe_connection(request),
                 **details,
             },
         )
