Divide the fixed part of the retry budget among all deciders

What callers saw: nothing by itself; upstreams of a service that rejects all its requests got more repeats than the platform allows.

Cause: the fixed part of the budget was given out several times: to the allocators of the regions, whichever replica acts as one, to the substitutes on hosts, and to the hosts that decide alone. While a service fails, hosts turn to all of them at once.

Change: each kind of decider has a part of it, divided by their number.

The new test fails before: "assert 321 <= 214.0".

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -13,6 +13,7 @@
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
 from wagtailspread.registry import downloads, followers, records
+from wagtailspread.registry import services as registry_services
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
@@ -196,9 +197,11 @@
         """Return the allocator for when no replica of the region answers."""
         regions = settings.place.regions
         selector = selection.create_selector(self.selector.registry, regions)
+        substitutes = registry_services.MAX_SUBSTITUTES
         budget = budgets.create_budget(
             settings.retries,
-            lambda: len(set(regions.values())),
+            budgets.Decider.SUBSTITUTE,
+            lambda: substitutes * len(set(regions.values())),
         )
         return services.create_service(
             allocators.create_allocator(selector, budget),
@@ -211,6 +214,7 @@
     ) -> budgets.SharedRetryBudget:
         return budgets.create_budget(
             retries,
+            budgets.Decider.HOST,
             lambda: max(self._hosts, LEAST_HOSTS),
         )
 
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -13,6 +13,7 @@
 
 import collections
 import dataclasses
+import enum
 import typing
 
 from wagtailspread.core import identifiers
@@ -24,6 +25,20 @@
 AMPLE_SHARE = 0.5
 
 
+class Decider(enum.Enum):
+    """Who grants repeated sends. All kinds may do so at the same time.
+
+    The value is the part of the fixed number that all of a kind share.
+    """
+
+    #: The allocators on replicas.
+    REPLICA = 0.8
+    #: The allocators on hosts, for hosts that no replica answers.
+    SUBSTITUTE = 0.1
+    #: Hosts that no allocator answers.
+    HOST = 0.1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryTerms:
     """The fleet's budget of repeated sends to one service.
@@ -126,15 +141,16 @@
 
 def create_budget(
     terms: RetryTerms,
-    count_hosts: typing.Callable[[], int],
+    decider: Decider,
+    count_deciders: typing.Callable[[], int],
 ) -> SharedRetryBudget:
     """Return a budget with an empty window.
 
-    :param count_hosts: returns the number of deciders that share the slack.
+    :param count_deciders: returns the number of deciders of this kind.
     """
     return SharedRetryBudget(
         terms.ratio,
-        terms.slack,
+        terms.slack * decider.value,
         terms.window,
-        count_hosts,
+        count_deciders,
     )
--- a/wagtailspread/placement/tests/test_budgets.py
+++ b/wagtailspread/placement/tests/test_budgets.py
@@ -35,3 +35,25 @@
     spend_all(budget, 0.0, 20.0)
     granted = spend_all(budget, 20.0, 10.0)
     assert granted >= 0.8 * (0.2 * 100 + 60.0)
+
+
+def test_all_deciders_together_keep_the_fixed_number():
+    """Guards against a number that each kind of decider has to itself.
+
+    Load pattern: a service rejects all its requests, and some hosts of each
+    region ask one replica, some another one, some a substitute, and the rest
+    decide alone.
+    """
+    terms = budgets.RetryTerms(0.0, 214.0, 10.0)
+    counts = {
+        budgets.Decider.REPLICA: 5,
+        budgets.Decider.SUBSTITUTE: 6,
+        budgets.Decider.HOST: 131,
+    }
+    granted = 0
+    for kind, count in counts.items():
+        for _ in range(count):
+            budget = budgets.create_budget(terms, kind, lambda: counts[kind])
+            spend_all(budget, 0.0, 20.0)
+            granted += spend_all(budget, 20.0, 10.0)
+    assert granted <= terms.slack
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -48,7 +48,11 @@
     table = registry.feed.table
     regions = max(1, len(set(boot.regions.values())))
     terms = processes.create_retry_terms(boot)
-    budget = budgets.create_budget(terms, lambda: regions)
+    budget = budgets.create_budget(
+        terms,
+        budgets.Decider.REPLICA,
+        lambda: max(regions, registry.count_replicas()),
+    )
     selector = selection.create_selector(table, boot.regions)
     allocator = allocators.create_allocator(
         selector,
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -157,6 +157,10 @@
             for service in batch.strained
         }
 
+    def count_replicas(self) -> int:
+        """Return the number of replicas, this one included."""
+        return len(self._list_peers()) + 1
+
     def find_nearest(
         self,
         domain: identifiers.FailureDomain,
