Get the document on the connection of the registry

Hosts had routes 0.17 to 1.25 s after their start.

Cause: a host opened one connection more, for documents, and authenticated it before it got the first one. While all hosts start, replicas are busy with handshakes.

Change: parts of the document come on the connection of the registry.

The new test fails before: "assert 2 == 1".

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -83,10 +83,11 @@
         self._clock = clock
         self._hosts = 0
         self._is_stopping = False
-        # Registry, documents and placement have connections of their own, so
-        # that calls which wait for the one do not hold up the others.
+        # Registry and placement have connections of their own, so that calls
+        # which wait for the one do not hold up the other. Documents come on
+        # that of the registry, in parts: one connection more for each host
+        # takes replicas a while when all hosts start at once.
         self._pool = _create_pool(settings)
-        self._document_pool = _create_pool(settings)
         self._placing_pool = _create_pool(settings)
         self.selector = selection.create_selector(
             registries.create_table(),
@@ -131,7 +132,7 @@
             self._apply,
         )
         self.downloader = downloads.DocumentDownloader(
-            self._document_pool,
+            self._pool,
             self.follower.list_sources,
             self._apply_document,
         )
@@ -182,7 +183,6 @@
         await self._exchanger.close()
         await self._readiness.close()
         await self._pool.close()
-        await self._document_pool.close()
         await self._placing_pool.close()
         counts = self.server.answers.counts
         _log.info(
--- a/wagtailspread/gateway/tests/slow_links.py
+++ b/wagtailspread/gateway/tests/slow_links.py
@@ -12,12 +12,14 @@
 
     :param rate: bytes a second, for each direction.
     :param passed: bytes that went from the target to its callers.
+    :param accepted: connections of callers so far.
     """
 
     def __init__(self, rate):
         """Listen nowhere yet."""
         self.rate = rate
         self.passed = 0
+        self.accepted = 0
         self.address = ''
         self._target = ''
         self._server = None
@@ -42,6 +44,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _accept(self, reader, writer):
+        self.accepted += 1
         ip, _, port = self._target.rpartition(':')
         task = asyncio.current_task()
         self._tasks.add(task)
--- a/wagtailspread/gateway/tests/test_configurations.py
+++ b/wagtailspread/gateway/tests/test_configurations.py
@@ -116,3 +116,15 @@
             replica.is_lagging = False
             await asyncio.sleep(lags.CURRENT_SECONDS)
             assert host.server.is_current()
+
+
+async def test_a_start_takes_one_connection_to_a_replica():
+    """Guards against replicas busy with handshakes while all hosts start.
+
+    Each connection is authenticated, and hosts refuse callers meanwhile.
+    """
+    async with fleets.Replica() as replica:
+        replica.put(1, fleets.create_body(1, fleets.create_routes(10)))
+        async with fleets.run_host(replica) as host:
+            await fleets.wait_for_version(host, 1, IN_FORCE_SECONDS)
+            assert replica.link.accepted == 1
