--- a/wagtailspread/consensus/messages.py
+++ b/wagtailspread/consensus/messages.py
@@ -14,6 +14,9 @@
 
 #: Vote of a replica that has not voted in its term.
 NO_VOTE = identifiers.ReplicaId('')
+#: Largest term of a received message. A candidate increments the term, which
+#: must fit its field afterwards.
+MAX_TERM = 2**62
 
 
 class EntryKind(enum.IntEnum):
@@ -321,6 +324,8 @@
 def _from_thrift(name: str, field: object) -> object:
     if field is None:
         raise messages.DecodeError(f'required field {name} is missing')
+    if name == 'term' and not messages.is_integer(field, 0, MAX_TERM):
+        raise messages.DecodeError(f'term: expected 0 to {MAX_TERM}')
     if name == 'entries':
         return tuple(
             _create_entry(struct)
@@ -332,6 +337,8 @@
 
 
 def _create_entry(struct: messages.Struct) -> LogEntry:
+    if None in (struct.index, struct.term, struct.payload):
+        raise messages.DecodeError('log entry: a required field is missing')
     return LogEntry(
         struct.index,
         struct.term,
--- a/wagtailspread/entry/announcements.py
+++ b/wagtailspread/entry/announcements.py
@@ -7,15 +7,15 @@
 """
 
 import dataclasses
-import ipaddress
 import json
 import re
 import typing
 
 from returns import result
 
-from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.core import addresses, clocks, failures, identifiers
 from wagtailspread.entry import interfaces, rows, slots
+from wagtailspread.wire import messages
 
 #: Largest accepted announcement, in bytes.
 MAX_ANNOUNCEMENT_BYTES = 4096
@@ -35,7 +35,6 @@
 _UNAVAILABLE = 503
 
 _NAME = re.compile(r'[\w.:-]{1,128}', re.ASCII)
-_MAX_PORT = 65535
 _MAX_INCARNATION = 2**62
 
 
@@ -189,14 +188,41 @@
     return number
 
 
+def find_fault(struct: messages.Struct) -> str:
+    """Return the first field out of range of an ``AnnounceUpstream``.
+
+    A host that forwards an announcement, or an owner that lists its own, may
+    run another version.
+
+    :returns: name of the field; empty if there is none.
+    """
+    for name in ('service_name', 'upstream', 'region', 'domain'):
+        text = getattr(struct, name)
+        if not isinstance(text, str) or not _NAME.fullmatch(text):
+            return name
+    if not isinstance(struct.address, str):
+        return 'address'
+    if not addresses.is_connectable(struct.address):
+        return 'address'
+    ranges = {
+        'slots': (1, MAX_SLOTS),
+        'connections': (1, MAX_CONNECTIONS),
+        'incarnation': (1, _MAX_INCARNATION),
+        'age_ms': (0, messages.MAX_I32),
+    }
+    for name, (least, most) in ranges.items():
+        if not messages.is_integer(getattr(struct, name), least, most):
+            return name
+    states = [state.value for state in slots.UpstreamState]
+    return '' if struct.state in states else 'state'
+
+
 def _read_address(fields: dict[str, typing.Any]) -> str:
-    ip, _, port = _read_name(fields, 'address').rpartition(':')
-    parsed = ipaddress.IPv4Address(ip)
-    if parsed.is_multicast or parsed.is_unspecified:
+    address = _read_name(fields, 'address')
+    if not addresses.is_connectable(address):
         raise ValueError('address')
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError('port')
-    return f'{parsed}:{int(port)}'
+    ip, _, port = address.rpartition(':')
+    return f'{ip}:{int(port)}'
 
 
 def _reject(status: int, detail: str) -> ParseResult:
--- a/wagtailspread/entry/conversions.py
+++ b/wagtailspread/entry/conversions.py
@@ -5,16 +5,20 @@
 
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import failures, identifiers, outcomes, priorities
-from wagtailspread.entry import slots
+from wagtailspread.entry import announcements, slots
 from wagtailspread.wire import messages
 
+_log = logbook.Logger('conversions')
+
 _MS = 1000
 _MICROS = 1_000_000
 #: Largest value of a 32-bit wire field.
-_MAX_I32 = 2**31 - 1
+_MAX_I32 = messages.MAX_I32
 
 Decision = result.Result[slots.Grant, failures.Refusal]
 
@@ -137,17 +141,18 @@
 ) -> list[slots.Completion]:
     """Return the completions of a struct.
 
-    :raises TypeError: if a number is missing.
-    :raises ValueError: if an exchange result is unknown.
+    A malformed completion is logged and left out. Its lease expires.
     """
-    return [
-        slots.Completion(
-            identifiers.LeaseId(completion.lease),
-            outcomes.ExchangeResult(completion.result),
-            completion.micros / _MICROS,
-        )
-        for completion in struct.completions
-    ]
+    completions = []
+    for completion in struct.completions or ():
+        try:
+            completions.append(_read_completion(completion))
+        except (TypeError, ValueError) as error:
+            _log.warning(
+                'completion skipped',
+                extra={'lease': completion.lease, 'reason': str(error)},
+            )
+    return completions
 
 
 def write_adoption(
@@ -202,9 +207,11 @@
 def read_announcement(struct: messages.Struct) -> slots.Announcement:
     """Return the announcement of a struct.
 
-    :raises TypeError: if the age is missing.
-    :raises ValueError: if the upstream state is unknown.
+    :raises ValueError: if a field is missing or out of range.
     """
+    fault = announcements.find_fault(struct)
+    if fault:
+        raise ValueError(f'{fault}: expected a value in range')
     return slots.Announcement(
         identifiers.ServiceName(struct.service_name),
         identifiers.UpstreamId(struct.upstream),
@@ -219,6 +226,14 @@
     )
 
 
+def _read_completion(struct: messages.Struct) -> slots.Completion:
+    return slots.Completion(
+        identifiers.LeaseId(struct.lease),
+        outcomes.ExchangeResult(struct.result),
+        struct.micros / _MICROS,
+    )
+
+
 def _write_grant(
     grant: slots.Grant,
     now: float,
--- a/wagtailspread/entry/handlers.py
+++ b/wagtailspread/entry/handlers.py
@@ -74,10 +74,7 @@
         struct: messages.Struct,
     ) -> listeners.HandlerResult:
         """Process a batch of completions."""
-        try:
-            completions = conversions.read_release(struct)
-        except (TypeError, ValueError):
-            return result.Failure(MalformedCall())
+        completions = conversions.read_release(struct)
         service = identifiers.ServiceName(struct.service_name)
         allocator = self._owner_table.find(service)
         allocator.record_vote(call.peer.host, struct.vote_stamp or 0)
@@ -137,11 +134,14 @@
         struct: messages.Struct,
     ) -> listeners.HandlerResult:
         """Adopt a lease that the calling host holds."""
-        claim = conversions.read_adoption(
-            struct,
-            call.peer.host,
-            self._clock.now(),
-        )
+        try:
+            claim = conversions.read_adoption(
+                struct,
+                call.peer.host,
+                self._clock.now(),
+            )
+        except (TypeError, ValueError):
+            return result.Failure(MalformedCall())
         service = identifiers.ServiceName(struct.service_name)
         self._owner_table.find(service).adopt(claim)
         return result.Success(messages.structs.Empty())
--- a/wagtailspread/entry/heartbeats.py
+++ b/wagtailspread/entry/heartbeats.py
@@ -8,9 +8,10 @@
 """
 
 import asyncio
-import contextlib
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
@@ -18,6 +19,8 @@
 from wagtailspread.entry import interfaces, owners, slots
 from wagtailspread.wire import messages
 
+_log = logbook.Logger('heartbeats')
+
 #: Interval between heartbeats, in seconds.
 HEARTBEAT_SECONDS = 0.8
 #: Number of services up to which the rows of all services are refreshed, even
@@ -132,8 +135,16 @@
             return
         listed: list[slots.Announcement] = []
         for struct in answer.unwrap().upstreams or []:
-            with contextlib.suppress(TypeError, ValueError):
+            try:
                 listed.append(conversions.read_announcement(struct))
+            except ValueError as error:
+                _log.warning(
+                    'announcement skipped',
+                    extra={
+                        'upstream': str(struct.upstream),
+                        'reason': str(error),
+                    },
+                )
         state.table.replace(listed, self._clock.now())
 
     def _choose_services(self) -> list[identifiers.ServiceName]:
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -10,7 +10,7 @@
 import pathlib
 import typing
 
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.entry import allocations, announcements, attempts
 from wagtailspread.entry import connections, draining, exchanges, forwarding
 from wagtailspread.entry import handlers, heartbeats, interfaces, keys
@@ -169,7 +169,10 @@
         """Open both listeners; return the caller and control addresses."""
         control = await self._listener.start(self._settings.control_address)
         functions = (self._heartbeat_sender.run, *self._components.tasks)
-        self._tasks = [asyncio.create_task(run()) for run in functions]
+        self._tasks = [
+            asyncio.create_task(tasks.keep_running(run.__qualname__, run))
+            for run in functions
+        ]
         caller = await self.server.start(self._settings.caller_address)
         return caller, control
 
--- a/wagtailspread/entry/subscriptions.py
+++ b/wagtailspread/entry/subscriptions.py
@@ -10,6 +10,8 @@
 import pathlib
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers
@@ -25,6 +27,9 @@
 _COPY_NAME = 'configuration.bin'
 
 
+_log = logbook.Logger('subscription')
+
+
 class ConfigurationHolder(typing.Protocol):
     """Holder of the current configuration of this host."""
 
@@ -129,9 +134,12 @@
     async def run(self) -> None:
         """Follow the replicas, else the peers, until cancelled."""
         while True:
-            if await self.poll():
-                continue
-            await self.fetch_from_peers()
+            try:
+                if await self.poll():
+                    continue
+                await self.fetch_from_peers()
+            except Exception:
+                _log.exception('configuration not updated')
             await asyncio.sleep(RETRY_SECONDS)
 
     async def poll(self) -> bool:
@@ -218,5 +226,10 @@
             return
         self._changed.set()
         self._changed = asyncio.Event()
-        if self._copy is not None:
+        if self._copy is None:
+            return
+        try:
             self._copy.write(self._holder.read_delta(0))
+        except OSError as error:
+            # The version is active; only the next start lacks it.
+            _log.error('configuration not saved', extra={'reason': str(error)})
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -7,13 +7,12 @@
 
 import logbook
 
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
-from wagtailspread.registry import downloads, followers, records
-from wagtailspread.registry import services as registry_services
+from wagtailspread.registry import downloads, followers, places, records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
@@ -154,11 +153,15 @@
 
     async def start(self) -> None:
         """Start listening and following the replicas."""
+        functions = {
+            'follower': self.follower.follow,
+            'downloader': self.downloader.run,
+            'substitute allocator': self._substitute_service.run,
+            'response log': self.server.response_log.run,
+        }
         self._tasks = [
-            asyncio.create_task(self.follower.follow()),
-            asyncio.create_task(self.downloader.run()),
-            asyncio.create_task(self._substitute_service.run()),
-            asyncio.create_task(self.server.response_log.run()),
+            asyncio.create_task(tasks.keep_running(name, run))
+            for name, run in functions.items()
         ]
         await self._listener.start(self._settings.link_address)
         await self._readiness.start(self._settings.ready_address)
@@ -203,7 +206,7 @@
         """Return the allocator that is used if no replica answers."""
         regions = settings.location.regions
         selector = selection.create_selector(self.selector.registry, regions)
-        substitutes = registry_services.MAX_SUBSTITUTES
+        substitutes = places.MAX_SUBSTITUTES
         budget = budgets.create_budget(
             settings.retry_budget,
             budgets.BudgetShare.SUBSTITUTE,
@@ -236,8 +239,8 @@
         """Apply the changes that a replica sent."""
         now = self._clock.now()
         registry = self.selector.registry
-        for row in batch.rows:
-            registry.merge(records.from_row(row), now)
+        for record in records.from_rows(batch.rows):
+            registry.merge(record, now)
         if batch.rows:
             registry.remove_expired_tombstones(now)
             self.selector.prune(now)
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -143,7 +143,7 @@
                 request=request,
                 upstream=record.upstream,
                 evidence=int(evidence),
-                took_ms=int(seconds * _MILLISECONDS),
+                took_ms=_encode_seconds(seconds),
             )
             self._start_settling(placement.allocator, [settlement])
 
@@ -207,13 +207,7 @@
             return None
         if not isinstance(answer, result.Success):
             return None
-        found = answer.unwrap()
-        record = None if found.row is None else records.from_row(found.row)
-        return messages.Answer(
-            messages.Decision(found.decision),
-            record,
-            found.retry_after_ms / _MILLISECONDS,
-        )
+        return _read_answer(answer.unwrap(), allocator)
 
     def _encode_request(
         self, placement_request: messages.PlacementRequest
@@ -225,13 +219,13 @@
             incarnation=self._incarnation,
             domain=placement_request.domain,
             service_name=placement_request.service,
-            size=placement_request.size,
+            size=min(placement_request.size, wire.MAX_I32),
             priority=placement_request.priority,
-            deadline_ms=max(0, int(left * _MILLISECONDS)),
+            deadline_ms=_encode_seconds(left),
             excluded=sorted(placement_request.excluded),
             is_repeat=placement_request.is_repeat,
             is_repeatable=placement_request.is_repeatable,
-            objective_ms=int(placement_request.objective * _MILLISECONDS),
+            objective_ms=_encode_seconds(placement_request.objective),
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
         )
 
@@ -315,6 +309,30 @@
         _log.info('allocator answers again', extra={'allocator': allocator})
 
 
+def _encode_seconds(seconds: float) -> int:
+    """Return a duration as milliseconds that fit a message."""
+    return int(min(max(seconds, 0.0) * _MILLISECONDS, wire.MAX_I32))
+
+
+def _read_answer(
+    found: wire.Struct, allocator: identifiers.Address
+) -> messages.Answer | None:
+    """Return an allocator's answer, ``None`` if it is malformed."""
+    try:
+        record = None if found.row is None else records.from_row(found.row)
+        return messages.Answer(
+            messages.Decision(found.decision),
+            record,
+            found.retry_after_ms / _MILLISECONDS,
+        )
+    except (TypeError, ValueError) as error:
+        _log.warning(
+            'placement answer malformed',
+            extra={'allocator': allocator, 'reason': str(error)},
+        )
+        return None
+
+
 def _create_withdrawal(
     placement_request: messages.PlacementRequest,
 ) -> wire.Struct:
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -15,6 +15,8 @@
 #: Time limit of a request whose caller sets none, in seconds. A shorter timeout
 #: of the route takes precedence.
 DEFAULT_SECONDS = 30.0
+#: Longest time limit of a request, in seconds.
+MAX_SECONDS = 86_400.0
 #: Default ``Retry-After`` of a refused request, in seconds.
 RETRY_AFTER_SECONDS = 1.0
 #: Added to the configured idle time, so that a caller that respects it never
@@ -194,8 +196,9 @@
         """
         text = request.headers.get(self._names.deadline, '')
         limits = [DEFAULT_SECONDS]
-        if text.isdecimal():
-            limits = [int(text) / _MILLISECONDS]
+        if text.isascii() and text.isdecimal():
+            # ``float`` accepts any number of digits, ``int`` does not.
+            limits = [min(float(text) / _MILLISECONDS, MAX_SECONDS)]
         if route.timeout is not None:
             limits.append(route.timeout)
         return min(limits)
--- a/wagtailspread/membership/drivers.py
+++ b/wagtailspread/membership/drivers.py
@@ -10,6 +10,8 @@
 import sys
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers
@@ -22,6 +24,13 @@
 CALL_TIMEOUT_SECONDS = 1.0
 #: Maximum number of open connections; a large fleet has more hosts than that.
 MAX_LINKS = 128
+#: Maximum length of the texts of an update, in bytes.
+MAX_TEXT_BYTES = 255
+#: Largest accepted incarnation. A host refutes a report on itself with a higher
+#: one, which must fit its field too.
+MAX_INCARNATION = 2**62
+
+_log = logbook.Logger('membership')
 
 
 class Driver:
@@ -74,7 +83,10 @@
 
     async def _run(self) -> None:
         while True:
-            self._send_all(self.agent.tick(self._clock.now()))
+            try:
+                self._send_all(self.agent.tick(self._clock.now()))
+            except Exception:
+                _log.exception('tick failed')
             await asyncio.sleep(TICK_SECONDS)
 
     async def _receive(
@@ -86,7 +98,11 @@
             return result.Failure(ForeignSender(request.sender))
         try:
             message = decode_message(request)
-        except (ValueError, TypeError):
+        except (ValueError, TypeError) as error:
+            _log.warning(
+                'gossip malformed',
+                extra={'peer': call.peer.host, 'reason': str(error)},
+            )
             return result.Failure(UnreadableGossip(request.sender))
         self._send_all(self.agent.receive(message, self._clock.now()))
         return result.Success(messages.structs.Empty())
@@ -151,16 +167,27 @@
 def decode_message(struct: messages.Struct) -> dissemination.Message:
     """Return the message of a thrift struct.
 
-    :raises ValueError: if a kind or a state is unknown.
-    :raises TypeError: if the updates, or the region, domain or member of an
-        update, are missing.
+    A malformed update is logged and left out; the others are valid without it.
+
+    :raises ValueError: if the kind is unknown, or if another field is missing
+        or out of range.
     """
+    numbers = (struct.sequence, struct.configuration_version)
+    if not all(
+        messages.is_integer(one, 0, messages.MAX_I64) for one in numbers
+    ):
+        raise ValueError('sequence and version: expected integers from 0')
+    if not messages.is_text(struct.sender, 1, MAX_TEXT_BYTES):
+        raise ValueError('sender: expected a host id')
+    if not messages.is_text(struct.subject, 0, MAX_TEXT_BYTES):
+        raise ValueError('subject: expected a host id or an empty text')
+    rows = [_decode_row(update) for update in struct.updates or ()]
     return dissemination.Message(
         dissemination.Kind(struct.kind),
         struct.sequence,
         identifiers.HostId(struct.sender),
         identifiers.HostId(struct.subject),
-        tuple(_decode_row(update) for update in struct.updates),
+        tuple(row for row in rows if row is not None),
         identifiers.ConfigurationVersion(struct.configuration_version),
     )
 
@@ -186,7 +213,15 @@
     )
 
 
-def _decode_row(struct: messages.Struct) -> tables.HostRow:
+def _decode_row(struct: messages.Struct) -> tables.HostRow | None:
+    """Return the row of an update, ``None`` if it is malformed."""
+    fault = _find_fault(struct)
+    if fault:
+        _log.warning(
+            'gossip update skipped',
+            extra={'peer': str(struct.host)[:MAX_TEXT_BYTES], 'field': fault},
+        )
+        return None
     # There are few regions, domains and members, so their names are interned.
     return tables.HostRow(
         identifiers.HostId(struct.host),
@@ -197,3 +232,17 @@
         identifiers.MemberId(sys.intern(struct.member)),
         tables.HostState(struct.state),
     )
+
+
+def _find_fault(struct: messages.Struct) -> str:
+    """Return the first malformed field of an update, or an empty string."""
+    for name in ('host', 'address', 'member'):
+        if not messages.is_text(getattr(struct, name), 1, MAX_TEXT_BYTES):
+            return name
+    for name in ('region', 'domain'):
+        if not messages.is_text(getattr(struct, name), 0, MAX_TEXT_BYTES):
+            return name
+    if not messages.is_integer(struct.incarnation, 0, MAX_INCARNATION):
+        return 'incarnation'
+    states = [state.value for state in tables.HostState]
+    return '' if struct.state in states else 'state'
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -127,12 +127,26 @@
         request: wire.Struct,
     ) -> listeners.HandlerResult:
         now = self._clock.now()
-        for settlement in request.settlements:
+        for settlement in request.settlements or ():
+            try:
+                evidence = messages.Evidence(settlement.evidence)
+                seconds = settlement.took_ms / _MILLISECONDS
+            except (TypeError, ValueError) as error:
+                # The request is settled by its deadline at the latest.
+                _log.warning(
+                    'settlement skipped',
+                    extra={
+                        'request': settlement.request,
+                        'peer': request.host,
+                        'reason': str(error),
+                    },
+                )
+                continue
             self._allocator.settle(
                 identifiers.RequestId(settlement.request),
                 identifiers.UpstreamId(settlement.upstream),
-                messages.Evidence(settlement.evidence),
-                settlement.took_ms / _MILLISECONDS,
+                evidence,
+                seconds,
                 now,
             )
         if self._allocator.count_waiting():
--- a/wagtailspread/platform/__main__.py
+++ b/wagtailspread/platform/__main__.py
@@ -9,7 +9,7 @@
 import sys
 
 from wagtailspread.observability import logs
-from wagtailspread.platform import settings
+from wagtailspread.platform import settings, values
 
 _MODULES = {
     'entry': 'wagtailspread.platform.entries',
@@ -21,9 +21,13 @@
     """Run the program of a role until it is stopped.
 
     :param role: ``entry`` or ``replica``.
+    :raises SystemExit: with one line, if the settings cannot be used.
     """
     program = importlib.import_module(_MODULES[role])
-    boot = settings.load()
+    try:
+        boot = settings.load()
+    except (KeyError, OSError, values.FormatError) as error:
+        sys.exit(f'settings: {error}')
     handler = logs.create_handler(boot.host, sys.stdout, level='INFO')
     with handler.applicationbound():
         asyncio.run(program.run(boot))
--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -24,6 +24,9 @@
 _UNAVAILABLE = 503
 _MILLISECONDS = 1000
 
+#: Characters of the id of an upstream in a log line about a malformed call.
+_LOGGED_ID_LENGTH = 64
+
 _log = logbook.Logger('control')
 
 
@@ -31,6 +34,8 @@
     """Translates HTTP requests to calls of the registry and the document.
 
     :param find_document: returns the current document service, if any.
+    :param malformed_calls: number of calls of upstreams that were refused as
+        malformed since the start.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         find_document: typing.Callable[[], replicated.DocumentService | None],
     ) -> None:
         """Create a server that is not listening."""
+        self.malformed_calls = 0
         self._registry = registry
         self._find_document = find_document
         self._runner: web.ServerRunner | None = None
@@ -88,9 +94,14 @@
             else:
                 return web.Response(status=_NOT_FOUND)
         except values.FormatError as error:
+            self.malformed_calls += 1
             _log.info(
                 'call malformed',
-                extra={'upstream': upstream, 'reason': str(error)},
+                extra={
+                    'upstream': upstream[:_LOGGED_ID_LENGTH],
+                    'reason': str(error),
+                    'count': self.malformed_calls,
+                },
             )
             return web.Response(status=_BAD_REQUEST)
         if record.state is records.UpstreamState.READY:
@@ -125,10 +136,12 @@
         born_ms = heartbeats.decode_leave(body)
         if born_ms is None:
             born_ms = int(time.time() * _MILLISECONDS)
-        return self._registry.create_departure(
+        record = self._registry.create_departure(
             identifiers.UpstreamId(upstream),
             born_ms,
         )
+        heartbeats.check_ranges(record)
+        return record
 
     async def _put_document(self, body: bytes) -> web.StreamResponse:
         settings = documents.read_valid(body)
--- a/wagtailspread/platform/documents.py
+++ b/wagtailspread/platform/documents.py
@@ -5,9 +5,12 @@
 from wagtailspread.core import identifiers
 from wagtailspread.platform import values
 from wagtailspread.routing import terms
+from wagtailspread.wire import messages
 
 #: Value of a timeout or an objective that a route does not have.
 _NO_LIMIT: float | None = None
+#: Largest weight of a part; the sum of many such weights is exact enough.
+_MAX_WEIGHT = float(messages.MAX_I32)
 
 
 def decode_version(body: bytes) -> int:
@@ -51,7 +54,10 @@
     fields: dict[str, typing.Any],
 ) -> tuple[identifiers.ServiceName, int]:
     name = identifiers.ServiceName(values.read_text(fields, 'name'))
-    return name, values.read_integer(fields, 'maxConnections')
+    connections = values.read_integer(
+        fields, 'maxConnections', messages.MAX_I32
+    )
+    return name, connections
 
 
 def _decode_limits(fields: typing.Any) -> terms.CallerLimits:
@@ -79,16 +85,20 @@
             'safe, unsafe or upload',
             fields.get('kind'),
         ) from error
-    prefix = fields.get('pathPrefix')
-    if not isinstance(prefix, str):
-        raise values.create_error('pathPrefix', 'a text', prefix)
+    prefix = (
+        ''
+        if fields.get('pathPrefix') == ''
+        else values.read_text(fields, 'pathPrefix')
+    )
     return terms.Route(
         name=values.read_text(fields, 'name'),
         host=host,
         prefix=prefix,
         kind=kind,
         parts=_decode_parts(fields),
-        max_attempts=values.read_integer(fields, 'maxAttempts'),
+        max_attempts=values.read_integer(
+            fields, 'maxAttempts', messages.MAX_I32
+        ),
         priority=_decode_priority(fields),
         timeout=_decode_duration(fields, 'timeout'),
         # The platform calls the objective an SLO's latency.
@@ -99,7 +109,12 @@
 def _decode_priority(fields: dict[str, typing.Any]) -> int:
     if fields.get('priority') is None:
         return 0
-    return int(values.read_number(fields, 'priority'))
+    priority = int(values.read_number(fields, 'priority'))
+    if not messages.is_integer(priority, -messages.MAX_I16, messages.MAX_I16):
+        raise values.create_error(
+            'priority', f'at most {messages.MAX_I16}', priority
+        )
+    return priority
 
 
 def _decode_duration(
@@ -120,7 +135,14 @@
     return tuple(
         terms.SplitPart(
             identifiers.ServiceName(values.read_text(part, 'service')),
-            values.read_number(part, 'weight'),
+            _decode_weight(part),
         )
         for part in values.read_objects(fields, 'trafficSplit')
     )
+
+
+def _decode_weight(fields: dict[str, typing.Any]) -> float:
+    weight = values.read_number(fields, 'weight')
+    if weight > _MAX_WEIGHT:
+        raise values.create_error('weight', f'at most {_MAX_WEIGHT}', weight)
+    return weight
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -1,6 +1,5 @@
 """The program of the hosts that accept the requests of callers."""
 
-from wagtailspread.core import identifiers
 from wagtailspread.gateway import buffers, hosts
 from wagtailspread.placement import costs
 from wagtailspread.platform import documents, names, processes, settings
@@ -31,8 +30,8 @@
     return hosts.GatewaySettings(
         host=boot.host,
         location=costs.Location(boot.domain, boot.regions),
-        caller_address=identifiers.Address(boot.listen['front']),
-        ready_address=identifiers.Address(boot.listen['readinessAddr']),
+        caller_address=boot.find_listen_address('front'),
+        ready_address=boot.find_listen_address('readinessAddr'),
         ready_path=names.READY_PATH,
         link_address=boot.link_address,
         find_seeds=processes.Seeds(boot).find,
--- a/wagtailspread/platform/heartbeats.py
+++ b/wagtailspread/platform/heartbeats.py
@@ -1,19 +1,24 @@
 """Decodes the heartbeats and departures of the platform's upstreams."""
 
-import re
 import typing
 
 from wagtailspread.core import identifiers
 from wagtailspread.platform import values
 from wagtailspread.registry import records
 
-_ADDRESS = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 _STATES = {
     'ready': records.UpstreamState.READY,
     'draining': records.UpstreamState.DRAINING,
 }
-#: Maximum number of slots of one upstream; a heartbeat with more is refused.
-_MAX_SLOTS = 100_000
+#: The platform's names of the fields of a record, where they differ.
+_FIELD_NAMES = {
+    'upstream': 'id',
+    'domain': 'zone',
+    'slots': 'concurrency',
+    'sequence': 'seq',
+    'born_ms': 'born',
+    'warm_seconds': 'warmupLeft',
+}
 
 
 def decode(upstream: str, body: bytes) -> records.UpstreamRecord:
@@ -23,29 +28,39 @@
     :raises values.FormatError: if a field is missing or malformed.
     """
     fields = values.read_object(body)
-    address = values.read_text(fields, 'address')
     state = _STATES.get(values.read_text(fields, 'state'))
-    # The platform calls the slots of an upstream its concurrency.
-    slots = values.read_integer(fields, 'concurrency')
     if state is None:
         raise values.create_error(
             'state', 'ready or draining', fields.get('state')
         )
-    if not _ADDRESS.fullmatch(address):
-        raise values.create_error('address', 'IPv4:PORT', address)
-    if not 0 < slots <= _MAX_SLOTS:
-        raise values.create_error('concurrency', f'1 to {_MAX_SLOTS}', slots)
-    return records.UpstreamRecord(
+    record = records.UpstreamRecord(
         upstream=identifiers.UpstreamId(upstream),
         service=identifiers.ServiceName(values.read_text(fields, 'service')),
-        address=identifiers.Address(address),
+        address=identifiers.Address(values.read_text(fields, 'address')),
         domain=identifiers.FailureDomain(values.read_text(fields, 'zone')),
-        slots=slots,
+        # The platform calls the slots of an upstream its concurrency.
+        slots=values.read_integer(fields, 'concurrency'),
         state=state,
         born_ms=decode_born_ms(fields) or 0,
         sequence=values.read_integer(fields, 'seq'),
         warm_seconds=_decode_warm_up(fields),
     )
+    check_ranges(record)
+    return record
+
+
+def check_ranges(record: records.UpstreamRecord) -> None:
+    """Check the fields of a record against their ranges.
+
+    :raises values.FormatError: names the field as the platform does.
+    """
+    fault = records.find_fault(record)
+    if fault is not None:
+        raise values.create_error(
+            _FIELD_NAMES.get(fault.field, fault.field),
+            fault.expected,
+            getattr(record, fault.field),
+        )
 
 
 def decode_born_ms(fields: dict[str, typing.Any]) -> int | None:
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.placement import allocators, budgets, selection
 from wagtailspread.placement import services as placement_services
 from wagtailspread.platform import controls, processes, settings, values
@@ -33,8 +33,10 @@
         registry,
         supervisor.find_document_service,
     )
-    await control_server.start(identifiers.Address(boot.listen['control']))
-    placement_task = asyncio.create_task(placement.run())
+    await control_server.start(boot.find_listen_address('control'))
+    placement_task = asyncio.create_task(
+        tasks.keep_running('allocator', placement.run),
+    )
     try:
         await supervisor.run(stopping)
     finally:
--- a/wagtailspread/platform/settings.py
+++ b/wagtailspread/platform/settings.py
@@ -1,17 +1,24 @@
 """Decodes the settings file that the platform writes for each process."""
 
 import dataclasses
+import math
 import os
 import pathlib
+import re
 import typing
 
-from wagtailspread.core import identifiers
+from wagtailspread.core import addresses, identifiers
 from wagtailspread.platform import names, values
+from wagtailspread.wire import messages
 
 #: Bytes in a megabyte and in a megabit.
 _MEGABYTE = 1_000_000.0
 _MEGABIT = 125_000.0
 
+_NUMBER = re.compile(r'\d+(?:\.\d*)?', re.ASCII)
+#: Digits of a port, and one more, which makes it too large.
+_MAX_PORT_DIGITS = 6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BootSettings:
@@ -52,6 +59,16 @@
         """Address of this process for the fleet's internal protocol."""
         return identifiers.Address(f'{self.ip}:{self.link_port}')
 
+    def find_listen_address(self, name: str) -> identifiers.Address:
+        """Return the address to listen on for a name of the platform.
+
+        :raises values.FormatError: if the settings have no valid address.
+        """
+        address = self.listen.get(name)
+        if address is None:
+            raise values.create_error(f'listen.{name}', 'IPv4:PORT', address)
+        return identifiers.Address(address)
+
 
 def find_path() -> pathlib.Path:
     """Return the path of the settings file.
@@ -66,45 +83,104 @@
 
     :raises KeyError: if the environment variable with the path is not set.
     :raises OSError: if the file cannot be read.
-    :raises values.FormatError: if a field is missing or malformed.
+    :raises values.FormatError: if the file is not UTF-8, or if a field is
+        missing or malformed.
     """
-    return decode(find_path().read_text('utf-8'))
+    return decode(find_path().read_bytes())
 
 
-def decode(text: str) -> BootSettings:
-    """Return the settings in the text of a settings file.
+def decode(text: bytes | str) -> BootSettings:
+    """Return the settings in the content of a settings file.
 
     :raises values.FormatError: if a field is missing or malformed.
     """
     fields = values.read_object(text)
-    ports = fields.get('internalPorts')
-    if not isinstance(ports, list) or not ports:
-        raise values.create_error(
-            'internalPorts',
-            'a non-empty list of ports',
-            ports,
-        )
-    listen = fields.get('listen')
-    folder = fields.get('dataDir')
-    tolerance = fields.get('faultTolerance') or {}
+    port = _decode_link_port(fields.get('internalPorts'))
     memory = _read_limit(fields, 'memoryMb', _MEGABYTE)
     return BootSettings(
         host=identifiers.HostId(values.read_text(fields, 'nodeName')),
         ip=values.read_text(fields, 'ip'),
         domain=identifiers.FailureDomain(values.read_text(fields, 'zone')),
-        regions=dict(fields.get('zones') or {}),
-        listen=listen if isinstance(listen, dict) else {},
-        link_port=int(ports[0]),
-        seeds=_decode_seeds(fields.get('seeds'), int(ports[0])),
+        regions=_decode_regions(fields),
+        listen=_decode_listen(fields),
+        link_port=port,
+        seeds=_decode_seeds(fields.get('seeds'), port),
         is_first_start=fields.get('bootstrap') is True,
-        data_folder=pathlib.Path(folder) if folder else None,
-        tolerated_losses=int(tolerance.get('machines') or 0),
-        bounds=_decode_bounds(fields.get('bounds') or []),
+        data_folder=_decode_folder(fields),
+        tolerated_losses=_decode_tolerance(fields),
+        bounds=_decode_bounds(fields.get('bounds')),
         memory_bytes=None if memory is None else int(memory),
         link_rate=_read_limit(fields, 'linkMbps', _MEGABIT),
     )
 
 
+def _read_optional_object(
+    fields: dict[str, typing.Any],
+    name: str,
+) -> dict[str, typing.Any]:
+    """Return the object in a field, or an empty one if there is none."""
+    found = fields.get(name)
+    if found is None:
+        return {}
+    if not isinstance(found, dict):
+        raise values.create_error(name, 'an object', found)
+    return found
+
+
+def _decode_link_port(ports: typing.Any) -> int:
+    """Return the first internal port."""
+    if not isinstance(ports, list) or not ports:
+        raise values.create_error(
+            'internalPorts',
+            'a non-empty list of ports',
+            ports,
+        )
+    found = ports[0]
+    if isinstance(found, str) and found.isascii() and found.isdecimal():
+        found = int(found[:_MAX_PORT_DIGITS])
+    if not messages.is_integer(found, 1, addresses.MAX_PORT):
+        raise values.create_error('internalPorts', 'ports', ports[0])
+    return found
+
+
+def _decode_regions(
+    fields: dict[str, typing.Any],
+) -> dict[identifiers.FailureDomain, identifiers.RegionName]:
+    zones = _read_optional_object(fields, 'zones')
+    return {
+        identifiers.FailureDomain(domain): identifiers.RegionName(
+            values.read_text(zones, domain)
+        )
+        for domain in zones
+    }
+
+
+def _decode_listen(fields: dict[str, typing.Any]) -> dict[str, str]:
+    """Return the addresses to listen on.
+
+    Entries of another form belong to roles that this program does not know.
+    """
+    return {
+        name: address
+        for name, address in _read_optional_object(fields, 'listen').items()
+        if isinstance(address, str) and addresses.is_connectable(address)
+    }
+
+
+def _decode_folder(fields: dict[str, typing.Any]) -> pathlib.Path | None:
+    if not fields.get('dataDir'):
+        return None
+    return pathlib.Path(values.read_text(fields, 'dataDir'))
+
+
+def _decode_tolerance(fields: dict[str, typing.Any]) -> int:
+    """Return the number of replicas whose disks may be lost at once."""
+    tolerance = _read_optional_object(fields, 'faultTolerance')
+    if not tolerance.get('machines'):
+        return 0
+    return values.read_integer(tolerance, 'machines', messages.MAX_I16)
+
+
 def _read_limit(
     fields: dict[str, typing.Any],
     name: str,
@@ -138,14 +214,30 @@
     return tuple(identifiers.Address(f'{ip}:{port}') for ip in ips)
 
 
-def _decode_bounds(texts: list[str]) -> dict[str, float]:
-    """Return the bounds that are durations or numbers; others are ignored."""
+def _decode_bounds(texts: typing.Any) -> dict[str, float]:
+    """Return the bounds that are durations or numbers; others are ignored.
+
+    A bound that this program does not know may have any form.
+    """
+    if texts is None:
+        return {}
+    if not isinstance(texts, list):
+        raise values.create_error('bounds', 'a list of texts', texts)
     bounds = {}
     for text in texts:
         name, _, value = str(text).partition('=')
-        try:
-            bounds[name] = values.read_seconds(value)
-        except values.FormatError:
-            if value.replace('.', '', 1).isdecimal():
-                bounds[name] = float(value)
+        number = _decode_bound(value)
+        if number is not None:
+            bounds[name] = number
     return bounds
+
+
+def _decode_bound(text: str) -> float | None:
+    """Return a duration in seconds or a number, ``None`` for another text."""
+    try:
+        return values.read_seconds(text)
+    except values.FormatError:
+        if not _NUMBER.fullmatch(text):
+            return None
+    number = float(text)
+    return number if math.isfinite(number) else None
--- a/wagtailspread/platform/values.py
+++ b/wagtailspread/platform/values.py
@@ -6,7 +6,16 @@
 import reprlib
 import typing
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+from wagtailspread.wire import messages
+
+#: Maximum depth of nested objects and lists in a body. It is stated here since
+#: the parser's own limit depends on the depth of the caller's stack, so that
+#: one process might accept what another one rejects.
+MAX_DEPTH = 64
+#: Longest duration in seconds; its milliseconds fit the fleet's protocol.
+MAX_SECONDS = messages.MAX_I32 / 1000
+
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)', re.ASCII)
 _MILLISECONDS = 1000
 
 
@@ -41,6 +50,8 @@
         raise FormatError(f'body: expected JSON: {error}') from error
     if not isinstance(found, dict):
         raise create_error('body', 'a JSON object', found)
+    if _is_nested_too_deeply(found):
+        raise FormatError(f'body: expected at most {MAX_DEPTH} nested levels')
     return found
 
 
@@ -56,28 +67,43 @@
     if match is None:
         raise create_error('duration', 'a number with unit ms or s', text)
     number = float(match.group(1))
-    return number / _MILLISECONDS if match.group(2) == 'ms' else number
+    seconds = number / _MILLISECONDS if match.group(2) == 'ms' else number
+    if seconds > MAX_SECONDS:
+        raise create_error('duration', f'at most {MAX_SECONDS} s', text)
+    return seconds
 
 
 def read_text(fields: dict[str, typing.Any], name: str) -> str:
     """Return the non-empty text in a field.
 
-    :raises FormatError: if the field is missing or has another value.
+    :raises FormatError: if the field is missing or has another value, such as
+        a text with lone surrogates, which cannot be sent.
     """
     found = fields.get(name)
     if not isinstance(found, str) or not found:
         raise create_error(name, 'a non-empty text', found)
+    try:
+        found.encode()
+    except UnicodeEncodeError as error:
+        raise create_error(name, 'a text of characters', found) from error
     return found
 
 
-def read_integer(fields: dict[str, typing.Any], name: str) -> int:
+def read_integer(
+    fields: dict[str, typing.Any],
+    name: str,
+    most: int = messages.MAX_I64,
+) -> int:
     """Return the non-negative integer in a field.
 
+    :param most: largest accepted value.
     :raises FormatError: if the field is missing or has another value.
     """
     found = fields.get(name)
-    if not isinstance(found, int) or isinstance(found, bool) or found < 0:
+    if not messages.is_integer(found, 0, messages.MAX_I64):
         raise create_error(name, 'a non-negative integer', found)
+    if found > most:
+        raise create_error(name, f'at most {most}', found)
     return found
 
 
@@ -89,9 +115,13 @@
     found = fields.get(name)
     if isinstance(found, bool) or not isinstance(found, int | float):
         raise create_error(name, 'a number', found)
-    if not math.isfinite(found):
+    try:
+        number = float(found)
+    except OverflowError as error:
+        raise create_error(name, 'a finite number', found) from error
+    if not math.isfinite(number):
         raise create_error(name, 'a finite number', found)
-    return float(found)
+    return number
 
 
 def read_objects(
@@ -108,3 +138,20 @@
     if not all(isinstance(element, dict) for element in found):
         raise create_error(name, 'only objects in the list', found)
     return found
+
+
+def _is_nested_too_deeply(found: typing.Any) -> bool:
+    """Tell whether a value has more than :data:`MAX_DEPTH` nested levels."""
+    level = [found]
+    for _ in range(MAX_DEPTH):
+        level = [
+            child
+            for parent in level
+            for child in (
+                parent.values() if isinstance(parent, dict) else parent
+            )
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return False
+    return True
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -82,10 +82,10 @@
     def merge_batch(self, batch: messages.Struct, now: float) -> None:
         """Apply the rows and heartbeats in a batch of another replica."""
         is_changed = False
-        for row in batch.rows:
-            if self.table.merge(records.from_row(row), now):
+        for record in records.from_rows(batch.rows):
+            if self.table.merge(record, now):
                 is_changed = True
-        for upstream in batch.heard:
+        for upstream in batch.heard or ():
             self.table.record_heartbeat(upstream, now)
         if is_changed:
             self.wake()
@@ -192,7 +192,7 @@
         return messages.structs.ChangeBatch(
             epoch=self.epoch,
             position=position,
-            rows=[records.to_row(_update_warm_up(row, now)) for row in changed],
+            rows=records.to_rows(_update_warm_up(row, now) for row in changed),
             heard=self._list_heartbeats(seen_position)
             if request.is_replica
             else [],
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -12,7 +12,8 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import feeds, followers, publications, records
+from wagtailspread.registry import feeds, followers, places, publications
+from wagtailspread.registry import records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -29,8 +30,6 @@
 PROPAGATION_CHECK_SECONDS = 0.02
 #: Interval between updates of the list of followed replicas, in seconds.
 PEER_REFRESH_SECONDS = 0.25
-#: Hosts per region that act as allocators, in order, when no replica answers.
-MAX_SUBSTITUTES = 3
 _MAX_EPOCH = 1 << 62
 
 _log = logbook.Logger('registry')
@@ -223,37 +222,60 @@
         epoch = feeds.NO_EPOCH
         position = 0
         while True:
-            request = messages.structs.FollowChanges(
-                host=self._address,
-                domain=self._domain,
-                is_replica=True,
-                epoch=epoch,
-                position=position,
-                document_version=documents.NO_VERSION,
-                wait_ms=int(PEER_POLL_SECONDS * 1000),
-                address=self._address,
-            )
-            answer = await pool.find(address).call(
-                messages.methods.FOLLOW,
-                request,
-                messages.structs.ChangeBatch,
-                PEER_POLL_SECONDS + followers.ANSWER_MARGIN_SECONDS,
-            )
-            if not isinstance(answer, result.Success):
-                await pool.remove(address)
-                self._peer_batches.pop(address, None)
+            try:
+                epoch, position = await self._poll_peer(
+                    address, pool, epoch, position
+                )
+            except Exception:
+                # Without its task, this replica would never learn another
+                # change of the peer.
+                _log.exception(
+                    'changes not applied', extra={'replica': address}
+                )
                 await asyncio.sleep(followers.RETRY_BACKOFF_SECONDS)
-                continue
-            batch = answer.unwrap()
-            epoch = batch.epoch
-            position = batch.position
-            self._process_batch(address, batch)
+
+    async def _poll_peer(
+        self,
+        address: identifiers.Address,
+        pool: links.LinkPool,
+        epoch: int,
+        position: int,
+    ) -> tuple[int, int]:
+        """Request changes from a replica; return the position to continue at.
+
+        :param epoch: epoch of ``position``.
+        """
+        request = messages.structs.FollowChanges(
+            host=self._address,
+            domain=self._domain,
+            is_replica=True,
+            epoch=epoch,
+            position=position,
+            document_version=documents.NO_VERSION,
+            wait_ms=int(PEER_POLL_SECONDS * 1000),
+            address=self._address,
+        )
+        answer = await pool.find(address).call(
+            messages.methods.FOLLOW,
+            request,
+            messages.structs.ChangeBatch,
+            PEER_POLL_SECONDS + followers.ANSWER_MARGIN_SECONDS,
+        )
+        if not isinstance(answer, result.Success):
+            await pool.remove(address)
+            self._peer_batches.pop(address, None)
+            await asyncio.sleep(followers.RETRY_BACKOFF_SECONDS)
+            return epoch, position
+        batch = answer.unwrap()
+        self._process_batch(address, batch)
+        return batch.epoch, batch.position
 
     def _process_batch(
         self,
         address: identifiers.Address,
         batch: messages.Struct,
     ) -> None:
+        places.clean_batch(batch)
         self._peer_batches[address] = batch
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
@@ -351,12 +373,7 @@
         if region is not None:
             for batch in self._peer_batches.values():
                 candidates.extend(batch.substitutes)
-        chosen: dict[identifiers.RegionName | None, list[messages.Struct]] = {}
-        for candidate in sorted(candidates, key=lambda one: one.address):
-            candidate_region = self._regions.get(candidate.domain)
-            substitutes = chosen.setdefault(candidate_region, [])
-            if len(substitutes) < MAX_SUBSTITUTES:
-                substitutes.append(candidate)
+        chosen = places.choose_substitutes(candidates, self._regions)
         if region is not None:
             return chosen.get(region, [])
         return list(itertools.chain.from_iterable(chosen.values()))
--- a/wagtailspread/replica/peers.py
+++ b/wagtailspread/replica/peers.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections
+import typing
+
+import logbook
 
 from returns import result
 
@@ -23,6 +26,8 @@
 #: Largest number of concurrent calls to one peer.
 MAX_CALLS = 4
 
+_log = logbook.Logger('peers')
+
 AnyMessage = messages.Message | messages.Introduction
 
 
@@ -161,24 +166,47 @@
 ) -> tuple[identifiers.Address, list[AnyMessage]]:
     """Return the address of the sender and the messages of a batch.
 
-    :raises wire.DecodeError: if the batch or one of its messages is malformed,
-        or if the kind of a message is unknown.
-    :raises ValueError: if the kind of a log entry is unknown.
+    A malformed message is logged and left out. The algorithm tolerates the
+    loss of any message, and a peer repeats what is not acknowledged.
+
+    :raises wire.DecodeError: if the batch itself is malformed.
     """
     batch = wire.decode(wire.structs.MessageBatch, payload)
+    if not isinstance(batch.address, str):
+        raise wire.DecodeError('address of a batch: expected a text')
     unpacked: list[AnyMessage] = []
-    for packed in batch.messages:
-        record_type = _MESSAGE_TYPES.get(packed.kind)
-        if record_type is None:
-            raise wire.DecodeError(
-                f'unknown kind of consensus message: {packed.kind[:40]!r}',
+    for packed in batch.messages or ():
+        try:
+            unpacked.append(_unpack_message(packed))
+        except (wire.DecodeError, TypeError, ValueError) as error:
+            _log.warning(
+                'consensus message skipped',
+                extra={
+                    'peer': batch.address,
+                    'kind': str(packed.kind)[:40],
+                    'reason': str(error),
+                },
             )
-        struct_type = getattr(wire.structs, packed.kind)
-        struct = wire.decode(struct_type, packed.payload)
-        unpacked.append(messages.from_struct(record_type, struct))
     return identifiers.Address(batch.address), unpacked
 
 
+def _unpack_message(packed: wire.Struct) -> AnyMessage:
+    """Return one message of a batch.
+
+    :raises wire.DecodeError: if it is malformed or of an unknown kind.
+    :raises TypeError: if a field is missing.
+    :raises ValueError: if the kind of a log entry is unknown.
+    """
+    record_type = _MESSAGE_TYPES.get(packed.kind)
+    if record_type is None:
+        raise wire.DecodeError('unknown kind of consensus message')
+    struct_type = getattr(wire.structs, packed.kind)
+    struct = wire.decode(struct_type, packed.payload)
+    if not wire.has_texts(struct):
+        raise wire.DecodeError('a text field is not UTF-8')
+    return typing.cast(AnyMessage, messages.from_struct(record_type, struct))
+
+
 _MESSAGE_TYPES: dict[str, type] = {
     one.__name__: one
     for one in (
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -201,7 +201,14 @@
     ) -> listeners.HandlerResult:
         if call.peer.role != ROLE:
             return result.Failure(NotAReplica(call.peer.host))
-        address, batch = peers.unpack_batch(request.payload)
+        try:
+            address, batch = peers.unpack_batch(request.payload)
+        except wire.DecodeError as error:
+            _log.warning(
+                'consensus batch malformed',
+                extra={'peer': call.peer.host, 'reason': str(error)},
+            )
+            return result.Failure(listeners.MalformedCall('CONSENSUS'))
         for message in batch:
             self._receive(address, message)
         return result.Success(wire.structs.Empty())
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -16,7 +16,7 @@
 
 from wagtailspread.configuration import documents as configurations
 from wagtailspread.consensus import journals, states
-from wagtailspread.core import clocks, identifiers
+from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.registry import services
 from wagtailspread.replica import copies, documents, drivers, servers
 from wagtailspread.wire import credentials, links, listeners
@@ -133,8 +133,11 @@
 
     async def _follow_peers(self, server: servers.ReplicaServer) -> None:
         await server.is_listening.wait()
-        if self._pool is not None:
-            await self._registry.run(self._pool)
+        pool = self._pool
+        if pool is not None:
+            await tasks.keep_running(
+                'registry', lambda: self._registry.run(pool)
+            )
 
     def _add_services(
         self,
--- a/wagtailspread/wire/handshakes.py
+++ b/wagtailspread/wire/handshakes.py
@@ -91,6 +91,10 @@
         struct = messages.decode(struct_type, payload)
     except (frames.FrameTooLarge, messages.DecodeError) as error:
         raise HandshakeRefused(str(error)) from error
+    if not messages.has_texts(struct):
+        raise HandshakeRefused(
+            f'struct {struct_type.__name__}: expected UTF-8 in each text field',
+        )
     if any(getattr(struct, name) is None for name in vars(struct)):
         raise HandshakeRefused(
             f'struct {struct_type.__name__}: expected a value in each field',
--- a/wagtailspread/wire/listeners.py
+++ b/wagtailspread/wire/listeners.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import failures, identifiers
@@ -14,6 +16,8 @@
 #: Maximum number of calls of one connection that are handled concurrently.
 MAX_CONCURRENT_CALLS = 4096
 
+_log = logbook.Logger('listener')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -36,6 +40,20 @@
     method: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedCall(failures.Failure):
+    """The request cannot be decoded."""
+
+    method: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandlerFailed(failures.Failure):
+    """The handler raised an exception, or its answer cannot be encoded."""
+
+    method: str
+
+
 HandlerResult = result.Result[typing.Any, failures.Failure]
 Handler = typing.Callable[
     [Call, typing.Any],
@@ -111,10 +129,14 @@
             OSError,
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
+        ):
+            writer.transport.abort()
+        except (
             frames.FrameTooLarge,
             messages.DecodeError,
             handshakes.HandshakeRefused,
-        ):
+        ) as error:
+            _log.info('connection refused', extra={'reason': str(error)})
             writer.transport.abort()
         finally:
             self._connections.discard(connection)
@@ -158,26 +180,20 @@
         envelope: messages.Struct,
         writer: asyncio.StreamWriter,
     ) -> None:
-        outcome = await self._handle(peer, envelope)
-        payload = b''
-        failure = ''
-        detail = ''
-        if isinstance(outcome, result.Success):
-            payload = messages.encode(outcome.unwrap())
-        else:
-            failure = type(outcome.failure()).__name__
-            detail = outcome.failure().hint()
-        reply = messages.structs.Envelope(
-            id=envelope.id,
-            method=envelope.method,
-            payload=payload,
-            deadline_ms=0,
-            trace='',
-            failure=failure,
-            detail=detail,
-        )
+        try:
+            outcome = await self._handle(peer, envelope)
+            reply = _create_reply(envelope, outcome)
+        except Exception:
+            # The caller gets an answer at once instead of a timeout, and its
+            # other calls on the connection continue.
+            method = messages.method_name(envelope.method)
+            _log.exception(
+                'call failed', extra={'method': method, 'peer': peer.host}
+            )
+            failed = result.Failure(HandlerFailed(method))
+            reply = _create_reply(envelope, failed)
         if not writer.is_closing():
-            writer.write(frames.pack_frame(messages.encode(reply)))
+            writer.write(frames.pack_frame(reply))
 
     async def _handle(
         self,
@@ -188,11 +204,53 @@
         if route is None:
             name = messages.method_name(envelope.method)
             return result.Failure(MissingHandler(name))
-        request = messages.decode(route.request_type, envelope.payload)
+        try:
+            request = messages.decode(route.request_type, envelope.payload)
+            messages.check_texts(request)
+        except messages.DecodeError as error:
+            name = messages.method_name(envelope.method)
+            _log.warning(
+                'call malformed',
+                extra={
+                    'method': name,
+                    'peer': peer.host,
+                    'reason': str(error),
+                },
+            )
+            return result.Failure(MalformedCall(name))
         call = Call(peer, envelope.deadline_ms / 1000, envelope.trace)
         return await route.handler(call, request)
 
 
+def _create_reply(
+    envelope: messages.Struct,
+    outcome: HandlerResult,
+) -> bytes:
+    """Return the encoded answer to a call.
+
+    :raises messages.EncodeError: if the answer of the handler does not fit.
+    """
+    payload = b''
+    failure = ''
+    detail = ''
+    if isinstance(outcome, result.Success):
+        payload = messages.encode(outcome.unwrap())
+    else:
+        failure = type(outcome.failure()).__name__
+        detail = outcome.failure().hint()
+    return messages.encode(
+        messages.structs.Envelope(
+            id=envelope.id,
+            method=envelope.method,
+            payload=payload,
+            deadline_ms=0,
+            trace='',
+            failure=failure,
+            detail=detail,
+        ),
+    )
+
+
 def create_listener(
     local_credentials: credentials.Credentials,
     directory: credentials.MemberDirectory,
