Give slow links more time to connect and to follow

It kept version 20 and sent uploads by its routes at 8.0 s, 2.5 s after version 86 was acknowledged. The queue of its link delayed each packet by more than 0.3 s, and a connection to a replica had to be open and authenticated, two round trips, within 0.3 s at every attempt; an answer had to come within 0.4 s. Each failure closed the connection.

Ruled out: the route is chosen at the head of the upload, not at its end, and the head came 2.5 s after the acknowledgement; the document was not partly there (no "configuration behind" before 9.2 s).

Change: wire.timeouts.AdaptiveTimeout doubles after an expiry and halves after a fast answer, for connections to each address (0.3 to 2.4 s) and for the answers of the change feed (0.4 to 1.6 s). An address that no process can have is unreachable, and a request that cannot be encoded fails before it is sent.

--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -12,15 +12,18 @@
 
 from returns import result
 
-from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import feeds, lags
-from wagtailspread.wire import links, messages
+from wagtailspread.core import clocks, failures, identifiers
+from wagtailspread.registry import feeds, lags, places
+from wagtailspread.wire import links, messages, timeouts
 
 #: Longest time that a replica waits for a change before it answers, in seconds.
 POLL_SECONDS = 0.7
 #: Time that an answer may take beyond that wait, in seconds. After it, the
 #: replica or the connection to it counts as failed.
 ANSWER_MARGIN_SECONDS = 0.4
+#: Longest such time, in seconds. A host uses it while its own link delays
+#: answers, so that it still follows some replica.
+MAX_ANSWER_MARGIN_SECONDS = 1.6
 #: Time for which a failed replica is ordered after all others, in seconds.
 AVOIDANCE_SECONDS = 2.0
 #: Interval between checks for a nearer replica, in seconds.
@@ -171,12 +174,19 @@
         self._apply_batch = apply_batch
         self._epoch = feeds.NO_EPOCH
         self._position = 0
+        self._margin = timeouts.AdaptiveTimeout(
+            ANSWER_MARGIN_SECONDS, MAX_ANSWER_MARGIN_SECONDS
+        )
 
     async def follow(self) -> None:
-        """Poll replicas for changes until cancelled."""
+        """Poll replicas for changes until cancelled.
+
+        An unexpected error is logged and counts as a failure of the replica,
+        since a host that stops following never learns of a change again.
+        """
         while True:
             address = self._sources.choose(self._clock.now())
-            if address is None or not await self.follow_once(address):
+            if address is None or not await self._try_following(address):
                 await asyncio.sleep(RETRY_BACKOFF_SECONDS)
 
     def list_sources(self) -> list[identifiers.Address]:
@@ -189,6 +199,14 @@
         ordered.sort(key=lambda address: address != self.current_replica)
         return ordered
 
+    async def _try_following(self, address: identifiers.Address) -> bool:
+        try:
+            return await self.follow_once(address)
+        except Exception:
+            _log.exception('changes not applied', extra={'replica': address})
+            self._sources.deprioritize(address, self._clock.now())
+            return False
+
     async def follow_once(self, address: identifiers.Address) -> bool:
         """Request changes from one replica; tell whether it answered."""
         request = messages.structs.FollowChanges(
@@ -201,18 +219,23 @@
             wait_ms=int(POLL_SECONDS * 1000),
             address=self._address,
         )
+        asked_at = self._clock.now()
         answer = await self._pool.find(address).call(
             messages.methods.FOLLOW,
             request,
             messages.structs.ChangeBatch,
-            POLL_SECONDS + ANSWER_MARGIN_SECONDS,
+            POLL_SECONDS + self._margin.seconds,
         )
         now = self._clock.now()
         if not isinstance(answer, result.Success):
+            if isinstance(answer.failure(), failures.CallTimeout):
+                self._margin.record_expiry()
             self._record_failure(address, answer.failure().describe(), now)
             await self._pool.remove(address)
             return False
+        self._margin.record_success(now - asked_at - POLL_SECONDS)
         batch = answer.unwrap()
+        places.clean_batch(batch)
         self._process_batch(address, batch, now)
         return True
 
--- a/wagtailspread/wire/links.py
+++ b/wagtailspread/wire/links.py
@@ -9,13 +9,23 @@
 import itertools
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import failures, identifiers
 from wagtailspread.wire import credentials, frames, handshakes, messages
+from wagtailspread.wire import timeouts
 
 #: Maximum time to open and authenticate a connection, in seconds.
 CONNECT_SECONDS = 1.0
+#: Longest such time, in seconds: two round trips over a link with a queue of
+#: half a second in each direction, and a retransmission.
+MAX_CONNECT_SECONDS = 2.4
+#: Maximum number of addresses whose connect timeout a pool keeps.
+MAX_CONNECT_TIMEOUTS = 4096
+
+_log = logbook.Logger('links')
 
 CallResult = result.Result[typing.Any, failures.Failure]
 
@@ -32,10 +42,10 @@
         address: identifiers.Address,
         local_credentials: credentials.Credentials,
         directory: credentials.MemberDirectory,
-        connect_seconds: float = CONNECT_SECONDS,
+        connect_timeout: timeouts.AdaptiveTimeout,
     ) -> None:
         """Store the settings of the connection, which is not opened yet."""
-        self._connect_seconds = connect_seconds
+        self._connect_timeout = connect_timeout
         self._failed_attempts = 0
         self.address = address
         self.peer: credentials.Peer | None = None
@@ -58,18 +68,20 @@
         """Send a request and return the answer or a typed failure.
 
         :param timeout: seconds to wait for the answer; the peer gets it too.
+        :raises messages.EncodeError: if a field of the request does not fit.
         :returns: ``Unreachable`` if nothing was sent, ``CallTimeout`` if the
             call may have run, ``CallRejected`` if the peer refused it.
         """
         if not await self._connect():
             return result.Failure(failures.Unreachable(self.address))
+        payload = messages.encode(request)
         call_id = next(self._call_ids)
         answer = asyncio.get_running_loop().create_future()
         self._pending[call_id] = answer
         envelope = messages.structs.Envelope(
             id=call_id,
             method=method,
-            payload=messages.encode(request),
+            payload=payload,
             deadline_ms=int(timeout * 1000),
             trace=trace,
             failure='',
@@ -123,17 +135,35 @@
                 # waiting call tried again, the last one would wait for all
                 # these attempts.
                 return False
-            try:
-                async with asyncio.timeout(self._connect_seconds):
-                    await self._open()
-            except (
-                OSError,
-                asyncio.IncompleteReadError,
-                handshakes.HandshakeRefused,
-            ):
+            is_open = await self._try_opening()
+            if not is_open:
                 self._failed_attempts += 1
-                return False
-            return True
+            return is_open
+
+    async def _try_opening(self) -> bool:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        try:
+            async with asyncio.timeout(self._connect_timeout.seconds):
+                await self._open()
+        except TimeoutError:
+            self._connect_timeout.record_expiry()
+            return False
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            handshakes.HandshakeRefused,
+        ):
+            return False
+        except (ValueError, OverflowError) as error:
+            # A peer reported this address; it names no process.
+            _log.warning(
+                'address invalid',
+                extra={'address': self.address, 'reason': str(error)},
+            )
+            return False
+        self._connect_timeout.record_success(loop.time() - started)
+        return True
 
     async def _open(self) -> None:
         ip, _, port = self.address.rpartition(':')
@@ -196,7 +226,9 @@
 class LinkPool:
     """One link for each address.
 
-    :param connect_seconds: maximum time to open and authenticate a
+    The pool keeps the connect timeout of an address when its link is removed.
+
+    :param connect_seconds: shortest timeout for opening and authenticating a
         connection, in seconds.
     """
 
@@ -211,20 +243,35 @@
         self._local_credentials = local_credentials
         self._directory = directory
         self._links: dict[identifiers.Address, Link] = {}
+        self._connect_timeouts: dict[
+            identifiers.Address, timeouts.AdaptiveTimeout
+        ] = {}
 
     def find(self, address: identifiers.Address) -> Link:
         """Return the link to this address; create it if there is none."""
         link = self._links.get(address)
         if link is None:
-            link = create_link(
+            link = Link(
                 address,
                 self._local_credentials,
                 self._directory,
-                self._connect_seconds,
+                self._find_connect_timeout(address),
             )
             self._links[address] = link
         return link
 
+    def _find_connect_timeout(
+        self, address: identifiers.Address
+    ) -> timeouts.AdaptiveTimeout:
+        found = self._connect_timeouts.pop(address, None)
+        if found is None:
+            found = _create_timeout(self._connect_seconds)
+        # The address that was used least recently comes first.
+        self._connect_timeouts[address] = found
+        if len(self._connect_timeouts) > MAX_CONNECT_TIMEOUTS:
+            self._connect_timeouts.pop(next(iter(self._connect_timeouts)))
+        return found
+
     async def remove(self, address: identifiers.Address) -> None:
         """Close and remove the link to this address, if there is one."""
         link = self._links.pop(address, None)
@@ -244,4 +291,14 @@
     connect_seconds: float = CONNECT_SECONDS,
 ) -> Link:
     """Return a link to the peer at ``address``; no connection is opened."""
-    return Link(address, local_credentials, directory, connect_seconds)
+    return Link(
+        address,
+        local_credentials,
+        directory,
+        _create_timeout(connect_seconds),
+    )
+
+
+def _create_timeout(connect_seconds: float) -> timeouts.AdaptiveTimeout:
+    longest = max(connect_seconds, MAX_CONNECT_SECONDS)
+    return timeouts.AdaptiveTimeout(connect_seconds, longest)
