Accept an answer only for the exchange whose id it bears

Cause: on the product's own request path connections are kept, and a refusal (503 with Wagtailspread-Shed) was believed whatever exchange it belonged to. An upstream that sent an earlier refusal once more, or one before the request, made the host tell the caller "not run" for a request that the upstream ran, and the host sent it to a second one.

Change: each exchange has an id (Wagtailspread-Exchange), a repetition its own. An answer with another id is lost; so is a refusal without one. Upstreams that return no ids are served, but their refusals prove nothing. A malformed answer that raises ValueError is a failed exchange.

--- a/wagtailspread/core/outcomes.py
+++ b/wagtailspread/core/outcomes.py
@@ -8,6 +8,8 @@
 REASON_HEADER = 'Wagtailspread-Reason'
 #: Response header by which an upstream reports that it did not run a request.
 SHED_HEADER = 'Wagtailspread-Shed'
+#: Request header with the id of one exchange, which an upstream returns.
+EXCHANGE_HEADER = 'Wagtailspread-Exchange'
 #: Request header with the remaining time until the deadline, in milliseconds.
 DEADLINE_HEADER = 'Wagtailspread-Deadline-Ms'
 #: Request header with the id of the caller.
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import dataclasses
+import itertools
+import random
 import typing
 
 import aiohttp
+import logbook
 import yarl
 
 from returns import result
@@ -15,6 +18,10 @@
 #: Answers up to this size, in bytes, are buffered before they are sent on.
 MAX_BUFFERED_BYTES = 65536
 
+_log = logbook.Logger('exchanges')
+
+#: Bits of the random number that distinguishes the ids of hosts.
+_PREFIX_BITS = 48
 _UNAVAILABLE = 503
 _ERROR_STATUS = 500
 _EVENTS = 'text/event-stream'
@@ -84,6 +91,10 @@
         self.pool.end_exchange(self.generation)
 
 
+class ForeignAnswer(aiohttp.ClientError):
+    """An answer that does not belong to the exchange that received it."""
+
+
 ExchangeOutcome = result.Result[Reply, ExchangeFailure]
 
 
@@ -99,6 +110,8 @@
         self._pools = pools
         self._clock = clock
         self._detector = silence.SilenceDetector()
+        self._prefix = f'{random.getrandbits(_PREFIX_BITS):x}'
+        self._numbers = itertools.count()
 
     async def send(
         self,
@@ -199,12 +212,14 @@
             reply = await self._receive(pool, generation, outgoing, progress)
         except aiohttp.ClientPayloadError:
             return _fail(outcomes.ExchangeResult.TRUNCATED)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            _log.debug('exchange failed', extra={'reason': repr(error)})
             return _fail(_classify_error(progress, outgoing))
         finally:
             if reply is None:
                 pool.end_exchange(generation)
         if _is_shed(reply.response):
+            # Only the answer to this exchange gets here.
             progress.is_shed = True
             reply.close()
             return _fail(outcomes.ExchangeResult.SHED)
@@ -218,7 +233,10 @@
         progress: executions.AttemptProgress,
     ) -> Reply:
         started = self._clock.now()
-        headers = outgoing.headers
+        # A repetition of the request runs beside it and has its own id.
+        headers = outgoing.headers.copy()
+        exchange = f'{self._prefix}.{next(self._numbers):x}'
+        headers[outcomes.EXCHANGE_HEADER] = exchange
         remaining_ms = int((outgoing.deadline - started) * 1000)
         headers[outcomes.DEADLINE_HEADER] = str(max(1, remaining_ms))
         connections.track(progress)
@@ -231,6 +249,7 @@
             timeout=connections.TIMEOUT,
         )
         try:
+            _check_exchange(response, exchange)
             body, is_whole = await _read_prefix(response)
         except BaseException:
             response.close()
@@ -313,6 +332,25 @@
     return b''.join(pieces), False
 
 
+def _check_exchange(
+    response: aiohttp.ClientResponse,
+    exchange: str,
+) -> None:
+    """Check that an answer belongs to an exchange.
+
+    An upstream may send an earlier answer once more on a kept connection. An
+    upstream that returns no ids is served, but its refusals prove nothing.
+
+    :raises ForeignAnswer: if the answer has the id of another exchange, or if
+        it is a refusal without an id.
+    """
+    found = response.headers.getall(outcomes.EXCHANGE_HEADER, [])
+    if any(one != exchange for one in found):
+        raise ForeignAnswer(f'answer to exchange {found[0]!r}')
+    if not found and _is_shed(response):
+        raise ForeignAnswer('refusal without the id of its exchange')
+
+
 def _is_shed(response: aiohttp.ClientResponse) -> bool:
     if response.status != _UNAVAILABLE:
         return False
--- a/wagtailspread/testing/upstreams.py
+++ b/wagtailspread/testing/upstreams.py
@@ -180,7 +180,12 @@
             self.counts['shed'] += 1
             return web.Response(
                 status=503,
-                headers={outcomes.SHED_HEADER: '1'},
+                headers={
+                    outcomes.SHED_HEADER: '1',
+                    outcomes.EXCHANGE_HEADER: request.headers.get(
+                        outcomes.EXCHANGE_HEADER, ''
+                    ),
+                },
             )
         body = await request.read()
         async with self._slots:
@@ -231,7 +236,12 @@
             }
         )
         payload = text.encode().ljust(size)
-        headers = {ECHO_HEADER: request_id, 'Content-Type': 'application/json'}
+        exchange = request.headers.get(outcomes.EXCHANGE_HEADER, '')
+        headers = {
+            ECHO_HEADER: request_id,
+            outcomes.EXCHANGE_HEADER: exchange,
+            'Content-Type': 'application/json',
+        }
         if self._draw_fault(self.mode.truncate_ratio):
             self.counts['truncated'] += 1
             return await self._truncate(request, payload, headers)
