Answer the requests that are open when a host stops

The stop waited for open requests and then closed their connections.

Limits of callers moved to gateway.limits.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -8,7 +8,7 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.entry import executions
-from wagtailspread.gateway import exchanges, placements
+from wagtailspread.gateway import exchanges, placements, stops
 from wagtailspread.placement import messages, retries
 from wagtailspread.routing import terms
 
@@ -31,6 +31,8 @@
     NO_ROOM = 'no-room'
     #: The deadline of the request has passed or is too close for an attempt.
     NO_TIME = 'no-time'
+    #: The host stops before the request is answered.
+    STOPPING = 'stopping'
     #: The request may have run, and its response was lost.
     ANSWER_LOST = 'answer-lost'
 
@@ -128,8 +130,10 @@
         domain: identifiers.FailureDomain,
         placer: placements.Placer,
         exchanger: exchanges.Exchanger,
+        stop_limit: stops.StopLimit | None = None,
     ) -> None:
         """Create a runner on these collaborators."""
+        self._stop_limit = stop_limit or stops.StopLimit()
         self._host = host
         self._domain = domain
         self._placer = placer
@@ -138,8 +142,15 @@
     async def run(self, routed: RoutedRequest) -> RequestResult:
         """Send a request until it is answered or no attempt is left."""
         state = _RequestState(routed)
+        try:
+            async with self._stop_limit.limit():
+                return await self._run(state)
+        except TimeoutError:
+            return state.create_result(Refusal.STOPPING)
+
+    async def _run(self, state: _RequestState) -> RequestResult:
         while True:
-            left = routed.outgoing.deadline - _now()
+            left = state.routed.outgoing.deadline - _now()
             if left < exchanges.MIN_SEND_SECONDS:
                 return state.create_result(Refusal.NO_TIME)
             if not state.can_send():
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -9,7 +9,7 @@
 
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
-from wagtailspread.gateway import placements, readiness, servers
+from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
 from wagtailspread.registry import downloads, followers, places, records
@@ -26,6 +26,9 @@
 STOP_POLL_SECONDS = 0.05
 #: Time that is reserved for closing at the end of a stop, in seconds.
 CLOSING_SECONDS = 0.4
+#: Time before that in which the host answers the requests that are still open,
+#: in seconds; answers take about half a second over a full link.
+ANSWER_SECONDS = 0.5
 #: Timeout for opening a connection to a replica, in seconds. A lost SYN packet
 #: is retransmitted only after one second; a new attempt is made sooner.
 CONNECT_SECONDS = 0.3
@@ -106,17 +109,20 @@
             settings.header_names,
             settings.response_limits,
         )
+        self._stop_limit = stops.StopLimit()
         runner = attempts.AttemptRunner(
             settings.host,
             settings.location.domain,
             self._placer,
             self._exchanger,
+            self._stop_limit,
         )
         self.server = servers.create_server(
             runner,
             settings.header_names,
             tables.SplitCounter(random.Random()),
             lambda: self.follower.lag.is_current(clock.now()),
+            self._stop_limit,
         )
         self._readiness = readiness.ReadinessServer(
             settings.ready_path,
@@ -173,9 +179,12 @@
 
         New connections are accepted for :data:`ACCEPT_SECONDS` more. The wait
         ends :data:`CLOSING_SECONDS` before the maximum duration of a stop.
+        Requests that are still open :data:`ANSWER_SECONDS` before that are
+        answered by the host.
         """
         loop = asyncio.get_running_loop()
         until = loop.time() + self._settings.stop_seconds - CLOSING_SECONDS
+        self._stop_limit.set(until - ANSWER_SECONDS)
         self._is_stopping = True
         self.server.site.close_after_answers()
         await asyncio.sleep(ACCEPT_SECONDS)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -7,6 +7,7 @@
 
 from wagtailspread.entry import bodies, heads, protections, requests, sites
 from wagtailspread.gateway import attempts, exchanges, headers, response_logs
+from wagtailspread.gateway import limits, stops
 from wagtailspread.routing import tables, terms
 
 #: Bytes of a request body that are buffered before it is sent. A body that
@@ -19,12 +20,6 @@
 MAX_SECONDS = 86_400.0
 #: Default ``Retry-After`` of a refused request, in seconds.
 RETRY_AFTER_SECONDS = 1.0
-#: Added to the configured idle time, so that a caller that respects it never
-#: uses a closed connection, in seconds.
-IDLE_MARGIN_SECONDS = 2.0
-#: Added to the configured time limit of a request head, since a slow link
-#: delivers later than the caller sends, in seconds.
-HEAD_MARGIN_SECONDS = 2.0
 
 _MILLISECONDS = 1000
 _NOT_FOUND = 404
@@ -63,8 +58,10 @@
         names: headers.HeaderNames,
         splits: tables.SplitCounter,
         is_current: typing.Callable[[], bool],
+        stop_limit: stops.StopLimit | None = None,
     ) -> None:
         """Create a server that does not listen yet."""
+        self._stop_limit = stop_limit or stops.StopLimit()
         self.is_current = is_current
         self.routes: tables.RouteTable | None = None
         self.response_log = response_logs.create_log()
@@ -83,7 +80,7 @@
         """Apply routes and limits to all further requests."""
         self.routes = tables.RouteTable(settings)
         self._active_since = asyncio.get_running_loop().time()
-        self.site.change_limits(_create_limits(settings.limits))
+        self.site.change_limits(limits.create_limits(settings.limits))
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Return the response to one request."""
@@ -124,13 +121,16 @@
         deadline = started + self._get_time_limit(request, route)
         body = None
         if request.body_exists:
-            body = await self._read_body(
-                request,
-                routes.settings.limits.idle_seconds,
-                deadline,
-            )
-            if body.fault is not None:
-                return _close(self._answer_body_fault(body, request, details))
+            idle_seconds = routes.settings.limits.idle_seconds
+            try:
+                async with self._stop_limit.limit():
+                    body = await self._read_body(
+                        request, idle_seconds, deadline
+                    )
+            except TimeoutError:
+                details['fault'] = 'the host stops'
+        if request.body_exists and (body is None or body.fault is not None):
+            return _close(self._answer_body_fault(body, request, details))
         return await self._run(request, route, body, deadline)
 
     async def _run(
@@ -295,14 +295,18 @@
 
     def _answer_body_fault(
         self,
-        body: bodies.RequestBody,
+        body: bodies.RequestBody | None,
         request: web.BaseRequest,
         details: _Details,
     ) -> web.Response:
-        """Return the response to a request body that was not forwarded."""
-        fault = body.fault
+        """Return the response to a request body that was not forwarded.
+
+        :param body: ``None`` if the host stops before it was received.
+        """
+        fault = None if body is None else body.fault
         if fault is None:
-            raise ValueError('request body without a fault: expected one')
+            reason = response_logs.Reason.STOPPING
+            return self._refuse(reason, request, details)
         status = _find_status(fault)
         found = {**details, 'fault': fault.detail}
         answer = self._reject if status == _TOO_LARGE else self._answer
@@ -364,26 +368,15 @@
     names: headers.HeaderNames,
     splits: tables.SplitCounter,
     is_current: typing.Callable[[], bool],
+    stop_limit: stops.StopLimit | None = None,
 ) -> GatewayServer:
     """Return a server that is not started.
 
     :param is_current: tells whether the active configuration is the newest
         version.
+    :param stop_limit: ends open requests when the host stops.
     """
-    return GatewayServer(runner, names, splits, is_current)
-
-
-def _create_limits(limits: terms.CallerLimits) -> heads.RequestLimits:
-    """Return the limits of requests.
-
-    The idle time applies before the first request as well as between two.
-    """
-    return heads.RequestLimits(
-        seconds=limits.header_seconds + HEAD_MARGIN_SECONDS,
-        head_bytes=limits.header_bytes,
-        keepalive_seconds=limits.idle_seconds + IDLE_MARGIN_SECONDS,
-        body_bytes=limits.body_bytes,
-    )
+    return GatewayServer(runner, names, splits, is_current, stop_limit)
 
 
 def _find_status(fault: requests.RequestFault) -> int:
--- /dev/null
+++ b/wagtailspread/gateway/tests/test_stops.py
@@ -0,0 +1,80 @@
+"""Requests that are open when a host stops get an answer."""
+
+import asyncio
+import json
+
+import pytest
+
+from wagtailspread.gateway import hosts
+from wagtailspread.gateway.tests import (
+    raw_upstreams,
+    test_exchanges,
+    test_hosts,
+)
+from wagtailspread.routing import terms
+
+
+def read_document(kind):
+    """Return a reader of one route for requests of a kind."""
+    part = terms.SplitPart('columns', 1.0)
+    route = terms.Route('r1', 'a.example', '/', kind, (part,), 2)
+    return lambda _body: terms.RoutingSettings(1, (route,), {'columns': 9})
+
+
+async def send(address, head, body=b''):
+    """Send a request; return all that is received and how it ended."""
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(head.replace(b'\n', b'\r\n') + body)
+    try:
+        return await reader.read()
+    except ConnectionError as error:
+        return repr(error).encode()
+    finally:
+        writer.close()
+
+
+async def start_host(monkeypatch, kind):
+    """Return a started host with a route, and its address."""
+    monkeypatch.setattr(hosts, 'ACCEPT_SECONDS', 0.1)
+    host = test_hosts.create_host()
+    host._read_document = read_document(kind)
+    await host.start()
+    host._apply_document(1, json.dumps({}).encode())
+    ip, port = host.server.site._runner.addresses[0]
+    return host, f'{ip}:{port}'
+
+
+@pytest.mark.parametrize(
+    ('kind', 'status'),
+    [(terms.RequestKind.UNSAFE, b'502'), (terms.RequestKind.SAFE, b'502')],
+)
+async def test_a_request_at_work_is_answered_before_the_end(
+    monkeypatch, kind, status
+):
+    """Guards against a stop that closes a connection without an answer."""
+    host, address = await start_host(monkeypatch, kind)
+    async with raw_upstreams.RawUpstream(raw_upstreams.hang) as upstream:
+        record = test_exchanges.create_record(upstream.address)
+        host.selector.registry.merge(record, 0.0)
+        head = b'GET /a HTTP/1.1\nHost: a.example\nAttempt-Id: a1\n\n'
+        sending = asyncio.create_task(send(address, head))
+        await asyncio.sleep(0.3)
+        assert upstream.requests
+        await host.stop()
+        assert (await sending).startswith(b'HTTP/1.1 ' + status)
+
+
+async def test_a_request_whose_body_is_not_read_is_refused(monkeypatch):
+    """Guards against a closed connection for a body on a slow link."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UPLOAD)
+    head = (
+        b'POST /a HTTP/1.1\nHost: a.example\nAttempt-Id: a1\n'
+        b'Content-Length: 100\n\n'
+    )
+    sending = asyncio.create_task(send(address, head, b'part'))
+    await asyncio.sleep(0.2)
+    await host.stop()
+    answer = await sending
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'Retry-After' in answer
