Obey upstreams that leave or ask for time in their answers

Cause: `Server-Leaving: 1` and the `Retry-After` of an upstream's 503 were ignored. A leaving upstream got work until its heartbeat reached the registry, and a full one was asked again at once.

Change: the exchange reads both from an answer that bears its id (gateway.notices). A leaving upstream becomes draining in the host's own table and, with the settlement, in that of the allocator; the replica publishes it, so the fleet learns it as a departure, also through a change of allocator. It ends with a new incarnation. A hold (placement.holds) binds the host that was refused: neither allocator, floor, trial nor the host itself sends there; the host keeps to it when a new allocator does not know. Requests wait for the first return if that is in time; else they are refused with that time. They do not hold up requests of other hosts. Tables are bounded.

Ruled out: a timer for leaving upstreams, since the record must last as long as its incarnation.

Shown: placement/tests/test_holds, gateway/tests/test_notices (fractions, 0, negative, huge, dates, several headers, other exchanges, a new allocator).

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -198,17 +198,23 @@
         state.upstream = record.upstream
         started = _now()
         evidence = messages.Evidence.NONE
+        received = exchanges.ReceivedNotice()
         try:
             outcome = await self._exchanger.send(
                 record,
                 state.routed.outgoing,
                 state.execution.open_attempt(),
+                received,
             )
             evidence = _classify_outcome(outcome, _now() - started)
         finally:
             seconds = _now() - started
             self._placer.settle(
-                placement_request.request_id, placed, evidence, seconds
+                placement_request.request_id,
+                placed,
+                evidence,
+                seconds,
+                received.notice,
             )
         if isinstance(outcome, exchanges.NoConnection):
             state.send_attempts.record_connection_failure()
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -15,7 +15,8 @@
 import yarl
 
 from wagtailspread.entry import bodies, connections, executions
-from wagtailspread.gateway import buffers, headers, response_readers
+from wagtailspread.gateway import buffers, headers, notices, response_readers
+from wagtailspread.placement import messages as placement_messages
 from wagtailspread.registry import records
 
 #: Timeout for opening a connection, in seconds: 25 round trips to another
@@ -52,6 +53,13 @@
     deadline: float
 
 
+@dataclasses.dataclass(slots=True)
+class ReceivedNotice:
+    """What the upstream of an exchange asked of the host, if it answered."""
+
+    notice: placement_messages.UpstreamNotice = placement_messages.NO_NOTICE
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamResponse:
     """A complete response of the requested upstream."""
@@ -125,11 +133,14 @@
         record: records.UpstreamRecord,
         outgoing: OutgoingRequest,
         progress: executions.AttemptProgress,
+        received: ReceivedNotice | None = None,
     ) -> Outcome:
         """Send a request to the upstream of ``record``.
 
         :param progress: is updated while sending, also on failure.
+        :param received: gets what the upstream asks, also on failure.
         """
+        received = received or ReceivedNotice()
         reader = response_readers.ResponseReader(
             self._limits,
             self.budgets,
@@ -139,7 +150,9 @@
         response_readers.bind_reader(reader)
         try:
             async with asyncio.timeout_at(outgoing.deadline):
-                return await self._exchange(record, outgoing, progress, reader)
+                return await self._exchange(
+                    record, outgoing, progress, reader, received
+                )
         except TimeoutError:
             reader.expire()
             loss = LostResponse('no answer in time', is_expired=True)
@@ -163,6 +176,7 @@
         outgoing: OutgoingRequest,
         progress: executions.AttemptProgress,
         reader: response_readers.ResponseReader,
+        received: ReceivedNotice,
     ) -> Outcome:
         response = await self._session.request(
             outgoing.method,
@@ -173,20 +187,22 @@
             timeout=_TIMEOUT,
         )
         try:
-            return await self._read(response, outgoing, progress, reader)
+            if not self._echoes_attempt(response, outgoing):
+                return LostResponse('answer without the id of its request')
+            received.notice = notices.read_notice(
+                response.status, response.headers, self._names
+            )
+            return await self._read(response, progress, reader)
         finally:
             response.close()
 
     async def _read(
         self,
         response: aiohttp.ClientResponse,
-        outgoing: OutgoingRequest,
         progress: executions.AttemptProgress,
         reader: response_readers.ResponseReader,
     ) -> Outcome:
         """Return the outcome; read the body only of a valid response."""
-        if not self._echoes_attempt(response, outgoing):
-            return LostResponse('answer without the id of its request')
         if self._is_not_run(response):
             progress.is_shed = True
             return NotExecuted(response.status == _MISDIRECTED)
--- a/wagtailspread/gateway/headers.py
+++ b/wagtailspread/gateway/headers.py
@@ -15,7 +15,9 @@
     :param signature: an upstream's proof that a body is its own.
     :param expected_upstream: the only upstream that may run a request.
     :param not_run: statement of an upstream that it did not run a request.
-    :param retry_after: seconds after which a caller may retry.
+    :param retry_after: seconds after which a caller, or a host at an upstream,
+        may retry.
+    :param leaving: statement of an upstream that it leaves.
     """
 
     attempt: str
@@ -24,3 +26,4 @@
     expected_upstream: str
     not_run: str
     retry_after: str = 'Retry-After'
+    leaving: str = 'Upstream-Leaving'
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -110,26 +110,56 @@
         usable = [one for one in self._allocators if one not in self._failed]
         for allocator in usable[:MAX_ALLOCATORS]:
             answer = await self._ask(allocator, placement_request)
-            if answer is not None:
-                if answer.record is not None:
-                    self._selector.start(answer.record.upstream)
+            if answer is None:
+                continue
+            if answer.record is None:
                 return Placement(answer, allocator)
+            if self._may_send(answer.record):
+                self._selector.start(answer.record.upstream)
+                return Placement(answer, allocator)
+            # The allocator does not know yet what the upstream asked this
+            # host, for example since it has just taken over.
+            self._start_settling(
+                allocator, [_create_withdrawal(placement_request)]
+            )
+            break
         return Placement(self._place_locally(placement_request), None)
 
+    def _may_send(self, record: records.UpstreamRecord) -> bool:
+        """Tell whether an upstream has not asked this host to stop sending."""
+        known = self._selector.registry.rows.get(record.upstream)
+        is_leaving = (
+            known is not None
+            and known.record.born_ms == record.born_ms
+            and not known.is_ready
+        )
+        now = self._clock.now()
+        end = self._selector.holds.find_end(
+            self._host, record.upstream, record.born_ms, now
+        )
+        return not is_leaving and end <= now
+
     def settle(
         self,
         request: identifiers.RequestId,
         placement: Placement,
         evidence: messages.Evidence,
         seconds: float,
+        notice: messages.UpstreamNotice = messages.NO_NOTICE,
     ) -> None:
         """Report how a placed request ended, without waiting.
 
         :param seconds: duration of the attempt.
+        :param notice: what the upstream asked of this host.
         """
         record = placement.answer.record
         if record is None:
             return
+        self._selector.record_notice(
+            self._host, record, notice, self._clock.now()
+        )
+        if notice.is_leaving:
+            _log.info('upstream leaves', extra={'upstream': record.upstream})
         self._selector.finish(record.upstream)
         self._selector.record_evidence(
             self._host,
@@ -145,6 +175,10 @@
                 evidence=int(evidence),
                 took_ms=_encode_seconds(seconds),
             )
+            if notice != messages.NO_NOTICE:
+                settlement.born_ms = record.born_ms
+                settlement.is_leaving = notice.is_leaving
+                settlement.hold_ms = _encode_seconds(notice.hold_seconds)
             self._start_settling(placement.allocator, [settlement])
 
     async def close(self) -> None:
@@ -242,6 +276,11 @@
             self._selector.rate(placement_request, now)
         )
         if chosen is None:
+            end = self._selector.find_hold_end(placement_request, now)
+            if end is not None:
+                return messages.Answer(
+                    messages.Decision.NO_ROOM, None, end - now
+                )
             return messages.Answer(messages.Decision.NO_UPSTREAM)
         record = chosen.row.record
         self._selector.start(record.upstream)
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -143,7 +143,8 @@
             is_blocked = request.service in blocked
             answer = self._decide_waiting(waiting, now, is_blocked=is_blocked)
             if answer is None:
-                blocked.add(request.service)
+                if not waiting.is_held:
+                    blocked.add(request.service)
             else:
                 self._waiting.pop(request.request_id)
                 self._decided[request.request_id] = leases.StoredDecision(
@@ -176,7 +177,7 @@
         if not self._can_wait(request, ahead, now):
             return self._refuse(request, messages.Decision.NO_ROOM, now)
         self._waiting[request.request_id] = leases.WaitingRequest(
-            request, order, now, now
+            request, order, now, now, is_held=self._is_held(request, now)
         )
         return messages.Answer(messages.Decision.WAITING)
 
@@ -188,6 +189,7 @@
         :param is_blocked: whether an earlier request of the service is queued.
         """
         request = waiting.request
+        waiting.is_held = self._is_held(request, now)
         answer = None
         if not is_blocked:
             answer = self._try_grant(request, waiting.queued_at, now)
@@ -216,7 +218,9 @@
     ) -> int:
         """Return how many queued requests of the service come first."""
         return sum(
-            waiting.request.service == request.service and waiting.order < order
+            waiting.request.service == request.service
+            and waiting.order < order
+            and not waiting.is_held
             for waiting in self._waiting.values()
         )
 
@@ -229,7 +233,7 @@
         """Return a grant or a refusal, or ``None`` to queue the request."""
         candidates = self._rate_upstreams(request, now)
         if not candidates:
-            return self._refuse(request, messages.Decision.NO_UPSTREAM, now)
+            return self._decide_held(request, now)
         free = [candidate for candidate in candidates if not candidate.is_full]
         waited = (now - waiting_since) / request.objective
         limit = MAX_EXTRA_COST + EXTRA_COST_PER_OBJECTIVE * waited
@@ -253,6 +257,26 @@
         self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
+    def _is_held(self, request: messages.PlacementRequest, now: float) -> bool:
+        """Tell whether all upstreams hold back the host of a request."""
+        end = self.selector.find_hold_end(request, now)
+        return end is not None and end > now
+
+    def _decide_held(
+        self, request: messages.PlacementRequest, now: float
+    ) -> messages.Answer | None:
+        """Decide on a request that no upstream takes from its host now.
+
+        It is queued if an upstream takes requests again in time.
+        """
+        end = self.selector.find_hold_end(request, now)
+        if end is None:
+            return self._refuse(request, messages.Decision.NO_UPSTREAM, now)
+        if end + self._find_typical_seconds(request, now) < request.deadline:
+            return None
+        refusal = self._refuse(request, messages.Decision.NO_ROOM, now)
+        return dataclasses.replace(refusal, retry_after=end - now)
+
     def _rate_upstreams(
         self, request: messages.PlacementRequest, now: float
     ) -> list[selection.Candidate]:
--- a/wagtailspread/placement/leases.py
+++ b/wagtailspread/placement/leases.py
@@ -34,12 +34,15 @@
 
     :param queued_at: when it was submitted.
     :param polled_at: when its host polled last.
+    :param is_held: whether no upstream takes requests of its host at present.
+        Requests of other hosts do not queue behind it.
     """
 
     request: messages.PlacementRequest
     order: QueueOrder
     queued_at: float
     polled_at: float
+    is_held: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -38,6 +38,22 @@
     NONE = 4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream asks of the host in an answer.
+
+    :param is_leaving: whether it accepts no further requests.
+    :param hold_seconds: time for which the host shall send it nothing.
+    """
+
+    is_leaving: bool = False
+    hold_seconds: float = 0.0
+
+
+#: The notice of an answer that asks for nothing.
+NO_NOTICE = UpstreamNotice()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """A request for an upstream.
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.health import risks
-from wagtailspread.placement import costs, messages
+from wagtailspread.placement import costs, holds, messages
 from wagtailspread.registry import records, tables
 
 #: Cost difference that lowers the probability of a choice by a factor of e.
@@ -58,6 +58,7 @@
     :param registry: the known upstreams.
     :param risk_table: the evidence on their health.
     :param silent: upstreams without a recent heartbeat at any replica.
+    :param holds: times for which hosts send nothing to an upstream.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.registry = registry
         self.risk_table = risks.RiskTable()
         self.silent: typing.Collection[identifiers.UpstreamId] = frozenset()
+        self.holds = holds.create_holds()
         self._regions = regions
         self._random = random
         self._open: dict[identifiers.UpstreamId, int] = {}
@@ -86,15 +88,56 @@
     ) -> list[Candidate]:
         """Return the upstreams of the service as candidates with their cost.
 
-        Excluded upstreams are left out.
+        Excluded upstreams and those that hold back the host are left out.
         """
         location = costs.Location(request.domain, self._regions)
         return [
             self._rate_upstream(row, request, location, now)
             for row in self.registry.list_ready(request.service)
             if row.record.upstream not in request.excluded
+            and self._find_hold_end(request.host, row, now) <= now
         ]
 
+    def find_hold_end(
+        self, request: messages.PlacementRequest, now: float
+    ) -> float | None:
+        """Return when the first upstream takes requests of the host again.
+
+        :returns: ``None`` if no upstream that is not excluded is ready.
+        """
+        return min(
+            (
+                self._find_hold_end(request.host, row, now)
+                for row in self.registry.list_ready(request.service)
+                if row.record.upstream not in request.excluded
+            ),
+            default=None,
+        )
+
+    def record_notice(
+        self,
+        host: identifiers.HostId,
+        record: records.UpstreamRecord,
+        notice: messages.UpstreamNotice,
+        now: float,
+    ) -> bool:
+        """Record what an incarnation of an upstream asked of a host.
+
+        :param record: names the upstream and its incarnation.
+        :returns: whether the upstream is known to leave since this notice.
+        """
+        if notice.hold_seconds > 0:
+            until = now + notice.hold_seconds
+            self.holds.add(host, record.upstream, record.born_ms, until)
+        row = self.registry.rows.get(record.upstream)
+        if not notice.is_leaving or row is None or not row.is_ready:
+            return False
+        if row.record.born_ms != record.born_ms:
+            return False
+        draining = records.UpstreamState.DRAINING
+        leaving = dataclasses.replace(row.record, state=draining)
+        return self.registry.merge(leaving, now)
+
     def draw(self, candidates: list[Candidate]) -> Candidate | None:
         """Return a random low-cost candidate, ``None`` if there are none."""
         if not candidates:
@@ -122,6 +165,7 @@
     def prune(self, now: float) -> None:
         """Drop the state of upstreams that the registry has removed."""
         self.risk_table.retain(self.registry.rows)
+        self.holds.prune(self.registry.rows, now)
         for path, until in list(self._unreachable_until.items()):
             if until < now:
                 self._unreachable_until.pop(path)
@@ -173,6 +217,15 @@
         self._typical_durations[service] = _TypicalDuration(seconds, now)
         return seconds
 
+    def _find_hold_end(
+        self,
+        host: identifiers.HostId,
+        row: tables.RegistryRow,
+        now: float,
+    ) -> float:
+        record = row.record
+        return self.holds.find_end(host, record.upstream, record.born_ms, now)
+
     def _rate_upstream(
         self,
         row: tables.RegistryRow,
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -1,6 +1,7 @@
 """Serves the allocator of a replica to the hosts of its region."""
 
 import asyncio
+import dataclasses
 import typing
 
 import logbook
@@ -34,6 +35,9 @@
     def list_remote_strained(self) -> set[identifiers.ServiceName]:
         """Return the services of which many requests fail elsewhere."""
 
+    def publish_departures(self) -> None:
+        """Send upstreams that leave to all followers at once."""
+
 
 class PlacementService:
     """Handles the calls of hosts. Use :func:`create_service`.
@@ -142,6 +146,9 @@
                     },
                 )
                 continue
+            self._record_notice(
+                identifiers.HostId(request.host), settlement, now
+            )
             self._allocator.settle(
                 identifiers.RequestId(settlement.request),
                 identifiers.UpstreamId(settlement.upstream),
@@ -153,6 +160,29 @@
             self._tick()
         return result.Success(wire.structs.Empty())
 
+    def _record_notice(
+        self,
+        host: identifiers.HostId,
+        settlement: wire.Struct,
+        now: float,
+    ) -> None:
+        """Record what an upstream asked, and publish that it leaves."""
+        if settlement.born_ms is None:
+            return
+        selector = self._allocator.selector
+        row = selector.registry.rows.get(settlement.upstream)
+        if row is None:
+            return
+        notice = messages.UpstreamNotice(
+            bool(settlement.is_leaving),
+            (settlement.hold_ms or 0) / _MILLISECONDS,
+        )
+        record = dataclasses.replace(row.record, born_ms=settlement.born_ms)
+        if selector.record_notice(host, record, notice, now):
+            _log.info('upstream leaves', extra={'upstream': record.upstream})
+            if self._strain_exchange is not None:
+                self._strain_exchange.publish_departures()
+
     def _tick(self) -> None:
         for request_id in self._allocator.tick(self._clock.now()):
             event = self._calls.get(request_id)
--- a/wagtailspread/platform/names.py
+++ b/wagtailspread/platform/names.py
@@ -21,4 +21,5 @@
     # The platform calls one start of an upstream an instance.
     expected_upstream='Expected-Instance',
     not_run='Not-Executed',
+    leaving='Server-Leaving',
 )
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -90,6 +90,14 @@
         if is_changed:
             self.wake()
 
+    def publish_local_change(self) -> None:
+        """Send a change that this process made in the table to all followers.
+
+        Replicas get it at once, since no other one has it.
+        """
+        self._local_position = self.table.position
+        self.wake()
+
     def wake(self) -> None:
         """Wake the waiting followers so that they check for changes."""
         waiting = self._changed
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -154,6 +154,10 @@
             self._strained = strained
             self.feed.wake()
 
+    def publish_departures(self) -> None:
+        """Send changes of the table by the local allocator to all followers."""
+        self.feed.publish_local_change()
+
     def list_remote_strained(self) -> set[identifiers.ServiceName]:
         """Return the strained services that other replicas published."""
         return {
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -620,6 +620,12 @@
   // Value of placement.messages.Evidence.
   3: i16 evidence
   4: i32 took_ms
+  // What the upstream asked of the host in its answer; absent if nothing. The
+  // start of the incarnation that asked, in milliseconds since the epoch.
+  5: optional i64 born_ms
+  6: optional bool is_leaving
+  // Time for which this host sends it nothing.
+  7: optional i32 hold_ms
 }
 
 struct SettleRequests {
