Authenticate the platform's processes with a shared secret

Cause: a host held 8 MB for the library of Ed25519 keys, of 41 MB, although all processes of the platform derive one and the same key from their settings, so a keyed hash proves as much. Measured: importing costs 6.6 MB and its serialization 1.4 MB resident (python 3.11, arm64).

--- a/benchmarks/configuration_measures.py
+++ b/benchmarks/configuration_measures.py
@@ -28,7 +28,7 @@
 )
 from wagtailspread.core import identifiers
 from wagtailspread.idempotency import claims
-from wagtailspread.wire import credentials, messages
+from wagtailspread.wire import messages, signing
 
 MEMBER = identifiers.MemberId('site')
 _CHANGED_PATH = '/w/0/1\n'
@@ -73,7 +73,7 @@
 
 def write_base(scale: Scale) -> str:
     """Return a base file with the services and routes of a scale."""
-    public = credentials.public_bytes(_create_key())
+    public = signing.public_bytes(_create_key())
     member = schemas.MemberSettings(MEMBER, public)
     parts = [
         '[fleet]\nname = measured\n',
--- a/benchmarks/entry_measures.py
+++ b/benchmarks/entry_measures.py
@@ -29,7 +29,7 @@
 from wagtailspread.observability import metrics, traces
 from wagtailspread.processes import observers
 from wagtailspread.testing import stand_ins
-from wagtailspread.wire import credentials, links
+from wagtailspread.wire import credentials, links, signing
 
 SEED = 20261204
 UPSTREAMS = 4
@@ -96,7 +96,7 @@
         identifiers.HostId('h1'),
         'entry',
     )
-    local_credentials = credentials.Credentials(peer, credentials.create_key())
+    local_credentials = credentials.Credentials(peer, signing.create_key())
     judge = judges.create_judge(judges.HealthPolicy(), random.Random(SEED))
     coordinator = coordination.create_coordinator(
         policies.AllocationPolicy(),
--- a/benchmarks/fleet_measures.py
+++ b/benchmarks/fleet_measures.py
@@ -23,7 +23,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.replica import clients
 from wagtailspread.testing import fleets
-from wagtailspread.wire import credentials, links, messages
+from wagtailspread.wire import credentials, links, messages, signing
 
 HOSTS = 44
 CHANGES = 10
@@ -126,11 +126,11 @@
 
 
 async def _measure_changes(fleet: fleets.Fleet, changes: int) -> list[str]:
-    key = credentials.load_key(fleet.key_file.read_bytes())
+    key = signing.load_key(fleet.key_file.read_bytes())
     member = identifiers.MemberId(fleets.MEMBER)
     peer = credentials.Peer(member, identifiers.HostId('bench'), 'operator')
     directory = credentials.FixedDirectory(
-        {member: credentials.public_bytes(key)},
+        {member: signing.public_bytes(key)},
     )
     pool = links.LinkPool(credentials.Credentials(peer, key), directory)
     addresses = tuple(map(identifiers.Address, fleet.replica_addresses))
--- a/wagtailspread/commands/connections.py
+++ b/wagtailspread/commands/connections.py
@@ -12,7 +12,7 @@
 
 from wagtailspread.configuration import deltas, loaders, schemas
 from wagtailspread.core import failures, identifiers
-from wagtailspread.wire import credentials, links, messages
+from wagtailspread.wire import credentials, links, messages, signing
 
 #: Role of an operator's tool on connections of the fleet's internal protocol.
 ROLE = 'operator'
@@ -77,7 +77,7 @@
             identifiers.HostId(ROLE),
             ROLE,
         ),
-        credentials.load_key(identity.key),
+        signing.load_key(identity.key),
     )
     directory = credentials.FixedDirectory(dict(identity.trusted_keys))
     pool = links.LinkPool(local_credentials, directory)
@@ -126,7 +126,7 @@
             raise click.UsageError('--replica, --member and --key are needed')
         key = self.key_path.read_bytes()
         try:
-            credentials.load_key(key)
+            signing.load_key(key)
         except (TypeError, ValueError) as error:
             raise click.UsageError(
                 f'{self.key_path} is not an Ed25519 private key in PEM',
--- a/wagtailspread/commands/keygen.py
+++ b/wagtailspread/commands/keygen.py
@@ -8,7 +8,7 @@
 
 from wagtailspread.commands import renderings
 from wagtailspread.configuration import files
-from wagtailspread.wire import credentials
+from wagtailspread.wire import signing
 
 #: Mode of the private key file: only its owner may read and write it.
 KEY_MODE = 0o600
@@ -39,9 +39,9 @@
             '"-"',
         )
     path = out or pathlib.Path(f'{name}.pem')
-    key = credentials.create_key()
-    _write_key(path, credentials.dump_key(key))
-    public = base64.b64encode(credentials.public_bytes(key)).decode()
+    key = signing.create_key()
+    _write_key(path, signing.dump_key(key))
+    public = base64.b64encode(signing.public_bytes(key)).decode()
     if is_json:
         renderings.write_json(
             {
--- a/wagtailspread/commands/submit.py
+++ b/wagtailspread/commands/submit.py
@@ -14,7 +14,7 @@
 from wagtailspread.commands import connections, file_sets, renderings
 from wagtailspread.configuration import answers, schemas, signatures
 from wagtailspread.core import failures, identifiers
-from wagtailspread.wire import credentials, messages
+from wagtailspread.wire import messages, signing
 
 #: Exit status if the replicas refused the files.
 EXIT_REFUSED = 1
@@ -121,7 +121,7 @@
         identity.member,
         {path.name: file_sets.read_text(path) for path in options.paths},
     )
-    key = credentials.load_key(identity.key)
+    key = signing.load_key(identity.key)
     signatures.sign_submission(submission, key)
     return submission
 
--- a/wagtailspread/commands/tests/test_configuration_commands.py
+++ b/wagtailspread/commands/tests/test_configuration_commands.py
@@ -15,7 +15,7 @@
 from wagtailspread.commands import connections, program
 from wagtailspread.configuration import signatures, versions
 from wagtailspread.core import failures
-from wagtailspread.wire import credentials, links
+from wagtailspread.wire import links, signing
 
 SAMPLES = pathlib.Path(__file__).parents[3] / 'samples'
 
@@ -244,7 +244,7 @@
     assert pathlib.Path('a.pem').stat().st_mode & 0o777 == 0o600
     assert fleet['a'].run('keygen', 'A!', status=2)
     document = json.loads(fleet['a'].run('keygen', 'd', '--json'))
-    credentials.load_key(pathlib.Path(document['path']).read_bytes())
+    signing.load_key(pathlib.Path(document['path']).read_bytes())
 
 
 def test_connection_opens_a_client_of_the_replicas(fleet, monkeypatch):
--- a/wagtailspread/configuration/tests/builders.py
+++ b/wagtailspread/configuration/tests/builders.py
@@ -7,7 +7,7 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from wagtailspread.configuration import signatures, versions
-from wagtailspread.wire import credentials, messages
+from wagtailspread.wire import messages, signing
 
 _COUNTER = itertools.count(1)
 
@@ -31,7 +31,7 @@
 
 def write_member(name, key_name=None):
     """Return a member section with the key of ``key_name``."""
-    public = credentials.public_bytes(create_key(key_name or name))
+    public = signing.public_bytes(create_key(key_name or name))
     encoded = base64.b64encode(public).decode()
     return f'[member {name}]\npublic_key = {encoded}\n'
 
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -15,7 +15,7 @@
 from wagtailspread.entry import connections, draining, exchanges, forwarding
 from wagtailspread.entry import handlers, heartbeats, interfaces, keys
 from wagtailspread.entry import owners, servers, spills
-from wagtailspread.wire import credentials, links, listeners
+from wagtailspread.wire import credentials, links, listeners, signing
 
 #: Thresholds of :func:`gc.set_threshold`, one for each generation.
 _COLLECTOR_THRESHOLDS = (20_000, 20, 20)
@@ -243,7 +243,7 @@
 
     :param directory: approved members, checked for every control connection.
     """
-    key = credentials.load_key(settings.key_file.read_bytes())
+    key = signing.load_key(settings.key_file.read_bytes())
     peer = credentials.Peer(settings.member, settings.host, 'entry')
     local_credentials = credentials.Credentials(peer, key)
     pool = links.LinkPool(local_credentials, directory)
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -20,15 +20,15 @@
     servers,
 )
 from wagtailspread.testing import stand_ins, upstreams
-from wagtailspread.wire import credentials, links, listeners
+from wagtailspread.wire import credentials, links, listeners, signing
 
 ANY_PORT = identifiers.Address('127.0.0.1:0')
 SERVICE = identifiers.ServiceName('vitrina')
 MEMBER = identifiers.MemberId('andino')
 REGION = identifiers.RegionName('costa-norte')
 DOMAIN = identifiers.FailureDomain('costa-baq')
-KEY = credentials.create_key()
-DIRECTORY = credentials.FixedDirectory({MEMBER: credentials.public_bytes(KEY)})
+KEY = signing.create_key()
+DIRECTORY = credentials.FixedDirectory({MEMBER: signing.public_bytes(KEY)})
 ROUTES = (
     stand_ins.FixedRoute('reads', SERVICE, '/vitrina'),
     stand_ins.FixedRoute(
--- a/wagtailspread/entry/tests/stand_in_host.py
+++ b/wagtailspread/entry/tests/stand_in_host.py
@@ -14,7 +14,7 @@
 from wagtailspread.entry import hosts, interfaces
 from wagtailspread.entry.tests import fleets
 from wagtailspread.testing import stand_ins
-from wagtailspread.wire import credentials
+from wagtailspread.wire import credentials, signing
 
 SECTION = 'entry'
 
@@ -97,9 +97,9 @@
         )
         for argument in arguments
     ]
-    key = credentials.load_key(settings.key_file.read_bytes())
+    key = signing.load_key(settings.key_file.read_bytes())
     directory = credentials.FixedDirectory(
-        {settings.member: credentials.public_bytes(key)},
+        {settings.member: signing.public_bytes(key)},
     )
     asyncio.run(
         run_entry(settings, directory, create_components(endpoints)),
--- a/wagtailspread/entry/tests/test_processes.py
+++ b/wagtailspread/entry/tests/test_processes.py
@@ -12,7 +12,7 @@
 
 from wagtailspread.entry.tests import fleets, stand_in_host, test_exchanges
 from wagtailspread.testing import load_generators, upstreams
-from wagtailspread.wire import credentials
+from wagtailspread.wire import signing
 
 SETTINGS = """
 [entry]
@@ -66,7 +66,7 @@
 @contextlib.asynccontextmanager
 async def start_processes(folder, count, service_seconds=0.005):
     """Yield host processes, of which the first owns the service."""
-    (folder / 'key.pem').write_bytes(credentials.dump_key(fleets.KEY))
+    (folder / 'key.pem').write_bytes(signing.dump_key(fleets.KEY))
     addresses = choose_addresses(2 * count)
     controls = addresses[count:]
     endpoints = [
--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -13,15 +13,15 @@
 from wagtailspread.platform import documents as decoding
 from wagtailspread.platform import names
 from wagtailspread.registry import records, services
-from wagtailspread.wire import credentials, listeners
+from wagtailspread.wire import credentials, listeners, signing
 
 REGIONS = {'north': 'r1'}
 #: Bandwidth of the slowest host links, in bytes per second: 2 Mbit/s.
 SLOW_RATE = 250_000
 _MEMBER = identifiers.MemberId('m')
-_KEY = credentials.create_key()
+_KEY = signing.create_key()
 _DIRECTORY = credentials.FixedDirectory(
-    {_MEMBER: credentials.public_bytes(_KEY)},
+    {_MEMBER: signing.public_bytes(_KEY)},
 )
 
 
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -12,7 +12,7 @@
 from wagtailspread.placement import budgets, costs
 from wagtailspread.platform import names
 from wagtailspread.routing import terms
-from wagtailspread.wire import credentials, messages
+from wagtailspread.wire import credentials, messages, signing
 
 _ANY_PORT = '127.0.0.1:0'
 
@@ -62,7 +62,7 @@
 
 def create_host(clock=None):
     """Return a host that is not started."""
-    key = credentials.create_key()
+    key = signing.create_key()
     own = credentials.Credentials(
         credentials.Peer('m1', 'h1', hosts.ROLE),
         key,
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -8,15 +8,13 @@
 from wagtailspread.placement import allocators, budgets, costs, messages
 from wagtailspread.placement import selection, services
 from wagtailspread.registry import records, tables
-from wagtailspread.wire import credentials, links, listeners
+from wagtailspread.wire import credentials, links, listeners, signing
 from wagtailspread.wire import messages as wire
 
 _REGIONS = {'north': 'r1', 'far': 'r2'}
 _MEMBER = identifiers.MemberId('m')
-_KEY = credentials.create_key()
-_DIRECTORY = credentials.FixedDirectory(
-    {_MEMBER: credentials.public_bytes(_KEY)}
-)
+_KEY = signing.create_key()
+_DIRECTORY = credentials.FixedDirectory({_MEMBER: signing.public_bytes(_KEY)})
 
 
 class LoopClock:
--- a/wagtailspread/membership/tests/test_drivers.py
+++ b/wagtailspread/membership/tests/test_drivers.py
@@ -7,9 +7,9 @@
 
 from wagtailspread.core import clocks
 from wagtailspread.membership import agents, drivers, simulations, tables
-from wagtailspread.wire import credentials, links, listeners, messages
+from wagtailspread.wire import credentials, links, listeners, messages, signing
 
-KEY = credentials.create_key()
+KEY = signing.create_key()
 
 
 class Host:
@@ -19,7 +19,7 @@
         row = simulations.create_row(number, 1)
         peer = credentials.Peer(row.member, row.host, 'entry')
         self.credentials = credentials.Credentials(peer, KEY)
-        keys = {row.member: credentials.public_bytes(KEY)}
+        keys = {row.member: signing.public_bytes(KEY)}
         self.directory = credentials.FixedDirectory(keys)
         self.pool = links.LinkPool(self.credentials, self.directory)
         self.listener = listeners.create_listener(
--- a/wagtailspread/placement/tests/test_holds.py
+++ b/wagtailspread/placement/tests/test_holds.py
@@ -62,7 +62,8 @@
         record_notice(region, upstream, messages.UpstreamNotice(False, 1.0))
     request = region.create_request()
     request_id = request.request_id
-    for region.now in (0.0, 0.6):
+    for now in (0.0, 0.6):
+        region.now = now
         answer = region.allocator.submit(request, region.now)
         assert answer.decision is messages.Decision.WAITING
         assert not region.allocator.tick(region.now)
--- a/wagtailspread/platform/processes.py
+++ b/wagtailspread/platform/processes.py
@@ -7,8 +7,6 @@
 
 import logbook
 
-from cryptography.hazmat.primitives.asymmetric import ed25519
-
 from wagtailspread.core import identifiers
 from wagtailspread.placement import budgets
 from wagtailspread.platform import settings, values
@@ -24,15 +22,14 @@
 _log = logbook.Logger('platform')
 
 
-def derive_key(boot: settings.BootSettings) -> ed25519.Ed25519PrivateKey:
-    """Return the key that all processes of a fleet derive from its layout.
+def derive_key(boot: settings.BootSettings) -> credentials.SharedSecret:
+    """Return the secret that all processes of a fleet derive from its layout.
 
-    The platform provides no secret to its processes. The key distinguishes
+    The platform provides no secret to its processes. It distinguishes
     fleets; it does not exclude a process that can read the same settings.
     """
     layout = json.dumps([boot.regions, boot.link_port], sort_keys=True)
-    seed = hashlib.sha256(layout.encode()).digest()
-    return ed25519.Ed25519PrivateKey.from_private_bytes(seed)
+    return credentials.SharedSecret(hashlib.sha256(layout.encode()).digest())
 
 
 def watch_signals() -> asyncio.Event:
@@ -72,8 +69,7 @@
     """Return the credentials of a process and the keys that it accepts."""
     key = derive_key(boot)
     peer = credentials.Peer(MEMBER, boot.host, role)
-    public_key = credentials.public_bytes(key)
-    directory = credentials.FixedDirectory({MEMBER: public_key})
+    directory = credentials.FixedDirectory({MEMBER: key})
     return credentials.Credentials(peer, key), directory
 
 
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -87,5 +87,6 @@
         domain=boot.domain,
         region=boot.regions.get(boot.domain, identifiers.RegionName('')),
         key=processes.derive_key(boot),
+        trusted_key=processes.derive_key(boot),
         tolerated_losses=boot.tolerated_losses,
     )
--- a/wagtailspread/processes/settings.py
+++ b/wagtailspread/processes/settings.py
@@ -18,7 +18,7 @@
 from wagtailspread.configuration import files, findings, readers, sections
 from wagtailspread.configuration import units
 from wagtailspread.core import identifiers
-from wagtailspread.wire import credentials
+from wagtailspread.wire import signing
 
 _Rule = sections.KeyRule
 _LOG_LEVELS = ('DEBUG', 'INFO', 'NOTICE', 'WARNING', 'ERROR')
@@ -143,7 +143,7 @@
         :raises TypeError: if the file contains a key of another kind.
         :raises ValueError: if the file contains no private key in PEM.
         """
-        return credentials.load_key(self.key_file.read_bytes())
+        return signing.load_key(self.key_file.read_bytes())
 
 
 SettingsResult = result.Result[ProcessSettings, findings.Findings]
--- a/wagtailspread/processes/tests/test_copies.py
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -10,11 +10,11 @@
 from wagtailspread.entry import subscriptions
 from wagtailspread.processes import copies, machines
 from wagtailspread.testing import fleets
-from wagtailspread.wire import credentials, messages
+from wagtailspread.wire import messages, signing
 
-KEY = credentials.create_key()
+KEY = signing.create_key()
 MEMBER = identifiers.MemberId(fleets.MEMBER)
-PUBLIC = credentials.public_bytes(KEY)
+PUBLIC = signing.public_bytes(KEY)
 
 
 def create_base(floor):
@@ -145,7 +145,7 @@
     machine = machines.create_machine()
     base = create_base(50)
     machine.configuration.start(base)
-    candidate = credentials.public_bytes(credentials.create_key())
+    candidate = signing.public_bytes(signing.create_key())
     key = base64.b64encode(candidate).decode()
     section = f'[member costa-norte]\npublic_key = {key}\n\n[region centro'
     submission = messages.structs.Submission(
--- a/wagtailspread/replica/directories.py
+++ b/wagtailspread/replica/directories.py
@@ -1,7 +1,10 @@
 """Lookup of the public keys of members at a replica."""
 
+import typing
+
 from wagtailspread.core import identifiers
 from wagtailspread.replica import machines
+from wagtailspread.wire import credentials
 
 
 class ReplicaDirectory:
@@ -14,7 +17,9 @@
     def __init__(
         self,
         member: identifiers.MemberId,
-        trusted: dict[identifiers.MemberId, bytes],
+        trusted: typing.Mapping[
+            identifiers.MemberId, credentials.VerificationKey
+        ],
         machine: machines.StateMachine,
     ) -> None:
         """Create the directory from both sources of keys."""
@@ -22,8 +27,10 @@
         self._trusted = trusted
         self._machine = machine
 
-    def find_key(self, member: identifiers.MemberId) -> bytes | None:
-        """Return the raw Ed25519 public key, or ``None`` if it is not known."""
+    def find_key(
+        self, member: identifiers.MemberId
+    ) -> credentials.VerificationKey | None:
+        """Return the key of a member, or ``None`` if it is not known."""
         configuration = self._machine.configuration
         if configuration.version > 0 and member != self._local_member:
             return configuration.find_key(member)
@@ -32,13 +39,13 @@
 
 def create_directory(
     member: identifiers.MemberId,
-    trusted: dict[identifiers.MemberId, bytes],
+    trusted: typing.Mapping[identifiers.MemberId, credentials.VerificationKey],
     machine: machines.StateMachine,
 ) -> ReplicaDirectory:
     """Return the directory of a replica.
 
     :param member: member that runs the replica; its key is always taken from
         ``trusted``.
-    :param trusted: raw public keys by member.
+    :param trusted: keys by member.
     """
     return ReplicaDirectory(member, trusted, machine)
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -8,7 +8,6 @@
 
 import logbook
 
-from cryptography.hazmat.primitives.asymmetric import ed25519
 from returns import result
 
 from wagtailspread.consensus import files, messages, replicas, states
@@ -55,7 +54,7 @@
         without it, a new fleet starts without a configuration.
     :param admits_unknown: whether replicas at addresses outside ``peers`` may
         join.
-    :param trusted_keys: raw public keys by member; used until the
+    :param trusted_keys: keys by member; used until the
         configuration is known, and always for ``member`` itself.
     """
 
@@ -66,8 +65,10 @@
     peers: tuple[identifiers.Address, ...]
     region: identifiers.RegionName
     domain: identifiers.FailureDomain
-    key: ed25519.Ed25519PrivateKey
-    trusted_keys: dict[identifiers.MemberId, bytes]
+    key: credentials.SigningKey
+    trusted_keys: typing.Mapping[
+        identifiers.MemberId, credentials.VerificationKey
+    ]
     founders: tuple[identifiers.Address, ...] = ()
     first_base: pathlib.Path | None = None
     policy: states.Policy = dataclasses.field(default_factory=states.Policy)
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -12,7 +12,6 @@
 
 import logbook
 
-from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from wagtailspread.configuration import documents as configurations
 from wagtailspread.consensus import journals, states
@@ -49,7 +48,8 @@
     is_first_start: bool
     domain: identifiers.FailureDomain
     region: identifiers.RegionName
-    key: ed25519.Ed25519PrivateKey
+    key: credentials.SigningKey
+    trusted_key: credentials.VerificationKey
     tolerated_losses: int
 
 
@@ -178,7 +178,6 @@
         settings = self._settings
         seeds = tuple(settings.find_seeds())
         is_founder = settings.is_first_start and settings.address in seeds
-        public_key = credentials.public_bytes(settings.key)
         return servers.ReplicaSettings(
             member=settings.member,
             host=settings.host,
@@ -188,7 +187,7 @@
             region=settings.region,
             domain=settings.domain,
             key=settings.key,
-            trusted_keys={settings.member: public_key},
+            trusted_keys={settings.member: settings.trusted_key},
             founders=seeds if is_founder else (),
             policy=states.Policy(
                 heartbeat_interval=HEARTBEAT_SECONDS,
--- a/wagtailspread/testing/fleets.py
+++ b/wagtailspread/testing/fleets.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from wagtailspread.wire import credentials
+from wagtailspread.wire import signing
 
 MEMBER = 'centro-andes'
 #: Default timeout for a condition or the end of a process, in seconds.
@@ -136,11 +136,11 @@
         self.replicas: list[Process] = []
         self.entries: list[Process] = []
         self.upstreams: list[Process] = []
-        key = credentials.create_key()
+        key = signing.create_key()
         self.key_file = folder / 'member.pem'
-        self.key_file.write_bytes(credentials.dump_key(key))
+        self.key_file.write_bytes(signing.dump_key(key))
         self.key_file.chmod(0o600)
-        public = base64.b64encode(credentials.public_bytes(key)).decode()
+        public = base64.b64encode(signing.public_bytes(key)).decode()
         self._public_key = public
         self.base_text = ''
         self.write_base(hosts=2)
--- a/wagtailspread/testing/replica_process.py
+++ b/wagtailspread/testing/replica_process.py
@@ -8,7 +8,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.replica import servers
 from wagtailspread.testing import machines, replicas
-from wagtailspread.wire import credentials
+from wagtailspread.wire import signing
 
 
 @click.command()
@@ -30,7 +30,7 @@
     addresses = tuple(
         identifiers.Address(one) for one in sorted(peers.split(','))
     )
-    private_key = credentials.load_key((shared / 'key.pem').read_bytes())
+    private_key = signing.load_key((shared / 'key.pem').read_bytes())
     settings = servers.ReplicaSettings(
         member=replicas.MEMBER,
         host=identifiers.HostId(folder.name),
@@ -40,7 +40,7 @@
         region=identifiers.RegionName('centro-andes'),
         domain=identifiers.FailureDomain('andes-bog'),
         key=private_key,
-        trusted_keys={replicas.MEMBER: credentials.public_bytes(private_key)},
+        trusted_keys={replicas.MEMBER: signing.public_bytes(private_key)},
         founders=addresses,
         first_base=shared / 'base.ini',
         policy=replicas.POLICY,
--- a/wagtailspread/testing/replica_processes.py
+++ b/wagtailspread/testing/replica_processes.py
@@ -14,7 +14,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.replica import clients
 from wagtailspread.testing import replicas
-from wagtailspread.wire import credentials, links
+from wagtailspread.wire import credentials, links, signing
 
 _MODULE = 'wagtailspread.testing.replica_process'
 _POLL_SECONDS = 0.05
@@ -31,8 +31,8 @@
             identifiers.Address,
             subprocess.Popen[bytes],
         ] = {}
-        key = credentials.create_key()
-        (folder / 'key.pem').write_bytes(credentials.dump_key(key))
+        key = signing.create_key()
+        (folder / 'key.pem').write_bytes(signing.dump_key(key))
         (folder / 'base.ini').write_text('[fleet]\n')
         peer = credentials.Peer(
             replicas.MEMBER,
@@ -40,7 +40,7 @@
             'entry',
         )
         directory = credentials.FixedDirectory(
-            {replicas.MEMBER: credentials.public_bytes(key)},
+            {replicas.MEMBER: signing.public_bytes(key)},
         )
         local_credentials = credentials.Credentials(peer, key)
         self._pool = links.LinkPool(local_credentials, directory)
--- a/wagtailspread/testing/replicas.py
+++ b/wagtailspread/testing/replicas.py
@@ -10,7 +10,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.replica import clients, servers
 from wagtailspread.testing import machines
-from wagtailspread.wire import credentials, links
+from wagtailspread.wire import credentials, links, signing
 
 MEMBER = identifiers.MemberId('andino')
 #: Short timeouts, so that tests of a lost leader take little time.
@@ -29,7 +29,7 @@
         """Choose addresses and write the first base file."""
         self.addresses = find_free_addresses(count)
         self.servers: dict[identifiers.Address, servers.ReplicaServer] = {}
-        self._key = credentials.create_key()
+        self._key = signing.create_key()
         self._folder = folder
         self._policy = policy
         self._running: dict[identifiers.Address, asyncio.Task[None]] = {}
@@ -52,7 +52,7 @@
             region=identifiers.RegionName('centro-andes'),
             domain=identifiers.FailureDomain('andes-bog'),
             key=self._key,
-            trusted_keys={MEMBER: credentials.public_bytes(self._key)},
+            trusted_keys={MEMBER: signing.public_bytes(self._key)},
             founders=self.addresses,
             first_base=self._folder / 'base.ini',
             policy=self._policy,
@@ -92,7 +92,7 @@
         peer = credentials.Peer(MEMBER, identifiers.HostId('client'), 'entry')
         local_credentials = credentials.Credentials(peer, self._key)
         directory = credentials.FixedDirectory(
-            {MEMBER: credentials.public_bytes(self._key)},
+            {MEMBER: signing.public_bytes(self._key)},
         )
         pool = links.LinkPool(local_credentials, directory)
         self._pools.append(pool)
--- a/wagtailspread/wire/credentials.py
+++ b/wagtailspread/wire/credentials.py
@@ -1,19 +1,29 @@
 """Proof of membership on connections between processes of the fleet.
 
 Each side sends a nonce, then signs both nonces, a direction label and its own
-identity with the Ed25519 key of its member. The nonces of both sides prevent
-the replay of a recorded proof, and the direction label prevents its
-reflection.
+identity with the key of its member. The nonces of both sides prevent the replay
+of a recorded proof, and the direction label prevents its reflection.
+
+Members have Ed25519 keys, see :mod:`wagtailspread.wire.signing`. The processes
+of a fleet that is one member may share a secret instead; they then do not load
+the library for keys.
+
+>>> secret = SharedSecret(b'layout')
+>>> verify_signature(secret, secret.sign(b'message'), b'message')
+True
+>>> verify_signature(secret, secret.sign(b'message'), b'another')
+False
+
+References: RFC 2104 on keyed hashes.
 """
 
 import dataclasses
+import hashlib
+import hmac
+import importlib
 import os
 import typing
 
-from cryptography import exceptions
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric import ed25519
-
 from wagtailspread.core import identifiers
 
 NONCE_BYTES = 32
@@ -28,11 +38,33 @@
     role: str
 
 
+class SigningKey(typing.Protocol):
+    """Private key of a member."""
+
+    def sign(self, data: bytes, /) -> bytes:
+        """Return the signature of a message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedSecret:
+    """Secret that all processes of a fleet hold; signs and verifies."""
+
+    secret: bytes
+
+    def sign(self, data: bytes, /) -> bytes:
+        """Return the keyed hash of a message."""
+        return hmac.digest(self.secret, data, hashlib.sha256)
+
+
+#: A raw Ed25519 public key, or a shared secret.
+VerificationKey = bytes | SharedSecret
+
+
 class MemberDirectory(typing.Protocol):
     """Public keys of the approved members in the active configuration."""
 
-    def find_key(self, member: identifiers.MemberId) -> bytes | None:
-        """Return the raw Ed25519 public key, or ``None`` if not approved."""
+    def find_key(self, member: identifiers.MemberId) -> VerificationKey | None:
+        """Return the key of a member, or ``None`` if not approved."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +72,7 @@
     """Identity of the local process and the private key that proves it."""
 
     peer: Peer
-    key: ed25519.Ed25519PrivateKey
+    key: SigningKey
 
     def sign(self, direction: str, nonces: bytes) -> bytes:
         """Return the proof of the local identity for one connection."""
@@ -50,15 +82,17 @@
 class FixedDirectory:
     """A directory with a fixed set of keys.
 
-    :param keys: raw public keys by member.
+    :param keys: keys by member.
     """
 
-    def __init__(self, keys: dict[identifiers.MemberId, bytes]) -> None:
+    def __init__(
+        self, keys: dict[identifiers.MemberId, VerificationKey]
+    ) -> None:
         """Store the keys."""
         self._keys = keys
 
-    def find_key(self, member: identifiers.MemberId) -> bytes | None:
-        """Return the raw Ed25519 public key, or ``None`` if not approved."""
+    def find_key(self, member: identifiers.MemberId) -> VerificationKey | None:
+        """Return the key of a member, or ``None`` if not approved."""
         return self._keys.get(member)
 
 
@@ -67,39 +101,6 @@
     return os.urandom(NONCE_BYTES)
 
 
-def create_key() -> ed25519.Ed25519PrivateKey:
-    """Return a new member key."""
-    return ed25519.Ed25519PrivateKey.generate()
-
-
-def load_key(pem: bytes) -> ed25519.Ed25519PrivateKey:
-    """Return the private key in the text of a PEM file.
-
-    :raises TypeError: if the key is encrypted or not an Ed25519 key.
-    :raises ValueError: if the text is not a private key in PEM format.
-    """
-    key = serialization.load_pem_private_key(pem, password=None)
-    if not isinstance(key, ed25519.Ed25519PrivateKey):
-        raise TypeError(
-            f'private key: expected Ed25519, got {type(key).__name__}',
-        )
-    return key
-
-
-def dump_key(key: ed25519.Ed25519PrivateKey) -> bytes:
-    """Return the private key as the text of an unencrypted PEM file."""
-    return key.private_bytes(
-        serialization.Encoding.PEM,
-        serialization.PrivateFormat.PKCS8,
-        serialization.NoEncryption(),
-    )
-
-
-def public_bytes(key: ed25519.Ed25519PrivateKey) -> bytes:
-    """Return the raw public key, 32 bytes."""
-    return key.public_key().public_bytes_raw()
-
-
 def verify_proof(
     directory: MemberDirectory,
     peer: Peer,
@@ -116,25 +117,20 @@
 
 
 def verify_signature(
-    public_key: bytes | None,
+    key: VerificationKey | None,
     signature: bytes,
     message: bytes,
 ) -> bool:
     """Tell whether the signature of a message was created with this key.
 
-    :param public_key: raw Ed25519 public key; without one, no signature is
-        valid.
+    :param key: without one, no signature is valid.
     """
-    if public_key is None:
-        return False
-    try:
-        ed25519.Ed25519PublicKey.from_public_bytes(public_key).verify(
-            signature,
-            message,
-        )
-    except (exceptions.InvalidSignature, ValueError):
+    if key is None:
         return False
-    return True
+    if isinstance(key, SharedSecret):
+        return hmac.compare_digest(key.sign(message), signature)
+    signing = importlib.import_module('wagtailspread.wire.signing')
+    return bool(signing.verify_signature(key, signature, message))
 
 
 def _create_message(direction: str, nonces: bytes, peer: Peer) -> bytes:
--- a/wagtailspread/wire/tests/test_links.py
+++ b/wagtailspread/wire/tests/test_links.py
@@ -13,10 +13,11 @@
     links,
     listeners,
     messages,
+    signing,
 )
 
 ANY_PORT = identifiers.Address('127.0.0.1:0')
-KEY = credentials.create_key()
+KEY = signing.create_key()
 MEMBER = identifiers.MemberId('andino')
 
 
@@ -26,7 +27,7 @@
 
 
 def create_directory():
-    return credentials.FixedDirectory({MEMBER: credentials.public_bytes(KEY)})
+    return credentials.FixedDirectory({MEMBER: signing.public_bytes(KEY)})
 
 
 async def start_listener(handler):
@@ -89,7 +90,7 @@
         raise AssertionError('an unapproved peer reached a handler')
 
     listener, address = await start_listener(answer)
-    unapproved = create_credentials(credentials.create_key())
+    unapproved = create_credentials(signing.create_key())
     link = links.create_link(address, unapproved, create_directory())
     outcome = await call(link)
     assert isinstance(
@@ -201,7 +202,7 @@
     """
     silent_server = socket.create_server(('127.0.0.1', 0))
     address = '127.0.0.1:{}'.format(silent_server.getsockname()[1])
-    key = credentials.create_key()
+    key = signing.create_key()
     local_credentials = credentials.Credentials(
         credentials.Peer('m', 'h', 'host'), key
     )
