Send nothing by a route that is known to have been replaced

Change: a version that is known to be replaced is obsolete 2 s after the last answer that confirmed it (registry.lags). From then on a request that is not sent yet is refused with 503 and `not-current`; it can run at another host. A host that reaches no replica goes on as before, since its version may be the newest.

Ruled out: choosing the route again before the send, since the host does not hold the newer routes then.

Shown: two cases in registry/tests/test_lags and test_a_request_by_an_obsolete_route_is_refused_unsent.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import typing
 
 import logbook
 
@@ -31,6 +32,8 @@
     NO_ROOM = 'no-room'
     #: The deadline of the request has passed or is too close for an attempt.
     NO_TIME = 'no-time'
+    #: A newer configuration is in force, which the host does not hold yet.
+    NOT_CURRENT = 'not-current'
     #: The host stops before the request is answered.
     STOPPING = 'stopping'
     #: The request may have run, and its response was lost.
@@ -131,8 +134,14 @@
         placer: placements.Placer,
         exchanger: exchanges.Exchanger,
         stop_limit: stops.StopLimit | None = None,
+        is_obsolete: typing.Callable[[], bool] | None = None,
     ) -> None:
-        """Create a runner on these collaborators."""
+        """Create a runner on these collaborators.
+
+        :param stop_limit: ends open requests when the host stops.
+        :param is_obsolete: tells whether the routes must not be used any more.
+        """
+        self._is_obsolete = is_obsolete
         self._stop_limit = stop_limit or stops.StopLimit()
         self._host = host
         self._domain = domain
@@ -160,6 +169,10 @@
             if placed.answer.record is None:
                 refusal = _REFUSALS[placed.answer.decision]
                 return state.create_result(refusal, placed.answer.retry_after)
+            if self._is_obsolete is not None and self._is_obsolete():
+                # The route was chosen when the request arrived.
+                self._withdraw(placement_request, placed)
+                return state.create_result(Refusal.NOT_CURRENT)
             outcome = await self._send(placement_request, placed, state)
             if isinstance(outcome, exchanges.UpstreamResponse):
                 state.response = outcome
@@ -185,6 +198,16 @@
             and state.send_attempts.sends + 1 < routed.route.max_attempts,
         )
 
+    def _withdraw(
+        self,
+        placement_request: messages.PlacementRequest,
+        placed: placements.Placement,
+    ) -> None:
+        """Release the slot of a request that is not sent."""
+        self._placer.settle(
+            placement_request.request_id, placed, messages.Evidence.NONE, 0.0
+        )
+
     async def _send(
         self,
         placement_request: messages.PlacementRequest,
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -116,6 +116,7 @@
             self._placer,
             self._exchanger,
             self._stop_limit,
+            lambda: self.follower.lag.is_obsolete(clock.now()),
         )
         self.server = servers.create_server(
             runner,
--- a/wagtailspread/gateway/tests/test_stops.py
+++ b/wagtailspread/gateway/tests/test_stops.py
@@ -78,3 +78,21 @@
     answer = await sending
     assert answer.startswith(b'HTTP/1.1 503')
     assert b'Retry-After' in answer
+
+
+async def test_a_request_by_an_obsolete_route_is_refused_unsent(monkeypatch):
+    """Guards against a service that a newer version took off its route."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UNSAFE)
+    async with raw_upstreams.RawUpstream(raw_upstreams.reply()) as upstream:
+        record = test_exchanges.create_record(upstream.address)
+        host.selector.registry.merge(record, 0.0)
+        head = (
+            b'POST /a HTTP/1.1\nHost: a.example\nAttempt-Id: a1\n'
+            b'Content-Length: 0\nConnection: close\n\n'
+        )
+        assert (await send(address, head)).startswith(b'HTTP/1.1 200')
+        # A replica reports a newer version after seconds without an answer.
+        host.follower.lag.record_answer(9, 0.0)
+        assert (await send(address, head)).startswith(b'HTTP/1.1 503')
+        assert len(upstream.requests) == 1
+    await host.stop()
--- a/wagtailspread/registry/lags.py
+++ b/wagtailspread/registry/lags.py
@@ -20,6 +20,9 @@
 #: transmission and 0.5 s at the replica, the total is 2 s, the maximum that
 #: the platform allows.
 MAX_CONFIRMATION_AGE_SECONDS = 1.1
+#: Time after which a version that is known to be replaced must not be applied
+#: any more, in seconds: the maximum that the platform allows.
+MAX_OBSOLETE_SECONDS = 2.0
 
 
 class VersionLag:
@@ -38,6 +41,7 @@
         self._behind_since: float | None = None
         self._answered_at: float | None = None
         self._confirmed_at: float | None = None
+        self._current_at: float | None = None
 
     @property
     def is_behind(self) -> bool:
@@ -54,6 +58,19 @@
             return False
         return now - self._confirmed_at <= MAX_CONFIRMATION_AGE_SECONDS
 
+    def is_obsolete(self, now: float) -> bool:
+        """Tell whether the active version must not be applied any more.
+
+        A host that has lost all replicas applies its version, since it may be
+        the newest. Once it hears of a newer one, that may have been in force
+        since the last answer that confirmed the active version.
+        """
+        if not self.is_behind:
+            return False
+        if self._current_at is None:
+            return True
+        return now - self._current_at > MAX_OBSOLETE_SECONDS
+
     def record_answer(
         self, version: int, now: float, *, is_up_to_date: bool = True
     ) -> bool:
@@ -71,6 +88,8 @@
         self._answered_at = now
         if is_up_to_date:
             self._confirmed_at = now
+            if not self.is_behind:
+                self._current_at = now
         if self.is_behind and self._behind_since is None:
             self._behind_since = now
         return is_new and self.is_behind
@@ -78,6 +97,8 @@
     def record_active_version(self, version: int) -> None:
         """Record the version that is active from now on."""
         self.active_version = version
+        if not self.is_behind and self._answered_at is not None:
+            self._current_at = self._answered_at
         if not self.is_behind:
             self._behind_since = None
 
--- a/wagtailspread/registry/tests/test_lags.py
+++ b/wagtailspread/registry/tests/test_lags.py
@@ -49,3 +49,29 @@
     assert lag.is_current(4.0)
     lag.record_answer(version=5, now=4.0)
     assert not lag.is_current(4.0)
+
+
+def test_a_version_is_obsolete_once_a_newer_one_is_heard_of_too_late():
+    """Guards against requests by routes that were replaced seconds ago."""
+    lag = lags.create_lag()
+    lag.record_answer(20, 0.0)
+    lag.record_active_version(20)
+    lag.record_answer(20, 0.6)
+    # No replica answers for six seconds: the version may be the newest.
+    assert not lag.is_obsolete(6.0)
+    lag.record_answer(84, 6.7)
+    assert lag.is_obsolete(6.7)
+    lag.record_active_version(84)
+    assert not lag.is_obsolete(6.8)
+
+
+def test_a_version_is_used_while_the_next_one_is_on_its_way():
+    """Guards against refusals at each change of the configuration."""
+    lag = lags.create_lag()
+    lag.record_answer(1, 0.0)
+    lag.record_active_version(1)
+    for now in (0.7, 1.4):
+        lag.record_answer(1, now)
+    lag.record_answer(2, 2.0)
+    assert not lag.is_obsolete(3.0)
+    assert lag.is_obsolete(1.5 + lags.MAX_OBSOLETE_SECONDS)
