--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -166,13 +166,9 @@
                 return state.create_result(Refusal.NO_ROOM)
             placement_request = self._create_placement_request(state)
             placed = await self._placer.place(placement_request)
-            if placed.answer.record is None:
-                refusal = _REFUSALS[placed.answer.decision]
+            refusal = self._find_refusal(placement_request, placed)
+            if refusal is not None:
                 return state.create_result(refusal, placed.answer.retry_after)
-            if self._is_obsolete is not None and self._is_obsolete():
-                # The route was chosen when the request arrived.
-                self._withdraw(placement_request, placed)
-                return state.create_result(Refusal.NOT_CURRENT)
             outcome = await self._send(placement_request, placed, state)
             if isinstance(outcome, exchanges.UpstreamResponse):
                 state.response = outcome
@@ -198,15 +194,21 @@
             and state.send_attempts.sends + 1 < routed.route.max_attempts,
         )
 
-    def _withdraw(
+    def _find_refusal(
         self,
         placement_request: messages.PlacementRequest,
         placed: placements.Placement,
-    ) -> None:
-        """Release the slot of a request that is not sent."""
+    ) -> Refusal | None:
+        """Return why a request is not sent, ``None`` if it is."""
+        if placed.answer.record is None:
+            return _REFUSALS[placed.answer.decision]
+        if self._is_obsolete is None or not self._is_obsolete():
+            return None
+        # The route was chosen when the request arrived. The slot is released.
         self._placer.settle(
             placement_request.request_id, placed, messages.Evidence.NONE, 0.0
         )
+        return Refusal.NOT_CURRENT
 
     async def _send(
         self,
