Close connections whose task starts after their listener was closed

Cause of the listed test_killed_host_is_dead_and_a_departed_one_left: not the announcement of departure, which arrived in each of the failed runs traced. A connection that was accepted just before Listener.close had its task started just after it, was not in the set of connections to cancel, and went on to serve: the "killed" host answered probes and stayed alive in the others' view. A host or replica that stops could answer its peers in the same way until its process ended.

Change: a connection whose task starts after the close is aborted.

--- a/wagtailspread/wire/listeners.py
+++ b/wagtailspread/wire/listeners.py
@@ -86,6 +86,7 @@
         self._directory = directory
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._is_closed = False
 
     def add(
         self,
@@ -108,6 +109,7 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -122,6 +124,10 @@
         connection = asyncio.current_task()
         if connection is None:
             return
+        if self._is_closed:
+            # The connection was accepted before, and its task starts only now.
+            writer.transport.abort()
+            return
         self._connections.add(connection)
         try:
             await self._serve(reader, writer)
--- a/wagtailspread/wire/tests/test_odd_calls.py
+++ b/wagtailspread/wire/tests/test_odd_calls.py
@@ -110,6 +110,29 @@
     assert time.monotonic() - started < 1.0
 
 
+async def test_no_connection_outlives_its_listener():
+    """Guards against a process that stopped and still answers its peers."""
+    listener, _ = await calls.start_listener(answer_call)
+    accepted = asyncio.Queue()
+    server = await asyncio.start_server(
+        lambda *streams: accepted.put_nowait(streams), '127.0.0.1', 0
+    )
+    address = server.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    streams = await accepted.get()
+    await listener.close()
+    # The task of a connection may start after its listener was closed.
+    async with asyncio.timeout(1):
+        await listener._accept(*streams)
+        try:
+            received = await reader.read()
+        except ConnectionError:
+            received = b''
+        assert received == b''
+    writer.close()
+    server.close()
+
+
 class _Writer:
     """Discards what is written."""
 
