Reserve the ports of tests until they are used

Cause (suspect of the listed refused connection to 127.0.0.1:39683): tests and the demo took a port that was free, closed it and started a process on it later. Meanwhile another run, or any outgoing connection, whose range includes 39683, could take it. Not proven to be the cause; the entry stays listed.

Change: testing.ports gives ports below the range of outgoing connections and holds a locked file for each, which all test runs of a user respect.

--- a/wagtailspread/testing/fleets.py
+++ b/wagtailspread/testing/fleets.py
@@ -6,12 +6,10 @@
 
 import asyncio
 import base64
-import contextlib
 import dataclasses
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +17,7 @@
 
 import aiohttp
 
+from wagtailspread.testing import ports
 from wagtailspread.wire import signing
 
 MEMBER = 'centro-andes'
@@ -170,7 +169,9 @@
 
     def start_replicas(self, count: int = 3) -> None:
         """Start the replicas of the first membership."""
-        self._replica_addresses = [find_free_address() for _ in range(count)]
+        self._replica_addresses = [
+            ports.reserve_address() for _ in range(count)
+        ]
         for number in range(count):
             self.replicas.append(self.start_replica(number))
 
@@ -194,14 +195,16 @@
 
         :param drain: time to drain on shutdown, as in the settings.
         """
-        self._control_addresses = [find_free_address() for _ in range(count)]
+        self._control_addresses = [
+            ports.reserve_address() for _ in range(count)
+        ]
         for number in range(count):
             self.entries.append(self.start_entry(number, drain))
 
     def start_entry(self, number: int, drain: str = '500ms') -> Process:
         """Start or restart one entry host with a new caller address."""
         region, domain = _LOCATIONS[number % len(_LOCATIONS)]
-        address = find_free_address()
+        address = ports.reserve_address()
         text = self._describe_process(f'h{number}', region, domain)
         section = (
             f'\n[entry]\ncaller_address = {address}\n'
@@ -220,7 +223,7 @@
         :param number: determines the region and the failure domain.
         """
         region, domain = _LOCATIONS[number % len(_LOCATIONS)]
-        address = find_free_address()
+        address = ports.reserve_address()
         arguments = [
             'fake-upstream',
             f'--identity={service}/{name}/{region}/{domain}',
@@ -281,13 +284,6 @@
         return Process(name, address, popen)
 
 
-def find_free_address() -> str:
-    """Return a loopback address with a currently unused port."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 async def wait_until(
     is_reached: typing.Callable[[], typing.Awaitable[bool]],
     seconds: float = MAX_WAIT_SECONDS,
--- a/wagtailspread/testing/replica_processes.py
+++ b/wagtailspread/testing/replica_processes.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.replica import clients
-from wagtailspread.testing import replicas
+from wagtailspread.testing import ports, replicas
 from wagtailspread.wire import credentials, links, signing
 
 _MODULE = 'wagtailspread.testing.replica_process'
@@ -25,7 +25,7 @@
 
     def __init__(self, folder: pathlib.Path, count: int = 3) -> None:
         """Choose addresses and write the key and the first base file."""
-        self.addresses = replicas.find_free_addresses(count)
+        self.addresses = ports.reserve_addresses(count)
         self._folder = folder
         self._processes: dict[
             identifiers.Address,
--- a/wagtailspread/testing/replicas.py
+++ b/wagtailspread/testing/replicas.py
@@ -1,15 +1,13 @@
 """Replicas in the current process on loopback, for tests and benchmarks."""
 
 import asyncio
-import contextlib
 import pathlib
-import socket
 import typing
 
 from wagtailspread.consensus import states
 from wagtailspread.core import identifiers
 from wagtailspread.replica import clients, servers
-from wagtailspread.testing import machines
+from wagtailspread.testing import machines, ports
 from wagtailspread.wire import credentials, links, signing
 
 MEMBER = identifiers.MemberId('andino')
@@ -27,7 +25,7 @@
         policy: states.Policy = POLICY,
     ) -> None:
         """Choose addresses and write the first base file."""
-        self.addresses = find_free_addresses(count)
+        self.addresses = ports.reserve_addresses(count)
         self.servers: dict[identifiers.Address, servers.ReplicaServer] = {}
         self._key = signing.create_key()
         self._folder = folder
@@ -127,14 +125,3 @@
 ) -> LoopbackReplicas:
     """Create replicas without starting them."""
     return LoopbackReplicas(folder, count, policy)
-
-
-def find_free_addresses(count: int) -> tuple[identifiers.Address, ...]:
-    """Return distinct loopback addresses with currently unused ports."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(count)
-        ]
-        ports = sorted(one.getsockname()[1] for one in sockets)
-    return tuple(identifiers.Address(f'127.0.0.1:{port}') for port in ports)
