--- a/wagtailspread/platform/settings.py
+++ b/wagtailspread/platform/settings.py
@@ -163,7 +163,7 @@
     return {
         name: address
         for name, address in _read_optional_object(fields, 'listen').items()
-        if isinstance(address, str) and addresses.is_connectable(address)
+        if isinstance(address, str) and addresses.is_address(address)
     }
 
 
