Look for holds only where there are some

Change: without holds nothing is looked up, and a queued request is examined only when it comes first and gets no upstream.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -189,10 +189,10 @@
         :param is_blocked: whether an earlier request of the service is queued.
         """
         request = waiting.request
-        waiting.is_held = self._is_held(request, now)
         answer = None
         if not is_blocked:
             answer = self._try_grant(request, waiting.queued_at, now)
+            waiting.is_held = answer is None and self._is_held(request, now)
         is_too_late = request.deadline - now < self._find_typical_seconds(
             request, now
         )
@@ -259,6 +259,8 @@
 
     def _is_held(self, request: messages.PlacementRequest, now: float) -> bool:
         """Tell whether all upstreams hold back the host of a request."""
+        if not len(self.selector.holds):
+            return False
         end = self.selector.find_hold_end(request, now)
         return end is not None and end > now
 
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -91,11 +91,19 @@
         Excluded upstreams and those that hold back the host are left out.
         """
         location = costs.Location(request.domain, self._regions)
-        return [
-            self._rate_upstream(row, request, location, now)
+        rows = [
+            row
             for row in self.registry.list_ready(request.service)
             if row.record.upstream not in request.excluded
-            and self._find_hold_end(request.host, row, now) <= now
+        ]
+        if len(self.holds):
+            rows = [
+                row
+                for row in rows
+                if self._find_hold_end(request.host, row, now) <= now
+            ]
+        return [
+            self._rate_upstream(row, request, location, now) for row in rows
         ]
 
     def find_hold_end(
