Report open leases before asking a new owner, and guard cancellations

Cause (faults found by reading): an entry host that turned to a new owner sent its next ACQUIRE before the ADOPT calls of its open leases, so the owner could grant a slot that was in use. Any authenticated host could cancel a request of another one and so free its slot.

Change: the first request at a new owner waits until the leases are reported, at most until its deadline. A cancellation is obeyed only from the host that submitted the request; another one is logged.

Shown: test_a_new_owner_learns_open_leases_before_the_next_request and test_a_host_cannot_cancel_the_request_of_another failed before.

--- a/wagtailspread/entry/allocations.py
+++ b/wagtailspread/entry/allocations.py
@@ -50,6 +50,7 @@
     :param used_at: time of the last request, in seconds.
     :param ejected: upstreams ejected by the owner, as last reported.
     :param ejected_by: the owner that reported them.
+    :param handover: calls that report open leases to a new owner.
     """
 
     service: identifiers.ServiceName
@@ -63,6 +64,9 @@
         default_factory=list,
     )
     ejected_by: identifiers.HostId | None = None
+    handover: list[asyncio.Task[typing.Any]] = dataclasses.field(
+        default_factory=list,
+    )
 
     def list_unreported_ejections(
         self,
@@ -238,9 +242,14 @@
             for claim in claims:
                 allocator.adopt(claim)
             return
-        for claim in claims:
-            struct = conversions.write_adoption(state.service, claim, now)
-            self._send(owner, messages.methods.ADOPT, struct)
+        state.handover = [
+            self._send(
+                owner,
+                messages.methods.ADOPT,
+                conversions.write_adoption(state.service, open_lease, now),
+            )
+            for open_lease in claims
+        ]
 
     async def _acquire_locally(
         self,
@@ -257,6 +266,7 @@
         calls: liveness.OwnerCalls,
         request: slots.SlotRequest,
     ) -> owners.Decision:
+        await _finish_handover(state, request.deadline - self._clock.now())
         now = self._clock.now()
         stamp = state.vote.cast(owner.host, now)
         struct = conversions.write_request(state.service, request, now, stamp)
@@ -365,12 +375,27 @@
         owner: interfaces.OwnerEndpoint,
         method: int,
         struct: messages.Struct,
-    ) -> None:
+    ) -> asyncio.Task[typing.Any]:
         calls = self.find_calls(owner)
         work = calls.send(method, struct, _CALL_SECONDS)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+
+async def _finish_handover(state: ServiceState, seconds: float) -> None:
+    """Wait until a new owner knows the open leases of this host.
+
+    It could otherwise grant a slot that is in use.
+
+    :param seconds: longest wait.
+    """
+    if state.handover:
+        _, pending = await asyncio.wait(
+            state.handover, timeout=max(seconds, 0.0)
+        )
+        state.handover = list(pending)
 
 
 def create_client(
--- a/wagtailspread/entry/handlers.py
+++ b/wagtailspread/entry/handlers.py
@@ -84,13 +84,14 @@
 
     async def cancel(
         self,
-        _call: listeners.Call,
+        call: listeners.Call,
         struct: messages.Struct,
     ) -> listeners.HandlerResult:
         """Remove a request for which the calling host no longer waits."""
         service = identifiers.ServiceName(struct.service_name)
         self._owner_table.find(service).cancel(
-            identifiers.RequestId(struct.request)
+            identifiers.RequestId(struct.request),
+            call.peer.host,
         )
         return result.Success(messages.structs.Empty())
 
--- a/wagtailspread/entry/owners.py
+++ b/wagtailspread/entry/owners.py
@@ -10,6 +10,8 @@
 import asyncio
 import typing
 
+import logbook
+
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers, outcomes
@@ -24,6 +26,8 @@
 #: seconds.
 PURGE_SECONDS = 1.0
 
+_log = logbook.Logger('owners')
+
 Decision = result.Result[slots.Grant, failures.Refusal]
 
 
@@ -50,6 +54,8 @@
             asyncio.Future[Decision],
         ] = {}
         self._lease_ids: dict[identifiers.RequestId, identifiers.LeaseId] = {}
+        #: Hosts of the requests that wait or hold a lease.
+        self._hosts: dict[identifiers.RequestId, identifiers.HostId] = {}
         self._grants: dict[identifiers.LeaseId, typing.Any] = {}
         self._purged_at = clock.now()
         self.rows = rows.RowTable()
@@ -76,6 +82,7 @@
         decided in the meantime is released as unused.
         """
         self._submitted = request.request
+        self._hosts[request.request] = request.host
         self._immediate_decision = None
         self.coordinator.submit(request, self._clock.now())
         self.tick()
@@ -93,11 +100,25 @@
             self._withdraw(request.request, answer)
             raise
 
-    def cancel(self, request: identifiers.RequestId) -> None:
+    def cancel(
+        self,
+        request: identifiers.RequestId,
+        host: identifiers.HostId,
+    ) -> None:
         """Cancel a request for which its host no longer waits.
 
         A grant that the host cannot have received is released as unused.
+
+        :param host: that cancels; the request of another host is left alone.
         """
+        submitted_by = self._hosts.get(request)
+        if submitted_by is not None and submitted_by != host:
+            _log.warning(
+                'foreign request not cancelled',
+                extra={'request': request, 'peer': host},
+            )
+            return
+        self._hosts.pop(request, None)
         lease = self._lease_ids.get(request)
         if lease is not None:
             self._release_unused(lease, self._clock.now())
@@ -182,6 +203,7 @@
             return
         answer = self._waiting.pop(decision.request, None)
         if isinstance(decision, failures.Refusal):
+            self._hosts.pop(decision.request, None)
             if answer is not None and not answer.done():
                 answer.set_result(result.Failure(decision))
             return
@@ -192,6 +214,7 @@
 
     def _record_decision(self, decision: typing.Any) -> Decision:
         if isinstance(decision, failures.Refusal):
+            self._hosts.pop(decision.request, None)
             return result.Failure(decision)
         self._lease_ids[decision.request] = decision.lease
         self._grants[decision.lease] = decision
@@ -203,6 +226,7 @@
         answer: asyncio.Future[Decision],
     ) -> None:
         if self._waiting.pop(request, None) is not None:
+            self._hosts.pop(request, None)
             self.coordinator.cancel(request, self._clock.now())
         elif answer.done() and not answer.cancelled():
             decision = answer.result()
@@ -221,6 +245,7 @@
         grant = self._grants.pop(lease, None)
         if grant is not None:
             self._lease_ids.pop(grant.request, None)
+            self._hosts.pop(grant.request, None)
 
     def _purge(self, now: float) -> None:
         """Remove expired leases, whose hosts have failed."""
--- a/wagtailspread/entry/tests/test_failover.py
+++ b/wagtailspread/entry/tests/test_failover.py
@@ -111,6 +111,28 @@
         assert not hosts[0].coordinator.leases
 
 
+async def test_a_new_owner_learns_open_leases_before_the_next_request():
+    """Guards against a slot that is granted while it is in use."""
+    async with fleets.start_fleet(3) as (hosts, ups):
+        await prepare(hosts, ups)
+        ups[0].mode.service_seconds = 0.4
+        running = asyncio.create_task(test_exchanges.fetch(hosts[1]))
+        await asyncio.sleep(0.1)
+        coordinator = hosts[2].coordinator
+        events = []
+        adopt, submit = coordinator.adopt, coordinator.submit
+        coordinator.adopt = lambda *args: (events.append('adopt'), adopt(*args))
+        coordinator.submit = lambda *args: (
+            events.append('submit'),
+            submit(*args),
+        )
+        hosts[1].ownership.endpoints.reverse()
+        await asyncio.sleep(0.1)
+        await test_exchanges.fetch(hosts[1])
+        await running
+        assert events[:2] == ['adopt', 'submit']
+
+
 async def test_new_owner_starts_with_its_copy_of_the_rows():
     """Guards against an allocator that refuses requests until rows arrive."""
     async with fleets.start_fleet(2) as (hosts, ups):
--- a/wagtailspread/entry/tests/test_owners.py
+++ b/wagtailspread/entry/tests/test_owners.py
@@ -80,3 +80,23 @@
     decision = await allocator.acquire(create_request('c', clock))
     assert isinstance(decision, result.Success)
     allocator.close()
+
+
+async def test_a_host_cannot_cancel_the_request_of_another():
+    """Guards against a host that frees slots which others use."""
+    allocator, clock = create_allocator()
+    await allocator.acquire(create_request('a', clock))
+    waiting = asyncio.create_task(
+        allocator.acquire(create_request('b', clock)),
+    )
+    await asyncio.sleep(0)
+    for request in ('a', 'b'):
+        allocator.cancel(request, 'h2')
+    assert allocator.open_leases == 1
+    assert allocator.waiting == 1
+    for request in ('a', 'b'):
+        allocator.cancel(request, 'h1')
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert allocator.open_leases == 0
+    assert not allocator._hosts
+    allocator.close()
