Refuse cut chunks and puts that stored nothing; divide slots anew

Cause (faults found by reading): a chunk shorter than its length prefix was accepted, and noticed only by the digest of the whole document. A put whose command raised an exception in the state machine was confirmed with nothing stored. A change of the policy kept the number of hosts that divide the slots at the time of the start.

Change: each of the three is refused or applied. `Judge._has_overdue` stays as it is, since it tells whether the caller reports overdue requests at all, which does not change while a judge lives; so it is harmless. An older or equal version is confirmed by a put on purpose: the platform asks for it.

Shown: one case each in test_chunks, test_document_sizes and test_coordination failed before. On the platform only malformed input takes these ways.

--- a/wagtailspread/allocation/coordination.py
+++ b/wagtailspread/allocation/coordination.py
@@ -110,6 +110,7 @@
         """
         self.policy = policy
         self.table.change_warm_up(policy.warm_up)
+        self.table.change_slot_divisor(policy.slot_divisor)
         self.shares.change_shares(policy.shares)
         self._admission.change_policy(policy)
         self._crashes.change_quarantine(policy.quarantine)
--- a/wagtailspread/allocation/tables.py
+++ b/wagtailspread/allocation/tables.py
@@ -118,6 +118,10 @@
         """Change the warm-up time; a warm-up in progress also uses it."""
         self._warm_up = warm_up
 
+    def change_slot_divisor(self, slot_divisor: int) -> None:
+        """Change the number of hosts; rows use it from their next update."""
+        self._slot_divisor = slot_divisor
+
     def announce(
         self,
         announcement: messages.Announcement,
--- a/wagtailspread/allocation/tests/test_coordination.py
+++ b/wagtailspread/allocation/tests/test_coordination.py
@@ -143,3 +143,14 @@
     assert not coordinator.tick(0.0)
     assert not coordinator.leases.leases
     assert not len(coordinator.queues)
+
+
+def test_a_changed_number_of_hosts_divides_the_slots_anew():
+    """Guards against slots that are divided by the hosts of the start."""
+    coordinator = builders.make_coordinator()
+    builders.announce_all(coordinator, 1)
+    policy = dataclasses.replace(coordinator.policy, slot_divisor=3)
+    coordinator.change_policy(policy)
+    coordinator.announce(builders.make_announcement(), 0.1)
+    decisions = builders.submit_all(coordinator, 6, now=0.2)
+    assert len(decisions) == 2
--- a/wagtailspread/configuration/chunks.py
+++ b/wagtailspread/configuration/chunks.py
@@ -210,6 +210,11 @@
             )
         (size,) = _LENGTH.unpack_from(framed, start)
         start += _LENGTH.size
+        if len(framed) - start < size:
+            raise DamagedChunks(
+                f'packed chunks truncated: expected a chunk of {size} bytes, '
+                f'got {len(framed) - start}',
+            )
         chunks.append(framed[start : start + size])
         start += size
     return chunks
--- a/wagtailspread/configuration/tests/test_chunks.py
+++ b/wagtailspread/configuration/tests/test_chunks.py
@@ -1,6 +1,7 @@
 """Tests of content-defined chunking of documents."""
 
 import random
+import zlib
 
 import hypothesis
 import pytest
@@ -79,8 +80,9 @@
         b'no zlib',
         chunks.pack([b'a' * 100])[:-4],
         chunks.pack([b'a' * 2000]),
+        zlib.compress(chunks._LENGTH.pack(9) + b'short'),
     ],
-    ids=['empty', 'other', 'cut', 'large'],
+    ids=['empty', 'other', 'cut', 'large', 'short'],
 )
 def test_invalid_packed_chunks_are_refused(packed):
     """Guards against a peer that exhausts memory or sends invalid bytes."""
--- a/wagtailspread/replica/documents.py
+++ b/wagtailspread/replica/documents.py
@@ -38,6 +38,10 @@
     """A quorum stores too few copies to survive the tolerated losses."""
 
 
+class DocumentNotStored(failures.Failure):
+    """The put raised an exception in the state machine of each replica."""
+
+
 Outcome = result.Result[messages.Struct, failures.Failure]
 
 
@@ -218,9 +222,13 @@
         outcome = await self._driver.run_command(command)
         if not isinstance(outcome, result.Success):
             return outcome
+        payload = outcome.unwrap()
+        if not payload:
+            # The command raised an exception, so nothing was stored.
+            return result.Failure(DocumentNotStored())
         answer = messages.decode_trusted(
             messages.structs.DocumentAnswer,
-            outcome.unwrap(),
+            payload,
         )
         return result.Success(answer)
 
--- a/wagtailspread/replica/tests/test_document_sizes.py
+++ b/wagtailspread/replica/tests/test_document_sizes.py
@@ -88,3 +88,15 @@
     restored = process_machines.create_machine()
     restored.restore(snapshot)
     assert restored.document.body == _BODY
+
+
+async def test_a_put_that_stores_nothing_is_not_confirmed():
+    """Guards against a confirmation of a document that no replica has."""
+    driver = _Driver()
+    service = create_service(driver)
+    malformed = messages.structs.DocumentState(
+        version=3, body=b'', packed=b'no zlib'
+    )
+    outcome = await service._put_locally(malformed)
+    assert isinstance(outcome, result.Failure)
+    assert driver.machine.document.version == configurations.NO_VERSION
