Keep loaded rows of ended hosts whatever the clock shows

Change: the retention of a loaded row starts at the first cleaning.

Shown: test_loaded_rows_of_ended_hosts_are_kept_on_any_clock failed before.

--- a/wagtailspread/membership/agents.py
+++ b/wagtailspread/membership/agents.py
@@ -108,7 +108,7 @@
     def load_rows(self, rows: typing.Iterable[tables.HostRow]) -> None:
         """Load rows from an earlier run without sending them to peers."""
         for row in rows:
-            self._view.table.apply(row, 0.0)
+            self._view.table.apply(row, None)
 
     def remove_member(self, member: identifiers.MemberId) -> None:
         """Remove the hosts of a member that is no longer approved.
--- a/wagtailspread/membership/tables.py
+++ b/wagtailspread/membership/tables.py
@@ -75,7 +75,9 @@
     def __init__(self) -> None:
         """Start without rows."""
         self._rows: dict[identifiers.HostId, HostRow] = {}
-        self._ended_at: dict[identifiers.HostId, float] = {}
+        #: Time at which a row was applied; ``None`` until the first cleaning
+        #: if it was loaded, since times of an earlier run mean nothing.
+        self._ended_at: dict[identifiers.HostId, float | None] = {}
 
     def __iter__(self) -> typing.Iterator[HostRow]:
         """Iterate over all rows."""
@@ -92,8 +94,11 @@
         """Return the row of a host, if there is one."""
         return self._rows.get(host)
 
-    def apply(self, row: HostRow, now: float) -> bool:
-        """Apply a row if it is newer; tell whether it was applied."""
+    def apply(self, row: HostRow, now: float | None) -> bool:
+        """Apply a row if it is newer; tell whether it was applied.
+
+        :param now: time in seconds, ``None`` for a row from an earlier run.
+        """
         known = self._rows.get(row.host)
         if known is not None and not row.replaces(known):
             return False
@@ -116,7 +121,9 @@
     def remove_expired(self, now: float) -> None:
         """Remove ended hosts whose row is past the retention time."""
         for host, ended_at in list(self._ended_at.items()):
-            if now - ended_at > TOMBSTONE_RETENTION_SECONDS:
+            if ended_at is None:
+                self._ended_at[host] = now
+            elif now - ended_at > TOMBSTONE_RETENTION_SECONDS:
                 self._ended_at.pop(host)
                 self._rows.pop(host)
 
--- a/wagtailspread/membership/tests/test_agents.py
+++ b/wagtailspread/membership/tests/test_agents.py
@@ -1,6 +1,8 @@
 """Tests of agents over an in-memory network on simulated time."""
 
-from wagtailspread.membership import simulations, tables
+import random
+
+from wagtailspread.membership import agents, simulations, tables
 
 ALIVE = tables.HostState.ALIVE
 DEAD = tables.HostState.DEAD
@@ -145,3 +147,21 @@
     agent = network.agents[simulations.create_address(0)]
     agent.remove_member('andino')
     assert [row.host for row in agent.list_members()] == ['host-0']
+
+
+def test_loaded_rows_of_ended_hosts_are_kept_on_any_clock():
+    """Guards against a dead host that comes back after a restart."""
+    dead = simulations.create_row(2, 1).with_state(DEAD)
+    agent = agents.create_agent(
+        simulations.create_row(1, 1),
+        [],
+        agents.MembershipPolicy(),
+        random.Random(1),
+        [dead],
+    )
+    started = 10 * tables.TOMBSTONE_RETENTION_SECONDS
+    for now in (started, started + 1.0):
+        agent.tick(now)
+        assert agent.find('host-2') == dead
+    agent.tick(started + tables.TOMBSTONE_RETENTION_SECONDS + 1.0)
+    assert agent.find('host-2') is None
