Let requests wait for the routes of a newer configuration

Change: such a request waits up to 1.5 s, and up to half of its time, for the newer version, and goes by its routes. Only then is it refused.

Shown: test_a_request_by_an_obsolete_route_is_not_sent, in both cases.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -19,6 +19,12 @@
 #: for at least this time, in seconds.
 MIN_TIMEOUT_EVIDENCE_SECONDS = 1.5
 
+#: Longest wait of a request for the routes of a newer configuration, in
+#: seconds. Most of the time left remains for sending it.
+MAX_ROUTE_WAIT_SECONDS = 1.5
+#: Interval between checks whether they are there, in seconds.
+ROUTE_POLL_SECONDS = 0.05
+
 _log = logbook.Logger('attempts')
 
 
@@ -157,6 +163,18 @@
         except TimeoutError:
             return state.create_result(Refusal.STOPPING)
 
+    async def wait_for_routes(self, deadline: float) -> bool:
+        """Wait until the routes may be used again; tell whether they may.
+
+        :param deadline: of a request, in seconds of the event loop clock.
+        """
+        until = min(_now() + MAX_ROUTE_WAIT_SECONDS, (_now() + deadline) / 2)
+        while self._is_obsolete is not None and self._is_obsolete():
+            if _now() >= until:
+                return False
+            await asyncio.sleep(ROUTE_POLL_SECONDS)
+        return True
+
     async def _run(self, state: _RequestState) -> RequestResult:
         while True:
             left = state.routed.outgoing.deadline - _now()
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -88,8 +88,7 @@
         routes = self.routes
         if routes is None:
             return self._refuse(response_logs.Reason.NO_ROUTES, request, {})
-        path = request.raw_path.partition('?')[0]
-        route = routes.match(request.headers.get('Host', ''), path)
+        route = self._match(request)
         if route is None:
             return self._reject(
                 _NOT_FOUND, response_logs.Reason.NO_ROUTE, request
@@ -150,12 +149,17 @@
             deadline,
         )
         size = 0 if body is None else body.size
-        service = self._splits.choose(route)
-        routed = attempts.RoutedRequest(route, service, outgoing, size)
+        routed = self._choose_service(route, outgoing, size)
         result = await self._runner.run(routed)
+        if result.refusal is attempts.Refusal.NOT_CURRENT and not result.sends:
+            if await self._runner.wait_for_routes(deadline):
+                newer = self._match(request)
+                if newer is not None:
+                    routed = self._choose_service(newer, outgoing, size)
+                    result = await self._runner.run(routed)
         details = {
-            'route': route.name,
-            'service': service,
+            'route': routed.route.name,
+            'service': routed.service,
             'is_sent': result.sends > 0,
             'is_not_run': result.proof is not None,
             'upstream': result.upstream,
@@ -168,6 +172,22 @@
             details['fault'] = body.fault.detail
         return self._create_failure_response(result, request, details)
 
+    def _match(self, request: web.BaseRequest) -> terms.Route | None:
+        """Return the route of a request in the active configuration."""
+        if self.routes is None:
+            return None
+        path = request.raw_path.partition('?')[0]
+        return self.routes.match(request.headers.get('Host', ''), path)
+
+    def _choose_service(
+        self,
+        route: terms.Route,
+        outgoing: exchanges.OutgoingRequest,
+        size: int,
+    ) -> attempts.RoutedRequest:
+        service = self._splits.choose(route)
+        return attempts.RoutedRequest(route, service, outgoing, size)
+
     def _create_failure_response(
         self,
         result: attempts.RequestResult,
--- a/wagtailspread/gateway/tests/test_stops.py
+++ b/wagtailspread/gateway/tests/test_stops.py
@@ -1,6 +1,7 @@
 """Requests that are open when a host stops get an answer."""
 
 import asyncio
+import dataclasses
 import json
 
 import pytest
@@ -14,11 +15,11 @@
 from wagtailspread.routing import terms
 
 
-def read_document(kind):
+def read_document(kind, service='columns'):
     """Return a reader of one route for requests of a kind."""
-    part = terms.SplitPart('columns', 1.0)
+    part = terms.SplitPart(service, 1.0)
     route = terms.Route('r1', 'a.example', '/', kind, (part,), 2)
-    return lambda _body: terms.RoutingSettings(1, (route,), {'columns': 9})
+    return lambda _body: terms.RoutingSettings(1, (route,), {service: 9})
 
 
 async def send(address, head, body=b''):
@@ -80,12 +81,20 @@
     assert b'Retry-After' in answer
 
 
-async def test_a_request_by_an_obsolete_route_is_refused_unsent(monkeypatch):
+@pytest.mark.parametrize('arrives', [True, False])
+async def test_a_request_by_an_obsolete_route_is_not_sent(monkeypatch, arrives):
     """Guards against a service that a newer version took off its route."""
     host, address = await start_host(monkeypatch, terms.RequestKind.UNSAFE)
-    async with raw_upstreams.RawUpstream(raw_upstreams.reply()) as upstream:
-        record = test_exchanges.create_record(upstream.address)
+    async with (
+        raw_upstreams.RawUpstream(raw_upstreams.reply()) as old,
+        raw_upstreams.RawUpstream(raw_upstreams.reply()) as new,
+    ):
+        record = test_exchanges.create_record(old.address)
         host.selector.registry.merge(record, 0.0)
+        other = dataclasses.replace(
+            record, upstream='u2', service='letters', address=new.address
+        )
+        host.selector.registry.merge(other, 0.0)
         head = (
             b'POST /a HTTP/1.1\nHost: a.example\nAttempt-Id: a1\n'
             b'Content-Length: 0\nConnection: close\n\n'
@@ -93,6 +102,15 @@
         assert (await send(address, head)).startswith(b'HTTP/1.1 200')
         # A replica reports a newer version after seconds without an answer.
         host.follower.lag.record_answer(9, 0.0)
-        assert (await send(address, head)).startswith(b'HTTP/1.1 503')
-        assert len(upstream.requests) == 1
+        sending = asyncio.create_task(send(address, head))
+        await asyncio.sleep(0.2)
+        if arrives:
+            host._read_document = read_document(
+                terms.RequestKind.UNSAFE, 'letters'
+            )
+            host._apply_document(9, b'{}')
+        status = b'200' if arrives else b'503'
+        assert (await sending).startswith(b'HTTP/1.1 ' + status)
+        assert len(old.requests) == 1
+        assert len(new.requests) == int(arrives)
     await host.stop()
