--- a/wagtailspread/gateway/tests/test_odd_answers.py
+++ b/wagtailspread/gateway/tests/test_odd_answers.py
@@ -94,3 +94,27 @@
         for _ in range(2):
             outcome, _ = await test_exchanges.send(upstream)
             assert outcome.body == b'whole'
+
+
+class EagerUpstream(raw_upstreams.RawUpstream):
+    """Writes bytes as soon as a connection is accepted."""
+
+    def __init__(self, first, *answers):
+        """Store the bytes, and the scripts that follow."""
+        super().__init__(*answers)
+        self.first = first
+
+    async def _serve(self, reader, writer):
+        writer.write(self.first)
+        await writer.drain()
+        await super()._serve(reader, writer)
+
+
+@pytest.mark.parametrize('attempt', [None, b'a0'])
+async def test_an_answer_before_the_request_is_no_answer_to_it(attempt):
+    """Guards against "not run" for a request that was not sent yet."""
+    whole = _HEAD + b'Content-Length: 5\r\n\r\nwhole'
+    async with EagerUpstream(refuse(attempt), write(whole)) as upstream:
+        outcome, progress = await test_exchanges.send(upstream)
+    assert not isinstance(outcome, exchanges.NotExecuted)
+    assert progress.may_have_run
