--- a/review/1/case.py
+++ b/review/1/case.py
@@ -73,4 +73,5 @@
 
 
 if __name__ == '__main__':
-    harness.main(run, FOLDER)
+    # TROUBLE=0 and record.txt come from run.sh.
+    harness.main(run)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -83,4 +83,5 @@
 
 
 if __name__ == '__main__':
-    harness.main(run, FOLDER)
+    # TROUBLE=0 and record.txt come from run.sh.
+    harness.main(run)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -116,4 +116,5 @@
 
 
 if __name__ == '__main__':
-    harness.main(run, FOLDER)
+    # TROUBLE=0 and record.txt come from run.sh.
+    harness.main(run)
--- a/review/harness.py
+++ b/review/harness.py
@@ -5,6 +5,7 @@
 that speak what ``PROTOCOL.md`` says. Only the standard library is used here.
 """
 
+import argparse
 import asyncio
 import contextlib
 import itertools
@@ -616,16 +617,21 @@
     }
 
 
-def main(case, folder):
-    """Run a case and exit with its result.
+def main(case):
+    """Run a case with the arguments of its ``run.sh``; exit with its result.
 
     :param case: coroutine function of the record and whether the disruption
         takes place; it returns whether the rule held.
     """
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--trouble', default='1')
+    parser.add_argument('--record', default='record.txt')
+    arguments = parser.parse_args()
     # Streams that are still open at the end are closed by the system.
     sys.unraisablehook = lambda _error: None
-    record = Record(pathlib.Path(folder) / 'record.txt')
-    is_disrupted = os.environ.get('TROUBLE', '1') != '0'
+    record = Record(arguments.record)
+    is_disrupted = arguments.trouble != '0'
+    record.add(f'TROUBLE={arguments.trouble}')
     try:
         held = asyncio.run(_run(case, record, is_disrupted))
     except (CannotRun, TimeoutError, OSError) as error:
