Refuse requests that a stopping host can't finish

Callers saw: 502 for orders that came late in a planned stop of their host, while an upstream was at work on them.

Cause: a stop bounded the end of requests and not their beginning. Kept connections stayed open as long as another request was open, and what came over them was sent to an upstream whatever time was left.

Change: once a host has stopped accepting, a request is sent only if its own deadline precedes the end of the stop; otherwise it is refused with 503 at once. That is checked when it comes, before it is placed and before it is sent. Kept connections without a request are closed then, on the product's entry hosts too.

--- a/wagtailspread/entry/draining.py
+++ b/wagtailspread/entry/draining.py
@@ -2,7 +2,8 @@
 
 After a stop request, the host reports that it is not ready but keeps serving,
 because the load balancer needs time to notice. Meanwhile each answer closes
-its connection. The host exits when no request is being received or handled.
+its connection. Then it closes the connections that wait for a request, and
+exits when no request is being received or handled.
 """
 
 import asyncio
@@ -68,4 +69,4 @@
         idle_polls = 0
         while idle_polls < IDLE_POLL_COUNT:
             await asyncio.sleep(POLL_SECONDS)
-            idle_polls = 0 if server.count_active() else idle_polls + 1
+            idle_polls = 0 if server.close_idle() else idle_polls + 1
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -24,6 +24,9 @@
 #: ``Retry-After`` for a head that was late, or that exceeded the host's budget,
 #: in seconds.
 RETRY_AFTER_SECONDS = 1
+#: Time without a byte after which a connection without a request is closed when
+#: the host stops, in seconds.
+STOP_IDLE_SECONDS = 0.3
 #: Interval between checks for late heads and idle connections, in seconds.
 SWEEP_SECONDS = 0.25
 
@@ -95,7 +98,14 @@
     @property
     def is_active(self) -> bool:
         """Return whether a request is being received or handled."""
-        return self._is_busy or self._guarded_parser.head_started_at is not None
+        is_receiving = self._guarded_parser.head_started_at is not None
+        return self._is_busy or is_receiving or bool(self._messages)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the next request of the connection is awaited."""
+        is_handling = self._waiter is None or self._waiter.done()
+        return not self.is_active and not is_handling
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Return the bytes of an incomplete head to the budget."""
@@ -230,6 +240,19 @@
                 latest_end, self._received_at + self._limits.linger_seconds
             )
 
+    def close_idle(self, now: float) -> bool:
+        """Close the connection if it has waited for a request for a moment.
+
+        :param now: seconds of the event loop.
+        :returns: whether it is left open.
+        """
+        is_idle = now - self._received_at >= STOP_IDLE_SECONDS
+        if self.is_waiting and is_idle:
+            self._close_idle()
+        return self.transport is not None and (
+            self.is_active or self.is_waiting
+        )
+
     def _close_idle(self) -> None:
         """Close the connection unless its socket has unread bytes."""
         if self.transport is None:
@@ -318,6 +341,17 @@
         ]
         return len(active)
 
+    def close_idle(self) -> int:
+        """Close connections without a request; return how many stay open."""
+        now = asyncio.get_running_loop().time()
+        left = [
+            protocol
+            for protocol in list(self.connections)
+            if isinstance(protocol, GuardedProtocol)
+            and protocol.close_idle(now)
+        ]
+        return len(left)
+
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections."""
         self._sweep_task.cancel()
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -68,9 +68,9 @@
         """Stop accepting connections; the open ones stay open."""
         await self.site.stop_listening()
 
-    def count_active(self) -> int:
-        """Return the number of requests being received or handled."""
-        return self.site.count_active()
+    def close_idle(self) -> int:
+        """Close connections without a request; return how many stay open."""
+        return self.site.close_idle()
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -61,6 +61,17 @@
         if self._site is not None:
             await self._site.stop()
 
+    def close_idle(self) -> int:
+        """Close the connections that wait for a request.
+
+        A connection on which bytes arrived a moment ago stays open, since the
+        first request of a new caller may be on its way.
+
+        :returns: number of connections that are left open, with a request or
+            without one.
+        """
+        return 0 if self._server is None else self._server.close_idle()
+
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
         return 0 if self._server is None else self._server.count_active()
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -182,6 +182,8 @@
                 return state.create_result(Refusal.NO_TIME)
             if not state.can_send():
                 return state.create_result(Refusal.NO_ROOM)
+            if not self._stop_limit.may_send(state.routed.outgoing.deadline):
+                return state.create_result(Refusal.STOPPING)
             placement_request = self._create_placement_request(state)
             placed = await self._placer.place(placement_request)
             refusal = self._find_refusal(placement_request, placed)
@@ -220,13 +222,21 @@
         """Return why a request is not sent, ``None`` if it is."""
         if placed.answer.record is None:
             return _REFUSALS[placed.answer.decision]
-        if self._is_obsolete is None or not self._is_obsolete():
-            return None
-        # The route was chosen when the request arrived. The slot is released.
-        self._placer.settle(
-            placement_request.request_id, placed, messages.Evidence.NONE, 0.0
-        )
-        return Refusal.NOT_CURRENT
+        refusal = None
+        if not self._stop_limit.may_send(placement_request.deadline):
+            refusal = Refusal.STOPPING
+        elif self._is_obsolete is not None and self._is_obsolete():
+            # The route was chosen when the request arrived.
+            refusal = Refusal.NOT_CURRENT
+        if refusal is not None:
+            # Releases the slot.
+            self._placer.settle(
+                placement_request.request_id,
+                placed,
+                messages.Evidence.NONE,
+                0.0,
+            )
+        return refusal
 
     async def _send(
         self,
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -18,17 +18,8 @@
 from wagtailspread.wire import credentials, links, listeners, messages
 
 ROLE = 'host'
-#: Time after the request to stop for which new connections are accepted, in
-#: seconds. The balancer removes a host after two failed readiness checks, which
-#: it sends once per second.
-ACCEPT_SECONDS = 2.6
 #: Time between two checks whether all requests have ended, in seconds.
 STOP_POLL_SECONDS = 0.05
-#: Time that is reserved for closing at the end of a stop, in seconds.
-CLOSING_SECONDS = 0.4
-#: Time before that in which the host answers the requests that are still open,
-#: in seconds; answers take about half a second over a full link.
-ANSWER_SECONDS = 0.5
 #: Timeout for opening a connection to a replica, in seconds. A lost SYN packet
 #: is retransmitted only after one second; a new attempt is made sooner.
 CONNECT_SECONDS = 0.3
@@ -178,22 +169,25 @@
     async def stop(self) -> None:
         """Report not ready, wait until open requests end, then close.
 
-        New connections are accepted for :data:`ACCEPT_SECONDS` more. The wait
-        ends :data:`CLOSING_SECONDS` before the maximum duration of a stop.
-        Requests that are still open :data:`ANSWER_SECONDS` before that are
-        answered by the host.
+        New connections are accepted at first. Then kept connections without a
+        request are closed, and a request that comes late is refused unless it
+        ends in time. Requests that are still open near the end are answered by
+        the host. See also :class:`~wagtailspread.gateway.stops.StopSchedule`.
         """
         loop = asyncio.get_running_loop()
-        until = loop.time() + self._settings.stop_seconds - CLOSING_SECONDS
-        self._stop_limit.set(until - ANSWER_SECONDS)
+        schedule = stops.create_schedule(
+            loop.time(), self._settings.stop_seconds
+        )
+        self._stop_limit.apply(schedule)
         self._is_stopping = True
-        self.server.site.close_after_answers()
-        await asyncio.sleep(ACCEPT_SECONDS)
-        await self.server.site.stop_listening()
-        while self.server.site.count_active() and loop.time() < until:
+        site = self.server.site
+        site.close_after_answers()
+        await asyncio.sleep(schedule.accept_until - loop.time())
+        await site.stop_listening()
+        while site.close_idle() and loop.time() < schedule.close_at:
             await asyncio.sleep(STOP_POLL_SECONDS)
-        left = self.server.site.count_active()
-        await self.server.site.close()
+        left = site.count_active()
+        await site.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -20,6 +20,9 @@
 MAX_SECONDS = 86_400.0
 #: Default ``Retry-After`` of a refused request, in seconds.
 RETRY_AFTER_SECONDS = 1.0
+#: ``Retry-After`` of a request that a stopping host refuses, in seconds. The
+#: caller reaches another host over a new connection.
+STOPPING_RETRY_SECONDS = 0.0
 
 _MILLISECONDS = 1000
 _NOT_FOUND = 404
@@ -97,27 +100,10 @@
             'route': route.name,
             'limits_version': routes.settings.version,
         }
-        fault = requests.check_framing(request.headers)
-        if fault:
-            details['fault'] = fault
-            return _close(
-                self._answer(
-                    _BAD_REQUEST,
-                    response_logs.Reason.BAD_FRAMING,
-                    request,
-                    details,
-                ),
-            )
-        if (request.content_length or 0) > self.site.limits.body_bytes:
-            return _close(
-                self._reject(
-                    _TOO_LARGE,
-                    response_logs.Reason.BODY_TOO_LARGE,
-                    request,
-                    details,
-                ),
-            )
         deadline = started + self._get_time_limit(request, route)
+        refusal = self._refuse_unread(request, deadline, details)
+        if refusal is not None:
+            return _close(refusal)
         body = None
         if request.body_exists:
             idle_seconds = routes.settings.limits.idle_seconds
@@ -132,6 +118,26 @@
             return _close(self._answer_body_fault(body, request, details))
         return await self._run(request, route, body, deadline)
 
+    def _refuse_unread(
+        self,
+        request: web.BaseRequest,
+        deadline: float,
+        details: _Details,
+    ) -> web.Response | None:
+        """Return a refusal that does not depend on the body, or ``None``."""
+        fault = requests.check_framing(request.headers)
+        if fault:
+            reason = response_logs.Reason.BAD_FRAMING
+            found = {**details, 'fault': fault}
+            return self._answer(_BAD_REQUEST, reason, request, found)
+        if (request.content_length or 0) > self.site.limits.body_bytes:
+            reason = response_logs.Reason.BODY_TOO_LARGE
+            return self._reject(_TOO_LARGE, reason, request, details)
+        if not self._stop_limit.may_send(deadline):
+            reason = response_logs.Reason.STOPPING
+            return self._refuse(reason, request, details)
+        return None
+
     async def _run(
         self,
         request: web.BaseRequest,
@@ -341,7 +347,10 @@
     ) -> web.Response:
         """Return a 503: the request has not run and never will."""
         response = self._answer(_UNAVAILABLE, reason, request, details)
-        seconds = f'{retry_after or RETRY_AFTER_SECONDS:.2f}'
+        if reason is response_logs.Reason.STOPPING:
+            seconds = f'{STOPPING_RETRY_SECONDS:.2f}'
+        else:
+            seconds = f'{retry_after or RETRY_AFTER_SECONDS:.2f}'
         response.headers[self._names.retry_after] = seconds
         return response
 
--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -7,7 +7,7 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import buffers, hosts
+from wagtailspread.gateway import buffers, hosts, stops
 from wagtailspread.gateway.tests import slow_links
 from wagtailspread.placement import budgets, costs
 from wagtailspread.platform import documents as decoding
@@ -165,7 +165,7 @@
             directory=_DIRECTORY,
             header_names=names.HEADERS,
             retry_budget=budgets.RetryBudgetSettings(0.2, 10.0, 10.0),
-            stop_seconds=hosts.ACCEPT_SECONDS + 1.0,
+            stop_seconds=stops.ACCEPT_SECONDS + 1.0,
             response_limits=buffers.create_limits(),
         ),
         decoding.read_valid,
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures
-from wagtailspread.gateway import buffers, hosts
+from wagtailspread.gateway import buffers, hosts, stops
 from wagtailspread.gateway.tests import test_servers
 from wagtailspread.placement import budgets, costs
 from wagtailspread.platform import names
@@ -159,7 +159,7 @@
 
 async def test_a_host_that_stops_logs_its_counts(monkeypatch):
     """Guards against losing the counts since they were last logged."""
-    monkeypatch.setattr(hosts, 'ACCEPT_SECONDS', 0.1)
+    monkeypatch.setattr(stops, 'ACCEPT_SECONDS', 0.1)
     host = create_host()
     with logbook.TestHandler() as handler:
         await host.start()
--- a/wagtailspread/gateway/tests/test_stops.py
+++ b/wagtailspread/gateway/tests/test_stops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtailspread.gateway import hosts
+from wagtailspread.gateway import stops
 from wagtailspread.gateway.tests import (
     raw_upstreams,
     test_exchanges,
@@ -24,9 +24,13 @@
 
 async def send(address, head, body=b''):
     """Send a request; return all that is received and how it ended."""
-    ip, _, port = address.rpartition(':')
-    reader, writer = await asyncio.open_connection(ip, int(port))
-    writer.write(head.replace(b'\n', b'\r\n') + body)
+    return await exchange(address, head.replace(b'\n', b'\r\n') + body)
+
+
+async def exchange(address, sent):
+    """Send bytes; return all that is received and how it ended."""
+    reader, writer = await connect(address)
+    writer.write(sent)
     try:
         return await reader.read()
     except ConnectionError as error:
@@ -37,7 +41,7 @@
 
 async def start_host(monkeypatch, kind):
     """Return a started host with a route, and its address."""
-    monkeypatch.setattr(hosts, 'ACCEPT_SECONDS', 0.1)
+    monkeypatch.setattr(stops, 'ACCEPT_SECONDS', 0.1)
     host = test_hosts.create_host()
     host._read_document = read_document(kind)
     await host.start()
@@ -81,6 +85,120 @@
     assert b'Retry-After' in answer
 
 
+async def connect(address):
+    """Return the streams of a new connection."""
+    ip, _, port = address.rpartition(':')
+    return await asyncio.open_connection(ip, int(port))
+
+
+def create_head(path='/a', limit_ms=10_000):
+    """Return the head of a request without a body."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: a.example',
+        'Attempt-Id: a1',
+        f'Deadline-Ms: {limit_ms}',
+        'Content-Length: 0',
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+@pytest.mark.parametrize(
+    ('limit_ms', 'status', 'sends'),
+    [(10_000, b'503', 0), (500, b'200', 1)],
+)
+async def test_a_late_request_is_sent_only_if_it_ends_in_time(
+    monkeypatch, limit_ms, status, sends
+):
+    """Guards against review/2: a late request was passed on and then cut."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UNSAFE)
+    async with raw_upstreams.RawUpstream(raw_upstreams.reply()) as upstream:
+        record = test_exchanges.create_record(upstream.address)
+        host.selector.registry.merge(record, 0.0)
+        reader, writer = await connect(address)
+        head = create_head(limit_ms=limit_ms)
+        writer.write(head[:20])
+        stopping = asyncio.create_task(host.stop())
+        await asyncio.sleep(0.4)
+        writer.write(head[20:])
+        answer = await asyncio.wait_for(reader.read(), 1.0)
+        writer.close()
+        await stopping
+    assert answer.startswith(b'HTTP/1.1 ' + status)
+    assert b'Connection: close' in answer
+    assert len(upstream.requests) == sends
+
+
+async def test_a_refusal_of_a_stop_does_not_wait_for_the_body(monkeypatch):
+    """Guards against a caller that is kept waiting for a known refusal."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UPLOAD)
+    reader, writer = await connect(address)
+    head = create_head().replace(b'Length: 0', b'Length: 100')
+    writer.write(head[:20])
+    stopping = asyncio.create_task(host.stop())
+    await asyncio.sleep(0.4)
+    writer.write(head[20:])
+    answer = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 0.5)
+    writer.close()
+    await stopping
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'Retry-After: 0.00' in answer
+
+
+async def test_a_request_that_waits_for_an_upstream_is_not_sent_late(
+    monkeypatch,
+):
+    """Guards against a request that is placed at the end of a stop."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UNSAFE)
+    place = host._placer.place
+
+    async def place_late(placement_request):
+        await asyncio.sleep(0.5)
+        return await place(placement_request)
+
+    monkeypatch.setattr(host._placer, 'place', place_late)
+    async with raw_upstreams.RawUpstream(raw_upstreams.hang) as upstream:
+        record = test_exchanges.create_record(upstream.address)
+        host.selector.registry.merge(record, 0.0)
+        sending = asyncio.create_task(exchange(address, create_head()))
+        await asyncio.sleep(0.1)
+        await host.stop()
+        answer = await sending
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert not upstream.requests
+    assert not host.selector._open
+
+
+async def test_a_kept_connection_is_closed_beside_open_requests(monkeypatch):
+    """Guards against requests that come late over kept connections."""
+    host, address = await start_host(monkeypatch, terms.RequestKind.UNSAFE)
+    async with raw_upstreams.RawUpstream(
+        raw_upstreams.reply(), raw_upstreams.hang
+    ) as upstream:
+        record = test_exchanges.create_record(upstream.address)
+        host.selector.registry.merge(record, 0.0)
+        reader, writer = await connect(address)
+        writer.write(create_head())
+        assert await reader.readuntil(b'whole')
+        sending = asyncio.create_task(exchange(address, create_head()))
+        await asyncio.sleep(0.3)
+        stopping = asyncio.create_task(host.stop())
+        assert not await asyncio.wait_for(reader.read(), 0.5)
+        assert not sending.done()
+        writer.close()
+        await stopping
+        assert (await sending).startswith(b'HTTP/1.1 502')
+
+
+@pytest.mark.parametrize('seconds', [0.5, 2.0, 6.0, 10.0])
+def test_a_stop_fits_into_its_time(seconds):
+    """Guards against a short stop that accepts until it is killed."""
+    schedule = stops.create_schedule(0.0, seconds)
+    assert 0 < schedule.accept_until <= seconds / 2
+    assert schedule.answer_at >= seconds * 5 / 6
+    assert schedule.answer_at < schedule.close_at < seconds
+
+
 @pytest.mark.parametrize('arrives', [True, False])
 async def test_a_request_by_an_obsolete_route_is_not_sent(monkeypatch, arrives):
     """Guards against a service that a newer version took off its route."""
