Remove a replica that stops as planned from the membership

Operators saw: after a planned replacement of a replica and the loss of two disks within about a second of it, each read of the configuration was answered with 503 for good, with all five replicas running.

Cause: the successor is admitted while its predecessor still votes. The predecessor stayed one of six voters until it had been silent for 2 s, so two lost disks left three voters, which are no majority, and only a leader can replace a lost identity.

Evidence: in the simulated fleet the same steps leave no leader without the removal.

Change: a replica that gets SIGTERM transfers its leadership, then asks the leader to remove it. The leader does so if there are more voters than needed and the majority becomes smaller. A replica writes each membership that it applies to its log, which named no voters before.

Ruled out: to keep the successor a learner until the predecessor is gone, which leaves two of five voters.

--- a/wagtailspread/consensus/reconfiguration.py
+++ b/wagtailspread/consensus/reconfiguration.py
@@ -6,7 +6,10 @@
 entry, so a new leader resumes where the previous one stopped.
 
 If the policy allows it, a replica at a new address replaces a voter that has
-not replied for some time, so a lost machine needs no operator.
+not replied for some time, so a lost machine needs no operator. A voter that
+stops as planned says so and is removed at once if there are more voters than
+the policy asks for: as a silent one of an even number of voters, it would
+reduce the number of further losses that the group survives.
 
 References: D. Ongaro, Consensus: Bridging Theory and Practice, chapter 4.
 """
@@ -66,6 +69,7 @@
         """Create a reconfiguration component that reads ``state``."""
         self._state = state
         self._introductions: dict[identifiers.Address, _IntroducedNode] = {}
+        self._departures: dict[identifiers.ReplicaId, float] = {}
         self._target_index = state.commit
         self._target_set_at = float('-inf')
 
@@ -76,6 +80,28 @@
         """
         self._introductions[node.address] = _IntroducedNode(node, now)
 
+    def announce_departure(
+        self,
+        identity: identifiers.ReplicaId,
+        now: float,
+    ) -> bool:
+        """Record that a replica is about to stop.
+
+        :param now: current time in seconds.
+        :returns: whether its removal is due or in progress.
+        """
+        self._departures[identity] = now
+        if self._state.membership.find(identity) is None:
+            return True
+        is_voter = identity in self._state.membership.voter_ids()
+        return is_voter and self._find_departing_voter(now) is not None
+
+    def is_removed(self, identity: identifiers.ReplicaId) -> bool:
+        """Tell whether the committed membership lacks a replica."""
+        state = self._state
+        is_committed = state.log.membership_index <= state.commit
+        return is_committed and state.membership.find(identity) is None
+
     def find_next(self, now: float) -> MembershipChange | None:
         """Return the next change that the membership needs, if any.
 
@@ -85,6 +111,9 @@
         self._refresh_target(now)
         if self._find_obstacle() is not None:
             return None
+        departing = self._find_departing_voter(now)
+        if departing is not None:
+            return MembershipChange(ChangeKind.REMOVE, departing)
         for node in self._list_introduced_nodes(now):
             if state.membership.find(node.identity) is None:
                 return MembershipChange(ChangeKind.ADD_LEARNER, node)
@@ -176,6 +205,25 @@
             return MembershipChange(ChangeKind.REMOVE, silent)
         return MembershipChange(ChangeKind.PROMOTE, learner)
 
+    def _find_departing_voter(self, now: float) -> messages.ReplicaNode | None:
+        """Return a voter that is about to stop and may be removed, if any.
+
+        Removing one voter of an odd number does not make the majority smaller,
+        and the voter may be back soon, so it stays.
+        """
+        state = self._state
+        since = now - state.policy.silent_voter_seconds
+        voters = state.membership.voters
+        departing = [
+            voter
+            for voter in voters
+            if self._departures.get(voter.identity, since) > since
+        ]
+        is_removable = len(voters) % 2 == 0 or len(departing) > 1
+        if len(voters) <= state.policy.min_voters or not is_removable:
+            return None
+        return departing[0] if departing else None
+
     def _find_silent_voter(self, now: float) -> messages.ReplicaNode | None:
         """Return the silent voter with the oldest reply, if there is any."""
         state = self._state
--- a/wagtailspread/consensus/tests/test_replacements.py
+++ b/wagtailspread/consensus/tests/test_replacements.py
@@ -76,3 +76,74 @@
     fleet.run(5.0)
     assert lost not in list_voters(fleet)
     assert len(list_voters(fleet)) == 3
+
+
+def announce(fleet, address):
+    """Tell the leader that a replica is about to stop; return its answer."""
+    leader = fleet.nodes[test_replicas.find_leader(fleet)].replica
+    identity = test_replicas.find_state(fleet, address).identity
+    return leader.reconfiguration.announce_departure(identity, fleet.now)
+
+
+def stop(fleet, address):
+    """Stop a replica for good."""
+    fleet.nodes[address].crash()
+    fleet.isolate(address)
+
+
+def test_a_loss_just_after_a_planned_replacement_is_survived():
+    """Guards against review/1: a stopped voter counted for two more seconds.
+
+    With four voters, of which one has stopped and one has lost its disk, no
+    majority was left.
+    """
+    fleet = create_fleet(spares=1)
+    spare = list(fleet.nodes)[-1]
+    run_with_introductions(fleet, spare, 3.0)
+    assert len(list_voters(fleet)) == 4
+    replaced, lost = test_replicas.find_followers(fleet)[:2]
+    assert announce(fleet, replaced)
+    fleet.run(0.5)
+    assert replaced not in list_voters(fleet)
+    assert fleet.propose(test_replicas.find_leader(fleet), b'change')
+    fleet.run(0.1)
+    stop(fleet, replaced)
+    fleet.wipe(lost)
+    fleet.run(5.0)
+    leader = test_replicas.find_leader(fleet)
+    assert (fleet.nodes[leader].machine.applied[-1][1]) == b'change'
+    assert len(list_voters(fleet)) == 3
+
+
+def test_a_voter_without_a_successor_stays_when_it_stops():
+    """Guards against a group that shrinks with each restart."""
+    fleet = create_fleet()
+    stopped = test_replicas.find_followers(fleet)[0]
+    assert not announce(fleet, stopped)
+    fleet.run(1.0)
+    assert stopped in list_voters(fleet)
+
+
+def test_one_of_an_odd_number_of_spare_voters_stays_when_it_stops():
+    """Guards against a removal that does not make the majority smaller."""
+    fleet = networks.SimulatedFleet(5, policy=_POLICY)
+    fleet.run(3.0)
+    stopped, second = test_replicas.find_followers(fleet)[:2]
+    assert not announce(fleet, stopped)
+    fleet.run(0.5)
+    assert stopped in list_voters(fleet)
+    # A second one, shortly after, makes the majority smaller.
+    assert announce(fleet, second)
+    fleet.run(0.5)
+    assert len(list_voters(fleet)) == 3
+
+
+def test_an_announcement_is_forgotten_when_the_voter_stays():
+    """Guards against the removal of a voter that is back from a restart."""
+    fleet = networks.SimulatedFleet(5, policy=_POLICY)
+    fleet.run(3.0)
+    restarted, second = test_replicas.find_followers(fleet)[:2]
+    assert not announce(fleet, restarted)
+    fleet.run(_POLICY.silent_voter_seconds + 0.5)
+    assert not announce(fleet, second)
+    assert len(list_voters(fleet)) == 5
--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -283,3 +283,40 @@
             for number in range(3):
                 fleet.start_replica(number, is_first=False)
             await wait_for(is_newest)
+
+
+async def test_a_lost_disk_after_a_planned_replacement_is_survived(tmp_path):
+    """Guards against review/1: no leader was left, and no configuration."""
+    with run_fleet(tmp_path, 13) as fleet:
+        for number in range(3):
+            fleet.start_replica(number)
+        async with aiohttp.ClientSession() as session:
+            platform = Platform(fleet, session)
+
+            async def put(version=7):
+                return await platform.put(0, version) == 200
+
+            await wait_for(put)
+            fleet.start_replica(3, is_first=False)
+            await wait_for(lambda: is_voter(fleet, 3))
+            await asyncio.sleep(1.0)
+            fleet.processes['replica2'].terminate()
+            await asyncio.sleep(0.5)
+            fleet.kill('replica1')
+            shutil.rmtree(tmp_path / 'data1')
+            fleet.start_replica(1, is_first=False)
+
+            # A read could rely on the lease of a leader without a majority.
+            await wait_for(lambda: put(9))
+            assert await platform.read(0) == 9
+
+
+async def is_voter(fleet, number):
+    """Tell whether any replica counts the one with this number as a voter."""
+    address = f'{fleet.find_ip(number)}:{_LINK_PORT}'
+    lines = [
+        json.loads(line)
+        for path in fleet.folder.glob('replica*.log')
+        for line in path.read_text().splitlines()
+    ]
+    return any(address in line.get('voters', ()) for line in lines)
--- a/wagtailspread/replica/drivers.py
+++ b/wagtailspread/replica/drivers.py
@@ -238,6 +238,8 @@
         answer = b''
         if entry.kind is messages.EntryKind.COMMAND:
             answer = self.machine.apply(entry.index, entry.payload)
+        elif entry.kind is messages.EntryKind.MEMBERSHIP:
+            _log_membership(entry)
         self.applied = entry.index
         self._bytes_since_snapshot += len(entry.payload)
         pending = self._pending_commands.pop(entry.index, None)
@@ -316,5 +318,17 @@
     return Driver(replica, store, machine, clock, send)
 
 
+def _log_membership(entry: messages.LogEntry) -> None:
+    membership = messages.decode_membership(entry.payload)
+    _log.info(
+        'membership in force',
+        extra={
+            'index': entry.index,
+            'voters': [node.address for node in membership.voters],
+            'learners': [node.address for node in membership.learners],
+        },
+    )
+
+
 def _do_nothing() -> None:
     """Default of :attr:`Driver.on_apply`."""
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -17,7 +17,8 @@
 from wagtailspread.consensus import journals, states
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.registry import services
-from wagtailspread.replica import copies, documents, drivers, servers
+from wagtailspread.replica import copies, departures, documents, drivers
+from wagtailspread.replica import servers
 from wagtailspread.wire import credentials, links, listeners
 
 #: Delay before failed storage is opened again, in seconds.
@@ -71,6 +72,7 @@
         self._registry = registry
         self._clock = clock
         self._document_service: documents.DocumentService | None = None
+        self._departure_service: departures.DepartureService | None = None
         self._pool: links.LinkPool | None = None
         self._copy = copies.create_copy(settings.data_folder)
         self._saved_version = configurations.NO_VERSION
@@ -90,6 +92,7 @@
             )
             await self._run_server(server, stopping)
             self._document_service = None
+            self._departure_service = None
             if server.is_expelled:
                 _log.warning('identity void')
                 server.discard()
@@ -110,12 +113,17 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if stopping.is_set():
-                    await server.transfer_leadership()
+                    await self._leave_group(server)
                 for task in (running, stop, following):
                     task.cancel()
         except* drivers.ReplicaStopped as stopped:
             await self._recover(server, stopped)
 
+    async def _leave_group(self, server: servers.ReplicaServer) -> None:
+        await server.transfer_leadership()
+        if self._departure_service is not None:
+            await self._departure_service.leave()
+
     async def _recover(
         self,
         server: servers.ReplicaServer,
@@ -154,6 +162,8 @@
             self._copy.load(),
         )
         service.register(listener)
+        departure_service = departures.create_service(driver, pool, self._clock)
+        departure_service.register(listener)
         if self._extension is not None:
             self._extension(listener, driver, pool)
         self._registry.attach(listener, service)
@@ -166,6 +176,7 @@
 
         driver.on_apply = handle_apply
         self._document_service = service
+        self._departure_service = departure_service
         self._pool = pool
 
     def _save(self, applied: configurations.VersionedDocument) -> None:
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -31,6 +31,7 @@
   SETTLE = 19
   READ_MANIFEST = 20
   READ_CHUNKS = 21
+  LEAVE_GROUP = 22
 }
 
 struct Envelope {
@@ -435,6 +436,16 @@
   3: i64 wall_ms
 }
 
+// Request to LEAVE_GROUP, from a replica that is about to stop.
+struct LeaveGroup {
+  1: string identity
+}
+
+// Answer to LEAVE_GROUP: whether the replica is no longer a member.
+struct LeaveAnswer {
+  1: bool is_removed
+}
+
 // The newest version of the configuration document.
 struct DocumentState {
   1: i64 version
