Confirm departures only by a majority of known voters

Upstreams saw: a departure confirmed with 200 by a new replica that was cut off, and requests from all hosts for as long as they ran, later than `drain`.

Cause: the number of replicas that must know a departure came from the membership that the replica held. A new replica, or one that has lost its disk, holds none, and the majority of no voters was the replica itself.

Change: the registry asks whether the replicas that know a departure are a majority of the voters. A replica without a membership answers 503 at once. Learners, which counted as a part of a majority, no longer do.

The method that returned a count is gone, so the test of the feed checks the list of replicas that have seen a change instead, which is as strict.

--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -140,9 +140,9 @@
         """Tell whether this replica has applied the latest commits."""
         return self.is_connected and not self.is_lagging
 
-    def count_needed(self):
-        """Return that no other replica has to know of a departure."""
-        return 0
+    def is_majority(self, _others):
+        """Tell that no other replica has to know of a departure."""
+        return True
 
     def read_document(self):
         """Return the active document."""
--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -320,3 +320,23 @@
         for line in path.read_text().splitlines()
     ]
     return any(address in line.get('voters', ()) for line in lines)
+
+
+async def test_a_replica_that_is_cut_off_confirms_no_departure(tmp_path):
+    """Guards against review/3: a departure that only one replica knew."""
+    with run_fleet(tmp_path, 14) as fleet:
+        # No seed runs, so the replica is never told the membership.
+        fleet.start_replica(5, is_first=False)
+        async with aiohttp.ClientSession() as session:
+            platform = Platform(fleet, session)
+
+            async def is_up():
+                status = await platform.send_heartbeat(5, 'u0', '10.0.0.1:80')
+                return status == 200
+
+            await wait_for(is_up)
+            for state, seq in (('draining', 2), ('draining', 3)):
+                status = await platform.send_heartbeat(
+                    5, 'u0', '10.0.0.1:80', state, seq
+                )
+                assert status == 503
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -122,30 +122,26 @@
         ]
         return sorted(live, key=lambda one: one.address)
 
-    def is_propagated(self, position: int, replicas: int, now: float) -> bool:
-        """Tell whether all live followers have seen ``position``.
-
-        :param replicas: number of other replicas that must have seen it.
-        """
+    def is_propagated(self, position: int, now: float) -> bool:
+        """Tell whether all live followers have seen ``position``."""
         cutoff = now - FOLLOWER_TIMEOUT_SECONDS
         live = [
             one for one in self._followers.values() if one.polled_at > cutoff
         ]
-        if any(one.position < position for one in live):
-            return False
-        return self.count_replicas_at(position, now) >= replicas
+        return all(one.position >= position for one in live)
 
-    def count_replicas_at(self, position: int, now: float) -> int:
-        """Return the number of other replicas that have seen ``position``."""
+    def list_replicas_at(
+        self, position: int, now: float
+    ) -> list[identifiers.Address]:
+        """Return the other live replicas that have seen ``position``."""
         cutoff = now - FOLLOWER_TIMEOUT_SECONDS
-        informed = [
-            one
+        return [
+            one.address
             for one in self._followers.values()
             if one.is_replica
             and one.polled_at > cutoff
             and one.position >= position
         ]
-        return len(informed)
 
     async def wait(
         self,
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -47,8 +47,11 @@
     def is_up_to_date(self) -> bool:
         """Tell whether this replica has applied the latest commits."""
 
-    def count_needed(self) -> int:
-        """Return how many other replicas form a majority with this one."""
+    def is_majority(self, others: typing.Iterable[identifiers.Address]) -> bool:
+        """Tell whether this replica and others are a majority of the voters.
+
+        Nothing is a majority for a replica that does not know the membership.
+        """
 
     def read_document(self) -> documents.VersionedDocument:
         """Return the newest document that this replica has applied."""
@@ -105,20 +108,25 @@
     async def register_departure(self, record: records.UpstreamRecord) -> bool:
         """Register that an upstream is draining or has left.
 
-        :returns: whether the departure may be confirmed: all live followers
-            have seen it, or a majority of replicas at the timeout.
+        :returns: whether the departure may be confirmed: a majority of the
+            replicas has seen it and, before the timeout, all live followers.
         """
         self.feed.register(record, self._clock.now())
         position = self.feed.position
         until = self._clock.now() + PROPAGATION_TIMEOUT_SECONDS
-        needed = self._count_needed()
+        if self._group is None or not self._group.list_replicas():
+            # The upstream turns to another replica at once.
+            _log.info(
+                'departure not confirmed',
+                extra={'upstream': record.upstream},
+            )
+            return False
         while self._clock.now() < until:
-            if self.feed.is_propagated(position, needed, self._clock.now()):
+            is_known = self.feed.is_propagated(position, self._clock.now())
+            if is_known and self._is_majority_at(position):
                 return True
             await asyncio.sleep(PROPAGATION_CHECK_SECONDS)
-        return (
-            self.feed.count_replicas_at(position, self._clock.now()) >= needed
-        )
+        return self._is_majority_at(position)
 
     def create_departure(
         self,
@@ -196,10 +204,15 @@
                 task.cancel()
             self._peer_tasks.clear()
 
-    def _count_needed(self) -> int:
+    def _is_majority_at(self, position: int) -> bool:
+        """Tell whether a majority of the replicas has seen ``position``.
+
+        Before the storage is loaded the membership is unknown.
+        """
         if self._group is None:
-            return 0
-        return self._group.count_needed()
+            return False
+        informed = self.feed.list_replicas_at(position, self._clock.now())
+        return self._group.is_majority(informed)
 
     def _list_peers(self) -> list[identifiers.Address]:
         if self._group is None:
--- a/wagtailspread/registry/tests/test_feeds.py
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -95,10 +95,11 @@
     position = feed.position
     record_follower(feed, 'h1', position - 1, 0.0)
     record_follower(feed, 'r2', position, 0.0, is_replica=True)
-    assert not feed.is_propagated(position, 1, 0.0)
+    assert not feed.is_propagated(position, 0.0)
     record_follower(feed, 'h1', position, 0.1)
-    assert feed.is_propagated(position, 1, 0.1)
-    assert not feed.is_propagated(position, 2, 0.1)
+    assert feed.is_propagated(position, 0.1)
+    assert feed.list_replicas_at(position, 0.1) == ['r2:1']
+    assert not feed.list_replicas_at(position + 1, 0.1)
 
 
 def test_a_failed_follower_does_not_delay_a_departure():
@@ -107,7 +108,8 @@
     record_follower(feed, 'h1', 0, 0.0)
     feed.register(_READY, 5.0)
     record_follower(feed, 'r2', feed.position, 5.0, is_replica=True)
-    assert feed.is_propagated(feed.position, 1, 5.0)
+    assert feed.is_propagated(feed.position, 5.0)
+    assert feed.list_replicas_at(feed.position, 5.0) == ['r2:1']
 
 
 async def test_a_waiting_follower_is_woken_by_a_change():
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from wagtailspread.configuration import documents
-from wagtailspread.registry import followers, services
+from wagtailspread.registry import feeds, followers, records, services
 from wagtailspread.wire import listeners, messages
 
 _REGIONS = {'north': 'r1', 'south': 'r1', 'far': 'r2'}
@@ -37,9 +39,9 @@
         """Tell whether this replica has a quorum, which suffices here."""
         return self._has_quorum
 
-    def count_needed(self):
-        """Return that one other replica completes the majority."""
-        return 1
+    def is_majority(self, others):
+        """Tell whether the other replica completes the majority."""
+        return 'r2:1' in others
 
     def read_document(self):
         """Return a document without a version."""
@@ -96,6 +98,47 @@
     assert named[1] == named[0]
 
 
+def create_draining_record():
+    """Return the record of an upstream that is about to leave."""
+    return records.UpstreamRecord(
+        upstream='u1',
+        service='columns',
+        address='10.0.0.1:80',
+        domain='north',
+        slots=6,
+        state=records.UpstreamState.DRAINING,
+        born_ms=1000,
+        sequence=4,
+    )
+
+
+class SteadyClock:
+    """The clock of the event loop."""
+
+    def now(self):
+        """Return the time of the event loop."""
+        return asyncio.get_running_loop().time()
+
+
+async def test_a_replica_that_is_not_formed_confirms_no_departure():
+    """Guards against review/3: a departure that only one replica knew."""
+    service = services.create_service('r1:1', 'north', _REGIONS, SteadyClock())
+    assert not await service.register_departure(create_draining_record())
+
+
+@pytest.mark.parametrize('address', ['r2:1', 'learner:1'])
+async def test_a_departure_needs_a_majority_of_the_voters(address):
+    """Guards against a learner that counts as a part of a majority."""
+    service = services.create_service('r1:1', 'north', _REGIONS, SteadyClock())
+    service.attach(listeners.create_listener(None, None), FakeReplicaGroup())
+    follower = feeds.FollowerState(
+        address, 'north', True, service.feed.position + 9, SteadyClock().now()
+    )
+    service.feed.update_follower('other', follower)
+    is_confirmed = await service.register_departure(create_draining_record())
+    assert is_confirmed == (address == 'r2:1')
+
+
 async def test_hosts_are_counted_over_all_replicas():
     """Guards against a shared budget that each host claims in full."""
     first = create_service('r1:1', 'north')
--- a/wagtailspread/replica/documents.py
+++ b/wagtailspread/replica/documents.py
@@ -158,9 +158,20 @@
             and now - leader_contact_at < COMMIT_MAX_AGE_SECONDS
         )
 
-    def count_needed(self) -> int:
-        """Return the number of other replicas needed for a majority."""
-        return self._driver.replica.state.membership.quorum() - 1
+    def is_majority(self, others: typing.Iterable[identifiers.Address]) -> bool:
+        """Tell whether this replica and others are a majority of the voters.
+
+        A replica that is new or has lost its disk may have no membership yet.
+        A learner is no part of a majority.
+        """
+        state = self._driver.replica.state
+        known = frozenset(others)
+        informed = [
+            voter
+            for voter in state.membership.voters
+            if voter.identity == state.identity or voter.address in known
+        ]
+        return bool(informed) and len(informed) >= state.membership.quorum()
 
     def read_document(self) -> documents.VersionedDocument:
         """Return the newest document that is known to be committed.
