Bound what an upstream sends beside the content of its answers

Callers would see: an entry host that runs out of memory, so that the requests of all its callers end, since one faulty upstream sends bytes without end.

Cause: the client library queues each complete message that arrives on a connection in its pool, and looks at the queue only when the connection is used again. Before an answer it bounds neither the number of interim heads nor framing. The platform's request path had bounds of its own; the product's entry hosts had none.

Change: connections of entry hosts count bytes as they leave the socket. One without an exchange is closed when it receives any; heads and framing are bounded as on the platform's path, which shares the code.

--- a/wagtailspread/entry/connections.py
+++ b/wagtailspread/entry/connections.py
@@ -9,13 +9,14 @@
 
 import asyncio
 import contextvars
+import functools
 import socket
 import typing
 import weakref
 
 import aiohttp
 
-from wagtailspread.entry import executions
+from wagtailspread.entry import executions, protocols
 
 #: Idle connections are closed after this time, in seconds. It is shorter than
 #: the idle timeout of upstreams, so that a request rarely uses a connection
@@ -62,6 +63,12 @@
             executions.ConnectionRecord,
         ] = weakref.WeakKeyDictionary()
         self._generation = generation
+        self._factory = self._create_factory()
+
+    def _create_factory(self) -> typing.Any:
+        """Return the factory of the protocols of new connections."""
+        loop = asyncio.get_running_loop()
+        return functools.partial(protocols.PooledProtocol, loop=loop)
 
     async def connect(
         self,
@@ -96,6 +103,9 @@
         else:
             progress.is_reused = True
         progress.connection = record
+        if isinstance(protocol, protocols.PooledProtocol):
+            protocol.begin_exchange()
+            connection.add_callback(protocol.end_exchange)
         return connection
 
 
--- /dev/null
+++ b/wagtailspread/entry/protocols.py
@@ -0,0 +1,117 @@
+"""Client connections to upstreams with bounds on what is no content.
+
+The client library bounds single lines and the body of an answer that is being
+read. It does not bound interim responses, the framing of chunks, or whole
+answers that arrive on a connection without an exchange.
+"""
+
+import typing
+
+import aiohttp
+
+from aiohttp import client_proto, streams
+
+#: Maximum size of a head with the interim responses before it, in bytes.
+#: Regular heads have a few hundred bytes.
+MAX_HEAD_BYTES = 64 * 1024
+#: Bytes of framing of a body that are accepted beyond the size of its content.
+#: This is more than one read from a socket, which may not be parsed yet.
+FRAMING_BYTES = 1024 * 1024
+
+#: Bytes of a head that are parsed at once, so that a body which arrives with
+#: its head does not count as a part of it.
+_HEAD_PIECE_BYTES = 4096
+_FIRST_INTERIM = 100
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL = 200
+
+
+class UnboundedAnswer(aiohttp.ClientError):
+    """An upstream sent too many bytes that are no content of an answer."""
+
+
+def is_interim(status: int) -> bool:
+    """Tell whether another head follows the one with this status."""
+    is_informational = _FIRST_INTERIM <= status < _FIRST_FINAL
+    return is_informational and status != _SWITCHING_PROTOCOLS
+
+
+class UpstreamProtocol(client_proto.ResponseHandler):
+    """A connection to an upstream that can be closed with an error."""
+
+    def close_with_error(self, error: aiohttp.ClientError) -> None:
+        """Close the connection at once; raise the error in waiting readers."""
+        payload = self._payload
+        if payload is not None and payload is not streams.EMPTY_PAYLOAD:
+            payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class PooledProtocol(UpstreamProtocol):
+    """A connection that is kept between exchanges.
+
+    Without an exchange it may receive nothing, not even a whole answer.
+    """
+
+    _is_kept = False
+    _is_head_complete = False
+    _received = 0
+    _content: streams.StreamReader = streams.EMPTY_PAYLOAD
+
+    def begin_exchange(self) -> None:
+        """Count the bytes of a new answer."""
+        self._is_kept = False
+        self._is_head_complete = False
+        self._received = 0
+        self._content = streams.EMPTY_PAYLOAD
+
+    def end_exchange(self) -> None:
+        """Accept no bytes until the next exchange."""
+        self._is_kept = True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes unless they exceed a bound."""
+        start = 0
+        while start < len(data) and not self._is_head_complete:
+            piece = data[start : start + _HEAD_PIECE_BYTES]
+            start += len(piece)
+            if not self._count(piece):
+                return
+            super().data_received(piece)
+            if not self.is_connected():
+                return
+        rest = data[start:] if start else data
+        # The client library also calls this without bytes.
+        if not data or (rest and self._count(rest)):
+            super().data_received(rest)
+
+    def feed_data(self, data: typing.Any, size: int = 0) -> None:
+        """Process the end of a head."""
+        message, payload = data
+        if not is_interim(message.code):
+            self._is_head_complete = True
+            self._content = payload
+        super().feed_data(data, size)
+
+    def _count(self, piece: bytes) -> bool:
+        """Count bytes; close the connection if they exceed a bound.
+
+        :returns: whether they may be parsed.
+        """
+        self._received += len(piece)
+        fault = self._find_fault()
+        if fault:
+            self.close_with_error(UnboundedAnswer(fault))
+        return not fault
+
+    def _find_fault(self) -> str:
+        """Return which bound the received bytes exceed, or an empty string."""
+        if self._is_kept:
+            return 'bytes without an exchange'
+        if not self._is_head_complete:
+            return 'head too large' if self._received > MAX_HEAD_BYTES else ''
+        # Content counts twice, since every byte of it may have framing.
+        limit = FRAMING_BYTES + 2 * self._content.total_bytes
+        return 'more framing than content' if self._received > limit else ''
--- a/wagtailspread/gateway/buffers.py
+++ b/wagtailspread/gateway/buffers.py
@@ -4,6 +4,8 @@
 import enum
 import typing
 
+from wagtailspread.entry import protocols
+
 #: Assumed memory of a host if it is unknown, in bytes.
 DEFAULT_MEMORY_BYTES = 256_000_000
 #: All responses being read together get the memory divided by this. A host
@@ -23,12 +25,6 @@
 #: the deadline at its rate times this factor. The link may exceed its rate for
 #: a while.
 LINK_MARGIN = 2.0
-#: Bytes of framing of a body that are accepted beyond the size of its content.
-#: This is more than one read from a socket, which may not be parsed yet.
-FRAMING_BYTES = 1024 * 1024
-#: Maximum size of a head with the interim responses before it, in bytes.
-#: Regular heads have a few hundred bytes.
-MAX_HEAD_BYTES = 64 * 1024
 #: Maximum time from the first byte of a head to its end, in seconds. A head is
 #: sent at once, and a lost packet is retransmitted within one second.
 HEAD_SECONDS = 2.0
@@ -66,7 +62,7 @@
     unsized_total_bytes: int
     unsized_bytes: int
     link_rate: float | None = None
-    head_bytes: int = MAX_HEAD_BYTES
+    head_bytes: int = protocols.MAX_HEAD_BYTES
     head_seconds: float = HEAD_SECONDS
 
 
--- a/wagtailspread/gateway/response_readers.py
+++ b/wagtailspread/gateway/response_readers.py
@@ -11,17 +11,14 @@
 
 import aiohttp
 
-from aiohttp import client_proto, streams
+from aiohttp import streams
 
-from wagtailspread.entry import connections, executions
+from wagtailspread.entry import connections, executions, protocols
 from wagtailspread.gateway import buffers
 
 #: Bytes of a head that are parsed at once. The parser creates objects for all
 #: interim responses in its input before any of them can be counted.
 _HEAD_PIECE_BYTES = 4096
-_FIRST_INTERIM = 100
-_SWITCHING_PROTOCOLS = 101
-_FIRST_FINAL = 200
 #: Ends of a blank line, which terminates a head.
 _BLANK_LINES = (b'\n\r\n', b'\n\n')
 _LONGEST_BLANK_LINE = 3
@@ -119,7 +116,7 @@
         if self.is_unsized and received > self._limits.unsized_bytes:
             self.cut(buffers.CutReason.UNSIZED)
         content = self._payload.total_bytes
-        if received > buffers.FRAMING_BYTES + content + content:
+        if received > protocols.FRAMING_BYTES + content + content:
             self.cut(buffers.CutReason.FRAMING)
         return self._count(size)
 
@@ -224,7 +221,7 @@
             self.timer = None
 
 
-class BoundedProtocol(client_proto.ResponseHandler):
+class BoundedProtocol(protocols.UpstreamProtocol):
     """Counts received bytes and records connection resets.
 
     A body without a length ends with its connection, and the client library
@@ -262,23 +259,12 @@
         """Process the end of a head."""
         if self.reader is not None:
             message, payload = data
-            code = message.code
-            is_interim = _FIRST_INTERIM <= code < _FIRST_FINAL
-            if is_interim and code != _SWITCHING_PROTOCOLS:
+            if protocols.is_interim(message.code):
                 self.reader.finish_interim()
             else:
                 self.reader.finish_head(message.headers, payload)
         super().feed_data(data, size)
 
-    def close_with_error(self, error: AnswerCut) -> None:
-        """Close the connection at once; raise the error in waiting readers."""
-        payload = self._payload
-        if payload is not None and payload is not streams.EMPTY_PAYLOAD:
-            payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record that the connection ended with an error, such as a reset."""
         if exc is not None and self.record is not None:
@@ -297,9 +283,11 @@
             force_close=True,
             socket_factory=connections.create_socket,
         )
+
+    def _create_factory(self) -> typing.Any:
+        """Return the factory of protocols that count for a reader."""
         loop = asyncio.get_running_loop()
-        create: typing.Any = functools.partial(BoundedProtocol, loop=loop)
-        self._factory = create
+        return functools.partial(BoundedProtocol, loop=loop)
 
     async def connect(
         self,
