Repeat a refused write of the document's copy

Operators would see: a version was applied while the disk of a replica was full; all processes are killed at once before the next version; hosts that start then get an older version from the copy until there is a leader.

Cause: a copy that was not written was given up until the next version came, and the part that had been written kept its room.

Evidence: the new test failed before, since the part was still there.

Change: the write is repeated each second, the newest document first. A part that was written is removed.

--- a/wagtailspread/replica/copies.py
+++ b/wagtailspread/replica/copies.py
@@ -25,6 +25,8 @@
 
 #: Name of the file in the data folder.
 FILE_NAME = 'document'
+#: Delay before a failed write is repeated, in seconds.
+RETRY_SECONDS = 1.0
 _DIGEST_BYTES = hashlib.sha256().digest_size
 _VERSION_BYTES = 8
 
@@ -74,17 +76,22 @@
         version = document.version.to_bytes(_VERSION_BYTES, 'big', signed=True)
         record = version + document.body
         temporary = self._path.with_suffix('.new')
-        with temporary.open('wb') as file:
-            file.write(hashlib.sha256(record).digest() + record)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.rename(self._path)
+        try:
+            with temporary.open('wb') as file:
+                file.write(hashlib.sha256(record).digest() + record)
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.rename(self._path)
+        except OSError:
+            # What was written takes room that the log may need.
+            temporary.unlink(missing_ok=True)
+            raise
 
     def save(self, document: documents.VersionedDocument) -> None:
         """Write a document in the background.
 
         Writes do not overlap; a document that waits is replaced by a later
-        one.
+        one. A failed write is repeated.
         """
         newest = documents.VersionedDocument()
         newest.put(document.version, document.body)
@@ -101,6 +108,9 @@
                 # The copy is optional: without it, the next start waits for a
                 # leader.
                 _log.warning('copy not written', extra={'reason': str(error)})
+                if self._next_document is None:
+                    self._next_document = document
+                await asyncio.sleep(RETRY_SECONDS)
 
 
 def create_copy(folder: pathlib.Path) -> DocumentCopy:
--- a/wagtailspread/replica/tests/test_copies.py
+++ b/wagtailspread/replica/tests/test_copies.py
@@ -1,6 +1,8 @@
 """Tests of the local copy of the document at a replica."""
 
 import asyncio
+import errno
+import os
 
 import pytest
 
@@ -55,6 +57,30 @@
     assert copy.load().version == documents.NO_VERSION
 
 
+async def test_a_refused_copy_is_written_once_there_is_room(
+    tmp_path, monkeypatch
+):
+    """Guards against an old copy until the next version is applied.
+
+    Load pattern: the disk is full while a version is applied, and no other one
+    comes before all processes are killed.
+    """
+    monkeypatch.setattr(copies, 'RETRY_SECONDS', 0.05)
+    sync = os.fsync
+
+    def refuse(_descriptor):
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    copy = copies.create_copy(tmp_path)
+    monkeypatch.setattr(os, 'fsync', refuse)
+    copy.save(create_document(4))
+    await asyncio.sleep(0.2)
+    assert not list(tmp_path.iterdir())
+    monkeypatch.setattr(os, 'fsync', sync)
+    await asyncio.sleep(0.2)
+    assert copy.load().version == 4
+
+
 class _Replica:
     """A leader that has applied no entries."""
 
