Make room on a full disk, and survive a refused rename

Operators would see: a replica that waits for good for room which an invalid identity of its own takes, or a process that ends by itself at each start.

Cause: a folder that was set aside stayed beside the new one whatever the disk had left. An error of the rename that sets it aside left the supervisor.

Change: when the disk is full, the folder that was set aside is deleted. A refused rename is logged and tried again.

--- a/wagtailspread/consensus/files.py
+++ b/wagtailspread/consensus/files.py
@@ -349,8 +349,18 @@
     The new name has the suffix ``-discarded``. A single rename is atomic, so a
     crash leaves either the old folder or none. The last discarded folder stays
     for inspection; an earlier one is deleted.
+
+    :raises OSError: if the disk refuses it; the folder is still there.
     """
-    discarded = folder.with_name(f'{folder.name}-discarded')
-    shutil.rmtree(discarded, ignore_errors=True)
-    folder.rename(discarded)
+    remove_discarded(folder)
+    folder.rename(_create_discarded_path(folder))
     frames.sync_folder(folder.parent)
+
+
+def remove_discarded(folder: pathlib.Path) -> None:
+    """Delete the folder that :func:`discard` left, to make room."""
+    shutil.rmtree(_create_discarded_path(folder), ignore_errors=True)
+
+
+def _create_discarded_path(folder: pathlib.Path) -> pathlib.Path:
+    return folder.with_name(f'{folder.name}-discarded')
--- a/wagtailspread/replica/servers.py
+++ b/wagtailspread/replica/servers.py
@@ -153,8 +153,19 @@
         return self._expelled.is_set()
 
     def discard(self) -> None:
-        """Move the data folder away; the next run gets a new identity."""
-        files.discard(self._folder)
+        """Move the data folder away; the next run gets a new identity.
+
+        If the disk refuses that, the next run finds the old identity, which is
+        discarded again.
+        """
+        try:
+            files.discard(self._folder)
+        except OSError as error:
+            _log.error('data not discarded', extra={'reason': str(error)})
+
+    def free_space(self) -> None:
+        """Delete what a full disk can do without."""
+        files.remove_discarded(self._folder)
 
     async def _close(self, listener: listeners.Listener) -> None:
         self._sender.close()
--- a/wagtailspread/replica/supervision.py
+++ b/wagtailspread/replica/supervision.py
@@ -14,7 +14,7 @@
 
 
 from wagtailspread.configuration import documents as configurations
-from wagtailspread.consensus import journals, states
+from wagtailspread.consensus import frames, journals, states
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.registry import services
 from wagtailspread.replica import copies, departures, documents, drivers
@@ -117,28 +117,13 @@
                 for task in (running, stop, following):
                     task.cancel()
         except* drivers.ReplicaStopped as stopped:
-            await self._recover(server, stopped)
+            await recover_storage(server, stopped)
 
     async def _leave_group(self, server: servers.ReplicaServer) -> None:
         await server.transfer_leadership()
         if self._departure_service is not None:
             await self._departure_service.leave()
 
-    async def _recover(
-        self,
-        server: servers.ReplicaServer,
-        stopped: 'ExceptionGroup[drivers.ReplicaStopped]',
-    ) -> None:
-        failure = stopped.exceptions[0]
-        _log.error('storage failed', extra={'reason': str(failure)})
-        is_damaged = isinstance(failure, drivers.ReplicaStopped) and isinstance(
-            failure.failure,
-            journals.StorageDamaged,
-        )
-        if is_damaged:
-            server.discard()
-        await asyncio.sleep(REOPEN_DELAY_SECONDS)
-
     async def _follow_peers(self, server: servers.ReplicaServer) -> None:
         await server.is_listening.wait()
         pool = self._pool
@@ -221,3 +206,22 @@
     :param extension: registers further handlers of the process.
     """
     return Supervisor(settings, registry, clock, create_machine, extension)
+
+
+async def recover_storage(
+    server: servers.ReplicaServer,
+    stopped: 'ExceptionGroup[drivers.ReplicaStopped]',
+) -> None:
+    """Prepare the next run after the storage has failed.
+
+    Damaged data is set aside, so that the replica gets a new identity. If the
+    disk is full, earlier data that was set aside is deleted.
+    """
+    stop = stopped.exceptions[0]
+    _log.error('storage failed', extra={'reason': str(stop)})
+    cause = getattr(stop, 'failure', None)
+    if isinstance(cause, journals.StorageDamaged):
+        server.discard()
+    elif isinstance(cause, frames.DiskFull):
+        server.free_space()
+    await asyncio.sleep(REOPEN_DELAY_SECONDS)
