Write log lines in a thread behind a bounded queue

Callers saw: a host that answered nothing while nobody read its output.

Cause: each process wrote its log on its event loop and waited for the reader of the pipe, which takes 64 KiB.

Evidence: with a pipe that is full and not read, three replicas and a host confirmed no configuration in 15 s before. The new test with real processes fails there.

Those that do not fit are dropped and counted; their number is written once there is room.

Ruled out: a descriptor that does not block, which all processes of a pipe share; a check before each write, which leaves a moment for another process to fill the pipe.

--- a/wagtailspread/commands/processes.py
+++ b/wagtailspread/commands/processes.py
@@ -74,14 +74,16 @@
         founders=section.founders,
         first_base=section.first_base,
     )
-    handler = logs.create_handler(
+    handler = logs.create_process_handler(
         process.host,
         sys.stderr,
         level=process.log_level,
     )
-    with handler.applicationbound():
-        _run_replica(replica_settings)
-    handler.close_windows()
+    try:
+        with handler.applicationbound():
+            _run_replica(replica_settings)
+    finally:
+        handler.close_windows()
 
 
 def _run_replica(replica_settings: servers.ReplicaSettings) -> None:
--- a/wagtailspread/observability/logs.py
+++ b/wagtailspread/observability/logs.py
@@ -3,7 +3,8 @@
 Events are logged with a fixed message and their details as ``extra`` fields,
 so that programs can filter them. Equal events are limited: the first ones of a
 window are written, the others are only counted, and their number is written
-after the window.
+after the window. The lines of a process are written in a thread; those that its
+reader does not take in time are dropped, and their number is written later.
 
 >>> import io
 >>> stream = io.StringIO()
@@ -26,6 +27,7 @@
 
 from logbook import compat
 from wagtailspread.core import clocks
+from wagtailspread.observability import writers
 
 #: Length of a window in which equal events are limited, in seconds.
 WINDOW_SECONDS = 10.0
@@ -41,18 +43,20 @@
     count: int = 0
 
 
-class StructuredHandler(logbook.StreamHandler):
+class StructuredHandler(logbook.Handler):
     """Writes records as JSON lines and limits equal events."""
 
     def __init__(
         self,
         host: str,
-        stream: typing.TextIO,
+        writer: writers.LineWriter,
         clock: clocks.Clock,
         level: str,
     ) -> None:
-        """Write records of ``level`` and above to ``stream``."""
-        super().__init__(stream, level=level, bubble=False)
+        """Write records of ``level`` and above to ``writer``."""
+        super().__init__(level=level, bubble=False)
+        self._writer = writer
+        self._dropped = 0
         self._host = host
         self._clock = clock
         self._windows: dict[tuple[str, str], _Window] = {}
@@ -74,9 +78,13 @@
             self._write(self._describe(record))
 
     def close_windows(self) -> None:
-        """Write the numbers of all events that were suppressed so far."""
+        """Write the numbers of all events that were suppressed so far.
+
+        Also wait for a moment until the lines of a thread are written.
+        """
         for key, window in list(self._windows.items()):
             self._close_window(key, window)
+        self._writer.close()
 
     def _close_window(self, key: tuple[str, str], window: _Window) -> None:
         self._windows.pop(key)
@@ -86,11 +94,7 @@
         channel, message = key
         self._write(
             {
-                'time': self._clock.wall(),
-                'level': 'NOTICE',
-                'channel': channel,
-                'event': 'equal events suppressed',
-                'host': self._host,
+                **self._create_notice(channel, 'equal events suppressed'),
                 'of': message,
                 'suppressed': suppressed,
             }
@@ -109,10 +113,24 @@
             fields['exception'] = record.formatted_exception
         return fields
 
+    def _create_notice(self, channel: str, event: str) -> dict[str, typing.Any]:
+        return {
+            'time': self._clock.wall(),
+            'level': 'NOTICE',
+            'channel': channel,
+            'event': event,
+            'host': self._host,
+        }
+
     def _write(self, fields: dict[str, typing.Any]) -> None:
+        if self._dropped:
+            notice = self._create_notice('logs', 'lines dropped')
+            notice['dropped'] = self._dropped
+            if self._writer.write(json.dumps(notice)):
+                self._dropped = 0
         line = json.dumps(fields, default=str)
-        self.stream.write(f'{line}\n')
-        self.stream.flush()
+        if not self._writer.write(line):
+            self._dropped += 1
 
 
 def create_handler(
@@ -121,13 +139,31 @@
     clock: clocks.Clock | None = None,
     level: str = 'INFO',
 ) -> StructuredHandler:
-    """Return a handler; activate it with ``applicationbound``.
+    """Return a handler that waits until each line is written.
+
+    Activate it with ``applicationbound``.
+
+    :param host: name of the host, written into each line.
+    :param level: lowest level that is written.
+    """
+    writer = writers.create_direct_writer(stream)
+    return StructuredHandler(host, writer, clock or clocks.SystemClock(), level)
+
+
+def create_process_handler(
+    host: str,
+    stream: typing.TextIO,
+    level: str = 'INFO',
+) -> StructuredHandler:
+    """Return a handler that never waits for the reader of the stream.
+
+    Activate it with ``applicationbound``; call ``close_windows`` at the end.
 
     :param host: name of the host, written into each line.
     :param level: lowest level that is written.
     """
-    used_clock = clock or clocks.SystemClock()
-    return StructuredHandler(host, stream, used_clock, level)
+    writer = writers.create_queued_writer(stream.fileno())
+    return StructuredHandler(host, writer, clocks.SystemClock(), level)
 
 
 def redirect_library_logs() -> None:
--- a/wagtailspread/platform/__main__.py
+++ b/wagtailspread/platform/__main__.py
@@ -28,9 +28,12 @@
         boot = settings.load()
     except (KeyError, OSError, values.FormatError) as error:
         sys.exit(f'settings: {error}')
-    handler = logs.create_handler(boot.host, sys.stdout, level='INFO')
-    with handler.applicationbound():
-        asyncio.run(program.run(boot))
+    handler = logs.create_process_handler(boot.host, sys.stdout)
+    try:
+        with handler.applicationbound():
+            asyncio.run(program.run(boot))
+    finally:
+        handler.close_windows()
 
 
 if __name__ == '__main__':
--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from wagtailspread.gateway.tests import raw_upstreams
+from wagtailspread.observability.tests import test_writers
 
 _ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
 _CONTROL_PORT = 18544
@@ -99,7 +100,7 @@
         }
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
-        with (self.folder / f'{name}.log').open('a') as log:
+        with self.open_log(name) as log:
             self.processes[name] = subprocess.Popen(  # noqa: S603
                 [sys.executable, '-m', 'wagtailspread.platform', role],
                 env={**os.environ, 'WAGTAILSPREAD_BOOT': str(path)},
@@ -107,6 +108,10 @@
                 stderr=log,
             )
 
+    def open_log(self, name):
+        """Open the file that takes the output of a process."""
+        return (self.folder / f'{name}.log').open('a')
+
     def kill(self, name):
         """Kill a process."""
         process = self.processes.pop(name)
@@ -340,3 +345,37 @@
                     5, 'u0', '10.0.0.1:80', state, seq
                 )
                 assert status == 503
+
+
+async def test_processes_run_while_nobody_reads_their_output(tmp_path):
+    """Guards against an event loop that waits for the reader of its log."""
+    read_end, write_end = os.pipe()
+    stream = os.fdopen(write_end, 'w')
+    test_writers.fill(stream)
+    with run_fleet(tmp_path, 15) as fleet:
+        fleet.open_log = lambda _name: os.fdopen(os.dup(write_end), 'w')
+        for number in range(3):
+            fleet.start_replica(number)
+        fleet.start_host(5)
+        async with aiohttp.ClientSession() as session:
+            platform = Platform(fleet, session)
+
+            async def put():
+                return await platform.put(1, 7) == 200
+
+            await wait_for(put)
+            await wait_for(
+                lambda: is_status(platform.send_heartbeat(0, 'u0', 'a:1'), 400)
+            )
+            status = await platform.send_heartbeat(0, 'u0', '10.0.0.1:80')
+            assert status == 200
+            await wait_for(lambda: platform.is_ready(5))
+        statuses = await asyncio.to_thread(fleet.stop)
+    os.close(read_end)
+    stream.close()
+    assert set(statuses.values()) == {0}
+
+
+async def is_status(answer, expected):
+    """Tell whether a call is answered with a status."""
+    return await answer == expected
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -237,7 +237,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    handler = logs.create_handler(
+    handler = logs.create_process_handler(
         process.host,
         sys.stderr,
         level=process.log_level,
