--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup demo test format lint fuzz bench bench-full binary ci
+.PHONY: setup demo test format lint fuzz soak bench bench-full binary ci
 
 setup: $(VENV)/.installed
 
@@ -32,6 +32,13 @@
 fuzz: setup
 	$(BIN)/python -m wagtailspread.testing.fuzzing --seconds $(SECONDS) --seed $(SEED)
 
+# Number of seeds of the soak, and its other options.
+COUNT ?= 1
+SOAK ?=
+
+soak: setup
+	$(BIN)/python -m wagtailspread.platform.tests.soak --seed $(SEED) --count $(COUNT) --seconds $(SECONDS) $(SOAK)
+
 bench: setup
 	$(BIN)/python -m benchmarks
 
--- /dev/null
+++ b/wagtailspread/platform/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of real processes under planned and unplanned stops."""
--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -13,11 +13,11 @@
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.observability.tests import test_writers
 
-_ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
-_CONTROL_PORT = 18544
+ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
+CONTROL_PORT = 18544
 _LINK_PORT = 17540
-_CALLER_PORT = 18548
-_READY_PORT = 18542
+CALLER_PORT = 18548
+READY_PORT = 18542
 _HEADERS = {'Host': 'a.example', 'Attempt-Id': 'a1', 'Deadline-Ms': '4000'}
 
 
@@ -57,7 +57,7 @@
         self.folder = folder
         self.block = block
         self.processes = {}
-        self.seeds = [f'{self.find_ip(n)}:{_CONTROL_PORT}' for n in range(3)]
+        self.seeds = [f'{self.find_ip(n)}:{CONTROL_PORT}' for n in range(3)]
 
     def find_ip(self, number):
         """Return the address of a machine."""
@@ -68,8 +68,8 @@
         ip = self.find_ip(number)
         self._start(
             f'replica{number}',
-            ip,
-            listen={'control': f'{ip}:{_CONTROL_PORT}'},
+            number,
+            listen={'control': f'{ip}:{CONTROL_PORT}'},
             dataDir=str(self.folder / f'data{number}'),
             bootstrap=is_first,
         )
@@ -78,20 +78,24 @@
         """Start a host that accepts the requests of callers."""
         ip = self.find_ip(number)
         listen = {
-            'front': f'{ip}:{_CALLER_PORT}',
-            'readinessAddr': f'{ip}:{_READY_PORT}',
+            'front': f'{ip}:{CALLER_PORT}',
+            'readinessAddr': f'{ip}:{READY_PORT}',
         }
-        self._start(f'host{number}', ip, listen=listen, dataDir=None)
+        self._start(f'host{number}', number, listen=listen, dataDir=None)
+
+    def find_address(self, number, port):
+        """Return the address of a machine for one of its listeners."""
+        return f'{self.find_ip(number)}:{port}'
 
-    def _start(self, name, ip, **changes):
+    def _start(self, name, number, **changes):
         role = 'replica' if name.startswith('replica') else 'entry'
-        zone = list(_ZONES)[len(self.processes) % len(_ZONES)]
+        zone = list(ZONES)[number % len(ZONES)]
         settings = {
             'nodeName': name,
-            'ip': ip,
+            'ip': self.find_ip(number),
             'zone': zone,
-            'region': _ZONES[zone],
-            'zones': _ZONES,
+            'region': ZONES[zone],
+            'zones': ZONES,
             'internalPorts': [_LINK_PORT, _LINK_PORT + 15],
             'seeds': self.seeds,
             'faultTolerance': {'machines': 1},
@@ -192,13 +196,13 @@
 
     async def is_ready(self, number):
         """Tell whether a host reports that it is ready."""
-        url = f'http://{self.fleet.find_ip(number)}:{_READY_PORT}'
+        url = f'http://{self.fleet.find_ip(number)}:{READY_PORT}'
         async with self.session.get(f'{url}/wagtailspread/ready') as answer:
             return answer.status == 200
 
     async def send_order(self, number):
         """Send an order to a host and return the status and the body."""
-        url = f'http://{self.fleet.find_ip(number)}:{_CALLER_PORT}/p/x'
+        url = f'http://{self.fleet.find_ip(number)}:{CALLER_PORT}/p/x'
         async with self.session.post(
             url,
             data=b'order',
@@ -208,7 +212,7 @@
 
     def _find_url(self, number, path):
         ip = self.fleet.find_ip(number)
-        return f'http://{ip}:{_CONTROL_PORT}/wagtailspread/{path}'
+        return f'http://{ip}:{CONTROL_PORT}/wagtailspread/{path}'
 
     async def _post(self, number, path, fields):
         url = self._find_url(number, path)
