Block requests that crash the upstreams that run them

Callers of other requests lose an upstream each time such a request comes again.

Cause: the platform's program kept no record of requests that were lost when an upstream ended, so a request that came again was sent to the next one.

Change: placement requests carry a fingerprint of caller, method, host, target and body. An allocator that sees one lost at three incarnations of upstreams, with no answer in between, blocks it for 300 s and tells the others.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -42,6 +42,8 @@
     NOT_CURRENT = 'not-current'
     #: The host stops before the request is answered.
     STOPPING = 'stopping'
+    #: The request has crashed the upstreams that ran it.
+    BLOCKED = 'blocked'
     #: The request may have run, and its response was lost.
     ANSWER_LOST = 'answer-lost'
 
@@ -82,6 +84,7 @@
     messages.Decision.NO_UPSTREAM: Refusal.NO_UPSTREAM,
     messages.Decision.NO_ROOM: Refusal.NO_ROOM,
     messages.Decision.NO_BUDGET: Refusal.NO_ROOM,
+    messages.Decision.BLOCKED: Refusal.BLOCKED,
 }
 
 
@@ -212,6 +215,7 @@
             is_repeat=state.send_attempts.sends > 0,
             is_repeatable=routed.route.is_repeatable
             and state.send_attempts.sends + 1 < routed.route.max_attempts,
+            fingerprint=routed.outgoing.fingerprint,
         )
 
     def _find_refusal(
@@ -252,6 +256,7 @@
         started = _now()
         evidence = messages.Evidence.NONE
         received = exchanges.ReceivedNotice()
+        is_reset = False
         try:
             outcome = await self._exchanger.send(
                 record,
@@ -260,6 +265,7 @@
                 received,
             )
             evidence = _classify_outcome(outcome, _now() - started)
+            is_reset = _is_reset(outcome)
         finally:
             seconds = _now() - started
             self._placer.settle(
@@ -268,6 +274,7 @@
                 evidence,
                 seconds,
                 received.notice,
+                is_reset=is_reset,
             )
         if isinstance(outcome, exchanges.NoConnection):
             state.send_attempts.record_connection_failure()
@@ -307,6 +314,10 @@
     return messages.Evidence.BAD
 
 
+def _is_reset(outcome: exchanges.Outcome) -> bool:
+    return isinstance(outcome, exchanges.LostResponse) and outcome.is_reset
+
+
 def _describe_failure(outcome: exchanges.Outcome) -> str:
     if isinstance(outcome, exchanges.UpstreamResponse):
         return f'status {outcome.status}'
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -16,6 +16,7 @@
 
 from wagtailspread.entry import bodies, connections, executions
 from wagtailspread.gateway import buffers, headers, notices, response_readers
+from wagtailspread.placement import crashes
 from wagtailspread.placement import messages as placement_messages
 from wagtailspread.registry import records
 
@@ -31,6 +32,14 @@
 _SERVER_ERROR = 500
 _MILLISECONDS = 1000
 _OMITTED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
+#: Errors of a connection that ends without a whole answer. The client library
+#: resends some requests then, which is prevented.
+_RESET_ERRORS = (
+    connections.RepeatedAttempt,
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+    OSError,
+)
 #: The exchange enforces the deadline of the request itself.
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
@@ -43,6 +52,8 @@
 
     :param target: path and query as received.
     :param deadline: in seconds of the event loop clock.
+    :param fingerprint: the same for requests with the same caller, target and
+        body.
     """
 
     method: str
@@ -51,6 +62,7 @@
     body: bodies.RequestBody | None
     attempt: str
     deadline: float
+    fingerprint: crashes.Fingerprint = crashes.NO_FINGERPRINT
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,10 +108,13 @@
 
     :param reason: cause, for logs.
     :param is_expired: whether the time limit of the request was the cause.
+    :param is_reset: whether the upstream ended the connection without an
+        answer, as it does when it crashes.
     """
 
     reason: str
     is_expired: bool = False
+    is_reset: bool = False
 
 
 Outcome = UpstreamResponse | NotExecuted | NoConnection | LostResponse
@@ -157,7 +172,8 @@
             reader.expire()
             loss = LostResponse('no answer in time', is_expired=True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            loss = LostResponse(type(error).__name__)
+            is_reset = isinstance(error, _RESET_ERRORS)
+            loss = LostResponse(type(error).__name__, is_reset=is_reset)
         finally:
             reader.close()
         if reader.reason is not None:
@@ -214,7 +230,9 @@
         is_framed = 'Content-Length' in found or 'Transfer-Encoding' in found
         was_reset = progress.connection and progress.connection.was_reset
         if was_reset and not is_framed:
-            return LostResponse('reset before the end of the body')
+            return LostResponse(
+                'reset before the end of the body', is_reset=True
+            )
         return UpstreamResponse(
             response.status,
             response.reason,
--- /dev/null
+++ b/wagtailspread/gateway/fingerprints.py
@@ -0,0 +1,40 @@
+"""Fingerprints of requests, to recognise one that comes again."""
+
+import hashlib
+import struct
+
+from aiohttp import web
+
+from wagtailspread.entry import bodies
+from wagtailspread.placement import crashes
+
+#: Bytes of a body that are hashed. The size is hashed as well.
+MAX_HASHED_BYTES = 65536
+_INTEGER = struct.Struct('>q')
+
+
+def compute(
+    request: web.BaseRequest,
+    body: bodies.RequestBody | None,
+) -> crashes.Fingerprint:
+    """Return the fingerprint of a request.
+
+    It covers the caller's address, method, host, target and body, and not what
+    changes when the caller sends the request again, such as the attempt id.
+    """
+    prefix = b'' if body is None else body.prefix[:MAX_HASHED_BYTES]
+    size = request.content_length or len(prefix)
+    head = (
+        request.remote or '',
+        request.method,
+        request.headers.get('Host', ''),
+        request.raw_path,
+        str(size),
+    )
+    digest = hashlib.blake2b(
+        '\0'.join(head).encode('utf-8', 'surrogateescape'),
+        digest_size=_INTEGER.size,
+    )
+    digest.update(prefix)
+    (fingerprint,) = _INTEGER.unpack(digest.digest())
+    return int(fingerprint)
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -146,11 +146,14 @@
         evidence: messages.Evidence,
         seconds: float,
         notice: messages.UpstreamNotice = messages.NO_NOTICE,
+        *,
+        is_reset: bool = False,
     ) -> None:
         """Report how a placed request ended, without waiting.
 
         :param seconds: duration of the attempt.
         :param notice: what the upstream asked of this host.
+        :param is_reset: whether its connection ended without an answer.
         """
         record = placement.answer.record
         if record is None:
@@ -175,6 +178,8 @@
                 evidence=int(evidence),
                 took_ms=_encode_seconds(seconds),
             )
+            if is_reset:
+                settlement.is_reset = True
             if notice != messages.NO_NOTICE:
                 settlement.born_ms = record.born_ms
                 settlement.is_leaving = notice.is_leaving
@@ -260,6 +265,7 @@
             is_repeat=placement_request.is_repeat,
             is_repeatable=placement_request.is_repeatable,
             objective_ms=_encode_seconds(placement_request.objective),
+            fingerprint=placement_request.fingerprint,
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
         )
 
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -7,7 +7,7 @@
 
 from wagtailspread.entry import bodies, heads, protections, requests, sites
 from wagtailspread.gateway import attempts, exchanges, headers, response_logs
-from wagtailspread.gateway import limits, stops
+from wagtailspread.gateway import fingerprints, limits, stops
 from wagtailspread.routing import tables, terms
 
 #: Bytes of a request body that are buffered before it is sent. A body that
@@ -153,6 +153,7 @@
             body,
             attempt,
             deadline,
+            fingerprints.compute(request, body),
         )
         size = 0 if body is None else body.size
         routed = self._choose_service(route, outgoing, size)
--- a/wagtailspread/gateway/tests/test_exchanges.py
+++ b/wagtailspread/gateway/tests/test_exchanges.py
@@ -87,6 +87,25 @@
     assert progress.may_have_run
 
 
+@pytest.mark.parametrize(
+    ('answer', 'is_reset'),
+    [
+        (raw_upstreams.reset, True),
+        (raw_upstreams.reply(length=50), True),
+        (raw_upstreams.reply(length=0, reset=True), True),
+        (raw_upstreams.reply(signature=''), False),
+        (raw_upstreams.reply(attempt='another'), False),
+        (raw_upstreams.hang, False),
+    ],
+    ids=['reset', 'short', 'cut', 'unsigned', 'other-id', 'late'],
+)
+async def test_only_a_connection_that_ends_may_be_a_crash(answer, is_reset):
+    """Guards against blocking a request for invalid or late answers."""
+    async with raw_upstreams.RawUpstream(answer) as upstream:
+        outcome, _progress = await send(upstream, seconds=0.5)
+    assert outcome.is_reset is is_reset
+
+
 @pytest.mark.parametrize(
     'status',
     [301, 304, 400, 401, 404, 408, 413, 429, 431, 500, 503, 504],
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -11,9 +11,11 @@
 import dataclasses
 import itertools
 
+import logbook
+
 from wagtailspread.core import identifiers
-from wagtailspread.placement import budgets, floors, leases, messages
-from wagtailspread.placement import selection
+from wagtailspread.placement import budgets, crashes, floors, leases
+from wagtailspread.placement import messages, selection
 
 #: Head start in the queue per priority level, in seconds. It is bounded, so a
 #: flood of urgent requests does not starve the others.
@@ -49,6 +51,8 @@
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 3.0
 
+_log = logbook.Logger('placement')
+
 
 class Allocator:
     """Places the requests of a region. Use :func:`create_allocator`."""
@@ -63,6 +67,7 @@
         self.selector = selector
         self._budget = budget
         self.floor = floor
+        self.crashes = crashes.create_crashes()
         self._sequence = itertools.count()
         self._leases: dict[identifiers.RequestId, leases.Lease] = {}
         self._waiting: dict[identifiers.RequestId, leases.WaitingRequest] = {}
@@ -84,6 +89,11 @@
         decided = self.pop_decision(request.request_id)
         if decided is not None:
             return decided
+        blocked_until = self.crashes.find_end(request.fingerprint, now)
+        if blocked_until > now:
+            return messages.Answer(
+                messages.Decision.BLOCKED, None, blocked_until - now
+            )
         if request.is_repeat:
             if not self._budget.spend(request.service, now):
                 return self._refuse(request, messages.Decision.NO_BUDGET, now)
@@ -98,11 +108,14 @@
         evidence: messages.Evidence,
         seconds: float,
         now: float,
+        *,
+        is_reset: bool = False,
     ) -> None:
         """Close an open request and record the evidence on its upstream.
 
         :param seconds: duration of the exchange.
         :param now: seconds on the allocator's clock.
+        :param is_reset: whether its connection ended without an answer.
         """
         lease = self._leases.pop(request_id, None)
         self._waiting.pop(request_id, None)
@@ -112,6 +125,7 @@
             host = lease.request.host
             self.selector.finish(lease.upstream)
             self._record_completion(lease, evidence, now)
+            self._record_crash(lease, evidence, now, is_reset=is_reset)
             if lease.is_overdue and evidence is messages.Evidence.BAD:
                 return
             if lease.is_overdue and evidence is messages.Evidence.GOOD:
@@ -337,6 +351,33 @@
             return
         self.floor.record_completion(lease.request.service, is_served, now)
 
+    def _record_crash(
+        self,
+        lease: leases.Lease,
+        evidence: messages.Evidence,
+        now: float,
+        *,
+        is_reset: bool,
+    ) -> None:
+        """Record what the end of a request says about the request itself."""
+        fingerprint = lease.request.fingerprint
+        if evidence is messages.Evidence.GOOD:
+            self.crashes.record_answer(fingerprint)
+            return
+        row = self.selector.registry.rows.get(lease.upstream)
+        if not is_reset or row is None:
+            return
+        born_ms = row.record.born_ms
+        if self.crashes.record_loss(fingerprint, lease.upstream, born_ms, now):
+            _log.warning(
+                'request blocked',
+                extra={
+                    'fingerprint': fingerprint,
+                    'service': lease.request.service,
+                    'upstream': lease.upstream,
+                },
+            )
+
     def _can_wait(
         self, request: messages.PlacementRequest, ahead: int, now: float
     ) -> bool:
--- /dev/null
+++ b/wagtailspread/placement/crashes.py
@@ -0,0 +1,115 @@
+"""Requests that crash the upstreams that run them.
+
+A request that was lost at several incarnations of upstreams, and answered by
+none in between, is blocked: it is refused, whichever host it comes to. One lost
+answer says little, since upstreams in trouble reset requests at random.
+
+>>> crashes = create_crashes()
+>>> [crashes.record_loss(7, 'u1', born_ms, now=0.0) for born_ms in (1, 2, 3)]
+[False, False, True]
+>>> crashes.find_end(7, now=1.0) - 1.0 == BLOCK_SECONDS - 1.0
+True
+>>> crashes.find_end(8, now=1.0)
+1.0
+"""
+
+import collections
+import typing
+
+from wagtailspread.core import identifiers
+
+#: Number of incarnations of upstreams at which a request must have been lost.
+MIN_LOSSES = 3
+#: Time for which a loss counts, in seconds.
+LOSS_SECONDS = 120.0
+#: Time for which a request is blocked, in seconds.
+BLOCK_SECONDS = 300.0
+#: Maximum number of suspected requests, and of blocked ones.
+MAX_REQUESTS = 1024
+
+#: Identifies requests with the same caller, path and body; 0 for none.
+Fingerprint = int
+NO_FINGERPRINT: Fingerprint = 0
+
+
+class _Loss(typing.NamedTuple):
+    """A request that was lost at one incarnation of an upstream."""
+
+    upstream: identifiers.UpstreamId
+    born_ms: int
+    at: float
+
+
+class CrashTable:
+    """Suspected and blocked requests. Use :func:`create_crashes`."""
+
+    def __init__(self) -> None:
+        """Start without suspicions."""
+        self._losses: collections.OrderedDict[Fingerprint, list[_Loss]]
+        self._losses = collections.OrderedDict()
+        self._ends: collections.OrderedDict[Fingerprint, float]
+        self._ends = collections.OrderedDict()
+
+    def record_loss(
+        self,
+        fingerprint: Fingerprint,
+        upstream: identifiers.UpstreamId,
+        born_ms: int,
+        now: float,
+    ) -> bool:
+        """Record that the connection of a request ended without an answer.
+
+        :param born_ms: start of the upstream's incarnation.
+        :param now: seconds on the caller's clock, like all times here.
+        :returns: whether the request is blocked from now on.
+        """
+        if fingerprint == NO_FINGERPRINT:
+            return False
+        known = [
+            loss
+            for loss in self._losses.pop(fingerprint, ())
+            if now - loss.at < LOSS_SECONDS
+            and (loss.upstream, loss.born_ms) != (upstream, born_ms)
+        ]
+        known.append(_Loss(upstream, born_ms, now))
+        self._losses[fingerprint] = known
+        _limit(self._losses)
+        is_blocked = len(known) >= MIN_LOSSES
+        if is_blocked:
+            self.block(fingerprint, now + BLOCK_SECONDS)
+        return is_blocked
+
+    def record_answer(self, fingerprint: Fingerprint) -> None:
+        """Record that an upstream answered a request."""
+        self._losses.pop(fingerprint, None)
+
+    def block(self, fingerprint: Fingerprint, end: float) -> None:
+        """Block a request until a time, or longer if it is blocked already."""
+        known = self._ends.pop(fingerprint, end)
+        self._ends[fingerprint] = max(known, end)
+        _limit(self._ends)
+
+    def find_end(self, fingerprint: Fingerprint, now: float) -> float:
+        """Return when a request may be sent, ``now`` if at once."""
+        return max(self._ends.get(fingerprint, now), now)
+
+    def list_blocked(self, now: float) -> dict[Fingerprint, float]:
+        """Return the blocked requests with the seconds that are left."""
+        return {
+            fingerprint: end - now
+            for fingerprint, end in self._ends.items()
+            if end > now
+        }
+
+
+def create_crashes() -> CrashTable:
+    """Return a table without suspicions."""
+    return CrashTable()
+
+
+def _limit(
+    table: 'collections.OrderedDict[Fingerprint, typing.Any]',
+) -> None:
+    """Drop the entry that changed longest ago if there are too many."""
+    if len(table) > MAX_REQUESTS:
+        table.popitem(last=False)
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -4,6 +4,7 @@
 import enum
 
 from wagtailspread.core import identifiers
+from wagtailspread.placement import crashes
 from wagtailspread.registry import records
 
 
@@ -20,6 +21,8 @@
     NO_ROOM = 3
     #: The retry budget is exhausted.
     NO_BUDGET = 4
+    #: The request has crashed the upstreams that ran it.
+    BLOCKED = 5
 
 
 class Evidence(enum.IntEnum):
@@ -64,6 +67,8 @@
     :param excluded: upstreams that were tried already.
     :param is_repeat: whether it was sent to an upstream before.
     :param is_repeatable: whether it may be sent again after a failure.
+    :param fingerprint: the same for requests with the same caller, path and
+        body; see :mod:`wagtailspread.placement.crashes`.
     """
 
     request_id: identifiers.RequestId
@@ -77,6 +82,7 @@
     excluded: frozenset[identifiers.UpstreamId] = frozenset()
     is_repeat: bool = False
     is_repeatable: bool = False
+    fingerprint: crashes.Fingerprint = crashes.NO_FINGERPRINT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.placement import allocators, messages
+from wagtailspread.placement import allocators, crashes, messages
 from wagtailspread.registry import records
 from wagtailspread.wire import listeners
 from wagtailspread.wire import messages as wire
@@ -35,6 +35,15 @@
     def list_remote_strained(self) -> set[identifiers.ServiceName]:
         """Return the services of which many requests fail elsewhere."""
 
+    def publish_blocked(
+        self,
+        blocked: typing.Mapping[crashes.Fingerprint, float],
+    ) -> None:
+        """Publish requests that crash upstreams, with the seconds left."""
+
+    def list_remote_blocked(self) -> dict[crashes.Fingerprint, float]:
+        """Return such requests that were found elsewhere."""
+
     def publish_departures(self) -> None:
         """Send upstreams that leave to all followers at once."""
 
@@ -93,6 +102,11 @@
             floor.replace_remote_strained(
                 self._strain_exchange.list_remote_strained()
             )
+            table = self._allocator.crashes
+            self._strain_exchange.publish_blocked(table.list_blocked(now))
+            remote = self._strain_exchange.list_remote_blocked()
+            for fingerprint, seconds in remote.items():
+                table.block(fingerprint, now + seconds)
 
     async def _place(
         self,
@@ -155,6 +169,7 @@
                 evidence,
                 seconds,
                 now,
+                is_reset=bool(settlement.is_reset),
             )
         if self._allocator.count_waiting():
             self._tick()
@@ -220,6 +235,7 @@
         excluded=frozenset(map(identifiers.UpstreamId, request.excluded)),
         is_repeat=request.is_repeat,
         is_repeatable=request.is_repeatable,
+        fingerprint=request.fingerprint or crashes.NO_FINGERPRINT,
     )
 
 
--- /dev/null
+++ b/wagtailspread/placement/tests/test_crashes.py
@@ -0,0 +1,92 @@
+"""Requests that crash upstreams are recognised, and others are not."""
+
+import pytest
+
+from wagtailspread.placement import crashes, messages
+from wagtailspread.placement.tests import regions
+
+
+def lose(region, fingerprint, host='h1', evidence=messages.Evidence.BAD):
+    """Send a request whose connection ends without an answer."""
+    request_id, answer = region.submit(fingerprint=fingerprint, host=host)
+    if answer.record is not None:
+        region.allocator.settle(
+            request_id,
+            answer.record.upstream,
+            evidence,
+            0.1,
+            region.now,
+            is_reset=evidence is messages.Evidence.BAD,
+        )
+        # A crashed upstream does not take the next request.
+        region.selector.registry.rows.pop(answer.record.upstream)
+    region.now += 1.0
+    return answer
+
+
+def test_a_request_that_crashes_upstreams_is_blocked_at_each_host():
+    """Guards against a request that takes one upstream after another."""
+    region = regions.Region(upstreams=6)
+    for number in range(crashes.MIN_LOSSES):
+        answer = lose(region, 7, host=f'h{number}')
+        assert answer.decision is messages.Decision.GRANTED
+    refused = lose(region, 7, host='h9')
+    assert refused.decision is messages.Decision.BLOCKED
+    assert refused.retry_after > 200
+    # Another request with the same path is served.
+    assert lose(region, 8).decision is messages.Decision.GRANTED
+    region.now += crashes.BLOCK_SECONDS
+    assert lose(region, 7).decision is messages.Decision.GRANTED
+
+
+def test_an_answer_ends_the_suspicion():
+    """Guards against a popular request blocked for random resets."""
+    region = regions.Region(upstreams=9)
+    for _ in range(2):
+        lose(region, 7)
+    lose(region, 7, evidence=messages.Evidence.GOOD)
+    for _ in range(2):
+        assert lose(region, 7).decision is messages.Decision.GRANTED
+    assert lose(region, 7).decision is messages.Decision.GRANTED
+
+
+def test_one_upstream_in_trouble_blocks_no_request():
+    """Guards against a block by a single upstream that resets at random."""
+    table = crashes.create_crashes()
+    for number in range(20):
+        assert not table.record_loss(7, 'u1', 1, now=float(number))
+
+
+def test_losses_long_ago_do_not_count():
+    """Guards against a block by resets of a whole day."""
+    table = crashes.create_crashes()
+    for number in range(20):
+        now = number * crashes.LOSS_SECONDS / 2
+        assert not table.record_loss(7, f'u{number}', 1, now)
+
+
+@pytest.mark.parametrize('evidence', [messages.Evidence.SHED])
+def test_a_refusal_is_no_loss(evidence):
+    """Guards against a block of a request that full upstreams reject."""
+    region = regions.Region(upstreams=6)
+    for _ in range(5):
+        answer = lose(region, 7, evidence=evidence)
+        assert answer.decision is messages.Decision.GRANTED
+
+
+def test_requests_without_a_fingerprint_are_not_blocked():
+    """Guards against hosts of an earlier version that send none."""
+    region = regions.Region(upstreams=6)
+    for _ in range(5):
+        answer = lose(region, crashes.NO_FINGERPRINT)
+        assert answer.decision is messages.Decision.GRANTED
+
+
+def test_the_table_is_bounded():
+    """Guards against memory that grows with each lost request."""
+    table = crashes.create_crashes()
+    for number in range(1, 2 * crashes.MAX_REQUESTS):
+        table.record_loss(number, 'u1', 1, now=0.0)
+        table.block(number, 10.0)
+    assert len(table.list_blocked(0.0)) == crashes.MAX_REQUESTS
+    assert len(table._losses) == crashes.MAX_REQUESTS
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -31,6 +31,7 @@
 #: Interval between updates of the list of followed replicas, in seconds.
 PEER_REFRESH_SECONDS = 0.25
 _MAX_EPOCH = 1 << 62
+_MILLISECONDS = 1000
 
 _log = logbook.Logger('registry')
 
@@ -84,6 +85,8 @@
         self._peer_batches: dict[identifiers.Address, messages.Struct] = {}
         self._peer_tasks: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._strained: frozenset[identifiers.ServiceName] = frozenset()
+        self._blocked_ends: dict[int, float] = {}
+        self._remote_blocked: dict[int, float] = {}
 
     def attach(
         self,
@@ -166,6 +169,24 @@
         """Send changes of the table by the local allocator to all followers."""
         self.feed.publish_local_change()
 
+    def publish_blocked(self, blocked: typing.Mapping[int, float]) -> None:
+        """Publish requests that crash upstreams to other replicas.
+
+        :param blocked: seconds that are left, by the fingerprint of a request.
+        """
+        if blocked.keys() - self._blocked_ends.keys():
+            self.feed.wake()
+        now = self._clock.now()
+        self._blocked_ends = {
+            fingerprint: now + seconds
+            for fingerprint, seconds in blocked.items()
+        }
+
+    def list_remote_blocked(self) -> dict[int, float]:
+        """Return such requests that other replicas published since."""
+        remote, self._remote_blocked = self._remote_blocked, {}
+        return remote
+
     def list_remote_strained(self) -> set[identifiers.ServiceName]:
         """Return the strained services that other replicas published."""
         return {
@@ -294,6 +315,9 @@
     ) -> None:
         places.clean_batch(batch)
         self._peer_batches[address] = batch
+        for blocked in batch.blocked or ():
+            seconds = blocked.left_ms / _MILLISECONDS
+            self._remote_blocked[blocked.fingerprint] = seconds
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
             if reported == address:
@@ -357,6 +381,7 @@
         hosts = self.feed.list_hosts(self._clock.now())
         batch.hosts = len(hosts)
         batch.strained = sorted(self._strained) if request.is_replica else []
+        batch.blocked = self._list_blocked() if request.is_replica else None
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
         batch.document_version = documents.NO_VERSION
@@ -369,6 +394,18 @@
         batch.is_up_to_date = group.is_up_to_date()
         batch.document_version = group.read_document().version
 
+    def _list_blocked(self) -> list[messages.Struct] | None:
+        now = self._clock.now()
+        blocked = [
+            messages.structs.BlockedRequest(
+                fingerprint=fingerprint,
+                left_ms=int((end - now) * _MILLISECONDS),
+            )
+            for fingerprint, end in self._blocked_ends.items()
+            if end > now
+        ]
+        return blocked or None
+
     def _list_substitutes(
         self,
         hosts: list[feeds.FollowerState],
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -182,3 +182,16 @@
     sources.update(known[:1], is_complete=False)
     sources.deprioritize('r1:1', 0.0)
     assert sources.choose(0.1) in {'r2:1', 'r3:1'}
+
+
+async def test_replicas_exchange_blocked_requests():
+    """Guards against a request that crashes the upstreams of each region."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'far')
+    first.publish_blocked({7: 30.0})
+    batch = await follow(first, 'r2:1', 'far', is_replica=True)
+    second._process_batch('r1:1', batch)
+    assert second.list_remote_blocked() == {7: 30.0}
+    # Each one is reported once, so that it ends.
+    assert second.list_remote_blocked() == {}
+    assert (await follow(first, 'h1', 'north')).blocked is None
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -575,6 +575,11 @@
   1: binary packed
 }
 
+struct BlockedRequest {
+  1: i64 fingerprint
+  2: i32 left_ms
+}
+
 struct ChangeBatch {
   1: i64 epoch
   2: i64 position
@@ -595,6 +600,8 @@
   13: list<string> strained
   // Whether the replica has applied all recently committed entries.
   14: bool is_up_to_date
+  // Requests that crash upstreams; for replicas only.
+  15: optional list<BlockedRequest> blocked
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
@@ -614,6 +621,8 @@
   12: i32 objective_ms
   // Maximum time to delay the answer.
   13: i32 wait_ms
+  // The same for requests with the same caller, path and body.
+  14: optional i64 fingerprint
 }
 
 struct PlaceAnswer {
@@ -637,6 +646,8 @@
   6: optional bool is_leaving
   // Time for which this host sends it nothing.
   7: optional i32 hold_ms
+  // Whether the connection ended without an answer.
+  8: optional bool is_reset
 }
 
 struct SettleRequests {
