Apply a departure to the incarnation that it names

Callers saw: a service with too few upstreams, while upstreams that had restarted under their ids were ready and got no request for good.

Cause: the record of a departure was made from the record in the table, whatever `born` it named, and a departure is final for its incarnation.

Only messages of the incarnation in the table count as its heartbeats.

--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -1,7 +1,6 @@
 """HTTP server of a replica for the calls of upstreams and operators."""
 
 import json
-import time
 import typing
 
 import logbook
@@ -22,7 +21,6 @@
 _NOT_FOUND = 404
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
-_MILLISECONDS = 1000
 
 #: Characters of the id of an upstream in a log line about a malformed call.
 _LOGGED_ID_LENGTH = 64
@@ -133,12 +131,9 @@
         body: bytes,
     ) -> records.UpstreamRecord:
         """Return the record of an upstream that leaves without draining."""
-        born_ms = heartbeats.decode_leave(body)
-        if born_ms is None:
-            born_ms = int(time.time() * _MILLISECONDS)
         record = self._registry.create_departure(
             identifiers.UpstreamId(upstream),
-            born_ms,
+            heartbeats.decode_leave(body),
         )
         heartbeats.check_ranges(record)
         return record
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -75,6 +75,10 @@
         if self.table.merge(record, now):
             self._local_position = self.table.position
             self.wake()
+        row = self.table.rows.get(record.upstream)
+        if row is not None and row.record.born_ms != record.born_ms:
+            # A late message of an earlier incarnation.
+            return
         self.table.record_heartbeat(record.upstream, now)
         self.table.position += 1
         self._heartbeats.append((self.table.position, record.upstream))
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -134,17 +134,24 @@
     def create_departure(
         self,
         upstream: identifiers.UpstreamId,
-        born_ms: int,
+        born_ms: int | None,
     ) -> records.UpstreamRecord:
         """Return the record of an upstream that has left.
 
-        :param born_ms: start of the incarnation in milliseconds since the
-            epoch, used if the upstream is not in the table.
+        A departure may arrive when a later incarnation has registered, which
+        it does not concern.
+
+        :param born_ms: start of the incarnation that left, in milliseconds
+            since the epoch; ``None`` for the incarnation in the table.
         """
         row = self.feed.table.rows.get(upstream)
         if row is not None:
-            gone = records.UpstreamState.GONE
-            return dataclasses.replace(row.record, state=gone)
+            known = row.record
+            return dataclasses.replace(
+                known,
+                state=records.UpstreamState.GONE,
+                born_ms=known.born_ms if born_ms is None else born_ms,
+            )
         return records.UpstreamRecord(
             upstream=upstream,
             service=identifiers.ServiceName(''),
@@ -152,7 +159,11 @@
             domain=identifiers.FailureDomain(''),
             slots=0,
             state=records.UpstreamState.GONE,
-            born_ms=born_ms,
+            born_ms=(
+                int(self._clock.wall() * _MILLISECONDS)
+                if born_ms is None
+                else born_ms
+            ),
             sequence=0,
         )
 
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -1,6 +1,7 @@
 """Tests of the answers of the registry service to followers."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -195,3 +196,39 @@
     # Each one is reported once, so that it ends.
     assert second.list_remote_blocked() == {}
     assert (await follow(first, 'h1', 'north')).blocked is None
+
+
+@pytest.mark.parametrize(
+    ('born_ms', 'is_ready'), [(1000, True), (2000, False), (3000, False)]
+)
+async def test_a_departure_ends_only_its_own_incarnation(born_ms, is_ready):
+    """Guards against review/4: a late departure ended the next incarnation."""
+    service = create_service('r1:1', 'north')
+    ready = dataclasses.replace(
+        create_draining_record(),
+        state=records.UpstreamState.READY,
+        born_ms=2000,
+    )
+    service.register(ready)
+    departure = service.create_departure('u1', born_ms)
+    service.feed.register(departure, 100.0)
+    service.register(dataclasses.replace(ready, sequence=9))
+    assert bool(service.feed.table.list_ready('columns')) is is_ready
+    # A check-in of the incarnation that left changes nothing either.
+    late = dataclasses.replace(ready, born_ms=born_ms, sequence=10)
+    service.register(late)
+    assert bool(service.feed.table.list_ready('columns')) is is_ready
+
+
+async def test_a_late_message_is_no_heartbeat_of_the_next_incarnation():
+    """Guards against a crashed upstream that counts as alive."""
+    service = create_service('r1:1', 'north')
+    later = dataclasses.replace(
+        create_draining_record(),
+        state=records.UpstreamState.READY,
+        born_ms=2000,
+    )
+    service.feed.register(later, 10.0)
+    early = dataclasses.replace(later, born_ms=1000)
+    service.feed.register(early, 100.0)
+    assert service.feed.table.list_silent(100.0) == ['u1']
