Let a seed that starts again take part in the first formation

Operators saw: a fleet that never confirmed a configuration, since one seed had lost its disk within the first second of the first start.

Cause: a replica pledges to the first membership only if its settings say that the fleet is new, which is so at the very first start of its process.

Change: a replica at the address of a seed without a membership pledges to a replica that waits for pledges. Only the first process at the lowest address does, and it forms one membership at most.

--- a/wagtailspread/replica/discovery.py
+++ b/wagtailspread/replica/discovery.py
@@ -49,6 +49,9 @@
             identifiers.Address, _ReceivedIntroduction
         ] = {}
         self._next_introduction_at = 0.0
+        #: Whether a replica that belongs to the first ones has started again
+        #: without being told so.
+        self._is_back = not founders and local_node.address in peers
         if local_node.address == self._find_initiator_address():
             self.pledge = local_node.identity
 
@@ -96,6 +99,8 @@
         self._introductions[introduction.address] = _ReceivedIntroduction(
             introduction, now
         )
+        if self._is_back and _is_initiator(introduction):
+            self.pledge = introduction.sender
         if introduction.address != self._find_initiator_address():
             return True
         if self.pledge == NO_IDENTITY and not introduction.is_formed:
@@ -130,3 +135,13 @@
 
     def _find_initiator_address(self) -> identifiers.Address | None:
         return min(self._founders, default=None)
+
+
+def _is_initiator(introduction: messages.Introduction) -> bool:
+    """Tell whether a replica waits for pledges to form the first membership.
+
+    Only the first process at the lowest address does. Once it has formed a
+    membership, it never forms another one, whoever pledges to it.
+    """
+    has_own_pledge = introduction.pledge == introduction.sender
+    return has_own_pledge and not introduction.is_formed
--- a/wagtailspread/replica/tests/test_discovery.py
+++ b/wagtailspread/replica/tests/test_discovery.py
@@ -82,3 +82,44 @@
         address='b:1',
     )
     assert alone.record_introduction(formed, 0.0)
+
+
+def create_back(identity, address):
+    """Return a replica that has started again before there was a fleet."""
+    return discovery.PeerDiscovery(
+        messages.ReplicaNode(identity, address), FOUNDERS, ()
+    )
+
+
+def test_a_founder_that_lost_its_disk_at_once_still_pledges():
+    """Guards against review/5: a fleet that never forms."""
+    first, second, third = create_three()
+    for other in (second, third):
+        introduce(first, other)
+        introduce(other, first)
+    back = create_back('new-id', FOUNDERS[1])
+    introduce(back, first, now=0.5)
+    # Its new identity has not pledged yet.
+    assert first.find_membership(0.5) is None
+    introduce(first, back, now=0.6)
+    introduce(back, first, now=0.7)
+    voters = first.find_membership(0.7).voters
+    assert [voter.identity for voter in voters].count('new-id') == 1
+
+
+def test_a_replica_that_is_back_forms_no_membership():
+    """Guards against a second fleet beside the first one."""
+    back = create_back('new-id', FOUNDERS[0])
+    second = create_back('other-id', FOUNDERS[1])
+    for source, target in ((back, second), (second, back)):
+        introduce(source, target)
+    assert back.pledge == second.pledge == discovery.NO_IDENTITY
+    assert back.find_membership(0.0) is None
+
+
+def test_a_replica_that_is_back_pledges_to_no_fleet_that_is_formed():
+    """Guards against a pledge that stands in for admission."""
+    first = create_three()[0]
+    back = create_back('new-id', FOUNDERS[1])
+    introduce(first, back, is_formed=True)
+    assert back.pledge == discovery.NO_IDENTITY
