--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -11,8 +11,6 @@
 import dataclasses
 import itertools
 
-import logbook
-
 from wagtailspread.core import identifiers
 from wagtailspread.placement import budgets, crashes, floors, leases
 from wagtailspread.placement import messages, selection
@@ -51,8 +49,6 @@
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 3.0
 
-_log = logbook.Logger('placement')
-
 
 class Allocator:
     """Places the requests of a region. Use :func:`create_allocator`."""
@@ -125,7 +121,12 @@
             host = lease.request.host
             self.selector.finish(lease.upstream)
             self._record_completion(lease, evidence, now)
-            self._record_crash(lease, evidence, now, is_reset=is_reset)
+            fingerprint = lease.request.fingerprint
+            if evidence is messages.Evidence.GOOD:
+                self.crashes.record_answer(fingerprint)
+            elif is_reset:
+                row = self.selector.registry.rows.get(upstream)
+                self.crashes.record_loss(fingerprint, row, now)
             if lease.is_overdue and evidence is messages.Evidence.BAD:
                 return
             if lease.is_overdue and evidence is messages.Evidence.GOOD:
@@ -351,33 +352,6 @@
             return
         self.floor.record_completion(lease.request.service, is_served, now)
 
-    def _record_crash(
-        self,
-        lease: leases.Lease,
-        evidence: messages.Evidence,
-        now: float,
-        *,
-        is_reset: bool,
-    ) -> None:
-        """Record what the end of a request says about the request itself."""
-        fingerprint = lease.request.fingerprint
-        if evidence is messages.Evidence.GOOD:
-            self.crashes.record_answer(fingerprint)
-            return
-        row = self.selector.registry.rows.get(lease.upstream)
-        if not is_reset or row is None:
-            return
-        born_ms = row.record.born_ms
-        if self.crashes.record_loss(fingerprint, lease.upstream, born_ms, now):
-            _log.warning(
-                'request blocked',
-                extra={
-                    'fingerprint': fingerprint,
-                    'service': lease.request.service,
-                    'upstream': lease.upstream,
-                },
-            )
-
     def _can_wait(
         self, request: messages.PlacementRequest, ahead: int, now: float
     ) -> bool:
--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -5,7 +5,13 @@
 answer says little, since upstreams in trouble reset requests at random.
 
 >>> crashes = create_crashes()
->>> [crashes.record_loss(7, 'u1', born_ms, now=0.0) for born_ms in (1, 2, 3)]
+>>> from wagtailspread.registry import records
+>>> upstreams = tables.create_table(
+...     records.UpstreamRecord(
+...         name, 'vitrina', f'10.0.0.1:{port}', 'bog', 6,
+...         records.UpstreamState.READY, born_ms=1, sequence=1)
+...     for port, name in enumerate(('u1', 'u2', 'u3'), start=80))
+>>> [crashes.record_loss(7, row, 0.0) for row in upstreams.rows.values()]
 [False, False, True]
 >>> crashes.find_end(7, now=1.0) - 1.0 == BLOCK_SECONDS - 1.0
 True
@@ -16,7 +22,10 @@
 import collections
 import typing
 
+import logbook
+
 from wagtailspread.core import identifiers
+from wagtailspread.registry import tables
 
 #: Number of incarnations of upstreams at which a request must have been lost.
 MIN_LOSSES = 3
@@ -31,12 +40,13 @@
 Fingerprint = int
 NO_FINGERPRINT: Fingerprint = 0
 
+_log = logbook.Logger('placement')
+
 
 class _Loss(typing.NamedTuple):
     """A request that was lost at one incarnation of an upstream."""
 
-    upstream: identifiers.UpstreamId
-    born_ms: int
+    incarnation: tuple[identifiers.UpstreamId, int]
     at: float
 
 
@@ -53,30 +63,38 @@
     def record_loss(
         self,
         fingerprint: Fingerprint,
-        upstream: identifiers.UpstreamId,
-        born_ms: int,
+        row: tables.RegistryRow | None,
         now: float,
     ) -> bool:
         """Record that the connection of a request ended without an answer.
 
-        :param born_ms: start of the upstream's incarnation.
+        :param row: the upstream that got the request, if it is still known.
         :param now: seconds on the caller's clock, like all times here.
         :returns: whether the request is blocked from now on.
         """
-        if fingerprint == NO_FINGERPRINT:
+        if fingerprint == NO_FINGERPRINT or row is None:
             return False
+        record = row.record
+        incarnation = (record.upstream, record.born_ms)
         known = [
             loss
             for loss in self._losses.pop(fingerprint, ())
-            if now - loss.at < LOSS_SECONDS
-            and (loss.upstream, loss.born_ms) != (upstream, born_ms)
+            if now - loss.at < LOSS_SECONDS and loss.incarnation != incarnation
         ]
-        known.append(_Loss(upstream, born_ms, now))
+        known.append(_Loss(incarnation, now))
         self._losses[fingerprint] = known
         _limit(self._losses)
         is_blocked = len(known) >= MIN_LOSSES
         if is_blocked:
             self.block(fingerprint, now + BLOCK_SECONDS)
+            _log.warning(
+                'request blocked',
+                extra={
+                    'fingerprint': fingerprint,
+                    'service': record.service,
+                    'upstream': record.upstream,
+                },
+            )
         return is_blocked
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
--- a/wagtailspread/placement/tests/test_crashes.py
+++ b/wagtailspread/placement/tests/test_crashes.py
@@ -4,6 +4,13 @@
 
 from wagtailspread.placement import crashes, messages
 from wagtailspread.placement.tests import regions
+from wagtailspread.registry import tables
+
+
+def create_row(upstream):
+    """Return the row of an upstream."""
+    table = tables.create_table([regions.create_record(upstream)])
+    return table.rows[upstream]
 
 
 def lose(region, fingerprint, host='h1', evidence=messages.Evidence.BAD):
@@ -54,7 +61,7 @@
     """Guards against a block by a single upstream that resets at random."""
     table = crashes.create_crashes()
     for number in range(20):
-        assert not table.record_loss(7, 'u1', 1, now=float(number))
+        assert not table.record_loss(7, create_row('u1'), now=float(number))
 
 
 def test_losses_long_ago_do_not_count():
@@ -62,7 +69,7 @@
     table = crashes.create_crashes()
     for number in range(20):
         now = number * crashes.LOSS_SECONDS / 2
-        assert not table.record_loss(7, f'u{number}', 1, now)
+        assert not table.record_loss(7, create_row(f'u{number}'), now)
 
 
 @pytest.mark.parametrize('evidence', [messages.Evidence.SHED])
@@ -86,7 +93,7 @@
     """Guards against memory that grows with each lost request."""
     table = crashes.create_crashes()
     for number in range(1, 2 * crashes.MAX_REQUESTS):
-        table.record_loss(number, 'u1', 1, now=0.0)
+        table.record_loss(number, create_row('u1'), now=0.0)
         table.block(number, 10.0)
     assert len(table.list_blocked(0.0)) == crashes.MAX_REQUESTS
     assert len(table._losses) == crashes.MAX_REQUESTS
--- a/wagtailspread/registry/records.py
+++ b/wagtailspread/registry/records.py
@@ -87,6 +87,37 @@
     expected: str
 
 
+def create_departure(
+    upstream: identifiers.UpstreamId,
+    born_ms: int | None,
+    known: UpstreamRecord | None,
+    now_ms: int,
+) -> UpstreamRecord:
+    """Return the record of an upstream that has left.
+
+    :param born_ms: start of the incarnation that left, in milliseconds since
+        the epoch; ``None`` for the known one.
+    :param known: newest record of the upstream, if there is one.
+    :param now_ms: current time in milliseconds since the epoch.
+    """
+    if known is not None:
+        return dataclasses.replace(
+            known,
+            state=UpstreamState.GONE,
+            born_ms=known.born_ms if born_ms is None else born_ms,
+        )
+    return UpstreamRecord(
+        upstream=upstream,
+        service=identifiers.ServiceName(''),
+        address=identifiers.Address(''),
+        domain=identifiers.FailureDomain(''),
+        slots=0,
+        state=UpstreamState.GONE,
+        born_ms=now_ms if born_ms is None else born_ms,
+        sequence=0,
+    )
+
+
 def find_fault(record: UpstreamRecord) -> RecordFault | None:
     """Return the first field that is out of range, ``None`` if there is none.
 
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -1,7 +1,6 @@
 """Registry service of a replica: registrations, followers, other replicas."""
 
 import asyncio
-import dataclasses
 import itertools
 import random
 import typing
@@ -12,8 +11,8 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import feeds, followers, places, publications
-from wagtailspread.registry import records
+from wagtailspread.registry import blocked, feeds, followers, places
+from wagtailspread.registry import publications, records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -85,8 +84,7 @@
         self._peer_batches: dict[identifiers.Address, messages.Struct] = {}
         self._peer_tasks: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._strained: frozenset[identifiers.ServiceName] = frozenset()
-        self._blocked_ends: dict[int, float] = {}
-        self._remote_blocked: dict[int, float] = {}
+        self._blocked = blocked.create_exchange()
 
     def attach(
         self,
@@ -145,27 +143,9 @@
             since the epoch; ``None`` for the incarnation in the table.
         """
         row = self.feed.table.rows.get(upstream)
-        if row is not None:
-            known = row.record
-            return dataclasses.replace(
-                known,
-                state=records.UpstreamState.GONE,
-                born_ms=known.born_ms if born_ms is None else born_ms,
-            )
-        return records.UpstreamRecord(
-            upstream=upstream,
-            service=identifiers.ServiceName(''),
-            address=identifiers.Address(''),
-            domain=identifiers.FailureDomain(''),
-            slots=0,
-            state=records.UpstreamState.GONE,
-            born_ms=(
-                int(self._clock.wall() * _MILLISECONDS)
-                if born_ms is None
-                else born_ms
-            ),
-            sequence=0,
-        )
+        known = None if row is None else row.record
+        now_ms = int(self._clock.wall() * _MILLISECONDS)
+        return records.create_departure(upstream, born_ms, known, now_ms)
 
     def publish_strained(
         self,
@@ -180,23 +160,17 @@
         """Send changes of the table by the local allocator to all followers."""
         self.feed.publish_local_change()
 
-    def publish_blocked(self, blocked: typing.Mapping[int, float]) -> None:
+    def publish_blocked(self, requests: typing.Mapping[int, float]) -> None:
         """Publish requests that crash upstreams to other replicas.
 
-        :param blocked: seconds that are left, by the fingerprint of a request.
+        :param requests: seconds that are left, by the fingerprint of a request.
         """
-        if blocked.keys() - self._blocked_ends.keys():
+        if self._blocked.publish(requests, self._clock.now()):
             self.feed.wake()
-        now = self._clock.now()
-        self._blocked_ends = {
-            fingerprint: now + seconds
-            for fingerprint, seconds in blocked.items()
-        }
 
     def list_remote_blocked(self) -> dict[int, float]:
         """Return such requests that other replicas published since."""
-        remote, self._remote_blocked = self._remote_blocked, {}
-        return remote
+        return self._blocked.pop_remote()
 
     def list_remote_strained(self) -> set[identifiers.ServiceName]:
         """Return the strained services that other replicas published."""
@@ -326,9 +300,7 @@
     ) -> None:
         places.clean_batch(batch)
         self._peer_batches[address] = batch
-        for blocked in batch.blocked or ():
-            seconds = blocked.left_ms / _MILLISECONDS
-            self._remote_blocked[blocked.fingerprint] = seconds
+        self._blocked.receive(batch.blocked or ())
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
             if reported == address:
@@ -392,7 +364,8 @@
         hosts = self.feed.list_hosts(self._clock.now())
         batch.hosts = len(hosts)
         batch.strained = sorted(self._strained) if request.is_replica else []
-        batch.blocked = self._list_blocked() if request.is_replica else None
+        if request.is_replica:
+            batch.blocked = self._blocked.list_rows(self._clock.now()) or None
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
         batch.document_version = documents.NO_VERSION
@@ -405,18 +378,6 @@
         batch.is_up_to_date = group.is_up_to_date()
         batch.document_version = group.read_document().version
 
-    def _list_blocked(self) -> list[messages.Struct] | None:
-        now = self._clock.now()
-        blocked = [
-            messages.structs.BlockedRequest(
-                fingerprint=fingerprint,
-                left_ms=int((end - now) * _MILLISECONDS),
-            )
-            for fingerprint, end in self._blocked_ends.items()
-            if end > now
-        ]
-        return blocked or None
-
     def _list_substitutes(
         self,
         hosts: list[feeds.FollowerState],
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -20,6 +20,10 @@
         """Return the constant time."""
         return 100.0
 
+    def wall(self):
+        """Return the constant time."""
+        return 100.0
+
 
 class FakeReplicaGroup:
     """A group of two replicas without a document."""
