--- a/wagtailspread/platform/tests/soak/callers.py
+++ b/wagtailspread/platform/tests/soak/callers.py
@@ -9,6 +9,11 @@
 
 #: Interval of the checks of the balancer, in seconds.
 CHECK_SECONDS = 1.0
+#: Share of the requests with a large body, and its size in bytes.
+UPLOAD_SHARE = 0.1
+UPLOAD_BYTES = 200_000
+#: Share of the requests that are sent in pieces.
+SLOW_SHARE = 0.2
 #: Failed checks in a row after which a host gets no new connections.
 FAILED_CHECKS = 2
 
@@ -96,22 +101,40 @@
             name, self._host, is_order, self._clock(), limit
         )
         self._ledger.attempts[name] = attempt
-        path = f'/{"o" if is_order else "l"}/{work}'
+        body = b'body'
+        if self._random.random() < UPLOAD_SHARE:
+            body = bytes(UPLOAD_BYTES)
         head = (
-            f'POST {path} HTTP/1.1',
+            f'POST /{"o" if is_order else "l"}/{work} HTTP/1.1',
             'Host: a.example',
             f'Attempt-Id: {name}',
             f'Deadline-Ms: {int(limit * 1000)}',
-            'Content-Length: 4',
+            f'Content-Length: {len(body)}',
         )
+        sent = '\r\n'.join((*head, '', '')).encode() + body
         reader, writer = self._streams
         try:
-            writer.write('\r\n'.join((*head, '', 'body')).encode())
+            await self._write(writer, sent)
+            attempt.sent_at = self._clock()
             await self._receive(reader, attempt)
         except (OSError, asyncio.IncompleteReadError):
             self._disconnect()
         attempt.ended_at = self._clock()
 
+    async def _write(self, writer, sent):
+        """Send a request, at times in pieces with pauses between them."""
+        count = 1
+        if self._random.random() < SLOW_SHARE:
+            count = self._random.randint(2, 5)
+        size = -(-len(sent) // count)
+        for start in range(0, len(sent), size):
+            if start:
+                await asyncio.sleep(self._random.uniform(0.0, 0.6))
+            writer.write(sent[start : start + size])
+        # An answer that comes before the end of the request is read, too.
+        with contextlib.suppress(OSError):
+            await writer.drain()
+
     async def _receive(self, reader, attempt):
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
         length = int(raw_upstreams.read_header(head, 'Content-Length') or 0)
