Reserve the addresses of test fleets with fixed ports among all runs

Change: each test run takes a second byte of the loopback addresses that no other run has, by a locked file, as ports are reserved already.

--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -12,6 +12,7 @@
 
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.observability.tests import test_writers
+from wagtailspread.testing import ports
 
 ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
 CONTROL_PORT = 18544
@@ -61,7 +62,7 @@
 
     def find_ip(self, number):
         """Return the address of a machine."""
-        return f'127.0.{self.block}.{number + 1}'
+        return f'127.{ports.reserve_network()}.{self.block}.{number + 1}'
 
     def start_replica(self, number, *, is_first=True):
         """Start a replica."""
