Publish only blocks that an allocator found itself

Callers would see: a request that stays blocked after its 300 s, for as long as allocators exchange it.

Cause: an allocator published what it had learned from another one, too. Each exchange added its delay, and the later end was kept.

Evidence: the new test failed before: with 0.2 s for an exchange, 300 s of the block were left after 400 s. Found by reading the change.

Change: blocks learned from others are not published. Rows without a field are skipped, so that they do not cost a batch of changes. The test of the bound of the table fills it by losses now, since blocks from others are not listed; it checks one table more.

--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -59,6 +59,9 @@
         self._losses = collections.OrderedDict()
         self._ends: collections.OrderedDict[Fingerprint, float]
         self._ends = collections.OrderedDict()
+        #: Ends of the blocks that this allocator found itself.
+        self._own_ends: collections.OrderedDict[Fingerprint, float]
+        self._own_ends = collections.OrderedDict()
 
     def record_loss(
         self,
@@ -86,6 +89,8 @@
         _limit(self._losses)
         is_blocked = len(known) >= MIN_LOSSES
         if is_blocked:
+            self._own_ends[fingerprint] = now + BLOCK_SECONDS
+            _limit(self._own_ends)
             self.block(fingerprint, now + BLOCK_SECONDS)
             _log.warning(
                 'request blocked',
@@ -112,10 +117,16 @@
         return max(self._ends.get(fingerprint, now), now)
 
     def list_blocked(self, now: float) -> dict[Fingerprint, float]:
-        """Return the blocked requests with the seconds that are left."""
+        """Return the requests blocked by :meth:`record_loss`.
+
+        Those that another allocator found are left out: with the delay of each
+        exchange, two allocators would renew them for each other.
+
+        :returns: seconds that are left, by fingerprint.
+        """
         return {
             fingerprint: end - now
-            for fingerprint, end in self._ends.items()
+            for fingerprint, end in self._own_ends.items()
             if end > now
         }
 
--- a/wagtailspread/registry/blocked.py
+++ b/wagtailspread/registry/blocked.py
@@ -56,8 +56,10 @@
         ]
 
     def receive(self, rows: typing.Iterable[messages.Struct]) -> None:
-        """Record the rows of another replica."""
+        """Record the rows of another replica; skip those without a field."""
         for row in rows:
+            if row.fingerprint is None or row.left_ms is None:
+                continue
             self._remote[row.fingerprint] = row.left_ms / _MILLISECONDS
 
     def pop_remote(self) -> dict[int, float]:
