Log callers, fingerprints, losses, retry budgets and strained services

Cause: the logs of three incidents could not tell the hypotheses apart: no line named the caller of a request, the fingerprint of an attempt, a loss that did not block, or what an allocator counts for the retry budget.

No decision changes.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -285,6 +285,7 @@
                 'attempt failed',
                 extra={
                     'attempt': state.routed.outgoing.attempt,
+                    'fingerprint': state.routed.outgoing.fingerprint,
                     'upstream': record.upstream,
                     'reason': _describe_failure(outcome),
                     'allocator': placed.allocator or 'none',
--- a/wagtailspread/gateway/response_logs.py
+++ b/wagtailspread/gateway/response_logs.py
@@ -129,6 +129,7 @@
     attempt = request.headers.get(names.attempt, '')
     return {
         'attempt': attempt[:MAX_NAME_CHARACTERS],
+        'caller': request.remote or '',
         'method': request.method[:MAX_NAME_CHARACTERS],
         'request_host': request.headers.get('Host', '')[:MAX_NAME_CHARACTERS],
         'path': path[:MAX_PATH_CHARACTERS],
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -61,7 +61,7 @@
     ) -> None:
         """Create an allocator without open requests."""
         self.selector = selector
-        self._budget = budget
+        self.budget = budget
         self.floor = floor
         self.crashes = crashes.create_crashes()
         self._sequence = itertools.count()
@@ -91,10 +91,10 @@
                 messages.Decision.BLOCKED, None, blocked_until - now
             )
         if request.is_repeat:
-            if not self._budget.spend(request.service, now):
+            if not self.budget.spend(request.service, now):
                 return self._refuse(request, messages.Decision.NO_BUDGET, now)
         else:
-            self._budget.add_request(request.service, now)
+            self.budget.add_request(request.service, now)
         return self._place_new(request, now)
 
     def settle(
@@ -302,7 +302,7 @@
         While the retry budget is low, a repeatable request avoids risk like
         any other, since a failure could not be retried.
         """
-        if request.is_repeatable and not self._budget.is_ample(
+        if request.is_repeatable and not self.budget.is_ample(
             request.service, now
         ):
             request = dataclasses.replace(request, is_repeatable=False)
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -81,8 +81,12 @@
         self._window = window
         self._count_sharers = count_sharers
         self._started_at: float | None = None
-        self._requests: dict[str, collections.deque[float]] = {}
-        self._repeats: dict[str, collections.deque[float]] = {}
+        self._requests: dict[
+            identifiers.ServiceName, collections.deque[float]
+        ] = {}
+        self._repeats: dict[
+            identifiers.ServiceName, collections.deque[float]
+        ] = {}
 
     def add_request(
         self,
@@ -108,6 +112,22 @@
         allowed = self._compute_allowed(service, now)
         return len(repeats) + 1 <= AMPLE_SHARE * allowed
 
+    def describe(
+        self, now: float
+    ) -> dict[identifiers.ServiceName, dict[str, float]]:
+        """Return the counts of each service that has retries, for logs."""
+        return {
+            service: {
+                'requests': len(
+                    self._list_recent(self._requests, service, now)
+                ),
+                'retries': len(repeats),
+                'allowed': round(self._compute_allowed(service, now), 1),
+            }
+            for service in self._repeats
+            if (repeats := self._list_recent(self._repeats, service, now))
+        }
+
     def _compute_allowed(
         self,
         service: identifiers.ServiceName,
@@ -132,7 +152,7 @@
 
     def _list_recent(
         self,
-        table: dict[str, collections.deque[float]],
+        table: dict[identifiers.ServiceName, collections.deque[float]],
         service: identifiers.ServiceName,
         now: float,
     ) -> collections.deque[float]:
--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -75,7 +75,10 @@
         :param now: seconds on the caller's clock, like all times here.
         :returns: whether the request is blocked from now on.
         """
-        if fingerprint == NO_FINGERPRINT or row is None:
+        if fingerprint == NO_FINGERPRINT:
+            return False
+        if row is None:
+            _log.info('loss not counted', extra={'fingerprint': fingerprint})
             return False
         record = row.record
         incarnation = (record.upstream, record.born_ms)
@@ -87,6 +90,15 @@
         known.append(_Loss(incarnation, now))
         self._losses[fingerprint] = known
         _limit(self._losses)
+        _log.info(
+            'request lost',
+            extra={
+                'fingerprint': fingerprint,
+                'service': record.service,
+                'upstream': record.upstream,
+                'losses': len(known),
+            },
+        )
         is_blocked = len(known) >= MIN_LOSSES
         if is_blocked:
             self._own_ends[fingerprint] = now + BLOCK_SECONDS
@@ -104,7 +116,8 @@
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
         """Record that an upstream answered a request."""
-        self._losses.pop(fingerprint, None)
+        if self._losses.pop(fingerprint, None):
+            _log.info('suspicion ended', extra={'fingerprint': fingerprint})
 
     def block(self, fingerprint: Fingerprint, end: float) -> None:
         """Block a request until a time, or longer if it is blocked already."""
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -22,6 +22,8 @@
 import math
 import typing
 
+import logbook
+
 from wagtailspread.core import identifiers
 
 #: Length of the sliding window of completions, in seconds.
@@ -47,6 +49,8 @@
 #: upstreams leave.
 MARGIN_SHARE = 0.02
 
+_log = logbook.Logger('placement')
+
 _Completions = collections.deque[tuple[float, bool]]
 
 
@@ -86,6 +90,9 @@
             for service in self._completions
             if self._is_failing(service, now)
         ]
+        for failing_service in failing:
+            if self._strained_until.get(failing_service, -math.inf) <= now:
+                self._log_strain(failing_service, now)
         until = now + STRAINED_HOLD_SECONDS
         self._strained_until.update(dict.fromkeys(failing, until))
         return frozenset(
@@ -171,6 +178,18 @@
             return set()
         return idle
 
+    def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
+        recent = self._list_recent(service, now)
+        failed = sum(not is_served for _, is_served in recent)
+        _log.info(
+            'service strained',
+            extra={
+                'service': service,
+                'completions': len(recent),
+                'failed': failed,
+            },
+        )
+
     def _is_failing(
         self,
         service: identifiers.ServiceName,
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -18,6 +18,8 @@
 TICK_SECONDS = 0.05
 #: Interval between removals of the state of departed upstreams, in seconds.
 PRUNE_SECONDS = 10.0
+#: Interval between log lines with the counts of the retry budget, in seconds.
+COUNT_SECONDS = 5.0
 _MILLISECONDS = 1000
 
 _log = logbook.Logger('placement')
@@ -84,17 +86,25 @@
         """Process queued and overdue requests until cancelled."""
         selector = self._allocator.selector
         prune_at = self._clock.now() + PRUNE_SECONDS
+        count_at = self._clock.now() + COUNT_SECONDS
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.now()
             selector.silent = self._find_silent(now)
             self._exchange_strain(now)
             self._tick()
+            if now >= count_at:
+                count_at = now + COUNT_SECONDS
+                self._log_retries(now)
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 selector.prune(now)
                 self._allocator.floor.retain(selector.registry.rows)
 
+    def _log_retries(self, now: float) -> None:
+        for service, counts in self._allocator.budget.describe(now).items():
+            _log.info('retries counted', extra={'service': service, **counts})
+
     def _exchange_strain(self, now: float) -> None:
         if self._strain_exchange is not None:
             floor = self._allocator.floor
--- /dev/null
+++ b/wagtailspread/placement/tests/test_logs.py
@@ -0,0 +1,65 @@
+"""Tests of the log lines that explain placements."""
+
+import contextlib
+
+import logbook
+
+from wagtailspread.placement import budgets, crashes, floors
+from wagtailspread.placement.tests import regions
+from wagtailspread.registry import tables
+
+
+@contextlib.contextmanager
+def record_lines():
+    """Return the events of the block with their fields."""
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        lines = []
+        yield lines
+        lines.extend(
+            (record.message, dict(record.extra)) for record in handler.records
+        )
+
+
+def test_losses_of_a_request_are_logged_with_their_number():
+    """Guards against losses that no log line explains."""
+    table = crashes.create_crashes()
+    upstreams = tables.create_table([regions.create_record('u1', 'north', 6)])
+    with record_lines() as lines:
+        table.record_loss(7, upstreams.rows['u1'], 0.0)
+        table.record_loss(7, None, 0.0)
+        table.record_answer(7)
+    assert [(event, fields['fingerprint']) for event, fields in lines] == [
+        ('request lost', 7),
+        ('loss not counted', 7),
+        ('suspicion ended', 7),
+    ]
+    assert lines[0][1]['losses'] == 1
+
+
+def test_the_retry_budget_tells_its_counts():
+    """Guards against retries of which no log line tells the limit."""
+    budget = budgets.SharedRetryBudget(0.5, 0.0, 10.0, lambda: 1)
+    for _ in range(10):
+        budget.add_request('columns', 0.0)
+    assert not budget.describe(0.0)
+    assert budget.spend('columns', 0.0)
+    assert budget.describe(0.0) == {
+        'columns': {'requests': 10, 'retries': 1, 'allowed': 4.5},
+    }
+
+
+def test_a_service_that_becomes_strained_is_logged_once():
+    """Guards against a line for each check of the floor."""
+    floor = floors.UsageFloor(0.7)
+    for _ in range(20):
+        floor.record_completion('columns', False, 0.0)
+    with record_lines() as lines:
+        floor.list_strained(0.1)
+        floor.list_strained(0.2)
+    assert lines == [
+        (
+            'service strained',
+            {'service': 'columns', 'completions': 20, 'failed': 20},
+        ),
+    ]
