--- a/wagtailspread/gateway/tests/test_fingerprints.py
+++ b/wagtailspread/gateway/tests/test_fingerprints.py
@@ -32,6 +32,14 @@
     assert compute() == compute(headers=again)
 
 
+def test_a_request_from_another_address_has_the_same_fingerprint():
+    """Guards against a crashing request that returns over other paths.
+
+    A caller may use several addresses, and balancers use their own.
+    """
+    assert compute() == compute(remote='10.0.0.2')
+
+
 @pytest.mark.parametrize(
     'changes',
     [
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -143,6 +143,36 @@
     silent.close()
 
 
+async def test_a_request_placed_again_counts_once_for_the_retry_budget():
+    """Guards against a budget that grows with each allocator that is asked.
+
+    Load pattern: the first allocator counts the request and its answer is
+    lost, so the host asks the second one.
+    """
+    listener, address, allocator = await start_allocator()
+    place = allocator.submit
+
+    def place_late(request, now):
+        place(request, now)
+        return messages.Answer(messages.Decision.WAITING)
+
+    allocator.submit = place_late
+    other_listener, other_address, other = await start_allocator()
+    placer = create_placer(address, other_address)
+    request = create_placement_request(placer)
+    waiting = asyncio.create_task(placer.place(request))
+    await asyncio.sleep(0.1)
+    await listener.close()
+    await waiting
+    counted = [
+        len(budget._requests.get('columns', ()))
+        for budget in (allocator.budget, other.budget, placer._budget)
+    ]
+    assert sum(counted) == 1, counted
+    await placer.close()
+    await other_listener.close()
+
+
 async def test_a_request_is_not_held_past_its_deadline():
     """Guards against asking further allocators after the deadline."""
     silent = await asyncio.start_server(
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -232,6 +232,38 @@
     assert decisions[-1] is messages.Decision.NO_BUDGET
 
 
+def test_queued_retries_stay_within_the_budget_when_they_are_sent():
+    """Guards against two windows of retries that arrive within one.
+
+    Load pattern: a service is full, so retries wait. Upstreams start just as
+    the window of the waiting retries ends.
+    """
+    region = regions.Region(upstreams=1, slots=1, ratio=0.2)
+    region.submit(deadline=60.0)
+    for _ in range(99):
+        region.allocator.budget.add_request('columns', 0.0)
+    for _ in range(30):
+        region.submit(is_repeat=True, deadline=60.0)
+    region.now = 0.5
+    while region.now < 9.9:
+        # The hosts poll, and callers send further requests.
+        for waiting in list(region.allocator._waiting.values()):
+            region.allocator.submit(waiting.request, region.now)
+        region.now += 0.5
+        region.allocator.tick(region.now)
+    for _ in range(100):
+        region.allocator.budget.add_request('columns', region.now)
+    region.selector.registry.merge(
+        regions.create_record('new', 'north', 100), region.now
+    )
+    sent = len(region.allocator.tick(region.now))
+    region.now += 1.0
+    for _ in range(30):
+        _, answer = region.submit(is_repeat=True, deadline=60.0)
+        sent += answer.decision is _GRANTED
+    assert sent <= 0.2 * 100
+
+
 def test_a_service_without_upstreams_is_refused():
     """Guards against waiting for an upstream that does not exist."""
     region = regions.Region(upstreams=1)
--- a/wagtailspread/placement/tests/test_crashes.py
+++ b/wagtailspread/placement/tests/test_crashes.py
@@ -46,6 +46,20 @@
     assert lose(region, 7).decision is messages.Decision.GRANTED
 
 
+def test_a_queued_request_is_refused_once_it_is_blocked():
+    """Guards against sends of a crashing request that were queued before."""
+    region = regions.Region(upstreams=1, slots=1)
+    busy = region.submit()
+    request_id, answer = region.submit(fingerprint=7)
+    assert answer.decision is messages.Decision.WAITING
+    for number in range(crashes.MIN_LOSSES):
+        region.allocator.crashes.record_loss(7, create_row(f'v{number}'), 0.0)
+    region.settle(*busy)
+    assert region.allocator.tick(region.now) == [request_id]
+    decided = region.allocator.pop_decision(request_id)
+    assert decided.decision is messages.Decision.BLOCKED
+
+
 def test_an_answer_ends_the_suspicion():
     """Guards against a popular request blocked for random resets."""
     region = regions.Region(upstreams=9)
