Recognise a crashing request whatever address it comes from

Callers saw lookups fail while one upstream of their service after another ended: a request under which three had ended was sent on some 20 times.

Cause: the fingerprint of a request contained the address of its connection. The same request came to hosts of all four failure domains from other addresses, so it counted as several, and each needed three upstreams more.

Change: the fingerprint covers what upstreams get, without what changes with each attempt: method, host, target, credentials and body. An address is not sent to them.

--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -52,8 +52,8 @@
 
     :param target: path and query as received.
     :param deadline: in seconds of the event loop clock.
-    :param fingerprint: the same for requests with the same caller, target and
-        body.
+    :param fingerprint: the same for requests with the same credentials,
+        target and body.
     """
 
     method: str
--- a/wagtailspread/gateway/fingerprints.py
+++ b/wagtailspread/gateway/fingerprints.py
@@ -19,15 +19,17 @@
 ) -> crashes.Fingerprint:
     """Return the fingerprint of a request.
 
-    It covers the caller's address, method, host, target and body, and not what
+    It covers the method, host, target, credentials and body, and not what
     changes when the caller sends the request again, such as the attempt id.
+    The address of the connection is left out, since upstreams do not get it:
+    it tells nothing about what crashes them, and may differ each time.
     """
     prefix = b'' if body is None else body.prefix[:MAX_HASHED_BYTES]
     size = request.content_length or len(prefix)
     head = (
-        request.remote or '',
         request.method,
         request.headers.get('Host', ''),
+        request.headers.get('Authorization', ''),
         request.raw_path,
         str(size),
     )
--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -36,7 +36,7 @@
 #: Maximum number of suspected requests, and of blocked ones.
 MAX_REQUESTS = 1024
 
-#: Identifies requests with the same caller, path and body; 0 for none.
+#: Identifies requests with the same credentials, path and body; 0 for none.
 Fingerprint = int
 NO_FINGERPRINT: Fingerprint = 0
 
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -67,8 +67,8 @@
     :param excluded: upstreams that were tried already.
     :param is_repeat: whether it was sent to an upstream before.
     :param is_repeatable: whether it may be sent again after a failure.
-    :param fingerprint: the same for requests with the same caller, path and
-        body; see :mod:`wagtailspread.placement.crashes`.
+    :param fingerprint: the same for requests with the same credentials, path
+        and body; see :mod:`wagtailspread.placement.crashes`.
     """
 
     request_id: identifiers.RequestId
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -621,7 +621,7 @@
   12: i32 objective_ms
   // Maximum time to delay the answer.
   13: i32 wait_ms
-  // The same for requests with the same caller, path and body.
+  // The same for requests with the same credentials, path and body.
   14: optional i64 fingerprint
 }
 
