Refuse queued requests that are blocked meanwhile

Cause: an allocator looked for a block only when a request came to it. While a request crashes upstreams, the service is short of slots, so the same request waits there several times and was granted upstreams after its block.

Change: a queued request is looked up again whenever its turn is checked. The test failed before: it was granted the next slot.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -85,11 +85,9 @@
         decided = self.pop_decision(request.request_id)
         if decided is not None:
             return decided
-        blocked_until = self.crashes.find_end(request.fingerprint, now)
-        if blocked_until > now:
-            return messages.Answer(
-                messages.Decision.BLOCKED, None, blocked_until - now
-            )
+        refusal = self._refuse_blocked(request, now)
+        if refusal is not None:
+            return refusal
         if request.is_repeat:
             if not self.budget.spend(request.service, now):
                 return self._refuse(request, messages.Decision.NO_BUDGET, now)
@@ -204,8 +202,8 @@
         :param is_blocked: whether an earlier request of the service is queued.
         """
         request = waiting.request
-        answer = None
-        if not is_blocked:
+        answer = self._refuse_blocked(request, now)
+        if answer is None and not is_blocked:
             answer = self._try_grant(request, waiting.queued_at, now)
             waiting.is_held = answer is None and self._is_held(request, now)
         is_too_late = request.deadline - now < self._find_typical_seconds(
@@ -215,6 +213,15 @@
             answer = self._refuse(request, messages.Decision.NO_ROOM, now)
         return answer
 
+    def _refuse_blocked(
+        self, request: messages.PlacementRequest, now: float
+    ) -> messages.Answer | None:
+        """Return the refusal of a request that crashes upstreams."""
+        end = self.crashes.find_end(request.fingerprint, now)
+        if end <= now:
+            return None
+        return messages.Answer(messages.Decision.BLOCKED, None, end - now)
+
     def _create_order(
         self, request: messages.PlacementRequest, now: float
     ) -> leases.QueueOrder:
