Count a request once for the retry budget, however often it is placed

Cause: an allocator counted each request that came to it without having been sent. A host that gets no answer in 0.27 s asks the next allocator and then decides alone, and it asks again after a connection that did not open or when its request was dropped from the queue. Each of them counted the request anew and allowed a fifth of it as retries.

Change: the first question about a request is the one that counts it; later ones say so. If the first is lost, the request is counted nowhere, which allows less. The estimates of waiting times move to a module of their own.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -98,6 +98,7 @@
         self.excluded: set[identifiers.UpstreamId] = set()
         self.response: exchanges.UpstreamResponse | None = None
         self.upstream: identifiers.UpstreamId | None = None
+        self.is_counted = False
 
     def can_send(self) -> bool:
         """Tell whether the request may be sent to a further upstream."""
@@ -189,6 +190,7 @@
                 return state.create_result(Refusal.STOPPING)
             placement_request = self._create_placement_request(state)
             placed = await self._placer.place(placement_request)
+            state.is_counted = True
             refusal = self._find_refusal(placement_request, placed)
             if refusal is not None:
                 return state.create_result(refusal, placed.answer.retry_after)
@@ -216,6 +218,7 @@
             is_repeatable=routed.route.is_repeatable
             and state.send_attempts.sends + 1 < routed.route.max_attempts,
             fingerprint=routed.outgoing.fingerprint,
+            is_counted=state.is_counted,
         )
 
     def _find_refusal(
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import typing
@@ -110,6 +111,11 @@
         usable = [one for one in self._allocators if one not in self._failed]
         for allocator in usable[:MAX_ALLOCATORS]:
             answer = await self._ask(allocator, placement_request)
+            # Allocators that are asked later must not count it again, whether
+            # or not this one did.
+            placement_request = dataclasses.replace(
+                placement_request, is_counted=True
+            )
             if answer is None:
                 continue
             if answer.record is None:
@@ -208,6 +214,9 @@
                     self._record_failure(allocator)
                     return None
                 if answer.decision is messages.Decision.WAITING:
+                    placement_request = dataclasses.replace(
+                        placement_request, is_counted=True
+                    )
                     continue
                 if self._clock.now() < placement_request.deadline:
                     return answer
@@ -266,6 +275,7 @@
             is_repeatable=placement_request.is_repeatable,
             objective_ms=_encode_seconds(placement_request.objective),
             fingerprint=placement_request.fingerprint,
+            is_counted=placement_request.is_counted,
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
         )
 
@@ -274,10 +284,11 @@
     ) -> messages.Answer:
         """Choose an upstream without an allocator."""
         now = self._clock.now()
-        if not placement_request.is_repeat:
+        if placement_request.is_repeat:
+            if not self._budget.spend(placement_request.service, now):
+                return messages.Answer(messages.Decision.NO_BUDGET)
+        elif not placement_request.is_counted:
             self._budget.add_request(placement_request.service, now)
-        elif not self._budget.spend(placement_request.service, now):
-            return messages.Answer(messages.Decision.NO_BUDGET)
         chosen = self._selector.draw(
             self._selector.rate(placement_request, now)
         )
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -12,8 +12,8 @@
 import itertools
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import budgets, crashes, floors, leases
-from wagtailspread.placement import messages, selection
+from wagtailspread.placement import budgets, crashes, estimates, floors
+from wagtailspread.placement import leases, messages, selection
 
 #: Head start in the queue per priority level, in seconds. It is bounded, so a
 #: flood of urgent requests does not starve the others.
@@ -38,16 +38,11 @@
 OVERDUE_FACTOR = 2.5
 #: Lower bound of that time, in seconds; it covers one packet retransmission.
 MIN_OVERDUE_SECONDS = 0.6
-#: Assumed duration of a request before any measurement, in seconds.
-DEFAULT_REQUEST_SECONDS = 0.5
 #: Time without a poll after which a queued request or a stored decision is
 #: dropped, in seconds; hosts poll several times a second.
 ABANDON_SECONDS = 1.0
 #: Minimum share of the sound upstreams of a service that stays in use.
 DEFAULT_FLOOR_SHARE = 0.7
-#: Bounds of the retry-after time of a refused request, in seconds.
-MIN_RETRY_AFTER_SECONDS = 0.2
-MAX_RETRY_AFTER_SECONDS = 3.0
 
 
 class Allocator:
@@ -91,7 +86,7 @@
         if request.is_repeat:
             if not self.budget.spend(request.service, now):
                 return self._refuse(request, messages.Decision.NO_BUDGET, now)
-        else:
+        elif not request.is_counted:
             self.budget.add_request(request.service, now)
         return self._place_new(request, now)
 
@@ -364,26 +359,22 @@
     ) -> bool:
         """Return whether a slot will probably become free in time."""
         seconds = self._find_typical_seconds(request, now)
-        wait = self._estimate_wait(request, ahead, seconds)
+        wait = self._estimate_wait(request, ahead, now)
         return now + wait + seconds < request.deadline
 
     def _estimate_wait(
-        self, request: messages.PlacementRequest, ahead: int, seconds: float
+        self, request: messages.PlacementRequest, ahead: int, now: float
     ) -> float:
-        """Return the estimated wait for a slot, in seconds.
-
-        :param ahead: queued requests of the service that come first.
-        :param seconds: typical duration of a request.
-        """
-        rows = self.selector.registry.list_ready(request.service)
-        slots = sum(row.record.slots for row in rows)
-        return (ahead + 1) * seconds / max(slots, 1)
+        return estimates.estimate_wait(
+            self.selector, request.service, ahead, now
+        )
 
     def _find_typical_seconds(
         self, request: messages.PlacementRequest, now: float
     ) -> float:
-        typical = self.selector.find_typical_seconds(request.service, now)
-        return typical or DEFAULT_REQUEST_SECONDS
+        return estimates.find_typical_seconds(
+            self.selector, request.service, now
+        )
 
     def _refuse(
         self,
@@ -395,11 +386,8 @@
         self.floor.record_completion(request.service, False, now)
         order = self._create_order(request, now)
         ahead = self._count_ahead(request, order)
-        wait = self._estimate_wait(
-            request, ahead, self._find_typical_seconds(request, now)
-        )
-        retry_after = min(
-            max(wait, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS
+        retry_after = estimates.clamp_retry_after(
+            self._estimate_wait(request, ahead, now)
         )
         return messages.Answer(decision, None, retry_after)
 
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -66,6 +66,8 @@
     :param objective: target time of the answer in seconds.
     :param excluded: upstreams that were tried already.
     :param is_repeat: whether it was sent to an upstream before.
+    :param is_counted: whether an allocator or its host has been asked to place
+        it before, so that the retry budget includes it already.
     :param is_repeatable: whether it may be sent again after a failure.
     :param fingerprint: the same for requests with the same credentials, path
         and body; see :mod:`wagtailspread.placement.crashes`.
@@ -83,6 +85,7 @@
     is_repeat: bool = False
     is_repeatable: bool = False
     fingerprint: crashes.Fingerprint = crashes.NO_FINGERPRINT
+    is_counted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -246,6 +246,7 @@
         is_repeat=request.is_repeat,
         is_repeatable=request.is_repeatable,
         fingerprint=request.fingerprint or crashes.NO_FINGERPRINT,
+        is_counted=bool(request.is_counted),
     )
 
 
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.placement import allocators
+from wagtailspread.placement import allocators, estimates
 from wagtailspread.placement import messages
 from wagtailspread.placement.tests import regions
 
@@ -157,7 +157,7 @@
     decisions = [answer.decision for answer in answers]
     assert decisions[:3] == [_GRANTED, _WAITING, _WAITING]
     assert set(decisions[3:]) == {messages.Decision.NO_ROOM}
-    assert answers[-1].retry_after >= allocators.MIN_RETRY_AFTER_SECONDS
+    assert answers[-1].retry_after >= estimates.MIN_RETRY_AFTER_SECONDS
 
 
 def test_a_queued_request_without_a_chance_is_refused_before_its_deadline():
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -623,6 +623,8 @@
   13: i32 wait_ms
   // The same for requests with the same credentials, path and body.
   14: optional i64 fingerprint
+  // Whether the retry budget of some allocator includes the request.
+  15: optional bool is_counted
 }
 
 struct PlaceAnswer {
