Count a queued retry for the budget when it is sent

Cause: a retry was counted when it came to the allocator. While a service is full it waits there for up to its deadline, so the retries of more than one window could reach upstreams within one.

Evidence: in the operators' record an upload of the broken window is turned away at 17.5 s and reaches its next upstream at 18.3 s.

Change: the count of a queued retry moves to the time of its grant.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -200,6 +200,8 @@
         answer = self._refuse_blocked(request, now)
         if answer is None and not is_blocked:
             answer = self._try_grant(request, waiting.queued_at, now)
+            if request.is_repeat and answer and answer.record:
+                self.budget.postpone(request.service, waiting.queued_at, now)
             waiting.is_held = answer is None and self._is_held(request, now)
         is_too_late = request.deadline - now < self._find_typical_seconds(
             request, now
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -106,6 +106,24 @@
         repeats.append(now)
         return True
 
+    def postpone(
+        self,
+        service: identifiers.ServiceName,
+        spent_at: float,
+        now: float,
+    ) -> None:
+        """Count a retry at the time at which it is sent.
+
+        Those that were queued would otherwise leave the window before they
+        reach an upstream.
+
+        :param spent_at: when :meth:`spend` allowed it.
+        """
+        repeats = self._list_recent(self._repeats, service, now)
+        if spent_at in repeats:
+            repeats.remove(spent_at)
+        repeats.append(now)
+
     def is_ample(self, service: identifiers.ServiceName, now: float) -> bool:
         """Return whether at most half of the budget is used after a retry."""
         repeats = self._list_recent(self._repeats, service, now)
