--- /dev/null
+++ b/wagtailspread/placement/tests/simulations.py
@@ -0,0 +1,171 @@
+"""Test helper: a service of two regions with upstreams that turn gray."""
+
+import bisect
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from wagtailspread.placement import allocators, budgets, messages, selection
+from wagtailspread.placement.tests import regions
+from wagtailspread.registry import tables
+
+_REGIONS = {'north': 'r1', 'south': 'r1', 'east': 'r2', 'west': 'r2'}
+#: Time for which an upstream stays gray or sound, in seconds.
+PHASE_SECONDS = 9.0
+GRAY_SHARE = 0.3
+GRAY_FAILURES = 0.75
+SOUND_FAILURES = 0.012
+TICK_SECONDS = 0.05
+
+
+@dataclasses.dataclass
+class Load:
+    """Upstreams of each failure domain, requests/s and seconds of work."""
+
+    upstreams: dict
+    rate: float
+    work: float
+
+
+class Simulation:
+    """Requests without deadline trouble, at allocators of two regions."""
+
+    def __init__(self, load, seed):
+        """Create upstreams in random phases, without evidence."""
+        self.random = random.Random(seed)
+        self.load = load
+        self.now = 0.0
+        self.used = collections.defaultdict(list)
+        self.failed = collections.defaultdict(list)
+        self.completed = 0
+        self.upstreams = [
+            (f'{domain}{number}', domain)
+            for domain, count in load.upstreams.items()
+            for number in range(count)
+        ]
+        self._phases = {
+            name: self.random.random() * PHASE_SECONDS
+            for name, _ in self.upstreams
+        }
+        self._states = {}
+        self._allocators = {
+            region: self._create_allocator() for region in ('r1', 'r2')
+        }
+        self._events = []
+        self._numbers = itertools.count()
+        self._waiting = {}
+
+    def run(self, seconds):
+        """Send requests at random times until ``seconds``."""
+        at = 0.0
+        domains = list(self.load.upstreams)
+        while at < seconds:
+            at += self.random.expovariate(self.load.rate)
+            self._add(at, self._arrive, self.random.choice(domains))
+        for step in range(int(seconds / TICK_SECONDS)):
+            self._add(step * TICK_SECONDS, self._tick)
+        while self._events:
+            self.now, _, handle, values = heapq.heappop(self._events)
+            handle(*values)
+
+    def find_shares(self, start, end, clean_seconds):
+        """Return the shares of sound upstreams in use in windows of 2 s.
+
+        :param clean_seconds: time before a window in which an upstream that
+            counts as sound has not failed a request.
+        """
+        shares = []
+        at = start
+        while at < end - 2.0:
+            sound = [
+                name
+                for name, _ in self.upstreams
+                if not _has(self.failed[name], at - clean_seconds, at + 2.0)
+            ]
+            used = sum(_has(self.used[name], at, at + 2.0) for name in sound)
+            shares.append(used / len(sound))
+            at += 0.25
+        return shares
+
+    def _create_allocator(self):
+        rows = [
+            regions.create_record(name, domain, 6)
+            for name, domain in self.upstreams
+        ]
+        selector = selection.create_selector(
+            tables.create_table(rows), _REGIONS, self.random
+        )
+        budget = budgets.SharedRetryBudget(0.2, 62.0, 10.0, lambda: 5)
+        return allocators.create_allocator(selector, budget)
+
+    def _add(self, at, handle, *values):
+        event = (at, next(self._numbers), handle, values)
+        heapq.heappush(self._events, event)
+
+    def _is_gray(self, name):
+        phase = (name, int((self.now + self._phases[name]) // PHASE_SECONDS))
+        if phase not in self._states:
+            self._states[phase] = self.random.random() < GRAY_SHARE
+        return self._states[phase]
+
+    def _arrive(self, domain):
+        request = messages.PlacementRequest(
+            request_id=f'q{next(self._numbers)}',
+            host='h1',
+            domain=domain,
+            service='columns',
+            deadline=self.now + 6.0,
+            objective=2.0,
+        )
+        allocator = self._allocators[_REGIONS[domain]]
+        answer = allocator.submit(request, self.now)
+        self._send(allocator, request, answer)
+
+    def _send(self, allocator, request, answer):
+        if answer.decision is messages.Decision.WAITING:
+            self._waiting[request.request_id] = (allocator, request)
+        if answer.record is None:
+            return
+        name = answer.record.upstream
+        self.used[name].append(self.now)
+        failures = GRAY_FAILURES if self._is_gray(name) else SOUND_FAILURES
+        is_good = self.random.random() >= failures
+        seconds = 0.01
+        if is_good:
+            seconds = self.load.work * self.random.lognormvariate(-0.045, 0.3)
+        self._add(
+            self.now + seconds, self._finish, allocator, request, name, is_good
+        )
+
+    def _finish(self, allocator, request, name, is_good):
+        evidence = messages.Evidence.BAD
+        if is_good:
+            evidence = messages.Evidence.GOOD
+        else:
+            self.failed[name].append(self.now)
+        self.completed += 1
+        allocator.settle(request.request_id, name, evidence, 0.5, self.now)
+
+    def _tick(self):
+        strained = [
+            allocator.floor.list_strained(self.now)
+            for allocator in self._allocators.values()
+        ]
+        for allocator, remote in zip(
+            self._allocators.values(), reversed(strained), strict=True
+        ):
+            allocator.floor.replace_remote_strained(set(remote))
+            allocator.tick(self.now)
+        for request_id, (allocator, request) in list(self._waiting.items()):
+            answer = allocator.submit(request, self.now)
+            if answer.decision is not messages.Decision.WAITING:
+                self._waiting.pop(request_id)
+                self._send(allocator, request, answer)
+
+
+def _has(times, start, end):
+    """Tell whether one of the sorted times is in ``[start, end)``."""
+    index = bisect.bisect_left(times, start)
+    return index < len(times) and times[index] < end
--- a/wagtailspread/placement/tests/test_floors.py
+++ b/wagtailspread/placement/tests/test_floors.py
@@ -2,8 +2,10 @@
 
 import collections
 
+import pytest
+
 from wagtailspread.placement import messages
-from wagtailspread.placement.tests import regions
+from wagtailspread.placement.tests import regions, simulations
 
 
 def test_most_upstreams_stay_in_use_while_many_requests_fail():
@@ -55,6 +57,23 @@
             assert len({upstream for _, upstream in used}) >= 0.7 * 10
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_most_sound_upstreams_are_in_use_at_all_times(seed):
+    """Guards against upstreams that recover and stay unused.
+
+    Load pattern: a third of the upstreams is gray, each for some seconds, and
+    few requests fail. At any moment a final fault may fail many of them.
+    """
+    load = simulations.Load(
+        {'north': 6, 'south': 5, 'east': 7, 'west': 4}, rate=88.0, work=0.47
+    )
+    simulation = simulations.Simulation(load, seed)
+    simulation.run(60.0)
+    for clean_seconds in (2.0, 4.0, 6.0):
+        shares = simulation.find_shares(15.0, 58.0, clean_seconds)
+        assert min(shares) >= 0.7
+
+
 def test_uploads_do_not_cross_domains_for_the_floor():
     """Guards against large bodies that cross domains only as a probe.
 
