Keep most of the upstreams that may be sound in use, not of those expected

Operators saw 4 of 12 sound upstreams of a service without a request for 2 s, while a final fault failed 34 of 184 requests.

Cause: the floor added up the probabilities that idle upstreams are sound. It acted when the expected share in use fell below 72%, so the share stayed close to that line, and whenever more of the suspects had recovered than expected it was below the floor. Upstreams stayed unused for up to 19 s.

Change: an upstream counts in full while it may be sound, with a probability of a third or more. It is exempt for 2 s after a failure and for 6 s after two in a row, which isolated errors seldom cause.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -348,6 +348,8 @@
     ) -> None:
         if evidence is messages.Evidence.BAD:
             self.floor.record_failure(lease.upstream, now)
+        elif evidence is messages.Evidence.GOOD:
+            self.floor.record_success(lease.upstream)
         if evidence is messages.Evidence.NONE or lease.is_for_floor:
             return
         is_served = evidence is messages.Evidence.GOOD
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -3,8 +3,8 @@
 Sending all requests to the few upstreams that look best minimizes the failures
 at that moment. But an unused upstream yields no evidence: it stays suspect long
 after it has recovered, and the other upstreams carry its load. So most of the
-probably sound upstreams stay in use. An upstream that has just failed is
-exempt until it has probably recovered.
+upstreams that may be sound stay in use. An upstream that has just failed is
+exempt until it may have recovered.
 
 If many requests fail nevertheless, the health estimates are unreliable, and the
 floor applies to all upstreams.
@@ -45,12 +45,31 @@
 #: Time after a failure for which the floor ignores an upstream, in seconds. The
 #: operators' platform counts it as sound again after that time.
 FAILURE_COOLDOWN_SECONDS = 2.0
+#: The same after several failures in a row, which isolated errors do not cause.
+REPEATED_COOLDOWN_SECONDS = 6.0
+#: Number of failures in a row from which the longer time applies.
+REPEATED_FAILURES = 2
+#: Probability of being sound from which an upstream counts in full. The share
+#: in use must hold whichever of the suspect upstreams have recovered, not only
+#: on average.
+MIN_SOUND_PROBABILITY = 1 / 3
 #: Share in addition to the floor, so that the floor is still reached when
 #: upstreams leave.
 MARGIN_SHARE = 0.02
 
 _log = logbook.Logger('placement')
 
+
+class _Failure(typing.NamedTuple):
+    """The last failure of an upstream.
+
+    :param in_a_row: number of failures since the last success.
+    """
+
+    at: float
+    in_a_row: int
+
+
 _Completions = collections.deque[tuple[float, bool]]
 
 
@@ -65,7 +84,7 @@
         self._share = share
         self._completions: dict[identifiers.ServiceName, _Completions] = {}
         self._last_used: dict[identifiers.UpstreamId, float] = {}
-        self._last_failed: dict[identifiers.UpstreamId, float] = {}
+        self._last_failed: dict[identifiers.UpstreamId, _Failure] = {}
         self._strained_until: dict[identifiers.ServiceName, float] = {}
         self._remote_strained: set[identifiers.ServiceName] = set()
 
@@ -124,8 +143,16 @@
         upstream: identifiers.UpstreamId,
         now: float,
     ) -> None:
-        """Record the time of an upstream's last failure."""
-        self._last_failed[upstream] = now
+        """Record a failure of an upstream."""
+        known = self._last_failed.get(upstream)
+        in_a_row = 1 if known is None else known.in_a_row + 1
+        self._last_failed[upstream] = _Failure(now, in_a_row)
+
+    def record_success(self, upstream: identifiers.UpstreamId) -> None:
+        """Record a success of an upstream."""
+        known = self._last_failed.get(upstream)
+        if known is not None:
+            self._last_failed[upstream] = _Failure(known.at, 0)
 
     def retain(
         self,
@@ -157,27 +184,39 @@
         none are returned for it.
 
         :param sound_probabilities: the probability that each upstream is
-            sound. Upstreams that failed a request recently are ignored.
+            sound. Those that failed a request recently, or are most likely
+            gray, are ignored.
         """
         if len(self._list_recent(service, now)) < len(sound_probabilities):
             return set()
-        weights = {
-            upstream: weight
-            for upstream, weight in sound_probabilities.items()
-            if self._last_failed.get(upstream, -math.inf)
-            < now - FAILURE_COOLDOWN_SECONDS
-        }
+        counted = [
+            upstream
+            for upstream, probability in sound_probabilities.items()
+            if probability >= MIN_SOUND_PROBABILITY
+            and not self._is_cooling_down(upstream, now)
+        ]
         idle = {
             upstream
-            for upstream in weights
+            for upstream in counted
             if self._last_used.get(upstream, -math.inf) < now - IN_USE_SECONDS
         }
-        total = sum(weights.values())
-        unused = sum(weights[upstream] for upstream in idle)
-        if total - unused >= (self._share + MARGIN_SHARE) * total:
+        used = len(counted) - len(idle)
+        if used >= (self._share + MARGIN_SHARE) * len(counted):
             return set()
         return idle
 
+    def _is_cooling_down(
+        self, upstream: identifiers.UpstreamId, now: float
+    ) -> bool:
+        """Tell whether an upstream failed too recently to count as sound."""
+        failure = self._last_failed.get(upstream)
+        if failure is None:
+            return False
+        seconds = FAILURE_COOLDOWN_SECONDS
+        if failure.in_a_row >= REPEATED_FAILURES:
+            seconds = REPEATED_COOLDOWN_SECONDS
+        return failure.at >= now - seconds
+
     def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
         recent = self._list_recent(service, now)
         failed = sum(not is_served for _, is_served in recent)
@@ -212,12 +251,15 @@
         return completions
 
 
+_State = typing.TypeVar('_State')
+
+
 def _retain(
-    known: dict[identifiers.UpstreamId, float],
+    known: dict[identifiers.UpstreamId, _State],
     upstreams: typing.Container[identifiers.UpstreamId],
-) -> dict[identifiers.UpstreamId, float]:
+) -> dict[identifiers.UpstreamId, _State]:
     return {
-        upstream: seconds
-        for upstream, seconds in known.items()
+        upstream: state
+        for upstream, state in known.items()
         if upstream in upstreams
     }
