Withdraw what overdue requests of a killed host told of their upstreams

After many hosts were killed, all upstreams with open requests looked gray, and sound ones stayed unused.

Change: when a host comes back as a new process, the failures of its overdue requests are withdrawn. The test failed with that line switched off. The cost of waiting moves to its candidate.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -23,9 +23,6 @@
 #: Further excess cost that a request accepts per objective spent waiting.
 #: After one objective the answer is late on any upstream.
 EXTRA_COST_PER_OBJECTIVE = 2.5
-#: Additional weight of the distance cost while a request waits: a large body
-#: waits up to a quarter of the objective for a slot in its own failure domain.
-DISTANCE_WEIGHT = 1.3
 #: Multiple of the typical duration that must remain before the deadline for a
 #: request to queue normally; requests with less time are served first.
 SHORT_DEADLINE_FACTOR = 3.0
@@ -126,12 +123,19 @@
                 self.selector.risk_table.withdraw_failure(upstream, now)
         self.selector.record_evidence(host, upstream, evidence, seconds, now)
 
-    def drop_host(self, host: identifiers.HostId) -> None:
-        """Drop the requests of a host that has restarted."""
+    def drop_host(self, host: identifiers.HostId, now: float) -> None:
+        """Drop the requests of a host that has restarted.
+
+        Those that became overdue meanwhile are no evidence: the host did not
+        report what its upstreams answered.
+        """
         for request_id, lease in list(self._leases.items()):
             if lease.request.host == host:
                 self._leases.pop(request_id)
                 self.selector.finish(lease.upstream)
+                if lease.is_overdue:
+                    table = self.selector.risk_table
+                    table.withdraw_failure(lease.upstream, now)
         for request_id, waiting in list(self._waiting.items()):
             if waiting.request.host == host:
                 self._waiting.pop(request_id)
@@ -256,13 +260,9 @@
         free = [candidate for candidate in candidates if not candidate.is_full]
         waited = (now - waiting_since) / request.objective
         limit = MAX_EXTRA_COST + EXTRA_COST_PER_OBJECTIVE * waited
-        limit += min(
-            _compute_waiting_cost(candidate) for candidate in candidates
-        )
+        limit += min(candidate.waiting_cost for candidate in candidates)
         free = [
-            candidate
-            for candidate in free
-            if _compute_waiting_cost(candidate) <= limit
+            candidate for candidate in free if candidate.waiting_cost <= limit
         ]
         idle_candidates = self._find_idle_for_floor(request, candidates, now)
         chosen = self.selector.draw(idle_candidates or free)
@@ -425,11 +425,6 @@
                 )
 
 
-def _compute_waiting_cost(candidate: selection.Candidate) -> float:
-    """Return the cost that is compared with the cost of waiting."""
-    return candidate.cost + DISTANCE_WEIGHT * candidate.distance
-
-
 def create_allocator(
     selector: selection.Selector,
     budget: budgets.SharedRetryBudget,
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -24,6 +24,9 @@
 #: Probability of being sound below which an upstream is limited to one request
 #: at a time.
 MIN_SOUND_PROBABILITY = 0.5
+#: Additional weight of the distance cost while a request waits: a large body
+#: waits up to a quarter of the objective for a slot in its own failure domain.
+DISTANCE_WEIGHT = 1.3
 #: Time for which the typical duration of a service is cached, in seconds.
 TYPICAL_CACHE_SECONDS = 0.5
 
@@ -45,6 +48,11 @@
     distance: float
     sound_probability: float
 
+    @property
+    def waiting_cost(self) -> float:
+        """Return the cost that is compared with the cost of waiting."""
+        return self.cost + DISTANCE_WEIGHT * self.distance
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _TypicalDuration:
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -222,7 +222,7 @@
         known = self._incarnations.get(host)
         if known is not None and known != incarnation:
             _log.info('host started anew', extra={'peer': host})
-            self._allocator.drop_host(host)
+            self._allocator.drop_host(host, self._clock.now())
         self._incarnations[host] = incarnation
 
 
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -160,10 +160,32 @@
     region.submit(host='h1')
     region.submit(host='h1')
     assert region.submit(host='h2')[1].decision is _WAITING
-    region.allocator.drop_host('h1')
+    region.allocator.drop_host('h1', region.now)
     assert len(region.allocator.tick(region.now)) == 1
 
 
+def test_a_restarted_host_leaves_no_evidence_against_its_upstreams():
+    """Guards against sound upstreams that stay unused after hosts fail.
+
+    Load pattern: a host is killed with requests open at sound upstreams. They
+    become overdue before it starts again.
+    """
+    region = regions.Region(upstreams=4)
+    table = region.selector.risk_table
+    for number in range(4):
+        table.add_successes(f'u{number}', 30, 15.0, 0.0)
+    before = table.find_risk('u0', 0.0)
+    granted = region.submit(host='killed')[1].record.upstream
+    region.now = 2.0
+    region.allocator.tick(region.now)
+    assert table.find_risk(granted, region.now) > 5 * before
+    region.now = 2.5
+    region.allocator.drop_host('killed', region.now)
+    others = {'u0', 'u1', 'u2', 'u3'} - {granted}
+    highest = max(table.find_risk(other, region.now) for other in others)
+    assert table.find_risk(granted, region.now) <= 1.5 * highest
+
+
 def test_slots_of_a_failed_host_are_freed_after_the_deadline():
     """Guards against slots leaked when hosts fail permanently."""
     region = regions.Region(upstreams=1, slots=1)
