Share what is known of crashing requests between allocators and hosts

Cause: each allocator counted the losses of its own region and needed three, one that started anew knew of no block that it had found itself, and a host that decided alone neither counted nor blocked. So upstreams went on ending under a request that another process knew.

Change: replicas pass on the losses of a request from its second one on, and each derives the block from the losses that it knows. Losses are passed on for 30 s only, since each hop loses the delay of the exchange. Blocks that were derived are published for as long as they last, so an allocator that starts anew learns them. Hosts get all blocks with the registry, refuse such requests without asking, and count what they lose while they decide alone.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -278,6 +278,7 @@
                 seconds,
                 received.notice,
                 is_reset=is_reset,
+                fingerprint=placement_request.fingerprint,
             )
         if isinstance(outcome, exchanges.NoConnection):
             state.send_attempts.record_connection_failure()
--- /dev/null
+++ b/wagtailspread/gateway/conversions.py
@@ -0,0 +1,52 @@
+"""Conversions of placements to and from messages.
+
+>>> encode_seconds(1.5), encode_seconds(-1.0)
+(1500, 0)
+"""
+
+import logbook
+
+from wagtailspread.core import identifiers
+from wagtailspread.placement import messages
+from wagtailspread.registry import records
+from wagtailspread.wire import messages as wire
+
+_MILLISECONDS = 1000
+
+_log = logbook.Logger('placement')
+
+
+def encode_seconds(seconds: float) -> int:
+    """Return a duration as milliseconds that fit a message."""
+    return int(min(max(seconds, 0.0) * _MILLISECONDS, wire.MAX_I32))
+
+
+def read_answer(
+    found: wire.Struct, allocator: identifiers.Address
+) -> messages.Answer | None:
+    """Return an allocator's answer, ``None`` if it is malformed."""
+    try:
+        record = None if found.row is None else records.from_row(found.row)
+        return messages.Answer(
+            messages.Decision(found.decision),
+            record,
+            found.retry_after_ms / _MILLISECONDS,
+        )
+    except (TypeError, ValueError) as error:
+        _log.warning(
+            'placement answer malformed',
+            extra={'allocator': allocator, 'reason': str(error)},
+        )
+        return None
+
+
+def create_withdrawal(
+    placement_request: messages.PlacementRequest,
+) -> wire.Struct:
+    """Return the settlement of a request that was not sent."""
+    return wire.structs.Settlement(
+        request=placement_request.request_id,
+        upstream='',
+        evidence=int(messages.Evidence.NONE),
+        took_ms=0,
+    )
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -12,7 +12,8 @@
 from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import allocators, budgets, costs, selection
 from wagtailspread.placement import services
-from wagtailspread.registry import downloads, followers, places, records
+from wagtailspread.registry import blocked, downloads, followers, places
+from wagtailspread.registry import records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
@@ -216,8 +217,10 @@
             budgets.BudgetShare.SUBSTITUTE,
             lambda: substitutes * len(set(regions.values())),
         )
+        allocator = allocators.create_allocator(selector, budget)
+        allocator.crashes = self._placer.crashes
         return services.create_service(
-            allocators.create_allocator(selector, budget),
+            allocator,
             self._clock,
             lambda _now: self.selector.silent,
         )
@@ -250,6 +253,8 @@
             self.selector.prune(now)
         self.selector.silent = frozenset(batch.silent)
         self._host_count = batch.hosts
+        for fingerprint, seconds in blocked.read_blocked(batch).items():
+            self._placer.crashes.block(fingerprint, now + seconds)
         self._placer.update_allocators(batch.replicas, batch.substitutes)
         if self.follower.lag.is_behind:
             self.downloader.request_version(self.follower.lag.newest_version)
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -17,7 +17,9 @@
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.placement import budgets, costs, messages, selection
+from wagtailspread.gateway import conversions
+from wagtailspread.placement import budgets, costs, crashes, messages
+from wagtailspread.placement import selection
 from wagtailspread.registry import records
 from wagtailspread.wire import links
 from wagtailspread.wire import messages as wire
@@ -52,7 +54,10 @@
 
 
 class Placer:
-    """Chooses upstreams for one host. Use :func:`create_placer`."""
+    """Chooses upstreams for one host. Use :func:`create_placer`.
+
+    :param crashes: requests that are refused without asking an allocator.
+    """
 
     def __init__(
         self,
@@ -68,6 +73,7 @@
         self._location = location
         self._pool = pool
         self._selector = selector
+        self.crashes = crashes.create_crashes()
         self._budget = budget
         self._clock = clock
         self._incarnation = random.randrange(_MAX_INCARNATION)
@@ -108,6 +114,13 @@
         self, placement_request: messages.PlacementRequest
     ) -> Placement:
         """Return the upstream for a request, or why there is none."""
+        now = self._clock.now()
+        end = self.crashes.find_end(placement_request.fingerprint, now)
+        if end > now:
+            refusal = messages.Answer(
+                messages.Decision.BLOCKED, None, end - now
+            )
+            return Placement(refusal, None)
         usable = [one for one in self._allocators if one not in self._failed]
         for allocator in usable[:MAX_ALLOCATORS]:
             answer = await self._ask(allocator, placement_request)
@@ -126,7 +139,7 @@
             # The allocator does not know yet what the upstream asked this
             # host, for example since it has just taken over.
             self._start_settling(
-                allocator, [_create_withdrawal(placement_request)]
+                allocator, [conversions.create_withdrawal(placement_request)]
             )
             break
         return Placement(self._place_locally(placement_request), None)
@@ -154,12 +167,14 @@
         notice: messages.UpstreamNotice = messages.NO_NOTICE,
         *,
         is_reset: bool = False,
+        fingerprint: crashes.Fingerprint = crashes.NO_FINGERPRINT,
     ) -> None:
         """Report how a placed request ended, without waiting.
 
         :param seconds: duration of the attempt.
         :param notice: what the upstream asked of this host.
         :param is_reset: whether its connection ended without an answer.
+        :param fingerprint: of the request.
         """
         record = placement.answer.record
         if record is None:
@@ -177,21 +192,40 @@
             seconds,
             self._clock.now(),
         )
-        if placement.allocator is not None:
+        if placement.allocator is None:
+            self._record_alone(record, evidence, fingerprint, is_reset=is_reset)
+        else:
             settlement = wire.structs.Settlement(
                 request=request,
                 upstream=record.upstream,
                 evidence=int(evidence),
-                took_ms=_encode_seconds(seconds),
+                took_ms=conversions.encode_seconds(seconds),
             )
             if is_reset:
                 settlement.is_reset = True
             if notice != messages.NO_NOTICE:
                 settlement.born_ms = record.born_ms
                 settlement.is_leaving = notice.is_leaving
-                settlement.hold_ms = _encode_seconds(notice.hold_seconds)
+                settlement.hold_ms = conversions.encode_seconds(
+                    notice.hold_seconds
+                )
             self._start_settling(placement.allocator, [settlement])
 
+    def _record_alone(
+        self,
+        record: records.UpstreamRecord,
+        evidence: messages.Evidence,
+        fingerprint: crashes.Fingerprint,
+        *,
+        is_reset: bool,
+    ) -> None:
+        """Record losses and answers that no allocator learns of."""
+        if evidence is messages.Evidence.GOOD:
+            self.crashes.record_answer(fingerprint)
+        elif is_reset:
+            row = self._selector.registry.rows.get(record.upstream)
+            self.crashes.record_loss(fingerprint, row, self._clock.now())
+
     async def close(self) -> None:
         """Stop probing allocators; wait until all settlements are sent."""
         for probe in self._failed.values():
@@ -209,7 +243,8 @@
                 answer = await self._call(allocator, placement_request)
                 if answer is None:
                     self._start_settling(
-                        allocator, [_create_withdrawal(placement_request)]
+                        allocator,
+                        [conversions.create_withdrawal(placement_request)],
                     )
                     self._record_failure(allocator)
                     return None
@@ -221,12 +256,13 @@
                 if self._clock.now() < placement_request.deadline:
                     return answer
                 self._start_settling(
-                    allocator, [_create_withdrawal(placement_request)]
+                    allocator,
+                    [conversions.create_withdrawal(placement_request)],
                 )
                 return messages.Answer(messages.Decision.NO_ROOM)
         except asyncio.CancelledError:
             self._start_settling(
-                allocator, [_create_withdrawal(placement_request)]
+                allocator, [conversions.create_withdrawal(placement_request)]
             )
             raise
 
@@ -255,7 +291,7 @@
             return None
         if not isinstance(answer, result.Success):
             return None
-        return _read_answer(answer.unwrap(), allocator)
+        return conversions.read_answer(answer.unwrap(), allocator)
 
     def _encode_request(
         self, placement_request: messages.PlacementRequest
@@ -269,11 +305,13 @@
             service_name=placement_request.service,
             size=min(placement_request.size, wire.MAX_I32),
             priority=placement_request.priority,
-            deadline_ms=_encode_seconds(left),
+            deadline_ms=conversions.encode_seconds(left),
             excluded=sorted(placement_request.excluded),
             is_repeat=placement_request.is_repeat,
             is_repeatable=placement_request.is_repeatable,
-            objective_ms=_encode_seconds(placement_request.objective),
+            objective_ms=conversions.encode_seconds(
+                placement_request.objective
+            ),
             fingerprint=placement_request.fingerprint,
             is_counted=placement_request.is_counted,
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
@@ -365,42 +403,6 @@
         _log.info('allocator answers again', extra={'allocator': allocator})
 
 
-def _encode_seconds(seconds: float) -> int:
-    """Return a duration as milliseconds that fit a message."""
-    return int(min(max(seconds, 0.0) * _MILLISECONDS, wire.MAX_I32))
-
-
-def _read_answer(
-    found: wire.Struct, allocator: identifiers.Address
-) -> messages.Answer | None:
-    """Return an allocator's answer, ``None`` if it is malformed."""
-    try:
-        record = None if found.row is None else records.from_row(found.row)
-        return messages.Answer(
-            messages.Decision(found.decision),
-            record,
-            found.retry_after_ms / _MILLISECONDS,
-        )
-    except (TypeError, ValueError) as error:
-        _log.warning(
-            'placement answer malformed',
-            extra={'allocator': allocator, 'reason': str(error)},
-        )
-        return None
-
-
-def _create_withdrawal(
-    placement_request: messages.PlacementRequest,
-) -> wire.Struct:
-    """Return the settlement of a request that was not sent."""
-    return wire.structs.Settlement(
-        request=placement_request.request_id,
-        upstream='',
-        evidence=int(messages.Evidence.NONE),
-        took_ms=0,
-    )
-
-
 def create_placer(
     host: identifiers.HostId,
     location: costs.Location,
--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -25,12 +25,17 @@
 import logbook
 
 from wagtailspread.core import identifiers
-from wagtailspread.registry import tables
+from wagtailspread.registry import blocked, tables
 
 #: Number of incarnations of upstreams at which a request must have been lost.
 MIN_LOSSES = 3
 #: Time for which a loss counts, in seconds.
 LOSS_SECONDS = 120.0
+#: Time for which a loss is passed on to other allocators, in seconds. Each of
+#: them adds the delay of the exchange, so what is old must not come back.
+PUBLISHED_SECONDS = 30.0
+#: Number of losses from which a request is suspected at all allocators.
+MIN_SUSPECTED_LOSSES = 2
 #: Time for which a request is blocked, in seconds.
 BLOCK_SECONDS = 300.0
 #: Maximum number of suspected requests, and of blocked ones.
@@ -43,11 +48,8 @@
 _log = logbook.Logger('placement')
 
 
-class _Loss(typing.NamedTuple):
-    """A request that was lost at one incarnation of an upstream."""
-
-    incarnation: tuple[identifiers.UpstreamId, int]
-    at: float
+#: Upstream and start of its incarnation.
+_Incarnation = tuple[identifiers.UpstreamId, int]
 
 
 class CrashTable:
@@ -55,8 +57,14 @@
 
     def __init__(self) -> None:
         """Start without suspicions."""
-        self._losses: collections.OrderedDict[Fingerprint, list[_Loss]]
+        #: Times of losses by fingerprint and incarnation.
+        self._losses: collections.OrderedDict[
+            Fingerprint, dict[_Incarnation, float]
+        ]
         self._losses = collections.OrderedDict()
+        #: Losses before an answer, which other allocators may still publish.
+        self._refuted: collections.OrderedDict[Fingerprint, set[_Incarnation]]
+        self._refuted = collections.OrderedDict()
         self._ends: collections.OrderedDict[Fingerprint, float]
         self._ends = collections.OrderedDict()
         #: Ends of the blocks that this allocator found itself.
@@ -82,14 +90,7 @@
             return False
         record = row.record
         incarnation = (record.upstream, record.born_ms)
-        known = [
-            loss
-            for loss in self._losses.pop(fingerprint, ())
-            if now - loss.at < LOSS_SECONDS and loss.incarnation != incarnation
-        ]
-        known.append(_Loss(incarnation, now))
-        self._losses[fingerprint] = known
-        _limit(self._losses)
+        known = self._add_loss(fingerprint, incarnation, now, now)
         _log.info(
             'request lost',
             extra={
@@ -99,24 +100,37 @@
                 'losses': len(known),
             },
         )
-        is_blocked = len(known) >= MIN_LOSSES
-        if is_blocked:
-            self._own_ends[fingerprint] = now + BLOCK_SECONDS
-            _limit(self._own_ends)
-            self.block(fingerprint, now + BLOCK_SECONDS)
-            _log.warning(
-                'request blocked',
-                extra={
-                    'fingerprint': fingerprint,
-                    'service': record.service,
-                    'upstream': record.upstream,
-                },
-            )
-        return is_blocked
+        return self._block_if_proven(fingerprint, now)
+
+    def merge(
+        self, suspicions: typing.Iterable[blocked.Suspicion], now: float
+    ) -> None:
+        """Add losses that other allocators have seen."""
+        for suspicion in suspicions:
+            fingerprint = suspicion.fingerprint
+            incarnation = (suspicion.upstream, suspicion.born_ms)
+            if incarnation in self._refuted.get(fingerprint, ()):
+                continue
+            lost_at = now - suspicion.age
+            self._add_loss(fingerprint, incarnation, lost_at, now)
+            self._block_if_proven(fingerprint, now)
+
+    def list_suspicions(self, now: float) -> list[blocked.Suspicion]:
+        """Return the recent losses of requests that may crash upstreams."""
+        return [
+            blocked.Suspicion(fingerprint, *incarnation, now - lost_at)
+            for fingerprint, losses in self._losses.items()
+            if len(losses) >= MIN_SUSPECTED_LOSSES
+            for incarnation, lost_at in losses.items()
+            if now - lost_at < PUBLISHED_SECONDS
+        ]
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
         """Record that an upstream answered a request."""
-        if self._losses.pop(fingerprint, None):
+        losses = self._losses.pop(fingerprint, None)
+        if losses:
+            self._refuted.setdefault(fingerprint, set()).update(losses)
+            _limit(self._refuted)
             _log.info('suspicion ended', extra={'fingerprint': fingerprint})
 
     def block(self, fingerprint: Fingerprint, end: float) -> None:
@@ -130,10 +144,10 @@
         return max(self._ends.get(fingerprint, now), now)
 
     def list_blocked(self, now: float) -> dict[Fingerprint, float]:
-        """Return the requests blocked by :meth:`record_loss`.
+        """Return the requests blocked for losses that this allocator knows.
 
-        Those that another allocator found are left out: with the delay of each
-        exchange, two allocators would renew them for each other.
+        Those that it only knows to be blocked are left out: with the delay of
+        each exchange, two allocators would renew them for each other.
 
         :returns: seconds that are left, by fingerprint.
         """
@@ -143,6 +157,42 @@
             if end > now
         }
 
+    def _add_loss(
+        self,
+        fingerprint: Fingerprint,
+        incarnation: _Incarnation,
+        lost_at: float,
+        now: float,
+    ) -> dict[_Incarnation, float]:
+        """Add a loss; return all recent losses of the request."""
+        losses = {
+            known: at
+            for known, at in self._losses.pop(fingerprint, {}).items()
+            if now - at < LOSS_SECONDS
+        }
+        losses[incarnation] = min(losses.get(incarnation, lost_at), lost_at)
+        self._losses[fingerprint] = losses
+        _limit(self._losses)
+        return losses
+
+    def _block_if_proven(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Block a request with enough losses; tell whether it has them."""
+        losses = self._losses[fingerprint]
+        if len(losses) < MIN_LOSSES:
+            return False
+        end = max(losses.values()) + BLOCK_SECONDS
+        if self._own_ends.get(fingerprint, now) < end:
+            if fingerprint not in self._own_ends:
+                upstreams = [upstream for upstream, _ in losses]
+                _log.warning(
+                    'request blocked',
+                    extra={'fingerprint': fingerprint, 'upstreams': upstreams},
+                )
+            self._own_ends[fingerprint] = end
+            _limit(self._own_ends)
+            self.block(fingerprint, end)
+        return True
+
 
 def create_crashes() -> CrashTable:
     """Return a table without suspicions."""
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -10,7 +10,7 @@
 
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.placement import allocators, crashes, messages
-from wagtailspread.registry import records
+from wagtailspread.registry import blocked, records
 from wagtailspread.wire import listeners
 from wagtailspread.wire import messages as wire
 
@@ -39,10 +39,14 @@
 
     def publish_blocked(
         self,
-        blocked: typing.Mapping[crashes.Fingerprint, float],
+        requests: typing.Mapping[crashes.Fingerprint, float],
+        suspicions: list[blocked.Suspicion],
     ) -> None:
         """Publish requests that crash upstreams, with the seconds left."""
 
+    def list_remote_suspicions(self) -> list[blocked.Suspicion]:
+        """Return requests that may crash upstreams, found elsewhere."""
+
     def list_remote_blocked(self) -> dict[crashes.Fingerprint, float]:
         """Return such requests that were found elsewhere."""
 
@@ -106,17 +110,19 @@
             _log.info('retries counted', extra={'service': service, **counts})
 
     def _exchange_strain(self, now: float) -> None:
-        if self._strain_exchange is not None:
+        exchange = self._strain_exchange
+        if exchange is not None:
             floor = self._allocator.floor
-            self._strain_exchange.publish_strained(floor.list_strained(now))
-            floor.replace_remote_strained(
-                self._strain_exchange.list_remote_strained()
-            )
+            exchange.publish_strained(floor.list_strained(now))
+            floor.replace_remote_strained(exchange.list_remote_strained())
             table = self._allocator.crashes
-            self._strain_exchange.publish_blocked(table.list_blocked(now))
-            remote = self._strain_exchange.list_remote_blocked()
+            table.merge(exchange.list_remote_suspicions(), now)
+            remote = exchange.list_remote_blocked()
             for fingerprint, seconds in remote.items():
                 table.block(fingerprint, now + seconds)
+            exchange.publish_blocked(
+                table.list_blocked(now), table.list_suspicions(now)
+            )
 
     async def _place(
         self,
--- a/wagtailspread/placement/tests/test_crashes.py
+++ b/wagtailspread/placement/tests/test_crashes.py
@@ -60,6 +60,39 @@
     assert decided.decision is messages.Decision.BLOCKED
 
 
+def test_losses_at_several_allocators_count_together():
+    """Guards against upstreams lost in each region before a block."""
+    first, second = crashes.create_crashes(), crashes.create_crashes()
+    for number in range(2):
+        assert not first.record_loss(7, create_row(f'u{number}'), 0.0)
+    second.merge(first.list_suspicions(1.0), 1.0)
+    assert second.record_loss(7, create_row('v0'), 1.0)
+    assert second.find_end(7, 1.0) > 1.0
+
+
+def test_an_allocator_that_starts_anew_learns_of_blocked_requests():
+    """Guards against a block that ends with the allocator that found it."""
+    first, second = crashes.create_crashes(), crashes.create_crashes()
+    for number in range(crashes.MIN_LOSSES):
+        first.record_loss(7, create_row(f'u{number}'), 0.0)
+    second.merge(first.list_suspicions(1.0), 1.0)
+    restarted = crashes.create_crashes()
+    for fingerprint, seconds in second.list_blocked(200.0).items():
+        restarted.block(fingerprint, 200.0 + seconds)
+    assert restarted.find_end(7, 200.0) > 200.0
+
+
+def test_an_answer_ends_the_suspicion_that_others_publish():
+    """Guards against a popular request that is blocked for old losses."""
+    first, second = crashes.create_crashes(), crashes.create_crashes()
+    for number in range(2):
+        first.record_loss(7, create_row(f'u{number}'), 0.0)
+    second.merge(first.list_suspicions(1.0), 1.0)
+    second.record_answer(7)
+    second.merge(first.list_suspicions(2.0), 2.0)
+    assert not second.record_loss(7, create_row('v0'), 2.0)
+
+
 def test_an_answer_ends_the_suspicion():
     """Guards against a popular request blocked for random resets."""
     region = regions.Region(upstreams=9)
@@ -127,7 +160,9 @@
     for _ in range(1000):
         for source, target in ((first, second), (second, first)):
             published = source.list_blocked(now)
+            suspicions = source.list_suspicions(now)
             now += 0.2
+            target.merge(suspicions, now)
             for fingerprint, seconds in published.items():
                 target.block(fingerprint, now + seconds)
     assert now > crashes.BLOCK_SECONDS + 1.0
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -160,14 +160,23 @@
         """Send changes of the table by the local allocator to all followers."""
         self.feed.publish_local_change()
 
-    def publish_blocked(self, requests: typing.Mapping[int, float]) -> None:
+    def publish_blocked(
+        self,
+        requests: typing.Mapping[int, float],
+        suspicions: list[blocked.Suspicion],
+    ) -> None:
         """Publish requests that crash upstreams to other replicas.
 
         :param requests: seconds that are left, by the fingerprint of a request.
+        :param suspicions: requests that may crash upstreams.
         """
-        if self._blocked.publish(requests, self._clock.now()):
+        if self._blocked.publish(requests, suspicions, self._clock.now()):
             self.feed.wake()
 
+    def list_remote_suspicions(self) -> list[blocked.Suspicion]:
+        """Return what other replicas suspect, as far as it is new."""
+        return self._blocked.pop_suspicions()
+
     def list_remote_blocked(self) -> dict[int, float]:
         """Return such requests that other replicas published since."""
         return self._blocked.pop_remote()
@@ -300,13 +309,14 @@
     ) -> None:
         places.clean_batch(batch)
         self._peer_batches[address] = batch
-        self._blocked.receive(batch.blocked or ())
+        now = self._clock.now()
+        self._blocked.receive(batch, now)
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
             if reported == address:
                 domain = identifiers.FailureDomain(replica.domain)
                 self._replica_domains[reported] = domain
-        self.feed.merge_batch(batch, self._clock.now())
+        self.feed.merge_batch(batch, now)
 
     async def _answer_follower(
         self,
@@ -361,11 +371,11 @@
     ) -> None:
         """Add the fields that do not come from the feed."""
         group = self._group
-        hosts = self.feed.list_hosts(self._clock.now())
+        now = self._clock.now()
+        hosts = self.feed.list_hosts(now)
         batch.hosts = len(hosts)
         batch.strained = sorted(self._strained) if request.is_replica else []
-        if request.is_replica:
-            batch.blocked = self._blocked.list_rows(self._clock.now()) or None
+        self._blocked.add_rows(batch, now, is_replica=request.is_replica)
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
         batch.document_version = documents.NO_VERSION
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -580,6 +580,15 @@
   2: i32 left_ms
 }
 
+// A request that was lost at one incarnation of an upstream.
+struct SuspectedRequest {
+  1: i64 fingerprint
+  2: string upstream
+  3: i64 born_ms
+  // Time since the loss.
+  4: i32 age_ms
+}
+
 struct ChangeBatch {
   1: i64 epoch
   2: i64 position
@@ -600,8 +609,10 @@
   13: list<string> strained
   // Whether the replica has applied all recently committed entries.
   14: bool is_up_to_date
-  // Requests that crash upstreams; for replicas only.
+  // Requests that crash upstreams. A replica gets those that this one found.
   15: optional list<BlockedRequest> blocked
+  // Requests that may crash upstreams; for replicas only.
+  16: optional list<SuspectedRequest> suspected
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
