Let upstreams of the soak leave and crash, and check departures

An upstream that leaves must get no request later than 2 s after a replica has confirmed it. The check is seen to fail on a ledger with such a request. The upstreams of the test of crashing requests use the same code.

--- a/wagtailspread/platform/tests/crashing_fleets.py
+++ b/wagtailspread/platform/tests/crashing_fleets.py
@@ -13,16 +13,12 @@
 HOSTS = range(10, 14)
 FIRST_UPSTREAM = 150
 UPSTREAMS = 12
-RESTART_SECONDS = 2.0
 #: Time after the third crash from which crashes are counted, in seconds.
 CONTACT_SECONDS = 3.0
 
 
 class FragileUpstream(upstreams.Upstream):
-    """Ends with all its connections under a request for ``/l/crash/``.
-
-    It comes back as a new incarnation.
-    """
+    """Ends with all its connections under a request for ``/l/crash/``."""
 
     def __init__(self, *values, crashes, **names):
         """Create an upstream that does not listen.
@@ -31,43 +27,22 @@
         """
         super().__init__(*values, **names)
         self._crashes = crashes
-        self._writers = set()
-        self._starts = itertools.count(1)
-        self._first_name = self.name
-        self._restarting = None
+        self._crashing = None
 
     async def close(self):
         """Stop at once."""
-        if self._restarting is not None:
-            self._restarting.cancel()
+        if self._crashing is not None:
+            self._crashing.cancel()
         await super().close()
 
-    async def _serve(self, reader, writer):
-        self._writers.add(writer)
-        try:
-            await super()._serve(reader, writer)
-        finally:
-            self._writers.discard(writer)
-
     async def _run(self, reader, head, arrival):
         if ' /l/crash/' not in head:
             return await super()._run(reader, head, arrival)
         self._crashes.append(time.monotonic())
-        ip = self.address.rpartition(':')[0]
-        self._beating.cancel()
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        self._restarting = asyncio.create_task(self._restart(ip))
+        self._crashing = asyncio.create_task(self.crash())
         arrival.ending = ledgers.Ending.DROPPED
         return False
 
-    async def _restart(self, ip):
-        await asyncio.sleep(RESTART_SECONDS)
-        self.name = f'{self._first_name}-{next(self._starts)}'
-        self._born = int(time.time() * 1000)
-        await self.start(ip)
-
 
 class CrashingFleet:
     """A fleet in two regions, its upstreams and a request that crashes them."""
--- a/wagtailspread/platform/tests/soak/ledgers.py
+++ b/wagtailspread/platform/tests/soak/ledgers.py
@@ -13,6 +13,9 @@
 LOSS_SLACK_SECONDS = 0.2
 #: Time after its limit up to which a request must have ended, in seconds.
 LATE_SECONDS = 0.5
+#: Time after the confirmation of a departure from which the upstream gets no
+#: request, in seconds.
+DRAIN_SECONDS = 2.0
 #: Number of cases of a kind that the platform tolerates in a run.
 TOLERATED_REPEATS = 3
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -37,6 +40,7 @@
     MIXED = 'an answer of another request'
     LATE = 'no answer in time'
     TOO_MANY = 'more upstreams than attempts'
+    DRAINED = 'a request reached an upstream that leaves'
     LOST_CHANGE = 'a confirmed configuration is gone'
 
 
@@ -91,6 +95,8 @@
         self.arrivals = collections.defaultdict(list)
         self.disruptions = collections.defaultdict(list)
         self.failed_changes = 0
+        #: Times at which departures were confirmed, by upstream.
+        self.departures = {}
         self._grace = grace
         self._contact = contact
         self._max_attempts = max_attempts
@@ -109,6 +115,8 @@
         yield from self._check_runs(attempt, arrivals, runs)
         if attempt.ended_at is not None and not self._is_disturbed(attempt):
             yield from self._check_end(attempt, runs)
+            if any(map(self._is_late_for_departure, runs)):
+                yield Fault.DRAINED
 
     def _check_runs(self, attempt, arrivals, runs):
         if not attempt.is_own:
@@ -132,6 +140,11 @@
         if attempt.status >= 500 and dropped and not self._is_excused(attempt):
             yield Fault.CUT
 
+    def _is_late_for_departure(self, arrival):
+        """Tell whether an upstream that left got a request too late."""
+        confirmed_at = self.departures.get(arrival.upstream, float('inf'))
+        return arrival.at > confirmed_at + DRAIN_SECONDS
+
     def _is_disturbed(self, attempt):
         """Tell whether an unplanned disruption was near, at any process."""
         since = attempt.sent_at - self._contact
--- a/wagtailspread/platform/tests/soak/soaks.py
+++ b/wagtailspread/platform/tests/soak/soaks.py
@@ -23,8 +23,14 @@
 #: Time between two events of the plan, in seconds.
 EVENT_SECONDS = 2.5
 RESTART_SECONDS = 0.5
-_PLANNED = ('stop host', 'stop host', 'stop host', 'change')
-_UNPLANNED = ('kill host', 'pause host', 'stop replica', 'kill replica')
+_PLANNED = ('stop host', 'stop host', 'stop host', 'change', 'leave upstream')
+_UNPLANNED = (
+    'kill host',
+    'pause host',
+    'stop replica',
+    'kill replica',
+    'crash upstream',
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,6 +144,9 @@
             await self._change()
             return
         verb, role = kind.split()
+        if role == 'upstream':
+            await self._end_upstream(verb)
+            return
         first, count = 0, REPLICAS
         if role == 'host':
             first, count = FIRST_HOST, self.plan.hosts
@@ -157,6 +166,23 @@
         finally:
             self._busy.discard(number)
 
+    async def _end_upstream(self, verb):
+        """Let an upstream crash or leave, if most of them run."""
+        idle = [one for one in self._upstreams if one not in self._busy]
+        if 2 * len(idle) < len(self._upstreams):
+            return
+        chosen = self._random.choice(idle)
+        self._record(f'{verb} {chosen.name}')
+        self._busy.add(chosen)
+        started = self.now()
+        try:
+            await (chosen.crash() if verb == 'crash' else chosen.leave())
+        finally:
+            self._busy.discard(chosen)
+        if verb == 'crash':
+            disruption = ledgers.Disruption(False, started, self.now())
+            self.ledger.disruptions[chosen.name].append(disruption)
+
     async def _disrupt(self, verb, role, number):
         # A stop of a replica leaves the group without a leader for a moment.
         is_planned = verb == 'stop' and role == 'host'
--- a/wagtailspread/platform/tests/soak/upstreams.py
+++ b/wagtailspread/platform/tests/soak/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import time
 
@@ -9,12 +10,18 @@
 from wagtailspread.platform.tests.soak import ledgers
 
 HEARTBEAT_SECONDS = 1.5
+#: Time that an upstream serves on after its departure was confirmed, and then
+#: until it starts anew, in seconds.
+SERVE_ON_SECONDS = 4.0
+RESTART_SECONDS = 2.0
 _SIGNATURE = 's1'
 
 
 class Upstream:
     """Runs requests for the time that their path names, in milliseconds.
 
+    It can crash or leave, and comes back as a new incarnation.
+
     :param controls: addresses of the replicas' servers for upstreams.
     """
 
@@ -33,6 +40,10 @@
         self._sequence = 0
         self._server = None
         self._beating = None
+        self._state = 'ready'
+        self._first_name = name
+        self._starts = itertools.count(1)
+        self._writers = set()
 
     async def start(self, ip):
         """Listen, and send heartbeats."""
@@ -46,6 +57,44 @@
         self._beating.cancel()
         self._server.close()
 
+    async def crash(self):
+        """End with all connections, then start anew."""
+        self._beating.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await self._start_anew()
+
+    async def leave(self):
+        """Report that it drains, serve on, leave and start anew.
+
+        Nothing else is done if no replica confirms that it drains.
+        """
+        self._state = 'draining'
+        self._beating.cancel()
+        for _ in range(20):
+            control = self._controls[0]
+            if await self._send_heartbeat(control):
+                self._ledger.departures[self.name] = self._clock()
+                break
+            self._controls.append(self._controls.pop(0))
+        else:
+            self._state = 'ready'
+            self._beating = asyncio.create_task(self._beat())
+            return
+        await asyncio.sleep(SERVE_ON_SECONDS)
+        path = f'/wagtailspread/instances/{self.name}/leave'
+        await call(self._controls[0], 'POST', path)
+        self._server.close()
+        await self._start_anew()
+
+    async def _start_anew(self):
+        await asyncio.sleep(RESTART_SECONDS)
+        self.name = f'{self._first_name}-{next(self._starts)}'
+        self._born = int(time.time() * 1000)
+        self._state = 'ready'
+        await self.start(self.address.rpartition(':')[0])
+
     async def _beat(self):
         while True:
             for _ in self._controls:
@@ -63,7 +112,7 @@
                 'zone': self._zone,
                 'version': 'v1',
                 'concurrency': self._slots,
-                'state': 'ready',
+                'state': self._state,
                 'warmupLeft': '0ms',
                 'seq': self._sequence,
                 'born': self._born,
@@ -73,9 +122,11 @@
         return await call(control, 'POST', path, body) == 200
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while await self._serve_one(reader, writer):
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _serve_one(self, reader, writer):
--- a/wagtailspread/platform/tests/test_soak.py
+++ b/wagtailspread/platform/tests/test_soak.py
@@ -56,6 +56,16 @@
         assert fault in ledger.find_faults(), fault
 
 
+def test_the_soak_finds_requests_at_upstreams_that_left():
+    """Guards against a check of departures that holds whatever happens."""
+    ledger = create_ledger(status=200)
+    add_arrival(ledger, ledgers.Ending.ANSWERED)
+    ledger.departures['u1'] = 8.0
+    assert set(ledger.find_faults()) == {ledgers.Fault.DRAINED}
+    ledger.departures['u1'] = 8.2
+    assert not ledger.find_faults()
+
+
 def test_the_soak_counts_upstreams_of_an_attempt():
     """Guards against attempts beyond the limit of the route."""
     ledger = create_ledger(status=503)
