Report faults of operators in one line with its exit status

Cause: these errors were raised where files and answers are read, and no command caught them; the site and the address were not checked.

Change: the settings report UTF-8 and key faults as findings; check and status refuse what cannot exist.

--- a/wagtailspread/commands/check.py
+++ b/wagtailspread/commands/check.py
@@ -108,6 +108,9 @@
 ) -> checks.SiteSettings:
     if site is None:
         return sites
+    if site not in sites:
+        known = ', '.join(sorted(sites))
+        raise click.UsageError(f'unknown site {site}; known: {known}')
     return {name: settings for name, settings in sites.items() if name == site}
 
 
--- a/wagtailspread/commands/processes.py
+++ b/wagtailspread/commands/processes.py
@@ -101,7 +101,11 @@
 def _load(path: pathlib.Path) -> settings.ProcessSettings:
     loaded = settings.load_settings(path)
     if isinstance(loaded, result.Success):
-        return loaded.unwrap()
+        process = loaded.unwrap()
+        fault = process.find_key_fault()
+        if fault:
+            _fail(f'{path}: {fault}')
+        return process
     for finding in loaded.failure():
         click.echo(finding.describe(), err=True)
     sys.exit(EXIT_INVALID_SETTINGS)
--- a/wagtailspread/commands/status.py
+++ b/wagtailspread/commands/status.py
@@ -52,14 +52,21 @@
     the evidence for each ejection. A replica reports its leader, its log and
     the progress of replacements. Exit status 1 means that there was no answer.
     """
-    if entry:
-        report = asyncio.run(_read_entry(entry))
-    elif replica and settings_file:
-        report = asyncio.run(_read_replica(replica, settings_file))
-    else:
+    address = entry or replica
+    if not address or not (entry or settings_file):
         raise click.UsageError('name --entry, or --replica with --settings')
+    if not settings.is_address(address):
+        raise click.UsageError(f'expected ip:port, got {address}')
+    try:
+        if settings_file is None or entry:
+            report = asyncio.run(_read_entry(address))
+        else:
+            report = asyncio.run(_read_replica(address, settings_file))
+    except ValueError:
+        click.echo(f'{address} answers, but not with a status', err=True)
+        sys.exit(EXIT_UNREACHABLE)
     if report is None:
-        click.echo(f'{entry or replica} does not answer', err=True)
+        click.echo(f'{address} does not answer', err=True)
         sys.exit(EXIT_UNREACHABLE)
     if as_json:
         click.echo(json.dumps(report, indent=2))
@@ -98,7 +105,7 @@
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
             async with session.get(f'http://{address}/-/status') as answer:
-                return await answer.json()
+                return _parse_report(await answer.read())
     except (aiohttp.ClientError, TimeoutError):
         return None
 
@@ -111,6 +118,9 @@
     if not isinstance(loaded, result.Success):
         raise click.UsageError(loaded.failure()[0].describe())
     process = loaded.unwrap()
+    fault = process.find_key_fault()
+    if fault:
+        raise click.UsageError(f'{settings_file}: {fault}')
     peer = credentials.Peer(process.member, process.host, _ROLE)
     local_credentials = credentials.Credentials(peer, process.load_key())
     directory = credentials.FixedDirectory(process.trusted_keys)
@@ -122,4 +132,15 @@
         await pool.close()
     if not isinstance(answer, result.Success):
         return None
-    return json.loads(answer.unwrap().json)
+    return _parse_report(answer.unwrap().json)
+
+
+def _parse_report(content: bytes | str) -> Report:
+    """Return a report.
+
+    :raises ValueError: if it is none.
+    """
+    report = json.loads(content)
+    if not isinstance(report, dict):
+        raise ValueError('not an object')
+    return report
--- a/wagtailspread/processes/settings.py
+++ b/wagtailspread/processes/settings.py
@@ -10,6 +10,7 @@
 import base64
 import binascii
 import dataclasses
+import ipaddress
 import pathlib
 
 from cryptography.hazmat.primitives.asymmetric import ed25519
@@ -145,6 +146,18 @@
         """
         return signing.load_key(self.key_file.read_bytes())
 
+    def find_key_fault(self) -> str:
+        """Return why the private key cannot be loaded, or an empty string."""
+        try:
+            self.load_key()
+        except (OSError, TypeError, ValueError) as error:
+            reason = type(error).__name__
+            return (
+                f'key_file: bad-value: expected a private key in PEM in '
+                f'{self.key_file}: {reason}'
+            )
+        return ''
+
 
 SettingsResult = result.Result[ProcessSettings, findings.Findings]
 
@@ -154,7 +167,14 @@
 
     :raises OSError: if the file cannot be read.
     """
-    text = path.read_text('utf-8')
+    content = path.read_bytes()
+    try:
+        text = content.decode('utf-8')
+    except UnicodeDecodeError as error:
+        line = content.count(b'\n', 0, error.start) + 1
+        kind = findings.FindingKind.MALFORMED
+        finding = findings.Finding(str(path), line, '', 'UTF-8 text', kind)
+        return result.Failure((finding,))
     return parse_settings(str(path), text, path.parent)
 
 
@@ -284,9 +304,18 @@
 
     >>> is_address('127.0.0.1:80'), is_address('localhost'), is_address(':1')
     (True, False, False)
+    >>> is_address('999.1:80'), is_address('127.0.0.1:70000')
+    (False, False)
     """
     host, _, port = text.rpartition(':')
-    return bool(host) and port.isdecimal() and int(port) < 2**16
+    if not host or not port.isdecimal() or int(port) >= 2**16:
+        return False
+    if host.replace('.', '').isdecimal():
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            return False
+    return True
 
 
 def _read_addresses(
