Never block requests without a fingerprint

Cause: a row of a peer whose fingerprint is 0 would have blocked all requests of hosts that send none. Found by reading; the test failed before.

--- a/wagtailspread/placement/crashes.py
+++ b/wagtailspread/placement/crashes.py
@@ -141,6 +141,8 @@
 
     def find_end(self, fingerprint: Fingerprint, now: float) -> float:
         """Return when a request may be sent, ``now`` if at once."""
+        if fingerprint == NO_FINGERPRINT:
+            return now
         return max(self._ends.get(fingerprint, now), now)
 
     def list_blocked(self, now: float) -> dict[Fingerprint, float]:
--- a/wagtailspread/placement/tests/test_crashes.py
+++ b/wagtailspread/placement/tests/test_crashes.py
@@ -4,7 +4,7 @@
 
 from wagtailspread.placement import crashes, messages
 from wagtailspread.placement.tests import regions
-from wagtailspread.registry import tables
+from wagtailspread.registry import blocked, tables
 
 
 def create_row(upstream):
@@ -128,6 +128,15 @@
         assert answer.decision is messages.Decision.GRANTED
 
 
+def test_a_peer_cannot_block_requests_without_a_fingerprint():
+    """Guards against a row of a peer that refuses all such requests."""
+    table = crashes.create_crashes()
+    none = crashes.NO_FINGERPRINT
+    table.block(none, 10.0)
+    table.merge([blocked.Suspicion(none, f'u{n}', 1, 0.0) for n in range(3)], 0)
+    assert table.find_end(none, 1.0) == 1.0
+
+
 def test_requests_without_a_fingerprint_are_not_blocked():
     """Guards against hosts of an earlier version that send none."""
     region = regions.Region(upstreams=6)
