Check in the soak that hosts know the routes of confirmed versions

A document has a route for each of its last three versions. Callers send a part of their requests on those that were confirmed more than 2 s ago; a 404 there breaks a promise unless a process was just killed or suspended.

--- a/wagtailspread/platform/tests/soak/callers.py
+++ b/wagtailspread/platform/tests/soak/callers.py
@@ -12,6 +12,9 @@
 #: Share of the requests with a large body, and its size in bytes.
 UPLOAD_SHARE = 0.1
 UPLOAD_BYTES = 200_000
+#: Share of orders, and of the requests on routes that were just added.
+ORDER_SHARE = 0.7
+NEW_ROUTE_SHARE = 0.15
 #: Share of the requests that are sent in pieces.
 SLOW_SHARE = 0.2
 #: Failed checks in a row after which a host gets no new connections.
@@ -54,9 +57,19 @@
     """Sends requests one after another on connections that it keeps.
 
     :param pause: longest time between two requests, in seconds.
+    :param list_new_routes: returns routes of recent configurations.
     """
 
-    def __init__(self, number, balancer, addresses, ledger, clock, pause):
+    def __init__(
+        self,
+        number,
+        balancer,
+        addresses,
+        ledger,
+        clock,
+        pause,
+        list_new_routes=list,
+    ):
         """Create a caller without a connection."""
         self._number = number
         self._balancer = balancer
@@ -64,6 +77,7 @@
         self._ledger = ledger
         self._clock = clock
         self._pause = pause
+        self._list_new_routes = list_new_routes
         self._random = random.Random(number)
         self._host = -1
         self._streams = None
@@ -94,7 +108,13 @@
         return self._streams is not None
 
     async def _send(self, name):
-        is_order = self._random.random() < 0.7
+        is_order = self._random.random() < ORDER_SHARE
+        route = 'o' if is_order else 'l'
+        if self._random.random() < NEW_ROUTE_SHARE:
+            new_routes = self._list_new_routes()
+            if new_routes:
+                is_order = False
+                route = self._random.choice(new_routes)
         limit = self._random.choice((4.0, 5.0))
         work = self._random.randint(50, 1800)
         attempt = ledgers.Attempt(
@@ -105,7 +125,7 @@
         if self._random.random() < UPLOAD_SHARE:
             body = bytes(UPLOAD_BYTES)
         head = (
-            f'POST /{"o" if is_order else "l"}/{work} HTTP/1.1',
+            f'POST /{route}/{work} HTTP/1.1',
             'Host: a.example',
             f'Attempt-Id: {name}',
             f'Deadline-Ms: {int(limit * 1000)}',
--- a/wagtailspread/platform/tests/soak/ledgers.py
+++ b/wagtailspread/platform/tests/soak/ledgers.py
@@ -18,6 +18,7 @@
 DRAIN_SECONDS = 2.0
 #: Number of cases of a kind that the platform tolerates in a run.
 TOLERATED_REPEATS = 3
+_NO_ROUTE = 404
 NOT_RUN = frozenset((408, 421, 429, 503))
 
 
@@ -41,6 +42,7 @@
     LATE = 'no answer in time'
     TOO_MANY = 'more upstreams than attempts'
     DRAINED = 'a request reached an upstream that leaves'
+    STALE = 'a host does not know a confirmed route'
     LOST_CHANGE = 'a confirmed configuration is gone'
 
 
@@ -115,6 +117,8 @@
         yield from self._check_runs(attempt, arrivals, runs)
         if attempt.ended_at is not None and not self._is_disturbed(attempt):
             yield from self._check_end(attempt, runs)
+            if attempt.status == _NO_ROUTE:
+                yield Fault.STALE
             if any(map(self._is_late_for_departure, runs)):
                 yield Fault.DRAINED
 
--- a/wagtailspread/platform/tests/soak/soaks.py
+++ b/wagtailspread/platform/tests/soak/soaks.py
@@ -22,6 +22,10 @@
 UPSTREAMS = 9
 #: Time between two events of the plan, in seconds.
 EVENT_SECONDS = 2.5
+#: Time after its confirmation from which all hosts obey a version, in seconds.
+APPLY_SECONDS = 2.0
+#: Number of versions for which a document has a route.
+KEPT_VERSIONS = 3
 RESTART_SECONDS = 0.5
 _PLANNED = ('stop host', 'stop host', 'stop host', 'change', 'leave upstream')
 _UNPLANNED = (
@@ -68,6 +72,7 @@
         self._started = time.monotonic()
         self._version = 1
         self._confirmed = 0
+        self._confirmed_at = {}
         self._busy = set()
         hosts = range(FIRST_HOST, FIRST_HOST + plan.hosts)
         self._controls = [
@@ -86,6 +91,7 @@
                 self.ledger,
                 self.now,
                 plan.pause,
+                self.list_new_routes,
             )
             for number in range(plan.callers)
         ]
@@ -107,6 +113,15 @@
         """Return the seconds since the start of the soak."""
         return time.monotonic() - self._started
 
+    def list_new_routes(self):
+        """Return the routes that all hosts must know, without the oldest."""
+        return [
+            f'v{version}'
+            for version, confirmed_at in self._confirmed_at.items()
+            if version > self._version - KEPT_VERSIONS + 1
+            and self.now() > confirmed_at + APPLY_SECONDS
+        ]
+
     async def run(self):
         """Start all processes, run the plan and end all processes."""
         await self._start()
@@ -229,6 +244,7 @@
             )
             if status == 200:
                 self._confirmed = max(self._confirmed, version)
+                self._confirmed_at[version] = self.now()
                 return True
             await asyncio.sleep(0.1)
         return False
@@ -262,19 +278,23 @@
 
 
 def create_document(version):
-    """Return a configuration with a route for orders and one for lookups."""
+    """Return a configuration with routes for orders, lookups and versions."""
     document = test_processes.create_document(version)
     (route,) = document['virtualHosts'][0]['pathRoutes']
     document['virtualHosts'][0]['pathRoutes'] = [
         {
             **route,
-            'name': kind,
+            'name': prefix.strip('/'),
             'pathPrefix': prefix,
             'kind': kind,
             'maxAttempts': MAX_ATTEMPTS,
             'timeout': f'{5000 + version % 7}ms',
         }
-        for prefix, kind in (('/o/', 'unsafe'), ('/l/', 'safe'))
+        for prefix, kind in (
+            ('/o/', 'unsafe'),
+            ('/l/', 'safe'),
+            *((f'/v{version - age}/', 'safe') for age in range(KEPT_VERSIONS)),
+        )
     ]
     return document
 
--- a/wagtailspread/platform/tests/test_soak.py
+++ b/wagtailspread/platform/tests/test_soak.py
@@ -48,6 +48,7 @@
         ledgers.Fault.REPEATED: ({'status': 200}, (dropped, dropped)),
         ledgers.Fault.MIXED: ({'status': 200, 'is_own': False}, ()),
         ledgers.Fault.LATE: ({'status': 504, 'ended_at': 15.6}, ()),
+        ledgers.Fault.STALE: ({'status': 404}, ()),
     }
     for fault, (fields, endings) in cases.items():
         ledger = create_ledger(**fields)
