Count a request once for the budget when its route changes on the way

Cause: a request that was placed while a newer configuration came into force is placed again by its new route, and was counted again for the same service. The test fails with the new line switched off: 2 counts.

Change: the second run knows the service that the first one counted for.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -70,6 +70,7 @@
     :param retry_after: seconds until there may be capacity.
     :param sends: number of upstreams that the request was sent to.
     :param upstream: last upstream that was tried.
+    :param counted_service: the service whose retry budget includes it.
     """
 
     response: exchanges.UpstreamResponse | None
@@ -78,6 +79,7 @@
     retry_after: float = 0.0
     sends: int = 0
     upstream: identifiers.UpstreamId | None = None
+    counted_service: identifiers.ServiceName | None = None
 
 
 _REFUSALS = {
@@ -131,6 +133,7 @@
             retry_after if self.response is None else 0.0,
             self.send_attempts.sends,
             self.upstream,
+            self.routed.service if self.is_counted else None,
         )
 
 
@@ -158,9 +161,16 @@
         self._placer = placer
         self._exchanger = exchanger
 
-    async def run(self, routed: RoutedRequest) -> RequestResult:
-        """Send a request until it is answered or no attempt is left."""
+    async def run(
+        self, routed: RoutedRequest, earlier: RequestResult | None = None
+    ) -> RequestResult:
+        """Send a request until it is answered or no attempt is left.
+
+        :param earlier: its result by an older route, by which it was not sent.
+        """
         state = _RequestState(routed)
+        if earlier is not None:
+            state.is_counted = earlier.counted_service == routed.service
         try:
             async with self._stop_limit.limit():
                 return await self._run(state)
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -163,7 +163,7 @@
                 newer = self._match(request)
                 if newer is not None:
                     routed = self._choose_service(newer, outgoing, size)
-                    result = await self._runner.run(routed)
+                    result = await self._runner.run(routed, result)
         details = {
             'route': routed.route.name,
             'service': routed.service,
--- a/wagtailspread/gateway/tests/test_attempts.py
+++ b/wagtailspread/gateway/tests/test_attempts.py
@@ -70,3 +70,26 @@
     assert result.refusal is attempts.Refusal.NO_UPSTREAM
     assert exchanger.sends == 4
     assert len(region.allocator.budget._requests['columns']) == 1
+
+
+async def test_a_request_that_changes_its_route_counts_once_for_its_service():
+    """Guards against a retry budget that grows with each configuration.
+
+    Load pattern: a newer version is in force when a request is placed, and its
+    new route leads to the same service.
+    """
+    region = regions.Region(upstreams=4)
+    region.now = asyncio.get_running_loop().time()
+    is_obsolete = [True]
+    runner = attempts.AttemptRunner(
+        'h1',
+        'north',
+        LocalPlacer(region),
+        FailingExchanger(exchanges.LostResponse('reset')),
+        is_obsolete=lambda: is_obsolete[0],
+    )
+    first = await runner.run(create_routed_request())
+    assert first.refusal is attempts.Refusal.NOT_CURRENT
+    is_obsolete[0] = False
+    await runner.run(create_routed_request(), first)
+    assert len(region.allocator.budget._requests['columns']) == 1
