Divide the retry budget of hosts by the most hosts known

Cause: hosts that decide alone divide their part of the fixed allowance by the number of hosts that their replica names. A replica that has just started knows of few, so each host took up to a fortieth of it, with 98 or more hosts.

Change: the number never falls while a host runs, which allows less when a fleet shrinks.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -252,7 +252,8 @@
             registry.remove_expired_tombstones(now)
             self.selector.prune(now)
         self.selector.silent = frozenset(batch.silent)
-        self._host_count = batch.hosts
+        # A replica that has just started knows of few hosts.
+        self._host_count = max(self._host_count, batch.hosts)
         for fingerprint, seconds in blocked.read_blocked(batch).items():
             self._placer.crashes.block(fingerprint, now + seconds)
         self._placer.update_allocators(batch.replicas, batch.substitutes)
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -170,3 +170,18 @@
     assert status == 503
     (stopped,) = list_events(handler, 'host stopped')
     assert stopped['counts'] == {'503 no-routes': 1}
+
+
+async def test_a_replica_that_starts_does_not_raise_the_retry_budget():
+    """Guards against hosts that divide the allowance by too few.
+
+    A replica that has just started knows of few of the hosts.
+    """
+    host = create_host()
+    budget = host._placer._budget
+    for count in (130, 3):
+        batch = create_batch(0)
+        batch.hosts = count
+        host._apply_changes(batch)
+        assert budget._count_sharers() == 130
+    await host.stop()
