--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -217,8 +217,9 @@
             budgets.BudgetShare.SUBSTITUTE,
             lambda: substitutes * len(set(regions.values())),
         )
-        allocator = allocators.create_allocator(selector, budget)
-        allocator.crashes = self._placer.crashes
+        allocator = allocators.create_allocator(
+            selector, budget, crash_table=self._placer.crashes
+        )
         return services.create_service(
             allocator,
             self._clock,
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -50,12 +50,13 @@
         selector: selection.Selector,
         budget: budgets.SharedRetryBudget,
         floor: floors.UsageFloor,
+        crash_table: crashes.CrashTable,
     ) -> None:
         """Create an allocator without open requests."""
         self.selector = selector
         self.budget = budget
         self.floor = floor
-        self.crashes = crashes.create_crashes()
+        self.crashes = crash_table
         self._sequence = itertools.count()
         self._leases: dict[identifiers.RequestId, leases.Lease] = {}
         self._waiting: dict[identifiers.RequestId, leases.WaitingRequest] = {}
@@ -429,7 +430,12 @@
     selector: selection.Selector,
     budget: budgets.SharedRetryBudget,
     floor_share: float = DEFAULT_FLOOR_SHARE,
+    crash_table: crashes.CrashTable | None = None,
 ) -> Allocator:
-    """Return an allocator that has no open requests."""
+    """Return an allocator that has no open requests.
+
+    :param crash_table: requests known to crash upstreams, none by default.
+    """
     floor = floors.UsageFloor(floor_share)
-    return Allocator(selector, budget, floor)
+    table = crash_table or crashes.create_crashes()
+    return Allocator(selector, budget, floor, table)
--- a/wagtailspread/placement/tests/simulations.py
+++ b/wagtailspread/placement/tests/simulations.py
@@ -30,7 +30,7 @@
 
 
 class Simulation:
-    """Requests without deadline trouble, at allocators of two regions."""
+    """Requests with ample time, placed by the allocators of two regions."""
 
     def __init__(self, load, seed):
         """Create upstreams in random phases, without evidence."""
