Ask an allocator again that has not learned of a known upstream

Callers saw 503 for a moment after replicas start, though upstreams were there.

Cause: a heartbeat reaches one replica, and others learn of it by polls. A host took the word of its allocator that a service has no upstream, although it knew one that it had not tried.

Change: the host asks again every 0.1 s for at most 0.5 s. A service of which it knows no upstream is refused at once.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -33,6 +33,10 @@
 PROBE_INTERVAL_SECONDS = 1.0
 #: Timeout for reporting the end of a request to the allocator, in seconds.
 SETTLE_TIMEOUT_SECONDS = 1.0
+#: Maximum time for which an allocator without upstreams is asked again, and the
+#: interval, in seconds. One that has just started learns them in this time.
+MAX_LEARN_SECONDS = 0.5
+LEARN_POLL_SECONDS = 0.1
 #: Maximum number of allocators that are tried for one request.
 MAX_ALLOCATORS = 2
 
@@ -124,8 +128,6 @@
         usable = [one for one in self._allocators if one not in self._failed]
         for allocator in usable[:MAX_ALLOCATORS]:
             answer = await self._ask(allocator, placement_request)
-            # Allocators that are asked later must not count it again, whether
-            # or not this one did.
             placement_request = dataclasses.replace(
                 placement_request, is_counted=True
             )
@@ -138,9 +140,7 @@
                 return Placement(answer, allocator)
             # The allocator does not know yet what the upstream asked this
             # host, for example since it has just taken over.
-            self._start_settling(
-                allocator, [conversions.create_withdrawal(placement_request)]
-            )
+            self._withdraw(allocator, placement_request)
             break
         return Placement(self._place_locally(placement_request), None)
 
@@ -238,34 +238,59 @@
         placement_request: messages.PlacementRequest,
     ) -> messages.Answer | None:
         """Return an allocator's answer, or ``None`` if it fails."""
+        learn_until = self._clock.now() + MAX_LEARN_SECONDS
         try:
             while True:
                 answer = await self._call(allocator, placement_request)
+                placement_request = dataclasses.replace(
+                    placement_request, is_counted=True
+                )
                 if answer is None:
-                    self._start_settling(
-                        allocator,
-                        [conversions.create_withdrawal(placement_request)],
-                    )
+                    self._withdraw(allocator, placement_request)
                     self._record_failure(allocator)
                     return None
-                if answer.decision is messages.Decision.WAITING:
-                    placement_request = dataclasses.replace(
-                        placement_request, is_counted=True
-                    )
+                if await self._must_ask_again(
+                    placement_request, answer, learn_until
+                ):
                     continue
                 if self._clock.now() < placement_request.deadline:
                     return answer
-                self._start_settling(
-                    allocator,
-                    [conversions.create_withdrawal(placement_request)],
-                )
+                self._withdraw(allocator, placement_request)
                 return messages.Answer(messages.Decision.NO_ROOM)
         except asyncio.CancelledError:
-            self._start_settling(
-                allocator, [conversions.create_withdrawal(placement_request)]
-            )
+            self._withdraw(allocator, placement_request)
             raise
 
+    async def _must_ask_again(
+        self,
+        placement_request: messages.PlacementRequest,
+        answer: messages.Answer,
+        learn_until: float,
+    ) -> bool:
+        """Tell whether an allocator has not decided yet, or lacks upstreams.
+
+        Retries are left out, since each question spends the retry budget.
+        """
+        if answer.decision is not messages.Decision.NO_UPSTREAM:
+            return answer.decision is messages.Decision.WAITING
+        if placement_request.is_repeat or self._clock.now() >= learn_until:
+            return False
+        known = self._selector.registry.list_ready(placement_request.service)
+        upstreams = {row.record.upstream for row in known}
+        if upstreams <= placement_request.excluded:
+            return False
+        await asyncio.sleep(LEARN_POLL_SECONDS)
+        return True
+
+    def _withdraw(
+        self,
+        allocator: identifiers.Address,
+        placement_request: messages.PlacementRequest,
+    ) -> None:
+        """Tell an allocator that a request is not sent."""
+        withdrawal = conversions.create_withdrawal(placement_request)
+        self._start_settling(allocator, [withdrawal])
+
     async def _call(
         self,
         allocator: identifiers.Address,
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -175,6 +175,40 @@
     await other_listener.close()
 
 
+async def test_an_allocator_that_starts_is_asked_again():
+    """Guards against refusals while an allocator learns of the upstreams.
+
+    The host knows one already, so the allocator will in a moment.
+    """
+    listener, address, allocator = await start_allocator()
+    registry = allocator.selector.registry
+    row = registry.rows.pop('u1')
+    placer = create_placer(address)
+    placing = asyncio.create_task(
+        placer.place(create_placement_request(placer))
+    )
+    await asyncio.sleep(0.15)
+    registry.rows['u1'] = row
+    placed = await placing
+    assert placed.answer.decision is messages.Decision.GRANTED
+    assert placed.allocator == address
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_service_without_upstreams_is_refused_at_once():
+    """Guards against waiting for upstreams that nobody knows."""
+    listener, address, allocator = await start_allocator()
+    allocator.selector.registry.rows.clear()
+    placer = create_placer(address)
+    placer._selector.registry.rows.clear()
+    async with asyncio.timeout(0.09):
+        placed = await placer.place(create_placement_request(placer))
+    assert placed.answer.decision is messages.Decision.NO_UPSTREAM
+    await placer.close()
+    await listener.close()
+
+
 async def test_a_host_that_decides_alone_blocks_crashing_requests():
     """Guards against crashed upstreams while no allocator answers."""
     placer = create_placer()
