Log how many upstreams of a service are idle, and why

Nothing told whether an upstream without requests had just failed, was probably gray, or was left out although the floor counted it. The allocator now writes one line a service every 2 s with the counts and the longest time without a request.

--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -47,6 +47,8 @@
 FAILURE_COOLDOWN_SECONDS = 2.0
 #: The same after several failures in a row, which isolated errors do not cause.
 REPEATED_COOLDOWN_SECONDS = 6.0
+#: Interval between log lines on the upstreams in use of a service, in seconds.
+USAGE_LOG_SECONDS = 2.0
 #: Number of failures in a row from which the longer time applies.
 REPEATED_FAILURES = 2
 #: Probability of being sound from which an upstream counts in full. The share
@@ -87,6 +89,7 @@
         self._last_failed: dict[identifiers.UpstreamId, _Failure] = {}
         self._strained_until: dict[identifiers.ServiceName, float] = {}
         self._remote_strained: set[identifiers.ServiceName] = set()
+        self._logged_at: dict[identifiers.ServiceName, float] = {}
 
     def replace_remote_strained(
         self,
@@ -187,6 +190,7 @@
             sound. Those that failed a request recently, or are most likely
             gray, are ignored.
         """
+        self._log_usage(service, sound_probabilities, now)
         if len(self._list_recent(service, now)) < len(sound_probabilities):
             return set()
         counted = [
@@ -217,6 +221,51 @@
             seconds = REPEATED_COOLDOWN_SECONDS
         return failure.at >= now - seconds
 
+    def _log_usage(
+        self,
+        service: identifiers.ServiceName,
+        sound_probabilities: dict[identifiers.UpstreamId, float],
+        now: float,
+    ) -> None:
+        """Log how many upstreams are idle, and why, once in a while."""
+        if now - self._logged_at.get(service, -math.inf) < USAGE_LOG_SECONDS:
+            return
+        self._logged_at[service] = now
+        idle_seconds = {
+            upstream: now - self._last_used.get(upstream, -math.inf)
+            for upstream in sound_probabilities
+        }
+        idle = [
+            upstream
+            for upstream, seconds in idle_seconds.items()
+            if seconds > WINDOW_SECONDS
+        ]
+        cooling_down = sum(self._is_cooling_down(one, now) for one in idle)
+        suspect = sum(
+            sound_probabilities[one] < MIN_SOUND_PROBABILITY for one in idle
+        )
+        longest = max(
+            (
+                seconds
+                for seconds in idle_seconds.values()
+                if seconds < math.inf
+            ),
+            default=0.0,
+        )
+        _log.info(
+            'upstreams in use',
+            extra={
+                'service': service,
+                'upstreams': len(sound_probabilities),
+                'idle': len(idle),
+                'cooling_down': cooling_down,
+                'suspect': suspect,
+                'longest': round(longest, 1),
+                'completions': len(self._list_recent(service, now)),
+                'is_strained': self.is_strained(service, now),
+            },
+        )
+
     def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
         recent = self._list_recent(service, now)
         failed = sum(not is_served for _, is_served in recent)
--- a/wagtailspread/placement/tests/test_logs.py
+++ b/wagtailspread/placement/tests/test_logs.py
@@ -63,3 +63,22 @@
             {'service': 'columns', 'completions': 20, 'failed': 20},
         ),
     ]
+
+
+def test_idle_upstreams_are_logged_with_their_reason_once_in_a_while():
+    """Guards against upstreams of which no log line tells why they are idle."""
+    floor = floors.UsageFloor(0.7)
+    probabilities = {'u1': 0.9, 'u2': 0.9, 'u3': 0.1}
+    floor.record_use('u1', 9.0)
+    floor.record_use('u2', 6.0)
+    floor.record_failure('u2', 9.5)
+    with record_lines() as lines:
+        floor.find_idle('columns', probabilities, 10.0)
+        floor.find_idle('columns', probabilities, 11.0)
+    ((event, fields),) = lines
+    assert event == 'upstreams in use'
+    assert fields['upstreams'] == 3
+    assert fields['idle'] == 2
+    assert fields['cooling_down'] == 1
+    assert fields['suspect'] == 1
+    assert fields['longest'] == 4.0
