--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -265,7 +265,10 @@
         free = [
             candidate for candidate in free if candidate.waiting_cost <= limit
         ]
-        idle_candidates = self._find_idle_for_floor(request, candidates, now)
+        may_retry = self._may_retry(request, now)
+        idle_candidates = self.floor.select_candidates(
+            request.service, candidates, now, is_repeatable=may_retry
+        )
         chosen = self.selector.draw(idle_candidates or free)
         if chosen is None:
             return None
@@ -273,7 +276,7 @@
         is_trial = (
             bool(idle_candidates)
             and chosen.sound_probability < probing.MIN_LIKELY_PROBABILITY
-            and not self._may_retry(request, now)
+            and not may_retry
         )
         self.floor.record_use(
             request.service, record.upstream, now, is_trial=is_trial
@@ -327,39 +330,6 @@
             request.service, now
         )
 
-    def _find_idle_for_floor(
-        self,
-        request: messages.PlacementRequest,
-        candidates: list[selection.Candidate],
-        now: float,
-    ) -> list[selection.Candidate]:
-        """Return the idle upstreams that must be used to reach the floor.
-
-        They take precedence while too few of the region's upstreams are in use.
-        Those without heartbeats, and those to which the host has just failed to
-        connect, are left out. Large bodies stay in their failure domain, since
-        local requests suffice.
-        """
-        sound_probabilities = {
-            candidate.row.record.upstream: candidate.sound_probability
-            for candidate in candidates
-            if candidate.is_same_region and not candidate.is_silent
-        }
-        idle = self.floor.find_idle(
-            request.service,
-            sound_probabilities,
-            now,
-            is_repeatable=self._may_retry(request, now),
-        )
-        return [
-            candidate
-            for candidate in candidates
-            if candidate.row.record.upstream in idle
-            and not candidate.is_full
-            and not candidate.is_unreachable
-            and candidate.distance < MAX_EXTRA_COST
-        ]
-
     def _record_completion(
         self, lease: leases.Lease, evidence: messages.Evidence, now: float
     ) -> None:
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -27,7 +27,7 @@
 import logbook
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import probing
+from wagtailspread.placement import probing, selection
 
 #: Length of the sliding window of completions, in seconds.
 WINDOW_SECONDS = 2.0
@@ -47,6 +47,9 @@
 STRAINED_HOLD_SECONDS = 3.0
 #: Interval between log lines on the upstreams in use of a service, in seconds.
 USAGE_LOG_SECONDS = 2.0
+#: Distance cost up to which a request is sent to an idle upstream. Large bodies
+#: stay in their failure domain, since local requests suffice.
+MAX_DISTANCE_COST = 0.05
 #: Share in addition to the floor of a strained service, so that the floor is
 #: still reached when upstreams leave.
 MARGIN_SHARE = 0.02
@@ -184,6 +187,39 @@
             return True
         return self._is_failing(service, now)
 
+    def select_candidates(
+        self,
+        service: identifiers.ServiceName,
+        candidates: list[selection.Candidate],
+        now: float,
+        *,
+        is_repeatable: bool = False,
+    ) -> list[selection.Candidate]:
+        """Return the candidates of which one must be used to reach the floor.
+
+        They take precedence while too few upstreams of the region are in use.
+        Those without heartbeats, and those to which the host has just failed to
+        connect, are left out.
+
+        :param is_repeatable: whether the request may be sent again.
+        """
+        sound_probabilities = {
+            candidate.row.record.upstream: candidate.sound_probability
+            for candidate in candidates
+            if candidate.is_same_region and not candidate.is_silent
+        }
+        idle = self.find_idle(
+            service, sound_probabilities, now, is_repeatable=is_repeatable
+        )
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.row.record.upstream in idle
+            and not candidate.is_full
+            and not candidate.is_unreachable
+            and candidate.distance < MAX_DISTANCE_COST
+        ]
+
     def find_idle(
         self,
         service: identifiers.ServiceName,
