--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -2,11 +2,11 @@
 
 Sending all requests to the few upstreams that look best minimizes the failures
 at that moment. But an unused upstream yields no evidence: it stays suspect long
-after it has recovered, and the other upstreams carry its load. So each upstream
-that may be sound gets a request within a bounded time. A share of them is not
-enough: an observer who knows which ones are sound counts another subset, of
-which the idle ones may be the most. An upstream that has just failed is exempt
-until it may have recovered.
+after it has recovered, and the other upstreams carry its load. So requests that
+may be sent again use each upstream that may be sound within a bounded time, and
+all others keep more of them in use than the floor asks: an observer who knows
+which ones are sound counts a subset, of which the idle ones may be a larger
+share. An upstream that has just failed is exempt until it may have recovered.
 
 If many requests fail nevertheless, the health estimates are unreliable, and a
 minimum share (floor) of all upstreams is used.
--- a/wagtailspread/placement/probing.py
+++ b/wagtailspread/placement/probing.py
@@ -31,11 +31,11 @@
 MIN_SOUND_PROBABILITY = 1 / 3
 #: The same for requests that may be sent again.
 MIN_REPEATABLE_PROBABILITY = 1 / 5
-#: Probability of being sound below which a request to an idle upstream is a
-#: trial, which most likely fails.
+#: Probability of being sound below which a request to an idle upstream counts
+#: as a trial.
 MIN_LIKELY_PROBABILITY = 0.6
-#: Maximum share of the requests of a service that are trials, if these can not
-#: be sent again.
+#: Maximum share of trials among the requests of a service. Those that may be
+#: sent again are not limited.
 MAX_TRIAL_SHARE = 0.03
 #: Maximum number of trials in a row.
 MAX_TRIAL_CREDIT = 4.0
