Count all windows with sound upstreams in the simulation of the floor

Windows with one or two were left out when look-ups came to the simulation. The tests hold with them too; those of orders have the same 164 windows as before.

--- a/wagtailspread/placement/tests/simulations.py
+++ b/wagtailspread/placement/tests/simulations.py
@@ -99,7 +99,7 @@
                 and not self._is_disturbed(name, at - 6.0, at + 2.0)
             ]
             used = sum(_has(self.used[name], at, at + 2.0) for name in sound)
-            if len(sound) > 2:
+            if sound:
                 shares.append(used / len(sound))
             at += 0.25
         return shares
