--- a/wagtailspread/placement/tests/test_floors.py
+++ b/wagtailspread/placement/tests/test_floors.py
@@ -72,10 +72,8 @@
     assert min(simulation.find_shares(15.0, 58.0)) >= 0.7
 
 
-@pytest.mark.parametrize(
-    ('seed', 'disturbed_share'),
-    [*((seed, 0.0) for seed in range(1, 7)), (3, 0.5), (6, 0.5), (7, 0.5)],
-)
+@pytest.mark.parametrize('disturbed_share', [0.0, 0.5])
+@pytest.mark.parametrize('seed', range(1, 7))
 def test_look_ups_keep_recovered_upstreams_in_use(seed, disturbed_share):
     """Guards against suspect upstreams that retries could have tried.
 
