Log how many idle upstreams are full, and by requests without an end

Cause: the line "upstreams in use" told the idle upstreams that had failed or are suspect.

Change: the line has two more counts, and is written by a module of its own. Overdue requests are counted for each upstream. No decision changes.

The test of the line asks through the selection of candidates in place of find_idle, where nothing is known of slots; it checks the same counts and the two new ones.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -110,7 +110,7 @@
         host = identifiers.HostId('')
         if lease is not None:
             host = lease.request.host
-            self.selector.finish(lease.upstream)
+            self._close(lease)
             self._record_completion(lease, evidence, now)
             fingerprint = lease.request.fingerprint
             if evidence is messages.Evidence.GOOD:
@@ -133,7 +133,7 @@
         for request_id, lease in list(self._leases.items()):
             if lease.request.host == host:
                 self._leases.pop(request_id)
-                self.selector.finish(lease.upstream)
+                self._close(lease)
                 if lease.is_overdue:
                     table = self.selector.risk_table
                     table.withdraw_failure(lease.upstream, now)
@@ -386,19 +386,24 @@
             self._decided.pop(request_id)
             lease = self._leases.pop(request_id, None)
             if lease is not None:
-                self.selector.finish(lease.upstream)
+                self._close(lease)
+
+    def _close(self, lease: leases.Lease) -> None:
+        """Free the slot of a request."""
+        self.selector.finish(lease.upstream, is_overdue=lease.is_overdue)
 
     def _process_overdue(self, now: float) -> None:
         """Count overdue requests as failed; close those past the deadline."""
         for request_id, lease in list(self._leases.items()):
             if now > lease.request.deadline + SETTLE_GRACE_SECONDS:
                 self._leases.pop(request_id)
-                self.selector.finish(lease.upstream)
+                self._close(lease)
                 continue
             typical = self._find_typical_seconds(lease.request, now)
             limit = max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * typical)
             if not lease.is_overdue and now - lease.granted_at > limit:
                 lease.is_overdue = True
+                self.selector.mark_overdue(lease.upstream)
                 self.selector.record_evidence(
                     lease.request.host,
                     lease.upstream,
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -27,7 +27,7 @@
 import logbook
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import probing, selection
+from wagtailspread.placement import probing, selection, usages
 
 #: Length of the sliding window of completions, in seconds.
 WINDOW_SECONDS = 2.0
@@ -45,8 +45,6 @@
 #: Time for which a service is still published as strained after it recovered,
 #: in seconds; each change costs a message to every replica.
 STRAINED_HOLD_SECONDS = 3.0
-#: Interval between log lines on the upstreams in use of a service, in seconds.
-USAGE_LOG_SECONDS = 2.0
 #: Distance cost up to which a request is sent to an idle upstream. Large bodies
 #: stay in their failure domain, since local requests suffice.
 MAX_DISTANCE_COST = 0.05
@@ -89,7 +87,7 @@
         self._last_failed: dict[identifiers.UpstreamId, _Failure] = {}
         self._strained_until: dict[identifiers.ServiceName, float] = {}
         self._remote_strained: set[identifiers.ServiceName] = set()
-        self._logged_at: dict[identifiers.ServiceName, float] = {}
+        self._usage_log = usages.create_usage_log()
 
     def replace_remote_strained(
         self,
@@ -203,6 +201,7 @@
 
         :param is_repeatable: whether the request may be sent again.
         """
+        self._log_usage(service, candidates, now)
         sound_probabilities = {
             candidate.row.record.upstream: candidate.sound_probability
             for candidate in candidates
@@ -239,7 +238,6 @@
         :param is_repeatable: whether the request may be sent again. Its failure
             costs only a retry, so it may go to any upstream.
         """
-        self._log_usage(service, sound_probabilities, now)
         grants = self._list_grants(service, now)
         if len(grants) < len(sound_probabilities):
             return set()
@@ -304,50 +302,30 @@
     def _log_usage(
         self,
         service: identifiers.ServiceName,
-        sound_probabilities: dict[identifiers.UpstreamId, float],
+        candidates: list[selection.Candidate],
         now: float,
     ) -> None:
-        """Log how many upstreams are idle, and why, once in a while."""
-        if now - self._logged_at.get(service, -math.inf) < USAGE_LOG_SECONDS:
+        """Log the use of the upstreams of the region, once in a while."""
+        if not self._usage_log.is_due(service, now):
             return
-        self._logged_at[service] = now
-        idle_seconds = {
-            upstream: now - self._last_used.get(upstream, -math.inf)
-            for upstream in sound_probabilities
-        }
-        idle = [
-            upstream
-            for upstream, seconds in idle_seconds.items()
-            if seconds > WINDOW_SECONDS
+        rows = [
+            usages.Usage(
+                now - self._last_used.get(upstream, -math.inf),
+                candidate.sound_probability,
+                self._is_cooling_down(upstream, probing.UNSAFE, now),
+                candidate.is_full,
+                candidate.overdue,
+            )
+            for candidate in candidates
+            if candidate.is_same_region
+            and not candidate.is_silent
+            and (upstream := candidate.row.record.upstream)
         ]
-        cooling_down = sum(
-            self._is_cooling_down(one, probing.UNSAFE, now) for one in idle
-        )
-        suspect = sum(
-            sound_probabilities[one] < probing.MIN_SOUND_PROBABILITY
-            for one in idle
-        )
-        longest = max(
-            (
-                seconds
-                for seconds in idle_seconds.values()
-                if seconds < math.inf
-            ),
-            default=0.0,
-        )
-        _log.info(
-            'upstreams in use',
-            extra={
-                'service': service,
-                'upstreams': len(sound_probabilities),
-                'idle': len(idle),
-                'cooling_down': cooling_down,
-                'suspect': suspect,
-                'longest': round(longest, 1),
-                'requests': len(self._list_grants(service, now)),
-                'is_strained': self.is_strained(service, now),
-            },
+        state = usages.ServiceState(
+            len(self._list_grants(service, now)),
+            self.is_strained(service, now),
         )
+        self._usage_log.write(service, rows, state, now)
 
     def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
         recent = self._list_recent(service, now)
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -40,6 +40,7 @@
     :param sound_probability: the probability that it is not gray.
     :param is_silent: whether it has no recent heartbeat at any replica.
     :param is_unreachable: whether the host recently failed to connect to it.
+    :param overdue: number of its open requests that should have ended.
     """
 
     row: tables.RegistryRow
@@ -50,6 +51,7 @@
     sound_probability: float
     is_silent: bool = False
     is_unreachable: bool = False
+    overdue: int = 0
 
     @property
     def waiting_cost(self) -> float:
@@ -96,6 +98,7 @@
         self._regions = regions
         self._random = random
         self._open: dict[identifiers.UpstreamId, int] = {}
+        self._overdue: dict[identifiers.UpstreamId, int] = {}
         self._unreachable_until: dict[
             tuple[identifiers.HostId, identifiers.UpstreamId],
             float,
@@ -193,15 +196,22 @@
 
     def start(self, upstream: identifiers.UpstreamId) -> None:
         """Increment the open requests of an upstream."""
-        self._open[upstream] = self._open.get(upstream, 0) + 1
+        _increment(self._open, upstream)
 
-    def finish(self, upstream: identifiers.UpstreamId) -> None:
-        """Decrement the open requests of an upstream."""
-        remaining = self._open.get(upstream, 0) - 1
-        if remaining > 0:
-            self._open[upstream] = remaining
-        else:
-            self._open.pop(upstream, None)
+    def mark_overdue(self, upstream: identifiers.UpstreamId) -> None:
+        """Record that an open request of an upstream should have ended."""
+        _increment(self._overdue, upstream)
+
+    def finish(
+        self, upstream: identifiers.UpstreamId, *, is_overdue: bool = False
+    ) -> None:
+        """Decrement the open requests of an upstream.
+
+        :param is_overdue: whether the request was marked as overdue.
+        """
+        _decrement(self._open, upstream)
+        if is_overdue:
+            _decrement(self._overdue, upstream)
 
     def prune(self, now: float) -> None:
         """Drop the state of upstreams that the registry has removed."""
@@ -304,6 +314,7 @@
             sound_probability,
             is_silent,
             is_unreachable,
+            self._overdue.get(upstream, 0),
         )
 
     def _count_slots(
@@ -319,6 +330,25 @@
         return 1 if sound_probability < MIN_SOUND_PROBABILITY else record.slots
 
 
+def _increment(
+    counts: dict[identifiers.UpstreamId, int],
+    upstream: identifiers.UpstreamId,
+) -> None:
+    counts[upstream] = counts.get(upstream, 0) + 1
+
+
+def _decrement(
+    counts: dict[identifiers.UpstreamId, int],
+    upstream: identifiers.UpstreamId,
+) -> None:
+    """Decrement a count; drop it at zero."""
+    remaining = counts.get(upstream, 0) - 1
+    if remaining > 0:
+        counts[upstream] = remaining
+    else:
+        counts.pop(upstream, None)
+
+
 def create_selector(
     registry: tables.RegistryTable,
     regions: dict[identifiers.FailureDomain, identifiers.RegionName],
--- a/wagtailspread/placement/tests/test_logs.py
+++ b/wagtailspread/placement/tests/test_logs.py
@@ -67,18 +67,27 @@
 
 def test_idle_upstreams_are_logged_with_their_reason_once_in_a_while():
     """Guards against upstreams of which no log line tells why they are idle."""
-    floor = floors.UsageFloor(0.7)
-    probabilities = {'u1': 0.9, 'u2': 0.9, 'u3': 0.1}
-    floor.record_use('columns', 'u1', 9.0)
-    floor.record_use('columns', 'u2', 6.0)
-    floor.record_failure('u2', 9.5)
+    region = regions.Region(upstreams=4, slots=1)
+    selector = region.selector
+    floor = region.allocator.floor
+    request = region.create_request()
+    for _ in range(3):
+        selector.risk_table.add_failures('u2', 9.0)
+    selector.start('u3')
+    selector.mark_overdue('u3')
+    floor.record_use('columns', 'u0', 9.0)
+    floor.record_use('columns', 'u1', 6.0)
+    floor.record_failure('u1', 9.5)
     with record_lines() as lines:
-        floor.find_idle('columns', probabilities, 10.0)
-        floor.find_idle('columns', probabilities, 11.0)
+        for now in (10.0, 11.0):
+            candidates = selector.rate(request, now)
+            floor.select_candidates('columns', candidates, now)
     ((event, fields),) = lines
     assert event == 'upstreams in use'
-    assert fields['upstreams'] == 3
-    assert fields['idle'] == 2
+    assert fields['upstreams'] == 4
+    assert fields['idle'] == 3
     assert fields['cooling_down'] == 1
     assert fields['suspect'] == 1
+    assert fields['full'] == 1
+    assert fields['overdue'] == 1
     assert fields['longest'] == 4.0
