Report the ends that an allocator missed when it answers again

Callers saw nothing of it by itself; it left sound upstreams without requests, which breaks the floor once many requests fail.

One that may have arrived is sent again without its evidence. The reports are a module of their own.

The three new tests fail on the code before: there a late grant stays open for 15 s.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -17,7 +17,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import conversions
+from wagtailspread.gateway import conversions, settlements
 from wagtailspread.placement import budgets, costs, crashes, messages
 from wagtailspread.placement import selection
 from wagtailspread.registry import records
@@ -29,10 +29,6 @@
 #: Timeout of an answer beyond that delay, in seconds. It covers several round
 #: trips to another failure domain and the processing on a busy machine.
 ANSWER_TIMEOUT_SECONDS = 0.12
-#: Time between two probes of a failed allocator, in seconds.
-PROBE_INTERVAL_SECONDS = 1.0
-#: Timeout for reporting the end of a request to the allocator, in seconds.
-SETTLE_TIMEOUT_SECONDS = 1.0
 #: Maximum time for which an allocator without upstreams is asked again, and the
 #: interval, in seconds. One that has just started learns them in this time.
 MAX_LEARN_SECONDS = 0.5
@@ -84,8 +80,7 @@
         self._prefix = f'{self._incarnation:x}'
         self._numbers = itertools.count()
         self._allocators: list[identifiers.Address] = []
-        self._failed: dict[identifiers.Address, asyncio.Task[None]] = {}
-        self._settling: set[asyncio.Task[None]] = set()
+        self._settler = settlements.create_settler(host, pool, clock)
 
     def update_allocators(
         self,
@@ -125,7 +120,9 @@
                 messages.Decision.BLOCKED, None, end - now
             )
             return Placement(refusal, None)
-        usable = [one for one in self._allocators if one not in self._failed]
+        usable = [
+            one for one in self._allocators if not self._settler.is_failed(one)
+        ]
         for allocator in usable[:MAX_ALLOCATORS]:
             answer = await self._ask(allocator, placement_request)
             placement_request = dataclasses.replace(
@@ -209,7 +206,7 @@
                 settlement.hold_ms = conversions.encode_seconds(
                     notice.hold_seconds
                 )
-            self._start_settling(placement.allocator, [settlement])
+            self._settler.start(placement.allocator, settlement)
 
     def _record_alone(
         self,
@@ -228,9 +225,7 @@
 
     async def close(self) -> None:
         """Stop probing allocators; wait until all settlements are sent."""
-        for probe in self._failed.values():
-            probe.cancel()
-        await asyncio.gather(*self._settling, return_exceptions=True)
+        await self._settler.close()
 
     async def _ask(
         self,
@@ -247,7 +242,7 @@
                 )
                 if answer is None:
                     self._withdraw(allocator, placement_request)
-                    self._record_failure(allocator)
+                    self._settler.record_failure(allocator)
                     return None
                 if await self._must_ask_again(
                     placement_request, answer, learn_until
@@ -289,7 +284,7 @@
     ) -> None:
         """Tell an allocator that a request is not sent."""
         withdrawal = conversions.create_withdrawal(placement_request)
-        self._start_settling(allocator, [withdrawal])
+        self._settler.start(allocator, withdrawal)
 
     async def _call(
         self,
@@ -366,67 +361,6 @@
         self._selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
-    def _start_settling(
-        self,
-        allocator: identifiers.Address,
-        settlements: list[wire.Struct],
-    ) -> None:
-        settling = asyncio.create_task(self._settle(allocator, settlements))
-        self._settling.add(settling)
-        settling.add_done_callback(self._settling.discard)
-
-    async def _settle(
-        self,
-        allocator: identifiers.Address,
-        settlements: list[wire.Struct],
-    ) -> None:
-        if allocator in self._failed:
-            # The allocator ends the request itself after its deadline.
-            return
-        if not await self._send_settlements(allocator, settlements):
-            self._record_failure(allocator)
-
-    async def _send_settlements(
-        self,
-        allocator: identifiers.Address,
-        settlements: list[wire.Struct],
-    ) -> bool:
-        request = wire.structs.SettleRequests(
-            host=self._host,
-            settlements=settlements,
-        )
-        try:
-            async with asyncio.timeout(SETTLE_TIMEOUT_SECONDS):
-                outcome = await self._pool.find(allocator).call(
-                    wire.methods.SETTLE,
-                    request,
-                    wire.structs.Empty,
-                    SETTLE_TIMEOUT_SECONDS,
-                )
-        except TimeoutError:
-            return False
-        return isinstance(outcome, result.Success)
-
-    def _record_failure(self, allocator: identifiers.Address) -> None:
-        if allocator not in self._failed:
-            _log.warning(
-                'allocator lost',
-                extra={'allocator': allocator},
-            )
-            probe = asyncio.create_task(self._probe_until_answer(allocator))
-            self._failed[allocator] = probe
-
-    async def _probe_until_answer(self, allocator: identifiers.Address) -> None:
-        """Probe an allocator until it answers again."""
-        await self._pool.remove(allocator)
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
-            if await self._send_settlements(allocator, []):
-                break
-            await self._pool.remove(allocator)
-        self._failed.pop(allocator, None)
-        _log.info('allocator answers again', extra={'allocator': allocator})
-
 
 def create_placer(
     host: identifiers.HostId,
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -243,7 +243,7 @@
     placer.crashes.block(7, LoopClock().now() + 10.0)
     blocked = await placer.place(create_placement_request(placer, 2.0, 7))
     assert blocked.answer.decision is messages.Decision.BLOCKED
-    assert not placer._failed
+    assert not placer._settler.is_failed('127.0.0.1:1')
     await placer.close()
 
 
@@ -265,6 +265,87 @@
     silent.close()
 
 
+def delay_answers(listener, method, seconds):
+    """Let a listener answer the calls of a method late."""
+    route = listener.routes[method]
+
+    async def answer_late(call, request):
+        answer = await route.handler(call, request)
+        await asyncio.sleep(seconds)
+        return answer
+
+    listener.add(method, route.request_type, answer_late)
+    return route
+
+
+async def test_a_grant_that_comes_too_late_is_returned():
+    """Guards against requests that stay open although nobody runs them.
+
+    Load pattern: an allocator is frozen or overloaded, its hosts turn away, and
+    then it grants what they had asked.
+    """
+    listener, address, allocator = await start_allocator()
+    delay_answers(listener, wire.methods.PLACE, 0.4)
+    placer = create_placer(address)
+    request = create_placement_request(placer, seconds=15.0)
+    assert (await placer.place(request)).allocator is None
+    assert allocator.selector._open == {'u1': 1}
+    async with asyncio.timeout(2):
+        while allocator.selector._open:
+            await asyncio.sleep(0.05)
+    await placer.close()
+    await listener.close()
+
+
+async def test_ends_that_an_allocator_missed_are_reported_when_it_answers():
+    """Guards against slots that are taken until the deadline.
+
+    Load pattern: an allocator is cut off from a host while a request runs.
+    """
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    request = create_placement_request(placer, seconds=15.0)
+    placed = await placer.place(request)
+    assert placed.allocator == address
+    placer._settler.record_failure(address)
+    placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+    assert allocator.selector._open == {'u1': 1}
+    async with asyncio.timeout(2):
+        while allocator.selector._open:
+            await asyncio.sleep(0.05)
+    assert not placer._settler.is_failed(address)
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_report_that_may_have_arrived_counts_once():
+    """Guards against evidence that counts twice after a lost answer."""
+    listener, address, allocator = await start_allocator()
+    route = delay_answers(listener, wire.methods.SETTLE, 1.2)
+    placer = create_placer(address)
+    request = create_placement_request(placer, seconds=15.0)
+    placed = await placer.place(request)
+    reported = []
+    settle = allocator.settle
+
+    def record_report(request_id, upstream, evidence, *values, **options):
+        reported.append(evidence)
+        settle(request_id, upstream, evidence, *values, **options)
+
+    allocator.settle = record_report
+    placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+    await asyncio.sleep(1.1)
+    listener.add(wire.methods.SETTLE, route.request_type, route.handler)
+    async with asyncio.timeout(3):
+        while placer._settler.is_failed(address) or not reported:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(0.1)
+    assert reported == [messages.Evidence.GOOD, messages.Evidence.NONE]
+    assert not allocator.selector._open
+    await placer.close()
+    await listener.close()
+
+
 def test_replicas_of_the_region_come_before_hosts_of_it():
     """Guards against asking another region, and different orders per host."""
     placer = create_placer()
