Take requests of hosts that are gone for no evidence

Cause: a request without an end after 2.5 usual durations counted as a failure of its upstream, also where its host had been killed, was cut off or had turned away, and where the allocator itself had stood still. A few such requests made most upstreams of a region suspect at once. A withdrawn request left its failure behind, and one that came after its withdrawal was granted for nobody.

Change: an overdue request counts once its host has been heard from after it was due, since the host would have reported its end. Until then it holds no slot either. Requests that were open while the allocator stood still are no evidence. A withdrawal takes back the failure, and its request is not granted for 10 s. Open requests are a module of their own.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -13,7 +13,8 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import budgets, crashes, estimates, floors
-from wagtailspread.placement import leases, messages, probing, selection
+from wagtailspread.placement import leases, messages, open_requests, probing
+from wagtailspread.placement import selection
 
 #: Head start in the queue per priority level, in seconds. It is bounded, so a
 #: flood of urgent requests does not starve the others.
@@ -26,18 +27,12 @@
 #: Multiple of the typical duration that must remain before the deadline for a
 #: request to queue normally; requests with less time are served first.
 SHORT_DEADLINE_FACTOR = 3.0
-#: Time after its deadline at which an unsettled request is closed, in seconds.
-#: A host that failed does not settle its requests.
-SETTLE_GRACE_SECONDS = 1.0
-#: Multiple of the typical duration after which an unsettled request counts as
-#: failed. About 2% of good answers take longer, which matches the failure rate
-#: of a sound upstream, so both are equally strong evidence.
-OVERDUE_FACTOR = 2.5
-#: Lower bound of that time, in seconds; it covers one packet retransmission.
-MIN_OVERDUE_SECONDS = 0.6
 #: Time without a poll after which a queued request or a stored decision is
 #: dropped, in seconds; hosts poll several times a second.
 ABANDON_SECONDS = 1.0
+#: Time for which a request that its host has withdrawn is not granted, in
+#: seconds. Messages on different connections may arrive in any order.
+WITHDRAWN_SECONDS = 10.0
 #: Minimum share of the sound upstreams of a service that stays in use.
 DEFAULT_FLOOR_SHARE = 0.7
 
@@ -58,9 +53,10 @@
         self.floor = floor
         self.crashes = crash_table
         self._sequence = itertools.count()
-        self._leases: dict[identifiers.RequestId, leases.Lease] = {}
+        self._open = open_requests.create_open_requests(selector)
         self._waiting: dict[identifiers.RequestId, leases.WaitingRequest] = {}
         self._decided: dict[identifiers.RequestId, leases.StoredDecision] = {}
+        self._withdrawn: dict[identifiers.RequestId, float] = {}
 
     def submit(
         self, request: messages.PlacementRequest, now: float
@@ -71,6 +67,9 @@
 
         :param now: seconds on the allocator's clock.
         """
+        self._open.record_contact(request.host, now)
+        if request.request_id in self._withdrawn:
+            return messages.Answer(messages.Decision.NO_ROOM)
         waiting = self._waiting.get(request.request_id)
         if waiting is not None:
             waiting.polled_at = now
@@ -100,50 +99,48 @@
     ) -> None:
         """Close an open request and record the evidence on its upstream.
 
+        :param upstream: empty if the host withdraws the request, which it has
+            not sent.
         :param seconds: duration of the exchange.
         :param now: seconds on the allocator's clock.
         :param is_reset: whether its connection ended without an answer.
         """
-        lease = self._leases.pop(request_id, None)
+        lease = self._open.close(request_id)
         self._waiting.pop(request_id, None)
         self._decided.pop(request_id, None)
+        if not upstream:
+            self._withdrawn[request_id] = now
+            if lease is not None:
+                self._open.withdraw_failure(lease, now)
+            return
         host = identifiers.HostId('')
         if lease is not None:
             host = lease.request.host
-            self._close(lease)
             self._record_completion(lease, evidence, now)
-            fingerprint = lease.request.fingerprint
-            if evidence is messages.Evidence.GOOD:
-                self.crashes.record_answer(fingerprint)
-            elif is_reset:
-                row = self.selector.registry.rows.get(upstream)
-                self.crashes.record_loss(fingerprint, row, now)
-            if lease.is_overdue and evidence is messages.Evidence.BAD:
+            self._record_crash(lease, evidence, now, is_reset=is_reset)
+            if lease.is_failed and evidence is messages.Evidence.BAD:
                 return
-            if lease.is_overdue and evidence is messages.Evidence.GOOD:
-                self.selector.risk_table.withdraw_failure(upstream, now)
+            if evidence is messages.Evidence.GOOD:
+                self._open.withdraw_failure(lease, now)
         self.selector.record_evidence(host, upstream, evidence, seconds, now)
 
-    def drop_host(self, host: identifiers.HostId, now: float) -> None:
-        """Drop the requests of a host that has restarted.
+    def record_contact(self, host: identifiers.HostId, now: float) -> None:
+        """Record that a host has reported all ends that it knew of.
 
-        Those that became overdue meanwhile are no evidence: the host did not
-        report what its upstreams answered.
+        Its requests that should have ended count as failed.
         """
-        for request_id, lease in list(self._leases.items()):
-            if lease.request.host == host:
-                self._leases.pop(request_id)
-                self._close(lease)
-                if lease.is_overdue:
-                    table = self.selector.risk_table
-                    table.withdraw_failure(lease.upstream, now)
+        self._open.record_contact(host, now)
+
+    def drop_host(self, host: identifiers.HostId, now: float) -> None:
+        """Drop the requests of a host that has restarted."""
+        self._open.drop_host(host, now)
         for request_id, waiting in list(self._waiting.items()):
             if waiting.request.host == host:
                 self._waiting.pop(request_id)
 
     def tick(self, now: float) -> list[identifiers.RequestId]:
         """Process the queue; return the ids of the decided requests."""
-        self._process_overdue(now)
+        self._open.process_overdue(now)
         self._drop_unclaimed(now)
         decided: list[identifiers.RequestId] = []
         ordered = sorted(self._waiting.values(), key=lambda entry: entry.order)
@@ -284,10 +281,14 @@
         self.floor.record_use(
             request.service, record.upstream, now, is_trial=is_trial
         )
-        self._leases[request.request_id] = leases.Lease(
-            request, record.upstream, now, is_for_floor=bool(idle_candidates)
+        self._open.add(
+            leases.Lease(
+                request,
+                record.upstream,
+                now,
+                is_for_floor=bool(idle_candidates),
+            )
         )
-        self.selector.start(record.upstream)
         return messages.Answer(messages.Decision.GRANTED, record)
 
     def _is_held(self, request: messages.PlacementRequest, now: float) -> bool:
@@ -341,6 +342,22 @@
             return
         self.floor.record_completion(lease.request.service, is_served, now)
 
+    def _record_crash(
+        self,
+        lease: leases.Lease,
+        evidence: messages.Evidence,
+        now: float,
+        *,
+        is_reset: bool,
+    ) -> None:
+        """Record whether a request may have crashed its upstream."""
+        fingerprint = lease.request.fingerprint
+        if evidence is messages.Evidence.GOOD:
+            self.crashes.record_answer(fingerprint)
+        elif is_reset:
+            row = self.selector.registry.rows.get(lease.upstream)
+            self.crashes.record_loss(fingerprint, row, now)
+
     def _can_wait(
         self, request: messages.PlacementRequest, ahead: int, now: float
     ) -> bool:
@@ -384,33 +401,11 @@
             if now - decided.decided_at <= ABANDON_SECONDS:
                 continue
             self._decided.pop(request_id)
-            lease = self._leases.pop(request_id, None)
-            if lease is not None:
-                self._close(lease)
-
-    def _close(self, lease: leases.Lease) -> None:
-        """Free the slot of a request."""
-        self.selector.finish(lease.upstream, is_overdue=lease.is_overdue)
-
-    def _process_overdue(self, now: float) -> None:
-        """Count overdue requests as failed; close those past the deadline."""
-        for request_id, lease in list(self._leases.items()):
-            if now > lease.request.deadline + SETTLE_GRACE_SECONDS:
-                self._leases.pop(request_id)
-                self._close(lease)
-                continue
-            typical = self._find_typical_seconds(lease.request, now)
-            limit = max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * typical)
-            if not lease.is_overdue and now - lease.granted_at > limit:
-                lease.is_overdue = True
-                self.selector.mark_overdue(lease.upstream)
-                self.selector.record_evidence(
-                    lease.request.host,
-                    lease.upstream,
-                    messages.Evidence.BAD,
-                    0.0,
-                    now,
-                )
+            self._open.close(request_id)
+        for request_id, withdrawn_at in list(self._withdrawn.items()):
+            if now - withdrawn_at <= WITHDRAWN_SECONDS:
+                break
+            self._withdrawn.pop(request_id)
 
 
 def create_allocator(
--- a/wagtailspread/placement/leases.py
+++ b/wagtailspread/placement/leases.py
@@ -18,14 +18,25 @@
         module.
     :param is_for_floor: whether it was sent to reach the floor of upstreams in
         use.
-    :param is_overdue: whether the missing answer was recorded as a failure.
+    :param is_observed: whether its allocator has run since it was granted.
+    :param is_overdue: whether it has no end after the usual time.
+    :param is_failed: whether the missing answer was recorded as a failure.
+    :param is_closed: whether it has ended or was given up.
     """
 
     request: messages.PlacementRequest
     upstream: identifiers.UpstreamId
     granted_at: float
     is_for_floor: bool = False
+    is_observed: bool = True
     is_overdue: bool = False
+    is_failed: bool = False
+    is_closed: bool = False
+
+    @property
+    def holds_slot(self) -> bool:
+        """Return whether its upstream is taken to run it."""
+        return self.is_failed or not self.is_overdue
 
 
 @dataclasses.dataclass(slots=True)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -187,6 +187,7 @@
                 now,
                 is_reset=bool(settlement.is_reset),
             )
+        self._allocator.record_contact(identifiers.HostId(request.host), now)
         if self._allocator.count_waiting():
             self._tick()
         return result.Success(wire.structs.Empty())
