Try a suspect upstream beside a request without an end

Cause: a suspect upstream runs one request at a time. If the answer of that one was lost, it was full until the request's deadline, up to 16 s, whether it had recovered or not, and the floor leaves out full upstreams. So sound upstreams stayed idle.

Change: requests without an end after 2.5 usual durations do not count for that limit. All slots still do.

--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -288,6 +288,7 @@
         record = row.record
         upstream = record.upstream
         open_requests = self._open.get(upstream, 0)
+        overdue = self._overdue.get(upstream, 0)
         unreachable_until = self._unreachable_until.get(
             (request.host, upstream), now
         )
@@ -308,26 +309,34 @@
         return Candidate(
             row,
             cost + place.distance,
-            open_requests >= self._count_slots(record, sound_probability),
+            _is_full(record, open_requests, overdue, sound_probability),
             place.is_same_region,
             place.distance,
             sound_probability,
             is_silent,
             is_unreachable,
-            self._overdue.get(upstream, 0),
+            overdue,
         )
 
-    def _count_slots(
-        self,
-        record: records.UpstreamRecord,
-        sound_probability: float,
-    ) -> int:
-        """Return the number of requests that an upstream may run at once.
 
-        A gray upstream fails requests immediately, so its slots are always free
-        and it would drain the whole queue.
-        """
-        return 1 if sound_probability < MIN_SOUND_PROBABILITY else record.slots
+def _is_full(
+    record: records.UpstreamRecord,
+    open_requests: int,
+    overdue: int,
+    sound_probability: float,
+) -> bool:
+    """Tell whether an upstream gets no further request for now.
+
+    A gray upstream fails requests immediately, so its slots are always free and
+    it would drain the whole queue: it runs one request at a time. A request
+    without an end does not count for that, since its answer or its host may
+    have been lost, and the upstream would stay unused until its deadline.
+    """
+    if open_requests >= record.slots:
+        return True
+    if sound_probability >= MIN_SOUND_PROBABILITY:
+        return False
+    return open_requests > overdue
 
 
 def _increment(
--- a/wagtailspread/placement/tests/simulations.py
+++ b/wagtailspread/placement/tests/simulations.py
@@ -28,6 +28,8 @@
     """Upstreams of each failure domain, requests/s and seconds of work.
 
     :param disturbed_share: share of the upstreams that a disturbance hits.
+    :param lost: by time, the number of requests that are granted and then
+        neither sent nor settled, since their hosts were lost.
     """
 
     upstreams: dict
@@ -35,6 +37,7 @@
     work: float
     is_repeatable: bool = False
     disturbed_share: float = 0.0
+    lost: dict = dataclasses.field(default_factory=dict)
 
 
 class Simulation:
@@ -73,6 +76,9 @@
         while at < seconds:
             at += self.random.expovariate(self.load.rate)
             self._add(at, self._arrive, self.random.choice(domains))
+        for lost_at, count in self.load.lost.items():
+            for domain in itertools.islice(itertools.cycle(domains), count):
+                self._add(lost_at, self._lose, domain)
         for step in range(int(seconds / TICK_SECONDS)):
             self._add(step * TICK_SECONDS, self._tick)
         while self._events:
@@ -146,16 +152,21 @@
         return self._hits[key]
 
     def _arrive(self, domain):
-        self._submit(
-            messages.PlacementRequest(
-                request_id=f'q{next(self._numbers)}',
-                host='h1',
-                domain=domain,
-                service='columns',
-                deadline=self.now + 6.0,
-                objective=2.0,
-                is_repeatable=self.load.is_repeatable,
-            )
+        self._submit(self._create_request(domain, 6.0))
+
+    def _lose(self, domain):
+        request = self._create_request(domain, 15.0, f'lost{self.now}')
+        self._allocators[_REGIONS[domain]].submit(request, self.now)
+
+    def _create_request(self, domain, seconds, host='h1'):
+        return messages.PlacementRequest(
+            request_id=f'q{next(self._numbers)}',
+            host=host,
+            domain=domain,
+            service='columns',
+            deadline=self.now + seconds,
+            objective=2.0,
+            is_repeatable=self.load.is_repeatable,
         )
 
     def _submit(self, request):
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -241,6 +241,29 @@
     assert not region.selector._open
 
 
+def test_a_suspect_upstream_is_tried_again_beside_a_request_without_an_end():
+    """Guards against upstreams that are idle until a lost request's deadline.
+
+    Load pattern: an upstream fails for a moment and loses one answer, and
+    serves well from then on.
+    """
+    region = regions.Region(upstreams=4, slots=6)
+    for number in range(4):
+        region.selector.risk_table.add_successes(f'u{number}', 30, 15.0, 0.0)
+    lost = region.submit(deadline=16.0)[1].record.upstream
+    used = []
+    for step in range(1, 180):
+        region.now = step * 0.05
+        if step == 25:
+            region.selector.risk_table.add_failures(lost, region.now, count=2)
+        region.allocator.tick(region.now)
+        request_id, answer = region.submit()
+        if answer.record.upstream == lost and step > 25:
+            used.append(region.now)
+        region.settle(request_id, answer)
+    assert used[0] < 7.5
+
+
 def test_slots_of_a_failed_host_are_freed_after_the_deadline():
     """Guards against slots leaked when hosts fail permanently."""
     region = regions.Region(upstreams=1, slots=1)
--- a/wagtailspread/placement/tests/test_floors.py
+++ b/wagtailspread/placement/tests/test_floors.py
@@ -94,6 +94,29 @@
     assert min(simulation.find_shares(15.0, 58.0, recovery=2.0)) >= 0.7
 
 
+@pytest.mark.parametrize('seed', range(1, 7))
+@pytest.mark.parametrize('is_repeatable', [False, True])
+def test_lost_hosts_leave_no_sound_upstream_idle(seed, is_repeatable):
+    """Guards against open requests that nobody runs.
+
+    Load pattern: hosts are killed or cut off with requests open, or turned away
+    before they were granted. Their requests made sound upstreams suspect, and
+    suspect ones full until the deadlines.
+    """
+    load = simulations.Load(
+        {'north': 2, 'south': 2, 'east': 3, 'west': 2}
+        if is_repeatable
+        else {'north': 6, 'south': 5, 'east': 7, 'west': 4},
+        rate=28.5 if is_repeatable else 88.0,
+        work=0.62 if is_repeatable else 0.47,
+        is_repeatable=is_repeatable,
+        lost={20: 30},
+    )
+    simulation = simulations.Simulation(load, seed)
+    simulation.run(60.0)
+    assert min(simulation.find_shares(15.0, 58.0, recovery=2.0)) >= 0.7
+
+
 def test_the_floor_holds_while_few_requests_complete():
     """Guards against a floor that stops when first attempts fail.
 
