Collect the garbage of earlier tests before a property test

Cause of the SystemError "AST constructor recursion depth mismatch" that TestJudge met once: the parser of the interpreter is not reentrant. If garbage is collected while source is parsed, and a finalizer parses source as well, the depths do not match. Reports of exceptions parse source in Python 3.11, and earlier tests leave tasks and streams whose finalizers report. That this is what TestJudge met is inferred: it was seen once.

Change: garbage is collected before each property test, since Hypothesis parses its source at the start.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Hypothesis profile and expected failures of all packages."""
 
+import gc
 import pathlib
 
 import hypothesis
@@ -38,6 +39,20 @@
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
+def pytest_runtest_setup(item):
+    """Collect the garbage of earlier tests before a property test.
+
+    Hypothesis parses the source of the test. If the interpreter (up to 3.11.7)
+    collects garbage meanwhile, and a finalizer parses source as well, as the
+    report of a lost task does, the parser raises a SystemError.
+    """
+    is_machine = isinstance(
+        getattr(item.cls, 'settings', None), hypothesis.settings
+    )
+    if is_machine or hypothesis.is_hypothesis_test(getattr(item, 'obj', None)):
+        gc.collect()
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print the tests that are marked as expected failures."""
     for name in sorted(list_known_failures()):
