--- a/conftest.py
+++ b/conftest.py
@@ -46,8 +46,9 @@
     collects garbage meanwhile, and a finalizer parses source as well, as the
     report of a lost task does, the parser raises a SystemError.
     """
+    test_class = getattr(item, 'cls', None)
     is_machine = isinstance(
-        getattr(item.cls, 'settings', None), hypothesis.settings
+        getattr(test_class, 'settings', None), hypothesis.settings
     )
     if is_machine or hypothesis.is_hypothesis_test(getattr(item, 'obj', None)):
         gc.collect()
--- a/wagtailspread/testing/tests/test_garbage.py
+++ b/wagtailspread/testing/tests/test_garbage.py
@@ -42,6 +42,8 @@
             True,
         ),
         (types.SimpleNamespace(cls=None, obj=check_plainly), False),
+        # An example in a docstring has no class.
+        (types.SimpleNamespace(obj=None), False),
     ],
 )
 def test_a_property_test_starts_without_garbage(request, item, is_collected):
