Let the initiator wait for pledges again when it is back

Operators could not send the first configuration: the fleet never formed.

Cause: only a process that is told that the fleet is new forms the first membership. The replica at the lowest address of the seeds that was killed, or lost its disk, before it had formed one came back without being told so, and nobody took its place. It was the same when all replicas were killed at once.

Change: a replica that is back at the lowest address of three seeds waits for the pledges of the other two, and never forms a membership once it has heard from a member of one. One of the three still has its data if there was a membership and no more disks are lost than are tolerated.

--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -9,6 +9,7 @@
 import sys
 
 import aiohttp
+import pytest
 
 from wagtailspread.gateway.tests import raw_upstreams
 from wagtailspread.observability.tests import test_writers
@@ -295,6 +296,38 @@
             await wait_for(is_newest)
 
 
+@pytest.mark.parametrize(
+    ('block', 'killed', 'wiped'), [(18, (0,), (0,)), (19, (0, 1, 2), ())]
+)
+async def test_replicas_that_end_at_once_form_a_fleet(
+    tmp_path, block, killed, wiped
+):
+    """Guards against a fleet that never forms.
+
+    The replica that forms the first membership loses its disk before, or all
+    are killed before. When they are back, they are not told that the fleet is
+    new.
+    """
+    with run_fleet(tmp_path, block) as fleet:
+        for number in range(3):
+            fleet.start_replica(number)
+        await asyncio.sleep(0.3)
+        for number in killed:
+            fleet.kill(f'replica{number}')
+        for number in wiped:
+            shutil.rmtree(tmp_path / f'data{number}', ignore_errors=True)
+        await asyncio.sleep(0.3)
+        for number in killed:
+            fleet.start_replica(number, is_first=False)
+        async with aiohttp.ClientSession() as session:
+            platform = Platform(fleet, session)
+
+            async def put():
+                return await platform.put(1, 7) == 200
+
+            await wait_for(put)
+
+
 async def test_a_lost_disk_after_a_planned_replacement_is_survived(tmp_path):
     """Guards against review/1: no leader was left, and no configuration."""
     with run_fleet(tmp_path, 13) as fleet:
--- a/wagtailspread/replica/discovery.py
+++ b/wagtailspread/replica/discovery.py
@@ -5,6 +5,10 @@
 that it belongs to no membership and has pledged to join that of the initiator.
 So replicas that lost their data cannot form a second fleet as long as one
 founder still has its data; they introduce themselves and wait to be admitted.
+
+The initiator may be killed, or lose its disk, before it has formed the
+membership. It then waits for the pledges again when it is back, unless it hears
+from a replica that belongs to a membership.
 """
 
 import dataclasses
@@ -16,6 +20,10 @@
 INTRODUCTION_INTERVAL_SECONDS = 0.25
 #: Age after which an introduction no longer counts as a pledge, in seconds.
 INTRODUCTION_MAX_AGE_SECONDS = 1.0
+#: Minimum number of founders for which the initiator starts again. A replica
+#: that is back knows the founders from its seeds only, and a single one of them
+#: proves little.
+MIN_RETURN_FOUNDERS = 3
 #: As recipient, stands for any replica; as pledge, for none.
 NO_IDENTITY = identifiers.ReplicaId('')
 
@@ -49,10 +57,14 @@
             identifiers.Address, _ReceivedIntroduction
         ] = {}
         self._next_introduction_at = 0.0
+        self._has_heard_of_fleet = False
         #: Whether a replica that belongs to the first ones has started again
         #: without being told so.
         self._is_back = not founders and local_node.address in peers
-        if local_node.address == self._find_initiator_address():
+        self._first_members = founders
+        if self._is_back and len(peers) >= MIN_RETURN_FOUNDERS:
+            self._first_members = peers
+        if local_node.address == min(self._first_members, default=None):
             self.pledge = local_node.identity
 
     def list_due_peers(self, now: float) -> list[identifiers.Address]:
@@ -99,6 +111,7 @@
         self._introductions[introduction.address] = _ReceivedIntroduction(
             introduction, now
         )
+        self._has_heard_of_fleet |= introduction.is_formed
         if self._is_back and _is_initiator(introduction):
             self.pledge = introduction.sender
         if introduction.address != self._find_initiator_address():
@@ -114,8 +127,10 @@
         """
         if self.pledge != self._local_node.identity:
             return None
+        if self._has_heard_of_fleet:
+            return None
         voters = [self._local_node]
-        for address in self._founders:
+        for address in self._first_members:
             if address == self._local_node.address:
                 continue
             received = self._introductions.get(address)
@@ -140,8 +155,8 @@
 def _is_initiator(introduction: messages.Introduction) -> bool:
     """Tell whether a replica waits for pledges to form the first membership.
 
-    Only the first process at the lowest address does. Once it has formed a
-    membership, it never forms another one, whoever pledges to it.
+    Only that at the lowest address does. Once it has formed a membership, it
+    never forms another one, whoever pledges to it.
     """
     has_own_pledge = introduction.pledge == introduction.sender
     return has_own_pledge and not introduction.is_formed
