Forget hosts and allocators that are gone

Cause: a host probed an allocator that had failed once a second until it answered, also after it had been replaced at another address. What allocators now remember of overdue requests stayed for hosts that never come back.

Change: probes and reports end when the allocator is no longer listed; contacts are dropped after 60 s, and overdue requests once they are closed. No decision changes. Found by reading; the new tests fail without it.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -100,6 +100,7 @@
                 identifiers.FailureDomain(one.domain),
             )
         ]
+        self._settler.retain(self._allocators)
 
     def create_id(self) -> identifiers.RequestId:
         """Return a new id of one attempt to place a request.
--- a/wagtailspread/gateway/settlements.py
+++ b/wagtailspread/gateway/settlements.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import typing
 
 import logbook
 
@@ -54,6 +55,15 @@
         """Tell whether an allocator has not answered since its last call."""
         return allocator in self._probes
 
+    def retain(self, allocators: typing.Container[identifiers.Address]) -> None:
+        """Stop probing all other allocators; drop what was kept for them."""
+        for allocator in list(self._probes):
+            if allocator not in allocators:
+                self._probes.pop(allocator).cancel()
+        for allocator in list(self._kept):
+            if allocator not in allocators:
+                self._kept.pop(allocator)
+
     def record_failure(self, allocator: identifiers.Address) -> None:
         """Leave an allocator alone until it answers a probe."""
         if allocator not in self._probes:
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -318,6 +318,22 @@
     await listener.close()
 
 
+async def test_an_allocator_that_is_gone_is_not_probed():
+    """Guards against probes of replaced replicas that never end."""
+    placer = create_placer()
+    place = wire.structs.ReplicaPlace
+    gone, other = '127.0.0.1:1', '127.0.0.1:2'
+    for address in (gone, other):
+        placer._settler.record_failure(address)
+        placer._settler.start(address, wire.structs.Settlement(request='q'))
+    placer.update_allocators([place(address=other, domain='north')], [])
+    await asyncio.sleep(0)
+    assert not placer._settler.is_failed(gone)
+    assert placer._settler.is_failed(other)
+    assert list(placer._settler._kept) == [other]
+    await placer.close()
+
+
 async def test_a_report_that_may_have_arrived_counts_once():
     """Guards against evidence that counts twice after a lost answer."""
     listener, address, allocator = await start_allocator()
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -163,6 +163,12 @@
                 decided.append(request.request_id)
         return decided
 
+    def prune(self, now: float) -> None:
+        """Drop the state of upstreams and hosts that are gone."""
+        self.selector.prune(now)
+        self.floor.retain(self.selector.registry.rows)
+        self._open.prune(now)
+
     def pop_decision(
         self, request_id: identifiers.RequestId
     ) -> messages.Answer | None:
--- a/wagtailspread/placement/open_requests.py
+++ b/wagtailspread/placement/open_requests.py
@@ -27,6 +27,8 @@
 MIN_OVERDUE_SECONDS = 0.6
 #: Time between two checks from which the allocator stood still, in seconds.
 STALL_SECONDS = 1.0
+#: Time for which the last message of a host is remembered, in seconds.
+KEEP_CONTACT_SECONDS = 60.0
 
 _log = logbook.Logger('placement')
 
@@ -86,6 +88,19 @@
                 self._selector.start(lease.upstream)
                 self._record_failure(lease, now)
 
+    def prune(self, now: float) -> None:
+        """Drop the state of hosts that are not heard from any more."""
+        oldest = now - KEEP_CONTACT_SECONDS
+        for host, contact_at in list(self._contacts.items()):
+            if contact_at < oldest:
+                self._contacts.pop(host)
+        for host, unconfirmed in list(self._unconfirmed.items()):
+            is_open = [lease for lease in unconfirmed if not lease.is_closed]
+            if is_open:
+                self._unconfirmed[host] = is_open
+            else:
+                self._unconfirmed.pop(host)
+
     def process_overdue(self, now: float) -> None:
         """Mark requests without an end; close those past the deadline.
 
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -16,7 +16,8 @@
 
 #: Interval between checks for overdue requests, in seconds.
 TICK_SECONDS = 0.05
-#: Interval between removals of the state of departed upstreams, in seconds.
+#: Interval between removals of the state of departed upstreams and hosts, in
+#: seconds.
 PRUNE_SECONDS = 10.0
 #: Interval between log lines with the counts of the retry budget, in seconds.
 COUNT_SECONDS = 5.0
@@ -102,8 +103,7 @@
                 self._log_retries(now)
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
-                selector.prune(now)
-                self._allocator.floor.retain(selector.registry.rows)
+                self._allocator.prune(now)
 
     def _log_retries(self, now: float) -> None:
         for service, counts in self._allocator.budget.describe(now).items():
--- a/wagtailspread/placement/tests/test_allocators.py
+++ b/wagtailspread/placement/tests/test_allocators.py
@@ -241,6 +241,23 @@
     assert not region.selector._open
 
 
+def test_state_of_lost_hosts_is_dropped():
+    """Guards against memory that grows with each host that is replaced."""
+    region = regions.Region(upstreams=1, slots=4)
+    for number in range(3):
+        region.submit(host=f'lost{number}')
+    region.now = 2.0
+    region.allocator.tick(region.now)
+    open_requests_table = region.allocator._open
+    region.allocator.prune(region.now)
+    assert len(open_requests_table._unconfirmed) == 3
+    region.now = 90.0
+    region.allocator.tick(region.now)
+    region.allocator.prune(region.now)
+    assert not open_requests_table._unconfirmed
+    assert not open_requests_table._contacts
+
+
 def test_a_suspect_upstream_is_tried_again_beside_a_request_without_an_end():
     """Guards against upstreams that are idle until a lost request's deadline.
 
