Create the documents of a test before its time runs

Cause of test_changes_during_a_download_do_not_delay_it beside a loaded machine: the test wrote 29 documents of 11,000 routes in the event loop that its host and replica share, so a busy processor left the host no time.

Change: they are written before; versions, bounds and checks are the same.

--- a/wagtailspread/gateway/tests/test_configurations.py
+++ b/wagtailspread/gateway/tests/test_configurations.py
@@ -74,11 +74,13 @@
 async def test_changes_during_a_download_do_not_delay_it():
     """Guards against downloads that never end while versions keep changing."""
     routes = fleets.create_routes(ROUTES)
+    bodies = []
+    for version in range(1, 30):
+        routes[version * 300] = fleets.create_routes(1, seed=100 + version)[0]
+        bodies.append(fleets.create_body(version, routes))
     async with fleets.Replica() as replica, fleets.run_host(replica) as host:
-        for version in range(1, 30):
-            fresh = fleets.create_routes(1, seed=100 + version)
-            routes[version * 300] = fresh[0]
-            replica.put(version, fleets.create_body(version, routes))
+        for version, body in enumerate(bodies, 1):
+            replica.put(version, body)
             await asyncio.sleep(0.1)
         assert host.server.routes is not None
         await fleets.wait_for_version(host, 29, MAX_ACTIVATION_SECONDS)
