Disturb the connections to upstreams in the soak

Change: a proxy before each upstream stops passing bytes on in one direction or both, holds each piece for 0.4 s, or resets the connections, at random times of an unplanned soak. The promises checked are the same.

--- a/wagtailspread/platform/tests/soak/soaks.py
+++ b/wagtailspread/platform/tests/soak/soaks.py
@@ -37,6 +37,10 @@
     'stop replica',
     'kill replica',
     'crash upstream',
+    'silence upstream',
+    'mute upstream',
+    'slow upstream',
+    'reset upstream',
 )
 
 
@@ -184,7 +188,7 @@
             return
         verb, role = kind.split()
         if role == 'upstream':
-            await self._end_upstream(verb)
+            await self._disturb_upstream(verb)
             return
         first, count = 0, REPLICAS
         if role == 'host':
@@ -205,8 +209,8 @@
         finally:
             self._busy.discard(number)
 
-    async def _end_upstream(self, verb):
-        """Let an upstream crash or leave, if most of them run."""
+    async def _disturb_upstream(self, verb):
+        """Let an upstream crash, leave or lose bytes, if most of them run."""
         idle = [one for one in self._upstreams if one not in self._busy]
         if 2 * len(idle) < len(self._upstreams):
             return
@@ -215,10 +219,10 @@
         self._busy.add(chosen)
         started = self.now()
         try:
-            await (chosen.crash() if verb == 'crash' else chosen.leave())
+            await getattr(chosen, verb)()
         finally:
             self._busy.discard(chosen)
-        if verb == 'crash':
+        if verb != 'leave':
             disruption = ledgers.Disruption(False, started, self.now())
             self.ledger.disruptions[chosen.name].append(disruption)
 
--- a/wagtailspread/platform/tests/soak/upstreams.py
+++ b/wagtailspread/platform/tests/soak/upstreams.py
@@ -7,13 +7,17 @@
 import time
 
 from wagtailspread.gateway.tests import raw_upstreams
-from wagtailspread.platform.tests.soak import ledgers
+from wagtailspread.platform.tests.soak import ledgers, proxies
 
 HEARTBEAT_SECONDS = 1.5
 #: Time that an upstream serves on after its departure was confirmed, and then
 #: until it starts anew, in seconds.
 SERVE_ON_SECONDS = 4.0
 RESTART_SECONDS = 2.0
+#: Duration of a fault of its connections, in seconds, and the delay of each
+#: piece of a request or answer if they are slow.
+FAULT_SECONDS = 3.0
+SLOW_SECONDS = 0.4
 _SIGNATURE = 's1'
 
 
@@ -39,6 +43,7 @@
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._server = None
+        self._proxy = None
         self._beating = None
         self._state = 'ready'
         self._first_name = name
@@ -49,13 +54,15 @@
         """Listen, and send heartbeats."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
         port = self._server.sockets[0].getsockname()[1]
-        self.address = f'{ip}:{port}'
+        self._proxy = await proxies.start_proxy(ip, f'{ip}:{port}')
+        self.address = self._proxy.address
         self._ledger.presences[self.name] = (self._clock(), float('inf'))
         self._beating = asyncio.create_task(self._beat())
 
     async def close(self):
         """Stop at once."""
         self._beating.cancel()
+        self._proxy.close()
         self._server.close()
 
     async def crash(self):
@@ -63,10 +70,31 @@
         self._end_presence()
         self._beating.cancel()
         self._server.close()
+        self._proxy.close()
         for writer in list(self._writers):
             writer.transport.abort()
         await self._start_anew()
 
+    async def silence(self):
+        """Let nothing through for some time, in either direction."""
+        with self._proxy.hold_all():
+            await asyncio.sleep(FAULT_SECONDS)
+
+    async def mute(self):
+        """Let requests through and no answers for some time."""
+        with self._proxy.hold_answers():
+            await asyncio.sleep(FAULT_SECONDS)
+
+    async def slow(self):
+        """Pass all bytes on late for some time."""
+        self._proxy.delay = SLOW_SECONDS
+        await asyncio.sleep(FAULT_SECONDS)
+        self._proxy.delay = 0.0
+
+    async def reset(self):
+        """Reset all connections."""
+        self._proxy.reset()
+
     async def leave(self):
         """Report that it drains, serve on, leave and start anew.
 
@@ -89,6 +117,7 @@
         await asyncio.sleep(SERVE_ON_SECONDS)
         path = f'/wagtailspread/instances/{self.name}/leave'
         await call(self._controls[0], 'POST', path)
+        self._proxy.close()
         self._server.close()
         await self._start_anew()
 
@@ -165,12 +194,12 @@
         gone = asyncio.create_task(reader.read(1))
         done, _ = await asyncio.wait((gone,), timeout=seconds)
         arrival.ended_at = self._clock()
+        gone.cancel()
+        await asyncio.gather(gone, return_exceptions=True)
         if done:
             arrival.ending = ledgers.Ending.DROPPED
             return False
         arrival.ending = ledgers.Ending.ANSWERED
-        gone.cancel()
-        await asyncio.gather(gone, return_exceptions=True)
         return True
 
 
