Keep the floor for uploads within each failure domain

Cause: the floor counted the upstreams of the whole region, and then left out those of other domains, where a large body is not sent as a probe. While the share of the region was met, an idle upstream stayed idle, though uploads of its own domain were there; and uploads of a domain without idle upstreams did nothing for the others.

Change: only upstreams that a request may use for the floor are counted. For small bodies these are those of the region, as before.

--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -6,7 +6,9 @@
 may be sent again use each upstream that may be sound within a bounded time, and
 all others keep more of them in use than the floor asks: an observer who knows
 which ones are sound counts a subset, of which the idle ones may be a larger
-share. An upstream that has just failed is exempt until it may have recovered.
+share. For large bodies this holds within each failure domain, since they do not
+cross to another one. An upstream that has just failed is exempt until it may
+have recovered.
 
 If many requests fail nevertheless, the health estimates are unreliable, and a
 minimum share (floor) of all upstreams is used.
@@ -202,21 +204,26 @@
         :param is_repeatable: whether the request may be sent again.
         """
         self._log_usage(service, candidates, now)
+        near = [
+            candidate
+            for candidate in candidates
+            if candidate.is_same_region
+            and not candidate.is_silent
+            and candidate.distance < MAX_DISTANCE_COST
+        ]
         sound_probabilities = {
             candidate.row.record.upstream: candidate.sound_probability
-            for candidate in candidates
-            if candidate.is_same_region and not candidate.is_silent
+            for candidate in near
         }
         idle = self.find_idle(
             service, sound_probabilities, now, is_repeatable=is_repeatable
         )
         return [
             candidate
-            for candidate in candidates
+            for candidate in near
             if candidate.row.record.upstream in idle
             and not candidate.is_full
             and not candidate.is_unreachable
-            and candidate.distance < MAX_DISTANCE_COST
         ]
 
     def find_idle(
--- a/wagtailspread/placement/tests/simulations.py
+++ b/wagtailspread/placement/tests/simulations.py
@@ -11,7 +11,16 @@
 from wagtailspread.placement.tests import regions
 from wagtailspread.registry import tables
 
-_REGIONS = {'north': 'r1', 'south': 'r1', 'east': 'r2', 'west': 'r2'}
+_REGIONS = {
+    'north': 'r1',
+    'south': 'r1',
+    'hill': 'r1',
+    'shore': 'r1',
+    'east': 'r2',
+    'west': 'r2',
+    'bay': 'r2',
+    'cape': 'r2',
+}
 #: Time for which an upstream stays gray or sound, in seconds.
 PHASE_SECONDS = 9.0
 GRAY_SHARE = 0.3
@@ -27,6 +36,7 @@
 class Load:
     """Upstreams of each failure domain, requests/s and seconds of work.
 
+    :param size: bytes of the body of a request.
     :param disturbed_share: share of the upstreams that a disturbance hits.
     :param lost: by time, the number of requests that are granted and then
         neither sent nor settled, since their hosts were lost.
@@ -36,6 +46,7 @@
     rate: float
     work: float
     is_repeatable: bool = False
+    size: int = 0
     disturbed_share: float = 0.0
     lost: dict = dataclasses.field(default_factory=dict)
 
@@ -166,6 +177,7 @@
             service='columns',
             deadline=self.now + seconds,
             objective=2.0,
+            size=self.load.size,
             is_repeatable=self.load.is_repeatable,
         )
 
--- a/wagtailspread/placement/tests/test_floors.py
+++ b/wagtailspread/placement/tests/test_floors.py
@@ -162,6 +162,58 @@
         region.settle(request_id, answer)
 
 
+def test_uploads_use_each_sound_upstream_of_their_domain():
+    """Guards against an idle upstream that the share of a region hides.
+
+    Load pattern: uploads from all domains, which stay in their own ones. Enough
+    upstreams of the region are in use, but not of one domain.
+    """
+    region = regions.Region(upstreams=2, slots=6)
+    for number in range(10):
+        region.selector.registry.merge(
+            regions.create_record(f'away{number}', 'south', 6), 0.0
+        )
+        region.allocator.floor.record_use('columns', f'away{number}', 9.5)
+    table = region.selector.risk_table
+    table.add_successes('u0', 30, 15.0, 9.0)
+    table.add_successes('u1', 30, 15.0, 9.0)
+    table.add_failures('u1', 9.0)
+    region.allocator.floor.record_use('columns', 'u0', 9.5)
+    for _ in range(10):
+        region.allocator.floor.record_use('columns', 'u0', 9.5)
+    region.now = 10.0
+    _, answer = region.submit(size=60_000)
+    assert answer.record.upstream == 'u1'
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_uploads_leave_no_sound_upstream_idle(seed):
+    """Guards against upstreams of a domain that get no uploads.
+
+    Load pattern: a service for large bodies with three to five upstreams in
+    each of eight domains, at times half of them disturbed.
+    """
+    load = simulations.Load(
+        {
+            'north': 4,
+            'south': 4,
+            'hill': 4,
+            'shore': 3,
+            'east': 5,
+            'west': 3,
+            'bay': 4,
+            'cape': 3,
+        },
+        rate=38.5,
+        work=0.74,
+        size=60_000,
+        disturbed_share=0.5,
+    )
+    simulation = simulations.Simulation(load, seed)
+    simulation.run(60.0)
+    assert min(simulation.find_shares(15.0, 58.0, recovery=2.0)) >= 0.7
+
+
 def test_uploads_do_not_cross_domains_for_the_floor():
     """Guards against large bodies that cross domains only as a probe.
 
