Use the upstreams of a region that gets too few requests

More than a tenth of failed requests at such a moment breaks the floor of the platform.

Cause: the allocator of a region keeps only the upstreams of its own region in use, and takes it that each region has requests. The only host of the region had been stopped, and callers stay on the connections that they have.

Change: an allocator publishes the services that get less than one request in 2 s for each upstream of its region, or that it gets no requests at all. The allocators of the other regions then count these upstreams as their own, for small bodies, unless they have too few requests for that themselves. A region whose replicas do not answer counts as covered. What only replicas get no longer wakes the followers among the hosts.

The tests of the parts use a name that did not exist before, so they show the new behaviour and not the fault.

--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -29,7 +29,7 @@
 import logbook
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import probing, selection, usages
+from wagtailspread.placement import costs, probing, selection, usages
 
 #: Length of the sliding window of completions, in seconds.
 WINDOW_SECONDS = 2.0
@@ -85,6 +85,8 @@
             identifiers.ServiceName, collections.deque[float]
         ] = {}
         self._trials = probing.TrialLimit()
+        #: When the last request was sent, in seconds.
+        self.last_request_at = -math.inf
         self._last_used: dict[identifiers.UpstreamId, float] = {}
         self._last_failed: dict[identifiers.UpstreamId, _Failure] = {}
         self._strained_until: dict[identifiers.ServiceName, float] = {}
@@ -152,6 +154,14 @@
         self._list_grants(service, now).append(now)
         self._trials.record_request(service, is_trial=is_trial)
         self._last_used[upstream] = now
+        self.last_request_at = now
+
+    def count_requests(
+        self, service: identifiers.ServiceName, since: float
+    ) -> int:
+        """Return the requests sent since a time in the last window."""
+        grants = self._grants.get(service, ())
+        return sum(sent_at >= since for sent_at in grants)
 
     def record_failure(
         self,
@@ -197,20 +207,17 @@
     ) -> list[selection.Candidate]:
         """Return the candidates of which one must be used to reach the floor.
 
-        They take precedence while too few upstreams of the region are in use.
-        Those without heartbeats, and those to which the host has just failed to
-        connect, are left out.
+        They take precedence while too few upstreams of the region are in use,
+        or of another region that gets too few requests. Those without
+        heartbeats, and those to which the host has just failed to connect, are
+        left out.
 
         :param is_repeatable: whether the request may be sent again.
         """
         self._log_usage(service, candidates, now)
-        near = [
-            candidate
-            for candidate in candidates
-            if candidate.is_same_region
-            and not candidate.is_silent
-            and candidate.distance < MAX_DISTANCE_COST
-        ]
+        near = [one for one in candidates if _is_near(one)]
+        if len(self._list_grants(service, now)) < len(near):
+            near = [one for one in near if one.is_same_region]
         sound_probabilities = {
             candidate.row.record.upstream: candidate.sound_probability
             for candidate in near
@@ -368,6 +375,15 @@
         return completions
 
 
+def _is_near(candidate: selection.Candidate) -> bool:
+    """Tell whether a request is sent to an upstream only to use it."""
+    if candidate.is_silent:
+        return False
+    if candidate.is_uncovered:
+        return candidate.distance < MAX_DISTANCE_COST + costs.REGION_COST
+    return candidate.is_same_region and candidate.distance < MAX_DISTANCE_COST
+
+
 _State = typing.TypeVar('_State')
 
 
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -14,7 +14,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.health import risks
 from wagtailspread.placement import costs, holds, messages
-from wagtailspread.registry import records, tables
+from wagtailspread.registry import coverage, records, tables
 
 #: Cost difference that lowers the probability of a choice by a factor of e.
 COST_SCALE = 0.008
@@ -41,6 +41,8 @@
     :param is_silent: whether it has no recent heartbeat at any replica.
     :param is_unreachable: whether the host recently failed to connect to it.
     :param overdue: number of its open requests that should have ended.
+    :param is_uncovered: whether it is in another region, which gets too few
+        requests to keep it in use.
     """
 
     row: tables.RegistryRow
@@ -52,6 +54,7 @@
     is_silent: bool = False
     is_unreachable: bool = False
     overdue: int = 0
+    is_uncovered: bool = False
 
     @property
     def waiting_cost(self) -> float:
@@ -63,10 +66,12 @@
     """Where the upstreams of a failure domain are, seen from a host.
 
     :param distance: cost of an exchange with them.
+    :param is_uncovered: whether their region gets too few requests.
     """
 
     is_same_region: bool
     distance: float
+    is_uncovered: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +87,7 @@
     :param risk_table: the evidence on their health.
     :param silent: upstreams without a recent heartbeat at any replica.
     :param holds: times for which hosts send nothing to an upstream.
+    :param uncovered: regions whose upstreams get too few requests there.
     """
 
     def __init__(
@@ -95,6 +101,7 @@
         self.risk_table = risks.RiskTable()
         self.silent: typing.Collection[identifiers.UpstreamId] = frozenset()
         self.holds = holds.create_holds()
+        self.uncovered = coverage.combine_reports(())
         self._regions = regions
         self._random = random
         self._open: dict[identifiers.UpstreamId, int] = {}
@@ -129,10 +136,7 @@
         typical = self.find_typical_seconds(request.service, now)
         domains = {row.record.domain for row in rows}
         places = {
-            domain: _Place(
-                location.is_same_region(domain),
-                location.find_distance_cost(domain, request.size),
-            )
+            domain: self._find_place(domain, location, request)
             for domain in domains
         }
         return [
@@ -268,6 +272,25 @@
         self._typical_durations[service] = _TypicalDuration(seconds, now)
         return seconds
 
+    def _find_place(
+        self,
+        domain: identifiers.FailureDomain,
+        location: costs.Location,
+        request: messages.PlacementRequest,
+    ) -> _Place:
+        is_same_region = location.is_same_region(domain)
+        is_uncovered = False
+        if len(self.uncovered) and not is_same_region:
+            region = self._regions.get(domain)
+            is_uncovered = region is not None and self.uncovered.is_uncovered(
+                region, request.service
+            )
+        return _Place(
+            is_same_region,
+            location.find_distance_cost(domain, request.size),
+            is_uncovered,
+        )
+
     def _find_hold_end(
         self,
         host: identifiers.HostId,
@@ -316,6 +339,7 @@
             is_silent,
             is_unreachable,
             overdue,
+            place.is_uncovered,
         )
 
 
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -9,8 +9,9 @@
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.placement import allocators, crashes, messages
+from wagtailspread.placement import allocators, coverage, crashes, messages
 from wagtailspread.registry import blocked, records
+from wagtailspread.registry import coverage as region_coverage
 from wagtailspread.wire import listeners
 from wagtailspread.wire import messages as wire
 
@@ -54,6 +55,12 @@
     def publish_departures(self) -> None:
         """Send upstreams that leave to all followers at once."""
 
+    def publish_underused(self, underused: region_coverage.Underused) -> None:
+        """Publish the services that get too few requests here."""
+
+    def find_uncovered(self) -> region_coverage.UncoveredRegions:
+        """Return the regions whose upstreams get too few requests there."""
+
 
 class PlacementService:
     """Handles the calls of hosts. Use :func:`create_service`.
@@ -71,9 +78,11 @@
             typing.Collection[identifiers.UpstreamId],
         ],
         strain_exchange: StrainExchange | None = None,
+        monitor: coverage.CoverageMonitor | None = None,
     ) -> None:
         """Create a service that is not running."""
         self._strain_exchange = strain_exchange
+        self._monitor = monitor
         self._allocator = allocator
         self._clock = clock
         self._find_silent = find_silent
@@ -123,6 +132,12 @@
             exchange.publish_blocked(
                 table.list_blocked(now), table.list_suspicions(now)
             )
+            self._exchange_coverage(exchange, now)
+
+    def _exchange_coverage(self, exchange: StrainExchange, now: float) -> None:
+        if self._monitor is not None:
+            exchange.publish_underused(self._monitor.find_underused(now))
+            self._allocator.selector.uncovered = exchange.find_uncovered()
 
     async def _place(
         self,
@@ -275,6 +290,13 @@
         typing.Collection[identifiers.UpstreamId],
     ],
     strain_exchange: StrainExchange | None = None,
+    monitor: coverage.CoverageMonitor | None = None,
 ) -> PlacementService:
-    """Return a service that is not running."""
-    return PlacementService(allocator, clock, find_silent, strain_exchange)
+    """Return a service that is not running.
+
+    :param monitor: finds the services whose upstreams other regions shall use,
+        which are published by the exchange.
+    """
+    return PlacementService(
+        allocator, clock, find_silent, strain_exchange, monitor
+    )
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from wagtailspread.core import clocks, identifiers, tasks
-from wagtailspread.placement import allocators, budgets, selection
+from wagtailspread.placement import allocators, budgets, coverage
+from wagtailspread.placement import selection
 from wagtailspread.placement import services as placement_services
 from wagtailspread.platform import controls, processes, settings, values
 from wagtailspread.processes import machines
@@ -69,6 +70,17 @@
         clock,
         table.list_silent,
         registry,
+        coverage.create_monitor(selector, allocator.floor, _list_domains(boot)),
+    )
+
+
+def _list_domains(
+    boot: settings.BootSettings,
+) -> frozenset[identifiers.FailureDomain]:
+    """Return the failure domains of the replica's region."""
+    own = boot.regions.get(boot.domain)
+    return frozenset(
+        domain for domain, region in boot.regions.items() if region == own
     )
 
 
--- a/wagtailspread/platform/tests/test_soak.py
+++ b/wagtailspread/platform/tests/test_soak.py
@@ -37,6 +37,25 @@
     assert len(soak.ledger.attempts) > 500
 
 
+async def test_a_region_without_callers_leaves_no_upstream_idle(tmp_path):
+    """Guards against idle upstreams of a region whose only host was stopped.
+
+    Before, 3 of 9 upstreams got no request for 2 s in 12 windows.
+    """
+    plan = soaks.Plan(
+        seed=1,
+        seconds=14.0,
+        hosts=4,
+        callers=60,
+        block=28,
+        script=((4.0, 'stop', 'host', 11),),
+    )
+    soak = await soaks.run_soak(plan, tmp_path)
+    lines, is_held = soaks.summarise(soak)
+    assert is_held, '\n'.join(lines)
+    assert len(soak.ledger.attempts) > 100
+
+
 def create_ledger(**fields):
     """Return a ledger with one order, which is stopped after 1 s."""
     ledger = ledgers.Ledger(grace=6.0, contact=3.0, max_attempts=2)
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -62,6 +62,7 @@
         self._heartbeats = collections.deque(maxlen=MAX_HEARTBEATS)
         self._followers: dict[identifiers.HostId, FollowerState] = {}
         self._changed = asyncio.Event()
+        self._changed_for_replicas = asyncio.Event()
         #: Position of the last change registered at this replica itself.
         self._local_position = 0
 
@@ -107,6 +108,13 @@
         waiting = self._changed
         self._changed = asyncio.Event()
         waiting.set()
+        self.wake_replicas()
+
+    def wake_replicas(self) -> None:
+        """Wake the waiting replicas only, for what hosts do not get."""
+        waiting = self._changed_for_replicas
+        self._changed_for_replicas = asyncio.Event()
+        waiting.set()
 
     def update_follower(
         self,
@@ -162,11 +170,15 @@
         """
         if not self.table.list_changed(position):
             waiting = self._changed
+            if is_replica:
+                waiting = self._changed_for_replicas
             try:
                 async with asyncio.timeout(seconds):
                     await waiting.wait()
             except TimeoutError:
                 return
+        if not self.table.list_changed(position):
+            return
         if is_replica and self._local_position <= position:
             await self._wait_for_local_change(position)
 
--- a/wagtailspread/registry/places.py
+++ b/wagtailspread/registry/places.py
@@ -46,6 +46,8 @@
     batch.strained = _list_texts(batch.strained)
     batch.heard = _list_texts(batch.heard)
     batch.silent = _list_texts(batch.silent)
+    if batch.underused is not None:
+        batch.underused = _list_texts(batch.underused)
     batch.replicas = _list_valid_places(batch.replicas)
     batch.substitutes = _list_valid_places(batch.substitutes)
 
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -11,8 +11,8 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import blocked, feeds, followers, places
-from wagtailspread.registry import publications, records
+from wagtailspread.registry import blocked, coverage, feeds, followers
+from wagtailspread.registry import places, publications, records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -84,6 +84,7 @@
         self._peer_batches: dict[identifiers.Address, messages.Struct] = {}
         self._peer_tasks: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._strained: frozenset[identifiers.ServiceName] = frozenset()
+        self._underused: coverage.Underused = None
         self._blocked = blocked.create_exchange()
 
     def attach(
@@ -154,7 +155,21 @@
         """Publish the services with many failing requests to other replicas."""
         if strained != self._strained:
             self._strained = strained
-            self.feed.wake()
+            self.feed.wake_replicas()
+
+    def publish_underused(self, underused: coverage.Underused) -> None:
+        """Publish the services with too few requests to other replicas."""
+        if underused != self._underused:
+            self._underused = underused
+            self.feed.wake_replicas()
+
+    def find_uncovered(self) -> coverage.UncoveredRegions:
+        """Return what the reachable replicas of each region lack."""
+        return coverage.combine_reports(
+            (self._regions[domain], coverage.read_report(batch))
+            for address, batch in self._peer_batches.items()
+            if (domain := self._replica_domains.get(address)) in self._regions
+        )
 
     def publish_departures(self) -> None:
         """Send changes of the table by the local allocator to all followers."""
@@ -375,6 +390,8 @@
         hosts = self.feed.list_hosts(now)
         batch.hosts = len(hosts)
         batch.strained = sorted(self._strained) if request.is_replica else []
+        if request.is_replica and self._underused is not None:
+            batch.underused = sorted(self._underused)
         self._blocked.add_rows(batch, now, is_replica=request.is_replica)
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
--- a/wagtailspread/registry/tests/test_feeds.py
+++ b/wagtailspread/registry/tests/test_feeds.py
@@ -157,6 +157,19 @@
         await replica
 
 
+async def test_what_only_replicas_get_wakes_no_host():
+    """Guards against an answer to each host for what it does not get."""
+    feed = feeds.ChangeFeed(1)
+    host = asyncio.create_task(feed.wait(0, 30.0))
+    replica = asyncio.create_task(feed.wait(0, 30.0, is_replica=True))
+    await asyncio.sleep(0)
+    feed.wake_replicas()
+    async with asyncio.timeout(feeds.RELAY_DELAY_SECONDS / 2):
+        await replica
+    assert not host.done()
+    host.cancel()
+
+
 def test_many_changes_are_split_into_answers_of_limited_size():
     """Guards against answers that a slow link does not transfer in time."""
     feed = feeds.ChangeFeed(7)
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -167,6 +167,40 @@
     assert second.list_remote_strained() == {'columns'}
 
 
+async def test_replicas_learn_which_regions_get_too_few_requests():
+    """Guards against upstreams that nobody uses since their region is idle."""
+    services_by_replica = {
+        address: create_service(address, domain)
+        for address, domain in (('r1:1', 'north'), ('r2:1', 'far'))
+    }
+    first, second = services_by_replica.values()
+    assert not len(second.find_uncovered())
+    expected = ((None, True), (frozenset(['columns']), True), (frozenset(), 0))
+    for underused, is_uncovered in expected:
+        first.publish_underused(underused)
+        batch = await follow(first, 'r2:1', 'far', is_replica=True)
+        second._process_batch('r1:1', batch)
+        found = second.find_uncovered()
+        assert found.is_uncovered('r1', 'columns') == is_uncovered
+        assert found.is_uncovered('r1', 'mail') == (underused is None)
+        assert not found.is_uncovered('r2', 'columns')
+        assert (await follow(first, 'h1', 'north')).underused is None
+
+
+async def test_replicas_of_a_region_cover_it_together():
+    """Guards against a region that one idle replica reports as uncovered."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'south')
+    third = create_service('r3:1', 'far')
+    second.publish_underused(frozenset(['mail']))
+    for address, service in (('r1:1', first), ('r2:1', second)):
+        batch = await follow(service, 'r3:1', 'far', is_replica=True)
+        third._process_batch(address, batch)
+    found = third.find_uncovered()
+    assert found.is_uncovered('r1', 'mail')
+    assert not found.is_uncovered('r1', 'columns')
+
+
 async def test_a_host_without_a_configuration_is_answered_at_once():
     """Guards against hosts that refuse all callers during a long poll.
 
--- a/wagtailspread/testing/fuzz_targets.py
+++ b/wagtailspread/testing/fuzz_targets.py
@@ -363,6 +363,7 @@
         hosts=3,
         substitutes=[place],
         strained=['sa'],
+        underused=['sa'],
         is_up_to_date=True,
     )
 
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -613,6 +613,9 @@
   15: optional list<BlockedRequest> blocked
   // Requests that may crash upstreams; for replicas only.
   16: optional list<SuspectedRequest> suspected
+  // Services that get too few requests at the allocator of this replica to keep
+  // its upstreams in use; for replicas only. Absent if it gets no requests.
+  17: optional list<string> underused
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
