Use upstreams that are idle longest, and all while many requests fail

What callers saw: nothing at that moment; but the floor of the platform was missed, in simulations and by the logs of the large site. A service for uploads had 71 upstreams and 33 requests a second; up to 16 of 31 upstreams of a region were idle that were neither suspect nor full, one for 21.9 s.

Cause, three parts. Among idle upstreams the cheapest was drawn, and without results an estimate gets worse, so with few requests those that waited came last for ever. Requests to idle upstreams did not count for the failures of a service, which were nearly all, so it never counted as strained. And large bodies stayed in their domain, whatever its number of upstreams.

Change: the one that is idle longest comes first, those that are probably gray last. Only requests to these are left out of the count of failures. While a service is strained, each upstream that may be sound is used within 1.4 s, without a limit on trials, and uploads cross to other domains of the region while less than 0.83 of its upstreams that may be sound are in use.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import budgets, crashes, estimates, floors
-from wagtailspread.placement import leases, messages, open_requests, probing
+from wagtailspread.placement import leases, messages, open_requests
 from wagtailspread.placement import selection
 
 #: Head start in the queue per priority level, in seconds. It is bounded, so a
@@ -279,21 +279,15 @@
         if chosen is None:
             return None
         record = chosen.row.record
-        is_trial = (
-            bool(idle_candidates)
-            and chosen.sound_probability < probing.MIN_LIKELY_PROBABILITY
-            and not may_retry
-        )
+        is_trial = bool(idle_candidates) and floors.is_trial(chosen)
         self.floor.record_use(
-            request.service, record.upstream, now, is_trial=is_trial
+            request.service,
+            record.upstream,
+            now,
+            is_trial=is_trial and not may_retry,
         )
         self._open.add(
-            leases.Lease(
-                request,
-                record.upstream,
-                now,
-                is_for_floor=bool(idle_candidates),
-            )
+            leases.Lease(request, record.upstream, now, is_trial=is_trial)
         )
         return messages.Answer(messages.Decision.GRANTED, record)
 
@@ -340,7 +334,7 @@
             self.floor.record_failure(lease.upstream, now)
         elif evidence is messages.Evidence.GOOD:
             self.floor.record_success(lease.upstream)
-        if evidence is messages.Evidence.NONE or lease.is_for_floor:
+        if evidence is messages.Evidence.NONE or lease.is_trial:
             return
         is_served = evidence is messages.Evidence.GOOD
         if lease.request.is_repeatable and not is_served:
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -8,10 +8,13 @@
 which ones are sound counts a subset, of which the idle ones may be a larger
 share. For large bodies this holds within each failure domain, since they do not
 cross to another one. An upstream that has just failed is exempt until it may
-have recovered.
+have recovered. Those that are idle longest come first: with few requests the
+others would take all of them.
 
-If many requests fail nevertheless, the health estimates are unreliable, and a
-minimum share (floor) of all upstreams is used.
+If many requests fail nevertheless, the health estimates are unreliable. Then
+each upstream that may be sound is used, also for requests that can't be sent
+again, large bodies cross to other domains of the region, and a minimum share
+(floor) of all upstreams is used.
 
 >>> floors = UsageFloor(0.7)
 >>> for number in range(20):
@@ -133,9 +136,8 @@
     ) -> None:
         """Record the completion of a request.
 
-        The caller omits requests that were sent to reach the floor: they fail
-        because they go to suspect upstreams, and would keep the service
-        strained by themselves.
+        The caller omits trials: they fail because they go to suspect upstreams,
+        and would keep the service strained by themselves.
         """
         self._list_recent(service, now).append((now, is_served))
 
@@ -216,64 +218,118 @@
         """
         self._log_usage(service, candidates, now)
         near = [one for one in candidates if _is_near(one)]
-        if len(self._list_grants(service, now)) < len(near):
+        if not self._has_enough_requests(service, len(near), now):
             near = [one for one in near if one.is_same_region]
-        sound_probabilities = {
-            candidate.row.record.upstream: candidate.sound_probability
-            for candidate in near
-        }
-        idle = self.find_idle(
-            service, sound_probabilities, now, is_repeatable=is_repeatable
+        if not is_repeatable and self.is_strained(service, now):
+            region = [
+                one
+                for one in candidates
+                if one.is_same_region and not one.is_silent
+            ]
+            return self._select_strained(service, near, region, now)
+        policy = probing.REPEATABLE if is_repeatable else probing.UNSAFE
+        may_try = is_repeatable or self._trials.may_try(service)
+        return self._select_longest_idle(
+            service, near, policy, now, may_try=may_try
         )
-        return [
-            candidate
-            for candidate in near
-            if candidate.row.record.upstream in idle
-            and not candidate.is_full
-            and not candidate.is_unreachable
-        ]
 
-    def find_idle(
+    def _select_strained(
         self,
         service: identifiers.ServiceName,
-        sound_probabilities: dict[identifiers.UpstreamId, float],
+        near: list[selection.Candidate],
+        region: list[selection.Candidate],
         now: float,
-        *,
-        is_repeatable: bool = False,
-    ) -> set[identifiers.UpstreamId]:
-        """Return the idle upstreams if too few are in use, else an empty set.
-
-        A service with fewer requests than upstreams cannot reach the floor, so
-        none are returned for it.
+    ) -> list[selection.Candidate]:
+        """Return the idle candidates of a service with many failures.
 
-        :param sound_probabilities: the probability that each upstream is
-            sound. Those that failed a request recently, or are most likely
-            gray, are ignored, the latter unless the service is strained.
-        :param is_repeatable: whether the request may be sent again. Its failure
-            costs only a retry, so it may go to any upstream.
+        Where a failure domain has few requests and many upstreams, large bodies
+        from other domains are needed to use enough of them.
         """
-        grants = self._list_grants(service, now)
-        if len(grants) < len(sound_probabilities):
-            return set()
-        policy = probing.REPEATABLE if is_repeatable else probing.UNSAFE
-        idle = self._select_idle(sound_probabilities, policy, now)
-        if not is_repeatable and not self._trials.may_try(service):
-            idle = {
-                upstream
-                for upstream in idle
-                if sound_probabilities[upstream]
-                >= probing.MIN_LIKELY_PROBABILITY
-            }
-        if idle or not self.is_strained(service, now):
-            return idle
-        floor = probing.Policy(
+        return (
+            self._select_longest_idle(
+                service, near, probing.STRAINED, now, may_try=True
+            )
+            or self._select_longest_idle(
+                service,
+                region,
+                probing.UNSAFE,
+                now,
+                may_try=self._trials.may_try(service),
+            )
+            or self._select_for_floor(service, near, now)
+        )
+
+    def _select_for_floor(
+        self,
+        service: identifiers.ServiceName,
+        candidates: list[selection.Candidate],
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Return all idle candidates if fewer than the floor are in use."""
+        if not self._has_enough_requests(service, len(candidates), now):
+            return []
+        policy = probing.Policy(
             self._share + MARGIN_SHARE, 0.0, probing.STRAINED_COOLDOWN_SECONDS
         )
-        return self._select_idle(sound_probabilities, floor, now)
+        return _select_usable(
+            candidates, self._find_idle(candidates, policy, now)
+        )
 
-    def _select_idle(
+    def _select_longest_idle(
         self,
-        sound_probabilities: dict[identifiers.UpstreamId, float],
+        service: identifiers.ServiceName,
+        candidates: list[selection.Candidate],
+        policy: probing.Policy,
+        now: float,
+        *,
+        may_try: bool,
+    ) -> list[selection.Candidate]:
+        """Return those that are idle longest, if too few are in use.
+
+        In another order, some would wait for several turns of the others, since
+        without results they do not look better. Those that are probably gray
+        come last.
+
+        :param may_try: whether the request may go to one of these.
+        """
+        if not self._has_enough_requests(service, len(candidates), now):
+            return []
+        idle = self._find_idle(candidates, policy, now)
+        usable = [
+            one
+            for one in _select_usable(candidates, idle)
+            if may_try or not is_trial(one)
+        ]
+        ranks = [
+            (
+                is_trial(one),
+                self._last_used.get(one.row.record.upstream, -math.inf),
+            )
+            for one in usable
+        ]
+        first = min(ranks, default=None)
+        return [
+            one
+            for one, rank in zip(usable, ranks, strict=True)
+            if rank == first
+        ]
+
+    def _has_enough_requests(
+        self, service: identifiers.ServiceName, upstreams: int, now: float
+    ) -> bool:
+        """Tell whether the requests are used for the floor.
+
+        If there are too few to reach it, they are only while many requests
+        fail, when the floor is enforced.
+        """
+        requests = len(self._list_grants(service, now))
+        if requests >= self._share * upstreams:
+            return True
+        return self.is_strained(service, now)
+
+    def _find_idle(
+        self,
+        candidates: list[selection.Candidate],
         policy: probing.Policy,
         now: float,
     ) -> set[identifiers.UpstreamId]:
@@ -281,8 +337,9 @@
         in_use_since = now - IN_USE_SECONDS
         counted = 0
         idle = set()
-        for upstream, probability in sound_probabilities.items():
-            if probability < policy.min_sound_probability:
+        for candidate in candidates:
+            upstream = candidate.row.record.upstream
+            if candidate.sound_probability < policy.min_sound_probability:
                 continue
             if self._is_cooling_down(upstream, policy, now):
                 continue
@@ -384,6 +441,25 @@
     return candidate.is_same_region and candidate.distance < MAX_DISTANCE_COST
 
 
+def is_trial(candidate: selection.Candidate) -> bool:
+    """Tell whether a request to an upstream is likely to fail."""
+    return candidate.sound_probability < probing.MIN_LIKELY_PROBABILITY
+
+
+def _select_usable(
+    candidates: list[selection.Candidate],
+    idle: set[identifiers.UpstreamId],
+) -> list[selection.Candidate]:
+    """Return the idle candidates that can take a request of the host."""
+    return [
+        one
+        for one in candidates
+        if one.row.record.upstream in idle
+        and not one.is_full
+        and not one.is_unreachable
+    ]
+
+
 _State = typing.TypeVar('_State')
 
 
--- a/wagtailspread/placement/leases.py
+++ b/wagtailspread/placement/leases.py
@@ -16,8 +16,8 @@
 
     :param granted_at: seconds on the allocator's clock, like all times in this
         module.
-    :param is_for_floor: whether it was sent to reach the floor of upstreams in
-        use.
+    :param is_trial: whether it was sent to an idle upstream that is probably
+        gray.
     :param is_observed: whether its allocator has run since it was granted.
     :param is_overdue: whether it has no end after the usual time.
     :param is_failed: whether the missing answer was recorded as a failure.
@@ -27,7 +27,7 @@
     request: messages.PlacementRequest
     upstream: identifiers.UpstreamId
     granted_at: float
-    is_for_floor: bool = False
+    is_trial: bool = False
     is_observed: bool = True
     is_overdue: bool = False
     is_failed: bool = False
--- a/wagtailspread/placement/probing.py
+++ b/wagtailspread/placement/probing.py
@@ -44,6 +44,8 @@
 USED_SHARE = 0.83
 #: The same for requests that may be sent again.
 REPEATABLE_USED_SHARE = 1.0
+#: The same while the service is strained.
+STRAINED_USED_SHARE = 1.0
 
 
 class Policy(typing.NamedTuple):
@@ -68,6 +70,7 @@
 
 
 UNSAFE = Policy(USED_SHARE, MIN_SOUND_PROBABILITY, COOLDOWN_SECONDS)
+STRAINED = Policy(STRAINED_USED_SHARE, MIN_SOUND_PROBABILITY, COOLDOWN_SECONDS)
 REPEATABLE = Policy(
     REPEATABLE_USED_SHARE,
     MIN_REPEATABLE_PROBABILITY,
--- a/wagtailspread/placement/tests/simulations.py
+++ b/wagtailspread/placement/tests/simulations.py
@@ -102,6 +102,19 @@
         An upstream is sound if it has not been gray for ``recovery`` seconds
         and has not failed a request for 2 s, and no disturbance hit it for 6 s.
         """
+        measured = self._measure_shares(start, end, recovery)
+        return [share for _, share in measured]
+
+    def find_strained_shares(self, start, end, recovery=2.0):
+        """Return the shares as above, where a tenth to a half fails."""
+        return [
+            share
+            for at, share in self._measure_shares(start, end, recovery)
+            if self._is_strained(at)
+        ]
+
+    def _measure_shares(self, start, end, recovery):
+        """Return the start of each window with its share."""
         shares = []
         at = start
         while at < end - 2.0:
@@ -117,10 +130,22 @@
             ]
             used = sum(_has(self.used[name], at, at + 2.0) for name in sound)
             if sound:
-                shares.append(used / len(sound))
+                shares.append((at, used / len(sound)))
             at += 0.25
         return shares
 
+    def _is_strained(self, start):
+        """Tell whether a tenth to a half fails in a window of 2 s."""
+        sent, lost = (
+            sum(
+                bisect.bisect_left(times, start + 2.0)
+                - bisect.bisect_left(times, start)
+                for times in by_upstream.values()
+            )
+            for by_upstream in (self.used, self.failed)
+        )
+        return 0.1 < lost / max(sent, 1) < 0.5
+
     def _create_allocator(self):
         rows = [
             regions.create_record(name, domain, 6)
--- a/wagtailspread/placement/tests/test_floors.py
+++ b/wagtailspread/placement/tests/test_floors.py
@@ -214,6 +214,74 @@
     assert min(simulation.find_shares(15.0, 58.0, recovery=2.0)) >= 0.7
 
 
+@pytest.mark.parametrize('disturbed_share', [0.0, 0.5])
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_few_uploads_leave_no_sound_upstream_idle(seed, disturbed_share):
+    """Guards against upstreams that wait for ever behind others.
+
+    Load pattern: a service for large bodies got many upstreams of other
+    services, so that it has less than one request in 2 s for each, and a tenth
+    of these fails. The upstreams that had answered last took most of them, and
+    some got none for 22 s.
+    """
+    load = simulations.Load(
+        {
+            'north': 9,
+            'south': 6,
+            'hill': 10,
+            'shore': 6,
+            'east': 14,
+            'west': 8,
+            'bay': 10,
+            'cape': 8,
+        },
+        rate=33.0,
+        work=0.9,
+        size=60_000,
+        disturbed_share=disturbed_share,
+    )
+    simulation = simulations.Simulation(load, seed)
+    simulation.run(40.0)
+    assert min(simulation.find_strained_shares(12.0, 38.0)) >= 0.7
+
+
+def test_upstreams_that_are_idle_longest_come_first():
+    """Guards against upstreams without results that look worse and worse.
+
+    Load pattern: fewer requests than upstreams in the time in which each must
+    be used. One that had got none for some seconds was left to the last.
+    """
+    region = regions.Region(upstreams=10, slots=6)
+    table = region.selector.risk_table
+    for number in range(10):
+        table.add_successes(f'u{number}', 30, 15.0, 0.0)
+    last_used = dict.fromkeys((f'u{number}' for number in range(10)), 0.0)
+    for step in range(1, 200):
+        region.now = step * 0.25
+        request_id, answer = region.submit()
+        last_used[answer.record.upstream] = region.now
+        region.settle(request_id, answer)
+        if region.now > 5:
+            assert region.now - min(last_used.values()) <= 3.0
+
+
+def test_requests_for_the_floor_show_that_a_service_fails():
+    """Guards against a strained service that does not count as one.
+
+    Load pattern: so few requests that almost all are sent to idle upstreams,
+    and a sixth of them fails. They were taken for requests to suspect ones.
+    """
+    region = regions.Region(upstreams=20, slots=6)
+    for step in range(120):
+        region.now = step * 0.1
+        request_id, answer = region.submit()
+        evidence = messages.Evidence.GOOD
+        if step % 6 == 0:
+            evidence = messages.Evidence.BAD
+        region.settle(request_id, answer, evidence)
+    assert region.allocator.floor.is_strained('columns', region.now)
+
+
 def test_uploads_do_not_cross_domains_for_the_floor():
     """Guards against large bodies that cross domains only as a probe.
 
