Move the count of failures out of the floor

The count of failures of a service has a module of its own. One decision changes: whether a region has enough requests for the upstreams of another one no longer depends on the strain of the service. The tests of placement and registry pass.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -340,7 +340,9 @@
         if lease.request.is_repeatable and not is_served:
             # The retry determines whether the request is served.
             return
-        self.floor.record_completion(lease.request.service, is_served, now)
+        self.floor.strains.record_completion(
+            lease.request.service, is_served, now
+        )
 
     def _record_crash(
         self,
@@ -387,7 +389,7 @@
         now: float,
     ) -> messages.Answer:
         """Return a refusal with the estimated time until a slot is free."""
-        self.floor.record_completion(request.service, False, now)
+        self.floor.strains.record_completion(request.service, False, now)
         order = self._create_order(request, now)
         ahead = self._count_ahead(request, order)
         retry_after = estimates.clamp_retry_after(
--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -16,40 +16,27 @@
 again, large bodies cross to other domains of the region, and a minimum share
 (floor) of all upstreams is used.
 
->>> floors = UsageFloor(0.7)
->>> for number in range(20):
-...     floors.record_completion('columns', number % 4 > 0, 0.0)
->>> floors.is_strained('columns', 0.1)
-True
->>> floors.is_strained('columns', 9.0)
-False
+>>> floor = UsageFloor(0.7)
+>>> for second in range(3):
+...     floor.record_use('columns', 'u1', float(second))
+>>> floor.count_requests('columns', 1.0)
+2
 """
 
 import collections
 import math
 import typing
 
-import logbook
-
 from wagtailspread.core import identifiers
-from wagtailspread.placement import costs, probing, selection, usages
+from wagtailspread.placement import costs, probing, selection, strains
+from wagtailspread.placement import usages
 
-#: Length of the sliding window of completions, in seconds.
+#: Length of the sliding window of requests, in seconds.
 WINDOW_SECONDS = 2.0
 #: Time since its last request within which an upstream counts as in use, in
 #: seconds. It is shorter than the window, since the next request has yet to
 #: arrive.
 IN_USE_SECONDS = 1.4
-#: Share of failed requests from which a service counts as strained. The
-#: operators' platform enforces its floor while more than a tenth is not served.
-STRAINED_SHARE = 0.08
-#: Minimum number of completions for a meaningful failure share.
-MIN_COMPLETIONS = 10
-#: Minimum number of failures; isolated errors occur at any time.
-MIN_FAILURES = 3
-#: Time for which a service is still published as strained after it recovered,
-#: in seconds; each change costs a message to every replica.
-STRAINED_HOLD_SECONDS = 3.0
 #: Distance cost up to which a request is sent to an idle upstream. Large bodies
 #: stay in their failure domain, since local requests suffice.
 MAX_DISTANCE_COST = 0.05
@@ -57,8 +44,6 @@
 #: still reached when upstreams leave.
 MARGIN_SHARE = 0.02
 
-_log = logbook.Logger('placement')
-
 
 class _Failure(typing.NamedTuple):
     """The last failure of an upstream.
@@ -70,20 +55,18 @@
     in_a_row: int
 
 
-_Completions = collections.deque[tuple[float, bool]]
-
-
 class UsageFloor:
-    """Tracks strained services and idle upstreams.
+    """Tracks idle upstreams.
 
     :param share: minimum share of all upstreams in use while many requests
         fail.
+    :param strains: tells of which services many requests fail.
     """
 
     def __init__(self, share: float) -> None:
         """Create a tracker without services."""
+        self.strains = strains.create_tracker()
         self._share = share
-        self._completions: dict[identifiers.ServiceName, _Completions] = {}
         self._grants: dict[
             identifiers.ServiceName, collections.deque[float]
         ] = {}
@@ -92,55 +75,8 @@
         self.last_request_at = -math.inf
         self._last_used: dict[identifiers.UpstreamId, float] = {}
         self._last_failed: dict[identifiers.UpstreamId, _Failure] = {}
-        self._strained_until: dict[identifiers.ServiceName, float] = {}
-        self._remote_strained: set[identifiers.ServiceName] = set()
         self._usage_log = usages.create_usage_log()
 
-    def replace_remote_strained(
-        self,
-        services: set[identifiers.ServiceName],
-    ) -> None:
-        """Replace the set of services that are strained at other allocators.
-
-        The floor counts all upstreams of a service in all regions, so a region
-        without failures has to meet its share as well.
-        """
-        self._remote_strained = services
-
-    def list_strained(
-        self,
-        now: float,
-    ) -> frozenset[identifiers.ServiceName]:
-        """Return the services that were strained here recently."""
-        failing = [
-            service
-            for service in self._completions
-            if self._is_failing(service, now)
-        ]
-        for failing_service in failing:
-            if self._strained_until.get(failing_service, -math.inf) <= now:
-                self._log_strain(failing_service, now)
-        until = now + STRAINED_HOLD_SECONDS
-        self._strained_until.update(dict.fromkeys(failing, until))
-        return frozenset(
-            service
-            for service, end in self._strained_until.items()
-            if now < end
-        )
-
-    def record_completion(
-        self,
-        service: identifiers.ServiceName,
-        is_served: bool,
-        now: float,
-    ) -> None:
-        """Record the completion of a request.
-
-        The caller omits trials: they fail because they go to suspect upstreams,
-        and would keep the service strained by themselves.
-        """
-        self._list_recent(service, now).append((now, is_served))
-
     def record_use(
         self,
         service: identifiers.ServiceName,
@@ -189,16 +125,6 @@
         self._last_used = _retain(self._last_used, upstreams)
         self._last_failed = _retain(self._last_failed, upstreams)
 
-    def is_strained(
-        self,
-        service: identifiers.ServiceName,
-        now: float,
-    ) -> bool:
-        """Return whether many requests of a service failed recently."""
-        if service in self._remote_strained:
-            return True
-        return self._is_failing(service, now)
-
     def select_candidates(
         self,
         service: identifiers.ServiceName,
@@ -218,9 +144,9 @@
         """
         self._log_usage(service, candidates, now)
         near = [one for one in candidates if _is_near(one)]
-        if not self._has_enough_requests(service, len(near), now):
+        if not self._can_reach_floor(service, len(near), now):
             near = [one for one in near if one.is_same_region]
-        if not is_repeatable and self.is_strained(service, now):
+        if not is_repeatable and self.strains.is_strained(service, now):
             region = [
                 one
                 for one in candidates
@@ -266,7 +192,7 @@
         now: float,
     ) -> list[selection.Candidate]:
         """Return all idle candidates if fewer than the floor are in use."""
-        if not self._has_enough_requests(service, len(candidates), now):
+        if not self._is_enforced(service, len(candidates), now):
             return []
         policy = probing.Policy(
             self._share + MARGIN_SHARE, 0.0, probing.STRAINED_COOLDOWN_SECONDS
@@ -292,7 +218,7 @@
 
         :param may_try: whether the request may go to one of these.
         """
-        if not self._has_enough_requests(service, len(candidates), now):
+        if not self._is_enforced(service, len(candidates), now):
             return []
         idle = self._find_idle(candidates, policy, now)
         usable = [
@@ -314,18 +240,23 @@
             if rank == first
         ]
 
-    def _has_enough_requests(
+    def _is_enforced(
         self, service: identifiers.ServiceName, upstreams: int, now: float
     ) -> bool:
-        """Tell whether the requests are used for the floor.
+        """Tell whether requests are used for the floor.
 
-        If there are too few to reach it, they are only while many requests
-        fail, when the floor is enforced.
+        If there are too few to reach it, they are only while many fail.
         """
+        return self._can_reach_floor(
+            service, upstreams, now
+        ) or self.strains.is_strained(service, now)
+
+    def _can_reach_floor(
+        self, service: identifiers.ServiceName, upstreams: int, now: float
+    ) -> bool:
+        """Tell whether there are enough requests for so many upstreams."""
         requests = len(self._list_grants(service, now))
-        if requests >= self._share * upstreams:
-            return True
-        return self.is_strained(service, now)
+        return requests >= self._share * upstreams
 
     def _find_idle(
         self,
@@ -394,43 +325,10 @@
         ]
         state = usages.ServiceState(
             len(self._list_grants(service, now)),
-            self.is_strained(service, now),
+            self.strains.is_strained(service, now),
         )
         self._usage_log.write(service, rows, state, now)
 
-    def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
-        recent = self._list_recent(service, now)
-        failed = sum(not is_served for _, is_served in recent)
-        _log.info(
-            'service strained',
-            extra={
-                'service': service,
-                'completions': len(recent),
-                'failed': failed,
-            },
-        )
-
-    def _is_failing(
-        self,
-        service: identifiers.ServiceName,
-        now: float,
-    ) -> bool:
-        completions = self._list_recent(service, now)
-        failed = sum(not is_served for _, is_served in completions)
-        min_failed = max(MIN_FAILURES, STRAINED_SHARE * len(completions))
-        return len(completions) >= MIN_COMPLETIONS and failed >= min_failed
-
-    def _list_recent(
-        self,
-        service: identifiers.ServiceName,
-        now: float,
-    ) -> _Completions:
-        """Return the completions in the window; drop older ones."""
-        completions = self._completions.setdefault(service, collections.deque())
-        while completions and completions[0][0] < now - WINDOW_SECONDS:
-            completions.popleft()
-        return completions
-
 
 def _is_near(candidate: selection.Candidate) -> bool:
     """Tell whether a request is sent to an upstream only to use it."""
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -121,9 +121,9 @@
     def _exchange_strain(self, now: float) -> None:
         exchange = self._strain_exchange
         if exchange is not None:
-            floor = self._allocator.floor
-            exchange.publish_strained(floor.list_strained(now))
-            floor.replace_remote_strained(exchange.list_remote_strained())
+            strains = self._allocator.floor.strains
+            exchange.publish_strained(strains.list_strained(now))
+            strains.replace_remote(exchange.list_remote_strained())
             table = self._allocator.crashes
             table.merge(exchange.list_remote_suspicions(), now)
             remote = exchange.list_remote_blocked()
