Forget the addresses of upstreams that are gone

Change: an address is dropped with the row of its upstream, and when the upstream moves, unless another upstream has taken it. Evidence: test_a_day_of_churn_leaves_no_state fails before.

--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -120,8 +120,17 @@
             is_gone = row.record.state is records.UpstreamState.GONE
             if is_gone and row.heartbeat_at < cutoff:
                 self.rows.pop(upstream)
+                self._release_address(row.record)
+
+    def _release_address(self, record: records.UpstreamRecord) -> None:
+        """Forget the address of an upstream, unless another one has it."""
+        if self._upstreams_by_address.get(record.address) == record.upstream:
+            self._upstreams_by_address.pop(record.address)
 
     def _store(self, record: records.UpstreamRecord, now: float) -> None:
+        known = self.rows.get(record.upstream)
+        if known is not None and known.record.address != record.address:
+            self._release_address(known.record)
         self.position += 1
         warm_at = now + record.warm_seconds
         row = RegistryRow(record, self.position, now, warm_at)
--- a/wagtailspread/registry/tests/test_tables.py
+++ b/wagtailspread/registry/tests/test_tables.py
@@ -95,6 +95,45 @@
     assert 'u1' not in table.rows
 
 
+def test_a_day_of_churn_leaves_no_state():
+    """Guards against memory that grows with each upstream that ever was.
+
+    Load pattern: 100,000 upstreams come and go in a day, most at an address
+    that no other one gets, and some change their address.
+    """
+    table = tables.create_table()
+    for number in range(100_000):
+        now = number * 0.864
+        came = dataclasses.replace(
+            _READY, upstream=f'u{number}', address=f'10.0.0.1:{number}'
+        )
+        moved = dataclasses.replace(
+            came, address=f'10.0.0.2:{number % 50}', sequence=5
+        )
+        table.merge(came, now)
+        last = moved if number % 10 == 0 else came
+        table.merge(last, now)
+        gone = dataclasses.replace(
+            last, state=records.UpstreamState.GONE, sequence=0
+        )
+        table.merge(gone, now)
+        if number % 100 == 0:
+            table.remove_expired_tombstones(now)
+    kept = tables.TOMBSTONE_RETENTION_SECONDS / 0.864 + 100
+    assert len(table.rows) <= kept
+    assert len(table._upstreams_by_address) <= kept
+
+
+def test_an_address_is_kept_for_the_upstream_that_took_it():
+    """Guards against an old message that ends the upstream at an address."""
+    table = tables.create_table([_READY, _GONE])
+    taker = dataclasses.replace(_READY, upstream='u2', born_ms=9000)
+    table.merge(taker, 50.0)
+    table.remove_expired_tombstones(200.0)
+    table.merge(dataclasses.replace(_READY, sequence=9), 200.0)
+    assert list_ready_ids(table) == ['u2']
+
+
 def test_records_are_unchanged_by_encoding_and_decoding():
     """Guards against a field that is lost between processes."""
     warm = dataclasses.replace(_READY, warm_seconds=2.5)
