Limit all kinds of log events

Cause: after 1,024 kinds of events, further kinds had no limit, since windows were only closed when their kind came again. Change: expired windows are closed when a new one is needed. Without room, the other kinds of a channel share one window. Evidence: test_kinds_of_events_beyond_the_maximum_share_a_limit fails before.

--- a/wagtailspread/observability/logs.py
+++ b/wagtailspread/observability/logs.py
@@ -33,8 +33,11 @@
 WINDOW_SECONDS = 10.0
 #: Maximum number of equal events that are written in one window.
 MAX_EVENTS_PER_WINDOW = 20
-#: Maximum number of different events that are counted; others have no limit.
+#: Maximum number of different events that are counted at a time. The others of
+#: a channel share one limit.
 MAX_TRACKED_EVENTS = 1024
+#: Stands for the events that share a limit.
+_OTHER_EVENTS = 'other events'
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,15 +67,7 @@
     def emit(self, record: logbook.LogRecord) -> None:
         """Write the record unless its window is full."""
         now = self._clock.now()
-        key = (record.channel, record.message)
-        window = self._windows.get(key)
-        if window is not None and now - window.started_at >= WINDOW_SECONDS:
-            self._close_window(key, window)
-            window = None
-        if window is None:
-            window = _Window(now)
-            if len(self._windows) < MAX_TRACKED_EVENTS:
-                self._windows[key] = window
+        window = self._find_window((record.channel, record.message), now)
         window.count += 1
         if window.count <= MAX_EVENTS_PER_WINDOW:
             self._write(self._describe(record))
@@ -86,6 +81,27 @@
             self._close_window(key, window)
         self._writer.close()
 
+    def _find_window(self, key: tuple[str, str], now: float) -> _Window:
+        """Return the window in which an event counts."""
+        window = self._windows.get(key)
+        if window is None and len(self._windows) >= MAX_TRACKED_EVENTS:
+            self._close_expired(now)
+            if len(self._windows) >= MAX_TRACKED_EVENTS:
+                key = (key[0], _OTHER_EVENTS)
+                window = self._windows.get(key)
+        if window is not None and now - window.started_at >= WINDOW_SECONDS:
+            self._close_window(key, window)
+            window = None
+        if window is None:
+            window = _Window(now)
+            self._windows[key] = window
+        return window
+
+    def _close_expired(self, now: float) -> None:
+        for key, window in list(self._windows.items()):
+            if now - window.started_at >= WINDOW_SECONDS:
+                self._close_window(key, window)
+
     def _close_window(self, key: tuple[str, str], window: _Window) -> None:
         self._windows.pop(key)
         suppressed = window.count - MAX_EVENTS_PER_WINDOW
--- a/wagtailspread/observability/tests/test_logs.py
+++ b/wagtailspread/observability/tests/test_logs.py
@@ -42,6 +42,43 @@
     ]
 
 
+def write_kinds(kinds, clock, handler, repeats=1):
+    """Write each kind of event so many times."""
+    logger = logs.get_logger('entry')
+    with handler.applicationbound():
+        for _ in range(repeats):
+            for kind in kinds:
+                logger.info(kind)
+
+
+def test_many_kinds_of_events_leave_no_state():
+    """Guards against memory that grows with each kind of event."""
+    stream = io.StringIO()
+    clock = clocks.ManualClock()
+    handler = logs.create_handler('h1', stream, clock)
+    for number in range(20):
+        first = number * 500
+        kinds = [f'event {kind}' for kind in range(first, first + 500)]
+        write_kinds(kinds, clock, handler)
+        clock.advance(logs.WINDOW_SECONDS)
+    assert len(handler._windows) <= logs.MAX_TRACKED_EVENTS
+
+
+def test_kinds_of_events_beyond_the_maximum_share_a_limit():
+    """Guards against a log without a limit after many kinds of events."""
+    stream = io.StringIO()
+    clock = clocks.ManualClock()
+    handler = logs.create_handler('h1', stream, clock)
+    tracked = [f'event {kind}' for kind in range(logs.MAX_TRACKED_EVENTS)]
+    write_kinds(tracked, clock, handler)
+    others = [f'other {kind}' for kind in range(100)]
+    write_kinds(others, clock, handler, repeats=10)
+    written = [line['event'] for line in read_lines(stream)]
+    assert len(written) <= len(tracked) + logs.MAX_EVENTS_PER_WINDOW
+    handler.close_windows()
+    assert read_lines(stream)[-1]['suppressed'] == 980
+
+
 def test_line_break_in_a_field_is_escaped():
     """Guards against forged log lines."""
     stream = io.StringIO()
