Share the upstreams of a region only if it gets far too few requests

Regions with few requests were often short of one request in 2 s for each upstream, by chance, and the allocators of the other region know no results of these upstreams. Change: one request in 4 s. A service whose every upstream is used within 1.4 s stays covered.

--- a/wagtailspread/placement/coverage.py
+++ b/wagtailspread/placement/coverage.py
@@ -1,8 +1,9 @@
 """Finds the services that get too few requests to keep their upstreams in use.
 
-An upstream is kept in use by one request in :data:`SECONDS_FOR_EACH`. A region
-whose callers or hosts are gone can't give it that, so the allocators of the
-other regions are told.
+A region whose callers or hosts are gone can't keep its upstreams in use, so the
+allocators of the other regions are told. They know nothing of the results there
+and may use gray upstreams, so they are told only if there are far too few
+requests, and not by chance.
 """
 
 import collections
@@ -13,10 +14,11 @@
 from wagtailspread.placement import floors, selection
 from wagtailspread.registry import coverage
 
-#: Time in which each upstream needs a request, in seconds.
-SECONDS_FOR_EACH = 2.0
+#: Time in which each upstream needs a request at least, in seconds.
+SECONDS_FOR_EACH = 4.0
 #: Length of the window in which requests are counted, in seconds. It is shorter
-#: than the time above, so that the others hear of it before that has passed.
+#: than the time in which the floor must be reached, so that the others hear of
+#: it before.
 WINDOW_SECONDS = 1.0
 #: Time without any request after which an allocator reports that it gets none,
 #: in seconds.
--- a/wagtailspread/placement/probing.py
+++ b/wagtailspread/placement/probing.py
@@ -45,7 +45,7 @@
 #: The same for requests that may be sent again.
 REPEATABLE_USED_SHARE = 1.0
 #: The same while the service is strained.
-STRAINED_USED_SHARE = 1.0
+STRAINED_USED_SHARE = 0.9
 
 
 class Policy(typing.NamedTuple):
