--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -90,7 +90,11 @@
         :param is_trial: whether it most likely fails and can't be sent again.
         """
         self._list_grants(service, now).append(now)
-        self._trials.record_request(service, is_trial=is_trial)
+        self._trials.record_request(
+            service,
+            is_trial=is_trial,
+            is_strained=self.strains.is_strained(service, now),
+        )
         self._last_used[upstream] = now
         self.last_request_at = now
 
@@ -171,16 +175,13 @@
         Where a failure domain has few requests and many upstreams, large bodies
         from other domains are needed to use enough of them.
         """
+        may_try = self._trials.may_try(service)
         return (
             self._select_longest_idle(
-                service, near, probing.STRAINED, now, may_try=True
+                service, near, probing.STRAINED, now, may_try=may_try
             )
             or self._select_longest_idle(
-                service,
-                region,
-                probing.UNSAFE,
-                now,
-                may_try=self._trials.may_try(service),
+                service, region, probing.UNSAFE, now, may_try=may_try
             )
             or self._select_for_floor(service, near, now)
         )
--- a/wagtailspread/placement/probing.py
+++ b/wagtailspread/placement/probing.py
@@ -37,6 +37,8 @@
 #: Maximum share of trials among the requests of a service. Those that may be
 #: sent again are not limited.
 MAX_TRIAL_SHARE = 0.03
+#: The same while the service is strained.
+MAX_STRAINED_TRIAL_SHARE = 0.06
 #: Maximum number of trials in a row.
 MAX_TRIAL_CREDIT = 4.0
 #: Share of the upstreams that may be sound and stay in use. It exceeds the
@@ -45,7 +47,7 @@
 #: The same for requests that may be sent again.
 REPEATABLE_USED_SHARE = 1.0
 #: The same while the service is strained.
-STRAINED_USED_SHARE = 0.9
+STRAINED_USED_SHARE = 1.0
 
 
 class Policy(typing.NamedTuple):
@@ -86,11 +88,19 @@
         self._credits: dict[identifiers.ServiceName, float] = {}
 
     def record_request(
-        self, service: identifiers.ServiceName, *, is_trial: bool
+        self,
+        service: identifiers.ServiceName,
+        *,
+        is_trial: bool,
+        is_strained: bool = False,
     ) -> None:
-        """Record a request, which allows a part of a trial or is one."""
+        """Record a request, which allows a part of a trial or is one.
+
+        :param is_strained: whether many requests of the service fail.
+        """
+        share = MAX_STRAINED_TRIAL_SHARE if is_strained else MAX_TRIAL_SHARE
         known = self._credits.get(service, 0.0)
-        credit = known + MAX_TRIAL_SHARE - is_trial
+        credit = known + share - is_trial
         self._credits[service] = min(max(credit, 0.0), MAX_TRIAL_CREDIT)
 
     def may_try(self, service: identifiers.ServiceName) -> bool:
