--- a/wagtailspread/platform/tests/soak/proxies.py
+++ b/wagtailspread/platform/tests/soak/proxies.py
@@ -39,9 +39,11 @@
         """Abort all connections; new ones work."""
         for writer in list(self._writers):
             connection = writer.get_extra_info('socket')
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
+            # The other side may have closed it a moment ago.
+            if connection.fileno() >= 0:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                )
             writer.transport.abort()
 
     @contextlib.contextmanager
--- a/wagtailspread/platform/tests/test_proxies.py
+++ b/wagtailspread/platform/tests/test_proxies.py
@@ -1,6 +1,9 @@
 """Tests of the proxy that disturbs connections in a soak."""
 
 import asyncio
+import socket
+
+from unittest import mock
 
 import pytest
 
@@ -65,3 +68,15 @@
     writer.close()
     proxy.close()
     server.close()
+
+
+async def test_a_proxy_resets_while_a_connection_ends():
+    """Guards against a soak that ends with an error of its proxy."""
+    proxy = proxies.Proxy(f'{IP}:1')
+    connection = socket.socket()
+    connection.close()
+    writer = mock.Mock()
+    writer.get_extra_info.return_value = connection
+    proxy._writers.add(writer)
+    proxy.reset()
+    writer.transport.abort.assert_called_once_with()
