--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -183,18 +183,15 @@
             or self._select_longest_idle(
                 service, region, probing.UNSAFE, now, may_try=may_try
             )
-            or self._select_for_floor(service, near, now)
+            or self._select_for_floor(near, now)
         )
 
     def _select_for_floor(
         self,
-        service: identifiers.ServiceName,
         candidates: list[selection.Candidate],
         now: float,
     ) -> list[selection.Candidate]:
         """Return all idle candidates if fewer than the floor are in use."""
-        if not self._is_enforced(service, len(candidates), now):
-            return []
         policy = probing.Policy(
             self._share + MARGIN_SHARE, 0.0, probing.STRAINED_COOLDOWN_SECONDS
         )
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -12,7 +12,7 @@
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.registry import blocked, coverage, feeds, followers
-from wagtailspread.registry import places, publications, records
+from wagtailspread.registry import groups, places, publications, records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -35,28 +35,6 @@
 _log = logbook.Logger('registry')
 
 
-class ReplicaGroup(typing.Protocol):
-    """State of the replica group that the registry depends on."""
-
-    def list_replicas(self) -> list[identifiers.Address]:
-        """Return the addresses of all replicas, including this one."""
-
-    def has_quorum(self) -> bool:
-        """Tell whether this replica is connected to a majority."""
-
-    def is_up_to_date(self) -> bool:
-        """Tell whether this replica has applied the latest commits."""
-
-    def is_majority(self, others: typing.Iterable[identifiers.Address]) -> bool:
-        """Tell whether this replica and others are a majority of the voters.
-
-        Nothing is a majority for a replica that does not know the membership.
-        """
-
-    def read_document(self) -> documents.VersionedDocument:
-        """Return the newest document that this replica has applied."""
-
-
 class RegistryService:
     """Maintains the registry of one replica. Use :func:`create_service`."""
 
@@ -76,7 +54,7 @@
         self._address = address
         self._domain = domain
         self._clock = clock
-        self._group: ReplicaGroup | None = None
+        self._group: groups.ReplicaGroup | None = None
         self._replica_domains: dict[
             identifiers.Address, identifiers.FailureDomain
         ]
@@ -90,7 +68,7 @@
     def attach(
         self,
         listener: listeners.Listener,
-        group: ReplicaGroup,
+        group: groups.ReplicaGroup,
     ) -> None:
         """Register the methods for followers at ``listener``."""
         structs = messages.structs
