Undo the limit of trials while many requests fail

Suspected: requests that may not try a probably gray upstream fall through to the floor, which takes any idle one.

--- a/wagtailspread/placement/floors.py
+++ b/wagtailspread/placement/floors.py
@@ -90,11 +90,7 @@
         :param is_trial: whether it most likely fails and can't be sent again.
         """
         self._list_grants(service, now).append(now)
-        self._trials.record_request(
-            service,
-            is_trial=is_trial,
-            is_strained=self.strains.is_strained(service, now),
-        )
+        self._trials.record_request(service, is_trial=is_trial)
         self._last_used[upstream] = now
         self.last_request_at = now
 
@@ -178,7 +174,7 @@
         may_try = self._trials.may_try(service)
         return (
             self._select_longest_idle(
-                service, near, probing.STRAINED, now, may_try=may_try
+                service, near, probing.STRAINED, now, may_try=True
             )
             or self._select_longest_idle(
                 service, region, probing.UNSAFE, now, may_try=may_try
--- a/wagtailspread/placement/probing.py
+++ b/wagtailspread/placement/probing.py
@@ -37,8 +37,6 @@
 #: Maximum share of trials among the requests of a service. Those that may be
 #: sent again are not limited.
 MAX_TRIAL_SHARE = 0.03
-#: The same while the service is strained.
-MAX_STRAINED_TRIAL_SHARE = 0.06
 #: Maximum number of trials in a row.
 MAX_TRIAL_CREDIT = 4.0
 #: Share of the upstreams that may be sound and stay in use. It exceeds the
@@ -88,19 +86,11 @@
         self._credits: dict[identifiers.ServiceName, float] = {}
 
     def record_request(
-        self,
-        service: identifiers.ServiceName,
-        *,
-        is_trial: bool,
-        is_strained: bool = False,
+        self, service: identifiers.ServiceName, *, is_trial: bool
     ) -> None:
-        """Record a request, which allows a part of a trial or is one.
-
-        :param is_strained: whether many requests of the service fail.
-        """
-        share = MAX_STRAINED_TRIAL_SHARE if is_strained else MAX_TRIAL_SHARE
+        """Record a request, which allows a part of a trial or is one."""
         known = self._credits.get(service, 0.0)
-        credit = known + share - is_trial
+        credit = known + MAX_TRIAL_SHARE - is_trial
         self._credits[service] = min(max(credit, 0.0), MAX_TRIAL_CREDIT)
 
     def may_try(self, service: identifiers.ServiceName) -> bool:
