Add the fields for workspaces and caps to placement requests

Cause: keys, caps and admission need to know the workspace of a request, its cap and its route wherever a request is placed. Change: types for workspaces and caps, optional fields of PlaceRequest, and their conversion. Nothing sets a workspace yet.

--- a/wagtailspread/core/identifiers.py
+++ b/wagtailspread/core/identifiers.py
@@ -14,6 +14,7 @@
 ServiceName = typing.NewType('ServiceName', str)
 CallerId = typing.NewType('CallerId', str)
 UpstreamId = typing.NewType('UpstreamId', str)
+WorkspaceName = typing.NewType('WorkspaceName', str)
 
 RequestId = typing.NewType('RequestId', str)
 LeaseId = typing.NewType('LeaseId', int)
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import typing
+import zlib
 
 import logbook
 
@@ -12,6 +13,7 @@
 from wagtailspread.gateway import exchanges, placements, stops
 from wagtailspread.placement import messages, retries
 from wagtailspread.routing import terms
+from wagtailspread.workspaces import caps
 
 #: Latency objective of a route that sets none, in seconds.
 DEFAULT_OBJECTIVE_SECONDS = 2.0
@@ -25,6 +27,10 @@
 #: Interval between checks whether they are there, in seconds.
 ROUTE_POLL_SECONDS = 0.05
 
+_NO_WORKSPACE = identifiers.WorkspaceName('')
+#: Route classes are non-negative numbers of 31 bits.
+_CLASS_MASK = 0x7FFFFFFF
+
 _log = logbook.Logger('attempts')
 
 
@@ -44,6 +50,8 @@
     STOPPING = 'stopping'
     #: The request has crashed the upstreams that ran it.
     BLOCKED = 'blocked'
+    #: The cap of its workspace is used up.
+    OVER_CAP = 'over-cap'
     #: The request may have run, and its response was lost.
     ANSWER_LOST = 'answer-lost'
 
@@ -53,12 +61,23 @@
     """A request with its route and the chosen service.
 
     :param size: of the body in bytes.
+    :param workspace: whose key the request carries, if any.
+    :param version: of the configuration with the route and the workspace.
     """
 
     route: terms.Route
     service: identifiers.ServiceName
     outgoing: exchanges.OutgoingRequest
     size: int
+    workspace: terms.Workspace | None = None
+    version: int = 0
+
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace, or else of the route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +106,7 @@
     messages.Decision.NO_ROOM: Refusal.NO_ROOM,
     messages.Decision.NO_BUDGET: Refusal.NO_ROOM,
     messages.Decision.BLOCKED: Refusal.BLOCKED,
+    messages.Decision.OVER_CAP: Refusal.OVER_CAP,
 }
 
 
@@ -214,6 +234,7 @@
         self, state: _RequestState
     ) -> messages.PlacementRequest:
         routed = state.routed
+        workspace = routed.workspace
         return messages.PlacementRequest(
             request_id=self._placer.create_id(),
             host=self._host,
@@ -222,13 +243,16 @@
             deadline=routed.outgoing.deadline,
             objective=routed.route.objective or DEFAULT_OBJECTIVE_SECONDS,
             size=routed.size,
-            priority=routed.route.priority,
+            priority=routed.priority,
             excluded=frozenset(state.excluded),
             is_repeat=state.send_attempts.sends > 0,
             is_repeatable=routed.route.is_repeatable
             and state.send_attempts.sends + 1 < routed.route.max_attempts,
             fingerprint=routed.outgoing.fingerprint,
             is_counted=state.is_counted,
+            workspace=_NO_WORKSPACE if workspace is None else workspace.name,
+            cap=caps.NO_CAP if workspace is None else workspace.cap,
+            route_class=_compute_class(routed.route),
         )
 
     def _find_refusal(
@@ -329,6 +353,11 @@
     return messages.Evidence.BAD
 
 
+def _compute_class(route: terms.Route) -> int:
+    """Return the same number for a route at all hosts."""
+    return zlib.crc32(route.name.encode()) & _CLASS_MASK
+
+
 def _is_reset(outcome: exchanges.Outcome) -> bool:
     return isinstance(outcome, exchanges.LostResponse) and outcome.is_reset
 
--- a/wagtailspread/gateway/conversions.py
+++ b/wagtailspread/gateway/conversions.py
@@ -40,6 +40,20 @@
         return None
 
 
+def add_workspace(
+    encoded: wire.Struct, placement_request: messages.PlacementRequest
+) -> None:
+    """Add the workspace of a request and its cap to a ``PlaceRequest``."""
+    if not placement_request.workspace:
+        return
+    encoded.workspace = placement_request.workspace
+    cap = placement_request.cap
+    if cap.is_limited:
+        encoded.cap_rate = cap.rate
+        encoded.cap_burst = cap.burst
+        encoded.cap_version = cap.version
+
+
 def create_withdrawal(
     placement_request: messages.PlacementRequest,
 ) -> wire.Struct:
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -318,7 +318,7 @@
         self, placement_request: messages.PlacementRequest
     ) -> wire.Struct:
         left = placement_request.deadline - self._clock.now()
-        return wire.structs.PlaceRequest(
+        encoded = wire.structs.PlaceRequest(
             request=placement_request.request_id,
             host=self._host,
             incarnation=self._incarnation,
@@ -336,7 +336,10 @@
             fingerprint=placement_request.fingerprint,
             is_counted=placement_request.is_counted,
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
+            route_class=placement_request.route_class,
         )
+        conversions.add_workspace(encoded, placement_request)
+        return encoded
 
     def _place_locally(
         self, placement_request: messages.PlacementRequest
--- a/wagtailspread/gateway/response_logs.py
+++ b/wagtailspread/gateway/response_logs.py
@@ -49,13 +49,14 @@
     BODY_SLOW = 'body-slow'
     #: The body cannot be parsed or is incomplete.
     BODY_BROKEN = 'body-broken'
-    #: This and the next five reasons are described at
+    #: This and the next six reasons are described at
     #: :class:`wagtailspread.gateway.attempts.Refusal`.
     NO_UPSTREAM = 'no-upstream'
     NO_ROOM = 'no-room'
     NO_TIME = 'no-time'
     STOPPING = 'stopping'
     BLOCKED = 'blocked'
+    OVER_CAP = 'over-cap'
     ANSWER_LOST = 'answer-lost'
     #: An upstream sent a status by which a host guarantees that a request has
     #: not run. The request may have run, so another status replaced it.
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -6,6 +6,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.placement import crashes
 from wagtailspread.registry import records
+from wagtailspread.workspaces import caps
 
 
 class Decision(enum.IntEnum):
@@ -23,6 +24,8 @@
     NO_BUDGET = 4
     #: The request has crashed the upstreams that ran it.
     BLOCKED = 5
+    #: The cap of its workspace is used up.
+    OVER_CAP = 6
 
 
 class Evidence(enum.IntEnum):
@@ -71,6 +74,9 @@
     :param is_repeatable: whether it may be sent again after a failure.
     :param fingerprint: the same for requests with the same credentials, path
         and body; see :mod:`wagtailspread.placement.crashes`.
+    :param workspace: that the request belongs to; empty for none.
+    :param cap: of the workspace.
+    :param route_class: the same for all requests of a route.
     """
 
     request_id: identifiers.RequestId
@@ -86,6 +92,9 @@
     is_repeatable: bool = False
     fingerprint: crashes.Fingerprint = crashes.NO_FINGERPRINT
     is_counted: bool = False
+    workspace: identifiers.WorkspaceName = identifiers.WorkspaceName('')
+    cap: caps.Cap = caps.NO_CAP
+    route_class: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -14,6 +14,7 @@
 from wagtailspread.registry import coverage as region_coverage
 from wagtailspread.wire import listeners
 from wagtailspread.wire import messages as wire
+from wagtailspread.workspaces import caps
 
 #: Interval between checks for overdue requests, in seconds.
 TICK_SECONDS = 0.05
@@ -269,6 +270,17 @@
         is_repeatable=request.is_repeatable,
         fingerprint=request.fingerprint or crashes.NO_FINGERPRINT,
         is_counted=bool(request.is_counted),
+        workspace=identifiers.WorkspaceName(request.workspace or ''),
+        cap=_decode_cap(request),
+        route_class=request.route_class or 0,
+    )
+
+
+def _decode_cap(request: wire.Struct) -> caps.Cap:
+    if request.cap_rate is None:
+        return caps.NO_CAP
+    return caps.Cap(
+        request.cap_rate, request.cap_burst or 0.0, request.cap_version or 0
     )
 
 
--- a/wagtailspread/routing/terms.py
+++ b/wagtailspread/routing/terms.py
@@ -4,6 +4,7 @@
 import enum
 
 from wagtailspread.core import identifiers
+from wagtailspread.workspaces import caps
 
 #: Bound of the time by which an objective may exceed its route's timeout, in
 #: seconds; an excess of this much is a fault.
@@ -38,6 +39,8 @@
     :param objective: target time of an answer in seconds.
     :param max_attempts: maximum number of upstreams that one request is sent
         to.
+    :param allows_anonymous: whether a request without a known key is served
+        although the configuration has workspaces.
     """
 
     name: str
@@ -49,6 +52,7 @@
     priority: int = 0
     timeout: float | None = None
     objective: float | None = None
+    allows_anonymous: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -72,17 +76,34 @@
     idle_seconds: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer whose requests carry one of its keys.
+
+    :param digests: of its keys.
+    :param priority: replaces that of the route; ``None`` keeps it.
+    :param cap: on its requests over all hosts.
+    """
+
+    name: identifiers.WorkspaceName
+    digests: tuple[bytes, ...]
+    priority: int | None = None
+    cap: caps.Cap = caps.NO_CAP
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutingSettings:
-    """One version of the routes and limits.
+    """One version of the routes, limits and workspaces.
 
     :param connections: maximum connections to one upstream, by service.
+    :param workspaces: if there are any, requests need a key.
     """
 
     version: int
     routes: tuple[Route, ...]
     connections: dict[identifiers.ServiceName, int]
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class FaultKind(enum.Enum):
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -639,6 +639,15 @@
   14: optional i64 fingerprint
   // Whether the retry budget of some allocator includes the request.
   15: optional bool is_counted
+  // Workspace of the request, if it has one.
+  16: optional string workspace
+  // Requests per second and burst of its cap, and the version of the
+  // configuration that they come from; absent without a cap.
+  17: optional double cap_rate
+  18: optional double cap_burst
+  19: optional i64 cap_version
+  // The same for all requests of a route.
+  20: optional i32 route_class
 }
 
 struct PlaceAnswer {
--- /dev/null
+++ b/wagtailspread/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: customers of the fleet with keys, a priority and a cap."""
