Handle pipelined look-ups concurrently

Cause: the HTTP library handles the requests of a connection one after another, so a pipelined request waits for all before it. Change: up to 8 requests with a safe method and without a body are handled ahead of their turn; their responses are held, within bounds for each connection and host, and sent in order. Nothing is handled behind a response that may close the connection. Result: the test of two look-ups, of which the first is answered after the second was received, fails with one request at a time and passes now; tests of entry and gateway pass.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -14,10 +14,10 @@
 
 import logbook
 
-from aiohttp import http, http_parser, web
+from aiohttp import http, http_parser, streams, web
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads, parsers
+from wagtailspread.entry import heads, parsers, pipelines
 
 #: Bytes of a body that are buffered before reading from the caller pauses.
 READ_BUFFER_BYTES = 65536
@@ -70,6 +70,7 @@
         '_is_busy',
         '_limits',
         '_opened_at',
+        '_pipeline',
         '_received_at',
         '_server',
     )
@@ -94,6 +95,9 @@
         self._received_at = self._opened_at
         self._is_busy = False
         self._idle_since: float | None = None
+        self._pipeline = pipelines.Pipeline(
+            manager.handle_ahead, self._create_request, manager.usage
+        )
 
     @property
     def is_active(self) -> bool:
@@ -110,6 +114,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Return the bytes of an incomplete head to the budget."""
         self._guarded_parser.release()
+        self._pipeline.close()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -117,10 +122,24 @@
         self._idle_since = None
         self._received_at = asyncio.get_running_loop().time()
         super().data_received(data)
+        self._start_ahead()
+
+    @property
+    def has_pipelined(self) -> bool:
+        """Return whether a request that follows is being handled already."""
+        return bool(self._pipeline)
 
-    def begin_request(self) -> None:
-        """Mark the connection as busy with a request."""
+    def begin_request(
+        self, message: typing.Any
+    ) -> asyncio.Task[web.StreamResponse] | None:
+        """Mark the connection as busy with a request.
+
+        :returns: its handling if that was started ahead of its turn.
+        """
         self._is_busy = True
+        task = self._pipeline.take(message)
+        self._start_ahead()
+        return task
 
     def end_request(self) -> None:
         """Mark the request as answered."""
@@ -195,8 +214,7 @@
 
     def check_head(self, request: web.BaseRequest) -> web.Response | None:
         """Return a refusal if a complete head is too large, else ``None``."""
-        allowed = self._server.window.compute_loosest()
-        if heads.count_bytes(request) <= allowed.head_bytes:
+        if self._is_allowed(request):
             return None
         return self._refuse(parsers.RefusalCause.HEAD_TOO_LARGE)
 
@@ -216,6 +234,33 @@
         response.force_close()
         return response
 
+    def _start_ahead(self) -> None:
+        """Handle the pipelined requests behind the current one."""
+        request = self._current_request
+        if not self._server.is_pipelining or not self._messages:
+            return
+        if request is not None and self._is_allowed(request):
+            self._pipeline.start(request._message, self._messages)
+
+    def _create_request(
+        self, message: http.RawRequestMessage
+    ) -> web.BaseRequest | None:
+        """Return the request of a message without a body.
+
+        :returns: ``None`` if the head is too large.
+        """
+        factory = typing.cast(typing.Any, self._request_factory)
+        writer = http.StreamWriter(self, asyncio.get_running_loop())
+        request: web.BaseRequest = factory(
+            message, streams.EMPTY_PAYLOAD, self, writer, self._task_handler
+        )
+        return request if self._is_allowed(request) else None
+
+    def _is_allowed(self, request: web.BaseRequest) -> bool:
+        """Tell whether the size of a complete head is within the limits."""
+        allowed = self._server.window.compute_loosest()
+        return heads.count_bytes(request) <= allowed.head_bytes
+
     async def _discard_input(self) -> None:
         """Discard input until the caller pauses or the time limit expires.
 
@@ -288,30 +333,30 @@
     return protocol.describe() if isinstance(protocol, GuardedProtocol) else {}
 
 
-def begin_request(request: web.BaseRequest) -> GuardedProtocol | None:
-    """Mark a request as handled; return its protocol, or ``None``.
-
-    The caller must call ``end_request`` on it.
-    """
-    protocol = request.protocol
-    if not isinstance(protocol, GuardedProtocol):
-        return None
-    protocol.begin_request()
-    return protocol
-
-
 class GuardedServer(web.Server):
     """Creates guarded protocols and enforces their timeouts.
 
     :param window: active and recently replaced limits.
     :param budget: memory budget for the incomplete heads of all connections.
+    :param handle_ahead: handles a pipelined request; its response is sent when
+        the turn of the request has come.
+    :param is_pipelining: whether pipelined requests are handled concurrently.
+    :param usage: of the pipelined requests of all connections.
     """
 
-    def __init__(self, handler: Handler, window: heads.LimitWindow) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        window: heads.LimitWindow,
+        handle_ahead: Handler | None = None,
+    ) -> None:
         """Start the periodic timeout checks in the running event loop."""
         super().__init__(handler)
         self.window = window
         self.budget = heads.HeadBudget()
+        self.handle_ahead = handle_ahead or handler
+        self.is_pipelining = handle_ahead is not None
+        self.usage = pipelines.PipelineUsage()
         self._sweep_task = asyncio.create_task(self._sweep())
 
     def __call__(self) -> web.RequestHandler:
@@ -366,9 +411,17 @@
                     protocol.enforce_timeouts(now)
 
 
-def create_server(handler: Handler, window: heads.LimitWindow) -> GuardedServer:
-    """Return a server that cancels a handler when its caller leaves."""
-    server = GuardedServer(handler, window)
+def create_server(
+    handler: Handler,
+    window: heads.LimitWindow,
+    handle_ahead: Handler | None = None,
+) -> GuardedServer:
+    """Return a server that cancels a handler when its caller leaves.
+
+    :param handle_ahead: handles pipelined requests concurrently; ``None`` to
+        handle them one after another.
+    """
+    server = GuardedServer(handler, window, handle_ahead)
     server.handler_cancellation = True
     return server
 
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -23,8 +23,11 @@
         self,
         handler: Handler,
         window: heads.LimitWindow,
+        *,
+        is_pipelining: bool,
     ) -> None:
         """Start without opening a socket."""
+        self._is_pipelining = is_pipelining
         self._handler = handler
         self._window = window
         self._runner: web.ServerRunner | None = None
@@ -35,7 +38,11 @@
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
         ip, _, port = address.rpartition(':')
-        self._server = protections.create_server(self._handle, self._window)
+        self._server = protections.create_server(
+            self._handle,
+            self._window,
+            self._handle_checked if self._is_pipelining else None,
+        )
         self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
@@ -53,8 +60,18 @@
         self._window.change(limits)
 
     def close_after_answers(self) -> None:
-        """Close each connection of a caller after its next answer."""
+        """Close each connection of a caller after its next answer.
+
+        If pipelined requests behind it are handled already, the connection is
+        closed after the last of them, so that none of these is lost.
+        """
         self._is_closing = True
+        if self._server is not None:
+            self._server.usage.is_closed = True
+
+    def count_pipelined(self) -> int:
+        """Return the number of requests handled ahead of their turn."""
+        return 0 if self._server is None else self._server.usage.started
 
     async def stop_listening(self) -> None:
         """Stop accepting connections; the open ones stay open."""
@@ -82,33 +99,51 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response: web.StreamResponse | None
-        protocol = protections.begin_request(request)
-        if protocol is None:
+        protocol = request.protocol
+        if not isinstance(protocol, protections.GuardedProtocol):
             return await self._handler(request)
+        ahead = protocol.begin_request(request._message)
         try:
-            response = protocol.check_head(request)
-            if response is None:
-                response = await self._handler(request)
+            if ahead is None:
+                response = await self._handle_checked(request)
+            else:
+                response = await ahead
         finally:
             protocol.end_request()
         # The next head could not be distinguished from the rest of an unread
         # body, which the caller may or may not send.
         is_unread = not request.content.is_eof()
-        if (self._is_closing or is_unread) and not response.prepared:
+        is_last = self._is_closing and not protocol.has_pipelined
+        if (is_last or is_unread) and not response.prepared:
             response.force_close()
         return response
 
+    async def _handle_checked(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Return the response to a request, or refuse a head too large."""
+        protocol = request.protocol
+        if isinstance(protocol, protections.GuardedProtocol):
+            refusal = protocol.check_head(request)
+            if refusal is not None:
+                return refusal
+        return await self._handler(request)
+
 
 def create_site(
     handler: Handler,
     limits: heads.RequestLimits,
     is_newest: typing.Callable[[], bool] = heads.assume_newest,
+    *,
+    is_pipelining: bool = False,
 ) -> GuardedSite:
     """Return a listener that is not started.
 
     :param is_newest: returns whether the limits applied last are the newest
         ones; until they are, a request is refused only if
         :data:`heads.UNKNOWN_LIMITS` forbid it too.
+    :param is_pipelining: whether pipelined requests are handled concurrently;
+        the handler must return responses that have not been sent.
     """
-    return GuardedSite(handler, heads.LimitWindow(limits, is_newest))
+    window = heads.LimitWindow(limits, is_newest)
+    return GuardedSite(handler, window, is_pipelining=is_pipelining)
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -201,7 +201,11 @@
         counts = self.server.response_log.counts
         _log.info(
             'host stopped',
-            extra={'open_requests': left, 'counts': dict(counts)},
+            extra={
+                'open_requests': left,
+                'counts': dict(counts),
+                'pipelined_requests': site.count_pipelined(),
+            },
         )
 
     def _create_substitute_service(
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -77,6 +77,7 @@
             self.handle,
             heads.UNKNOWN_LIMITS,
             is_current,
+            is_pipelining=True,
         )
 
     def apply_settings(self, settings: terms.RoutingSettings) -> None:
