Decode workspaces and anonymous routes of the platform's document

Cause: the document names the customers of a fleet with their keys, priorities and caps, and the routes that need no key; both were ignored. Change: decode tenants and allowAnonymous, keep keys as digests only, and refuse a document with two workspaces of one name or with a common key. No error contains a key.

--- a/wagtailspread/platform/documents.py
+++ b/wagtailspread/platform/documents.py
@@ -1,4 +1,4 @@
-"""Decodes the platform's configuration into routes and limits."""
+"""Decodes the platform's configuration into routes, limits and workspaces."""
 
 import typing
 
@@ -6,11 +6,15 @@
 from wagtailspread.platform import values
 from wagtailspread.routing import terms
 from wagtailspread.wire import messages
+from wagtailspread.workspaces import caps, keys
 
 #: Value of a timeout or an objective that a route does not have.
 _NO_LIMIT: float | None = None
 #: Largest weight of a part; the sum of many such weights is exact enough.
 _MAX_WEIGHT = float(messages.MAX_I32)
+#: Maximum length of the name of a workspace, in bytes of UTF-8. The name is
+#: sent in a header and with each placement request.
+_MAX_NAME_BYTES = 255
 
 
 def decode_version(body: bytes) -> int:
@@ -33,11 +37,13 @@
         for route in values.read_objects(host, 'pathRoutes'):
             routes.append(_decode_route(name, route))
     services = values.read_objects(fields, 'services')
+    version = values.read_integer(fields, 'version')
     return terms.RoutingSettings(
-        version=values.read_integer(fields, 'version'),
+        version=version,
         routes=tuple(routes),
         connections=dict(map(_decode_service, services)),
         limits=_decode_limits(fields.get('limits')),
+        workspaces=_decode_workspaces(fields, version),
     )
 
 
@@ -103,6 +109,7 @@
         timeout=_decode_duration(fields, 'timeout'),
         # The platform calls the objective an SLO's latency.
         objective=_decode_duration(fields, 'sloLatency'),
+        allows_anonymous=_decode_flag(fields, 'allowAnonymous'),
     )
 
 
@@ -117,6 +124,88 @@
     return priority
 
 
+def _decode_flag(fields: dict[str, typing.Any], name: str) -> bool:
+    found = fields.get(name)
+    if found is None:
+        return False
+    if not isinstance(found, bool):
+        raise values.create_error(name, 'true or false', found)
+    return found
+
+
+def _decode_workspaces(
+    fields: dict[str, typing.Any],
+    version: int,
+) -> tuple[terms.Workspace, ...]:
+    # The platform calls a workspace a tenant.
+    if fields.get('tenants') is None:
+        return ()
+    return tuple(
+        _decode_workspace(tenant, version)
+        for tenant in values.read_objects(fields, 'tenants')
+    )
+
+
+def _decode_workspace(
+    fields: dict[str, typing.Any],
+    version: int,
+) -> terms.Workspace:
+    name = values.read_text(fields, 'name')
+    if not messages.is_text(name, 1, _MAX_NAME_BYTES):
+        # A line break would end the header that carries the name.
+        raise values.create_error(
+            'name', f'at most {_MAX_NAME_BYTES} bytes of printable text', name
+        )
+    return terms.Workspace(
+        name=identifiers.WorkspaceName(name),
+        digests=_decode_keys(fields.get('apiKeys')),
+        priority=_decode_workspace_priority(fields),
+        cap=caps.Cap(
+            rate=_decode_amount(fields, 'ratePerS'),
+            burst=_decode_amount(fields, 'burst'),
+            version=version,
+        ),
+    )
+
+
+def _decode_keys(found: typing.Any) -> tuple[keys.KeyDigest, ...]:
+    """Return the digests of the keys in a list.
+
+    No error contains a value of the list or the field, since it may be a key.
+    """
+    if not isinstance(found, list):
+        raise values.FormatError('apiKeys: expected a list of texts')
+    digests: dict[keys.KeyDigest, None] = {}
+    for key in found:
+        try:
+            values.read_text({'key': key}, 'key')
+        except values.FormatError:
+            raise values.FormatError(
+                'apiKeys: expected only non-empty texts in the list'
+            ) from None
+        digests[keys.compute_digest(key)] = None
+    return tuple(digests)
+
+
+def _decode_workspace_priority(fields: dict[str, typing.Any]) -> int | None:
+    if fields.get('priority') is None:
+        return None
+    number = values.read_number(fields, 'priority')
+    if number < 0 or not number.is_integer():
+        raise values.create_error('priority', 'a non-negative integer', number)
+    return _decode_priority(fields)
+
+
+def _decode_amount(fields: dict[str, typing.Any], name: str) -> float:
+    """Return a part of a cap; 0 if the field is absent."""
+    if fields.get(name) is None:
+        return 0.0
+    amount = values.read_number(fields, name)
+    if amount < 0:
+        raise values.create_error(name, 'a non-negative number', amount)
+    return amount
+
+
 def _decode_duration(
     fields: dict[str, typing.Any],
     name: str,
--- a/wagtailspread/routing/terms.py
+++ b/wagtailspread/routing/terms.py
@@ -1,10 +1,10 @@
-"""Routes and limits of a configuration, and their validation."""
+"""Routes, limits and workspaces of a configuration, and their validation."""
 
 import dataclasses
 import enum
 
 from wagtailspread.core import identifiers
-from wagtailspread.workspaces import caps
+from wagtailspread.workspaces import caps, keys
 
 #: Bound of the time by which an objective may exceed its route's timeout, in
 #: seconds; an excess of this much is a fault.
@@ -86,7 +86,7 @@
     """
 
     name: identifiers.WorkspaceName
-    digests: tuple[bytes, ...]
+    digests: tuple[keys.KeyDigest, ...]
     priority: int | None = None
     cap: caps.Cap = caps.NO_CAP
 
@@ -119,17 +119,24 @@
     NO_TIMEOUT = 'no-timeout'
     #: Two routes with the same host and prefix: the match would be ambiguous.
     DUPLICATE_ROUTE = 'same-place'
+    #: Two workspaces with the same name: their caps would be ambiguous.
+    DUPLICATE_WORKSPACE = 'same-workspace'
+    #: Two workspaces with a common key: its requests would be ambiguous.
+    SHARED_KEY = 'shared-key'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RouteFault:
-    """A route that makes its configuration invalid."""
+class SettingsFault:
+    """What makes a configuration invalid.
 
-    route: str
+    :param name: of the route or the workspace.
+    """
+
+    name: str
     kind: FaultKind
 
 
-def find_fault(settings: RoutingSettings) -> RouteFault | None:
+def find_fault(settings: RoutingSettings) -> SettingsFault | None:
     """Return the first fault of a configuration, or ``None``."""
     route_keys: set[tuple[str, str]] = set()
     for route in settings.routes:
@@ -139,7 +146,24 @@
             kind = FaultKind.DUPLICATE_ROUTE
         route_keys.add(route_key)
         if kind is not None:
-            return RouteFault(route.name, kind)
+            return SettingsFault(route.name, kind)
+    return _find_workspace_fault(settings.workspaces)
+
+
+def _find_workspace_fault(
+    workspaces: tuple[Workspace, ...],
+) -> SettingsFault | None:
+    found_names: set[str] = set()
+    found_digests: set[bytes] = set()
+    for workspace in workspaces:
+        digests = frozenset(workspace.digests)
+        if workspace.name in found_names:
+            kind = FaultKind.DUPLICATE_WORKSPACE
+            return SettingsFault(workspace.name, kind)
+        if not digests.isdisjoint(found_digests):
+            return SettingsFault(workspace.name, FaultKind.SHARED_KEY)
+        found_names.add(workspace.name)
+        found_digests.update(digests)
     return None
 
 
