Require keys of workspaces on the request path

Cause: hosts forwarded the keys of callers to upstreams and served requests without one. Change: a request is checked for framing, then its route, then its key; without a known key it gets 401 with its body unread, or 503 while the host may lag. A host that knows that it lags first waits up to 1.5 s for newer routes, also before a 404. Upstreams get the workspace in place of the key, and a caller's own workspace header is dropped. Framing is now checked before the route, so a request with both faults gets 400 in place of 404.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -202,12 +202,9 @@
 
         :param deadline: of a request, in seconds of the event loop clock.
         """
-        until = min(_now() + MAX_ROUTE_WAIT_SECONDS, (_now() + deadline) / 2)
-        while self._is_obsolete is not None and self._is_obsolete():
-            if _now() >= until:
-                return False
-            await asyncio.sleep(ROUTE_POLL_SECONDS)
-        return True
+        if self._is_obsolete is None:
+            return True
+        return await wait_while(self._is_obsolete, find_wait_end(deadline))
 
     async def _run(self, state: _RequestState) -> RequestResult:
         while True:
@@ -333,6 +330,29 @@
         return outcome
 
 
+def find_wait_end(deadline: float) -> float:
+    """Return the end of the wait of a request for newer routes.
+
+    :param deadline: of the request, in seconds of the event loop clock.
+    """
+    return min(_now() + MAX_ROUTE_WAIT_SECONDS, (_now() + deadline) / 2)
+
+
+async def wait_while(
+    condition: typing.Callable[[], bool],
+    until: float,
+) -> bool:
+    """Wait until a condition is false; tell whether it is.
+
+    :param until: end of the wait, in seconds of the event loop clock.
+    """
+    while condition():
+        if _now() >= until:
+            return False
+        await asyncio.sleep(ROUTE_POLL_SECONDS)
+    return True
+
+
 def _classify_outcome(
     outcome: exchanges.Outcome,
     seconds: float,
--- a/wagtailspread/gateway/headers.py
+++ b/wagtailspread/gateway/headers.py
@@ -18,6 +18,7 @@
     :param retry_after: seconds after which a caller, or a host at an upstream,
         may retry.
     :param leaving: statement of an upstream that it leaves.
+    :param workspace: name of the workspace of a request, for the upstream.
     """
 
     attempt: str
@@ -27,3 +28,4 @@
     not_run: str
     retry_after: str = 'Retry-After'
     leaving: str = 'Upstream-Leaving'
+    workspace: str = 'Workspace'
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -116,6 +116,7 @@
             tables.SplitCounter(random.Random()),
             lambda: self.follower.lag.is_current(clock.now()),
             self._stop_limit,
+            lambda: self.follower.lag.is_behind,
         )
         self._readiness = readiness.ReadinessServer(
             settings.ready_path,
--- a/wagtailspread/gateway/response_logs.py
+++ b/wagtailspread/gateway/response_logs.py
@@ -41,6 +41,9 @@
     NOT_CURRENT = 'not-current'
     #: The active configuration has no route for the request.
     NO_ROUTE = 'no-route'
+    #: The route needs the key of a workspace, and the request has none that
+    #: the active configuration knows.
+    UNKNOWN_KEY = 'unknown-key'
     #: The headers that delimit the body are invalid.
     BAD_FRAMING = 'bad-framing'
     #: The body exceeds the limit of the active configuration.
--- a/wagtailspread/gateway/tests/test_servers.py
+++ b/wagtailspread/gateway/tests/test_servers.py
@@ -70,6 +70,7 @@
     kind=terms.RequestKind.UNSAFE,
     *,
     is_current=True,
+    is_behind=None,
     settings=None,
     **changes,
 ):
@@ -96,6 +97,7 @@
         names.HEADERS,
         tables.SplitCounter(random.Random(1)),
         lambda: is_current,
+        is_behind=is_behind,
     )
     apply_at_once(server, settings or create_settings(kind, **changes))
     address = await server.site.start('127.0.0.1:0')
--- a/wagtailspread/platform/names.py
+++ b/wagtailspread/platform/names.py
@@ -22,4 +22,6 @@
     expected_upstream='Expected-Instance',
     not_run='Not-Executed',
     leaving='Server-Leaving',
+    # The platform calls a workspace a tenant.
+    workspace='Tenant',
 )
--- a/wagtailspread/routing/tables.py
+++ b/wagtailspread/routing/tables.py
@@ -12,11 +12,13 @@
 ('long', None)
 """
 
+import dataclasses
 import math
 import random as random_module
 
 from wagtailspread.core import identifiers
 from wagtailspread.routing import terms
+from wagtailspread.workspaces import directories
 
 #: Fractional part of the golden ratio.
 _GOLDEN_RATIO = 0.6180339887498949
@@ -25,12 +27,17 @@
 class RouteTable:
     """The routes of one version of the configuration.
 
-    :param settings: the active version.
+    :param settings: the active version without its workspaces, which take
+        more memory than their index.
+    :param workspaces: index of the workspaces by key.
     """
 
     def __init__(self, settings: terms.RoutingSettings) -> None:
-        """Index the routes by host and path prefix."""
-        self.settings = settings
+        """Index the routes by host and path prefix, and the workspaces."""
+        self.workspaces = directories.create_directory(
+            settings.workspaces, settings.version
+        )
+        self.settings = dataclasses.replace(settings, workspaces=())
         self._hosts: dict[str, dict[str, terms.Route]] = {}
         for route in settings.routes:
             prefixes = self._hosts.setdefault(route.host.lower(), {})
