Check keys again after the body and right before each send

Cause: a key that is taken away stayed in force for requests whose body was being read, that waited in a queue, or that an allocator had granted. Change: a new version interrupts the body and the queue of such requests, and the key is looked up again before each send, after which a grant is withdrawn. They get 401, or 503 while the host may lag; a key that moved to another workspace is placed again. With the bound revokeEverywhere a host accepts keys only for 3.5 s after a replica confirmed its version. Waits for routes and the evidence of attempts move to modules of their own.

--- a/wagtailspread/gateway/admissions.py
+++ b/wagtailspread/gateway/admissions.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from wagtailspread.core import identifiers
 from wagtailspread.entry import requests
 from wagtailspread.gateway import headers, response_logs
 from wagtailspread.routing import tables, terms
@@ -48,6 +49,21 @@
     route: terms.Route
     workspace: terms.Workspace | None
 
+    def is_like(self, other: 'Admission | Rejection') -> bool:
+        """Tell whether an upstream gets the same credentials by both."""
+        if isinstance(other, Rejection):
+            return False
+        has_keys = bool(self.routes.workspaces)
+        return (
+            has_keys == bool(other.routes.workspaces)
+            and self.workspace_name == other.workspace_name
+        )
+
+    @property
+    def workspace_name(self) -> identifiers.WorkspaceName | None:
+        """Name of the workspace, if there is one."""
+        return None if self.workspace is None else self.workspace.name
+
     def copy_headers(
         self,
         request: web.BaseRequest,
@@ -70,10 +86,15 @@
 def admit(
     routes: tables.RouteTable,
     request: web.BaseRequest,
+    default: terms.Route | None = None,
 ) -> Admission | Rejection:
-    """Return whether and how a version serves a request."""
+    """Return whether and how a version serves a request.
+
+    :param default: route of the request if the version has none for it.
+    """
     path = request.raw_path.partition('?')[0]
-    route = routes.match(request.headers.get('Host', ''), path)
+    host = request.headers.get('Host', '')
+    route = routes.match(host, path) or default
     if route is None:
         return Rejection(routes, response_logs.Reason.NO_ROUTE)
     workspace = _find_workspace(routes, request)
@@ -82,6 +103,23 @@
     return Admission(routes, route, workspace)
 
 
+def renew(
+    admission: Admission,
+    routes: tables.RouteTable | None,
+    request: web.BaseRequest,
+) -> Admission | Rejection:
+    """Return whether and how the active version serves an open request.
+
+    Only its key may lead to a rejection. Without workspaces in either version
+    the request keeps its route.
+    """
+    if routes is None or routes is admission.routes:
+        return admission
+    if not routes.workspaces and not admission.routes.workspaces:
+        return admission
+    return admit(routes, request, admission.route)
+
+
 def _find_workspace(
     routes: tables.RouteTable,
     request: web.BaseRequest,
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -10,22 +10,14 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.entry import executions
-from wagtailspread.gateway import exchanges, placements, stops
+from wagtailspread.gateway import evidence, exchanges, placements, revocations
+from wagtailspread.gateway import route_waits, stops
 from wagtailspread.placement import messages, retries
 from wagtailspread.routing import terms
 from wagtailspread.workspaces import caps
 
 #: Latency objective of a route that sets none, in seconds.
 DEFAULT_OBJECTIVE_SECONDS = 2.0
-#: A timeout counts as evidence against the upstream only if it had the request
-#: for at least this time, in seconds.
-MIN_TIMEOUT_EVIDENCE_SECONDS = 1.5
-
-#: Longest wait of a request for the routes of a newer configuration, in
-#: seconds. Most of the time left remains for sending it.
-MAX_ROUTE_WAIT_SECONDS = 1.5
-#: Interval between checks whether they are there, in seconds.
-ROUTE_POLL_SECONDS = 0.05
 
 _NO_WORKSPACE = identifiers.WorkspaceName('')
 #: Route classes are non-negative numbers of 31 bits.
@@ -52,6 +44,9 @@
     BLOCKED = 'blocked'
     #: The cap of its workspace is used up.
     OVER_CAP = 'over-cap'
+    #: A newer configuration does not know its key, or knows it as the key of
+    #: another workspace.
+    KEY_REVOKED = 'key-revoked'
     #: The request may have run, and its response was lost.
     ANSWER_LOST = 'answer-lost'
 
@@ -63,6 +58,8 @@
     :param size: of the body in bytes.
     :param workspace: whose key the request carries, if any.
     :param version: of the configuration with the route and the workspace.
+    :param is_revoked: tells whether the active configuration serves the request
+        in another way because of its key, or not at all.
     """
 
     route: terms.Route
@@ -71,6 +68,7 @@
     size: int
     workspace: terms.Workspace | None = None
     version: int = 0
+    is_revoked: typing.Callable[[], bool] = bool
 
     @property
     def priority(self) -> int:
@@ -158,7 +156,10 @@
 
 
 class AttemptRunner:
-    """Sends requests with a limited number of attempts."""
+    """Sends requests with a limited number of attempts.
+
+    :param watch: interrupts requests whose keys are revoked.
+    """
 
     def __init__(
         self,
@@ -168,12 +169,17 @@
         exchanger: exchanges.Exchanger,
         stop_limit: stops.StopLimit | None = None,
         is_obsolete: typing.Callable[[], bool] | None = None,
+        has_old_keys: typing.Callable[[], bool] | None = None,
     ) -> None:
         """Create a runner on these collaborators.
 
         :param stop_limit: ends open requests when the host stops.
         :param is_obsolete: tells whether the routes must not be used any more.
+        :param has_old_keys: tells whether the keys of workspaces must not be
+            used any more.
         """
+        self.watch = revocations.RevocationWatch()
+        self._has_old_keys = has_old_keys or bool
         self._is_obsolete = is_obsolete
         self._stop_limit = stop_limit or stops.StopLimit()
         self._host = host
@@ -204,21 +210,21 @@
         """
         if self._is_obsolete is None:
             return True
-        return await wait_while(self._is_obsolete, find_wait_end(deadline))
+        return await route_waits.wait_while(
+            self._is_obsolete, route_waits.find_end(deadline)
+        )
 
     async def _run(self, state: _RequestState) -> RequestResult:
         while True:
-            left = state.routed.outgoing.deadline - _now()
-            if left < exchanges.MIN_SEND_SECONDS:
-                return state.create_result(Refusal.NO_TIME)
-            if not state.can_send():
-                return state.create_result(Refusal.NO_ROOM)
-            if not self._stop_limit.may_send(state.routed.outgoing.deadline):
-                return state.create_result(Refusal.STOPPING)
+            refusal = self._check_attempt(state)
+            if refusal is not None:
+                return state.create_result(refusal)
             placement_request = self._create_placement_request(state)
-            placed = await self._placer.place(placement_request)
+            placed = await self._place(placement_request, state.routed)
             state.is_counted = True
-            refusal = self._find_refusal(placement_request, placed)
+            refusal = self._find_refusal(
+                placement_request, placed, state.routed
+            )
             if refusal is not None:
                 return state.create_result(refusal, placed.answer.retry_after)
             outcome = await self._send(placement_request, placed, state)
@@ -227,6 +233,43 @@
                 if not outcome.is_server_error:
                     return state.create_result(Refusal.NO_ROOM)
 
+    def _check_attempt(self, state: _RequestState) -> Refusal | None:
+        """Return why no further attempt is made, ``None`` if one is."""
+        left = state.routed.outgoing.deadline - _now()
+        if left < exchanges.MIN_SEND_SECONDS:
+            return Refusal.NO_TIME
+        if not state.can_send():
+            return Refusal.NO_ROOM
+        return self._check_sendable(state.routed)
+
+    async def _place(
+        self,
+        placement_request: messages.PlacementRequest,
+        routed: RoutedRequest,
+    ) -> placements.Placement:
+        """Return the placement; do not wait on for one whose key is revoked.
+
+        The placer withdraws a request whose wait is interrupted.
+        """
+        if routed.workspace is None:
+            return await self._placer.place(placement_request)
+        try:
+            async with self.watch.interrupt(routed.is_revoked):
+                return await self._placer.place(placement_request)
+        except revocations.KeyRevoked:
+            answer = messages.Answer(messages.Decision.NO_ROOM)
+            return placements.Placement(answer, None)
+
+    def _check_sendable(self, routed: RoutedRequest) -> Refusal | None:
+        """Return why a request must not be sent now, ``None`` if it may."""
+        if not self._stop_limit.may_send(routed.outgoing.deadline):
+            return Refusal.STOPPING
+        if routed.is_revoked():
+            return Refusal.KEY_REVOKED
+        if routed.workspace is not None and self._has_old_keys():
+            return Refusal.NOT_CURRENT
+        return None
+
     def _create_placement_request(
         self, state: _RequestState
     ) -> messages.PlacementRequest:
@@ -256,14 +299,15 @@
         self,
         placement_request: messages.PlacementRequest,
         placed: placements.Placement,
+        routed: RoutedRequest,
     ) -> Refusal | None:
         """Return why a request is not sent, ``None`` if it is."""
         if placed.answer.record is None:
+            if routed.is_revoked():
+                return Refusal.KEY_REVOKED
             return _REFUSALS[placed.answer.decision]
-        refusal = None
-        if not self._stop_limit.may_send(placement_request.deadline):
-            refusal = Refusal.STOPPING
-        elif self._is_obsolete is not None and self._is_obsolete():
+        refusal = self._check_sendable(routed)
+        if refusal is None and self._is_obsolete and self._is_obsolete():
             # The route was chosen when the request arrived.
             refusal = Refusal.NOT_CURRENT
         if refusal is not None:
@@ -288,7 +332,7 @@
         state.excluded.add(record.upstream)
         state.upstream = record.upstream
         started = _now()
-        evidence = messages.Evidence.NONE
+        found = messages.Evidence.NONE
         received = exchanges.ReceivedNotice()
         is_reset = False
         try:
@@ -298,14 +342,14 @@
                 state.execution.open_attempt(),
                 received,
             )
-            evidence = _classify_outcome(outcome, _now() - started)
-            is_reset = _is_reset(outcome)
+            found = evidence.classify(outcome, _now() - started)
+            is_reset = evidence.is_reset(outcome)
         finally:
             seconds = _now() - started
             self._placer.settle(
                 placement_request.request_id,
                 placed,
-                evidence,
+                found,
                 seconds,
                 received.notice,
                 is_reset=is_reset,
@@ -315,14 +359,14 @@
             state.send_attempts.record_connection_failure()
         else:
             state.send_attempts.record_send()
-        if evidence is not messages.Evidence.GOOD:
+        if found is not messages.Evidence.GOOD:
             _log.info(
                 'attempt failed',
                 extra={
                     'attempt': state.routed.outgoing.attempt,
                     'fingerprint': state.routed.outgoing.fingerprint,
                     'upstream': record.upstream,
-                    'reason': _describe_failure(outcome),
+                    'reason': evidence.describe_failure(outcome),
                     'allocator': placed.allocator or 'none',
                     'seconds': round(seconds, 3),
                 },
@@ -330,65 +374,10 @@
         return outcome
 
 
-def find_wait_end(deadline: float) -> float:
-    """Return the end of the wait of a request for newer routes.
-
-    :param deadline: of the request, in seconds of the event loop clock.
-    """
-    return min(_now() + MAX_ROUTE_WAIT_SECONDS, (_now() + deadline) / 2)
-
-
-async def wait_while(
-    condition: typing.Callable[[], bool],
-    until: float,
-) -> bool:
-    """Wait until a condition is false; tell whether it is.
-
-    :param until: end of the wait, in seconds of the event loop clock.
-    """
-    while condition():
-        if _now() >= until:
-            return False
-        await asyncio.sleep(ROUTE_POLL_SECONDS)
-    return True
-
-
-def _classify_outcome(
-    outcome: exchanges.Outcome,
-    seconds: float,
-) -> messages.Evidence:
-    """Return the evidence about the upstream that an outcome gives."""
-    if isinstance(outcome, exchanges.UpstreamResponse):
-        is_bad = outcome.is_server_error
-        return messages.Evidence.BAD if is_bad else messages.Evidence.GOOD
-    if (
-        isinstance(outcome, exchanges.NotExecuted)
-        and not outcome.is_other_upstream
-    ):
-        return messages.Evidence.SHED
-    if not isinstance(outcome, exchanges.LostResponse):
-        return messages.Evidence.UNREACHABLE
-    if outcome.is_expired and seconds < MIN_TIMEOUT_EVIDENCE_SECONDS:
-        return messages.Evidence.NONE
-    return messages.Evidence.BAD
-
-
 def _compute_class(route: terms.Route) -> int:
     """Return the same number for a route at all hosts."""
     return zlib.crc32(route.name.encode()) & _CLASS_MASK
 
 
-def _is_reset(outcome: exchanges.Outcome) -> bool:
-    return isinstance(outcome, exchanges.LostResponse) and outcome.is_reset
-
-
-def _describe_failure(outcome: exchanges.Outcome) -> str:
-    if isinstance(outcome, exchanges.UpstreamResponse):
-        return f'status {outcome.status}'
-    if isinstance(outcome, exchanges.LostResponse):
-        return outcome.reason
-    return type(outcome).__name__
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -40,6 +40,8 @@
     :param find_seeds: returns current addresses of some replicas.
     :param stop_seconds: maximum duration of a stop, in seconds.
     :param response_limits: limits of the responses that are being read.
+    :param key_seconds: time for which keys of workspaces are accepted after a
+        replica last confirmed the active version; ``None`` for no limit.
     """
 
     host: identifiers.HostId
@@ -55,6 +57,7 @@
     retry_budget: budgets.RetryBudgetSettings
     stop_seconds: float
     response_limits: buffers.ResponseLimits
+    key_seconds: float | None = None
 
 
 class DocumentReader(typing.Protocol):
@@ -109,6 +112,7 @@
             self._exchanger,
             self._stop_limit,
             lambda: self.follower.lag.is_obsolete(clock.now()),
+            self._has_old_keys,
         )
         self.server = servers.create_server(
             runner,
@@ -236,6 +240,14 @@
             lambda: max(self._host_count, MIN_BUDGET_HOSTS),
         )
 
+    def _has_old_keys(self) -> bool:
+        """Tell whether keys may have been revoked too long ago."""
+        seconds = self._settings.key_seconds
+        if seconds is None:
+            return False
+        start = self._clock.now() - seconds
+        return not self.follower.lag.was_confirmed_since(start)
+
     def _get_distance(self, domain: identifiers.FailureDomain) -> int:
         """Return 0 for the local failure domain, 1 in its region, else 2."""
         location = self._settings.location
--- a/wagtailspread/gateway/response_logs.py
+++ b/wagtailspread/gateway/response_logs.py
@@ -52,7 +52,7 @@
     BODY_SLOW = 'body-slow'
     #: The body cannot be parsed or is incomplete.
     BODY_BROKEN = 'body-broken'
-    #: This and the next six reasons are described at
+    #: This and the next seven reasons are described at
     #: :class:`wagtailspread.gateway.attempts.Refusal`.
     NO_UPSTREAM = 'no-upstream'
     NO_ROOM = 'no-room'
@@ -60,6 +60,7 @@
     STOPPING = 'stopping'
     BLOCKED = 'blocked'
     OVER_CAP = 'over-cap'
+    KEY_REVOKED = 'key-revoked'
     ANSWER_LOST = 'answer-lost'
     #: An upstream sent a status by which a host guarantees that a request has
     #: not run. The request may have run, so another status replaced it.
--- a/wagtailspread/gateway/responses.py
+++ b/wagtailspread/gateway/responses.py
@@ -28,6 +28,7 @@
 _REJECTION_STATUSES = {
     response_logs.Reason.NO_ROUTE: _NOT_FOUND,
     response_logs.Reason.UNKNOWN_KEY: _UNAUTHORIZED,
+    response_logs.Reason.KEY_REVOKED: _UNAUTHORIZED,
 }
 
 Details = dict[str, typing.Any]
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import typing
 
 from aiohttp import web
@@ -9,7 +10,7 @@
 from wagtailspread.entry import bodies, heads, requests, sites
 from wagtailspread.gateway import admissions, attempts, exchanges, fingerprints
 from wagtailspread.gateway import headers, limits, response_logs, responses
-from wagtailspread.gateway import stops
+from wagtailspread.gateway import revocations, route_waits, stops
 from wagtailspread.routing import tables, terms
 
 #: Bytes of a request body that are buffered before it is sent. A body that
@@ -73,6 +74,7 @@
         """Apply routes, limits and workspaces to all further requests."""
         self.routes = tables.RouteTable(settings)
         self._responder.record_change()
+        self._runner.watch.apply()
         self.site.change_limits(limits.create_limits(settings.limits))
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
@@ -110,7 +112,7 @@
         A newer version may allow what this one forbids. A host that knows of
         one waits for it before it rejects the request.
         """
-        until = attempts.find_wait_end(deadline)
+        until = route_waits.find_end(deadline)
         while True:
             admission = admissions.admit(routes, request)
             if isinstance(admission, admissions.Admission):
@@ -129,7 +131,7 @@
 
         :param until: end of the wait, in seconds of the event loop clock.
         """
-        await attempts.wait_while(
+        await route_waits.wait_while(
             lambda: self._is_behind() and self.routes is routes, until
         )
         return None if self.routes is routes else self.routes
@@ -151,17 +153,19 @@
             return _close(refusal)
         body = None
         if request.body_exists:
-            idle_seconds = settings.limits.idle_seconds
             try:
                 async with self._stop_limit.limit():
-                    body = await self._read_body(
-                        request, idle_seconds, deadline
-                    )
+                    body = await self._read_body(request, admission, deadline)
             except TimeoutError:
                 details['fault'] = 'the host stops'
+            except revocations.KeyRevoked:
+                return self._reject_revoked(request, admission)
         if request.body_exists and (body is None or body.fault is not None):
             return _close(self._answer_body_fault(body, request, details))
-        return await self._run(request, admission, body, deadline)
+        newer = admissions.renew(admission, self.routes, request)
+        if isinstance(newer, admissions.Rejection):
+            return self._reject_revoked(request, admission)
+        return await self._run(request, newer, body, deadline)
 
     def _refuse_unread(
         self,
@@ -185,7 +189,6 @@
         body: bodies.RequestBody | None,
         deadline: float,
     ) -> web.Response:
-        fingerprint = fingerprints.compute(request, body)
         outgoing = exchanges.OutgoingRequest(
             request.method,
             request.raw_path,
@@ -193,18 +196,18 @@
             body,
             request.headers.get(self._names.attempt, ''),
             deadline,
-            fingerprint,
+            fingerprints.compute(request, body),
         )
-        routed = self._choose_service(admission, outgoing)
+        routed = self._route(request, admission, outgoing)
         result = await self._runner.run(routed)
-        if result.refusal is attempts.Refusal.NOT_CURRENT and not result.sends:
-            if await self._runner.wait_for_routes(deadline):
-                newer = self._renew(request, admission)
-                if isinstance(newer, admissions.Admission):
-                    copied = newer.copy_headers(request, self._names)
-                    outgoing = dataclasses.replace(outgoing, headers=copied)
-                    routed = self._choose_service(newer, outgoing)
-                    result = await self._runner.run(routed, result)
+        newer = await self._find_newer(request, admission, result, deadline)
+        if isinstance(newer, admissions.Rejection):
+            return self._reject_revoked(request, admission)
+        if newer is not None:
+            copied = newer.copy_headers(request, self._names)
+            outgoing = dataclasses.replace(outgoing, headers=copied)
+            routed = self._route(request, newer, outgoing)
+            result = await self._runner.run(routed, result)
         details = {
             'route': routed.route.name,
             'service': routed.service,
@@ -220,16 +223,50 @@
             details['fault'] = body.fault.detail
         return self._responder.fail(result, request, details)
 
-    def _renew(
+    async def _find_newer(
         self,
         request: web.BaseRequest,
         admission: admissions.Admission,
-    ) -> admissions.Admission | admissions.Rejection:
-        """Return whether and how the active version serves a request."""
-        return admissions.admit(self.routes or admission.routes, request)
+        result: attempts.RequestResult,
+        deadline: float,
+    ) -> admissions.Admission | admissions.Rejection | None:
+        """Return how newer routes serve a request that older ones did not.
 
-    def _choose_service(
+        :returns: ``None`` if its result is final.
+        """
+        if result.refusal is attempts.Refusal.KEY_REVOKED:
+            newer = admissions.renew(admission, self.routes, request)
+            is_rejected = isinstance(newer, admissions.Rejection)
+            return newer if is_rejected or not result.sends else None
+        if result.refusal is not attempts.Refusal.NOT_CURRENT or result.sends:
+            return None
+        if not await self._runner.wait_for_routes(deadline):
+            return None
+        newer = admissions.admit(self.routes or admission.routes, request)
+        return None if newer.route is None else newer
+
+    def _reject_revoked(
         self,
+        request: web.BaseRequest,
+        admission: admissions.Admission,
+    ) -> web.Response:
+        """Return the response to a request whose key is not known any more."""
+        reason = response_logs.Reason.KEY_REVOKED
+        details = {'route': admission.route.name}
+        return self._responder.reject(reason, request, details)
+
+    def _is_revoked(
+        self,
+        request: web.BaseRequest,
+        admission: admissions.Admission,
+    ) -> bool:
+        """Tell whether the active version serves another key or workspace."""
+        newer = admissions.renew(admission, self.routes, request)
+        return not admission.is_like(newer)
+
+    def _route(
+        self,
+        request: web.BaseRequest,
         admission: admissions.Admission,
         outgoing: exchanges.OutgoingRequest,
     ) -> attempts.RoutedRequest:
@@ -240,6 +277,7 @@
             0 if outgoing.body is None else outgoing.body.size,
             admission.workspace,
             admission.routes.settings.version,
+            functools.partial(self._is_revoked, request, admission),
         )
 
     def _get_time_limit(self, request: web.BaseRequest) -> float:
@@ -256,19 +294,32 @@
     async def _read_body(
         self,
         request: web.BaseRequest,
-        idle_seconds: float,
+        admission: admissions.Admission,
         deadline: float,
     ) -> bodies.RequestBody:
+        """Return the body after reading its prefix.
+
+        :raises revocations.KeyRevoked: if the key is revoked meanwhile.
+        """
         if 'Expect' in request.headers:
             await bodies.send_continue(request)
         body = bodies.RequestBody(
             request.content,
             self.site.limits.body_bytes,
-            idle_seconds,
+            admission.routes.settings.limits.idle_seconds,
             deadline,
             REPLAY_BUFFER_BYTES,
         )
-        body.fault = await body.read_prefix()
+        if admission.workspace is None:
+            body.fault = await body.read_prefix()
+            return body
+        async with self._runner.watch.interrupt(
+            lambda: isinstance(
+                admissions.renew(admission, self.routes, request),
+                admissions.Rejection,
+            )
+        ):
+            body.fault = await body.read_prefix()
         return body
 
     def _answer_body_fault(
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -6,6 +6,13 @@
 
 #: Time to stop a process if the platform does not set it, in seconds.
 DEFAULT_GRACE_SECONDS = 6.0
+#: Time until a revoked key is refused if the platform does not set it, in
+#: seconds.
+DEFAULT_REVOKE_SECONDS = 5.0
+#: Part of that time that an answer of a replica and opening a connection to an
+#: upstream may take, in seconds: an answer arrives up to 0.9 s after the
+#: replica has read its version, and a connection takes up to 0.4 s.
+REVOKE_MARGIN_SECONDS = 1.5
 
 
 async def run(boot: settings.BootSettings) -> None:
@@ -43,4 +50,17 @@
         response_limits=buffers.create_limits(
             boot.memory_bytes, boot.link_rate
         ),
+        key_seconds=_find_key_seconds(boot.bounds),
     )
+
+
+def _find_key_seconds(bounds: dict[str, float]) -> float | None:
+    """Return how long a host that is cut off accepts keys.
+
+    >>> _find_key_seconds({}), _find_key_seconds({'revokeEverywhere': 1.0})
+    (None, 3.5)
+    """
+    if not bounds.get('revokeEverywhere'):
+        return None
+    seconds = bounds.get('revoke', DEFAULT_REVOKE_SECONDS)
+    return max(seconds - REVOKE_MARGIN_SECONDS, 0.0)
--- a/wagtailspread/platform/settings.py
+++ b/wagtailspread/platform/settings.py
@@ -15,6 +15,7 @@
 _MEGABYTE = 1_000_000.0
 _MEGABIT = 125_000.0
 
+_BOOLEANS = {'true': 1.0, 'false': 0.0}
 _NUMBER = re.compile(r'\d+(?:\.\d*)?', re.ASCII)
 #: Digits of a port, and one more, which makes it too large.
 _MAX_PORT_DIGITS = 6
@@ -34,7 +35,7 @@
     :param tolerated_losses: number of replicas whose disks may be lost at the
         same time.
     :param bounds: numeric limits by the platform's names; durations are in
-        seconds.
+        seconds, and a boolean is 1 or 0.
     :param memory_bytes: memory that the process may use; ``None`` if unknown.
     :param link_rate: rate of the machine's network link in bytes per second;
         ``None`` if unknown.
@@ -215,7 +216,9 @@
 
 
 def _decode_bounds(texts: typing.Any) -> dict[str, float]:
-    """Return the bounds that are durations or numbers; others are ignored.
+    """Return the bounds that are durations, numbers or booleans.
+
+    The others are ignored.
 
     A bound that this program does not know may have any form.
     """
@@ -233,7 +236,13 @@
 
 
 def _decode_bound(text: str) -> float | None:
-    """Return a duration in seconds or a number, ``None`` for another text."""
+    """Return a duration in seconds or a number, ``None`` for another text.
+
+    >>> _decode_bound('2500ms'), _decode_bound('true'), _decode_bound('x')
+    (2.5, 1.0, None)
+    """
+    if text in _BOOLEANS:
+        return _BOOLEANS[text]
     try:
         return values.read_seconds(text)
     except values.FormatError:
--- a/wagtailspread/registry/lags.py
+++ b/wagtailspread/registry/lags.py
@@ -71,6 +71,13 @@
             return True
         return now - self._current_at > MAX_OBSOLETE_SECONDS
 
+    def was_confirmed_since(self, start: float) -> bool:
+        """Tell whether the active version was the newest one after ``start``.
+
+        :param start: time of the host's clock, in seconds.
+        """
+        return self._current_at is not None and self._current_at >= start
+
     def record_answer(
         self, version: int, now: float, *, is_up_to_date: bool = True
     ) -> bool:
--- a/wagtailspread/registry/tests/test_lags.py
+++ b/wagtailspread/registry/tests/test_lags.py
@@ -75,3 +75,19 @@
     lag.record_answer(2, 2.0)
     assert not lag.is_obsolete(3.0)
     assert lag.is_obsolete(1.5 + lags.MAX_OBSOLETE_SECONDS)
+
+
+def test_a_version_is_confirmed_by_replicas_that_know_the_newest_one():
+    """Guards against a host that is cut off and counts as in contact."""
+    lag = lags.create_lag()
+    assert not lag.was_confirmed_since(0.0)
+    lag.record_answer(1, 1.0)
+    lag.record_active_version(1)
+    lag.record_answer(1, 2.0)
+    lag.record_answer(1, 3.0, is_up_to_date=False)
+    assert lag.was_confirmed_since(2.0)
+    assert not lag.was_confirmed_since(2.1)
+    lag.record_answer(2, 4.0)
+    assert not lag.was_confirmed_since(2.1)
+    lag.record_active_version(2)
+    assert lag.was_confirmed_since(4.0)
