Answer requests above the cap of their workspace with 429

Cause: a refusal by a cap looked like a full service. Change: the refusal OVER_CAP is answered with 429 and the Retry-After of the allocator's answer, and only if it is proven that the request has not run.

--- a/wagtailspread/gateway/responses.py
+++ b/wagtailspread/gateway/responses.py
@@ -17,6 +17,7 @@
 
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
+_TOO_MANY = 429
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -149,8 +150,10 @@
         details: Details,
         retry_after: float = 0.0,
     ) -> web.Response:
-        """Return a 503: the request has not run and never will."""
-        response = self.answer(_UNAVAILABLE, reason, request, details)
+        """Return a 429 or 503: the request has not run and never will."""
+        is_over_cap = reason is response_logs.Reason.OVER_CAP
+        status = _TOO_MANY if is_over_cap else _UNAVAILABLE
+        response = self.answer(status, reason, request, details)
         if reason is response_logs.Reason.STOPPING:
             seconds = f'{STOPPING_RETRY_SECONDS:.2f}'
         else:
--- a/wagtailspread/gateway/tests/test_admissions.py
+++ b/wagtailspread/gateway/tests/test_admissions.py
@@ -7,11 +7,14 @@
 import pytest
 
 from wagtailspread.entry.tests import connections
+from wagtailspread.gateway import placements
 from wagtailspread.gateway.tests import raw_upstreams, test_servers
+from wagtailspread.placement import messages
 from wagtailspread.routing import terms
 from wagtailspread.workspaces import caps, keys
 
 CAP = caps.Cap(rate=5.0, burst=2.0, version=1)
+_NOT_RUN = raw_upstreams.reply(503, headers=['Not-Executed: 1'])
 _HOST = ('Host: a.example', 'Attempt-Id: a1', 'Deadline-Ms: 3000')
 
 
@@ -327,3 +330,47 @@
             if calling.done():
                 break
         assert (await calling).status == 503
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'expected'), [(2.5, '2.50'), (0.0, '1.00')]
+)
+async def test_a_request_above_a_cap_has_not_run(seconds, expected):
+    """Guards against a cap that looks like a failure of the fleet."""
+    refusal = messages.Answer(messages.Decision.OVER_CAP, None, seconds)
+
+    async def refuse(_request):
+        return placements.Placement(refusal, '10.0.0.1:1')
+
+    async with run_fleet() as (upstream, server, address):
+        server._runner._placer.place = refuse
+        answer = await call(address, 'Authorization: Token k1')
+        assert answer.status == 429
+        assert answer.headers['retry-after'] == expected
+        assert not upstream.requests
+        assert server.response_log.counts == {'429 over-cap': 1}
+
+
+@pytest.mark.parametrize(
+    ('first', 'status'), [(_NOT_RUN, 429), (raw_upstreams.reset, 502)]
+)
+async def test_a_cap_is_no_proof_that_an_earlier_attempt_has_not_run(
+    first, status
+):
+    """Guards against 429 for a request that may have run."""
+    settings = create_settings(kind=terms.RequestKind.SAFE)
+    refusal = messages.Answer(messages.Decision.OVER_CAP, None, 2.5)
+    async with run_fleet(settings) as (upstream, server, address):
+        upstream.answers = [first]
+        placer = server._runner._placer
+        place = placer.place
+
+        async def refuse_second(placement_request):
+            if placement_request.is_repeat:
+                return placements.Placement(refusal, None)
+            return await place(placement_request)
+
+        placer.place = refuse_second
+        answer = await call(address, 'Authorization: Token k1')
+        assert answer.status == status
+        assert len(upstream.requests) == 1
