Send no rows to hosts that have them already

Cause: a host that turned to another replica got all rows from it again, 55 KB for 480 upstreams. Change: a host retains its position at each replica and sends a digest of its table, and a replica with an equal table sends no rows. A position is retained only after the rows are stored; before, a batch that failed was skipped.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -130,6 +130,7 @@
             self._pool,
             clock,
             self._apply_changes,
+            self.selector.registry,
         )
         self.downloader = downloads.DocumentDownloader(
             self._pool,
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -191,6 +191,16 @@
         except TimeoutError:
             return
 
+    def find_position(self, request: messages.Struct) -> int:
+        """Return the position up to which a follower has seen all changes.
+
+        A follower that comes from another replica mostly has all rows already.
+        """
+        if request.epoch == self.epoch:
+            return int(request.position)
+        has_all = request.digest == self.table.digest
+        return self.table.position if has_all else 0
+
     def collect(
         self,
         request: messages.Struct,
@@ -202,7 +212,7 @@
         first, up to a limit. A follower that is far behind continues at the
         position in the answer.
         """
-        seen_position = request.position if request.epoch == self.epoch else 0
+        seen_position = self.find_position(request)
         position = self.table.position
         changed = self.table.list_changed(seen_position)
         if len(changed) > MAX_ROWS:
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers
-from wagtailspread.registry import feeds, lags, places
+from wagtailspread.registry import feeds, lags, places, tables
 from wagtailspread.wire import links, messages, timeouts
 
 #: Longest time that a replica waits for a change before it answers, in seconds.
@@ -30,6 +30,8 @@
 RESELECTION_SECONDS = 5.0
 #: Backoff after a failed call, in seconds.
 RETRY_BACKOFF_SECONDS = 0.05
+#: Maximum number of replicas whose positions are retained.
+MAX_PROGRESS = 16
 _log = logbook.Logger('follower')
 
 
@@ -143,9 +145,20 @@
                 self._sources[address] = _Source(address, 1)
 
 
+class _Progress(typing.NamedTuple):
+    """Last position of a replica that a host has seen."""
+
+    epoch: int = feeds.NO_EPOCH
+    position: int = 0
+
+
 class ChangeFollower:
     """Polls the change feed of a replica on behalf of a host.
 
+    While no replica has a quorum, the host asks one after the other. So the
+    position at each one is retained, and the others learn the digest of the
+    table: with all rows in each answer, the links between regions were full.
+
     :param apply_batch: is called with each batch of changes.
     :param current_replica: replica that answered the last call; ``None`` before
         the first answer and after a failure.
@@ -161,8 +174,12 @@
         pool: links.LinkPool,
         clock: clocks.Clock,
         apply_batch: typing.Callable[[messages.Struct], None],
+        table: tables.RegistryTable,
     ) -> None:
-        """Store the dependencies; no connection is opened."""
+        """Store the dependencies; no connection is opened.
+
+        :param table: the rows that ``apply_batch`` has stored.
+        """
         self.current_replica: identifiers.Address | None = None
         self.lag = lags.create_lag()
         self._host = host
@@ -172,8 +189,8 @@
         self._pool = pool
         self._clock = clock
         self._apply_batch = apply_batch
-        self._epoch = feeds.NO_EPOCH
-        self._position = 0
+        self._table = table
+        self._progress: dict[identifiers.Address, _Progress] = {}
         self._margin = timeouts.AdaptiveTimeout(
             ANSWER_MARGIN_SECONDS, MAX_ANSWER_MARGIN_SECONDS
         )
@@ -209,15 +226,19 @@
 
     async def follow_once(self, address: identifiers.Address) -> bool:
         """Request changes from one replica; tell whether it answered."""
+        known = self._progress.get(address, _Progress())
+        # Whether another replica has a quorum must be known at once.
+        wait = POLL_SECONDS if address == self.current_replica else 0.0
         request = messages.structs.FollowChanges(
             host=self._host,
             domain=self._domain,
             is_replica=False,
-            epoch=self._epoch,
-            position=self._position,
+            epoch=known.epoch,
+            position=known.position,
             document_version=self.lag.newest_version,
-            wait_ms=int(POLL_SECONDS * 1000),
+            wait_ms=int(wait * 1000),
             address=self._address,
+            digest=self._table.digest,
         )
         asked_at = self._clock.now()
         answer = await self._pool.find(address).call(
@@ -247,8 +268,6 @@
         now: float,
     ) -> None:
         self.current_replica = address
-        self._epoch = batch.epoch
-        self._position = batch.position
         if self.lag.record_answer(
             batch.document_version,
             now,
@@ -260,6 +279,18 @@
             # The replica may lack changes that the majority has acknowledged.
             self._sources.deprioritize(address, now)
         self._apply_batch(batch)
+        self._record_progress(address, batch)
+
+    def _record_progress(
+        self,
+        address: identifiers.Address,
+        batch: messages.Struct,
+    ) -> None:
+        """Retain the position of a batch whose rows are stored."""
+        self._progress.pop(address, None)
+        self._progress[address] = _Progress(batch.epoch, batch.position)
+        if len(self._progress) > MAX_PROGRESS:
+            self._progress.pop(next(iter(self._progress)))
 
     def _record_failure(
         self,
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -317,7 +317,10 @@
         request: messages.Struct,
     ) -> listeners.HandlerResult:
         feed = self.feed
-        position = request.position if request.epoch == feed.epoch else 0
+        # The table may change while the follower waits.
+        position = feed.find_position(request)
+        request.position = position
+        request.epoch = feed.epoch
         host = identifiers.HostId(request.host)
         follower = feeds.FollowerState(
             identifiers.Address(request.address),
--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -17,7 +17,7 @@
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.registry import records
+from wagtailspread.registry import digests, records
 
 #: An upstream without a heartbeat for this long counts as silent, in seconds.
 #: This is three heartbeat intervals of 1.5 s each.
@@ -51,11 +51,13 @@
     """Upstreams by id. Each change is assigned the next position.
 
     :param position: position of the last change.
+    :param digest: sum over all rows, equal for equal tables.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.position = 0
+        self.digest = 0
         self.rows: dict[identifiers.UpstreamId, RegistryRow] = {}
         self._upstreams_by_address: dict[
             identifiers.Address, identifiers.UpstreamId
@@ -120,6 +122,7 @@
             is_gone = row.record.state is records.UpstreamState.GONE
             if is_gone and row.heartbeat_at < cutoff:
                 self.rows.pop(upstream)
+                self._add_to_digest(row.record, -1)
                 self._release_address(row.record)
 
     def _release_address(self, record: records.UpstreamRecord) -> None:
@@ -127,10 +130,19 @@
         if self._upstreams_by_address.get(record.address) == record.upstream:
             self._upstreams_by_address.pop(record.address)
 
+    def _add_to_digest(
+        self, record: records.UpstreamRecord, factor: int
+    ) -> None:
+        added = factor * digests.compute_digest(record)
+        self.digest = (self.digest + added) % digests.MODULUS
+
     def _store(self, record: records.UpstreamRecord, now: float) -> None:
         known = self.rows.get(record.upstream)
-        if known is not None and known.record.address != record.address:
-            self._release_address(known.record)
+        if known is not None:
+            self._add_to_digest(known.record, -1)
+            if known.record.address != record.address:
+                self._release_address(known.record)
+        self._add_to_digest(record, 1)
         self.position += 1
         warm_at = now + record.warm_seconds
         row = RegistryRow(record, self.position, now, warm_at)
--- a/wagtailspread/registry/tests/test_tables.py
+++ b/wagtailspread/registry/tests/test_tables.py
@@ -138,3 +138,37 @@
     """Guards against a field that is lost between processes."""
     warm = dataclasses.replace(_READY, warm_seconds=2.5)
     assert records.from_row(records.to_row(warm)) == warm
+
+
+def test_tables_with_equal_rows_have_equal_digests():
+    """Guards against rows that are sent to a host that has them, or are not."""
+    moved = dataclasses.replace(_READY, address='10.0.0.9:80', sequence=5)
+    first = tables.create_table([_READY, moved])
+    second = tables.create_table([moved])
+    assert first.digest == second.digest
+    assert first.digest != tables.create_table([_READY]).digest
+    heartbeat = dataclasses.replace(moved, sequence=9, warm_seconds=3.0)
+    second.merge(heartbeat, 1.0)
+    assert first.digest == second.digest
+    second.merge(dataclasses.replace(_GONE, sequence=9), 1.0)
+    assert first.digest != second.digest
+    second.remove_expired_tombstones(500.0)
+    assert second.digest == tables.create_table().digest
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'service': 'mail'},
+        {'address': '10.0.0.9:80'},
+        {'domain': 'south'},
+        {'slots': 7},
+        {'state': records.UpstreamState.DRAINING},
+        {'born_ms': 77},
+    ],
+)
+def test_the_digest_covers_each_field_that_matters(changed):
+    """Guards against a host that never learns a change of a field."""
+    other = dataclasses.replace(_READY, **changed)
+    digests = {tables.create_table([one]).digest for one in (_READY, other)}
+    assert len(digests) == 2
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -545,6 +545,9 @@
   7: i32 wait_ms
   // Address of the follower for this protocol.
   8: string address
+  // Sum over the rows of the follower's table, see registry/digests.py. A follower
+  // whose table equals that of the replica needs no rows. Absent: it gets all.
+  9: optional i64 digest
 }
 
 // Address for this protocol of a replica or of a host that can substitute for
