Create the classes of structs without parsing their definitions

Cause: each start parsed wagtailspread.thrift and imported the parser, the transports and all protocols of the thrift library. Change: definitions.json holds the same content, and a class is created when it is first used. Of the library only the parts that encode and decode are imported.

--- a/wagtailspread/wire/messages.py
+++ b/wagtailspread/wire/messages.py
@@ -1,7 +1,8 @@
 """Thrift structs of the fleet's internal protocol.
 
-The structs are loaded from ``wagtailspread.thrift`` beside this module, so no
-generator is needed at build time.
+The structs are defined in ``wagtailspread.thrift`` beside this module. Their
+classes are created from ``definitions.json``, see
+:mod:`wagtailspread.wire.definitions`.
 
 >>> data = encode(structs.CancelRequest(service_name='vitrina', request='r1'))
 >>> decode(structs.CancelRequest, data).request
@@ -10,39 +11,25 @@
 References: Apache Thrift, binary protocol.
 """
 
-import pathlib
 import typing
 
-import thriftpy2
-
-from thriftpy2 import thrift
-from thriftpy2.protocol import cybin
-from thriftpy2.transport.memory import cymemory
-
-from wagtailspread.wire import structures
+from wagtailspread.wire import codecs, definitions, structures
 
 #: Characters of the library's reason in an error.
 _MAX_REASON_LENGTH = 200
-_IDL_PATH = pathlib.Path(__file__).with_name('wagtailspread.thrift')
 
-#: The loaded structs, as attributes: ``structs.Envelope`` and so on.
-structs: typing.Any = thriftpy2.load(
-    str(_IDL_PATH),
-    module_name='wagtailspread_thrift',
-)
+#: The structs as attributes: ``structs.Envelope`` and so on.
+structs: typing.Any = definitions.load()
 #: Methods of the protocol, as integer attributes.
 methods: typing.Any = structs.Method
 
-# The compiled module has no type annotations.
-_compiled: typing.Any = cybin
-
 #: Largest values of the integer types.
 MAX_I16 = 2**15 - 1
 MAX_I32 = 2**31 - 1
 MAX_I64 = 2**63 - 1
 
 #: Code of a text field; a field of bytes has another one.
-_TEXT_TYPE = thrift.TType.STRING
+_TEXT_TYPE = codecs.thrift.TType.STRING
 
 #: A struct of this protocol; thriftpy2 creates the classes at run time.
 Struct = typing.Any
@@ -56,9 +43,9 @@
 
     :raises EncodeError: if a field does not fit its type.
     """
-    buffer = cymemory.TCyMemoryBuffer()
+    buffer = codecs.cymemory.TCyMemoryBuffer()
     try:
-        _compiled.TCyBinaryProtocol(buffer).write_struct(struct)
+        codecs.cybin.TCyBinaryProtocol(buffer).write_struct(struct)
     except Exception as error:  # thriftpy2 raises many unrelated types
         raise EncodeError(
             f'struct {type(struct).__name__}: expected a value of the type of '
@@ -92,8 +79,8 @@
     sends first.
     """
     struct = struct_type()
-    buffer = cymemory.TCyMemoryBuffer(payload)
-    _compiled.TCyBinaryProtocol(buffer).read_struct(struct)
+    buffer = codecs.cymemory.TCyMemoryBuffer(payload)
+    codecs.cybin.TCyBinaryProtocol(buffer).read_struct(struct)
     return struct
 
 
--- a/wagtailspread/wire/structures.py
+++ b/wagtailspread/wire/structures.py
@@ -10,12 +10,12 @@
 
 import struct
 
-from thriftpy2 import thrift
+from wagtailspread.wire import codecs
 
 #: Maximum depth of nested structs and lists in a payload.
 MAX_DEPTH = 32
 
-_types = thrift.TType
+_types = codecs.thrift.TType
 _LENGTH = struct.Struct('>i')
 #: Bytes of a field header after the type: the id of the field.
 _FIELD_ID_BYTES = 2
