--- a/wagtailspread/platform/settings.py
+++ b/wagtailspread/platform/settings.py
@@ -241,8 +241,9 @@
     >>> _decode_bound('2500ms'), _decode_bound('true'), _decode_bound('x')
     (2.5, 1.0, None)
     """
-    if text in _BOOLEANS:
-        return _BOOLEANS[text]
+    flag = _BOOLEANS.get(text.lower())
+    if flag is not None:
+        return flag
     try:
         return values.read_seconds(text)
     except values.FormatError:
