Apply versions while requests are being interrupted

Cause: a second version that is applied before an interrupted request has ended changed its expired timeout again, which raised an error, so the host would have kept its old version. Change: an interrupted part is forgotten at once.

--- a/wagtailspread/gateway/revocations.py
+++ b/wagtailspread/gateway/revocations.py
@@ -23,9 +23,16 @@
     def apply(self) -> None:
         """Interrupt the requests whose keys are revoked."""
         now = asyncio.get_running_loop().time()
-        for timeout, is_revoked in self._open.items():
-            if is_revoked():
-                timeout.reschedule(now)
+        revoked = [
+            timeout
+            for timeout, is_revoked in self._open.items()
+            if is_revoked()
+        ]
+        for timeout in revoked:
+            # A timeout that has expired cannot be changed again, which the
+            # next version would attempt.
+            self._open.pop(timeout)
+            timeout.reschedule(now)
 
     @contextlib.asynccontextmanager
     async def interrupt(
--- a/wagtailspread/gateway/tests/test_revocations.py
+++ b/wagtailspread/gateway/tests/test_revocations.py
@@ -6,6 +6,7 @@
 import pytest
 
 from wagtailspread.entry.tests import connections
+from wagtailspread.gateway import revocations
 from wagtailspread.gateway.tests import raw_upstreams, test_admissions
 from wagtailspread.gateway.tests import test_servers
 from wagtailspread.placement import messages
@@ -168,6 +169,38 @@
         assert server.response_log.counts == {'401 key-revoked': 1}
 
 
+async def test_versions_that_follow_at_once_are_applied():
+    """Guards against an error while a request is being interrupted.
+
+    The host would keep an old version.
+    """
+    watch = revocations.RevocationWatch()
+
+    async def wait():
+        with contextlib.suppress(revocations.KeyRevoked):
+            async with watch.interrupt(lambda: True):
+                await asyncio.sleep(30)
+
+    waiting = asyncio.create_task(wait())
+    await asyncio.sleep(0)
+    watch.apply()
+    # The timeout expires in the next iteration, the task ends after it.
+    await asyncio.sleep(0)
+    watch.apply()
+    async with asyncio.timeout(0.5):
+        await waiting
+
+
+async def test_an_inner_timeout_is_no_revocation():
+    """Guards against 401 for a request whose own time has passed."""
+    watch = revocations.RevocationWatch()
+    with pytest.raises(TimeoutError):
+        async with watch.interrupt(bool):
+            async with asyncio.timeout(0.01):
+                await asyncio.sleep(30)
+    watch.apply()
+
+
 async def test_a_granted_request_is_not_sent_with_a_revoked_key():
     """Guards against sending what was granted before the revocation."""
     async with test_admissions.run_fleet() as (upstream, server, address):
