--- a/wagtailspread/platform/tests/test_processes.py
+++ b/wagtailspread/platform/tests/test_processes.py
@@ -17,7 +17,7 @@
 
 ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
 CONTROL_PORT = 18544
-_LINK_PORT = 17540
+LINK_PORT = 17540
 CALLER_PORT = 18548
 READY_PORT = 18542
 _HEADERS = {'Host': 'a.example', 'Attempt-Id': 'a1', 'Deadline-Ms': '4000'}
@@ -98,7 +98,7 @@
             'zone': zone,
             'region': ZONES[zone],
             'zones': ZONES,
-            'internalPorts': [_LINK_PORT, _LINK_PORT + 15],
+            'internalPorts': [LINK_PORT, LINK_PORT + 15],
             'seeds': self.seeds,
             'faultTolerance': {'machines': 1},
             'bounds': ['grace=6s', 'retryRatio=0.2', 'retrySlack=62'],
@@ -356,7 +356,7 @@
 
 async def is_voter(fleet, number):
     """Tell whether any replica counts the one with this number as a voter."""
-    address = f'{fleet.find_ip(number)}:{_LINK_PORT}'
+    address = f'{fleet.find_ip(number)}:{LINK_PORT}'
     lines = [
         json.loads(line)
         for path in fleet.folder.glob('replica*.log')
