--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import heads, protections
+from wagtailspread.entry import heads, holdings, protections
 
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
@@ -17,7 +17,10 @@
 
 
 class GuardedSite:
-    """Serves callers at one address. Use :func:`create_site`."""
+    """Serves callers at one address. Use :func:`create_site`.
+
+    :param budget: memory budget for what all connections hold.
+    """
 
     def __init__(
         self,
@@ -28,6 +31,7 @@
     ) -> None:
         """Start without opening a socket."""
         self._is_pipelining = is_pipelining
+        self.budget = holdings.HoldingBudget(holdings.compute_total())
         self._handler = handler
         self._window = window
         self._runner: web.ServerRunner | None = None
@@ -41,6 +45,7 @@
         self._server = protections.create_server(
             self._handle,
             self._window,
+            self.budget,
             self._handle_checked if self._is_pipelining else None,
         )
         self._runner = web.ServerRunner(self._server)
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -8,6 +8,7 @@
 import logbook
 
 from wagtailspread.core import clocks, identifiers, tasks
+from wagtailspread.entry import holdings
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import allocators, budgets, costs, selection
@@ -42,6 +43,7 @@
     :param response_limits: limits of the responses that are being read.
     :param key_seconds: time for which keys of workspaces are accepted after a
         replica last confirmed the active version; ``None`` for no limit.
+    :param caller_bytes: memory that all callers together may hold.
     """
 
     host: identifiers.HostId
@@ -58,6 +60,7 @@
     stop_seconds: float
     response_limits: buffers.ResponseLimits
     key_seconds: float | None = None
+    caller_bytes: int = holdings.compute_total()
 
 
 class DocumentReader(typing.Protocol):
@@ -122,6 +125,7 @@
             self._stop_limit,
             lambda: self.follower.lag.is_behind,
         )
+        self.server.site.budget.total_bytes = settings.caller_bytes
         self._readiness = readiness.ReadinessServer(
             settings.ready_path,
             self.is_ready,
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -339,6 +339,9 @@
             return self._responder.refuse(reason, request, details)
         status = _find_status(fault)
         found = {**details, 'fault': fault.detail}
+        if status == bodies.UNAVAILABLE:
+            reason = response_logs.Reason.HOST_FULL
+            return self._responder.refuse(reason, request, found)
         is_limit = status == _TOO_LARGE
         responder = self._responder
         answer = responder.forbid if is_limit else responder.answer
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -1,5 +1,6 @@
 """The program of the hosts that accept the requests of callers."""
 
+from wagtailspread.entry import holdings
 from wagtailspread.gateway import buffers, hosts
 from wagtailspread.placement import costs
 from wagtailspread.platform import documents, names, processes, settings
@@ -51,6 +52,7 @@
             boot.memory_bytes, boot.link_rate
         ),
         key_seconds=_find_key_seconds(boot.bounds),
+        caller_bytes=holdings.compute_total(boot.memory_bytes),
     )
 
 
