Log whether an upstream got a request whose key was revoked

Cause: the line of a request that an upstream had refused to run before its key was revoked said that no upstream got it. Change: the line has the number of sends into account.

--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -202,7 +202,8 @@
         result = await self._runner.run(routed)
         newer = await self._find_newer(request, admission, result, deadline)
         if isinstance(newer, admissions.Rejection):
-            return self._reject_revoked(request, admission)
+            is_sent = result.sends > 0
+            return self._reject_revoked(request, admission, is_sent=is_sent)
         if newer is not None:
             copied = newer.copy_headers(request, self._names)
             outgoing = dataclasses.replace(outgoing, headers=copied)
@@ -249,10 +250,15 @@
         self,
         request: web.BaseRequest,
         admission: admissions.Admission,
+        *,
+        is_sent: bool = False,
     ) -> web.Response:
-        """Return the response to a request whose key is not known any more."""
+        """Return the response to a request whose key is not known any more.
+
+        :param is_sent: whether an upstream got the request and did not run it.
+        """
         reason = response_logs.Reason.KEY_REVOKED
-        details = {'route': admission.route.name}
+        details = {'route': admission.route.name, 'is_sent': is_sent}
         return self._responder.reject(reason, request, details)
 
     def _is_revoked(
--- a/wagtailspread/gateway/tests/test_revocations.py
+++ b/wagtailspread/gateway/tests/test_revocations.py
@@ -8,7 +8,7 @@
 from wagtailspread.entry.tests import connections
 from wagtailspread.gateway import revocations
 from wagtailspread.gateway.tests import raw_upstreams, test_admissions
-from wagtailspread.gateway.tests import test_servers
+from wagtailspread.gateway.tests import test_response_logs, test_servers
 from wagtailspread.placement import messages
 from wagtailspread.routing import terms
 
@@ -275,10 +275,12 @@
     kind, answer, status
 ):
     """Guards against a second attempt, and a 401 for a request that ran."""
-    async with run_revoking(kind, answer) as (upstreams, address):
-        found = await test_admissions.call(address, _KEY)
-        assert found.status == status
-        assert test_servers.count_requests(*upstreams) == 1
+    with test_response_logs.record_lines() as lines:
+        async with run_revoking(kind, answer) as (upstreams, address):
+            found = await test_admissions.call(address, _KEY)
+            assert found.status == status
+            assert test_servers.count_requests(*upstreams) == 1
+    assert [line['is_sent'] for line in lines] == [True]
 
 
 async def test_a_host_that_may_lag_revokes_with_503():
