--- a/wagtailspread/workspaces/caps.py
+++ b/wagtailspread/workspaces/caps.py
@@ -2,9 +2,12 @@
 
 >>> NO_CAP.is_limited, Cap(2.0, 5.0).is_limited
 (False, True)
+>>> round(Limits().compute_allowance(Cap(10.0, 30.0)), 6)
+28.0
 """
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,3 +31,41 @@
 
 #: The cap of a request without a limit.
 NO_CAP = Cap()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """How far the requests of a window may exceed a cap.
+
+    :param window: length of the window in seconds.
+    :param overage: part of the requests of the window.
+    :param slack: fixed number of requests in addition.
+    """
+
+    window: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
+    def compute_allowance(self, cap: Cap) -> float:
+        """Return the number of requests that a window may have beyond a cap."""
+        return self.overage * (cap.rate * self.window + cap.burst) + self.slack
+
+
+class AllowancePart(enum.Enum):
+    """Part of the allowance by kind of process that admits requests.
+
+    All kinds may admit requests at the same time. The remaining 0.3 cover
+    hosts that two allocators count for a short time, see
+    :func:`wagtailspread.workspaces.shares.compute_silence`.
+    """
+
+    #: The allocators on replicas.
+    REPLICA = 0.4
+    #: The substitute allocators on hosts.
+    SUBSTITUTE = 0.1
+    #: Hosts that decide alone.
+    HOST = 0.2
+
+
+#: Part of the allowance for hosts that two allocators count.
+OVERLAP_PART = 0.3
--- /dev/null
+++ b/wagtailspread/workspaces/tests/test_shares.py
@@ -0,0 +1,82 @@
+"""Tests of the share of an allocator."""
+
+import random
+
+from wagtailspread.workspaces import caps, fleets, shares
+
+
+def create_contacts(hosts, rate, now, seed=1):
+    """Return the last messages of hosts that send at random times."""
+    rng = random.Random(seed)
+    return {f'h{one}': now - rng.expovariate(rate) for one in range(hosts)}
+
+
+def test_hosts_with_few_requests_keep_their_part():
+    """Guards against a share that falls with the load of a fleet."""
+    contacts = create_contacts(200, 2.0, 100.0)
+    source = shares.create_shares(contacts, lambda: 400)
+    assert 0.4 <= source.compute(0.85, 100.0) <= 0.5
+
+
+def test_hosts_that_have_left_are_not_counted_for_long():
+    """Guards against two allocators that count the same hosts."""
+    contacts = create_contacts(200, 5.0, 100.0)
+    moved = {f'h{one}': 97.0 for one in range(100)}
+    source = shares.create_shares({**contacts, **moved}, lambda: 400)
+    assert 0.2 <= source.compute(0.85, 100.0) <= 0.3
+
+
+def test_declared_hosts_count_in_a_quiet_fleet_only():
+    """Guards against a first burst that is refused for want of messages."""
+    quiet = shares.create_shares({'h1': 100.0}, lambda: 100, lambda: 50)
+    assert quiet.compute(0.85, 100.0) == 0.5
+    contacts = create_contacts(20, 10.0, 100.0)
+    busy = shares.create_shares(contacts, lambda: 100, lambda: 50)
+    assert busy.compute(0.85, 100.0) <= 0.25
+
+
+def test_an_allocator_that_no_host_asks_has_no_share():
+    """Guards against replicas that stand by and use a part of a cap."""
+    source = shares.create_shares({}, lambda: 100)
+    assert source.compute(5.0, 100.0) == 0
+
+
+def test_the_steady_share_is_the_lowest_of_the_interval():
+    """Guards against the burst of hosts that have only just come."""
+    contacts = {}
+    source = shares.create_shares(contacts, lambda: 10)
+    for step in range(100):
+        now = 100 + step * 0.25
+        if step > 80:
+            contacts.update({f'h{one}': now for one in range(10)})
+        source.observe(now)
+    steady = {int(one.seconds): one.share for one in source.list_steady(125.0)}
+    assert steady[2] == 1
+    assert steady[10] == 0
+
+
+def test_a_silent_host_is_counted_for_less_time_at_higher_rates():
+    """Guards against an overlap that is larger than the allowance."""
+    limits = caps.Limits()
+    for rate in (1.0, 10.0, 100.0, 1000.0):
+        cap = caps.Cap(rate, 0.0)
+        seconds = shares.compute_silence(limits, cap)
+        overlap = shares.MAX_MOVED_SHARE * rate * seconds
+        assert overlap <= 0.31 * limits.compute_allowance(cap)
+
+
+def test_hosts_that_are_counted_twice_for_a_moment_do_not_count():
+    """Guards against half a cap for minutes after the loss of a replica."""
+    fleet = fleets.create_size()
+    for step in range(40):
+        is_double = 20 <= step < 25
+        fleet.record(80 if is_double else 40, float(step))
+    assert fleet.estimate() == 40
+
+
+def test_hosts_that_are_cut_off_still_count():
+    """Guards against a whole cap on each side of a partition."""
+    fleet = fleets.create_size()
+    for step in range(200):
+        fleet.record(40 if step < 20 else 20, float(step))
+    assert fleet.estimate() == 40
