Count declared hosts in the shares of a quiet fleet

Cause: in a fleet with few requests, most hosts are silent for longer than the limit, and an allocator admitted 0 of 29 requests of a workspace with a cap of 1/s. Change: hosts that have declared an allocator count if less than 0.6 of them sent a message in 5 s.

--- a/wagtailspread/workspaces/shares.py
+++ b/wagtailspread/workspaces/shares.py
@@ -31,10 +31,11 @@
 REFRESH_SECONDS = 0.1
 #: Time after which a host without a message is gone, in seconds.
 KNOWN_SECONDS = 30.0
-#: Part of the hosts that sent a message within the limit below which the fleet
-#: is quiet: silence then does not show that a host has turned elsewhere. In
-#: between, the part of the hosts that have declared this allocator grows, since
-#: a step would follow the noise of the estimate.
+#: Interval after which hosts that turn elsewhere have declared it, in seconds.
+DECLARED_SECONDS = 5.0
+#: Part of the hosts with a message in that interval below which the fleet is
+#: quiet: silence then does not show that a host has turned elsewhere. Up to the
+#: second value, hosts that have declared this allocator count in part.
 QUIET_PART = 0.6
 BUSY_PART = 0.75
 #: Messages that are assumed in addition, spread evenly over the limit, so that
@@ -176,11 +177,18 @@
         mean_age = total / silence + ASSUMED_MESSAGES / 2
         part = estimate_heard_part(mean_age / messages)
         counted = min(heard / part, len(self._ages))
-        if part < BUSY_PART:
-            weight = min(1.0, (BUSY_PART - part) / (BUSY_PART - QUIET_PART))
-            counted = max(counted, weight * self._count_declared())
+        counted = max(counted, self._count_quiet_hosts())
         return min(1.0, counted / self.count_hosts())
 
+    def _count_quiet_hosts(self) -> float:
+        """Return how many hosts would ask this allocator in a quiet fleet."""
+        declared = self._count_declared()
+        if not declared:
+            return 0.0
+        active = bisect.bisect_right(self._ages, DECLARED_SECONDS) / declared
+        weight = (BUSY_PART - active) / (BUSY_PART - QUIET_PART)
+        return declared * min(max(weight, 0.0), 1.0)
+
 
 class LoneShare:
     """Share of a host that decides alone. Use :func:`create_lone_share`."""
--- a/wagtailspread/workspaces/tests/test_shares.py
+++ b/wagtailspread/workspaces/tests/test_shares.py
@@ -31,8 +31,9 @@
     quiet = shares.create_shares({'h1': 100.0}, lambda: 100, lambda: 50)
     assert quiet.compute(0.85, 100.0) == 0.5
     contacts = create_contacts(20, 10.0, 100.0)
-    busy = shares.create_shares(contacts, lambda: 100, lambda: 50)
-    assert busy.compute(0.85, 100.0) <= 0.25
+    moved = {f'm{one}': 97.0 for one in range(30)}
+    split = shares.create_shares({**contacts, **moved}, lambda: 100, lambda: 50)
+    assert split.compute(0.85, 100.0) <= 0.25
 
 
 def test_an_allocator_that_no_host_asks_has_no_share():
