Exchange loans of caps and declared hosts between replicas

Cause: allocators of different regions lend each other parts of caps, and need the number of hosts of the fleet. Change: optional rows for asks, loans and the allocators that hosts would ask in FOLLOW; a module of its own for them. Nothing publishes rows yet. Result: tests of registry pass.

--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -35,6 +35,7 @@
     :param address: its address for the fleet protocol.
     :param position: last position that it has seen.
     :param polled_at: time of its last request, in seconds.
+    :param allocator: that the host would ask; ``None`` if it has no caps.
     """
 
     address: identifiers.Address
@@ -42,6 +43,7 @@
     is_replica: bool
     position: int
     polled_at: float
+    allocator: identifiers.Address | None = None
 
 
 class ChangeFeed:
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -161,8 +161,15 @@
         pool: links.LinkPool,
         clock: clocks.Clock,
         apply_batch: typing.Callable[[messages.Struct], None],
+        find_allocator: typing.Callable[[], identifiers.Address | None]
+        | None = None,
     ) -> None:
-        """Store the dependencies; no connection is opened."""
+        """Store the dependencies; no connection is opened.
+
+        :param find_allocator: returns the allocator that the host would ask,
+            if replicas shall know it.
+        """
+        self._find_allocator = find_allocator or (lambda: None)
         self.current_replica: identifiers.Address | None = None
         self.lag = lags.create_lag()
         self._host = host
@@ -218,6 +225,7 @@
             document_version=self.lag.newest_version,
             wait_ms=int(POLL_SECONDS * 1000),
             address=self._address,
+            allocator=self._find_allocator(),
         )
         asked_at = self._clock.now()
         answer = await self._pool.find(address).call(
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -11,8 +11,8 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import blocked, coverage, feeds, followers
-from wagtailspread.registry import groups, places, publications, records
+from wagtailspread.registry import blocked, coverage, feeds, followers, groups
+from wagtailspread.registry import places, publications, quotas, records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -57,13 +57,15 @@
         self._group: groups.ReplicaGroup | None = None
         self._replica_domains: dict[
             identifiers.Address, identifiers.FailureDomain
-        ]
-        self._replica_domains = {address: domain}
+        ] = {address: domain}
         self._peer_batches: dict[identifiers.Address, messages.Struct] = {}
         self._peer_tasks: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._strained: frozenset[identifiers.ServiceName] = frozenset()
         self._underused: coverage.Underused = None
         self._blocked = blocked.create_exchange()
+        self.quotas = quotas.create_exchange(
+            address, self.feed, self._peer_batches
+        )
 
     def attach(
         self,
@@ -304,6 +306,7 @@
         self._peer_batches[address] = batch
         now = self._clock.now()
         self._blocked.receive(batch, now)
+        self.quotas.receive(address, batch)
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
             if reported == address:
@@ -325,6 +328,7 @@
             request.is_replica,
             position,
             self._clock.now(),
+            request.allocator,
         )
         feed.update_follower(host, follower)
         wait = min(self._compute_wait(request), call.timeout)
@@ -371,6 +375,7 @@
         if request.is_replica and self._underused is not None:
             batch.underused = sorted(self._underused)
         self._blocked.add_rows(batch, now, is_replica=request.is_replica)
+        self.quotas.add_rows(batch, hosts, is_replica=request.is_replica)
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
         batch.document_version = documents.NO_VERSION
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -9,6 +9,7 @@
 from wagtailspread.registry import blocked, feeds, followers, records
 from wagtailspread.registry import services
 from wagtailspread.wire import listeners, messages
+from wagtailspread.workspaces import loans
 
 _REGIONS = {'north': 'r1', 'south': 'r1', 'far': 'r2'}
 _CALL = listeners.Call(None, 1.0, '')
@@ -298,3 +299,59 @@
     early = dataclasses.replace(later, born_ms=1000)
     service.feed.register(early, 100.0)
     assert service.feed.table.list_silent(100.0) == ['u1']
+
+
+async def test_loans_reach_other_replicas_only():
+    """Guards against rows for hosts, and loans for another borrower."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'far')
+    granted = [
+        loans.Loan(7, 'r2:1', 1000, 0.25),
+        loans.Loan(8, 'r9:1', 1000, 0.25),
+    ]
+    first.quotas.publish_loans([loans.Ask(7, 2000, 0.5)], granted)
+    batch = messages.structs.ChangeBatch(rows=[], replicas=[])
+    first.quotas.add_rows(batch, [], is_replica=False)
+    assert batch.cap_asks is None
+    first.quotas.add_rows(batch, [], is_replica=True)
+    second._process_batch('r1:1', batch)
+    assert second.quotas.pop_remote_asks() == [
+        ('r1:1', loans.Ask(7, 2000, 0.5))
+    ]
+    assert second.quotas.pop_remote_loans() == [('r1:1', granted[0])]
+    assert not second.quotas.pop_remote_loans()
+
+
+async def test_malformed_loans_are_skipped():
+    """Guards against a replica that stops following for one odd row."""
+    service = create_service('r1:1', 'north')
+    batch = messages.structs.ChangeBatch(
+        rows=[],
+        cap_asks=[messages.structs.CapAsk(workspace=7)],
+        cap_loans=[messages.structs.CapLoan(borrower='r1:1')],
+        allocator_hosts=[messages.structs.AllocatorHosts(allocator='r1:1')],
+    )
+    service._process_batch('r2:1', batch)
+    assert not service.quotas.pop_remote_asks()
+    assert not service.quotas.pop_remote_loans()
+    assert service.quotas.count_declared(100.0) == 0
+
+
+async def test_hosts_that_would_ask_an_allocator_are_counted_over_replicas():
+    """Guards against an allocator that knows its own followers only."""
+    first = create_service('r1:1', 'north')
+    second = create_service('r2:1', 'far')
+    for number, allocator in enumerate(('r1:1', 'r1:1', 'r2:1', None)):
+        follower = feeds.FollowerState(
+            f'h{number}:1', 'north', False, 0, 100.0, allocator
+        )
+        second.feed.update_follower(f'h{number}', follower)
+    batch = messages.structs.ChangeBatch(rows=[])
+    second.quotas.add_rows(
+        batch, second.feed.list_hosts(100.0), is_replica=True
+    )
+    batch.hosts = 4
+    first._process_batch('r2:1', batch)
+    assert first.quotas.count_declared(100.0) == 2
+    assert second.quotas.count_declared(100.0) == 1
+    assert first.quotas.count_hosts(100.0) == 4
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -545,6 +545,8 @@
   7: i32 wait_ms
   // Address of the follower for this protocol.
   8: string address
+  // Allocator that the host would ask now. Absent if it has no caps.
+  9: optional string allocator
 }
 
 // Address for this protocol of a replica or of a host that can substitute for
@@ -589,6 +591,30 @@
   4: i32 age_ms
 }
 
+// An allocator asks the others for a part of the cap of a workspace.
+struct CapAsk {
+  // Hash of the name.
+  1: i64 workspace
+  // Time on the clock of the borrower in milliseconds.
+  2: i64 stamp_ms
+  // Millionths of the whole cap.
+  3: i32 millionths
+}
+
+struct AllocatorHosts {
+  1: string allocator
+  2: i32 hosts
+}
+
+// An allocator lends a part of a cap for a second after the time of the ask.
+struct CapLoan {
+  1: i64 workspace
+  2: string borrower
+  // Copied from the ask.
+  3: i64 stamp_ms
+  4: i32 millionths
+}
+
 struct ChangeBatch {
   1: i64 epoch
   2: i64 position
@@ -616,6 +642,11 @@
   // Services that get too few requests at the allocator of this replica to keep
   // its upstreams in use; for replicas only. Absent if it gets no requests.
   17: optional list<string> underused
+  // Loans of caps between allocators; for replicas only.
+  18: optional list<CapAsk> cap_asks
+  19: optional list<CapLoan> cap_loans
+  // Hosts that follow this replica, by the allocator that they would ask.
+  20: optional list<AllocatorHosts> allocator_hosts
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
@@ -648,6 +679,11 @@
   19: optional i64 cap_version
   // The same for all requests of a route.
   20: optional i32 route_class
+  // Whether an earlier attempt may have run, so that the cap includes the
+  // request; only with a cap.
+  21: optional bool is_permitted
+  // Number of hosts of the fleet that the host knows of; only with a cap.
+  22: optional i32 fleet_hosts
 }
 
 struct PlaceAnswer {
