Enforce the caps of workspaces where requests are placed

Cause: a cap was carried with each request and not enforced. Change: allocators of replicas, substitutes and hosts that decide alone count a request when it is placed, refuse it with OVER_CAP, and take the permit back if it does not run. A request counts again at the next allocator, and after a shed attempt, unless an earlier attempt may have run. The bounds quotaWindow, quotaOverage and quotaSlack are read from the settings. Replicas exchange loans. A request that a newer configuration stops is withdrawn, which returns its permit.

--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -253,6 +253,7 @@
             workspace=_NO_WORKSPACE if workspace is None else workspace.name,
             cap=caps.NO_CAP if workspace is None else workspace.cap,
             route_class=_compute_class(routed.route),
+            is_permitted=state.execution.prove_not_run() is None,
         )
 
     def _find_refusal(
@@ -270,13 +271,7 @@
             # The route was chosen when the request arrived.
             refusal = Refusal.NOT_CURRENT
         if refusal is not None:
-            # Releases the slot.
-            self._placer.settle(
-                placement_request.request_id,
-                placed,
-                messages.Evidence.NONE,
-                0.0,
-            )
+            self._placer.withdraw(placement_request, placed)
         return refusal
 
     async def _send(
--- a/wagtailspread/gateway/conversions.py
+++ b/wagtailspread/gateway/conversions.py
@@ -41,9 +41,14 @@
 
 
 def add_workspace(
-    encoded: wire.Struct, placement_request: messages.PlacementRequest
+    encoded: wire.Struct,
+    placement_request: messages.PlacementRequest,
+    fleet_hosts: int,
 ) -> None:
-    """Add the workspace of a request and its cap to a ``PlaceRequest``."""
+    """Add the workspace of a request and its cap to a ``PlaceRequest``.
+
+    :param fleet_hosts: number of hosts of the fleet; 0 if it is unknown.
+    """
     if not placement_request.workspace:
         return
     encoded.workspace = placement_request.workspace
@@ -52,6 +57,8 @@
         encoded.cap_rate = cap.rate
         encoded.cap_burst = cap.burst
         encoded.cap_version = cap.version
+        encoded.is_permitted = placement_request.is_permitted or None
+        encoded.fleet_hosts = fleet_hosts or None
 
 
 def create_withdrawal(
@@ -64,3 +71,16 @@
         evidence=int(messages.Evidence.NONE),
         took_ms=0,
     )
+
+
+def create_release(
+    placement_request: messages.PlacementRequest,
+    record: records.UpstreamRecord,
+) -> wire.Struct:
+    """Return the settlement of a request that goes to another upstream."""
+    return wire.structs.Settlement(
+        request=placement_request.request_id,
+        upstream=record.upstream,
+        evidence=int(messages.Evidence.NONE),
+        took_ms=0,
+    )
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -11,12 +11,13 @@
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import allocators, budgets, costs, selection
-from wagtailspread.placement import services
+from wagtailspread.placement import permits, services
 from wagtailspread.registry import blocked, downloads, followers, places
 from wagtailspread.registry import records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
+from wagtailspread.workspaces import caps, fleets
 
 ROLE = 'host'
 #: Time between two checks whether all requests have ended, in seconds.
@@ -40,6 +41,7 @@
     :param find_seeds: returns current addresses of some replicas.
     :param stop_seconds: maximum duration of a stop, in seconds.
     :param response_limits: limits of the responses that are being read.
+    :param cap_limits: how far the caps of workspaces may be exceeded.
     """
 
     host: identifiers.HostId
@@ -55,6 +57,7 @@
     retry_budget: budgets.RetryBudgetSettings
     stop_seconds: float
     response_limits: buffers.ResponseLimits
+    cap_limits: caps.Limits = caps.Limits()
 
 
 class DocumentReader(typing.Protocol):
@@ -78,6 +81,8 @@
         self._read_document = read_document
         self._clock = clock
         self._host_count = 0
+        self._fleet = fleets.create_size()
+        self._has_caps = False
         self._is_stopping = False
         # Registry and placement use separate connections, so that waiting
         # calls of one do not delay the other. Documents are sent in parts
@@ -96,6 +101,7 @@
             self.selector,
             self._create_budget(settings.retry_budget),
             clock,
+            permits.create_lone_permits(settings.cap_limits, self._fleet),
         )
         self._exchanger = exchanges.create_exchanger(
             settings.header_names,
@@ -130,6 +136,7 @@
             self._pool,
             clock,
             self._apply_changes,
+            self._find_allocator,
         )
         self.downloader = downloads.DocumentDownloader(
             self._pool,
@@ -218,7 +225,14 @@
             lambda: substitutes * len(set(regions.values())),
         )
         allocator = allocators.create_allocator(
-            selector, budget, crash_table=self._placer.crashes
+            selector,
+            budget,
+            crash_table=self._placer.crashes,
+            quota=permits.QuotaSettings(
+                settings.cap_limits,
+                caps.AllowancePart.SUBSTITUTE,
+                self._fleet.estimate,
+            ),
         )
         return services.create_service(
             allocator,
@@ -243,6 +257,10 @@
         region = location.regions.get(location.domain)
         return 1 if location.regions.get(domain) == region else 2
 
+    def _find_allocator(self) -> identifiers.Address | None:
+        """Return the allocator to ask, if the configuration has caps."""
+        return self._placer.find_allocator() if self._has_caps else None
+
     def _apply_changes(self, batch: messages.Struct) -> None:
         """Apply the changes that a replica sent."""
         now = self._clock.now()
@@ -255,6 +273,7 @@
         self.selector.silent = frozenset(batch.silent)
         # A replica that has just started knows of few hosts.
         self._host_count = max(self._host_count, batch.hosts)
+        self._fleet.record(batch.hosts, now)
         for fingerprint, seconds in blocked.read_blocked(batch).items():
             self._placer.crashes.block(fingerprint, now + seconds)
         self._placer.update_allocators(batch.replicas, batch.substitutes)
@@ -270,6 +289,9 @@
             )
             return
         self.server.apply_settings(settings)
+        self._has_caps = any(
+            workspace.cap.is_limited for workspace in settings.workspaces
+        )
         lag = self.follower.lag.describe(self._clock.now())
         self.follower.lag.record_active_version(version)
         _log.info(
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -19,10 +19,11 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.gateway import conversions, settlements
 from wagtailspread.placement import budgets, costs, crashes, messages
-from wagtailspread.placement import selection
+from wagtailspread.placement import permits, selection
 from wagtailspread.registry import records
 from wagtailspread.wire import links
 from wagtailspread.wire import messages as wire
+from wagtailspread.workspaces import caps, fleets
 
 #: Maximum time for which an allocator may delay its answer, in seconds.
 MAX_WAIT_SECONDS = 0.15
@@ -47,10 +48,12 @@
     """Upstream to send a request to, or why there is none.
 
     :param allocator: that decided; ``None`` if the host decided itself.
+    :param request: for which the host decided itself.
     """
 
     answer: messages.Answer
     allocator: identifiers.Address | None
+    request: messages.PlacementRequest | None = None
 
 
 class Placer:
@@ -67,14 +70,21 @@
         selector: selection.Selector,
         budget: budgets.SharedRetryBudget,
         clock: clocks.Clock,
+        lone_permits: permits.LonePermits | None = None,
     ) -> None:
-        """Create a placer without known allocators."""
+        """Create a placer without known allocators.
+
+        :param lone_permits: for requests on which the host decides itself.
+        """
         self._host = host
         self._location = location
         self._pool = pool
         self._selector = selector
         self.crashes = crashes.create_crashes()
         self._budget = budget
+        self._permits = lone_permits or permits.create_lone_permits(
+            caps.Limits(), fleets.create_size()
+        )
         self._clock = clock
         self._incarnation = random.randrange(_MAX_INCARNATION)
         self._prefix = f'{self._incarnation:x}'
@@ -102,6 +112,17 @@
         ]
         self._settler.retain(self._allocators)
 
+    def find_allocator(self) -> identifiers.Address | None:
+        """Return the allocator that is asked first, if there is one."""
+        usable = self._list_usable()
+        return usable[0] if usable else None
+
+    def _list_usable(self) -> list[identifiers.Address]:
+        usable = [
+            one for one in self._allocators if not self._settler.is_failed(one)
+        ]
+        return usable[:MAX_ALLOCATORS]
+
     def create_id(self) -> identifiers.RequestId:
         """Return a new id of one attempt to place a request.
 
@@ -121,10 +142,7 @@
                 messages.Decision.BLOCKED, None, end - now
             )
             return Placement(refusal, None)
-        usable = [
-            one for one in self._allocators if not self._settler.is_failed(one)
-        ]
-        for allocator in usable[:MAX_ALLOCATORS]:
+        for allocator in self._list_usable():
             answer = await self._ask(allocator, placement_request)
             placement_request = dataclasses.replace(
                 placement_request, is_counted=True
@@ -138,9 +156,32 @@
                 return Placement(answer, allocator)
             # The allocator does not know yet what the upstream asked this
             # host, for example since it has just taken over.
-            self._withdraw(allocator, placement_request)
+            placement_request = self._release(
+                allocator, placement_request, answer.record
+            )
             break
-        return Placement(self._place_locally(placement_request), None)
+        answer = self._place_locally(placement_request)
+        return Placement(answer, None, placement_request)
+
+    def _release(
+        self,
+        allocator: identifiers.Address,
+        placement_request: messages.PlacementRequest,
+        record: records.UpstreamRecord,
+    ) -> messages.PlacementRequest:
+        """Free the granted slot of a request that the host places itself.
+
+        The request keeps its permit, so the part of the cap for hosts that
+        decide alone is not used.
+
+        :returns: the request to place.
+        """
+        if not permits.needs_permit(placement_request):
+            self._withdraw(allocator, placement_request)
+            return placement_request
+        release = conversions.create_release(placement_request, record)
+        self._settler.start(allocator, release)
+        return dataclasses.replace(placement_request, is_permitted=True)
 
     def _may_send(self, record: records.UpstreamRecord) -> bool:
         """Tell whether an upstream has not asked this host to stop sending."""
@@ -190,6 +231,8 @@
             seconds,
             self._clock.now(),
         )
+        if placement.request is not None:
+            self._permits.settle(placement.request, evidence, self._clock.now())
         if placement.allocator is None:
             self._record_alone(record, evidence, fingerprint, is_reset=is_reset)
         else:
@@ -209,6 +252,20 @@
                 )
             self._settler.start(placement.allocator, settlement)
 
+    def withdraw(
+        self,
+        placement_request: messages.PlacementRequest,
+        placement: Placement,
+    ) -> None:
+        """Free the slot and return the permit of a request that is not sent."""
+        if placement.answer.record is None:
+            return
+        self._selector.finish(placement.answer.record.upstream)
+        if placement.allocator is not None:
+            self._withdraw(placement.allocator, placement_request)
+        elif placement.request is not None:
+            self._permits.give_back(placement.request, self._clock.now())
+
     def _record_alone(
         self,
         record: records.UpstreamRecord,
@@ -338,7 +395,9 @@
             wait_ms=int(MAX_WAIT_SECONDS * _MILLISECONDS),
             route_class=placement_request.route_class,
         )
-        conversions.add_workspace(encoded, placement_request)
+        conversions.add_workspace(
+            encoded, placement_request, self._permits.fleet.sustained
+        )
         return encoded
 
     def _place_locally(
@@ -346,6 +405,17 @@
     ) -> messages.Answer:
         """Choose an upstream without an allocator."""
         now = self._clock.now()
+        refusal = self._permits.take(placement_request, now)
+        if refusal is not None:
+            return refusal
+        answer = self._choose_locally(placement_request, now)
+        if answer.record is None:
+            self._permits.give_back(placement_request, now)
+        return answer
+
+    def _choose_locally(
+        self, placement_request: messages.PlacementRequest, now: float
+    ) -> messages.Answer:
         if placement_request.is_repeat:
             if not self._budget.spend(placement_request.service, now):
                 return messages.Answer(messages.Decision.NO_BUDGET)
@@ -373,6 +443,7 @@
     selector: selection.Selector,
     budget: budgets.SharedRetryBudget,
     clock: clocks.Clock,
+    lone_permits: permits.LonePermits | None = None,
 ) -> Placer:
     """Return a placer that knows no allocator yet."""
-    return Placer(host, location, pool, selector, budget, clock)
+    return Placer(host, location, pool, selector, budget, clock, lone_permits)
--- a/wagtailspread/gateway/tests/test_attempts.py
+++ b/wagtailspread/gateway/tests/test_attempts.py
@@ -1,11 +1,15 @@
 """Tests of the attempts to send one request."""
 
 import asyncio
+import dataclasses
 import itertools
 
+import pytest
+
 from wagtailspread.gateway import attempts, exchanges, placements
 from wagtailspread.placement.tests import regions
 from wagtailspread.routing import terms
+from wagtailspread.workspaces import caps
 
 
 class LocalPlacer:
@@ -14,6 +18,7 @@
     def __init__(self, region):
         """Create a placer without placed requests."""
         self.region = region
+        self.requests = []
         self._numbers = itertools.count()
 
     def create_id(self):
@@ -22,24 +27,36 @@
 
     async def place(self, request):
         """Return the decision of the allocator."""
+        self.requests.append(request)
         answer = self.region.allocator.submit(request, self.region.now)
         return placements.Placement(answer, '10.0.0.1:1')
 
     def settle(self, *_args, **_names):
         """Ignore the result."""
 
+    def withdraw(self, request, _placement):
+        """Withdraw the request at the allocator."""
+        self.region.allocator.settle(
+            request.request_id, '', 4, 0.0, self.region.now
+        )
+
 
 class FailingExchanger:
     """Ends all attempts with the same outcome."""
 
-    def __init__(self, outcome):
-        """Create an exchanger without exchanges."""
+    def __init__(self, outcome, *, is_connected=False):
+        """Create an exchanger without exchanges.
+
+        :param is_connected: whether the upstream may have run the request.
+        """
         self.outcome = outcome
+        self.is_connected = is_connected
         self.sends = 0
 
-    async def send(self, *_args):
+    async def send(self, _record, _outgoing, progress, _received):
         """Count an exchange."""
         self.sends += 1
+        progress.is_connected = self.is_connected
         return self.outcome
 
 
@@ -93,3 +110,48 @@
     is_obsolete[0] = False
     await runner.run(create_routed_request(), first)
     assert len(region.allocator.budget._requests['columns']) == 1
+
+
+@pytest.mark.parametrize('is_connected', [False, True])
+async def test_a_resend_has_a_permit_only_if_the_request_may_have_run(
+    is_connected,
+):
+    """Guards against a cap that counts a request twice or not at all."""
+    region = regions.Region(upstreams=4)
+    region.now = asyncio.get_running_loop().time()
+    placer = LocalPlacer(region)
+    runner = attempts.AttemptRunner(
+        'h1',
+        'north',
+        placer,
+        FailingExchanger(
+            exchanges.LostResponse('reset'), is_connected=is_connected
+        ),
+    )
+    await runner.run(create_routed_request())
+    flags = [request.is_permitted for request in placer.requests]
+    assert flags == [False, is_connected, is_connected]
+
+
+async def test_a_request_that_is_not_sent_returns_its_permit():
+    """Guards against counting a request once for each configuration."""
+    region = regions.Region(upstreams=4)
+    region.now = asyncio.get_running_loop().time()
+    region.allocator.record_contact('h1', region.now)
+    placer = LocalPlacer(region)
+    runner = attempts.AttemptRunner(
+        'h1',
+        'north',
+        placer,
+        FailingExchanger(exchanges.LostResponse('reset')),
+        is_obsolete=lambda: True,
+    )
+    routed = dataclasses.replace(
+        create_routed_request(),
+        workspace=terms.Workspace('friolink', (), cap=caps.Cap(100.0, 50.0, 1)),
+    )
+    for _ in range(30):
+        outcome = await runner.run(routed)
+        assert outcome.refusal is attempts.Refusal.NOT_CURRENT
+    states = region.allocator.permits.quotas._states
+    assert states['friolink'].admitted == 0
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -11,6 +11,7 @@
 from wagtailspread.registry import records, tables
 from wagtailspread.wire import credentials, links, listeners, signing
 from wagtailspread.wire import messages as wire
+from wagtailspread.workspaces import caps
 
 _REGIONS = {'north': 'r1', 'far': 'r2'}
 _MEMBER = identifiers.MemberId('m')
@@ -375,3 +376,81 @@
         [place(address='h1:1', domain='north')],
     )
     assert placer._allocators == ['r1:1', 'r3:1', 'h1:1']
+
+
+async def test_a_cap_reaches_the_allocator_and_its_refusal_the_host():
+    """Guards against a cap that is lost between host and allocator."""
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    placer._permits.fleet.raise_to(3, 0.0)
+    decisions = []
+    for _ in range(60):
+        request = dataclasses.replace(
+            create_placement_request(placer),
+            workspace='friolink',
+            cap=caps.Cap(1.0, 2.0, 1),
+        )
+        placed = await placer.place(request)
+        decisions.append(placed.answer.decision)
+        placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+        if placed.answer.decision is messages.Decision.OVER_CAP:
+            break
+    assert placed.answer.decision is messages.Decision.OVER_CAP
+    assert placed.answer.retry_after > 0
+    assert placed.allocator == address
+    assert allocator.permits._shares.fleet.estimate() == 3
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_host_without_an_allocator_enforces_its_part_of_a_cap():
+    """Guards against a cap that ends when no allocator answers."""
+    placer = create_placer()
+    placer._permits.fleet.raise_to(2, 0.0)
+    granted = 0
+    for _ in range(100):
+        request = dataclasses.replace(
+            create_placement_request(placer),
+            workspace='friolink',
+            cap=caps.Cap(100.0, 20.0, 1),
+        )
+        placed = await placer.place(request)
+        granted += placed.answer.record is not None
+        placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+    assert placed.answer.decision is messages.Decision.OVER_CAP
+    assert granted <= 15
+
+
+async def test_a_shed_request_returns_the_permit_of_a_lone_host():
+    """Guards against a part of a cap that shed requests use up."""
+    placer = create_placer()
+    for _ in range(100):
+        request = dataclasses.replace(
+            create_placement_request(placer),
+            workspace='friolink',
+            cap=caps.Cap(10.0, 20.0, 1),
+        )
+        placed = await placer.place(request)
+        placer.settle(request.request_id, placed, messages.Evidence.SHED, 0.1)
+    assert placed.answer.decision is not messages.Decision.OVER_CAP
+
+
+async def test_a_request_that_a_host_places_itself_keeps_its_permit():
+    """Guards against refusing a request that an allocator has granted.
+
+    Load pattern: an allocator that has just taken over grants an upstream that
+    has asked this host for a pause.
+    """
+    listener, address, _ = await start_allocator()
+    placer = create_placer(address)
+    placer._may_send = lambda _record: False
+    request = dataclasses.replace(
+        create_placement_request(placer),
+        workspace='friolink',
+        cap=caps.Cap(100.0, 20.0, 1),
+    )
+    placed = await placer.place(request)
+    assert placed.allocator is None
+    assert placed.request.is_permitted
+    await placer.close()
+    await listener.close()
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -14,7 +14,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.placement import budgets, crashes, estimates, floors
 from wagtailspread.placement import leases, messages, open_requests
-from wagtailspread.placement import selection
+from wagtailspread.placement import permits, selection
 
 #: Head start in the queue per priority level, in seconds. It is bounded, so a
 #: flood of urgent requests does not starve the others.
@@ -46,6 +46,7 @@
         budget: budgets.SharedRetryBudget,
         floor: floors.UsageFloor,
         crash_table: crashes.CrashTable,
+        quota: permits.QuotaSettings,
     ) -> None:
         """Create an allocator without open requests."""
         self.selector = selector
@@ -54,6 +55,7 @@
         self.crashes = crash_table
         self._sequence = itertools.count()
         self._open = open_requests.create_open_requests(selector)
+        self.permits = permits.create_permits(quota, self._open.contacts)
         self._waiting: dict[identifiers.RequestId, leases.WaitingRequest] = {}
         self._decided: dict[identifiers.RequestId, leases.StoredDecision] = {}
         self._withdrawn: dict[identifiers.RequestId, float] = {}
@@ -78,6 +80,7 @@
         if decided is not None:
             return decided
         refusal = self._refuse_blocked(request, now)
+        refusal = refusal or self.permits.take(request, now)
         if refusal is not None:
             return refusal
         if request.is_repeat:
@@ -106,8 +109,13 @@
         :param is_reset: whether its connection ended without an answer.
         """
         lease = self._open.close(request_id)
-        self._waiting.pop(request_id, None)
+        waiting = self._waiting.pop(request_id, None)
         self._decided.pop(request_id, None)
+        closed = lease or waiting
+        if closed is not None:
+            # A withdrawn request has not run, like one that was shed.
+            ended = evidence if upstream else messages.Evidence.SHED
+            self.permits.settle(closed.request, ended, now)
         if not upstream:
             self._withdrawn[request_id] = now
             if lease is not None:
@@ -137,11 +145,13 @@
         for request_id, waiting in list(self._waiting.items()):
             if waiting.request.host == host:
                 self._waiting.pop(request_id)
+                self.permits.give_back(waiting.request, now)
 
     def tick(self, now: float) -> list[identifiers.RequestId]:
         """Process the queue; return the ids of the decided requests."""
         self._open.process_overdue(now)
         self._drop_unclaimed(now)
+        self.permits.tick(now)
         decided: list[identifiers.RequestId] = []
         ordered = sorted(self._waiting.values(), key=lambda entry: entry.order)
         blocked: set[identifiers.ServiceName] = set()
@@ -149,6 +159,7 @@
             request = waiting.request
             if now - waiting.polled_at > ABANDON_SECONDS:
                 self._waiting.pop(request.request_id)
+                self.permits.give_back(request, now)
                 continue
             is_blocked = request.service in blocked
             answer = self._decide_waiting(waiting, now, is_blocked=is_blocked)
@@ -195,6 +206,7 @@
         self._waiting[request.request_id] = leases.WaitingRequest(
             request, order, now, now, is_held=self._is_held(request, now)
         )
+        self.permits.record_queued(request, now)
         return messages.Answer(messages.Decision.WAITING)
 
     def _decide_waiting(
@@ -206,6 +218,8 @@
         """
         request = waiting.request
         answer = self._refuse_blocked(request, now)
+        if answer is not None:
+            self.permits.give_back(request, now)
         if answer is None and not is_blocked:
             answer = self._try_grant(request, waiting.queued_at, now)
             if request.is_repeat and answer and answer.record:
@@ -289,6 +303,7 @@
         self._open.add(
             leases.Lease(request, record.upstream, now, is_trial=is_trial)
         )
+        self.permits.record_sent(request, now)
         return messages.Answer(messages.Decision.GRANTED, record)
 
     def _is_held(self, request: messages.PlacementRequest, now: float) -> bool:
@@ -389,6 +404,7 @@
         now: float,
     ) -> messages.Answer:
         """Return a refusal with the estimated time until a slot is free."""
+        self.permits.give_back(request, now)
         self.floor.strains.record_completion(request.service, False, now)
         order = self._create_order(request, now)
         ahead = self._count_ahead(request, order)
@@ -403,7 +419,9 @@
             if now - decided.decided_at <= ABANDON_SECONDS:
                 continue
             self._decided.pop(request_id)
-            self._open.close(request_id)
+            lease = self._open.close(request_id)
+            if lease is not None:
+                self.permits.give_back(lease.request, now)
         for request_id, withdrawn_at in list(self._withdrawn.items()):
             if now - withdrawn_at <= WITHDRAWN_SECONDS:
                 break
@@ -415,11 +433,15 @@
     budget: budgets.SharedRetryBudget,
     floor_share: float = DEFAULT_FLOOR_SHARE,
     crash_table: crashes.CrashTable | None = None,
+    quota: permits.QuotaSettings | None = None,
 ) -> Allocator:
     """Return an allocator that has no open requests.
 
     :param crash_table: requests known to crash upstreams, none by default.
+    :param quota: by default, the only allocator of its fleet.
     """
     floor = floors.UsageFloor(floor_share)
     table = crash_table or crashes.create_crashes()
-    return Allocator(selector, budget, floor, table)
+    return Allocator(
+        selector, budget, floor, table, quota or permits.QuotaSettings()
+    )
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -77,6 +77,10 @@
     :param workspace: that the request belongs to; empty for none.
     :param cap: of the workspace.
     :param route_class: the same for all requests of a route.
+    :param is_permitted: whether an earlier attempt may have run, so that the
+        cap includes it already.
+    :param fleet_hosts: number of hosts of the fleet that the host knows of; 0
+        if it is unknown.
     """
 
     request_id: identifiers.RequestId
@@ -95,6 +99,8 @@
     workspace: identifiers.WorkspaceName = identifiers.WorkspaceName('')
     cap: caps.Cap = caps.NO_CAP
     route_class: int = 0
+    is_permitted: bool = False
+    fleet_hosts: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/open_requests.py
+++ b/wagtailspread/placement/open_requests.py
@@ -10,6 +10,7 @@
 
 import collections
 import math
+import typing
 
 import logbook
 
@@ -46,6 +47,11 @@
             collections.defaultdict(list)
         )
 
+    @property
+    def contacts(self) -> typing.Mapping[identifiers.HostId, float]:
+        """Time of the last message of each host."""
+        return self._contacts
+
     def add(self, lease: leases.Lease) -> None:
         """Hold a slot of the upstream of a request."""
         self._leases[lease.request.request_id] = lease
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -10,6 +10,7 @@
 
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.placement import allocators, coverage, crashes, messages
+from wagtailspread.placement import permits
 from wagtailspread.registry import blocked, records
 from wagtailspread.registry import coverage as region_coverage
 from wagtailspread.wire import listeners
@@ -80,8 +81,10 @@
         ],
         strain_exchange: StrainExchange | None = None,
         monitor: coverage.CoverageMonitor | None = None,
+        loan_exchange: permits.LoanExchange | None = None,
     ) -> None:
         """Create a service that is not running."""
+        self._loan_exchange = loan_exchange
         self._strain_exchange = strain_exchange
         self._monitor = monitor
         self._allocator = allocator
@@ -107,10 +110,13 @@
             now = self._clock.now()
             selector.silent = self._find_silent(now)
             self._exchange_strain(now)
+            if self._loan_exchange is not None:
+                self._allocator.permits.exchange(self._loan_exchange, now)
             self._tick()
             if now >= count_at:
                 count_at = now + COUNT_SECONDS
                 self._log_retries(now)
+                self._allocator.permits.log_counts(now)
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 self._allocator.prune(now)
@@ -273,6 +279,8 @@
         workspace=identifiers.WorkspaceName(request.workspace or ''),
         cap=_decode_cap(request),
         route_class=request.route_class or 0,
+        is_permitted=bool(request.is_permitted),
+        fleet_hosts=request.fleet_hosts or 0,
     )
 
 
@@ -303,12 +311,19 @@
     ],
     strain_exchange: StrainExchange | None = None,
     monitor: coverage.CoverageMonitor | None = None,
+    loan_exchange: permits.LoanExchange | None = None,
 ) -> PlacementService:
     """Return a service that is not running.
 
     :param monitor: finds the services whose upstreams other regions shall use,
         which are published by the exchange.
+    :param loan_exchange: carries loans of caps; without it there are none.
     """
     return PlacementService(
-        allocator, clock, find_silent, strain_exchange, monitor
+        allocator,
+        clock,
+        find_silent,
+        strain_exchange,
+        monitor,
+        loan_exchange,
     )
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -43,4 +43,5 @@
         response_limits=buffers.create_limits(
             boot.memory_bytes, boot.link_rate
         ),
+        cap_limits=processes.create_cap_limits(boot),
     )
--- a/wagtailspread/platform/processes.py
+++ b/wagtailspread/platform/processes.py
@@ -11,6 +11,7 @@
 from wagtailspread.placement import budgets
 from wagtailspread.platform import settings, values
 from wagtailspread.wire import credentials
+from wagtailspread.workspaces import caps
 
 #: The only member of a fleet whose processes the platform starts.
 MEMBER = identifiers.MemberId('fleet')
@@ -62,6 +63,17 @@
     )
 
 
+def create_cap_limits(boot: settings.BootSettings) -> caps.Limits:
+    """Return how far requests may exceed the caps of workspaces."""
+    bounds = boot.bounds
+    defaults = caps.Limits()
+    return caps.Limits(
+        bounds.get('quotaWindow', defaults.window),
+        bounds.get('quotaOverage', defaults.overage),
+        bounds.get('quotaSlack', defaults.slack),
+    )
+
+
 def create_credentials(
     boot: settings.BootSettings,
     role: str,
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -4,7 +4,7 @@
 
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.placement import allocators, budgets, coverage
-from wagtailspread.placement import selection
+from wagtailspread.placement import permits, selection
 from wagtailspread.placement import services as placement_services
 from wagtailspread.platform import controls, processes, settings, values
 from wagtailspread.processes import machines
@@ -64,6 +64,11 @@
         selector,
         budget,
         boot.bounds.get('floorShare', allocators.DEFAULT_FLOOR_SHARE),
+        quota=permits.QuotaSettings(
+            processes.create_cap_limits(boot),
+            count_hosts=lambda: registry.quotas.count_hosts(clock.now()),
+            count_declared=lambda: registry.quotas.count_declared(clock.now()),
+        ),
     )
     return placement_services.create_service(
         allocator,
@@ -71,6 +76,7 @@
         table.list_silent,
         registry,
         coverage.create_monitor(selector, allocator.floor, _list_domains(boot)),
+        registry.quotas,
     )
 
 
