--- a/wagtailspread/placement/tests/test_logs.py
+++ b/wagtailspread/placement/tests/test_logs.py
@@ -7,6 +7,7 @@
 from wagtailspread.placement import budgets, crashes, floors
 from wagtailspread.placement.tests import regions
 from wagtailspread.registry import tables
+from wagtailspread.workspaces import caps
 
 
 @contextlib.contextmanager
@@ -91,3 +92,20 @@
     assert fields['full'] == 1
     assert fields['overdue'] == 1
     assert fields['longest'] == 4.0
+
+
+def test_the_caps_tell_their_counts():
+    """Guards against refusals over a cap that no log line explains."""
+    region = regions.Region(upstreams=2, slots=50)
+    names = {'workspace': 'friolink', 'cap': caps.Cap(1.0, 1.0, 1)}
+    for _ in range(20):
+        region.submit(**names)
+    with record_lines() as lines:
+        region.allocator.permits.log_counts(region.now)
+        region.allocator.permits.log_counts(region.now)
+    ((event, fields),) = lines
+    assert event == 'caps counted'
+    assert fields['workspace'] == 'friolink'
+    assert fields['admitted'] + fields['refused'] == 20
+    assert fields['refused'] >= 10
+    assert fields['share'] == 1.0
