--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 
 from benchmarks import (
     allocation,
+    cap_measures,
     configuration_measures,
     consensus_measures,
     costs,
@@ -44,6 +45,7 @@
         health_measures.measure_health,
         configuration_measures.measure_configuration,
         workspace_measures.measure_workspaces,
+        cap_measures.measure_caps,
     ]
     if is_full:
         measurements.append(membership_measures.measure_membership)
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -12,12 +12,13 @@
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import allocators, budgets, costs, selection
-from wagtailspread.placement import services
+from wagtailspread.placement import permits, services
 from wagtailspread.registry import blocked, downloads, followers, places
 from wagtailspread.registry import records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
+from wagtailspread.workspaces import caps, fleets
 
 ROLE = 'host'
 #: Time between two checks whether all requests have ended, in seconds.
@@ -44,6 +45,7 @@
     :param key_seconds: time for which keys of workspaces are accepted after a
         replica last confirmed the active version; ``None`` for no limit.
     :param caller_bytes: memory that all callers together may hold.
+    :param cap_limits: how far the caps of workspaces may be exceeded.
     """
 
     host: identifiers.HostId
@@ -61,6 +63,7 @@
     response_limits: buffers.ResponseLimits
     key_seconds: float | None = None
     caller_bytes: int = holdings.compute_total()
+    cap_limits: caps.Limits = caps.Limits()
 
 
 class DocumentReader(typing.Protocol):
@@ -84,6 +87,8 @@
         self._read_document = read_document
         self._clock = clock
         self._host_count = 0
+        self._fleet = fleets.create_size()
+        self._has_caps = False
         self._is_stopping = False
         # Registry and placement use separate connections, so that waiting
         # calls of one do not delay the other. Documents are sent in parts
@@ -102,6 +107,7 @@
             self.selector,
             self._create_budget(settings.retry_budget),
             clock,
+            permits.create_lone_permits(settings.cap_limits, self._fleet),
         )
         self._exchanger = exchanges.create_exchanger(
             settings.header_names,
@@ -141,6 +147,7 @@
             self._apply_changes,
             self.selector.registry,
         )
+        self.follower.find_allocator = self._find_allocator
         self.downloader = downloads.DocumentDownloader(
             self._pool,
             self.follower.list_sources,
@@ -232,7 +239,14 @@
             lambda: substitutes * len(set(regions.values())),
         )
         allocator = allocators.create_allocator(
-            selector, budget, crash_table=self._placer.crashes
+            selector,
+            budget,
+            crash_table=self._placer.crashes,
+            quota=permits.QuotaSettings(
+                settings.cap_limits,
+                caps.AllowancePart.SUBSTITUTE,
+                self._fleet.estimate,
+            ),
         )
         return services.create_service(
             allocator,
@@ -265,6 +279,10 @@
         region = location.regions.get(location.domain)
         return 1 if location.regions.get(domain) == region else 2
 
+    def _find_allocator(self) -> identifiers.Address | None:
+        """Return the allocator to ask, if the configuration has caps."""
+        return self._placer.find_allocator() if self._has_caps else None
+
     def _apply_changes(self, batch: messages.Struct) -> None:
         """Apply the changes that a replica sent."""
         now = self._clock.now()
@@ -277,6 +295,7 @@
         self.selector.silent = frozenset(batch.silent)
         # A replica that has just started knows of few hosts.
         self._host_count = max(self._host_count, batch.hosts)
+        self._fleet.record(batch.hosts, now)
         for fingerprint, seconds in blocked.read_blocked(batch).items():
             self._placer.crashes.block(fingerprint, now + seconds)
         self._placer.update_allocators(batch.replicas, batch.substitutes)
@@ -292,6 +311,9 @@
             )
             return
         self.server.apply_settings(settings)
+        self._has_caps = any(
+            workspace.cap.is_limited for workspace in settings.workspaces
+        )
         lag = self.follower.lag.describe(self._clock.now())
         self.follower.lag.record_active_version(version)
         _log.info(
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -53,6 +53,7 @@
         ),
         key_seconds=_find_key_seconds(boot.bounds),
         caller_bytes=holdings.compute_total(boot.memory_bytes),
+        cap_limits=processes.create_cap_limits(boot),
     )
 
 
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -160,6 +160,8 @@
     table: with all rows in each answer, the links between regions were full.
 
     :param apply_batch: is called with each batch of changes.
+    :param find_allocator: returns the allocator that the host would ask, if
+        replicas shall know it.
     :param current_replica: replica that answered the last call; ``None`` before
         the first answer and after a failure.
     :param lag: lag of the active configuration behind the newest version.
@@ -180,6 +182,9 @@
 
         :param table: the rows that ``apply_batch`` has stored.
         """
+        self.find_allocator: typing.Callable[[], identifiers.Address | None] = (
+            lambda: None
+        )
         self.current_replica: identifiers.Address | None = None
         self.lag = lags.create_lag()
         self._host = host
@@ -239,6 +244,7 @@
             wait_ms=int(wait * 1000),
             address=self._address,
             digest=self._table.digest,
+            allocator=self.find_allocator(),
         )
         asked_at = self._clock.now()
         answer = await self._pool.find(address).call(
