Import only the parts of the HTTP library that serve requests

Change: the programs of the platform defer the package of aiohttp and import its client without ssl; entry.web names the parts in use and entry.listening replaces the runner, which needs the applications. The tests of a stop read the address from the site, since there is no runner; what they check is the same.

--- a/wagtailspread/core/packages.py
+++ b/wagtailspread/core/packages.py
@@ -9,6 +9,7 @@
 True
 """
 
+import asyncio
 import contextlib
 import importlib
 import re
@@ -71,6 +72,20 @@
     return importlib.import_module(part)
 
 
+async def import_gradually(
+    modules: typing.Iterable[str], pause_seconds: float
+) -> typing.Any:
+    """Import modules one after the other and return the last one.
+
+    :param pause_seconds: pause after each one, in which other tasks run.
+    """
+    module = None
+    for name in modules:
+        module = importlib.import_module(name)
+        await asyncio.sleep(pause_seconds)
+    return module
+
+
 @contextlib.contextmanager
 def hide(name: str) -> typing.Iterator[None]:
     """Let imports of a module fail, as if it were not installed."""
--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -7,12 +7,12 @@
 import asyncio
 import typing
 
-from aiohttp import streams, web
+from aiohttp import streams
 
 from returns import result
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import requests
+from wagtailspread.entry import requests, web
 
 #: Size of the buffered prefix, which the fingerprint covers, in bytes.
 MAX_PREFIX_BYTES = 65536
--- a/wagtailspread/entry/connections.py
+++ b/wagtailspread/entry/connections.py
@@ -14,7 +14,7 @@
 import typing
 import weakref
 
-import aiohttp
+from aiohttp import client, cookiejar
 
 from wagtailspread.entry import executions, protocols
 
@@ -38,10 +38,10 @@
 _MEAN_WEIGHT = 0.1
 
 #: No total timeout: the exchange enforces the deadline of a request.
-TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+TIMEOUT = client.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
 
-class RepeatedAttempt(aiohttp.ClientError):
+class RepeatedAttempt(client.ClientError):
     """The HTTP client tried to resend a request on its own."""
 
 
@@ -52,7 +52,7 @@
 )
 
 
-class TrackingConnector(aiohttp.TCPConnector):
+class TrackingConnector(client.TCPConnector):
     """A connector that updates the progress of the current attempt."""
 
     def __init__(self, generation: int, **settings: typing.Any) -> None:
@@ -127,9 +127,9 @@
             keepalive_timeout=KEEPALIVE_SECONDS,
             socket_factory=create_socket,
         )
-        self.session = aiohttp.ClientSession(
+        self.session = client.ClientSession(
             connector=self.connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
+            cookie_jar=cookiejar.DummyCookieJar(),
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
         )
--- a/wagtailspread/entry/heads.py
+++ b/wagtailspread/entry/heads.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing
 
-from aiohttp import web
+from wagtailspread.entry import web
 
 #: Minimum size of a field on the wire: a one-byte name, colon and line end.
 MIN_FIELD_BYTES = 4
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -14,10 +14,10 @@
 
 import logbook
 
-from aiohttp import http, http_parser, web
+from aiohttp import http, http_parser
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads, parsers
+from wagtailspread.entry import heads, parsers, web
 
 #: Bytes of a body that are buffered before reading from the caller pauses.
 READ_BUFFER_BYTES = 65536
--- a/wagtailspread/entry/protocols.py
+++ b/wagtailspread/entry/protocols.py
@@ -7,9 +7,7 @@
 
 import typing
 
-import aiohttp
-
-from aiohttp import client_proto, streams
+from aiohttp import client, client_proto, streams
 
 #: Maximum size of a head with the interim responses before it, in bytes.
 #: Regular heads have a few hundred bytes.
@@ -26,7 +24,7 @@
 _FIRST_FINAL = 200
 
 
-class UnboundedAnswer(aiohttp.ClientError):
+class UnboundedAnswer(client.ClientError):
     """An upstream sent too many bytes that are no content of an answer."""
 
 
@@ -39,7 +37,7 @@
 class UpstreamProtocol(client_proto.ResponseHandler):
     """A connection to an upstream that can be closed with an error."""
 
-    def close_with_error(self, error: aiohttp.ClientError) -> None:
+    def close_with_error(self, error: client.ClientError) -> None:
         """Close the connection at once; raise the error in waiting readers."""
         payload = self._payload
         if payload is not None and payload is not streams.EMPTY_PAYLOAD:
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -2,10 +2,8 @@
 
 import typing
 
-from aiohttp import web
-
 from wagtailspread.core import identifiers
-from wagtailspread.entry import heads, protections
+from wagtailspread.entry import heads, listening, protections, web
 
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
@@ -17,7 +15,10 @@
 
 
 class GuardedSite:
-    """Serves callers at one address. Use :func:`create_site`."""
+    """Serves callers at one address. Use :func:`create_site`.
+
+    :param address: where it listens; empty before the start.
+    """
 
     def __init__(
         self,
@@ -27,21 +28,17 @@
         """Start without opening a socket."""
         self._handler = handler
         self._window = window
-        self._runner: web.ServerRunner | None = None
+        self._listener: listening.HttpListener | None = None
         self._server: protections.GuardedServer | None = None
-        self._site: web.TCPSite | None = None
         self._is_closing = False
+        self.address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
-        ip, _, port = address.rpartition(':')
         self._server = protections.create_server(self._handle, self._window)
-        self._runner = web.ServerRunner(self._server)
-        await self._runner.setup()
-        self._site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
-        await self._site.start()
-        bound = self._runner.addresses[0]
-        return identifiers.Address(f'{bound[0]}:{bound[1]}')
+        self._listener = listening.create_listener(self._server, BACKLOG)
+        self.address = await self._listener.start(address)
+        return self.address
 
     @property
     def limits(self) -> heads.RequestLimits:
@@ -58,8 +55,8 @@
 
     async def stop_listening(self) -> None:
         """Stop accepting connections; the open ones stay open."""
-        if self._site is not None:
-            await self._site.stop()
+        if self._listener is not None:
+            self._listener.stop()
 
     def close_idle(self) -> int:
         """Close the connections that wait for a request.
@@ -78,8 +75,8 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         response: web.StreamResponse | None
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -9,11 +9,12 @@
 import dataclasses
 import typing
 
-import aiohttp
 import logbook
 import multidict
 import yarl
 
+from aiohttp import client, cookiejar
+
 from wagtailspread.entry import bodies, connections, executions
 from wagtailspread.gateway import buffers, headers, notices, response_readers
 from wagtailspread.placement import crashes
@@ -36,12 +37,12 @@
 #: resends some requests then, which is prevented.
 _RESET_ERRORS = (
     connections.RepeatedAttempt,
-    aiohttp.ClientPayloadError,
-    aiohttp.ServerDisconnectedError,
+    client.ClientPayloadError,
+    client.ServerDisconnectedError,
     OSError,
 )
 #: The exchange enforces the deadline of the request itself.
-_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+_TIMEOUT = client.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
 _log = logbook.Logger('exchanges')
 
@@ -135,9 +136,9 @@
         self.budgets = response_readers.create_budgets(limits)
         self._names = names
         self._limits = limits
-        self._session = aiohttp.ClientSession(
+        self._session = client.ClientSession(
             connector=response_readers.BoundedConnector(),
-            cookie_jar=aiohttp.DummyCookieJar(),
+            cookie_jar=cookiejar.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_OMITTED_HEADERS,
             read_bufsize=connections.READ_BUFFER_BYTES,
@@ -171,7 +172,7 @@
         except TimeoutError:
             reader.expire()
             loss = LostResponse('no answer in time', is_expired=True)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (client.ClientError, OSError, ValueError) as error:
             is_reset = isinstance(error, _RESET_ERRORS)
             loss = LostResponse(type(error).__name__, is_reset=is_reset)
         finally:
@@ -214,7 +215,7 @@
 
     async def _read(
         self,
-        response: aiohttp.ClientResponse,
+        response: client.ClientResponse,
         progress: executions.AttemptProgress,
         reader: response_readers.ResponseReader,
     ) -> Outcome:
@@ -256,7 +257,7 @@
 
     def _echoes_attempt(
         self,
-        response: aiohttp.ClientResponse,
+        response: client.ClientResponse,
         outgoing: OutgoingRequest,
     ) -> bool:
         """Tell whether a response echoes the attempt id of the request.
@@ -268,7 +269,7 @@
         found = response.headers.getall(self._names.attempt, [''])
         return all(attempt == outgoing.attempt for attempt in found)
 
-    def _is_not_run(self, response: aiohttp.ClientResponse) -> bool:
+    def _is_not_run(self, response: client.ClientResponse) -> bool:
         """Tell whether the upstream did not run the request.
 
         A successful response never means that.
@@ -278,7 +279,7 @@
         has_header = self._names.not_run in response.headers
         return has_header and response.status >= _CLIENT_ERROR
 
-    def _find_fault(self, response: aiohttp.ClientResponse) -> str:
+    def _find_fault(self, response: client.ClientResponse) -> str:
         """Return why a response head is invalid, or an empty string."""
         found = response.headers
         if 'Content-Encoding' in found:
--- a/wagtailspread/gateway/fingerprints.py
+++ b/wagtailspread/gateway/fingerprints.py
@@ -3,9 +3,7 @@
 import hashlib
 import struct
 
-from aiohttp import web
-
-from wagtailspread.entry import bodies
+from wagtailspread.entry import bodies, web
 from wagtailspread.placement import crashes
 
 #: Bytes of a body that are hashed. The size is hashed as well.
--- a/wagtailspread/gateway/readiness.py
+++ b/wagtailspread/gateway/readiness.py
@@ -2,9 +2,8 @@
 
 import typing
 
-from aiohttp import web
-
 from wagtailspread.core import identifiers
+from wagtailspread.entry import listening, web
 
 _NOT_FOUND = 404
 _READY = 200
@@ -25,19 +24,17 @@
         """Create a server that does not listen yet."""
         self._path = path
         self._is_ready = is_ready
-        self._runner: web.ServerRunner | None = None
+        self._listener: listening.HttpListener | None = None
 
     async def start(self, address: identifiers.Address) -> None:
         """Listen on ``address``."""
-        self._runner = web.ServerRunner(web.Server(self._answer))
-        await self._runner.setup()
-        ip, _, port = address.rpartition(':')
-        await web.TCPSite(self._runner, ip, int(port)).start()
+        self._listener = listening.create_listener(web.Server(self._answer))
+        await self._listener.start(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self._path:
--- a/wagtailspread/gateway/response_logs.py
+++ b/wagtailspread/gateway/response_logs.py
@@ -16,8 +16,7 @@
 
 import logbook
 
-from aiohttp import web
-
+from wagtailspread.entry import web
 from wagtailspread.gateway import headers
 
 #: Maximum number of characters of a path in a log line.
--- a/wagtailspread/gateway/response_readers.py
+++ b/wagtailspread/gateway/response_readers.py
@@ -9,9 +9,7 @@
 import functools
 import typing
 
-import aiohttp
-
-from aiohttp import streams
+from aiohttp import client, streams
 
 from wagtailspread.entry import connections, executions, protocols
 from wagtailspread.gateway import buffers
@@ -24,7 +22,7 @@
 _LONGEST_BLANK_LINE = 3
 
 
-class AnswerCut(aiohttp.ClientError):
+class AnswerCut(client.ClientError):
     """Reading of a response was aborted because of a limit."""
 
 
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -3,9 +3,8 @@
 import asyncio
 import typing
 
-from aiohttp import web
-
 from wagtailspread.entry import bodies, heads, protections, requests, sites
+from wagtailspread.entry import web
 from wagtailspread.gateway import attempts, exchanges, headers, response_logs
 from wagtailspread.gateway import fingerprints, limits, stops
 from wagtailspread.routing import tables, terms
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -163,9 +163,8 @@
     host = create_host()
     with logbook.TestHandler() as handler:
         await host.start()
-        runner = host.server.site._runner
-        ip, port = runner.addresses[0]
-        status, _, _ = await test_servers.call(f'http://{ip}:{port}')
+        address = host.server.site.address
+        status, _, _ = await test_servers.call(f'http://{address}')
         await host.stop()
     assert status == 503
     (stopped,) = list_events(handler, 'host stopped')
--- a/wagtailspread/gateway/tests/test_stops.py
+++ b/wagtailspread/gateway/tests/test_stops.py
@@ -46,8 +46,7 @@
     host._read_document = read_document(kind)
     await host.start()
     host._apply_document(1, json.dumps({}).encode())
-    ip, port = host.server.site._runner.addresses[0]
-    return host, f'{ip}:{port}'
+    return host, host.server.site.address
 
 
 @pytest.mark.parametrize(
--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -5,9 +5,8 @@
 
 import logbook
 
-from aiohttp import web
-
 from wagtailspread.core import identifiers
+from wagtailspread.entry import listening, web
 from wagtailspread.platform import documents, heartbeats, names, values
 from wagtailspread.registry import records, services
 from wagtailspread.replica import documents as replicated
@@ -15,6 +14,8 @@
 #: Maximum size of a request body, in bytes. A configuration of 11,000 routes
 #: takes about 2 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Maximum number of new connections that wait to be accepted.
+BACKLOG = 512
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -45,22 +46,20 @@
         self.malformed_calls = 0
         self._registry = registry
         self._find_document = find_document
-        self._runner: web.ServerRunner | None = None
+        self._listener: listening.HttpListener | None = None
         self._address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> None:
         """Listen on ``address``; the port is the same at all replicas."""
         self._address = address
         server = web.Server(self._handle)
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        ip, _, port = address.rpartition(':')
-        await web.TCPSite(self._runner, ip, int(port), backlog=512).start()
+        self._listener = listening.create_listener(server, BACKLOG)
+        await self._listener.start(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.path
--- a/wagtailspread/wire/codecs.py
+++ b/wagtailspread/wire/codecs.py
@@ -9,7 +9,8 @@
 from wagtailspread.core import packages
 
 thrift: typing.Any = packages.import_part('thriftpy2.thrift')
-cybin: typing.Any = packages.import_part('thriftpy2.protocol.cybin')
 cymemory: typing.Any = packages.import_part(
     'thriftpy2.transport.memory.cymemory'
 )
+# It uses the package of the transports, which is deferred by now.
+cybin: typing.Any = packages.import_part('thriftpy2.protocol.cybin')
