Import the allocator of a host after its start

Cause: a host needs its own allocator only after a replica has named it as a substitute, yet imported it before it listened, with the protocols of the other entry program, the change feed and the statistics module. Change: the allocator is imported when the first configuration is in force or after 3 s, with pauses in which requests are handled. entry.lookups, registry.positions and a constant in configuration.chunks keep the others out.

--- a/wagtailspread/configuration/chunks.py
+++ b/wagtailspread/configuration/chunks.py
@@ -32,6 +32,8 @@
 MIN_CHUNK_BYTES = 1024
 #: Maximum size of a chunk: the capacity of a 64 kbit/s link in 2 s.
 MAX_CHUNK_BYTES = 16 * 1024
+#: Limit on the chunks in one answer, in bytes before compression.
+MAX_ANSWER_BYTES = 64 * 1024
 #: Length of a chunk id.
 ID_BYTES = 8
 #: On average, one segment in this many ends a chunk. Segments of 150 bytes, a
--- a/wagtailspread/entry/announcements.py
+++ b/wagtailspread/entry/announcements.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from wagtailspread.core import addresses, clocks, failures, identifiers
-from wagtailspread.entry import interfaces, rows, slots
+from wagtailspread.entry import interfaces, lookups, rows, slots
 from wagtailspread.wire import messages
 
 #: Largest accepted announcement, in bytes.
@@ -72,7 +72,7 @@
 
     def __init__(
         self,
-        routing: interfaces.Routing,
+        routing: lookups.Routing,
         sink: interfaces.AnnouncementSink,
         clock: clocks.Clock,
     ) -> None:
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -14,6 +14,7 @@
 from wagtailspread.entry import allocations, announcements, attempts
 from wagtailspread.entry import connections, draining, exchanges, forwarding
 from wagtailspread.entry import handlers, heartbeats, interfaces, keys
+from wagtailspread.entry import lookups
 from wagtailspread.entry import owners, servers, spills
 from wagtailspread.wire import credentials, links, listeners, signing
 
@@ -63,7 +64,7 @@
     :param read_metrics: returns the metrics in the text exposition format.
     """
 
-    routing: interfaces.Routing
+    routing: lookups.Routing
     list_services: typing.Callable[
         [],
         typing.Sequence[identifiers.ServiceName],
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -10,56 +10,11 @@
 
 from returns import result
 
-from wagtailspread.core import failures, identifiers, outcomes, priorities
-from wagtailspread.entry import slots
+from wagtailspread.core import failures, identifiers, outcomes
+from wagtailspread.entry import lookups, slots
 from wagtailspread.wire import messages
 
 
-class Route(typing.Protocol):
-    """A configured route."""
-
-    @property
-    def name(self) -> str:
-        """Return the section name of the route."""
-
-    @property
-    def service(self) -> identifiers.ServiceName:
-        """Return the service that receives its requests."""
-
-    @property
-    def priority(self) -> priorities.Priority:
-        """Return the priority of its requests."""
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Return whether its requests may be executed more than once."""
-
-
-class ServiceLimits(typing.Protocol):
-    """Settings of a service that the request path reads."""
-
-    @property
-    def deadline(self) -> float:
-        """Return the default time limit of a request, in seconds."""
-
-    @property
-    def max_body(self) -> int:
-        """Return the maximum size of a request body, in bytes."""
-
-
-class Routing(typing.Protocol):
-    """Routes and services of the active configuration."""
-
-    def match(self, method: str, path: str) -> Route | None:
-        """Return the route that matches a request, ``None`` if none does."""
-
-    def find_service(
-        self,
-        service: identifiers.ServiceName,
-    ) -> ServiceLimits | None:
-        """Return the limits of a service, ``None`` if it is unknown."""
-
-
 class Coordinator(typing.Protocol):
     """Allocator of the slots of one service in one region."""
 
@@ -207,7 +162,7 @@
     :param seconds: time from arrival to the end of the answer.
     """
 
-    route: Route
+    route: lookups.Route
     caller: identifiers.CallerId
     outcome: str
     reason: str
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from wagtailspread.core import failures, identifiers, outcomes
-from wagtailspread.entry import interfaces
+from wagtailspread.entry import lookups
 
 #: Headers that apply to a single connection and are never forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -91,8 +91,8 @@
 
     method: str
     target: str
-    route: interfaces.Route
-    limits: interfaces.ServiceLimits
+    route: lookups.Route
+    limits: lookups.ServiceLimits
     caller: identifiers.CallerId
     key: identifiers.IdempotencyKey | None
     deadline: float
@@ -107,7 +107,7 @@
     method: str,
     target: str,
     headers: typing.Any,
-    routing: interfaces.Routing,
+    routing: lookups.Routing,
 ) -> HeadResult:
     """Return the validated head of a request, or its fault.
 
@@ -155,8 +155,8 @@
     method: str,
     target: str,
     headers: typing.Any,
-    route: interfaces.Route,
-    limits: interfaces.ServiceLimits,
+    route: lookups.Route,
+    limits: lookups.ServiceLimits,
 ) -> HeadResult:
     detail = _check_headers(headers)
     if detail:
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.entry import announcements, answers, forwarding, heads
-from wagtailspread.entry import executions, interfaces, requests, sites
+from wagtailspread.entry import executions, lookups, requests, sites
 
 #: Prefix of the paths that the host answers itself.
 INTERNAL_PREFIX = '/-/'
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        routing: interfaces.Routing,
+        routing: lookups.Routing,
         forwarder: forwarding.Forwarder,
         receiver: announcements.AnnouncementReceiver,
         readiness: Readiness,
@@ -153,7 +153,7 @@
 
 
 def create_server(
-    routing: interfaces.Routing,
+    routing: lookups.Routing,
     forwarder: forwarding.Forwarder,
     receiver: announcements.AnnouncementReceiver,
     readiness: Readiness,
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -7,13 +7,11 @@
 
 import logbook
 
-from wagtailspread.core import clocks, identifiers, tasks
+from wagtailspread.core import clocks, identifiers, packages, tasks
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers, stops
-from wagtailspread.placement import allocators, budgets, costs, selection
-from wagtailspread.placement import services
-from wagtailspread.registry import blocked, downloads, followers, places
-from wagtailspread.registry import records
+from wagtailspread.placement import budgets, costs, selection
+from wagtailspread.registry import blocked, downloads, followers, records
 from wagtailspread.registry import tables as registries
 from wagtailspread.routing import tables, terms
 from wagtailspread.wire import credentials, links, listeners, messages
@@ -27,6 +25,19 @@
 #: Minimum number of hosts that are assumed to share the retry budget. It also
 #: applies until their number is known.
 MIN_BUDGET_HOSTS = 40
+#: Longest time for which the allocator of the host waits for a configuration
+#: before its modules are imported, in seconds.
+MAX_SUBSTITUTE_DELAY_SECONDS = 3.0
+#: Pause after the import of each of them, in seconds.
+SUBSTITUTE_PAUSE_SECONDS = 0.05
+#: The modules of the allocator, each before those that import it.
+_SUBSTITUTE_MODULES = (
+    'wagtailspread.placement.floors',
+    'wagtailspread.placement.open_requests',
+    'wagtailspread.placement.allocators',
+    'wagtailspread.placement.services',
+    'wagtailspread.gateway.substitutes',
+)
 
 _log = logbook.Logger('gateway')
 
@@ -141,8 +152,6 @@
             settings.local_credentials,
             settings.directory,
         )
-        self._substitute_service = self._create_substitute_service(settings)
-        self._substitute_service.register(self._listener)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -156,7 +165,7 @@
         functions = {
             'follower': self.follower.follow,
             'downloader': self.downloader.run,
-            'substitute allocator': self._substitute_service.run,
+            'substitute allocator': self._run_substitute,
             'response log': self.server.response_log.run,
         }
         self._tasks = [
@@ -205,27 +214,29 @@
             extra={'open_requests': left, 'counts': dict(counts)},
         )
 
-    def _create_substitute_service(
-        self,
-        settings: GatewaySettings,
-    ) -> services.PlacementService:
-        """Return the allocator that is used if no replica answers."""
-        regions = settings.location.regions
-        selector = selection.create_selector(self.selector.registry, regions)
-        substitutes = places.MAX_SUBSTITUTES
-        budget = budgets.create_budget(
-            settings.retry_budget,
-            budgets.BudgetShare.SUBSTITUTE,
-            lambda: substitutes * len(set(regions.values())),
-        )
-        allocator = allocators.create_allocator(
-            selector, budget, crash_table=self._placer.crashes
+    async def _run_substitute(self) -> None:
+        """Run the allocator that is used if no replica answers.
+
+        Its modules are imported when requests can be served, and with pauses in
+        which they are.
+        """
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + MAX_SUBSTITUTE_DELAY_SECONDS
+        while self.server.routes is None and loop.time() < latest:
+            await asyncio.sleep(SUBSTITUTE_PAUSE_SECONDS)
+        substitutes = await packages.import_gradually(
+            _SUBSTITUTE_MODULES, SUBSTITUTE_PAUSE_SECONDS
         )
-        return services.create_service(
-            allocator,
+        service = substitutes.create_service(
+            self.selector.registry,
+            self._settings.location.regions,
+            self._settings.retry_budget,
+            self._placer.crashes,
             self._clock,
-            lambda _now: self.selector.silent,
+            lambda: self.selector.silent,
         )
+        service.register(self._listener)
+        await service.run()
 
     def _create_budget(
         self, retries: budgets.RetryBudgetSettings
--- a/wagtailspread/gateway/tests/test_configurations.py
+++ b/wagtailspread/gateway/tests/test_configurations.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from wagtailspread.configuration import chunks
 from wagtailspread.gateway.tests import configured_fleets as fleets
-from wagtailspread.registry import lags, publications
+from wagtailspread.registry import lags
 
 #: Number of routes at the design size (docs/CAPACITY.md).
 ROUTES = 11_000
@@ -17,7 +18,7 @@
 WHOLE_BYTES = 164_000
 HALF_BYTES = WHOLE_BYTES // 2
 #: Answers that may be lost with a replica and are sent again, in bytes.
-ANSWER_BYTES = 2 * publications.MAX_ANSWER_BYTES // 8
+ANSWER_BYTES = 2 * chunks.MAX_ANSWER_BYTES // 8
 
 
 async def test_a_large_configuration_reaches_a_host_behind_a_slow_link():
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -8,7 +8,6 @@
 import dataclasses
 import math
 import random as random_module
-import statistics
 import typing
 
 from wagtailspread.core import identifiers
@@ -268,7 +267,7 @@
             if (mean := self.risk_table.find_mean_seconds(row.record.upstream))
             > 0
         ]
-        seconds = statistics.median(means) if means else 0.0
+        seconds = _find_median(means)
         self._typical_durations[service] = _TypicalDuration(seconds, now)
         return seconds
 
@@ -382,6 +381,15 @@
         counts.pop(upstream, None)
 
 
+def _find_median(numbers: list[float]) -> float:
+    """Return the median of numbers, 0 if there are none."""
+    if not numbers:
+        return 0.0
+    ordered = sorted(numbers)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
+
+
 def create_selector(
     registry: tables.RegistryTable,
     regions: dict[identifiers.FailureDomain, identifiers.RegionName],
--- a/wagtailspread/registry/downloads.py
+++ b/wagtailspread/registry/downloads.py
@@ -15,7 +15,6 @@
 
 from wagtailspread.configuration import chunks, documents
 from wagtailspread.core import failures, identifiers
-from wagtailspread.registry import publications
 from wagtailspread.wire import links, messages
 
 #: Initial and shortest timeout of a call, in seconds. A replica that has
@@ -26,10 +25,10 @@
 #: Bytes of chunks that the first call requests, before compression.
 INITIAL_CALL_BYTES = 16 * 1024
 #: Maximum number of chunk ids in one request.
-MAX_REQUESTED_CHUNKS = publications.MAX_ANSWER_BYTES // chunks.MIN_CHUNK_BYTES
+MAX_REQUESTED_CHUNKS = chunks.MAX_ANSWER_BYTES // chunks.MIN_CHUNK_BYTES
 #: Limit on an unpacked answer, in bytes: the requested size or one chunk,
 #: including the length fields.
-MAX_RECEIVED_BYTES = 2 * publications.MAX_ANSWER_BYTES
+MAX_RECEIVED_BYTES = 2 * chunks.MAX_ANSWER_BYTES
 #: Backoff after no replica could provide the version, in seconds.
 RETRY_BACKOFF_SECONDS = 0.1
 
@@ -63,7 +62,7 @@
         """
         if duration * _FAST_ANSWER_DIVISOR < self.seconds:
             self.seconds = max(self.seconds / 2, INITIAL_CALL_SECONDS)
-            self.size = min(2 * self.size, publications.MAX_ANSWER_BYTES)
+            self.size = min(2 * self.size, chunks.MAX_ANSWER_BYTES)
 
 
 class DocumentDownloader:
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -24,8 +24,6 @@
 RELAY_DELAY_SECONDS = 0.4
 #: Rows in one answer: about 25 KB, which takes 0.1 s on a 2 Mbit/s link.
 MAX_ROWS = 256
-#: Epoch that a follower sends before it has received an answer.
-NO_EPOCH = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, identifiers
-from wagtailspread.registry import feeds, lags, places, tables
+from wagtailspread.registry import lags, places, positions, tables
 from wagtailspread.wire import links, messages, timeouts
 
 #: Longest time that a replica waits for a change before it answers, in seconds.
@@ -145,13 +145,6 @@
                 self._sources[address] = _Source(address, 1)
 
 
-class _Progress(typing.NamedTuple):
-    """Last position of a replica that a host has seen."""
-
-    epoch: int = feeds.NO_EPOCH
-    position: int = 0
-
-
 class ChangeFollower:
     """Polls the change feed of a replica on behalf of a host.
 
@@ -190,7 +183,7 @@
         self._clock = clock
         self._apply_batch = apply_batch
         self._table = table
-        self._progress: dict[identifiers.Address, _Progress] = {}
+        self._progress: dict[identifiers.Address, positions.Position] = {}
         self._margin = timeouts.AdaptiveTimeout(
             ANSWER_MARGIN_SECONDS, MAX_ANSWER_MARGIN_SECONDS
         )
@@ -226,7 +219,7 @@
 
     async def follow_once(self, address: identifiers.Address) -> bool:
         """Request changes from one replica; tell whether it answered."""
-        known = self._progress.get(address, _Progress())
+        known = self._progress.get(address, positions.Position())
         # Whether another replica has a quorum must be known at once.
         wait = POLL_SECONDS if address == self.current_replica else 0.0
         request = messages.structs.FollowChanges(
@@ -234,7 +227,7 @@
             domain=self._domain,
             is_replica=False,
             epoch=known.epoch,
-            position=known.position,
+            position=known.number,
             document_version=self.lag.newest_version,
             wait_ms=int(wait * 1000),
             address=self._address,
@@ -288,7 +281,9 @@
     ) -> None:
         """Retain the position of a batch whose rows are stored."""
         self._progress.pop(address, None)
-        self._progress[address] = _Progress(batch.epoch, batch.position)
+        self._progress[address] = positions.Position(
+            batch.epoch, batch.position
+        )
         if len(self._progress) > MAX_PROGRESS:
             self._progress.pop(next(iter(self._progress)))
 
--- a/wagtailspread/registry/publications.py
+++ b/wagtailspread/registry/publications.py
@@ -13,9 +13,6 @@
 from wagtailspread.core import failures
 from wagtailspread.wire import listeners, messages
 
-#: Limit on the chunks in one answer, in bytes before compression.
-MAX_ANSWER_BYTES = 64 * 1024
-
 
 class NoDocument(failures.Failure):
     """The replica holds no configuration document yet."""
@@ -87,11 +84,11 @@
         """Return the wanted chunks that are available, up to a size limit.
 
         :param max_bytes: limit on the total size, in bytes, which is also
-            limited by :data:`MAX_ANSWER_BYTES`. The first chunk is returned
+            limited by the size of an answer. The first chunk is returned
             even if it is larger.
         """
         found: list[bytes] = []
-        remaining_bytes = min(max_bytes, MAX_ANSWER_BYTES)
+        remaining_bytes = min(max_bytes, chunks.MAX_ANSWER_BYTES)
         for identity in wanted:
             chunk = self._newest.chunks.get(identity)
             if chunk is None:
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -12,7 +12,8 @@
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.registry import blocked, coverage, feeds, followers
-from wagtailspread.registry import groups, places, publications, records
+from wagtailspread.registry import groups, places, positions, publications
+from wagtailspread.registry import records
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -244,7 +245,7 @@
         address: identifiers.Address,
         pool: links.LinkPool,
     ) -> None:
-        epoch = feeds.NO_EPOCH
+        epoch = positions.NO_EPOCH
         position = 0
         while True:
             try:
--- a/wagtailspread/registry/tests/test_downloads.py
+++ b/wagtailspread/registry/tests/test_downloads.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from wagtailspread.configuration import documents
+from wagtailspread.configuration import chunks, documents
 from wagtailspread.core import failures
 from wagtailspread.registry import downloads, publications
 from wagtailspread.wire import messages
@@ -105,7 +105,7 @@
     assert sizes[:4] == [16384, 8192, 4096, 2048]
     assert seconds[:4] == [0.5, 1.0, 2.0, downloads.MAX_CALL_SECONDS]
     assert sizes[-1] > sizes[3]
-    assert max(sizes) <= publications.MAX_ANSWER_BYTES
+    assert max(sizes) <= chunks.MAX_ANSWER_BYTES
     assert seconds[-1] == downloads.INITIAL_CALL_SECONDS
 
 
@@ -158,7 +158,7 @@
     publisher = publish(document)
     wanted = publisher.find_manifest().chunks
     found = publisher.collect(wanted, 1 << 30)
-    assert sum(map(len, found)) <= publications.MAX_ANSWER_BYTES
+    assert sum(map(len, found)) <= chunks.MAX_ANSWER_BYTES
     assert len(publisher.collect(wanted, 0)) == 1
 
 
--- a/wagtailspread/registry/tests/test_odd_rows.py
+++ b/wagtailspread/registry/tests/test_odd_rows.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.registry import feeds, records
+from wagtailspread.registry import feeds, positions, records
 from wagtailspread.wire import messages
 
 _SOUND = records.UpstreamRecord(
@@ -22,7 +22,7 @@
 def follow(feed):
     """Return the batch that a new replica receives."""
     request = messages.structs.FollowChanges(
-        is_replica=True, epoch=feeds.NO_EPOCH, position=0
+        is_replica=True, epoch=positions.NO_EPOCH, position=0
     )
     return messages.decode(
         messages.structs.ChangeBatch,
--- a/wagtailspread/testing/fuzz_targets.py
+++ b/wagtailspread/testing/fuzz_targets.py
@@ -19,7 +19,7 @@
 from wagtailspread.platform import documents, heartbeats, settings, values
 from wagtailspread.placement import services
 from wagtailspread.processes import machines as state_machines
-from wagtailspread.registry import feeds, places, records, tables
+from wagtailspread.registry import feeds, places, positions, records, tables
 from wagtailspread.replica import machines, packing, peers
 from wagtailspread.routing import tables as routes
 from wagtailspread.testing import mutations
@@ -337,7 +337,7 @@
 def _transmit(feed: feeds.ChangeFeed, *, is_replica: bool) -> messages.Struct:
     """Return the answer of a feed to a new follower, as it arrives."""
     request = structs.FollowChanges(
-        is_replica=is_replica, epoch=feeds.NO_EPOCH, position=0
+        is_replica=is_replica, epoch=positions.NO_EPOCH, position=0
     )
     encoded = messages.encode(feed.collect(request, 0.0))
     return messages.decode(structs.ChangeBatch, encoded)
