Read workspaces from the base file

The base file has sections [workspace NAME] with digests of keys, a priority, a rate and a burst. digest-key prints the digest of a key from standard input. Checks refuse a value that is no digest, without showing it, and a digest that is there twice. The request path does not use the sections yet.

--- a/wagtailspread/commands/program.py
+++ b/wagtailspread/commands/program.py
@@ -5,6 +5,7 @@
 from wagtailspread.commands import (
     approve,
     check,
+    digest_key,
     fetch,
     keygen,
     processes,
@@ -22,6 +23,7 @@
 
 main.add_command(approve.approve)
 main.add_command(check.check)
+main.add_command(digest_key.digest_key)
 main.add_command(fetch.fetch)
 main.add_command(keygen.keygen)
 main.add_command(submit.submit)
--- a/wagtailspread/commands/renderings.py
+++ b/wagtailspread/commands/renderings.py
@@ -7,6 +7,8 @@
 import click
 
 from wagtailspread.configuration import checks, findings, schemas
+from wagtailspread.core import priorities
+from wagtailspread.routing import terms
 
 _MILLISECONDS = 1000
 _MINUTE = 60
@@ -170,6 +172,8 @@
         yield f'service {service.name}', _format_service(service)
     for route in settings.routes:
         yield f'route {route.name}', _format_route(route)
+    for workspace in settings.workspaces:
+        yield f'workspace {workspace.name}', _format_workspace(workspace)
 
 
 def _format_region(region: schemas.RegionSettings) -> dict[str, str]:
@@ -204,3 +208,17 @@
         'priority': route.priority.name.lower(),
         'idempotent': 'yes' if route.is_idempotent else 'no',
     }
+
+
+def _format_workspace(workspace: terms.Workspace) -> dict[str, str]:
+    """Return the settings of a workspace; of its keys only their number."""
+    cap = workspace.cap
+    priority = 'of the route'
+    if workspace.priority is not None:
+        priority = priorities.Priority(workspace.priority).name.lower()
+    return {
+        'keys': str(len(workspace.digests)),
+        'priority': priority,
+        'rate': f'{cap.rate:g}/s' if cap.is_limited else 'unlimited',
+        'burst': f'{cap.burst:g}',
+    }
--- a/wagtailspread/configuration/checks.py
+++ b/wagtailspread/configuration/checks.py
@@ -19,6 +19,7 @@
     section_caches,
     sections,
     service_checks,
+    workspace_checks,
 )
 from wagtailspread.core import identifiers
 
@@ -104,12 +105,19 @@
         )
         self._check_required_sections(routes)
         fleets = self._read_all(sections.FLEET, service_checks.read_fleet)
+        workspaces = tuple(
+            self._read_all(sections.WORKSPACE, workspace_checks.read_workspace),
+        )
+        self.sink.extend(
+            workspace_checks.check_workspaces(self._base, workspaces),
+        )
         return schemas.Settings(
             services=services,
             routes=routes,
             regions=regions,
             members=self.read_members(),
             fleet=''.join(fleets),
+            workspaces=workspaces,
         )
 
     def read_members(
--- a/wagtailspread/configuration/schemas.py
+++ b/wagtailspread/configuration/schemas.py
@@ -8,6 +8,7 @@
 import typing
 
 from wagtailspread.core import identifiers, priorities
+from wagtailspread.routing import terms
 
 #: Name of the base file in submissions and deltas.
 BASE_FILE = 'base.ini'
@@ -104,6 +105,7 @@
 
     :param members: the members in force, without candidates.
     :param fleet: name of the fleet.
+    :param workspaces: if there are any, requests need a key.
     """
 
     services: typing.Mapping[identifiers.ServiceName, ServiceSettings]
@@ -111,6 +113,7 @@
     regions: typing.Mapping[identifiers.RegionName, RegionSettings]
     members: typing.Mapping[identifiers.MemberId, MemberSettings]
     fleet: str = ''
+    workspaces: tuple[terms.Workspace, ...] = ()
 
 
 def overlay_name(member: identifiers.MemberId) -> str:
--- a/wagtailspread/configuration/sections.py
+++ b/wagtailspread/configuration/sections.py
@@ -169,6 +169,16 @@
         _create_text('idempotent', 'yes or no', default=''),
     ),
 )
+WORKSPACE = SectionKind(
+    'workspace',
+    is_named=True,
+    rules=(
+        _create_text('keys', 'SHA-256 digests of keys in hex'),
+        _create_text('priority', 'urgent, standard or bulk', default=''),
+        KeyRule('rate', units.NUMBER, default='0', low='0', high='1000000'),
+        KeyRule('burst', units.NUMBER, default='0', low='0', high='1000000'),
+    ),
+)
 _AGREEMENT_RULES = (
     _create_text('digest', 'the digest of the member section'),
     _create_text('membership', 'the digest of the members in force'),
@@ -182,5 +192,5 @@
     rules=tuple(rule for rule in SERVICE.rules if rule.is_overridable),
 )
 
-BASE_KINDS = (FLEET, MEMBER, REGION, SERVICE, ROUTE)
+BASE_KINDS = (FLEET, MEMBER, REGION, SERVICE, ROUTE, WORKSPACE)
 OVERLAY_KINDS = (OVERRIDE, APPROVAL, REMOVAL, LEAVE)
--- a/wagtailspread/configuration/units.py
+++ b/wagtailspread/configuration/units.py
@@ -84,6 +84,8 @@
 )
 #: A fraction from 0 to 1.
 SHARE = _create_quantity('a share', '60%', '%=0.01')
+#: A number without a unit, which may have a fraction.
+NUMBER = _create_quantity('a number', '2.5', '=1')
 #: A number without a unit; the section reader refuses a fraction.
 COUNT = _create_quantity('a whole number', '64', '=1')
 
--- a/wagtailspread/processes/statuses.py
+++ b/wagtailspread/processes/statuses.py
@@ -2,12 +2,16 @@
 
 import typing
 
+from wagtailspread.configuration import schemas
 from wagtailspread.core import identifiers, priorities
 from wagtailspread.wire import frames
 
 if typing.TYPE_CHECKING:
     from wagtailspread.processes import entries
 
+#: Maximum number of workspaces whose names a status shows.
+MAX_NAMES = 100
+
 Report = dict[str, typing.Any]
 
 
@@ -19,6 +23,7 @@
     return {
         'is_current': host.is_current(),
         'configuration_version': host.copy.version,
+        'workspaces': describe_workspaces(host.copy.settings),
         'control_bytes': {
             'sent': frames.TRAFFIC.sent,
             'received': frames.TRAFFIC.received,
@@ -41,6 +46,16 @@
     }
 
 
+def describe_workspaces(settings: schemas.Settings | None) -> Report:
+    """Return the names of some workspaces, and numbers; no digests."""
+    workspaces = settings.workspaces if settings else ()
+    return {
+        'count': len(workspaces),
+        'keys': sum(len(one.digests) for one in workspaces),
+        'names': [one.name for one in workspaces[:MAX_NAMES]],
+    }
+
+
 def _describe_allocator(
     host: 'entries.EntryProcess',
     service: identifiers.ServiceName,
