Test when a host becomes a substitute

Guards against hosts without an allocator while no replica answers, and against imports that block requests. The allocator is imported after the start.

--- a/wagtailspread/core/tests/test_packages.py
+++ b/wagtailspread/core/tests/test_packages.py
@@ -1,5 +1,6 @@
 """Tests of packages whose own code runs late."""
 
+import asyncio
 import contextlib
 import importlib
 import sys
@@ -81,3 +82,14 @@
     with packages.hide('deferrable'):
         assert sys.modules['deferrable'] is None
     assert not list_loaded()
+
+
+async def test_modules_are_imported_with_pauses():
+    """Guards against requests that wait until all of them are imported."""
+    names = ['deferrable.helper', 'deferrable.inner.part']
+    packages.defer('deferrable')
+    importing = asyncio.create_task(packages.import_gradually(names, 0.01))
+    await asyncio.sleep(0)
+    assert 'deferrable.helper' in list_loaded()
+    assert 'deferrable.inner.part' not in list_loaded()
+    assert (await importing).__name__ == 'deferrable.inner.part'
--- a/wagtailspread/gateway/tests/test_hosts.py
+++ b/wagtailspread/gateway/tests/test_hosts.py
@@ -1,5 +1,6 @@
 """Tests of the log lines about the configuration and the stop of a host."""
 
+import asyncio
 import contextlib
 
 import logbook
@@ -184,3 +185,36 @@
         host._apply_changes(batch)
         assert budget._count_sharers() == 130
     await host.stop()
+
+
+async def serves_placement(host, seconds):
+    """Tell whether a host places requests of other hosts within a time."""
+    loop = asyncio.get_running_loop()
+    latest = loop.time() + seconds
+    while messages.methods.PLACE not in host._listener.routes:
+        if loop.time() > latest:
+            return False
+        await asyncio.sleep(0.01)
+    return True
+
+
+async def test_a_host_is_a_substitute_once_it_has_a_configuration(monkeypatch):
+    """Guards against hosts without an allocator while no replica answers."""
+    monkeypatch.setattr(stops, 'ACCEPT_SECONDS', 0.1)
+    monkeypatch.setattr(hosts, 'MAX_SUBSTITUTE_DELAY_SECONDS', 60.0)
+    host = create_host()
+    await host.start()
+    assert not await serves_placement(host, 0.3)
+    host._apply_document(1, b'1')
+    assert await serves_placement(host, 20.0)
+    await host.stop()
+
+
+async def test_a_host_is_a_substitute_without_a_configuration(monkeypatch):
+    """Guards against a host that waits for a configuration for ever."""
+    monkeypatch.setattr(stops, 'ACCEPT_SECONDS', 0.1)
+    monkeypatch.setattr(hosts, 'MAX_SUBSTITUTE_DELAY_SECONDS', 0.0)
+    host = create_host()
+    await host.start()
+    assert await serves_placement(host, 20.0)
+    await host.stop()
