--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -14,9 +14,9 @@
 import enum
 import typing
 
-from aiohttp import base_protocol, http_exceptions, http_parser, streams, web
+from aiohttp import base_protocol, http_exceptions, http_parser, streams
 
-from wagtailspread.entry import heads, holdings, intakes, pipelines
+from wagtailspread.entry import heads, holdings, intakes, pipelines, web
 
 #: Requests of a connection that are parsed and not handled yet. Further
 #: requests are kept as received.
--- a/wagtailspread/entry/pipelines.py
+++ b/wagtailspread/entry/pipelines.py
@@ -16,7 +16,9 @@
 import itertools
 import typing
 
-from aiohttp import hdrs, http, web
+from aiohttp import hdrs, http
+
+from wagtailspread.entry import web
 
 #: Maximum number of requests of one connection that are handled ahead.
 WINDOW = 8
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -14,10 +14,10 @@
 
 import logbook
 
-from aiohttp import http, streams, web
+from aiohttp import http, streams
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads, holdings, parsers, pipelines
+from wagtailspread.entry import heads, holdings, parsers, pipelines, web
 
 #: Bytes that are read from a connection at once. All connections may be read
 #: before the first handler runs, and 200 times 64 KB are more than the budget
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers, outcomes
 from wagtailspread.entry import announcements, answers, bodies, forwarding
-from wagtailspread.entry import executions, heads, intakes, interfaces
+from wagtailspread.entry import executions, heads, intakes, lookups
 from wagtailspread.entry import requests, sites
 
 #: Prefix of the paths that the host answers itself.
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        routing: interfaces.Routing,
+        routing: lookups.Routing,
         forwarder: forwarding.Forwarder,
         receiver: announcements.AnnouncementReceiver,
         readiness: Readiness,
@@ -159,7 +159,7 @@
 
 
 def create_server(
-    routing: interfaces.Routing,
+    routing: lookups.Routing,
     forwarder: forwarding.Forwarder,
     receiver: announcements.AnnouncementReceiver,
     readiness: Readiness,
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -2,10 +2,8 @@
 
 import typing
 
-from aiohttp import web
-
 from wagtailspread.core import identifiers
-from wagtailspread.entry import heads, holdings, protections
+from wagtailspread.entry import heads, holdings, listening, protections, web
 
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
@@ -20,6 +18,7 @@
     """Serves callers at one address. Use :func:`create_site`.
 
     :param budget: memory budget for what all connections hold.
+    :param address: where it listens; empty before the start.
     """
 
     def __init__(
@@ -34,26 +33,22 @@
         self.budget = holdings.HoldingBudget(holdings.compute_total())
         self._handler = handler
         self._window = window
-        self._runner: web.ServerRunner | None = None
+        self._listener: listening.HttpListener | None = None
         self._server: protections.GuardedServer | None = None
-        self._site: web.TCPSite | None = None
         self._is_closing = False
+        self.address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
-        ip, _, port = address.rpartition(':')
         self._server = protections.create_server(
             self._handle,
             self._window,
             self.budget,
             self._handle_checked if self._is_pipelining else None,
         )
-        self._runner = web.ServerRunner(self._server)
-        await self._runner.setup()
-        self._site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
-        await self._site.start()
-        bound = self._runner.addresses[0]
-        return identifiers.Address(f'{bound[0]}:{bound[1]}')
+        self._listener = listening.create_listener(self._server, BACKLOG)
+        self.address = await self._listener.start(address)
+        return self.address
 
     @property
     def limits(self) -> heads.RequestLimits:
@@ -80,8 +75,8 @@
 
     async def stop_listening(self) -> None:
         """Stop accepting connections; the open ones stay open."""
-        if self._site is not None:
-            await self._site.stop()
+        if self._listener is not None:
+            self._listener.stop()
 
     def close_idle(self) -> int:
         """Close the connections that wait for a request.
@@ -100,8 +95,8 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
--- a/wagtailspread/gateway/admissions.py
+++ b/wagtailspread/gateway/admissions.py
@@ -7,10 +7,8 @@
 import dataclasses
 import typing
 
-from aiohttp import web
-
 from wagtailspread.core import identifiers
-from wagtailspread.entry import requests
+from wagtailspread.entry import requests, web
 from wagtailspread.gateway import headers, response_logs
 from wagtailspread.routing import tables, terms
 from wagtailspread.workspaces import keys
--- a/wagtailspread/gateway/responses.py
+++ b/wagtailspread/gateway/responses.py
@@ -3,9 +3,7 @@
 import asyncio
 import typing
 
-from aiohttp import web
-
-from wagtailspread.entry import protections, requests
+from wagtailspread.entry import protections, requests, web
 from wagtailspread.gateway import attempts, exchanges, headers, response_logs
 from wagtailspread.workspaces import keys
 
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -5,9 +5,7 @@
 import functools
 import typing
 
-from aiohttp import web
-
-from wagtailspread.entry import bodies, heads, requests, sites
+from wagtailspread.entry import bodies, heads, requests, sites, web
 from wagtailspread.gateway import admissions, attempts, exchanges, fingerprints
 from wagtailspread.gateway import headers, limits, response_logs, responses
 from wagtailspread.gateway import revocations, route_waits, stops
