Bound what clients hold at the other ports

Cause: the control port gathered bodies of up to 16 MB in memory for any number of connections, without a time limit; it and the readiness port had no limit on connections, on the time of a head, and kept what was left of refused bodies. Connections to the links between processes were read 256 KB at a time before their peer had proved its identity, in any number. Change: the control and readiness ports use the listener of the caller port, with its limits on heads, idle time and memory. A call of an upstream has at most 64 KB. Each listener closes a connection without a running request if there are more than three quarters of the descriptors (128 at the readiness port). At most 512 connections are without a proven peer, read 2 KB at a time, and frames over 64 KB are received within 32 MB over all connections and 120 s each.

--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -89,6 +89,10 @@
             return self.prefix or None
         return self._stream()
 
+    def refuse(self) -> None:
+        """Set the fault of a body that announces more than the limit."""
+        self.fault = _create_too_large_fault(self._limit, self._limit + 1)
+
     async def read_prefix(self) -> requests.RequestFault | None:
         """Read the prefix; return the fault if that fails."""
         blocks = intakes.BlockBuffer()
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import math
 import select
 import types
@@ -114,6 +115,11 @@
         is_receiving = self._guarded_parser.head_started_at is not None
         return self._is_busy or is_receiving or bool(self._messages)
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether a request is incomplete and has not been sent on."""
+        return self._guarded_parser.is_incomplete
+
     @property
     def is_waiting(self) -> bool:
         """Return whether the next request of the connection is awaited."""
@@ -147,6 +153,11 @@
         self.recount()
         self._start_ahead()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accept a connection; close another one if there are too many."""
+        super().connection_made(transport)
+        self._server.limit_connections(self)
+
     def resume(self) -> None:
         """Parse what has been received."""
         if self.transport is not None:
@@ -423,10 +434,12 @@
         handler: Handler,
         window: heads.LimitWindow,
         budget: holdings.HoldingBudget,
+        max_connections: int,
         handle_ahead: Handler | None = None,
     ) -> None:
         """Start the periodic timeout checks in the running event loop."""
         super().__init__(handler)
+        self._max_connections = max_connections
         self.window = window
         self.budget = budget
         self.read_buffer = memoryview(bytearray(READ_BYTES))
@@ -450,6 +463,29 @@
             read_bufsize=READ_BYTES,
         )
 
+    def limit_connections(self, newest: GuardedProtocol) -> None:
+        """Close a connection if there are more than allowed.
+
+        It is the one that has been open for the longest time among those that
+        wait for a request, else among those with an incomplete request, else
+        the newest. None of them has a request that may be running.
+        """
+        if len(self._connections) <= self._max_connections:
+            return
+        others = [
+            protocol
+            for protocol in self._connections
+            if isinstance(protocol, GuardedProtocol) and protocol is not newest
+        ]
+        waiting = (one for one in others if one.is_waiting)
+        incomplete = (one for one in others if one.is_incomplete)
+        closed = next(itertools.chain(waiting, incomplete), newest)
+        _log.info(
+            'too many connections',
+            extra={'connections': len(others) + 1, **closed.describe()},
+        )
+        closed.force_close()
+
     def count_active(self) -> int:
         """Return the number of requests being received or handled."""
         active = [
@@ -488,15 +524,21 @@
     handler: Handler,
     window: heads.LimitWindow,
     budget: holdings.HoldingBudget,
+    max_connections: int,
     handle_ahead: Handler | None = None,
+    *,
+    is_cancelling: bool,
 ) -> GuardedServer:
-    """Return a server that cancels a handler when its caller leaves.
+    """Return a server.
 
     :param handle_ahead: handles pipelined requests concurrently; ``None`` to
         handle them one after another.
+    :param is_cancelling: whether a handler is cancelled when its caller leaves.
     """
-    server = GuardedServer(handler, window, budget, handle_ahead)
-    server.handler_cancellation = True
+    server = GuardedServer(
+        handler, window, budget, max_connections, handle_ahead
+    )
+    server.handler_cancellation = is_cancelling
     return server
 
 
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -1,5 +1,6 @@
 """A protected HTTP listener that can be stopped gracefully."""
 
+import resource
 import typing
 
 from wagtailspread.core import identifiers
@@ -8,6 +9,10 @@
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
 
+#: Descriptors that a process keeps for its links, files and upstreams: the open
+#: limit divided by this.
+_RESERVED_DIVISOR = 4
+
 Handler = typing.Callable[
     [web.BaseRequest],
     typing.Awaitable[web.StreamResponse],
@@ -25,10 +30,14 @@
         self,
         handler: Handler,
         window: heads.LimitWindow,
+        max_connections: int | None = None,
         *,
-        is_pipelining: bool,
+        is_cancelling: bool = True,
+        is_pipelining: bool = False,
     ) -> None:
         """Start without opening a socket."""
+        self._max_connections = max_connections or find_max_connections()
+        self._is_cancelling = is_cancelling
         self._is_pipelining = is_pipelining
         self.budget = holdings.HoldingBudget(holdings.compute_total())
         self._handler = handler
@@ -44,7 +53,9 @@
             self._handle,
             self._window,
             self.budget,
+            self._max_connections,
             self._handle_checked if self._is_pipelining else None,
+            is_cancelling=self._is_cancelling,
         )
         self._listener = listening.create_listener(self._server, BACKLOG)
         self.address = await self._listener.start(address)
@@ -134,7 +145,9 @@
     handler: Handler,
     limits: heads.RequestLimits,
     is_newest: typing.Callable[[], bool] = heads.assume_newest,
+    max_connections: int | None = None,
     *,
+    is_cancelling: bool = True,
     is_pipelining: bool = False,
 ) -> GuardedSite:
     """Return a listener that is not started.
@@ -142,8 +155,22 @@
     :param is_newest: returns whether the limits applied last are the newest
         ones; until they are, a request is refused only if
         :data:`heads.UNKNOWN_LIMITS` forbid it too.
+    :param max_connections: of callers; ``None`` for the most that leaves
+        descriptors for the rest of the process.
+    :param is_cancelling: whether a handler is cancelled when its caller leaves.
     :param is_pipelining: whether pipelined requests are handled concurrently;
         the handler must return responses that have not been sent.
     """
-    window = heads.LimitWindow(limits, is_newest)
-    return GuardedSite(handler, window, is_pipelining=is_pipelining)
+    return GuardedSite(
+        handler,
+        heads.LimitWindow(limits, is_newest),
+        max_connections,
+        is_cancelling=is_cancelling,
+        is_pipelining=is_pipelining,
+    )
+
+
+def find_max_connections() -> int:
+    """Return how many connections leave descriptors for other purposes."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft - soft // _RESERVED_DIVISOR
--- a/wagtailspread/gateway/readiness.py
+++ b/wagtailspread/gateway/readiness.py
@@ -3,7 +3,12 @@
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import listening, web
+from wagtailspread.entry import heads, sites, web
+
+#: Balancers keep a few connections each.
+MAX_CONNECTIONS = 128
+#: Memory that all connections may hold, in bytes. A check takes about 5 KB.
+MAX_HELD_BYTES = 1_000_000
 
 _NOT_FOUND = 404
 _READY = 200
@@ -24,17 +29,20 @@
         """Create a server that does not listen yet."""
         self._path = path
         self._is_ready = is_ready
-        self._listener: listening.HttpListener | None = None
+        self._site = sites.create_site(
+            self._answer,
+            heads.DEFAULT_LIMITS,
+            max_connections=MAX_CONNECTIONS,
+        )
+        self._site.budget.total_bytes = MAX_HELD_BYTES
 
     async def start(self, address: identifiers.Address) -> None:
         """Listen on ``address``."""
-        self._listener = listening.create_listener(web.Server(self._answer))
-        await self._listener.start(address)
+        await self._site.start(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._listener is not None:
-            await self._listener.close()
+        await self._site.close()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self._path:
--- a/wagtailspread/platform/controls.py
+++ b/wagtailspread/platform/controls.py
@@ -1,12 +1,13 @@
 """HTTP server of a replica for the calls of upstreams and operators."""
 
+import asyncio
 import json
 import typing
 
 import logbook
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import listening, web
+from wagtailspread.entry import bodies, heads, holdings, sites, web
 from wagtailspread.platform import documents, heartbeats, names, values
 from wagtailspread.registry import records, services
 from wagtailspread.replica import documents as replicated
@@ -14,13 +15,18 @@
 #: Maximum size of a request body, in bytes. A configuration of 11,000 routes
 #: takes about 2 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
-#: Maximum number of new connections that wait to be accepted.
-BACKLOG = 512
+#: Maximum size of the body of a call of an upstream, in bytes. A heartbeat
+#: takes less than 1 KB.
+MAX_CALL_BYTES = 64 * 1024
+#: Timeout for the next bytes of a body, in seconds.
+IDLE_SECONDS = 15.0
+#: Maximum time of a body, in seconds. A link of 1.6 Mbit/s carries the largest
+#: one in 84 s.
+BODY_SECONDS = 120.0
 
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
-_TOO_LARGE = 413
 _UNAVAILABLE = 503
 
 #: Characters of the id of an upstream in a log line about a malformed call.
@@ -41,25 +47,30 @@
         self,
         registry: services.RegistryService,
         find_document: typing.Callable[[], replicated.DocumentService | None],
+        memory_bytes: int | None = None,
     ) -> None:
-        """Create a server that is not listening."""
+        """Create a server that is not listening.
+
+        :param memory_bytes: memory of the process; ``None`` if unknown.
+        """
         self.malformed_calls = 0
         self._registry = registry
         self._find_document = find_document
-        self._listener: listening.HttpListener | None = None
+        # A change that has begun is completed when its operator leaves.
+        self._site = sites.create_site(
+            self._handle, heads.DEFAULT_LIMITS, is_cancelling=False
+        )
+        self._site.budget.total_bytes = holdings.compute_total(memory_bytes)
         self._address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> None:
         """Listen on ``address``; the port is the same at all replicas."""
         self._address = address
-        server = web.Server(self._handle)
-        self._listener = listening.create_listener(server, BACKLOG)
-        await self._listener.start(address)
+        await self._site.start(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._listener is not None:
-            await self._listener.close()
+        await self._site.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.path
@@ -67,15 +78,17 @@
             return await self._read_document()
         if request.method != 'POST':
             return web.Response(status=_NOT_FOUND)
-        body = await _read_body(request)
-        if body is None:
-            return web.Response(status=_TOO_LARGE)
-        if path == names.PUT_PATH:
-            return await self._put_document(body)
-        if path.startswith(names.INSTANCES_PREFIX):
+        is_call = path.startswith(names.INSTANCES_PREFIX)
+        if not is_call and path != names.PUT_PATH:
+            return web.Response(status=_NOT_FOUND)
+        limit = MAX_CALL_BYTES if is_call else MAX_BODY_BYTES
+        body = await _read_body(request, limit)
+        if body.fault is not None:
+            return web.Response(status=body.fault.status)
+        if is_call:
             instance_path = path.removeprefix(names.INSTANCES_PREFIX)
-            return await self._handle_instance(instance_path, body)
-        return web.Response(status=_NOT_FOUND)
+            return await self._handle_instance(instance_path, body.prefix)
+        return await self._put_document(body.prefix)
 
     async def _handle_instance(
         self,
@@ -157,18 +170,20 @@
         )
 
 
-async def _read_body(request: web.BaseRequest) -> bytes | None:
-    """Return the body, or ``None`` if it exceeds the limit."""
-    pieces: list[bytes] = []
-    size = 0
-    while True:
-        piece = await request.content.readany()
-        if not piece:
-            return b''.join(pieces)
-        pieces.append(piece)
-        size += len(piece)
-        if size > MAX_BODY_BYTES:
-            return None
+async def _read_body(
+    request: web.BaseRequest,
+    limit: int,
+) -> bodies.RequestBody:
+    """Return the body, which has a fault if it was not received in full."""
+    end = asyncio.get_running_loop().time() + BODY_SECONDS
+    body = bodies.RequestBody(
+        request.content, limit, IDLE_SECONDS, end, limit + 1
+    )
+    if (request.content_length or 0) > limit:
+        body.refuse()
+    else:
+        body.fault = await body.read_prefix()
+    return body
 
 
 def _answer_json(fields: dict[str, str]) -> web.Response:
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -33,6 +33,7 @@
     control_server = controls.ControlServer(
         registry,
         supervisor.find_document_service,
+        boot.memory_bytes,
     )
     await control_server.start(boot.find_listen_address('control'))
     placement_task = asyncio.create_task(
--- a/wagtailspread/wire/frames.py
+++ b/wagtailspread/wire/frames.py
@@ -45,10 +45,31 @@
     :raises FrameTooLarge: if the announced payload is larger.
     :raises asyncio.IncompleteReadError: if the stream ends within the frame.
     """
+    return await read_payload(reader, await read_length(reader, limit))
+
+
+async def read_length(
+    reader: asyncio.StreamReader,
+    limit: int = MAX_FRAME_BYTES,
+) -> int:
+    """Return the size of the payload of the next frame.
+
+    :param limit: maximum size of the payload, in bytes.
+    :raises FrameTooLarge: if the announced payload is larger.
+    :raises asyncio.IncompleteReadError: if the stream ends.
+    """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if length > limit:
         raise FrameTooLarge(
             f'payload of a frame: expected at most {limit} bytes, got {length}',
         )
+    return int(length)
+
+
+async def read_payload(reader: asyncio.StreamReader, length: int) -> bytes:
+    """Return the payload of a frame whose size has been read.
+
+    :raises asyncio.IncompleteReadError: if the stream ends within the frame.
+    """
     TRAFFIC.received += _LENGTH.size + length
     return await reader.readexactly(length)
--- a/wagtailspread/wire/listeners.py
+++ b/wagtailspread/wire/listeners.py
@@ -9,12 +9,27 @@
 from returns import result
 
 from wagtailspread.core import failures, identifiers
-from wagtailspread.wire import credentials, frames, handshakes, messages
+from wagtailspread.wire import budgets, credentials, frames, handshakes
+from wagtailspread.wire import messages
 
 #: Maximum time of the handshake with a peer, in seconds.
 HANDSHAKE_SECONDS = 2.0
 #: Maximum number of calls of one connection that are handled concurrently.
 MAX_CONCURRENT_CALLS = 4096
+#: Bytes that are read at once from a peer that has not proved its identity.
+#: With the usual 256 KB, 512 such connections would take 130 MB.
+HANDSHAKE_READ_BYTES = 2048
+#: Maximum number of connections without a proven peer. Beyond it the oldest is
+#: closed. At the design size 2,400 hosts connect over some seconds.
+MAX_UNPROVEN = 512
+#: Frames above this size take part in :data:`MAX_FRAMES_BYTES`.
+LARGE_FRAME_BYTES = 65_536
+#: Maximum size of the large frames of all connections that are received at the
+#: same time. Others wait unread. It is twice that of the largest frame.
+MAX_FRAMES_BYTES = 2 * frames.MAX_FRAME_BYTES
+#: Maximum time from the length of a frame to its end, in seconds. A link of
+#: 1.6 Mbit/s carries the largest frame in 84 s.
+FRAME_SECONDS = 120.0
 
 _log = logbook.Logger('listener')
 
@@ -86,6 +101,9 @@
         self._directory = directory
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        #: Connections without a proven peer, the oldest first.
+        self._unproven: dict[asyncio.Task[None], None] = {}
+        self._large_frames = budgets.ByteBudget(MAX_FRAMES_BYTES)
         self._is_closed = False
 
     def add(
@@ -129,6 +147,7 @@
             writer.transport.abort()
             return
         self._connections.add(connection)
+        self._limit_unproven(connection)
         try:
             await self._serve(reader, writer)
         except (
@@ -145,14 +164,32 @@
             _log.info('connection refused', extra={'reason': str(error)})
             writer.transport.abort()
         finally:
-            self._connections.discard(connection)
+            self._forget(connection)
             writer.close()
 
-    async def _serve(
+    def _forget(self, connection: asyncio.Task[None]) -> None:
+        self._connections.discard(connection)
+        self._unproven.pop(connection, None)
+
+    def _limit_unproven(self, connection: asyncio.Task[None]) -> None:
+        """Add a connection without a proven peer; close the oldest beyond."""
+        self._unproven[connection] = None
+        if len(self._unproven) > MAX_UNPROVEN:
+            oldest = next(iter(self._unproven))
+            self._unproven.pop(oldest)
+            _log.info('connection refused', extra={'reason': 'too many'})
+            oldest.cancel()
+
+    async def _authenticate(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
+    ) -> credentials.Peer:
+        """Return the proven peer; little of what it sends is read before."""
+        # The event loop documents no other way to read less at once.
+        transport = typing.cast(typing.Any, writer.transport)
+        usual = transport.max_size
+        transport.max_size = HANDSHAKE_READ_BYTES
         # ``wait_for`` loses a cancellation that arrives as the handshake ends,
         # and the connection would then outlive ``close``.
         async with asyncio.timeout(HANDSHAKE_SECONDS):
@@ -163,11 +200,33 @@
                 self._directory,
                 is_dialer=False,
             )
+        transport.max_size = usual
+        return peer
+
+    async def _read_frame(self, reader: asyncio.StreamReader) -> bytes:
+        """Return the payload of the next frame, which may have to wait."""
+        length = await frames.read_length(reader)
+        if length <= LARGE_FRAME_BYTES:
+            async with asyncio.timeout(FRAME_SECONDS):
+                return await frames.read_payload(reader, length)
+        async with self._large_frames.hold(length):
+            async with asyncio.timeout(FRAME_SECONDS):
+                return await frames.read_payload(reader, length)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        peer = await self._authenticate(reader, writer)
+        connection = asyncio.current_task()
+        if connection is not None:
+            self._unproven.pop(connection, None)
         limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         calls: set[asyncio.Task[None]] = set()
         try:
             while True:
-                payload = await frames.read_frame(reader)
+                payload = await self._read_frame(reader)
                 envelope = messages.decode(messages.structs.Envelope, payload)
                 await limit.acquire()
                 task = asyncio.create_task(
