Treat a reset as no end of a response on the entry path

Cause: a response without a length ends with its connection, and the client library takes a reset for that end. The gateway checks for a reset; the entry path passed the part on as a complete 200. Change: the protocol of connections to upstreams fails a body that is open when its connection ends with an error.

--- a/wagtailspread/entry/protocols.py
+++ b/wagtailspread/entry/protocols.py
@@ -46,6 +46,19 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body that a reset cuts off.
+
+        The client library takes any end of the connection for the end of a
+        body without a length.
+        """
+        payload = self._payload
+        is_open = payload is not None and not payload.is_eof()
+        if exc is not None and payload is not None and is_open:
+            fault = aiohttp.ClientPayloadError('reset within the body')
+            payload.set_exception(fault, exc)
+        super().connection_lost(exc)
+
 
 class PooledProtocol(UpstreamProtocol):
     """A connection that is kept between exchanges.
