--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -21,6 +21,7 @@
     health_costs,
     health_measures,
     membership_measures,
+    overload_measures,
 )
 
 Lines = list[str]
@@ -42,6 +43,7 @@
     measurements: list[typing.Callable[[], Lines]] = [
         health_measures.measure_health,
         configuration_measures.measure_configuration,
+        overload_measures.measure_overloads,
     ]
     if is_full:
         measurements.append(membership_measures.measure_membership)
