Decide in one place what waits and what is refused

Cause: when capacity is short, the queue grew until every response came after its objective, ranks counted for one second only, one workspace could take all slots, and retries were charged that were then refused. Change: a queue for each service with the work ahead of a request by binary search; rank, then what can end within its objective, by the time that is left and the fair turn of its workspace; the requests with the most work are counted as late first; groups that are served too seldom, and lower ranks that have waited, go first; callers that return at their time go before new ones; refusals tell different times; retries are charged when they are sent; a limit of open requests at upstreams that shed beyond a number. If most slots are free, the head of the queue keeps the others behind it as before.

--- a/benchmarks/overload_bounds.py
+++ b/benchmarks/overload_bounds.py
@@ -104,9 +104,11 @@
 def _count_slots(scenario: overload_loads.Scenario, step: int) -> float:
     """Return the slot time of an interval in seconds."""
     upstreams = scenario.upstreams
+    slots = scenario.slots
     if scenario.is_disturbed(step * STEP_SECONDS):
         upstreams -= int(upstreams * scenario.out_share)
-    return upstreams * scenario.slots * STEP_SECONDS
+        slots = min(slots, scenario.shed_above or slots)
+    return upstreams * slots * STEP_SECONDS
 
 
 class _Graph:
--- /dev/null
+++ b/wagtailspread/placement/admissions.py
@@ -0,0 +1,429 @@
+"""Decides what waits, in which order, and what is refused.
+
+Requests that can end within their objective come before those that are late on
+any upstream, since these have less value; a higher rank comes before both.
+Within that, the request whose objective leaves the least time comes first,
+moved by the share that its workspace has had (:mod:`fairness`). If not all can
+end within their objectives, those with the most work are counted as late, which
+keeps the number of late ones small (Moore 1968). What can't end before its
+deadline is refused at once.
+
+No group is starved by that order: requests of one that is served too seldom go
+first, and so do those of a lower rank that have waited for some time.
+"""
+
+import heapq
+import itertools
+import math
+import typing
+
+from wagtailspread.core import identifiers
+from wagtailspread.placement import estimates, leases, messages, queues
+from wagtailspread.placement import returns, selection, shares, sheds
+from wagtailspread.placement import tallies, works
+
+#: Time in seconds for each step of priority after which a request goes first,
+#: so that a flood of urgent requests does not starve the others.
+PRIORITY_STEP_SECONDS = 1.0
+#: Share of its time until the deadline after which it goes first at the latest.
+MAX_RANK_WAIT_SHARE = 1 / 3
+#: Requests of lower ranks that go first, for each grant.
+PROMOTED_SHARE = 0.25
+MAX_PROMOTION_CREDIT = 8.0
+#: Multiple of the typical duration that must remain before the deadline for a
+#: request to queue normally; requests with less time are served first.
+SHORT_DEADLINE_FACTOR = 3.0
+#: Multiple of the expected work that is left for a request to end within its
+#: objective. About one request in 20 takes longer.
+OBJECTIVE_WORK_FACTOR = 1.5
+#: Value of a response after the objective, as a part of one within it.
+LATE_VALUE = 0.3
+#: Multiple of the estimated wait that a late request must have left: requests
+#: that come later and can end within their objectives go first.
+LATE_WAIT_FACTOR = 1.5
+#: Part of the slots for which refused callers are told to come again.
+RETURN_SHARE = 0.5
+#: Interval between two checks of a whole queue, in seconds.
+SWEEP_SECONDS = 0.2
+
+#: Step of the sequence that spreads callers over an interval; multiples of the
+#: golden ratio are spread evenly whatever their number.
+SPREAD_STEP = 0.618034
+
+_REFUSALS = {
+    messages.Decision.NO_ROOM: tallies.Event.NO_ROOM,
+    messages.Decision.NO_BUDGET: tallies.Event.NO_BUDGET,
+    messages.Decision.NO_UPSTREAM: tallies.Event.NO_UPSTREAM,
+}
+
+#: Tiers of one rank: little time left, in time, late.
+_SHORT, _IN_TIME, _LATE, _TIERS = range(4)
+#: The tier before all ranks.
+_FIRST_TIER = -1
+
+
+class Admission:
+    """Orders queued requests and estimates their waits.
+
+    Use :func:`create_admission`.
+    """
+
+    def __init__(
+        self, selector: selection.Selector, queue_table: queues.QueueTable
+    ) -> None:
+        """Create a decision without evidence."""
+        self.capacities = estimates.create_capacities(selector)
+        self.shares = shares.create_shares()
+        self.works = works.create_works()
+        self.returns = returns.create_returns()
+        self.sheds = sheds.create_limits()
+        self._selector = selector
+        self._queues = queue_table
+        self.tally = tallies.create_tally()
+        self._return_at: dict[identifiers.ServiceName, float] = {}
+        self._spread = 0.0
+        self._credits: dict[identifiers.ServiceName, float] = {}
+
+    def create_entry(
+        self, request: messages.PlacementRequest, now: float
+    ) -> leases.WaitingRequest:
+        """Return a request with its place in the queue."""
+        work = self.find_work(request, now)
+        entry = leases.WaitingRequest(
+            request, (0, now, 0), now, now, work, due=now, asked_at=now
+        )
+        clock = self._queues.find(request.service).fair_clock
+        entry.tag = clock.peek(request.workspace)
+        known = self.returns.claim(request.fingerprint, now)
+        if known is not None:
+            entry.is_returning = True
+            self._count(entry, tallies.Event.RETURNED)
+            entry.asked_at = known.asked_at
+            entry.tag = min(entry.tag, known.tag)
+        slack = request.objective - OBJECTIVE_WORK_FACTOR * work
+        entry.due = now + max(slack, 0.0)
+        entry.order = self._create_order(entry, self._queues.create_number())
+        return entry
+
+    def admit(self, entry: leases.WaitingRequest, now: float) -> bool:
+        """Tell whether a request may wait, and determine its place.
+
+        One that can't end within its objective is late from the beginning.
+        """
+        request = entry.request
+        if not entry.is_late and now + self.estimate_wait(entry, now) > max(
+            entry.due, now
+        ):
+            self._find_late_place(entry)
+        is_in_time = self._ends_in_time(entry, now)
+        if not is_in_time and self._is_starved(request, now):
+            self._prefer(entry)
+            is_in_time = self._ends_in_time(entry, now)
+        return is_in_time
+
+    def queue(self, entry: leases.WaitingRequest, now: float) -> None:
+        """Add a request that was admitted to its queue."""
+        request = entry.request
+        clock = self._queues.find(request.service).fair_clock
+        clock.start(request.workspace, entry.work)
+        self._queues.add(entry, now)
+        self._count(entry, tallies.Event.QUEUED)
+
+    def estimate_wait(self, entry: leases.WaitingRequest, now: float) -> float:
+        """Return the estimated wait for a slot, in seconds."""
+        queue = self._queues.find(entry.request.service)
+        ahead = queue.estimate_ahead(entry.order) + entry.work
+        return ahead / self._find_capacity(entry.request.service, now)
+
+    def find_work(
+        self, request: messages.PlacementRequest, now: float
+    ) -> float:
+        """Return the expected work of a request in seconds."""
+        typical = estimates.find_typical_seconds(
+            self._selector, request.service, now
+        )
+        return self.works.find(request.service, request.route_class, typical)
+
+    def is_too_late(self, entry: leases.WaitingRequest, now: float) -> bool:
+        """Tell whether a request would end after its deadline on any slot."""
+        return entry.request.deadline - now < entry.work
+
+    def record_grant(self, entry: leases.WaitingRequest, now: float) -> None:
+        """Record that a request gets an upstream."""
+        request = entry.request
+        service = request.service
+        self.capacities.record_grant(service, entry.work, now)
+        self._queues.find(service).fair_clock.serve(entry.tag)
+        if not request.is_repeat:
+            self.shares.record_request(request, True, now)
+        known = self._credits.get(service, 0.0)
+        self._credits[service] = min(
+            known + PROMOTED_SHARE, MAX_PROMOTION_CREDIT
+        )
+
+    def record_refusal(
+        self,
+        entry: leases.WaitingRequest,
+        decision: messages.Decision,
+        now: float,
+    ) -> float:
+        """Record that a request is refused.
+
+        :returns: seconds after which its caller may come again.
+        """
+        request = entry.request
+        retry_after = self._plan_return(entry, now)
+        if not request.is_repeat:
+            self.shares.record_request(request, False, now)
+        self.returns.add(
+            request.fingerprint,
+            returns.create_return(entry.asked_at, entry.tag, now + retry_after),
+        )
+        service = request.service
+        rank = request.priority
+        self.tally.count(service, rank, _REFUSALS[decision])
+        if now > entry.queued_at:
+            self.tally.count(service, rank, tallies.Event.DROPPED)
+            self.tally.add_held(service, rank, now - entry.queued_at)
+        return retry_after
+
+    def record_end(
+        self,
+        lease: leases.Lease,
+        evidence: messages.Evidence,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Learn the work of a request, and what upstreams accept."""
+        request = lease.request
+        service = request.service
+        if evidence is messages.Evidence.GOOD:
+            self.works.record(service, request.route_class, seconds)
+        if evidence in {messages.Evidence.GOOD, messages.Evidence.SHED}:
+            is_shed = evidence is messages.Evidence.SHED
+            self.sheds.record(service, lease.open_requests, is_shed, now)
+
+    def sweep(
+        self, service: identifiers.ServiceName, now: float
+    ) -> list[leases.WaitingRequest]:
+        """Check a queue as a whole; return the requests to refuse."""
+        queue = self._queues.find(service)
+        queue.swept_at = now
+        self._promote(queue, now)
+        self._demote(queue, service, now)
+        capacity = self._find_capacity(service, now)
+        refused = [
+            entry
+            for entry in queue.held.values()
+            if self.is_too_late(entry, now)
+        ]
+        ahead = 0.0
+        for entry in queue.list_ordered():
+            wait = ahead / capacity
+            if entry.is_late:
+                wait *= LATE_WAIT_FACTOR
+            if now + wait + entry.work > entry.request.deadline:
+                refused.append(entry)
+            else:
+                ahead += entry.work
+        return refused
+
+    def prune(self, now: float) -> None:
+        """Drop the state of what has not been seen for some time."""
+        self.shares.prune(now)
+        self.returns.prune(now)
+        self._queues.prune()
+
+    def _plan_return(self, entry: leases.WaitingRequest, now: float) -> float:
+        """Return the seconds until there is room for a refused request.
+
+        Those that are refused together are told different times, at a rate that
+        leaves a part of the slots to new requests.
+        """
+        service = entry.request.service
+        room_at = now + self.estimate_wait(entry, now)
+        planned = max(self._return_at.get(service, 0.0), room_at)
+        share = RETURN_SHARE * self._find_capacity(service, now)
+        latest = now + estimates.MAX_RETRY_AFTER_SECONDS
+        self._return_at[service] = min(planned + entry.work / share, latest)
+        if planned >= latest:
+            # Any time in the second half is as good as another one.
+            self._spread = math.modf(self._spread + SPREAD_STEP)[0]
+            planned -= self._spread * estimates.MAX_RETRY_AFTER_SECONDS / 2
+        return estimates.clamp_retry_after(planned - now)
+
+    def _create_order(
+        self, entry: leases.WaitingRequest, number: int
+    ) -> leases.QueueOrder:
+        """Return the sort key of a request in the queue.
+
+        Requests whose timeout leaves no time to wait go first. Behind others,
+        every request of such a route is refused while the service is full.
+        """
+        request = entry.request
+        left = request.deadline - entry.queued_at
+        is_short = left <= SHORT_DEADLINE_FACTOR * entry.work
+        tier = _SHORT if is_short else _IN_TIME
+        waited = entry.queued_at - entry.asked_at
+        due = entry.due - waited + self._find_lag(entry)
+        return (request.priority * _TIERS + tier, due, number)
+
+    def _find_lag(self, entry: leases.WaitingRequest) -> float:
+        """Return the seconds that a request waits for its fair turn.
+
+        They are those beyond the wait in the order of arrival, so negative for
+        a workspace that sends little. With one workspace they are 0.
+        """
+        queue = self._queues.find(entry.request.service)
+        clock = queue.fair_clock
+        if not len(queue):
+            return 0.0
+        fair = max(entry.tag - clock.now, 0.0) * max(clock.active, 1)
+        capacity = self._find_capacity(entry.request.service, entry.queued_at)
+        return (fair - queue.work) / capacity
+
+    def _find_late_place(self, entry: leases.WaitingRequest) -> None:
+        """Put a request behind those that can end within their objective."""
+        request = entry.request
+        entry.is_late = True
+        self._count(entry, tallies.Event.LATE)
+        latest = request.deadline - entry.work
+        tier = request.priority * _TIERS + _LATE
+        entry.order = (tier, latest, entry.order[2])
+
+    def _prefer(self, entry: leases.WaitingRequest) -> None:
+        entry.is_preferred = True
+        self._count(entry, tallies.Event.PREFERRED)
+        entry.order = (_FIRST_TIER, entry.queued_at, entry.order[2])
+
+    def _ends_in_time(self, entry: leases.WaitingRequest, now: float) -> bool:
+        wait = self.estimate_wait(entry, now)
+        if entry.is_late:
+            wait *= LATE_WAIT_FACTOR
+        return now + wait + entry.work < entry.request.deadline
+
+    def _is_starved(
+        self, request: messages.PlacementRequest, now: float
+    ) -> bool:
+        groups = shares.list_groups(request)
+        return self.shares.is_starved(request.service, groups, now)
+
+    def _promote(self, queue: queues.ServiceQueue, now: float) -> None:
+        """Let requests of lower ranks go first that have waited for long."""
+        for entry in queue.list_ordered():
+            if not _has_waited(entry, now):
+                continue
+            service = entry.request.service
+            if self._credits.get(service, 0.0) < 1:
+                break
+            self._credits[service] -= 1
+            self._move(entry, self._prefer, now)
+
+    def _demote(
+        self,
+        queue: queues.ServiceQueue,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> None:
+        """Count those as late that keep the others from ending in time."""
+        plan = _Plan(now, self._find_capacity(service, now))
+        for entry in queue.list_ordered():
+            plan.add(entry)
+        for late in plan.dropped:
+            self._move(late, self._find_late_place, now)
+
+    def _move(
+        self,
+        entry: leases.WaitingRequest,
+        place: typing.Callable[[leases.WaitingRequest], None],
+        now: float,
+    ) -> None:
+        """Put a queued request at another place.
+
+        :param place: sets its new order.
+        """
+        before = entry.order
+        place(entry)
+        order = entry.order
+        entry.order = before
+        self._queues.move(entry, order, now)
+
+    def _count(
+        self, entry: leases.WaitingRequest, event: tallies.Event
+    ) -> None:
+        request = entry.request
+        self.tally.count(request.service, request.priority, event)
+
+    def _find_capacity(
+        self, service: identifiers.ServiceName, now: float
+    ) -> float:
+        queue = self._queues.find(service)
+        backlog_seconds = max(now - queue.backlogged_since, 0.0)
+        return self.capacities.find(service, backlog_seconds, now)
+
+
+class _Plan:
+    """Which requests of a queue can end within their objectives.
+
+    Whenever one would start too late, the one with the most work for its value
+    is dropped among those of its rank and workspace that come before it.
+
+    :param dropped: requests that will be late.
+    """
+
+    def __init__(self, now: float, capacity: float) -> None:
+        self.dropped: list[leases.WaitingRequest] = []
+        self._now = now
+        self._capacity = capacity
+        self._ahead = 0.0
+        self._places = itertools.count()
+        self._rivals: dict[
+            tuple[int, identifiers.WorkspaceName],
+            list[tuple[float, int, leases.WaitingRequest]],
+        ] = {}
+
+    def add(self, entry: leases.WaitingRequest) -> None:
+        """Plan the next request of the queue."""
+        start = self._now + self._ahead / self._capacity
+        self._ahead += entry.work
+        if entry.is_late or entry.is_preferred:
+            return
+        request = entry.request
+        rivals = self._rivals.setdefault(
+            (request.priority, request.workspace), []
+        )
+        burden = _find_burden(entry)
+        heapq.heappush(rivals, (-burden, -next(self._places), entry))
+        if start > max(entry.due, entry.queued_at):
+            _, _, worst = heapq.heappop(rivals)
+            self._ahead -= worst.work
+            self.dropped.append(worst)
+
+
+def _has_waited(entry: leases.WaitingRequest, now: float) -> bool:
+    """Tell whether a request of a lower rank has waited for long."""
+    request = entry.request
+    if entry.is_preferred or not request.priority:
+        return False
+    limit = min(
+        PRIORITY_STEP_SECONDS * request.priority,
+        MAX_RANK_WAIT_SHARE * (request.deadline - entry.queued_at),
+    )
+    return now - entry.queued_at >= limit
+
+
+def _find_burden(entry: leases.WaitingRequest) -> float:
+    """Return the work of a request for the value that it loses if it is late.
+
+    One that has no time left beyond its objective loses all of it.
+    """
+    latest = entry.request.deadline - entry.work
+    loss = 1.0 if latest <= entry.due else 1.0 - LATE_VALUE
+    return entry.work / loss
+
+
+def create_admission(
+    selector: selection.Selector, queue_table: queues.QueueTable
+) -> Admission:
+    """Return a decision without evidence on a table of queues."""
+    return Admission(selector, queue_table)
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -9,30 +9,28 @@
 """
 
 import dataclasses
-import itertools
+import math
 
 from wagtailspread.core import identifiers
-from wagtailspread.placement import budgets, crashes, estimates, floors
-from wagtailspread.placement import leases, messages, open_requests
-from wagtailspread.placement import selection
+from wagtailspread.placement import admissions, backlogs, budgets, crashes
+from wagtailspread.placement import floors, leases, messages, open_requests
+from wagtailspread.placement import queues, selection
 
-#: Head start in the queue per priority level, in seconds. It is bounded, so a
-#: flood of urgent requests does not starve the others.
-PRIORITY_STEP_SECONDS = 1.0
+#: Time in the queue per priority level after which a request goes first.
+PRIORITY_STEP_SECONDS = admissions.PRIORITY_STEP_SECONDS
 #: Cost in excess of the cheapest upstream that a request accepts at once.
 MAX_EXTRA_COST = 0.05
 #: Further excess cost that a request accepts per objective spent waiting.
 #: After one objective the answer is late on any upstream.
 EXTRA_COST_PER_OBJECTIVE = 2.5
-#: Multiple of the typical duration that must remain before the deadline for a
-#: request to queue normally; requests with less time are served first.
-SHORT_DEADLINE_FACTOR = 3.0
-#: Time without a poll after which a queued request or a stored decision is
-#: dropped, in seconds; hosts poll several times a second.
-ABANDON_SECONDS = 1.0
+#: Time without a poll after which a request is dropped, in seconds.
+ABANDON_SECONDS = backlogs.ABANDON_SECONDS
 #: Time for which a request that its host has withdrawn is not granted, in
 #: seconds. Messages on different connections may arrive in any order.
 WITHDRAWN_SECONDS = 10.0
+#: Minimum interval between two checks for overdue requests, in seconds. A tick
+#: follows each settlement while requests are queued.
+OVERDUE_CHECK_SECONDS = 0.04
 #: Minimum share of the sound upstreams of a service that stays in use.
 DEFAULT_FLOOR_SHARE = 0.7
 
@@ -52,9 +50,13 @@
         self.budget = budget
         self.floor = floor
         self.crashes = crash_table
-        self._sequence = itertools.count()
         self._open = open_requests.create_open_requests(selector)
-        self._waiting: dict[identifiers.RequestId, leases.WaitingRequest] = {}
+        self._waiting = queues.create_queues()
+        self.admission = admissions.create_admission(selector, self._waiting)
+        self._backlog = backlogs.create_backlog(
+            self._waiting, self.admission, self
+        )
+        self._checked_at = -math.inf
         self._decided: dict[identifiers.RequestId, leases.StoredDecision] = {}
         self._withdrawn: dict[identifiers.RequestId, float] = {}
 
@@ -81,8 +83,10 @@
         if refusal is not None:
             return refusal
         if request.is_repeat:
-            if not self.budget.spend(request.service, now):
-                return self._refuse(request, messages.Decision.NO_BUDGET, now)
+            queued = self._waiting.find(request.service).repeats
+            if not self.budget.allows(request.service, queued, now):
+                entry = self.admission.create_entry(request, now)
+                return self.refuse(entry, messages.Decision.NO_BUDGET, now)
         elif not request.is_counted:
             self.budget.add_request(request.service, now)
         return self._place_new(request, now)
@@ -106,7 +110,7 @@
         :param is_reset: whether its connection ended without an answer.
         """
         lease = self._open.close(request_id)
-        self._waiting.pop(request_id, None)
+        self._waiting.pop(request_id)
         self._decided.pop(request_id, None)
         if not upstream:
             self._withdrawn[request_id] = now
@@ -116,6 +120,7 @@
         host = identifiers.HostId('')
         if lease is not None:
             host = lease.request.host
+            self.admission.record_end(lease, evidence, seconds, now)
             self._record_completion(lease, evidence, now)
             self._record_crash(lease, evidence, now, is_reset=is_reset)
             if lease.is_failed and evidence is messages.Evidence.BAD:
@@ -134,33 +139,22 @@
     def drop_host(self, host: identifiers.HostId, now: float) -> None:
         """Drop the requests of a host that has restarted."""
         self._open.drop_host(host, now)
-        for request_id, waiting in list(self._waiting.items()):
+        for waiting in list(self._waiting.values()):
             if waiting.request.host == host:
-                self._waiting.pop(request_id)
+                self._waiting.pop(waiting.request.request_id)
 
     def tick(self, now: float) -> list[identifiers.RequestId]:
         """Process the queue; return the ids of the decided requests."""
-        self._open.process_overdue(now)
-        self._drop_unclaimed(now)
-        decided: list[identifiers.RequestId] = []
-        ordered = sorted(self._waiting.values(), key=lambda entry: entry.order)
-        blocked: set[identifiers.ServiceName] = set()
-        for waiting in ordered:
-            request = waiting.request
-            if now - waiting.polled_at > ABANDON_SECONDS:
-                self._waiting.pop(request.request_id)
-                continue
-            is_blocked = request.service in blocked
-            answer = self._decide_waiting(waiting, now, is_blocked=is_blocked)
-            if answer is None:
-                if not waiting.is_held:
-                    blocked.add(request.service)
-            else:
-                self._waiting.pop(request.request_id)
-                self._decided[request.request_id] = leases.StoredDecision(
-                    answer, now
-                )
-                decided.append(request.request_id)
+        if now - self._checked_at >= OVERDUE_CHECK_SECONDS:
+            self._checked_at = now
+            self._open.process_overdue(now)
+            self._drop_unclaimed(now)
+            self.selector.limits = self.admission.sheds.describe(now)
+        decided = []
+        for entry, answer in self._backlog.process(now):
+            request_id = entry.request.request_id
+            self._decided[request_id] = leases.StoredDecision(answer, now)
+            decided.append(request_id)
         return decided
 
     def prune(self, now: float) -> None:
@@ -168,6 +162,7 @@
         self.selector.prune(now)
         self.floor.retain(self.selector.registry.rows)
         self._open.prune(now)
+        self.admission.prune(now)
 
     def pop_decision(
         self, request_id: identifiers.RequestId
@@ -183,40 +178,28 @@
     def _place_new(
         self, request: messages.PlacementRequest, now: float
     ) -> messages.Answer:
-        order = self._create_order(request, now)
-        ahead = self._count_ahead(request, order)
+        entry = self.admission.create_entry(request, now)
+        queue = self._waiting.find(request.service)
         answer = None
-        if not ahead:
-            answer = self._try_grant(request, now, now)
+        is_short = self.admission.capacities.is_short(request.service, now)
+        if not queue.has_ahead(entry, is_short=is_short):
+            answer = self._try_grant(entry, now)
         if answer is not None:
             return answer
-        if not self._can_wait(request, ahead, now):
-            return self._refuse(request, messages.Decision.NO_ROOM, now)
-        self._waiting[request.request_id] = leases.WaitingRequest(
-            request, order, now, now, is_held=self._is_held(request, now)
-        )
+        entry.is_held = self.is_held(request, now)
+        if not self.admission.admit(entry, now):
+            return self.refuse(entry, messages.Decision.NO_ROOM, now)
+        self.admission.queue(entry, now)
         return messages.Answer(messages.Decision.WAITING)
 
-    def _decide_waiting(
-        self, waiting: leases.WaitingRequest, now: float, *, is_blocked: bool
+    def decide_waiting(
+        self, entry: leases.WaitingRequest, now: float
     ) -> messages.Answer | None:
-        """Return the decision on a queued request, if there is one.
-
-        :param is_blocked: whether an earlier request of the service is queued.
-        """
-        request = waiting.request
-        answer = self._refuse_blocked(request, now)
-        if answer is None and not is_blocked:
-            answer = self._try_grant(request, waiting.queued_at, now)
-            if request.is_repeat and answer and answer.record:
-                self.budget.postpone(request.service, waiting.queued_at, now)
-            waiting.is_held = answer is None and self._is_held(request, now)
-        is_too_late = request.deadline - now < self._find_typical_seconds(
-            request, now
-        )
-        if answer is None and is_too_late:
-            answer = self._refuse(request, messages.Decision.NO_ROOM, now)
-        return answer
+        """Return the decision on a queued request, if there is one."""
+        answer = self._refuse_blocked(entry.request, now)
+        if answer is None and self.admission.is_too_late(entry, now):
+            answer = self.refuse(entry, messages.Decision.NO_ROOM, now)
+        return answer or self._try_grant(entry, now)
 
     def _refuse_blocked(
         self, request: messages.PlacementRequest, now: float
@@ -227,41 +210,15 @@
             return None
         return messages.Answer(messages.Decision.BLOCKED, None, end - now)
 
-    def _create_order(
-        self, request: messages.PlacementRequest, now: float
-    ) -> leases.QueueOrder:
-        """Return the sort key of a request in the queue.
-
-        Requests whose timeout leaves no time to wait go first. Behind others,
-        every request of such a route is refused while the service is full.
-        """
-        seconds = self._find_typical_seconds(request, now)
-        can_wait = request.deadline - now > SHORT_DEADLINE_FACTOR * seconds
-        due = now + PRIORITY_STEP_SECONDS * request.priority
-        return (can_wait, due, next(self._sequence))
-
-    def _count_ahead(
-        self, request: messages.PlacementRequest, order: leases.QueueOrder
-    ) -> int:
-        """Return how many queued requests of the service come first."""
-        return sum(
-            waiting.request.service == request.service
-            and waiting.order < order
-            and not waiting.is_held
-            for waiting in self._waiting.values()
-        )
-
     def _try_grant(
-        self,
-        request: messages.PlacementRequest,
-        waiting_since: float,
-        now: float,
+        self, entry: leases.WaitingRequest, now: float
     ) -> messages.Answer | None:
         """Return a grant or a refusal, or ``None`` to queue the request."""
+        request = entry.request
         candidates = self._rate_upstreams(request, now)
         if not candidates:
-            return self._decide_held(request, now)
-        waited = (now - waiting_since) / request.objective
+            return self._decide_held(entry, now)
+        waited = (now - entry.queued_at) / request.objective
         limit = MAX_EXTRA_COST + EXTRA_COST_PER_OBJECTIVE * waited
         limit += min(candidate.waiting_cost for candidate in candidates)
         free = [
@@ -278,6 +235,8 @@
         chosen = self.selector.draw(idle_candidates or free)
         if chosen is None:
             return None
+        if request.is_repeat and not self.budget.spend(request.service, now):
+            return self.refuse(entry, messages.Decision.NO_BUDGET, now)
         record = chosen.row.record
         is_trial = bool(idle_candidates) and floors.is_trial(chosen)
         self.floor.record_use(
@@ -287,11 +246,18 @@
             is_trial=is_trial and not may_retry,
         )
         self._open.add(
-            leases.Lease(request, record.upstream, now, is_trial=is_trial)
+            leases.Lease(
+                request,
+                record.upstream,
+                now,
+                is_trial=is_trial,
+                open_requests=self.selector.count_open(record.upstream) + 1,
+            )
         )
+        self.admission.record_grant(entry, now)
         return messages.Answer(messages.Decision.GRANTED, record)
 
-    def _is_held(self, request: messages.PlacementRequest, now: float) -> bool:
+    def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
         """Tell whether all upstreams hold back the host of a request."""
         if not len(self.selector.holds):
             return False
@@ -299,18 +265,19 @@
         return end is not None and end > now
 
     def _decide_held(
-        self, request: messages.PlacementRequest, now: float
+        self, entry: leases.WaitingRequest, now: float
     ) -> messages.Answer | None:
         """Decide on a request that no upstream takes from its host now.
 
         It is queued if an upstream takes requests again in time.
         """
+        request = entry.request
         end = self.selector.find_hold_end(request, now)
         if end is None:
-            return self._refuse(request, messages.Decision.NO_UPSTREAM, now)
-        if end + self._find_typical_seconds(request, now) < request.deadline:
+            return self.refuse(entry, messages.Decision.NO_UPSTREAM, now)
+        if end + entry.work < request.deadline:
             return None
-        refusal = self._refuse(request, messages.Decision.NO_ROOM, now)
+        refusal = self.refuse(entry, messages.Decision.NO_ROOM, now)
         return dataclasses.replace(refusal, retry_after=end - now)
 
     def _rate_upstreams(
@@ -360,41 +327,16 @@
             row = self.selector.registry.rows.get(lease.upstream)
             self.crashes.record_loss(fingerprint, row, now)
 
-    def _can_wait(
-        self, request: messages.PlacementRequest, ahead: int, now: float
-    ) -> bool:
-        """Return whether a slot will probably become free in time."""
-        seconds = self._find_typical_seconds(request, now)
-        wait = self._estimate_wait(request, ahead, now)
-        return now + wait + seconds < request.deadline
-
-    def _estimate_wait(
-        self, request: messages.PlacementRequest, ahead: int, now: float
-    ) -> float:
-        return estimates.estimate_wait(
-            self.selector, request.service, ahead, now
-        )
-
-    def _find_typical_seconds(
-        self, request: messages.PlacementRequest, now: float
-    ) -> float:
-        return estimates.find_typical_seconds(
-            self.selector, request.service, now
-        )
-
-    def _refuse(
+    def refuse(
         self,
-        request: messages.PlacementRequest,
+        entry: leases.WaitingRequest,
         decision: messages.Decision,
         now: float,
     ) -> messages.Answer:
         """Return a refusal with the estimated time until a slot is free."""
-        self.floor.strains.record_completion(request.service, False, now)
-        order = self._create_order(request, now)
-        ahead = self._count_ahead(request, order)
-        retry_after = estimates.clamp_retry_after(
-            self._estimate_wait(request, ahead, now)
-        )
+        service = entry.request.service
+        self.floor.strains.record_completion(service, False, now)
+        retry_after = self.admission.record_refusal(entry, decision, now)
         return messages.Answer(decision, None, retry_after)
 
     def _drop_unclaimed(self, now: float) -> None:
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -100,6 +100,17 @@
             self._started_at = now
         self._list_recent(self._requests, service, now).append(now)
 
+    def allows(
+        self, service: identifiers.ServiceName, queued: int, now: float
+    ) -> bool:
+        """Return whether the budget allows a further retry.
+
+        :param queued: retries that wait, which count when they are sent.
+        """
+        repeats = self._list_recent(self._repeats, service, now)
+        needed = len(repeats) + queued + 1
+        return needed <= self._compute_allowed(service, now)
+
     def spend(self, service: identifiers.ServiceName, now: float) -> bool:
         """Record a retry and return ``True`` if the budget allows it."""
         repeats = self._list_recent(self._repeats, service, now)
@@ -108,24 +119,6 @@
         repeats.append(now)
         return True
 
-    def postpone(
-        self,
-        service: identifiers.ServiceName,
-        spent_at: float,
-        now: float,
-    ) -> None:
-        """Count a retry at the time at which it is sent.
-
-        Those that were queued would otherwise leave the window before they
-        reach an upstream.
-
-        :param spent_at: when :meth:`spend` allowed it.
-        """
-        repeats = self._list_recent(self._repeats, service, now)
-        if spent_at in repeats:
-            repeats.remove(spent_at)
-        repeats.append(now)
-
     def is_ample(self, service: identifiers.ServiceName, now: float) -> bool:
         """Return whether at most half of the budget is used after a retry."""
         return self._has_left(service, AMPLE_SHARE, now)
--- a/wagtailspread/placement/leases.py
+++ b/wagtailspread/placement/leases.py
@@ -5,9 +5,12 @@
 from wagtailspread.core import identifiers
 from wagtailspread.placement import messages
 
-#: Sort key in the queue: whether the request has time to wait, its due time in
-#: seconds, and its sequence number.
-QueueOrder = tuple[bool, float, int]
+#: Sort key in the queue: the tier, the due time in seconds in the fair queue,
+#: and the sequence number.
+QueueOrder = tuple[int, float, int]
+#: What requests have in common that the same upstreams can take: the failure
+#: domain of the host, a class of sizes, and the upstreams that are excluded.
+Shape = tuple[identifiers.FailureDomain, int, frozenset[identifiers.UpstreamId]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +25,7 @@
     :param is_overdue: whether it has no end after the usual time.
     :param is_failed: whether the missing answer was recorded as a failure.
     :param is_closed: whether it has ended or was given up.
+    :param open_requests: at the upstream when it was granted, with this one.
     """
 
     request: messages.PlacementRequest
@@ -32,6 +36,7 @@
     is_overdue: bool = False
     is_failed: bool = False
     is_closed: bool = False
+    open_requests: int = 0
 
     @property
     def holds_slot(self) -> bool:
@@ -45,15 +50,29 @@
 
     :param queued_at: when it was submitted.
     :param polled_at: when its host polled last.
+    :param work: its expected work in seconds.
+    :param due: latest start for an end within its objective.
+    :param asked_at: when its caller asked first, before it was refused.
+    :param tag: its start tag among the workspaces.
     :param is_held: whether no upstream takes requests of its host at present.
         Requests of other hosts do not queue behind it.
+    :param is_late: whether it can't end within its objective any more.
+    :param is_returning: whether its caller came again when it was told to.
+    :param is_preferred: whether it goes first since its group is starved.
     """
 
     request: messages.PlacementRequest
     order: QueueOrder
     queued_at: float
     polled_at: float
+    work: float
+    due: float
+    asked_at: float
+    tag: float = 0.0
     is_held: bool = False
+    is_late: bool = False
+    is_returning: bool = False
+    is_preferred: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/wagtailspread/placement/returns.py
@@ -0,0 +1,93 @@
+"""Recognizes refused requests that come again at the time that they were told.
+
+The caller of a refused request gets a time, and one that comes again at that
+time goes before new ones. One that comes earlier is a new one. Different
+callers may have the same fingerprint, so each fingerprint has at most one
+entry: however often it is refused, it goes ahead once for each time told.
+
+>>> table = create_returns()
+>>> table.add(7, _Return(asked_at=1.0, tag=0.5, back_at=2.0))
+>>> table.claim(7, 1.5), table.claim(7, 2.0).asked_at, table.claim(7, 2.1)
+(None, 1.0, None)
+"""
+
+import typing
+
+from wagtailspread.placement import crashes
+
+#: Time after which a caller that was told to come again counts as a new one,
+#: in seconds.
+KEEP_SECONDS = 4.0
+#: Time by which a caller may be early, in seconds: clocks and messages differ
+#: by a few milliseconds.
+TOLERANCE_SECONDS = 0.02
+#: Maximum number of entries; beyond it, the oldest one is dropped.
+MAX_RETURNS = 20_000
+
+
+class _Return(typing.NamedTuple):
+    """A refused request.
+
+    :param asked_at: when it came first, in seconds, as all times here.
+    :param tag: its start tag in the fair queue.
+    :param back_at: when its caller was told to come again.
+    """
+
+    asked_at: float
+    tag: float
+    back_at: float
+
+
+class ReturnTable:
+    """Refused requests by fingerprint. Use :func:`create_returns`."""
+
+    def __init__(self) -> None:
+        """Create a table without requests."""
+        self._returns: dict[crashes.Fingerprint, _Return] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests."""
+        return len(self._returns)
+
+    def add(self, fingerprint: crashes.Fingerprint, entry: _Return) -> None:
+        """Record a refusal.
+
+        If the caller was told a later time before, that time holds: coming
+        early and being refused again gains nothing.
+        """
+        if fingerprint == crashes.NO_FINGERPRINT:
+            return
+        known = self._returns.pop(fingerprint, None)
+        if known is not None and known.back_at > entry.back_at:
+            entry = entry._replace(back_at=known.back_at)
+        self._returns[fingerprint] = entry
+        if len(self._returns) > MAX_RETURNS:
+            self._returns.pop(next(iter(self._returns)))
+
+    def claim(
+        self, fingerprint: crashes.Fingerprint, now: float
+    ) -> _Return | None:
+        """Remove and return the entry of a request that comes in time."""
+        known = self._returns.get(fingerprint)
+        if known is None or now < known.back_at - TOLERANCE_SECONDS:
+            return None
+        self._returns.pop(fingerprint)
+        return known if now <= known.back_at + KEEP_SECONDS else None
+
+    def prune(self, now: float) -> None:
+        """Drop requests whose callers did not come again."""
+        self._returns = {
+            fingerprint: entry
+            for fingerprint, entry in self._returns.items()
+            if now <= entry.back_at + KEEP_SECONDS
+        }
+
+
+def create_return(asked_at: float, tag: float, back_at: float) -> _Return:
+    """Return the entry of a refused request."""
+    return _Return(asked_at, tag, back_at)
+
+
+def create_returns() -> ReturnTable:
+    """Return a table without requests."""
+    return ReturnTable()
--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -13,7 +13,7 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.health import risks
-from wagtailspread.placement import costs, holds, messages
+from wagtailspread.placement import costs, holds, messages, slot_counts
 from wagtailspread.registry import coverage, records, tables
 
 #: Cost difference that lowers the probability of a choice by a factor of e.
@@ -21,9 +21,6 @@
 #: Time for which an upstream counts as unreachable for a host after a failed
 #: connection, in seconds.
 UNREACHABLE_SECONDS = 2.0
-#: Probability of being sound below which an upstream is limited to one request
-#: at a time.
-MIN_SOUND_PROBABILITY = 0.5
 #: Additional weight of the distance cost while a request waits: a large body
 #: waits up to a quarter of the objective for a slot in its own failure domain.
 DISTANCE_WEIGHT = 1.3
@@ -88,6 +85,8 @@
     :param silent: upstreams without a recent heartbeat at any replica.
     :param holds: times for which hosts send nothing to an upstream.
     :param uncovered: regions whose upstreams get too few requests there.
+    :param limits: of the open requests at each upstream of a service that sheds
+        what is beyond.
     """
 
     def __init__(
@@ -102,6 +101,7 @@
         self.silent: typing.Collection[identifiers.UpstreamId] = frozenset()
         self.holds = holds.create_holds()
         self.uncovered = coverage.combine_reports(())
+        self.limits: dict[identifiers.ServiceName, int] = {}
         self._regions = regions
         self._random = random
         self._open: dict[identifiers.UpstreamId, int] = {}
@@ -200,11 +200,11 @@
 
     def start(self, upstream: identifiers.UpstreamId) -> None:
         """Increment the open requests of an upstream."""
-        _increment(self._open, upstream)
+        slot_counts.increment(self._open, upstream)
 
     def mark_overdue(self, upstream: identifiers.UpstreamId) -> None:
         """Record that an open request of an upstream should have ended."""
-        _increment(self._overdue, upstream)
+        slot_counts.increment(self._overdue, upstream)
 
     def finish(
         self, upstream: identifiers.UpstreamId, *, is_overdue: bool = False
@@ -213,9 +213,28 @@
 
         :param is_overdue: whether the request was marked as overdue.
         """
-        _decrement(self._open, upstream)
+        slot_counts.decrement(self._open, upstream)
         if is_overdue:
-            _decrement(self._overdue, upstream)
+            slot_counts.decrement(self._overdue, upstream)
+
+    def count_open(self, upstream: identifiers.UpstreamId) -> int:
+        """Return the number of open requests of an upstream."""
+        return self._open.get(upstream, 0)
+
+    def find_slots(
+        self, service: identifiers.ServiceName, now: float
+    ) -> dict[identifiers.UpstreamId, int]:
+        """Return how many requests each upstream may run at a time."""
+        slots = {}
+        for row in self.registry.list_ready(service):
+            upstream = row.record.upstream
+            gray = self.risk_table.find_gray_probability(upstream, now)
+            slots[upstream] = slot_counts.count_usable(
+                self._limit_slots(row.record),
+                self._overdue.get(upstream, 0),
+                1.0 - gray,
+            )
+        return slots
 
     def prune(self, now: float) -> None:
         """Drop the state of upstreams that the registry has removed."""
@@ -291,6 +310,11 @@
             is_uncovered,
         )
 
+    def _limit_slots(self, record: records.UpstreamRecord) -> int:
+        """Return the slots of an upstream, or fewer if it sheds beyond."""
+        limit = self.limits.get(record.service, record.slots)
+        return min(limit, record.slots)
+
     def _find_hold_end(
         self,
         host: identifiers.HostId,
@@ -332,7 +356,12 @@
         return Candidate(
             row,
             cost + place.distance,
-            _is_full(record, open_requests, overdue, sound_probability),
+            slot_counts.is_full(
+                self._limit_slots(record),
+                open_requests,
+                overdue,
+                sound_probability,
+            ),
             place.is_same_region,
             place.distance,
             sound_probability,
@@ -343,45 +372,6 @@
         )
 
 
-def _is_full(
-    record: records.UpstreamRecord,
-    open_requests: int,
-    overdue: int,
-    sound_probability: float,
-) -> bool:
-    """Tell whether an upstream gets no further request for now.
-
-    A gray upstream fails requests immediately, so its slots are always free and
-    it would drain the whole queue: it runs one request at a time. A request
-    without an end does not count for that, since its answer or its host may
-    have been lost, and the upstream would stay unused until its deadline.
-    """
-    if open_requests >= record.slots:
-        return True
-    if sound_probability >= MIN_SOUND_PROBABILITY:
-        return False
-    return open_requests > overdue
-
-
-def _increment(
-    counts: dict[identifiers.UpstreamId, int],
-    upstream: identifiers.UpstreamId,
-) -> None:
-    counts[upstream] = counts.get(upstream, 0) + 1
-
-
-def _decrement(
-    counts: dict[identifiers.UpstreamId, int],
-    upstream: identifiers.UpstreamId,
-) -> None:
-    """Decrement a count; drop it at zero."""
-    remaining = counts.get(upstream, 0) - 1
-    if remaining > 0:
-        counts[upstream] = remaining
-    else:
-        counts.pop(upstream, None)
-
-
 def create_selector(
     registry: tables.RegistryTable,
     regions: dict[identifiers.FailureDomain, identifiers.RegionName],
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -119,6 +119,12 @@
         for service, counts in self._allocator.budget.describe(now).items():
             _log.info('retries counted', extra={'service': service, **counts})
 
+        for service, rank, events in self._allocator.admission.tally.take():
+            _log.info(
+                'requests queued',
+                extra={'service': service, 'rank': rank, **events},
+            )
+
     def _exchange_strain(self, now: float) -> None:
         exchange = self._strain_exchange
         if exchange is not None:
