--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -94,7 +94,9 @@
         )
         clock = self._queues.find(request.service).fair_clock
         entry.tag = clock.peek(request.workspace)
-        known = self.returns.claim(request.fingerprint, now)
+        known = None
+        if not request.is_repeat:
+            known = self.returns.claim(request.fingerprint, now)
         if known is not None:
             entry.is_returning = True
             self._count(entry, tallies.Event.RETURNED)
@@ -196,6 +198,8 @@
         if now > entry.queued_at:
             self.tally.count(service, rank, tallies.Event.DROPPED)
             self.tally.add_held(service, rank, now - entry.queued_at)
+            clock = self._queues.find(service).fair_clock
+            clock.withdraw(request.workspace, entry.work)
         return retry_after
 
     def record_end(
@@ -303,7 +307,8 @@
         request = entry.request
         entry.is_late = True
         self._count(entry, tallies.Event.LATE)
-        latest = request.deadline - entry.work
+        waited = entry.queued_at - entry.asked_at
+        latest = request.deadline - entry.work - waited
         tier = request.priority * _TIERS + _LATE
         entry.order = (tier, latest, entry.order[2])
 
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -182,8 +182,10 @@
         entry = self.admission.create_entry(request, now)
         queue = self._waiting.find(request.service)
         answer = None
-        is_short = self.admission.capacities.is_short(request.service, now)
-        if not queue.has_ahead(entry, is_short=is_short):
+        if not len(queue) or not queue.has_ahead(
+            entry,
+            is_short=self.admission.capacities.is_short(request.service, now),
+        ):
             answer = self._try_grant(entry, now)
         if answer is not None:
             return answer
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -119,7 +119,13 @@
         for service, counts in self._allocator.budget.describe(now).items():
             _log.info('retries counted', extra={'service': service, **counts})
 
-        for service, rank, events in self._allocator.admission.tally.take():
+        admission = self._allocator.admission
+        for limited, most in admission.sheds.describe(now).items():
+            _log.info(
+                'open requests limited',
+                extra={'service': limited, 'limit': most},
+            )
+        for service, rank, events in admission.tally.take():
             _log.info(
                 'requests queued',
                 extra={'service': service, 'rank': rank, **events},
--- a/wagtailspread/placement/sheds.py
+++ b/wagtailspread/placement/sheds.py
@@ -36,6 +36,9 @@
 #: Share of sheds up to which a number of open requests counts as accepted in
 #: full, as a part of the share of sheds above it.
 ACCEPTED_PART = 0.1
+#: Share of sheds at or below a limit that does not lower it further. Requests
+#: that take long count as ended after some time, so a few more are open.
+TOLERATED_SHARE = 0.1
 
 _Result = tuple[float, int, bool]
 
@@ -120,6 +123,8 @@
         _drop_old(state, now)
         if sum(is_shed for _, _, is_shed in state.results) < MIN_SHEDS:
             return
+        if state.limit and _find_share(state) <= TOLERATED_SHARE:
+            return
         limit = _find_accepted(state.results)
         if limit and (not state.limit or limit < state.limit):
             state.limit = limit
@@ -134,6 +139,14 @@
         results.popleft()
 
 
+def _find_share(state: _ServiceState) -> float:
+    """Return the share of sheds at or below the limit."""
+    below = [
+        is_shed for _, level, is_shed in state.results if level <= state.limit
+    ]
+    return sum(below) / max(len(below), 1)
+
+
 def _find_accepted(results: collections.deque[_Result]) -> int:
     """Return the most open requests that are accepted in full, 0 if none."""
     levels = sorted({level for _, level, _ in results})
