Test the log lines of admission

Cause: no test covered the lines on refusals and on limits of open requests. Change: one test; the method that writes them is named after counts.

--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -110,12 +110,12 @@
             self._tick()
             if now >= count_at:
                 count_at = now + COUNT_SECONDS
-                self._log_retries(now)
+                self._log_counts(now)
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 self._allocator.prune(now)
 
-    def _log_retries(self, now: float) -> None:
+    def _log_counts(self, now: float) -> None:
         for service, counts in self._allocator.budget.describe(now).items():
             _log.info('retries counted', extra={'service': service, **counts})
 
--- a/wagtailspread/placement/tests/test_logs.py
+++ b/wagtailspread/placement/tests/test_logs.py
@@ -4,7 +4,8 @@
 
 import logbook
 
-from wagtailspread.placement import budgets, crashes, floors
+from wagtailspread.core import clocks
+from wagtailspread.placement import budgets, crashes, floors, services
 from wagtailspread.placement.tests import regions
 from wagtailspread.registry import tables
 
@@ -91,3 +92,29 @@
     assert fields['full'] == 1
     assert fields['overdue'] == 1
     assert fields['longest'] == 4.0
+
+
+def test_refusals_and_limits_are_logged_by_service_and_rank():
+    """Guards against refusals that an operator can't explain."""
+    region = regions.Region(upstreams=1, slots=1)
+    admission = region.allocator.admission
+    region.submit(deadline=60.0)
+    region.submit(deadline=0.1, priority=2)
+    for number in range(60):
+        level = 1 + number % 6
+        admission.sheds.record('columns', level, level > 4, number / 50)
+    service = services.create_service(
+        region.allocator, clocks.SuspensionClock(), lambda _now: ()
+    )
+    with record_lines() as lines:
+        service._log_counts(1.2)
+        service._log_counts(1.2)
+    assert [
+        (event, fields['service'], fields.get('rank'), fields.get('limit'))
+        for event, fields in lines
+    ] == [
+        ('open requests limited', 'columns', None, 4),
+        ('requests queued', 'columns', 2, None),
+        ('open requests limited', 'columns', None, 4),
+    ]
+    assert lines[1][1]['no-room'] == 1
