--- a/wagtailspread/entry/protocols.py
+++ b/wagtailspread/entry/protocols.py
@@ -55,7 +55,7 @@
         payload = self._payload
         is_open = payload is not None and not payload.is_eof()
         if exc is not None and payload is not None and is_open:
-            fault = aiohttp.ClientPayloadError('reset within the body')
+            fault = client.ClientPayloadError('reset within the body')
             payload.set_exception(fault, exc)
         super().connection_lost(exc)
 
--- a/wagtailspread/placement/budgets.py
+++ b/wagtailspread/placement/budgets.py
@@ -100,31 +100,29 @@
             self._started_at = now
         self._list_recent(self._requests, service, now).append(now)
 
-    def spend(self, service: identifiers.ServiceName, now: float) -> bool:
-        """Record a retry and return ``True`` if the budget allows it."""
-        repeats = self._list_recent(self._repeats, service, now)
-        if len(repeats) + 1 > self._compute_allowed(service, now):
-            return False
-        repeats.append(now)
-        return True
-
-    def postpone(
+    def allows(
         self,
         service: identifiers.ServiceName,
-        spent_at: float,
+        queued: int,
         now: float,
-    ) -> None:
-        """Count a retry at the time at which it is sent.
-
-        Those that were queued would otherwise leave the window before they
-        reach an upstream.
+        used_share: float = 1.0,
+    ) -> bool:
+        """Return whether the budget allows a further retry.
 
-        :param spent_at: when :meth:`spend` allowed it.
+        :param queued: retries that wait, which count when they are sent.
+        :param used_share: share of the budget that may be used.
         """
         repeats = self._list_recent(self._repeats, service, now)
-        if spent_at in repeats:
-            repeats.remove(spent_at)
+        needed = len(repeats) + queued + 1
+        return needed <= used_share * self._compute_allowed(service, now)
+
+    def spend(self, service: identifiers.ServiceName, now: float) -> bool:
+        """Record a retry and return ``True`` if the budget allows it."""
+        repeats = self._list_recent(self._repeats, service, now)
+        if len(repeats) + 1 > self._compute_allowed(service, now):
+            return False
         repeats.append(now)
+        return True
 
     def is_ample(self, service: identifiers.ServiceName, now: float) -> bool:
         """Return whether at most half of the budget is used after a retry."""
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -115,16 +115,28 @@
             self._tick()
             if now >= count_at:
                 count_at = now + COUNT_SECONDS
-                self._log_retries(now)
+                self._log_counts(now)
                 self._allocator.permits.log_counts(now)
             if now >= prune_at:
                 prune_at = now + PRUNE_SECONDS
                 self._allocator.prune(now)
 
-    def _log_retries(self, now: float) -> None:
+    def _log_counts(self, now: float) -> None:
         for service, counts in self._allocator.budget.describe(now).items():
             _log.info('retries counted', extra={'service': service, **counts})
 
+        admission = self._allocator.admission
+        for limited, most in admission.sheds.describe(now).items():
+            _log.info(
+                'open requests limited',
+                extra={'service': limited, 'limit': most},
+            )
+        for service, rank, events in admission.tally.take():
+            _log.info(
+                'requests queued',
+                extra={'service': service, 'rank': rank, **events},
+            )
+
     def _exchange_strain(self, now: float) -> None:
         exchange = self._strain_exchange
         if exchange is not None:
