--- a/wagtailspread/entry/bodies.py
+++ b/wagtailspread/entry/bodies.py
@@ -145,7 +145,7 @@
         except intakes.BodyDropped as error:
             self.fault = _create_dropped_fault()
             raise BodyFault(self.fault) from error
-        except (web.RequestPayloadError, ValueError) as error:
+        except (web.RequestPayloadError, ConnectionError, ValueError) as error:
             self.fault = _create_malformed_fault()
             raise BodyFault(self.fault) from error
 
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -234,8 +234,11 @@
         """Send an answer, then discard the unread rest of its request."""
         parser = self._guarded_parser
         is_large = parser.first_cost > MAX_KEPT_HEAD_BYTES
-        if is_large and not resp.prepared and not self._pipeline:
-            resp.force_close()
+        if is_large and not self._pipeline:
+            # Also without the header, if the response has begun.
+            self.close()
+            if not resp.prepared:
+                resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
         parser.finish_request()
         self.recount()
--- a/wagtailspread/platform/tests/crowds.py
+++ b/wagtailspread/platform/tests/crowds.py
@@ -35,7 +35,7 @@
 #: A client that has sent nothing for this time is blocked, in seconds.
 QUIET_SECONDS = 2.0
 #: Longest time to wait for an ordinary request to be served, in seconds.
-PATIENCE_SECONDS = 60.0
+SERVICE_TIMEOUT_SECONDS = 60.0
 
 _HOST_NUMBER = 5
 _LOCK_PATH = pathlib.Path(tempfile.gettempdir()) / f'crowds-{os.getuid()}'
@@ -129,7 +129,7 @@
         async def put():
             return await self._platform.put(0, 7) == 200
 
-        await test_processes.wait_for(put, PATIENCE_SECONDS)
+        await test_processes.wait_for(put, SERVICE_TIMEOUT_SECONDS)
         await self.wait_for_service()
 
     async def wait_for_service(self):
@@ -142,7 +142,7 @@
                 b'whole',
             )
 
-        await test_processes.wait_for(is_served, PATIENCE_SECONDS)
+        await test_processes.wait_for(is_served, SERVICE_TIMEOUT_SECONDS)
 
     async def wait_for_control(self):
         """Wait until the replica answers a heartbeat and a read."""
@@ -151,12 +151,13 @@
             status = await self._send_heartbeat()
             return status == 200 and await self._platform.read(0) == 7
 
-        await test_processes.wait_for(is_served, PATIENCE_SECONDS)
+        await test_processes.wait_for(is_served, SERVICE_TIMEOUT_SECONDS)
 
     async def wait_for_readiness(self):
         """Wait until the host reports that it is ready."""
         await test_processes.wait_for(
-            lambda: self._platform.is_ready(_HOST_NUMBER), PATIENCE_SECONDS
+            lambda: self._platform.is_ready(_HOST_NUMBER),
+            SERVICE_TIMEOUT_SECONDS,
         )
 
     async def gather_crowd(self, address, create_pieces, clients=CLIENTS):
