Give the guarded HTTP server a module of its own

Change: the server, which creates the connections and bounds their number, is apart from the connection. No change of behaviour.

--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import dataclasses
-import itertools
-import math
 import select
 import types
 import typing
@@ -18,7 +16,7 @@
 from aiohttp import http, streams
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads, holdings, parsers, pipelines, web
+from wagtailspread.entry import heads, parsers, pipelines, web
 
 #: Bytes that are read from a connection at once. All connections may be read
 #: before the first handler runs, and 200 times 64 KB are more than the budget
@@ -35,8 +33,6 @@
 #: Time without a byte after which a connection without a request is closed when
 #: the host stops, in seconds.
 STOP_IDLE_SECONDS = 0.3
-#: Interval between checks for late heads and idle connections, in seconds.
-SWEEP_SECONDS = 0.25
 
 #: Maximum time for reading the rest of a refused request, in seconds. A link
 #: of 0.25 MB/s carries 2.5 MB in that time.
@@ -47,6 +43,9 @@
 _HEAD_TOO_LARGE = 431
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
+if typing.TYPE_CHECKING:
+    from wagtailspread.entry import guarded_servers
+
 _log = logbook.Logger('connections')
 
 Handler = typing.Callable[
@@ -85,7 +84,7 @@
 
     def __init__(
         self,
-        manager: 'GuardedServer',
+        manager: 'guarded_servers.GuardedServer',
         limits: heads.RequestLimits,
         **settings: typing.Any,
     ) -> None:
@@ -420,131 +419,6 @@
     return protocol.describe() if isinstance(protocol, GuardedProtocol) else {}
 
 
-class GuardedServer(web.Server):
-    """Creates guarded protocols and enforces their timeouts.
-
-    :param window: active and recently replaced limits.
-    :param budget: memory budget for what all connections hold.
-    :param read_buffer: takes the bytes of all connections as they are read.
-    :param handle_ahead: handles a pipelined request; its response is sent when
-        the turn of the request has come.
-    :param is_pipelining: whether pipelined requests are handled concurrently.
-    :param usage: of the pipelined requests of all connections.
-    """
-
-    def __init__(
-        self,
-        handler: Handler,
-        window: heads.LimitWindow,
-        budget: holdings.HoldingBudget,
-        max_connections: int,
-        handle_ahead: Handler | None = None,
-    ) -> None:
-        """Start the periodic timeout checks in the running event loop."""
-        super().__init__(handler)
-        self._max_connections = max_connections
-        self.window = window
-        self.budget = budget
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
-        self.handle_ahead = handle_ahead or handler
-        self.is_pipelining = handle_ahead is not None
-        self.usage = pipelines.PipelineUsage()
-        self._sweep_task = asyncio.create_task(self._sweep())
-
-    def __call__(self) -> web.RequestHandler:
-        """Create the protocol of a new connection."""
-        limits = self.window.current
-        return GuardedProtocol(
-            self,
-            limits,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            lingering_time=limits.linger_seconds,
-            auto_decompress=False,
-            # The sweep closes idle connections according to the active limits.
-            keepalive_timeout=math.inf,
-            read_bufsize=READ_BYTES,
-        )
-
-    def limit_connections(self, newest: GuardedProtocol) -> None:
-        """Close a connection if there are more than allowed.
-
-        It is the one that has been open for the longest time among those that
-        wait for a request, else among those with an incomplete request, else
-        the newest. None of them has a request that may be running.
-        """
-        if len(self._connections) <= self._max_connections:
-            return
-        others = [
-            protocol
-            for protocol in self._connections
-            if isinstance(protocol, GuardedProtocol) and protocol is not newest
-        ]
-        waiting = (one for one in others if one.is_waiting)
-        incomplete = (one for one in others if one.is_incomplete)
-        closed = next(itertools.chain(waiting, incomplete), newest)
-        _log.info(
-            'too many connections',
-            extra={'connections': len(others) + 1, **closed.describe()},
-        )
-        closed.force_close()
-
-    def count_active(self) -> int:
-        """Return the number of requests being received or handled."""
-        active = [
-            protocol
-            for protocol in self.connections
-            if isinstance(protocol, GuardedProtocol) and protocol.is_active
-        ]
-        return len(active)
-
-    def close_idle(self) -> int:
-        """Close connections without a request; return how many stay open."""
-        now = asyncio.get_running_loop().time()
-        left = [
-            protocol
-            for protocol in list(self.connections)
-            if isinstance(protocol, GuardedProtocol)
-            and protocol.close_idle(now)
-        ]
-        return len(left)
-
-    async def shutdown(self, timeout: float | None = None) -> None:
-        """Close all connections."""
-        self._sweep_task.cancel()
-        await super().shutdown(timeout)
-
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_SECONDS)
-            now = asyncio.get_running_loop().time()
-            for protocol in self.connections:
-                if isinstance(protocol, GuardedProtocol):
-                    protocol.enforce_timeouts(now)
-
-
-def create_server(
-    handler: Handler,
-    window: heads.LimitWindow,
-    budget: holdings.HoldingBudget,
-    max_connections: int,
-    handle_ahead: Handler | None = None,
-    *,
-    is_cancelling: bool,
-) -> GuardedServer:
-    """Return a server.
-
-    :param handle_ahead: handles pipelined requests concurrently; ``None`` to
-        handle them one after another.
-    :param is_cancelling: whether a handler is cancelled when its caller leaves.
-    """
-    server = GuardedServer(
-        handler, window, budget, max_connections, handle_ahead
-    )
-    server.handler_cancellation = is_cancelling
-    return server
-
-
 def _find_cause(exc: BaseException | None) -> parsers.RefusalCause:
     if isinstance(exc, parsers.HeadFault):
         return exc.cause
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -4,7 +4,8 @@
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import heads, holdings, listening, protections, web
+from wagtailspread.entry import guarded_servers, heads, holdings, listening
+from wagtailspread.entry import protections, web
 
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
@@ -43,13 +44,13 @@
         self._handler = handler
         self._window = window
         self._listener: listening.HttpListener | None = None
-        self._server: protections.GuardedServer | None = None
+        self._server: guarded_servers.GuardedServer | None = None
         self._is_closing = False
         self.address = identifiers.Address('')
 
     async def start(self, address: identifiers.Address) -> identifiers.Address:
         """Listen on ``address`` and return it with the port in use."""
-        self._server = protections.create_server(
+        self._server = guarded_servers.create_server(
             self._handle,
             self._window,
             self.budget,
