Keep the allocator running when only retries were refused

A check for starvation creates the count of a rank, while the set of ranks of a service is created by the first decision on a first attempt. If an allocator that has just taken over refused a retry before any first attempt, the removal of old counts raised KeyError. It ended the task of the service, which was started again after 0.2 s with a log line, and skipped the rest of the removal.

The removal accepts a service without ranks.

--- a/wagtailspread/placement/shares.py
+++ b/wagtailspread/placement/shares.py
@@ -118,7 +118,7 @@
                 self._counts.pop(key)
                 service, (name, number) = key
                 if name == 'rank':
-                    self._ranks[service].discard(number)
+                    self._ranks.get(service, set()).discard(number)
 
     def _find(
         self, service: identifiers.ServiceName, group: Group, now: float
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.placement import allocators, estimates
+from wagtailspread.placement import allocators, budgets, estimates
 from wagtailspread.placement import messages
 from wagtailspread.placement.tests import regions
 
@@ -175,3 +175,22 @@
     assert region.allocator.tick(1.6) == [request.request_id]
     decided = region.allocator.pop_decision(request.request_id)
     assert decided.decision is messages.Decision.NO_ROOM
+
+
+def test_a_service_whose_first_decision_is_on_a_retry_can_be_pruned():
+    """Guards against an exception that ends the task of the allocator.
+
+    Load pattern: an allocator that has just taken over refuses a retry before
+    any first attempt for the service.
+    """
+    region = regions.Region(upstreams=1, slots=1)
+    region.allocator.budget = budgets.SharedRetryBudget(
+        0.2, 10.0, 10.0, lambda: 1
+    )
+    region.submit(service='other')
+    region.now += 10
+    _, answer = region.submit(is_repeat=True)
+    assert answer.decision is _GRANTED
+    _, answer = region.submit(is_repeat=True, deadline=region.now + 0.01)
+    assert answer.decision is messages.Decision.NO_ROOM
+    region.allocator.prune(region.now + 10)
