Drop ended loans at allocators without requests

Ended loans were dropped only while the allocator had a workspace with state. Where all demand is in one region, the lender in the other one has none, so it kept each loan: four a second for each workspace, and the balance of a workspace is computed from all of them at each ask.

The book of loans is pruned once a second in any case.

--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -123,8 +123,8 @@
             return
         self._observed_at = now
         self._shares.observe(now)
-        if len(self.quotas):
-            self.quotas.prune(now)
+        # An allocator without requests of workspaces lends as well.
+        self.quotas.prune(now)
 
     def exchange(self, loan_exchange: 'LoanExchange', now: float) -> None:
         """Lend to other allocators, and ask them for loans."""
--- a/wagtailspread/placement/tests/test_permits.py
+++ b/wagtailspread/placement/tests/test_permits.py
@@ -255,3 +255,21 @@
     exchange = FakeExchange()
     region.allocator.permits.exchange(exchange, region.now)
     assert len(exchange.asks) == loans.MAX_ROWS
+
+
+def test_loans_of_an_allocator_without_requests_are_dropped():
+    """Guards against state and work that grow with the time of the loans.
+
+    Load pattern: all demand is in one region, so the lender in the other one
+    has no workspace of its own.
+    """
+    region = create_region()
+    exchange = FakeExchange()
+    for step in range(80):
+        region.now += 0.25
+        region.allocator.record_contact('h1', region.now)
+        exchange.remote_asks = [('r1:1', loans.Ask(7, step, 0.1))]
+        region.allocator.permits.exchange(exchange, region.now)
+        region.allocator.tick(region.now)
+    assert len(exchange.granted) == 1
+    assert len(region.allocator.permits.quotas.book._lent[7]) <= 10
