Return the permits of grants that no host fetched in two more cases

A grant to a queued request that its host has not fetched was closed without its permit if the host restarted, and if the deadline had passed before the next check, for example after the allocator stood still. The workspace then had requests refused within its cap.

A restart returns the permits of such grants, and grants that were not fetched are dropped before open requests past their deadlines are closed.

Two new tests failed before and pass now (tests of placement: 202 passed, one known red).

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -147,7 +147,11 @@
 
     def drop_host(self, host: identifiers.HostId, now: float) -> None:
         """Drop the requests of a host that has restarted."""
-        self._open.drop_host(host, now)
+        for lease in self._open.drop_host(host, now):
+            decided = self.pop_decision(lease.request.request_id)
+            if decided is not None:
+                # The host has not fetched the grant, so it sent nothing.
+                self.permits.give_back(lease.request, now)
         for waiting in list(self._waiting.values()):
             if waiting.request.host == host:
                 self.abandon(waiting, now)
@@ -161,8 +165,9 @@
         """Process the queue; return the ids of the decided requests."""
         if now - self._checked_at >= OVERDUE_CHECK_SECONDS:
             self._checked_at = now
-            self._open.process_overdue(now)
+            # First, since those that are closed keep their permits.
             self._drop_unclaimed(now)
+            self._open.process_overdue(now)
             self.selector.limits = self.admission.sheds.describe(now)
         self.permits.tick(now)
         decided = []
--- a/wagtailspread/placement/open_requests.py
+++ b/wagtailspread/placement/open_requests.py
@@ -68,17 +68,24 @@
                 )
         return lease
 
-    def drop_host(self, host: identifiers.HostId, now: float) -> None:
-        """Close the requests of a host that has restarted.
+    def drop_host(
+        self, host: identifiers.HostId, now: float
+    ) -> list[leases.Lease]:
+        """Close and return the requests of a host that has restarted.
 
         Those that became overdue meanwhile are no evidence: the host did not
         report what its upstreams answered.
         """
         self._unconfirmed.pop(host, None)
-        for request_id, lease in list(self._leases.items()):
-            if lease.request.host == host:
-                self.close(request_id)
-                self.withdraw_failure(lease, now)
+        dropped = [
+            lease
+            for lease in self._leases.values()
+            if lease.request.host == host
+        ]
+        for lease in dropped:
+            self.close(lease.request.request_id)
+            self.withdraw_failure(lease, now)
+        return dropped
 
     def withdraw_failure(self, lease: leases.Lease, now: float) -> None:
         """Revert the failure that was recorded for a missing answer."""
--- a/wagtailspread/placement/tests/test_permits.py
+++ b/wagtailspread/placement/tests/test_permits.py
@@ -273,3 +273,32 @@
         region.allocator.tick(region.now)
     assert len(exchange.granted) == 1
     assert len(region.allocator.permits.quotas.book._lent[7]) <= 10
+
+
+def test_a_restarted_host_returns_the_permits_of_grants_it_did_not_fetch():
+    """Guards against permits of requests that were never sent."""
+    region = create_region(upstreams=1, slots=1)
+    first, answer = region.submit(host='h2')
+    region.submit(**_WORKSPACE)
+    region.settle(first, answer)
+    region.allocator.tick(region.now)
+    states = region.allocator.permits.quotas._states
+    assert states['friolink'].admitted == 1
+    region.allocator.drop_host('h1', region.now)
+    region.now += 1.5
+    region.allocator.tick(region.now)
+    assert states['friolink'].admitted == 0
+
+
+def test_a_grant_that_no_host_fetches_before_its_deadline_is_returned():
+    """Guards against a lost permit after the allocator stood still."""
+    region = create_region(upstreams=1, slots=1)
+    first, answer = region.submit()
+    region.submit(**_WORKSPACE)
+    region.settle(first, answer)
+    region.allocator.tick(region.now)
+    states = region.allocator.permits.quotas._states
+    assert states['friolink'].admitted == 1
+    region.now += 7.0
+    region.allocator.tick(region.now)
+    assert states['friolink'].admitted == 0
