Keep the place under a cap of a request without a connection

After a failed connection the host asks for the next upstream at once, and its report, which returns the first permit, is sent later. At the limit of its cap the request was refused with 429, although it had been admitted and had not run.

An allocator admits a request with excluded upstreams ahead of the return, like one that was shed. A host that decides alone returns the permit first and does not need it.

--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -78,8 +78,14 @@
             return None
         if self._shares is not None and request.fleet_hosts:
             self._shares.fleet.raise_to(request.fleet_hosts, now)
+        # The return of a permit after a failed connection may come later than
+        # the request. A lone host returns it before it decides again.
+        is_unconnected = self._shares is not None and bool(request.excluded)
         retry_after = self.quotas.admit(
-            request.workspace, request.cap, now, is_repeat=request.is_repeat
+            request.workspace,
+            request.cap,
+            now,
+            is_repeat=request.is_repeat or is_unconnected,
         )
         if not retry_after:
             return None
--- a/wagtailspread/placement/tests/test_permits.py
+++ b/wagtailspread/placement/tests/test_permits.py
@@ -302,3 +302,19 @@
     region.now += 7.0
     region.allocator.tick(region.now)
     assert states['friolink'].admitted == 0
+
+
+def test_a_request_without_a_connection_keeps_its_place():
+    """Guards against a refusal within the cap.
+
+    The host asks again at once, so the returned permit arrives later.
+    """
+    region = create_region()
+    request_id, answer = use_up(region)[0]
+    upstream = answer.record.upstream
+    _, again = region.submit(
+        is_counted=True, excluded=frozenset((upstream,)), **_WORKSPACE
+    )
+    assert again.decision is messages.Decision.GRANTED
+    region.settle(request_id, answer, messages.Evidence.UNREACHABLE)
+    assert count_room(region) == 0
