Refuse the queue of a service that has lost its upstreams

A queue was tried only while an upstream had a free slot, so after the last upstream of a service was gone, queued requests waited until they could not end before their deadlines and then got NO_ROOM.

The processing of a queue refuses all requests with NO_UPSTREAM if the service has no upstream that is ready. It rates none, so the work is small.

--- a/wagtailspread/placement/backlogs.py
+++ b/wagtailspread/placement/backlogs.py
@@ -58,8 +58,11 @@
         for service, queue in self._queues.list_queues():
             if self._admission.is_sweep_due(queue, now):
                 self._sweep(service, queue, decided, now)
-            self._try_held(queue, decided, now)
-            self._serve(service, queue, decided, now)
+            if self._admission.capacities.has_upstream(service, now):
+                self._try_held(queue, decided, now)
+                self._serve(service, queue, decided, now)
+            else:
+                self._refuse_all(queue, decided, now)
         return decided
 
     def _sweep(
@@ -78,6 +81,15 @@
             answer = self._decider.refuse(refused, no_room, now)
             self._decide(refused, answer, decided)
 
+    def _refuse_all(
+        self, queue: queues.ServiceQueue, decided: _Decided, now: float
+    ) -> None:
+        """Refuse the requests of a service that has lost its upstreams."""
+        no_upstream = messages.Decision.NO_UPSTREAM
+        for entry in (*queue.list_ordered(), *queue.held.values()):
+            answer = self._decider.refuse(entry, no_upstream, now)
+            self._decide(entry, answer, decided)
+
     def _serve(
         self,
         service: identifiers.ServiceName,
--- a/wagtailspread/placement/estimates.py
+++ b/wagtailspread/placement/estimates.py
@@ -120,6 +120,12 @@
             slots = min(slots, limit)
         return max(slots, 1.0)
 
+    def has_upstream(
+        self, service: identifiers.ServiceName, now: float
+    ) -> bool:
+        """Tell whether a service has an upstream that is ready."""
+        return bool(self._find_slots(service, now))
+
     def has_free(self, service: identifiers.ServiceName, now: float) -> bool:
         """Tell whether an upstream can take a further request."""
         count_open = self._selector.count_open
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -194,3 +194,16 @@
     _, answer = region.submit(is_repeat=True, deadline=region.now + 0.01)
     assert answer.decision is messages.Decision.NO_ROOM
     region.allocator.prune(region.now + 10)
+
+
+def test_a_queue_whose_upstreams_are_gone_is_refused_at_once():
+    """Guards against requests that wait until their deadlines for nothing."""
+    region = regions.Region(upstreams=1, slots=1)
+    region.submit(deadline=region.now + 20)
+    request_ids = [region.submit(deadline=region.now + 20)[0] for _ in '123']
+    region.selector.registry.rows.clear()
+    region.now += 0.25
+    assert region.allocator.tick(region.now) == request_ids
+    for request_id in request_ids:
+        answer = region.allocator.pop_decision(request_id)
+        assert answer.decision is messages.Decision.NO_UPSTREAM
