Refuse a retry at once that has no upstream left to try

A retry whose excluded upstreams are all that its service has was queued behind others and refused when it was its turn.

It gets NO_UPSTREAM on arrival.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -206,6 +206,8 @@
             is_short=self.admission.capacities.is_short(request.service, now),
         ):
             answer = self._try_grant(entry, now)
+        elif request.excluded and not self._has_upstream(request, now):
+            answer = self.refuse(entry, messages.Decision.NO_UPSTREAM, now)
         if answer is not None:
             return answer
         entry.is_held = self.is_held(request, now)
@@ -283,6 +285,12 @@
         self.admission.record_grant(entry, now)
         return messages.Answer(messages.Decision.GRANTED, record)
 
+    def _has_upstream(
+        self, request: messages.PlacementRequest, now: float
+    ) -> bool:
+        """Tell whether an upstream is ready that a request may use."""
+        return self.selector.find_hold_end(request, now) is not None
+
     def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
         """Tell whether all upstreams hold back the host of a request."""
         if not len(self.selector.holds):
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -207,3 +207,14 @@
     for request_id in request_ids:
         answer = region.allocator.pop_decision(request_id)
         assert answer.decision is messages.Decision.NO_UPSTREAM
+
+
+def test_a_retry_without_an_upstream_left_does_not_queue():
+    """Guards against waiting for a slot that the request can't use."""
+    region = regions.Region(upstreams=1, slots=1)
+    for _ in '123':
+        region.submit(deadline=region.now + 20)
+    _, answer = region.submit(
+        is_repeat=True, excluded=frozenset(('u0',)), deadline=region.now + 20
+    )
+    assert answer.decision is messages.Decision.NO_UPSTREAM
