Withdraw a grant that the host can't use and has no other upstream for

If an allocator granted an upstream that had asked this host for a pause, the host gave back the slot and kept the permit before it looked for another upstream. If there was none, the request was refused and its permit was lost.

The host chooses first, and withdraws the request if there is no upstream.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -156,32 +156,35 @@
                 return Placement(answer, allocator)
             # The allocator does not know yet what the upstream asked this
             # host, for example since it has just taken over.
-            placement_request = self._release(
+            return self._place_elsewhere(
                 allocator, placement_request, answer.record
             )
-            break
         answer = self._place_locally(placement_request)
         return Placement(answer, None, placement_request)
 
-    def _release(
+    def _place_elsewhere(
         self,
         allocator: identifiers.Address,
         placement_request: messages.PlacementRequest,
         record: records.UpstreamRecord,
-    ) -> messages.PlacementRequest:
-        """Free the granted slot of a request that the host places itself.
-
-        The request keeps its permit, so the part of the cap for hosts that
-        decide alone is not used.
+    ) -> Placement:
+        """Choose another upstream than the granted one, whose slot is freed.
 
-        :returns: the request to place.
+        The request keeps its permit if it is placed, so the part of the cap for
+        hosts that decide alone is not used.
         """
-        if not permits.needs_permit(placement_request):
+        is_counted = permits.needs_permit(placement_request)
+        placed = dataclasses.replace(
+            placement_request,
+            is_permitted=placement_request.is_permitted or is_counted,
+        )
+        answer = self._place_locally(placed)
+        if is_counted and answer.record is not None:
+            release = conversions.create_release(placement_request, record)
+            self._settler.start(allocator, release)
+        else:
             self._withdraw(allocator, placement_request)
-            return placement_request
-        release = conversions.create_release(placement_request, record)
-        self._settler.start(allocator, release)
-        return dataclasses.replace(placement_request, is_permitted=True)
+        return Placement(answer, None, placed)
 
     def _may_send(self, record: records.UpstreamRecord) -> bool:
         """Tell whether an upstream has not asked this host to stop sending."""
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -454,3 +454,25 @@
     assert placed.request.is_permitted
     await placer.close()
     await listener.close()
+
+
+async def test_a_granted_request_without_another_upstream_is_withdrawn():
+    """Guards against a permit of a request that is not sent.
+
+    Load pattern: the only upstream has asked this host for a pause, which the
+    allocator does not know yet.
+    """
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    placer._may_send = lambda _record: False
+    placer._selector.registry.rows.clear()
+    request = dataclasses.replace(
+        create_placement_request(placer),
+        workspace='friolink',
+        cap=caps.Cap(100.0, 20.0, 1),
+    )
+    placed = await placer.place(request)
+    assert placed.answer.decision is messages.Decision.NO_UPSTREAM
+    await placer.close()
+    assert allocator.permits.quotas._states['friolink'].admitted == 0
+    await listener.close()
