--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -147,7 +147,11 @@
 
     def drop_host(self, host: identifiers.HostId, now: float) -> None:
         """Drop the requests of a host that has restarted."""
-        self._open.drop_host(host, now)
+        for lease in self._open.drop_host(host, now):
+            decided = self.pop_decision(lease.request.request_id)
+            if decided is not None:
+                # The host has not fetched the grant, so it sent nothing.
+                self.permits.give_back(lease.request, now)
         for waiting in list(self._waiting.values()):
             if waiting.request.host == host:
                 self.abandon(waiting, now)
@@ -161,8 +165,9 @@
         """Process the queue; return the ids of the decided requests."""
         if now - self._checked_at >= OVERDUE_CHECK_SECONDS:
             self._checked_at = now
-            self._open.process_overdue(now)
+            # First, since those that are closed keep their permits.
             self._drop_unclaimed(now)
+            self._open.process_overdue(now)
             self.selector.limits = self.admission.sheds.describe(now)
         self.permits.tick(now)
         decided = []
@@ -201,6 +206,8 @@
             is_short=self.admission.capacities.is_short(request.service, now),
         ):
             answer = self._try_grant(entry, now)
+        elif request.excluded and not self._has_upstream(request, now):
+            answer = self.refuse(entry, messages.Decision.NO_UPSTREAM, now)
         if answer is not None:
             return answer
         entry.is_held = self.is_held(request, now)
@@ -278,6 +285,12 @@
         self.admission.record_grant(entry, now)
         return messages.Answer(messages.Decision.GRANTED, record)
 
+    def _has_upstream(
+        self, request: messages.PlacementRequest, now: float
+    ) -> bool:
+        """Tell whether an upstream is ready that a request may use."""
+        return self.selector.find_hold_end(request, now) is not None
+
     def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
         """Tell whether all upstreams hold back the host of a request."""
         if not len(self.selector.holds):
--- a/wagtailspread/placement/tests/test_permits.py
+++ b/wagtailspread/placement/tests/test_permits.py
@@ -255,3 +255,66 @@
     exchange = FakeExchange()
     region.allocator.permits.exchange(exchange, region.now)
     assert len(exchange.asks) == loans.MAX_ROWS
+
+
+def test_loans_of_an_allocator_without_requests_are_dropped():
+    """Guards against state and work that grow with the time of the loans.
+
+    Load pattern: all demand is in one region, so the lender in the other one
+    has no workspace of its own.
+    """
+    region = create_region()
+    exchange = FakeExchange()
+    for step in range(80):
+        region.now += 0.25
+        region.allocator.record_contact('h1', region.now)
+        exchange.remote_asks = [('r1:1', loans.Ask(7, step, 0.1))]
+        region.allocator.permits.exchange(exchange, region.now)
+        region.allocator.tick(region.now)
+    assert len(exchange.granted) == 1
+    assert len(region.allocator.permits.quotas.book._lent[7]) <= 10
+
+
+def test_a_restarted_host_returns_the_permits_of_grants_it_did_not_fetch():
+    """Guards against permits of requests that were never sent."""
+    region = create_region(upstreams=1, slots=1)
+    first, answer = region.submit(host='h2')
+    region.submit(**_WORKSPACE)
+    region.settle(first, answer)
+    region.allocator.tick(region.now)
+    states = region.allocator.permits.quotas._states
+    assert states['friolink'].admitted == 1
+    region.allocator.drop_host('h1', region.now)
+    region.now += 1.5
+    region.allocator.tick(region.now)
+    assert states['friolink'].admitted == 0
+
+
+def test_a_grant_that_no_host_fetches_before_its_deadline_is_returned():
+    """Guards against a lost permit after the allocator stood still."""
+    region = create_region(upstreams=1, slots=1)
+    first, answer = region.submit()
+    region.submit(**_WORKSPACE)
+    region.settle(first, answer)
+    region.allocator.tick(region.now)
+    states = region.allocator.permits.quotas._states
+    assert states['friolink'].admitted == 1
+    region.now += 7.0
+    region.allocator.tick(region.now)
+    assert states['friolink'].admitted == 0
+
+
+def test_a_request_without_a_connection_keeps_its_place():
+    """Guards against a refusal within the cap.
+
+    The host asks again at once, so the returned permit arrives later.
+    """
+    region = create_region()
+    request_id, answer = use_up(region)[0]
+    upstream = answer.record.upstream
+    _, again = region.submit(
+        is_counted=True, excluded=frozenset((upstream,)), **_WORKSPACE
+    )
+    assert again.decision is messages.Decision.GRANTED
+    region.settle(request_id, answer, messages.Evidence.UNREACHABLE)
+    assert count_room(region) == 0
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailspread.placement import allocators, estimates
+from wagtailspread.placement import allocators, budgets, estimates
 from wagtailspread.placement import messages
 from wagtailspread.placement.tests import regions
 
@@ -175,3 +175,46 @@
     assert region.allocator.tick(1.6) == [request.request_id]
     decided = region.allocator.pop_decision(request.request_id)
     assert decided.decision is messages.Decision.NO_ROOM
+
+
+def test_a_service_whose_first_decision_is_on_a_retry_can_be_pruned():
+    """Guards against an exception that ends the task of the allocator.
+
+    Load pattern: an allocator that has just taken over refuses a retry before
+    any first attempt for the service.
+    """
+    region = regions.Region(upstreams=1, slots=1)
+    region.allocator.budget = budgets.SharedRetryBudget(
+        0.2, 10.0, 10.0, lambda: 1
+    )
+    region.submit(service='other')
+    region.now += 10
+    _, answer = region.submit(is_repeat=True)
+    assert answer.decision is _GRANTED
+    _, answer = region.submit(is_repeat=True, deadline=region.now + 0.01)
+    assert answer.decision is messages.Decision.NO_ROOM
+    region.allocator.prune(region.now + 10)
+
+
+def test_a_queue_whose_upstreams_are_gone_is_refused_at_once():
+    """Guards against requests that wait until their deadlines for nothing."""
+    region = regions.Region(upstreams=1, slots=1)
+    region.submit(deadline=region.now + 20)
+    request_ids = [region.submit(deadline=region.now + 20)[0] for _ in '123']
+    region.selector.registry.rows.clear()
+    region.now += 0.25
+    assert region.allocator.tick(region.now) == request_ids
+    for request_id in request_ids:
+        answer = region.allocator.pop_decision(request_id)
+        assert answer.decision is messages.Decision.NO_UPSTREAM
+
+
+def test_a_retry_without_an_upstream_left_does_not_queue():
+    """Guards against waiting for a slot that the request can't use."""
+    region = regions.Region(upstreams=1, slots=1)
+    for _ in '123':
+        region.submit(deadline=region.now + 20)
+    _, answer = region.submit(
+        is_repeat=True, excluded=frozenset(('u0',)), deadline=region.now + 20
+    )
+    assert answer.decision is messages.Decision.NO_UPSTREAM
