Charge the cap of a queued request when it is sent

Cause: a request that waited for a slot took its part of a cap twice: when it was admitted, and as a place in the bucket until it was sent. With queues of a second, workspaces far below their caps were refused. Change: a queued request holds a place in the queue only, as many as the rate allows in 1.5 s beyond the bucket, and takes its part when it is sent; until then it is held back like one whose upstreams pause.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -226,6 +226,8 @@
             self.permits.give_back(entry.request, now)
         elif self.admission.is_too_late(entry, now):
             answer = self.refuse(entry, messages.Decision.NO_ROOM, now)
+        elif not self.permits.may_send(entry.request, now):
+            return None
         return answer or self._try_grant(entry, now)
 
     def _refuse_blocked(
@@ -292,7 +294,13 @@
         return self.selector.find_hold_end(request, now) is not None
 
     def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
-        """Tell whether all upstreams hold back the host of a request."""
+        """Tell whether no upstream may get a request now.
+
+        All upstreams hold back its host, or the cap of its workspace is used
+        up for the moment.
+        """
+        if not self.permits.may_send(request, now):
+            return True
         if not len(self.selector.holds):
             return False
         end = self.selector.find_hold_end(request, now)
--- a/wagtailspread/placement/backlogs.py
+++ b/wagtailspread/placement/backlogs.py
@@ -24,7 +24,7 @@
         """Return the decision on a queued request, if there is one."""
 
     def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
-        """Tell whether all upstreams hold back the host of a request."""
+        """Tell whether no upstream may get a request now."""
 
     def abandon(self, entry: leases.WaitingRequest, now: float) -> None:
         """Drop a queued request that its host does not ask for any more."""
@@ -131,7 +131,7 @@
     def _try_held(
         self, queue: queues.ServiceQueue, decided: _Decided, now: float
     ) -> None:
-        """Decide on the requests of hosts that upstreams have held back."""
+        """Decide on the requests that no upstream could get before."""
         for entry in list(queue.held.values()):
             if self._decider.is_held(entry.request, now):
                 continue
--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -93,8 +93,10 @@
 
     def give_back(self, request: messages.PlacementRequest, now: float) -> None:
         """Return the permit of a request that does not run."""
-        if needs_permit(request):
-            self.record_sent(request, now)
+        if request.request_id in self._waiting:
+            self._waiting.discard(request.request_id)
+            self.quotas.cancel(request.workspace)
+        elif needs_permit(request):
             self.quotas.give_back(request.workspace, now)
 
     def settle(
@@ -113,7 +115,13 @@
         """Record that a request with a permit waits to be sent."""
         if needs_permit(request) and request.request_id not in self._waiting:
             self._waiting.add(request.request_id)
-            self.quotas.add_waiting(request.workspace, 1, now)
+            self.quotas.reserve(request.workspace, now)
+
+    def may_send(self, request: messages.PlacementRequest, now: float) -> bool:
+        """Tell whether the cap allows to send a request now."""
+        if request.request_id not in self._waiting:
+            return True
+        return self.quotas.may_send(request.workspace, now)
 
     def record_sent(
         self, request: messages.PlacementRequest, now: float
@@ -121,7 +129,7 @@
         """Record that a request does not wait any more."""
         if request.request_id in self._waiting:
             self._waiting.discard(request.request_id)
-            self.quotas.add_waiting(request.workspace, -1, now)
+            self.quotas.send(request.workspace, now)
 
     def tick(self, now: float) -> None:
         """Record the share of this allocator, some times a second."""
--- a/wagtailspread/workspaces/quotas.py
+++ b/wagtailspread/workspaces/quotas.py
@@ -33,6 +33,10 @@
 #: Part of the allowance with which the bucket of a process starts that has
 #: just begun to decide.
 START_PART = 0.25
+#: Requests may wait for slots as long as the rate allows that many in this
+#: time, in seconds, beyond what may be sent at once. Objectives are one second
+#: and more, so those that wait longer would be late.
+RESERVED_SECONDS = 1.5
 #: Longest time after which a refused caller is told to return, in seconds, and
 #: the part of it over which callers beyond that are spread.
 MAX_RETURN_SECONDS = 10.0
@@ -142,7 +146,11 @@
             self._busy.add(name)
         unit = bounds.unit
         needed = unit - bounds.depth if is_repeat else unit
-        if bounds.depth > 0 and state.level + _EPSILON >= needed:
+        reserved = state.waiting * unit
+        places = state.level + RESERVED_SECONDS * bounds.rate - reserved
+        has_place = not state.waiting or places >= unit
+        has_level = bounds.depth > 0 and state.level + _EPSILON >= needed
+        if has_level and has_place:
             state.level -= unit
             if unit >= 1 or self._draw() < unit:
                 state.admitted += 1
@@ -159,18 +167,39 @@
         state.level = min(state.level + bounds.unit, bounds.depth)
         state.admitted -= 1
 
-    def add_waiting(
-        self, name: identifiers.WorkspaceName, change: int, now: float
-    ) -> None:
-        """Change the number of admitted requests that are not sent yet.
+    def reserve(self, name: identifiers.WorkspaceName, now: float) -> None:
+        """Record that an admitted request waits to be sent.
 
-        They may all be sent at the same time, so each takes a place in the
-        bucket until then.
+        It takes its part of the level when it is sent. So a queue that is sent
+        at once stays within the cap, and its wait takes nothing from others.
         """
         state = self._states.get(name)
         if state is not None:
-            self._refill(state, now)
-            state.waiting = max(0, state.waiting + change)
+            bounds = self._refill(state, now)
+            state.level = min(state.level + bounds.unit, bounds.depth)
+            state.waiting += 1
+
+    def may_send(self, name: identifiers.WorkspaceName, now: float) -> bool:
+        """Tell whether a request that waits may be sent now."""
+        state = self._states.get(name)
+        if state is None:
+            return True
+        unit = self._refill(state, now).unit
+        return state.level + _EPSILON >= unit
+
+    def send(self, name: identifiers.WorkspaceName, now: float) -> None:
+        """Record that a request that waited is sent."""
+        state = self._states.get(name)
+        if state is not None:
+            state.level -= self._refill(state, now).unit
+            state.waiting = max(0, state.waiting - 1)
+
+    def cancel(self, name: identifiers.WorkspaceName) -> None:
+        """Record that a request that waited will not be sent."""
+        state = self._states.get(name)
+        if state is not None:
+            state.waiting = max(0, state.waiting - 1)
+            state.admitted -= 1
 
     def prune(self, now: float) -> None:
         """Drop the state of idle workspaces, and loans that have ended."""
@@ -334,8 +363,7 @@
         )
         passed = max(0.0, now - state.updated_at)
         state.updated_at = max(state.updated_at, now)
-        room = max(0.0, bounds.depth - state.waiting)
-        state.level = min(state.level + bounds.rate * passed, room)
+        state.level = min(state.level + bounds.rate * passed, bounds.depth)
         return bounds
 
     def _decay_demand(self, state: _State, now: float) -> float:
