Require the keys of workspaces on the product's own request path

Cause: the base file has workspace sections, but an entry host served requests without a key, forwarded keys to upstreams, and kept the priority of the route. Change: where the active version has workspaces, a request needs the key of one; otherwise it gets 401 with WWW-Authenticate before its body is read. An upstream gets the name of the workspace in place of the key, and a header Workspace of a caller is dropped. The priority of a workspace replaces that of the route, also in logs and metrics. The key is checked again before each attempt and before the repetition of a silent exchange: 401 if it was taken away, 503 if it has another workspace by then. The fingerprint of a request covers the name of its workspace, so that a stored answer is not sent to another one. The tests of small fleets let a test replace the workspaces.

--- a/wagtailspread/core/outcomes.py
+++ b/wagtailspread/core/outcomes.py
@@ -16,6 +16,8 @@
 CALLER_HEADER = 'Wagtailspread-Caller'
 #: Request header with the idempotency key.
 KEY_HEADER = 'Idempotency-Key'
+#: Request header with the name of the workspace, which the host sets.
+WORKSPACE_HEADER = 'Workspace'
 
 
 class Outcome(enum.Enum):
@@ -72,3 +74,7 @@
     DRAINING = 'draining'
     LINK_BUDGET = 'link-budget'
     UNSUPPORTED_METHOD = 'unsupported-method'
+    #: The request has no key of a workspace, or the key was taken away.
+    UNKNOWN_KEY = 'unknown-key'
+    #: A newer configuration has another workspace for the request.
+    WORKSPACE_CHANGED = 'workspace-changed'
--- a/wagtailspread/entry/answers.py
+++ b/wagtailspread/entry/answers.py
@@ -7,8 +7,10 @@
 
 from wagtailspread.core import failures, outcomes
 from wagtailspread.entry import executions, requests
+from wagtailspread.workspaces import keys
 
 _BAD_REQUEST = 400
+_UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
 _REQUEST_TIMEOUT = 408
@@ -27,6 +29,7 @@
     outcomes.RefusalReason.BAD_REQUEST: _BAD_REQUEST,
     outcomes.RefusalReason.TOO_LARGE: _TOO_LARGE,
     outcomes.RefusalReason.UNSUPPORTED_METHOD: _METHOD_NOT_ALLOWED,
+    outcomes.RefusalReason.UNKNOWN_KEY: _UNAUTHORIZED,
 }
 
 
@@ -60,6 +63,8 @@
         if self.retry_after is not None:
             seconds = max(1, math.ceil(self.retry_after))
             response.headers['Retry-After'] = str(seconds)
+        if self.status == _UNAUTHORIZED:
+            response.headers['WWW-Authenticate'] = keys.SCHEME
         if self.closes:
             response.force_close()
         return response
--- a/wagtailspread/entry/attempts.py
+++ b/wagtailspread/entry/attempts.py
@@ -12,7 +12,8 @@
 
 from wagtailspread.core import clocks, failures, identifiers, outcomes
 from wagtailspread.core import priorities
-from wagtailspread.entry import exchanges, executions, interfaces, slots
+from wagtailspread.entry import admissions, exchanges, executions
+from wagtailspread.entry import interfaces, slots
 
 #: Maximum number of attempts per request.
 MAX_ATTEMPTS = 3
@@ -33,6 +34,7 @@
     Not frozen: a frozen data class takes three times as long to create.
 
     :param fingerprint: hash shared by equal requests, for the quarantine.
+    :param admission: checked again before each attempt is sent.
     """
 
     request: identifiers.RequestId
@@ -41,6 +43,7 @@
     is_idempotent: bool
     fingerprint: bytes
     outgoing: exchanges.OutgoingRequest
+    admission: admissions.Admission
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,6 +201,10 @@
     ) -> bool:
         """Run one exchange; return whether no further attempt may follow."""
         started = self._clock.now()
+        if not prepared.admission.is_valid():
+            ended = outcomes.ExchangeResult.CANCELLED
+            self._complete(prepared, grant, ended, started)
+            return True
         try:
             outcome = await self._exchanger.send(
                 grant.address,
@@ -267,7 +274,8 @@
 
 
 def _create_refusal(prepared: PreparedRequest) -> failures.Refusal:
+    reason = prepared.admission.find_refusal()
     return failures.Refusal(
         prepared.request,
-        outcomes.RefusalReason.NO_CAPACITY,
+        reason or outcomes.RefusalReason.NO_CAPACITY,
     )
--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -27,6 +27,10 @@
 _EVENTS = 'text/event-stream'
 
 
+def _admit_always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(slots=True)
 class OutgoingRequest:
     """A request to be sent to an upstream.
@@ -37,6 +41,8 @@
     :param deadline: seconds on the host's clock.
     :param may_repeat: whether it may be repeated on another connection to
         the same upstream.
+    :param is_admitted: returns whether its key is still known; asked before it
+        is repeated.
     """
 
     method: str
@@ -45,6 +51,7 @@
     body: bodies.RequestBody | None
     deadline: float
     may_repeat: bool = False
+    is_admitted: typing.Callable[[], bool] = _admit_always
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,6 +198,8 @@
             return None
 
         async def repeat() -> Reply | None:
+            if not outgoing.is_admitted():
+                return None
             repeated = executions.AttemptProgress()
             progress.repetition = repeated
             outcome = await self._exchange(pool, outgoing, repeated)
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -63,6 +63,7 @@
         if self._observer is not None:
             record = interfaces.RequestRecord(
                 checked.route,
+                checked.admission.choose_priority(checked.route),
                 checked.caller,
                 response.headers.get(outcomes.OUTCOME_HEADER, ''),
                 response.headers.get(outcomes.REASON_HEADER, ''),
@@ -92,6 +93,7 @@
         parent = request.headers.get(attempts.TRACE_HEADER, '')
         with self._tracer.start_span(checked.route.name, parent) as span:
             headers = requests.copy_headers(request.headers)
+            checked.admission.replace_key(headers)
             # The HTTP client would insert codings that the caller may not
             # support.
             headers.setdefault('Accept-Encoding', 'identity')
@@ -234,14 +236,16 @@
             body,
             deadline,
             may_repeat=route.is_idempotent and (body is None or body.is_whole),
+            is_admitted=checked.admission.is_valid,
         )
         return attempts.PreparedRequest(
             identifiers.RequestId(self._prefix + str(next(self._ids))),
             route.service,
-            route.priority,
+            checked.admission.choose_priority(route),
             route.is_idempotent,
             compute_fingerprint(checked, body),
             outgoing,
+            checked.admission,
         )
 
 
@@ -251,6 +255,11 @@
 ) -> bytes:
     """Return a hash that is the same for equal requests."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    workspace = checked.admission.workspace_name
+    if workspace is not None:
+        # No other request starts with a separator. Without the name, the answer
+        # stored for one workspace could be sent to another.
+        digest.update(_SEPARATOR + workspace.encode() + _SEPARATOR)
     fields = (
         checked.route.service,
         checked.method,
--- a/wagtailspread/entry/interfaces.py
+++ b/wagtailspread/entry/interfaces.py
@@ -10,7 +10,7 @@
 
 from returns import result
 
-from wagtailspread.core import failures, identifiers, outcomes
+from wagtailspread.core import failures, identifiers, outcomes, priorities
 from wagtailspread.entry import lookups, slots
 from wagtailspread.wire import messages
 
@@ -157,12 +157,14 @@
 class RequestRecord:
     """Summary of a finished request for logs and metrics.
 
+    :param priority: with which the request was queued.
     :param outcome: value of the outcome header; empty if the transfer of the
         answer was interrupted.
     :param seconds: time from arrival to the end of the answer.
     """
 
     route: lookups.Route
+    priority: priorities.Priority
     caller: identifiers.CallerId
     outcome: str
     reason: str
--- a/wagtailspread/entry/lookups.py
+++ b/wagtailspread/entry/lookups.py
@@ -7,6 +7,7 @@
 import typing
 
 from wagtailspread.core import identifiers, priorities
+from wagtailspread.workspaces import directories
 
 
 class Route(typing.Protocol):
@@ -42,7 +43,11 @@
 
 
 class Routing(typing.Protocol):
-    """Routes and services of the active configuration."""
+    """Routes, services and workspaces of the active configuration."""
+
+    @property
+    def workspaces(self) -> directories.WorkspaceDirectory:
+        """Return the workspaces; if there are any, requests need a key."""
 
     def match(self, method: str, path: str) -> Route | None:
         """Return the route that matches a request, ``None`` if none does."""
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from wagtailspread.core import failures, identifiers, outcomes
-from wagtailspread.entry import lookups
+from wagtailspread.entry import admissions, lookups
 
 #: Headers that apply to a single connection and are never forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -43,8 +43,10 @@
 #: Maximum length of an idempotency key or a caller name, in characters.
 MAX_KEY_LENGTH = 255
 
+_KEY_FAULT = 'Authorization: expected Token and the key of a workspace'
 _METHOD_NAMES = ', '.join(sorted(METHODS))
 _BAD_REQUEST = 400
+_UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
 _TOO_LARGE = 413
@@ -87,6 +89,7 @@
 
     :param deadline: seconds from arrival.
     :param length: declared size of the body in bytes, ``None`` if chunked.
+    :param admission: of the key that it carries.
     """
 
     method: str
@@ -97,6 +100,7 @@
     key: identifiers.IdempotencyKey | None
     deadline: float
     length: int | None
+    admission: admissions.Admission
 
 
 Headers = multidict.CIMultiDict[str]
@@ -131,7 +135,10 @@
     if route is None or limits is None:
         reason = outcomes.RefusalReason.UNKNOWN_SERVICE
         return _fail(_NOT_FOUND, reason, 'no route')
-    return _check_values(method, target, headers, route, limits)
+    detail = _check_headers(headers)
+    if detail:
+        return _reject(detail)
+    return _check_key(method, target, headers, route, limits, routing)
 
 
 def copy_headers(headers: typing.Any) -> Headers:
@@ -151,16 +158,29 @@
     return copied
 
 
+def _check_key(
+    method: str,
+    target: str,
+    headers: typing.Any,
+    route: lookups.Route,
+    limits: lookups.ServiceLimits,
+    routing: lookups.Routing,
+) -> HeadResult:
+    admission = admissions.admit(routing, headers)
+    if admission is None:
+        reason = outcomes.RefusalReason.UNKNOWN_KEY
+        return _fail(_UNAUTHORIZED, reason, _KEY_FAULT)
+    return _check_values(method, target, headers, route, limits, admission)
+
+
 def _check_values(
     method: str,
     target: str,
     headers: typing.Any,
     route: lookups.Route,
     limits: lookups.ServiceLimits,
+    admission: admissions.Admission,
 ) -> HeadResult:
-    detail = _check_headers(headers)
-    if detail:
-        return _reject(detail)
     key = headers.get(outcomes.KEY_HEADER)
     caller = headers.get(outcomes.CALLER_HEADER, '')
     if not route.is_idempotent and key is None:
@@ -195,6 +215,7 @@
         None if key is None else identifiers.IdempotencyKey(key),
         deadline_ms / 1000 if deadline_ms else limits.deadline,
         length,
+        admission,
     )
     return result.Success(checked)
 
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -91,14 +91,16 @@
             clock,
             self,
         )
-        routing = stand_ins.FixedRouting(
+        self.routing = stand_ins.FixedRouting(
             ROUTES,
             stand_ins.FixedLimits(max_body=max_body),
         )
         self.server = servers.create_server(
-            routing,
+            self.routing,
             self.forwarder,
-            announcements.AnnouncementReceiver(routing, self.client, clock),
+            announcements.AnnouncementReceiver(
+                self.routing, self.client, clock
+            ),
             stand_ins.AlwaysReady(),
             dict,
             limits,
--- /dev/null
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -0,0 +1,252 @@
+"""Requests with the keys of workspaces through an entry host."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import multidict
+import pytest
+
+from wagtailspread.core import clocks, outcomes, priorities
+from wagtailspread.entry import exchanges, executions
+from wagtailspread.entry.tests import fleets
+from wagtailspread.routing import terms
+from wagtailspread.workspaces import directories, keys
+
+KEYS = {'Authorization': 'Token k1'}
+FIRST = terms.Workspace('w1', (keys.compute_digest('k1'),))
+SECOND = terms.Workspace('w2', (keys.compute_digest('k2'),))
+ORDER = {outcomes.KEY_HEADER: 'order-1'}
+
+
+def set_workspaces(host, *workspaces):
+    host.routing.workspaces = directories.create_directory(workspaces, 1)
+
+
+@contextlib.asynccontextmanager
+async def start_host(*workspaces):
+    """Yield a host with an upstream, and the heads that the upstream got."""
+    async with fleets.start_fleet() as (hosts, upstreams):
+        set_workspaces(hosts[0], *workspaces)
+        heads = []
+        run = upstreams[0]._run
+
+        async def record(request, body):
+            heads.append(request.headers)
+            return await run(request, body)
+
+        upstreams[0]._run = record
+        yield hosts[0], upstreams[0], heads
+
+
+async def send(host, path='/vitrina/a', method='GET', **options):
+    url = f'http://{host.address}{path}'
+    async with aiohttp.request(method, url, **options) as answer:
+        await answer.read()
+        return answer
+
+
+def assert_unknown_key(answer):
+    assert answer.status == 401
+    assert answer.headers['WWW-Authenticate'] == 'Token'
+    assert answer.headers[outcomes.OUTCOME_HEADER] == 'not-run'
+    assert answer.headers[outcomes.REASON_HEADER] == 'unknown-key'
+
+
+@pytest.mark.parametrize(
+    'credentials',
+    [
+        [],
+        ['Token'],
+        ['Token k3'],
+        ['Bearer k1'],
+        ['Token k1', 'Token k1'],
+    ],
+)
+async def test_request_without_a_known_key_is_not_sent(credentials):
+    """Guards against requests that pass without the key of a workspace."""
+    headers = [('Authorization', text) for text in credentials]
+    async with start_host(FIRST) as (host, _, heads):
+        assert_unknown_key(await send(host, headers=headers))
+        assert not heads
+
+
+async def test_body_is_not_read_before_the_key_is_known():
+    """Guards against bodies that anybody can make a host hold."""
+    head = (
+        b'POST /vitrina/a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    async with start_host(FIRST) as (host, _, heads):
+        ip, _, port = host.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(head)
+        async with asyncio.timeout(2):
+            text = await reader.read()
+        writer.close()
+        assert text.startswith(b'HTTP/1.1 401 ')
+        assert not heads
+
+
+@pytest.mark.parametrize('scheme', ['Token', 'token', 'TOKEN '])
+async def test_upstream_gets_the_workspace_in_place_of_the_key(scheme):
+    """Guards against keys at upstreams, and names that callers choose."""
+    headers = {'Authorization': f'{scheme} k1', 'workspace': 'w2'}
+    async with start_host(FIRST, SECOND) as (host, _, heads):
+        answer = await send(host, headers=headers)
+        assert answer.status == 200
+        assert 'Authorization' not in heads[0]
+        assert heads[0].getall('Workspace') == ['w1']
+
+
+async def test_without_workspaces_headers_pass_as_before():
+    """Guards against a change for fleets without workspaces."""
+    async with start_host() as (host, _, heads):
+        headers = {**KEYS, 'Workspace': 'w2'}
+        assert (await send(host, headers=headers)).status == 200
+        assert heads[0]['Authorization'] == 'Token k1'
+        assert heads[0]['Workspace'] == 'w2'
+
+
+@pytest.mark.parametrize('priority', [None, *priorities.Priority])
+async def test_priority_of_the_workspace_replaces_that_of_the_route(priority):
+    """Guards against requests that queue with the priority of the route."""
+    workspace = terms.Workspace('w1', FIRST.digests, priority)
+    async with start_host(workspace) as (host, _, _heads):
+        submitted = []
+        submit = host.coordinator.submit
+
+        def record(request, now):
+            submitted.append(request.priority)
+            submit(request, now)
+
+        host.coordinator.submit = record
+        assert (await send(host, headers=KEYS)).status == 200
+        if priority is None:
+            priority = fleets.ROUTES[0].priority
+        assert submitted == [priority]
+        assert [record.priority for record in host.records] == [priority]
+
+
+@pytest.mark.parametrize(
+    ('path', 'method'), [('/vitrina/a', 'GET'), ('/contratos/1', 'POST')]
+)
+@pytest.mark.parametrize(
+    ('admitting', 'active', 'status', 'reason'),
+    [
+        ((FIRST, SECOND), (SECOND,), 401, 'unknown-key'),
+        (
+            (FIRST,),
+            (terms.Workspace('w2', FIRST.digests),),
+            503,
+            'workspace-changed',
+        ),
+        ((), (SECOND,), 401, 'unknown-key'),
+        ((), (FIRST,), 503, 'workspace-changed'),
+    ],
+)
+async def test_key_is_checked_again_before_the_request_is_sent(
+    path, method, admitting, active, status, reason
+):
+    """Guards against a key that is taken away while its request is queued."""
+    async with start_host(*admitting) as (host, _, heads):
+        submit = host.coordinator.submit
+
+        def change(request, now):
+            set_workspaces(host, *active)
+            submit(request, now)
+
+        host.coordinator.submit = change
+        headers = {**KEYS, **ORDER}
+        answer = await send(host, path, method, headers=headers)
+        assert answer.status == status
+        assert answer.headers[outcomes.OUTCOME_HEADER] == 'not-run'
+        assert answer.headers[outcomes.REASON_HEADER] == reason
+        assert ('Retry-After' in answer.headers) == (status == 503)
+        assert not heads
+        assert not host.coordinator.leases
+        ended = [one.result for one in host.coordinator.completed]
+        assert ended == [outcomes.ExchangeResult.CANCELLED]
+
+
+async def test_refused_order_may_be_sent_again_once_its_key_is_known():
+    """Guards against a claim that a request leaves which has not run."""
+    async with start_host(FIRST) as (host, _, heads):
+        submit = host.coordinator.submit
+
+        def change(request, now):
+            set_workspaces(host, SECOND)
+            submit(request, now)
+
+        host.coordinator.submit = change
+        options = {'headers': {**KEYS, **ORDER}}
+        assert_unknown_key(await send(host, '/contratos/1', 'POST', **options))
+        host.coordinator.submit = submit
+        set_workspaces(host, FIRST)
+        answer = await send(host, '/contratos/1', 'POST', **options)
+        assert answer.status == 200
+        assert len(heads) == 1
+
+
+async def test_stored_answer_of_one_workspace_is_not_sent_to_another():
+    """Guards against an answer that another workspace reads by its key."""
+    async with start_host(FIRST, SECOND) as (host, _, heads):
+        answers = [
+            await send(
+                host,
+                '/contratos/1',
+                'POST',
+                headers={'Authorization': f'Token {key}', **ORDER},
+            )
+            for key in ('k1', 'k1', 'k2')
+        ]
+        assert [answer.status for answer in answers] == [200, 200, 409]
+        assert len(heads) == 1
+
+
+async def test_retry_is_not_sent_after_the_key_was_taken_away():
+    """Guards against a second attempt with a key that is not known."""
+    async with fleets.start_fleet(upstream_count=2) as (hosts, upstreams):
+        host = hosts[0]
+        set_workspaces(host, FIRST)
+        for upstream in upstreams:
+            upstream.mode.shed_ratio = 1.0
+        submit = host.coordinator.submit
+
+        def change(request, now):
+            if request.attempt > 1:
+                set_workspaces(host, SECOND)
+            submit(request, now)
+
+        host.coordinator.submit = change
+        assert_unknown_key(await send(host, headers=KEYS))
+        assert sum(one.counts['requests'] for one in upstreams) == 1
+
+
+async def test_silent_exchange_is_not_repeated_without_its_key():
+    """Guards against a repetition that is sent with a key taken away."""
+    async with start_host(FIRST) as (host, upstream, heads):
+        exchanger = exchanges.Exchanger(host.pools, clocks.SystemClock())
+        progress = executions.AttemptProgress()
+        is_admitted = True
+        outgoing = exchanges.OutgoingRequest(
+            'GET',
+            '/vitrina/a',
+            multidict.CIMultiDict(),
+            None,
+            clocks.SystemClock().now() + 5,
+            may_repeat=True,
+            is_admitted=lambda: is_admitted,
+        )
+        repeat = exchanger._create_repeat(
+            host.pools.find(upstream.address), outgoing, progress
+        )
+        is_admitted = False
+        assert await repeat() is None
+        assert progress.repetition is None
+        assert not heads
+        is_admitted = True
+        reply = await repeat()
+        reply.close()
+        assert reply.status == 200
+        assert len(heads) == 1
--- a/wagtailspread/processes/copies.py
+++ b/wagtailspread/processes/copies.py
@@ -14,6 +14,7 @@
 from wagtailspread.core import failures, identifiers
 from wagtailspread.observability import logs
 from wagtailspread.wire import messages
+from wagtailspread.workspaces import directories
 
 _LOGGER = logs.get_logger('configuration')
 
@@ -43,6 +44,7 @@
 class ConfigurationCopy:
     """Files, settings and routes of the version that is active on this host.
 
+    :param workspaces: of the active version.
     :param member: member whose effective settings apply.
     :param trusted_keys: raw public keys of members; used until a configuration
         is known.
@@ -62,6 +64,7 @@
         self._texts: dict[str, str] = {}
         self._loader = loaders.create_loader()
         self._routes: routes.RouteTable | None = None
+        self.workspaces = directories.create_directory((), version=0)
 
     def find_key(self, member: identifiers.MemberId) -> bytes | None:
         """Return the public key of an approved member, ``None`` if unknown."""
@@ -132,6 +135,9 @@
             return result.Failure(MissingMember(self._member))
         self._texts = texts
         self._routes = routes.create_route_table(settings)
+        self.workspaces = directories.create_directory(
+            settings.workspaces, version
+        )
         self.settings = settings
         self.version = identifiers.ConfigurationVersion(version)
         _LOGGER.info('configuration in force', extra={'version': version})
--- a/wagtailspread/processes/observers.py
+++ b/wagtailspread/processes/observers.py
@@ -30,7 +30,7 @@
 
     def record_request(self, record: interfaces.RequestRecord) -> None:
         """Count a finished request; log it if no upstream answered it."""
-        priority = record.route.priority.name.lower()
+        priority = record.priority.name.lower()
         outcome = record.outcome or _BROKEN_OUTCOME
         self._metrics.count('requests', priority, outcome)
         self._metrics.record_seconds(priority, record.seconds)
--- a/wagtailspread/processes/tests/test_copies.py
+++ b/wagtailspread/processes/tests/test_copies.py
@@ -5,12 +5,14 @@
 
 import pytest
 
-from wagtailspread.configuration import deltas, signatures, versions
+from wagtailspread.configuration import deltas, key_digests
+from wagtailspread.configuration import signatures, versions
 from wagtailspread.core import identifiers
 from wagtailspread.entry import subscriptions
 from wagtailspread.processes import copies, machines
 from wagtailspread.testing import fleets
 from wagtailspread.wire import messages, signing
+from wagtailspread.workspaces import keys
 
 KEY = signing.create_key()
 MEMBER = identifiers.MemberId(fleets.MEMBER)
@@ -102,6 +104,22 @@
     copy.apply(create_deltas()[0]).unwrap()
 
 
+def test_workspaces_follow_the_version_in_force():
+    """Guards against a key that is served after it was taken away."""
+    copy = create_copy()
+    assert not copy.workspaces
+    base = create_base(50)
+    digest = key_digests.compute_digest('k1').hex()
+    section = f'\n[workspace w1]\nkeys = {digest}\npriority = bulk\n'
+    for version, text in enumerate((base + section, base), start=1):
+        copy.apply(
+            deltas.create_full({'base.ini': text}, version),
+        ).unwrap()
+        found = copy.workspaces.find(keys.compute_digest('k1'))
+        assert (found is not None) == (version == 1)
+        assert found is None or (found.name, found.priority) == ('w1', 2)
+
+
 def test_peer_with_an_older_version_gets_the_full_configuration():
     """Guards against a peer that is outdated until a replica answers."""
     copy = create_copy()
--- a/wagtailspread/testing/stand_ins.py
+++ b/wagtailspread/testing/stand_ins.py
@@ -11,6 +11,7 @@
 from wagtailspread.core import failures, identifiers, outcomes, priorities
 from wagtailspread.entry import interfaces, slots
 from wagtailspread.wire import messages
+from wagtailspread.workspaces import directories
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +42,10 @@
 
 
 class FixedRouting:
-    """Routes requests by the longest prefix; services share the limits."""
+    """Routes requests by the longest prefix; services share the limits.
+
+    :param workspaces: none at first; tests may replace them at any time.
+    """
 
     def __init__(
         self,
@@ -52,6 +56,7 @@
         self._routes = sorted(routes, key=lambda route: -len(route.path_prefix))
         self._limits = limits or FixedLimits()
         self._services = {route.service for route in routes}
+        self.workspaces = directories.create_directory((), version=0)
 
     def match(self, method: str, path: str) -> FixedRoute | None:
         """Return the route of a request; ``None`` if no route matches."""
