Enforce the caps of workspaces by the share of each entry host

Cause: the rate and burst of a workspace section had no effect on the product's own request path. A request over the share gets 429 not-run with Retry-After before its body is read. The permit of a request that has not run is given back, unless its caller left: an order goes on then, and may still be sent. A host that starts has no saved burst, so that restarts do not add to a cap. Not done: a test of the caps with real processes; a host that may lag answers 401, not 503.

--- a/wagtailspread/core/outcomes.py
+++ b/wagtailspread/core/outcomes.py
@@ -78,3 +78,5 @@
     UNKNOWN_KEY = 'unknown-key'
     #: A newer configuration has another workspace for the request.
     WORKSPACE_CHANGED = 'workspace-changed'
+    #: The share of this host in the cap of the workspace is used up.
+    OVER_CAP = 'over-cap'
--- a/wagtailspread/entry/answers.py
+++ b/wagtailspread/entry/answers.py
@@ -16,6 +16,7 @@
 _REQUEST_TIMEOUT = 408
 _CONFLICT = 409
 _TOO_LARGE = 413
+_TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _TIMEOUT = 504
 #: Statuses of a fault that promise that the request was not executed.
@@ -30,6 +31,7 @@
     outcomes.RefusalReason.TOO_LARGE: _TOO_LARGE,
     outcomes.RefusalReason.UNSUPPORTED_METHOD: _METHOD_NOT_ALLOWED,
     outcomes.RefusalReason.UNKNOWN_KEY: _UNAUTHORIZED,
+    outcomes.RefusalReason.OVER_CAP: _TOO_MANY_REQUESTS,
 }
 
 
@@ -79,7 +81,9 @@
     The proof is required so that no other request is reported as not run.
     """
     status = _REASON_STATUS.get(refusal.reason, _UNAVAILABLE)
-    retry_after = refusal.retry_after if status == _UNAVAILABLE else None
+    retry_after = None
+    if status in {_TOO_MANY_REQUESTS, _UNAVAILABLE}:
+        retry_after = refusal.retry_after
     return FleetAnswer(
         status,
         outcomes.Outcome.NOT_RUN,
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -10,9 +10,10 @@
 
 from returns import result
 
-from wagtailspread.core import clocks, identifiers, outcomes
+from wagtailspread.core import clocks, failures, identifiers, outcomes
 from wagtailspread.entry import allocations, answers, attempts, bodies
-from wagtailspread.entry import exchanges, executions, interfaces, keys
+from wagtailspread.entry import capping, exchanges, executions
+from wagtailspread.entry import interfaces, keys
 from wagtailspread.entry import requests, streaming
 
 #: ``User-Agent`` for callers that send none; the HTTP client would insert a
@@ -26,6 +27,7 @@
     """Forwards checked requests to upstreams.
 
     :param observer: receives a record of every finished request.
+    :param host_caps: caps of the workspaces; ``None`` for no caps.
     """
 
     def __init__(
@@ -36,8 +38,10 @@
         tracer: interfaces.Tracer,
         clock: clocks.Clock,
         observer: interfaces.RequestObserver | None = None,
+        host_caps: capping.HostCaps | None = None,
     ) -> None:
         """Store the collaborators."""
+        self._caps = host_caps
         self._identity = identity
         self._runner = runner
         self._key_client = key_client
@@ -59,7 +63,12 @@
         :param execution: records the attempts of the request.
         """
         started = self._clock.now()
-        response = await self._forward(request, checked, execution, started)
+        if self._caps is None:
+            response = await self._forward(request, checked, execution, started)
+        else:
+            response = await self._forward_within_cap(
+                request, checked, execution, started, self._caps
+            )
         if self._observer is not None:
             record = interfaces.RequestRecord(
                 checked.route,
@@ -74,6 +83,30 @@
             self._observer.record_request(record)
         return response
 
+    async def _forward_within_cap(
+        self,
+        request: web.BaseRequest,
+        checked: requests.CheckedRequest,
+        execution: executions.ExecutionRecord,
+        started: float,
+        host_caps: capping.HostCaps,
+    ) -> web.StreamResponse:
+        workspace = checked.admission.workspace
+        seconds = host_caps.admit(workspace)
+        if seconds > 0:
+            refusal = failures.Refusal(
+                identifiers.RequestId(''),
+                outcomes.RefusalReason.OVER_CAP,
+                seconds,
+            )
+            answer = answers.create_failure(execution, refusal, '')
+            return answer.to_response()
+        response = await self._forward(request, checked, execution, started)
+        # Not after a cancellation: an order goes on without its caller.
+        if execution.prove_not_run() is not None:
+            host_caps.give_back(workspace)
+        return response
+
     async def _forward(
         self,
         request: web.BaseRequest,
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -12,7 +12,13 @@
 
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.entry import allocations, announcements, attempts
-from wagtailspread.entry import connections, draining, exchanges, forwarding
+from wagtailspread.entry import (
+    capping,
+    connections,
+    draining,
+    exchanges,
+    forwarding,
+)
 from wagtailspread.entry import handlers, heartbeats, interfaces, keys
 from wagtailspread.entry import lookups
 from wagtailspread.entry import owners, servers, spills
@@ -62,6 +68,7 @@
     :param leave: notifies the other hosts that this host is stopping.
     :param read_status: returns additional fields of the status page.
     :param read_metrics: returns the metrics in the text exposition format.
+    :param host_caps: caps of the workspaces at this host.
     """
 
     routing: lookups.Routing
@@ -82,6 +89,7 @@
     leave: typing.Callable[[], typing.Awaitable[None]] | None = None
     read_status: typing.Callable[[], dict[str, typing.Any]] = dict
     read_metrics: typing.Callable[[], bytes] = bytes
+    host_caps: capping.HostCaps | None = None
 
 
 #: Creates the components once the links and the listener of the host exist.
@@ -149,6 +157,7 @@
             components.tracer,
             clock,
             components.observer,
+            components.host_caps,
         )
         self.drain = draining.Drain(
             components.conditions,
--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -8,6 +8,7 @@
     allocations,
     announcements,
     attempts,
+    capping,
     connections,
     exchanges,
     forwarding,
@@ -90,6 +91,7 @@
             stand_ins.NoOpTracer(),
             clock,
             self,
+            capping.create_caps(lambda: 1, clock),
         )
         self.routing = stand_ins.FixedRouting(
             ROUTES,
--- a/wagtailspread/entry/tests/test_workspaces.py
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -8,10 +8,10 @@
 import pytest
 
 from wagtailspread.core import clocks, outcomes, priorities
-from wagtailspread.entry import exchanges, executions
+from wagtailspread.entry import capping, exchanges, executions
 from wagtailspread.entry.tests import fleets
 from wagtailspread.routing import terms
-from wagtailspread.workspaces import directories, keys
+from wagtailspread.workspaces import caps, directories, keys
 
 KEYS = {'Authorization': 'Token k1'}
 FIRST = terms.Workspace('w1', (keys.compute_digest('k1'),))
@@ -250,3 +250,96 @@
         reply.close()
         assert reply.status == 200
         assert len(heads) == 1
+
+
+def start_caps(host, hosts):
+    """Let a host have its share for 1000 s, and stop the clock of its caps."""
+    clock = clocks.ManualClock()
+    host.forwarder._caps = capping.create_caps(lambda: hosts, clock)
+    clock.advance(1000.0)
+    return clock
+
+
+async def test_requests_over_the_share_of_the_host_get_429():
+    """Guards against hosts that together admit more than the cap."""
+    cap = caps.Cap(rate=8.0, burst=40.0)
+    workspace = terms.Workspace('w1', FIRST.digests, cap=cap)
+    async with start_host(workspace, SECOND) as (host, _, heads):
+        clock = start_caps(host, 4)
+        answers = [await send(host, headers=KEYS) for _ in range(40)]
+        refused = [answer for answer in answers if answer.status == 429]
+        for answer in refused:
+            assert answer.headers[outcomes.OUTCOME_HEADER] == 'not-run'
+            assert answer.headers[outcomes.REASON_HEADER] == 'over-cap'
+            assert int(answer.headers['Retry-After']) >= 1
+        assert len(heads) + len(refused) == len(answers)
+        allowance = caps.Limits().compute_allowance(cap)
+        assert cap.burst / 4 <= len(heads) <= (cap.burst + allowance) / 4
+        other = {'Authorization': 'Token k2'}
+        assert (await send(host, headers=other)).status == 200
+        clock.advance(1.0)
+        assert (await send(host, headers=KEYS)).status == 200
+
+
+async def test_body_is_not_read_over_the_cap():
+    """Guards against bodies of refused requests that a host holds."""
+    cap = caps.Cap(rate=0.001)
+    workspace = terms.Workspace('w1', FIRST.digests, cap=cap)
+    head = (
+        b'POST /vitrina/a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n'
+        b'Authorization: Token k1\r\nExpect: 100-continue\r\n\r\n'
+    )
+    async with start_host(workspace) as (host, _, heads):
+        clock = clocks.ManualClock()
+        host.forwarder._caps = capping.create_caps(lambda: 4, clock)
+        ip, _, port = host.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(head)
+        async with asyncio.timeout(2):
+            text = await reader.read()
+        writer.close()
+        assert text.startswith(b'HTTP/1.1 429 ')
+        assert not heads
+
+
+async def test_request_that_has_not_run_does_not_count_toward_the_cap():
+    """Guards against a cap that is used up by refused requests."""
+    cap = caps.Cap(rate=1.0, burst=2.0)
+    workspace = terms.Workspace('w1', FIRST.digests, cap=cap)
+    async with start_host(workspace) as (host, upstream, _):
+        start_caps(host, 1)
+        upstream.mode.shed_ratio = 1.0
+        for _ in range(20):
+            assert (await send(host, headers=KEYS)).status == 503
+        upstream.mode.shed_ratio = 0.0
+        assert (await send(host, headers=KEYS)).status == 200
+
+
+async def test_order_whose_caller_left_counts_toward_the_cap():
+    """Guards against callers that pass the cap by leaving at once."""
+    cap = caps.Cap(rate=1.0, burst=2.0)
+    workspace = terms.Workspace('w1', FIRST.digests, cap=cap)
+    async with start_host(workspace) as (host, _, heads):
+        start_caps(host, 1)
+        waiting = []
+        submit = host.coordinator.submit
+        host.coordinator.submit = lambda *order: waiting.append(order)
+        for number in range(20):
+            headers = {**KEYS, outcomes.KEY_HEADER: f'order-{number}'}
+            with contextlib.suppress(TimeoutError):
+                timeout = aiohttp.ClientTimeout(total=0.02)
+                await send(
+                    host,
+                    '/contratos/1',
+                    'POST',
+                    headers=headers,
+                    timeout=timeout,
+                )
+        host.coordinator.submit = submit
+        allowance = caps.Limits().compute_allowance(cap)
+        assert cap.burst <= len(waiting) <= cap.burst + allowance
+        assert (await send(host, headers=KEYS)).status == 429
+        for order in waiting:
+            submit(*order)
+        while len(heads) < len(waiting):
+            await fleets.wait_briefly()
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -6,9 +6,9 @@
 import sys
 import typing
 
-from wagtailspread.configuration import schemas
+from wagtailspread.configuration import host_caps, schemas
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.entry import hosts, subscriptions
+from wagtailspread.entry import capping, hosts, subscriptions
 from wagtailspread.membership import agents, drivers, tables
 from wagtailspread.observability import logs, metrics, traces
 from wagtailspread.processes import (
@@ -148,6 +148,7 @@
             leave=self._driver.leave,
             read_status=self._read_status,
             read_metrics=self.metrics.render,
+            host_caps=capping.create_caps(self._count_hosts, self._clock),
         )
 
     def _apply_settings(self, applied: schemas.Settings) -> None:
@@ -211,6 +212,10 @@
             await asyncio.sleep(REFRESH_SECONDS)
             self.factory.refresh()
 
+    def _count_hosts(self) -> int:
+        known = self.copy.settings
+        return host_caps.count_hosts(known) if known else 0
+
     def _list_services(self) -> list[identifiers.ServiceName]:
         known = self.copy.settings
         return list(known.services) if known else []
