Release the orders of the cap test before its checks

Cause: in a trial without the refusal over the cap, test_order_whose_caller_left_counts_toward_the_cap did not end within 30 s, since its orders waited for the coordinator that the test held back. Change: the test grants the orders before it checks their number, and bounds its wait for them. Its checks are the same.

--- a/wagtailspread/entry/tests/test_workspaces.py
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -336,10 +336,11 @@
                     timeout=timeout,
                 )
         host.coordinator.submit = submit
+        for order in waiting:
+            submit(*order)
         allowance = caps.Limits().compute_allowance(cap)
         assert cap.burst <= len(waiting) <= cap.burst + allowance
         assert (await send(host, headers=KEYS)).status == 429
-        for order in waiting:
-            submit(*order)
-        while len(heads) < len(waiting):
-            await fleets.wait_briefly()
+        async with asyncio.timeout(5):
+            while len(heads) < len(waiting):
+                await fleets.wait_briefly()
