--- a/wagtailspread/entry/tests/fleets.py
+++ b/wagtailspread/entry/tests/fleets.py
@@ -8,6 +8,7 @@
     allocations,
     announcements,
     attempts,
+    capping,
     connections,
     exchanges,
     forwarding,
@@ -90,15 +91,18 @@
             stand_ins.NoOpTracer(),
             clock,
             self,
+            capping.create_caps(lambda: 1, clock),
         )
-        routing = stand_ins.FixedRouting(
+        self.routing = stand_ins.FixedRouting(
             ROUTES,
             stand_ins.FixedLimits(max_body=max_body),
         )
         self.server = servers.create_server(
-            routing,
+            self.routing,
             self.forwarder,
-            announcements.AnnouncementReceiver(routing, self.client, clock),
+            announcements.AnnouncementReceiver(
+                self.routing, self.client, clock
+            ),
             stand_ins.AlwaysReady(),
             dict,
             limits,
