Refuse a held request behind others like one at the head

A request whose host all upstreams hold back is refused if none takes it before its deadline. That was decided only if nothing was queued ahead of it. Otherwise it stayed until its expected work did not fit any more.

The decision is made on arrival in both cases.

--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -206,8 +206,8 @@
             is_short=self.admission.capacities.is_short(request.service, now),
         ):
             answer = self._try_grant(entry, now)
-        elif request.excluded and not self._has_upstream(request, now):
-            answer = self.refuse(entry, messages.Decision.NO_UPSTREAM, now)
+        elif self._has_no_candidate(request, now):
+            answer = self._decide_held(entry, now)
         if answer is not None:
             return answer
         entry.is_held = self.is_held(request, now)
@@ -285,11 +285,14 @@
         self.admission.record_grant(entry, now)
         return messages.Answer(messages.Decision.GRANTED, record)
 
-    def _has_upstream(
+    def _has_no_candidate(
         self, request: messages.PlacementRequest, now: float
     ) -> bool:
-        """Tell whether an upstream is ready that a request may use."""
-        return self.selector.find_hold_end(request, now) is not None
+        """Tell whether a request can't use any upstream, also a free one."""
+        if not request.excluded and not len(self.selector.holds):
+            return False
+        end = self.selector.find_hold_end(request, now)
+        return end is None or end > now
 
     def is_held(self, request: messages.PlacementRequest, now: float) -> bool:
         """Tell whether all upstreams hold back the host of a request."""
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -218,3 +218,14 @@
         is_repeat=True, excluded=frozenset(('u0',)), deadline=region.now + 20
     )
     assert answer.decision is messages.Decision.NO_UPSTREAM
+
+
+def test_a_held_request_behind_others_is_refused_at_once():
+    """Guards against a wait for upstreams that hold back too long."""
+    region = regions.Region(upstreams=1, slots=1)
+    for _ in '123':
+        region.submit(deadline=region.now + 20)
+    region.selector.holds.add('h2', 'u0', 1, region.now + 10)
+    _, answer = region.submit(host='h2', deadline=region.now + 5)
+    assert answer.decision is messages.Decision.NO_ROOM
+    assert answer.retry_after == 10
