Place requests with an objective below a millisecond

Documents may have objectives such as 0.4ms. Hosts send them in whole milliseconds, so the allocator got 0 and divided by it. The call failed, and the host took the allocator for lost; in a queue, the exception ended the task of the service.

The allocator takes one millisecond as the least objective.

--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -456,6 +456,19 @@
     await listener.close()
 
 
+async def test_an_objective_below_a_millisecond_is_placed():
+    """Guards against an exception in the allocator, which then seems lost."""
+    listener, address, _ = await start_allocator()
+    placer = create_placer(address)
+    request = dataclasses.replace(
+        create_placement_request(placer), objective=0.0004
+    )
+    placed = await placer.place(request)
+    assert placed.allocator == address
+    await placer.close()
+    await listener.close()
+
+
 async def test_a_granted_request_without_another_upstream_is_withdrawn():
     """Guards against a permit of a request that is not sent.
 
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -280,7 +280,8 @@
         domain=identifiers.FailureDomain(request.domain),
         service=identifiers.ServiceName(request.service_name),
         deadline=now + request.deadline_ms / _MILLISECONDS,
-        objective=request.objective_ms / _MILLISECONDS,
+        # Waits are divided by the objective, and hosts round it down.
+        objective=max(request.objective_ms, 1) / _MILLISECONDS,
         size=request.size,
         priority=request.priority,
         excluded=frozenset(map(identifiers.UpstreamId, request.excluded)),
