Order negative priorities like other ranks

Documents may have negative priorities. A request that goes first was put in tier -1, which comes after the tiers of negative ranks, and a request with a negative priority counted as one that had waited too long at once, so it moved behind more urgent work or lost its place by rank.

The first tier is below those of all 16-bit ranks, and only ranks above 0 move there after a wait.

--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -58,8 +58,8 @@
 
 #: Tiers of one rank: little time left, in time, late.
 _SHORT, _IN_TIME, _LATE, _TIERS = range(4)
-#: The tier before all ranks.
-_FIRST_TIER = -1
+#: The tier before all ranks, which are numbers of 16 bits and may be negative.
+_FIRST_TIER = -(1 << 20)
 
 
 class Admission:
@@ -386,7 +386,7 @@
 def _has_waited(entry: leases.WaitingRequest, now: float) -> bool:
     """Tell whether a request of a lower rank has waited for long."""
     request = entry.request
-    if entry.is_preferred or not request.priority:
+    if entry.is_preferred or request.priority <= 0:
         return False
     limit = min(
         PRIORITY_STEP_SECONDS * request.priority,
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -229,3 +229,34 @@
     _, answer = region.submit(host='h2', deadline=region.now + 5)
     assert answer.decision is messages.Decision.NO_ROOM
     assert answer.retry_after == 10
+
+
+def test_a_negative_priority_stays_the_highest_rank():
+    """Guards against urgent requests that come behind less urgent ones."""
+    region = regions.Region(upstreams=1, slots=1)
+    first = region.submit(deadline=region.now + 60)
+    for _ in range(3):
+        region.submit(priority=-1, deadline=region.now + 60)
+    region.now += 0.01
+    urgent, _ = region.submit(priority=-2, deadline=region.now + 60)
+    region.allocator.admission._credits['columns'] = 8.0
+    region.now += 0.25
+    region.allocator.tick(region.now)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [urgent]
+
+
+def test_a_lower_rank_that_has_waited_goes_before_negative_ones():
+    """Guards against lower ranks that starve behind negative priorities."""
+    region = regions.Region(upstreams=1, slots=1)
+    first = region.submit(deadline=region.now + 60)
+    lower, _ = region.submit(priority=1, deadline=region.now + 60)
+    region.allocator.admission._credits['columns'] = 1.0
+    for _ in range(15):
+        region.now += 0.1
+        region.submit(priority=-2, deadline=region.now + 60)
+        for waiting in region.allocator._waiting.values():
+            waiting.polled_at = region.now
+        assert not region.allocator.tick(region.now)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [lower]
