Take requests that left the queue out of the fair turns

A request that was withdrawn or abandoned in the queue kept its work in the start tags of its workspace, as if it had been served. A workspace whose callers disconnect then waited longer than its fair turn. Only refusals were taken out.

Both paths take the work out. A queued request that is settled always returns its permit, since it was not sent.

--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -131,6 +131,12 @@
         self._queues.add(entry, now)
         self._count(entry, tallies.Event.QUEUED)
 
+    def withdraw(self, entry: leases.WaitingRequest) -> None:
+        """Record that a request has left its queue without a decision."""
+        request = entry.request
+        clock = self._queues.find(request.service).fair_clock
+        clock.withdraw(request.workspace, entry.work)
+
     def estimate_wait(self, entry: leases.WaitingRequest, now: float) -> float:
         """Return the estimated wait for a slot, in seconds."""
         queue = self._queues.find(entry.request.service)
@@ -198,8 +204,7 @@
         if now > entry.queued_at:
             self.tally.count(service, rank, tallies.Event.DROPPED)
             self.tally.add_held(service, rank, now - entry.queued_at)
-            clock = self._queues.find(service).fair_clock
-            clock.withdraw(request.workspace, entry.work)
+            self.withdraw(entry)
         return retry_after
 
     def record_end(
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -113,14 +113,9 @@
         :param now: seconds on the allocator's clock.
         :param is_reset: whether its connection ended without an answer.
         """
-        lease = self._open.close(request_id)
-        waiting = self._waiting.pop(request_id)
-        self._decided.pop(request_id, None)
-        closed = lease or waiting
-        if closed is not None:
-            # A withdrawn request has not run, like one that was shed.
-            ended = evidence if upstream else messages.Evidence.SHED
-            self.permits.settle(closed.request, ended, now)
+        # A withdrawn request has not run, like one that was shed.
+        ended = evidence if upstream else messages.Evidence.SHED
+        lease = self._close(request_id, ended, now)
         if not upstream:
             self._withdrawn[request_id] = now
             if lease is not None:
@@ -156,9 +151,26 @@
             if waiting.request.host == host:
                 self.abandon(waiting, now)
 
+    def _close(
+        self,
+        request_id: identifiers.RequestId,
+        evidence: messages.Evidence,
+        now: float,
+    ) -> leases.Lease | None:
+        """Remove a request; return its lease, if it was granted."""
+        lease = self._open.close(request_id)
+        if lease is not None:
+            self.permits.settle(lease.request, evidence, now)
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            self.abandon(waiting, now)
+        self._decided.pop(request_id, None)
+        return lease
+
     def abandon(self, entry: leases.WaitingRequest, now: float) -> None:
         """Drop a queued request that its host does not ask for any more."""
         self._waiting.pop(entry.request.request_id)
+        self.admission.withdraw(entry)
         self.permits.give_back(entry.request, now)
 
     def tick(self, now: float) -> list[identifiers.RequestId]:
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -260,3 +260,23 @@
         assert not region.allocator.tick(region.now)
     region.settle(*first)
     assert region.allocator.tick(region.now) == [lower]
+
+
+@pytest.mark.parametrize('is_withdrawn', [True, False])
+def test_requests_that_left_the_queue_do_not_count_for_fairness(is_withdrawn):
+    """Guards against a workspace that waits for its disconnected callers."""
+    region = regions.Region(upstreams=1, slots=1)
+    region.submit(deadline=region.now + 60)
+    other = region.create_request(deadline=region.now + 60, workspace='b')
+    region.allocator.submit(other, region.now)
+    request_id, _ = region.submit(deadline=region.now + 60, workspace='a')
+    clock = region.allocator._waiting.find('columns').fair_clock
+    assert clock.peek('a') > 0
+    if is_withdrawn:
+        region.allocator.settle(request_id, '', 4, 0.0, region.now)
+    else:
+        region.now += 1.1
+        region.allocator.submit(other, region.now)
+        region.allocator.tick(region.now)
+    assert region.allocator.count_waiting() == 1
+    assert clock.peek('a') == 0
