--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -58,8 +58,8 @@
 
 #: Tiers of one rank: little time left, in time, late.
 _SHORT, _IN_TIME, _LATE, _TIERS = range(4)
-#: The tier before all ranks.
-_FIRST_TIER = -1
+#: The tier before all ranks, which are numbers of 16 bits and may be negative.
+_FIRST_TIER = -(1 << 20)
 
 
 class Admission:
@@ -131,6 +131,12 @@
         self._queues.add(entry, now)
         self._count(entry, tallies.Event.QUEUED)
 
+    def withdraw(self, entry: leases.WaitingRequest) -> None:
+        """Record that a request has left its queue without a decision."""
+        request = entry.request
+        clock = self._queues.find(request.service).fair_clock
+        clock.withdraw(request.workspace, entry.work)
+
     def estimate_wait(self, entry: leases.WaitingRequest, now: float) -> float:
         """Return the estimated wait for a slot, in seconds."""
         queue = self._queues.find(entry.request.service)
@@ -198,8 +204,7 @@
         if now > entry.queued_at:
             self.tally.count(service, rank, tallies.Event.DROPPED)
             self.tally.add_held(service, rank, now - entry.queued_at)
-            clock = self._queues.find(service).fair_clock
-            clock.withdraw(request.workspace, entry.work)
+            self.withdraw(entry)
         return retry_after
 
     def record_end(
@@ -386,7 +391,7 @@
 def _has_waited(entry: leases.WaitingRequest, now: float) -> bool:
     """Tell whether a request of a lower rank has waited for long."""
     request = entry.request
-    if entry.is_preferred or not request.priority:
+    if entry.is_preferred or request.priority <= 0:
         return False
     limit = min(
         PRIORITY_STEP_SECONDS * request.priority,
--- a/wagtailspread/placement/tests/test_waiting.py
+++ b/wagtailspread/placement/tests/test_waiting.py
@@ -218,3 +218,65 @@
         is_repeat=True, excluded=frozenset(('u0',)), deadline=region.now + 20
     )
     assert answer.decision is messages.Decision.NO_UPSTREAM
+
+
+def test_a_held_request_behind_others_is_refused_at_once():
+    """Guards against a wait for upstreams that hold back too long."""
+    region = regions.Region(upstreams=1, slots=1)
+    for _ in '123':
+        region.submit(deadline=region.now + 20)
+    region.selector.holds.add('h2', 'u0', 1, region.now + 10)
+    _, answer = region.submit(host='h2', deadline=region.now + 5)
+    assert answer.decision is messages.Decision.NO_ROOM
+    assert answer.retry_after == 10
+
+
+def test_a_negative_priority_stays_the_highest_rank():
+    """Guards against urgent requests that come behind less urgent ones."""
+    region = regions.Region(upstreams=1, slots=1)
+    first = region.submit(deadline=region.now + 60)
+    for _ in range(3):
+        region.submit(priority=-1, deadline=region.now + 60)
+    region.now += 0.01
+    urgent, _ = region.submit(priority=-2, deadline=region.now + 60)
+    region.allocator.admission._credits['columns'] = 8.0
+    region.now += 0.25
+    region.allocator.tick(region.now)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [urgent]
+
+
+def test_a_lower_rank_that_has_waited_goes_before_negative_ones():
+    """Guards against lower ranks that starve behind negative priorities."""
+    region = regions.Region(upstreams=1, slots=1)
+    first = region.submit(deadline=region.now + 60)
+    lower, _ = region.submit(priority=1, deadline=region.now + 60)
+    region.allocator.admission._credits['columns'] = 1.0
+    for _ in range(15):
+        region.now += 0.1
+        region.submit(priority=-2, deadline=region.now + 60)
+        for waiting in region.allocator._waiting.values():
+            waiting.polled_at = region.now
+        assert not region.allocator.tick(region.now)
+    region.settle(*first)
+    assert region.allocator.tick(region.now) == [lower]
+
+
+@pytest.mark.parametrize('is_withdrawn', [True, False])
+def test_requests_that_left_the_queue_do_not_count_for_fairness(is_withdrawn):
+    """Guards against a workspace that waits for its disconnected callers."""
+    region = regions.Region(upstreams=1, slots=1)
+    region.submit(deadline=region.now + 60)
+    other = region.create_request(deadline=region.now + 60, workspace='b')
+    region.allocator.submit(other, region.now)
+    request_id, _ = region.submit(deadline=region.now + 60, workspace='a')
+    clock = region.allocator._waiting.find('columns').fair_clock
+    assert clock.peek('a') > 0
+    if is_withdrawn:
+        region.allocator.settle(request_id, '', 4, 0.0, region.now)
+    else:
+        region.now += 1.1
+        region.allocator.submit(other, region.now)
+        region.allocator.tick(region.now)
+    assert region.allocator.count_waiting() == 1
+    assert clock.peek('a') == 0
