Admit the first requests of a workspace after a start

Cause: a process that had just begun to decide started each bucket nearly empty, so the first requests of a workspace got 429 although they were within its cap; large caps were exceeded while hosts and allocators restarted, since the parts of the overage added up. A crowd of callers that pipeline took eight connections to upstreams each. Change: a new process adds its whole part of the allowance to a bucket for 3 s, of the overage only a quarter of each part is used, and a host handles at most 32 pipelined requests ahead of their turn. The tests of withdrawn grants record withdrawals too, which replace settlements without evidence. Result: the tests of caps, keys and pipelining pass.

--- a/wagtailspread/entry/pipelines.py
+++ b/wagtailspread/entry/pipelines.py
@@ -31,6 +31,9 @@
 
 #: Methods by which a request changes nothing (RFC 9110, section 9.2.1).
 _SAFE_METHODS = frozenset((hdrs.METH_GET, hdrs.METH_HEAD))
+#: Maximum number of requests that a host handles ahead. Each takes a connection
+#: to an upstream, and hosts have 1,500 descriptors and more.
+MAX_HOST_REQUESTS = 32
 #: A request with one of these may have a body or close the connection.
 _EXCLUDING_HEADERS = (
     hdrs.CONTENT_LENGTH,
@@ -50,18 +53,22 @@
     """What the pipelines of all connections of a host use.
 
     :param held_bytes: of responses that wait for their turn.
+    :param running: requests that are handled ahead now.
     :param started: requests that were handled ahead since the start.
     :param is_closed: whether no further request is handled ahead.
     """
 
     held_bytes: int = 0
+    running: int = 0
     started: int = 0
     is_closed: bool = False
 
     @property
     def has_room(self) -> bool:
         """Whether a further request may be handled ahead."""
-        return not self.is_closed and self.held_bytes < MAX_HOST_BYTES
+        if self.is_closed or self.running >= MAX_HOST_REQUESTS:
+            return False
+        return self.held_bytes < MAX_HOST_BYTES
 
 
 class Pipeline:
@@ -138,11 +145,13 @@
         task = asyncio.create_task(_handle(self._handler, request))
         self._tasks[id(message)] = task
         self._usage.started += 1
+        self._usage.running += 1
         task.add_done_callback(functools.partial(self._hold, id(message)))
         return True
 
     def _hold(self, key: int, task: asyncio.Task[web.StreamResponse]) -> None:
         """Count a response that waits for its turn."""
+        self._usage.running -= 1
         if self._tasks.get(key) is task:
             size = _measure(task)
             self._sizes[key] = size
--- a/wagtailspread/entry/tests/test_workspaces.py
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -292,6 +292,9 @@
     async with start_host(workspace) as (host, _, heads):
         clock = clocks.ManualClock()
         host.forwarder._caps = capping.create_caps(lambda: 4, clock)
+        while (await send(host, headers=KEYS)).status != 429:
+            assert heads
+        heads.clear()
         ip, _, port = host.address.rpartition(':')
         reader, writer = await asyncio.open_connection(ip, int(port))
         writer.write(head)
--- a/wagtailspread/gateway/tests/test_revocations.py
+++ b/wagtailspread/gateway/tests/test_revocations.py
@@ -42,6 +42,13 @@
         settle(request_id, placed, evidence, *args, **names)
 
     placer.settle = record
+    withdraw = placer.withdraw
+
+    def record_withdrawal(placement_request, placed):
+        found.append(messages.Evidence.NONE)
+        withdraw(placement_request, placed)
+
+    placer.withdraw = record_withdrawal
     return found
 
 
--- a/wagtailspread/workspaces/caps.py
+++ b/wagtailspread/workspaces/caps.py
@@ -2,8 +2,8 @@
 
 >>> NO_CAP.is_limited, Cap(2.0, 5.0).is_limited
 (False, True)
->>> round(Limits().compute_allowance(Cap(10.0, 30.0)), 6)
-28.0
+>>> round(Limits().compute_part(Cap(10.0, 30.0), AllowancePart.REPLICA), 6)
+8.8
 """
 
 import dataclasses
@@ -50,13 +50,24 @@
         """Return the number of requests that a window may have beyond a cap."""
         return self.overage * (cap.rate * self.window + cap.burst) + self.slack
 
+    def compute_part(self, cap: Cap, part: 'AllowancePart') -> float:
+        """Return a part of what a window may have beyond a cap.
+
+        Of the overage only a quarter of the part is used: it grows with the
+        cap, and large caps were exceeded while hosts and allocators restarted.
+        """
+        overage = self.overage * (cap.rate * self.window + cap.burst)
+        return part.value * (self.slack + USED_OVERAGE * overage)
+
+
+#: Factor for the part of the overage that is used.
+USED_OVERAGE = 0.25
+
 
 class AllowancePart(enum.Enum):
     """Part of the allowance by kind of process that admits requests.
 
-    All kinds may admit requests at the same time. The remaining 0.3 cover
-    hosts that two allocators count for a short time, see
-    :func:`wagtailspread.workspaces.shares.compute_silence`.
+    All kinds may admit requests at the same time.
     """
 
     #: The allocators on replicas.
@@ -65,7 +76,6 @@
     SUBSTITUTE = 0.1
     #: Hosts that decide alone.
     HOST = 0.2
-
-
-#: Part of the allowance for hosts that two allocators count.
-OVERLAP_PART = 0.3
+    #: Hosts that two allocators count for a short time, see
+    #: :func:`wagtailspread.workspaces.shares.compute_silence`.
+    OVERLAP = 0.3
--- a/wagtailspread/workspaces/quotas.py
+++ b/wagtailspread/workspaces/quotas.py
@@ -30,13 +30,16 @@
 NEED_FACTOR = 1.25
 #: Part of its share that an allocator keeps for requests that begin to come.
 KEPT_PART = 0.05
-#: Part of the allowance with which the bucket of a process starts that has
-#: just begun to decide.
-START_PART = 0.25
 #: Requests may wait for slots as long as the rate allows that many in this
 #: time, in seconds, beyond what may be sent at once. Objectives are one second
 #: and more, so those that wait longer would be late.
 RESERVED_SECONDS = 1.5
+#: Time in which a process that has just begun to decide adds its whole part of
+#: the allowance to a bucket, in seconds. With less, the first requests of a
+#: workspace were refused after each start of an allocator.
+NEW_SECONDS = 3.0
+#: Part of it that is added for hosts that join later.
+JOINED_PART = 0.25
 #: Longest time after which a refused caller is told to return, in seconds, and
 #: the part of it over which callers beyond that are spread.
 MAX_RETURN_SECONDS = 10.0
@@ -52,6 +55,8 @@
 
     :param level: requests that may be sent at once.
     :param peak: highest share since the state exists.
+    :param new_until: end of the time in which all of its part of the allowance
+        is added, if the process has just begun to decide.
     :param demand: requests, each with a weight that decays with time.
     :param waiting: admitted requests that are not sent yet.
     :param return_at: when the last refused caller was told to return.
@@ -63,6 +68,7 @@
     level: float
     updated_at: float
     peak: float
+    new_until: float = 0.0
     demand: float = 0.0
     asked_at: float = 0.0
     waiting: int = 0
@@ -324,6 +330,7 @@
             self._compute_steady_level(steady, cap),
             now,
             steady.share,
+            now + NEW_SECONDS if not steady.share else 0.0,
         )
         self._states[name] = state
         self._by_key[state.key] = state
@@ -337,8 +344,7 @@
 
     def _compute_depth(self, cap: caps.Cap) -> float:
         """Return what all processes of this kind may send at once."""
-        allowance = self._limits.compute_allowance(cap)
-        return cap.burst + self._part.value * allowance
+        return cap.burst + self._limits.compute_part(cap, self._part)
 
     def _compute_own_share(self, state: _State, now: float) -> float:
         silence = shares.compute_silence(self._limits, state.cap)
@@ -348,8 +354,9 @@
         """Raise the level by what the time since has added."""
         share = self._compute_own_share(state, now)
         if share > state.peak:
-            allowance = self._limits.compute_allowance(state.cap)
-            started = START_PART * self._part.value * allowance
+            started = self._limits.compute_part(state.cap, self._part)
+            if now >= state.new_until:
+                started *= JOINED_PART
             state.level += started * (share - state.peak)
             state.peak = share
         own_rate = share * state.cap.rate
--- a/wagtailspread/workspaces/shares.py
+++ b/wagtailspread/workspaces/shares.py
@@ -223,8 +223,8 @@
     A host may have turned to another allocator, which counts it as well. This
     is short enough for what both admit to fit the allowance.
     """
-    allowance = limits.compute_allowance(cap)
-    return caps.OVERLAP_PART * allowance / (MAX_MOVED_SHARE * cap.rate)
+    allowance = limits.compute_part(cap, caps.AllowancePart.OVERLAP)
+    return allowance / (MAX_MOVED_SHARE * cap.rate)
 
 
 def estimate_heard_part(mean_age: float) -> float:
