Count a host that asks an idle allocator before its cap is checked

Cause: an allocator counts the hosts ten times a second. The first request after a pause met a count from before, in which no host had asked for 0.4 s, so it was refused for a cap of 174 requests/s. Change: with no host heard from lately, the hosts are counted again before the decision. Result: the new test and three tests with real processes fail without it and pass.

--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -78,6 +78,8 @@
             return None
         if self._shares is not None and request.fleet_hosts:
             self._shares.fleet.raise_to(request.fleet_hosts, now)
+        if self._shares is not None:
+            self._shares.hear(now)
         # The return of a permit after a failed connection may come later than
         # the request. A lone host returns it before it decides again.
         is_unconnected = self._shares is not None and bool(request.excluded)
--- a/wagtailspread/placement/tests/test_permits.py
+++ b/wagtailspread/placement/tests/test_permits.py
@@ -318,3 +318,17 @@
     assert again.decision is messages.Decision.GRANTED
     region.settle(request_id, answer, messages.Evidence.UNREACHABLE)
     assert count_room(region) == 0
+
+
+def test_the_first_request_after_a_pause_is_within_the_cap():
+    """Guards against an idle allocator that has counted no host.
+
+    Load pattern: one host sends a request now and then, right after a tick.
+    """
+    region = create_region()
+    for step in range(40):
+        region.now += 3.0 + 0.013 * step
+        region.allocator.tick(region.now)
+        region.now += 0.01
+        _, answer = region.submit(workspace='w', cap=caps.Cap(174.0, 0.0, 1))
+        assert answer.decision is not _OVER_CAP
--- a/wagtailspread/workspaces/shares.py
+++ b/wagtailspread/workspaces/shares.py
@@ -127,6 +127,17 @@
         """Return the number of hosts of the fleet."""
         return max(self.fleet.estimate(), len(self._ages), 1)
 
+    def hear(self, now: float) -> None:
+        """Count the hosts again if none has been heard from for a while.
+
+        A host that has just asked would otherwise bring no part of a cap to an
+        allocator that was idle before.
+        """
+        if not self._ages or self._ages[0] + now - self._refreshed_at > (
+            SILENCE_STEPS[0] - REFRESH_SECONDS
+        ):
+            self._refresh(now)
+
     def observe(self, now: float) -> None:
         """Record the share, for workspaces that become active later."""
         share = self.compute(SILENCE_STEPS[0], now)
