--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -35,8 +35,9 @@
 #: objective. About one request in 20 takes longer.
 OBJECTIVE_WORK_FACTOR = 1.5
 #: Multiple of the estimated wait that a late request must have left: requests
-#: that come later and can end within their objectives go first.
-LATE_WAIT_FACTOR = 1.5
+#: that come later and can end within their objectives go first. With 1.5,
+#: refused requests had waited almost to their deadlines in the replays.
+LATE_WAIT_FACTOR = 2.5
 #: Share of the retry budget that lower ranks may use.
 LOWER_RANK_BUDGET_SHARE = 0.75
 #: Part of the slots for which refused callers are told to come again.
