Bound the open requests of a host that decides alone

Cause: a host without an allocator placed each request at once, whatever was open at the upstream.

Change: gateway.lone_placements sends an upstream at most as many requests at a time as it has slots.

--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -17,7 +17,7 @@
 from returns import result
 
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.gateway import conversions, settlements
+from wagtailspread.gateway import conversions, lone_placements, settlements
 from wagtailspread.placement import budgets, costs, crashes, messages
 from wagtailspread.placement import permits, selection
 from wagtailspread.registry import records
@@ -81,10 +81,12 @@
         self._pool = pool
         self._selector = selector
         self.crashes = crashes.create_crashes()
-        self._budget = budget
         self._permits = lone_permits or permits.create_lone_permits(
             caps.Limits(), fleets.create_size()
         )
+        self._lone = lone_placements.create_lone_placer(
+            selector, budget, self._permits, clock
+        )
         self._clock = clock
         self._incarnation = random.randrange(_MAX_INCARNATION)
         self._prefix = f'{self._incarnation:x}'
@@ -142,6 +144,19 @@
                 messages.Decision.BLOCKED, None, end - now
             )
             return Placement(refusal, None)
+        number = self._lone.create_number()
+        while True:
+            placed = await self._place(placement_request, number)
+            if placed.answer.decision is not messages.Decision.WAITING:
+                return placed
+
+    async def _place(
+        self, placement_request: messages.PlacementRequest, number: int
+    ) -> Placement:
+        """Ask the allocators; without an answer of them, decide alone.
+
+        :param number: position of the request in the order of arrival.
+        """
         for allocator in self._list_usable():
             answer = await self._ask(allocator, placement_request)
             placement_request = dataclasses.replace(
@@ -159,7 +174,7 @@
             return self._place_elsewhere(
                 allocator, placement_request, answer.record
             )
-        answer = self._place_locally(placement_request)
+        answer = await self._lone.place(placement_request, number)
         return Placement(answer, None, placement_request)
 
     def _place_elsewhere(
@@ -178,7 +193,10 @@
             placement_request,
             is_permitted=placement_request.is_permitted or is_counted,
         )
-        answer = self._place_locally(placed)
+        answer = self._lone.choose(placed)
+        if answer.decision is messages.Decision.WAITING:
+            # It would lose its place at the allocator while it waits here.
+            answer = messages.Answer(messages.Decision.NO_ROOM)
         if is_counted and answer.record is not None:
             release = conversions.create_release(placement_request, record)
             self._settler.start(allocator, release)
@@ -226,7 +244,7 @@
         )
         if notice.is_leaving:
             _log.info('upstream leaves', extra={'upstream': record.upstream})
-        self._selector.finish(record.upstream)
+        self._finish(record)
         self._selector.record_evidence(
             self._host,
             record.upstream,
@@ -263,12 +281,17 @@
         """Free the slot and return the permit of a request that is not sent."""
         if placement.answer.record is None:
             return
-        self._selector.finish(placement.answer.record.upstream)
+        self._finish(placement.answer.record)
         if placement.allocator is not None:
             self._withdraw(placement.allocator, placement_request)
         elif placement.request is not None:
             self._permits.give_back(placement.request, self._clock.now())
 
+    def _finish(self, record: records.UpstreamRecord) -> None:
+        """Free the slot of an upstream for a request that waits."""
+        self._selector.finish(record.upstream)
+        self._lone.wake(record.service)
+
     def _record_alone(
         self,
         record: records.UpstreamRecord,
@@ -403,41 +426,6 @@
         )
         return encoded
 
-    def _place_locally(
-        self, placement_request: messages.PlacementRequest
-    ) -> messages.Answer:
-        """Choose an upstream without an allocator."""
-        now = self._clock.now()
-        refusal = self._permits.take(placement_request, now)
-        if refusal is not None:
-            return refusal
-        answer = self._choose_locally(placement_request, now)
-        if answer.record is None:
-            self._permits.give_back(placement_request, now)
-        return answer
-
-    def _choose_locally(
-        self, placement_request: messages.PlacementRequest, now: float
-    ) -> messages.Answer:
-        if placement_request.is_repeat:
-            if not self._budget.spend(placement_request.service, now):
-                return messages.Answer(messages.Decision.NO_BUDGET)
-        elif not placement_request.is_counted:
-            self._budget.add_request(placement_request.service, now)
-        chosen = self._selector.draw(
-            self._selector.rate(placement_request, now)
-        )
-        if chosen is None:
-            end = self._selector.find_hold_end(placement_request, now)
-            if end is not None:
-                return messages.Answer(
-                    messages.Decision.NO_ROOM, None, end - now
-                )
-            return messages.Answer(messages.Decision.NO_UPSTREAM)
-        record = chosen.row.record
-        self._selector.start(record.upstream)
-        return messages.Answer(messages.Decision.GRANTED, record)
-
 
 def create_placer(
     host: identifiers.HostId,
