--- a/wagtailspread/registry/followers.py
+++ b/wagtailspread/registry/followers.py
@@ -33,7 +33,7 @@
 #: again that had no quorum, in seconds. After a start, the replica that hosts
 #: find first is followed by most of them, also from the other region, while
 #: all upstreams register: 5 MB crossed regions in the first 5 s.
-RECHECK_SECONDS = 0.5
+RECHECK_SECONDS = 0.2
 #: Backoff after a failed call, in seconds.
 RETRY_BACKOFF_SECONDS = 0.05
 #: Maximum number of replicas whose positions are retained.
--- a/wagtailspread/registry/tests/test_followers.py
+++ b/wagtailspread/registry/tests/test_followers.py
@@ -56,7 +56,7 @@
     assert sources.choose(0.1) == 'far:1'
     sources.record_quorum('far:1', 0.1, has_quorum=True)
     assert sources.choose(0.2) == 'far:1'
-    sources.record_quorum('far:1', 0.5, has_quorum=True)
+    sources.record_quorum('far:1', 0.2, has_quorum=True)
     assert sources.choose(0.1 + followers.RECHECK_SECONDS) == 'near:1'
 
 
