Drop a limit of open requests that does not help against sheds

Cause: each shed keeps a learned limit in force, also sheds at or below it. Upstreams that get more than they can run give a limit of 1; when they then shed 55% by chance, the limit stays.

Change: a limit is dropped if a quarter of the requests at or below it are shed and no lower number is accepted in full.

A limit is still found where it helps.

--- a/wagtailspread/placement/sheds.py
+++ b/wagtailspread/placement/sheds.py
@@ -39,6 +39,10 @@
 #: Share of sheds at or below a limit that does not lower it further. Requests
 #: that take long count as ended after some time, so a few more are open.
 TOLERATED_SHARE = 0.1
+#: Share of sheds at or below a limit from which it is dropped, if no lower one
+#: is accepted in full. Upstreams that began to shed by chance while there was a
+#: limit of 1 got one request at a time for 10 s.
+USELESS_SHARE = 0.25
 
 _Result = tuple[float, int, bool]
 
@@ -126,7 +130,11 @@
         if state.limit and _find_share(state) <= TOLERATED_SHARE:
             return
         limit = _find_accepted(state.results)
-        if limit and (not state.limit or limit < state.limit):
+        if not limit and _find_share(state) >= USELESS_SHARE:
+            # Sheds no longer depend on what an upstream runs.
+            state.limit = 0
+            state.accepted = 0
+        elif limit and (not state.limit or limit < state.limit):
             state.limit = limit
             state.accepted = limit
         if state.limit:
