--- a/wagtailspread/gateway/tests/configured_fleets.py
+++ b/wagtailspread/gateway/tests/configured_fleets.py
@@ -188,3 +188,16 @@
             await asyncio.sleep(0.01)
         while host.server.routes.settings.version < version:
             await asyncio.sleep(0.01)
+
+
+async def wait_for_version_or_bytes(host, version, link, size):
+    """Wait until a version is active or a link has passed some more bytes.
+
+    :param size: bytes, counted from now.
+    """
+    end = link.passed + size
+    while link.passed < end:
+        routes = host.server.routes
+        if routes is not None and routes.settings.version >= version:
+            return
+        await asyncio.sleep(0.01)
