Count hosts that alternate between allocators once

Cause: an allocator took a host that asked another one meanwhile for one with few requests, so both counted it. Reports of ended requests renewed the count at the allocator that the host had left, and a host that decided alone at times had its own part in addition.

Change: PLACE states the mean interval between the requests of a host and the time since it asked another allocator (optional fields, sent from the first request with a cap on). Hosts are counted by their stated rate; older hosts as before. New scenarios: each-request, lossy, turned-at-once, restart, few-hosts.

--- a/benchmarks/cap_measures.py
+++ b/benchmarks/cap_measures.py
@@ -9,8 +9,8 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.wire import messages
-from wagtailspread.workspaces import caps, loans, quotas, scenarios, shares
-from wagtailspread.workspaces import simulations
+from wagtailspread.workspaces import caps, loans, presences, quotas
+from wagtailspread.workspaces import scenarios, shares, simulations
 
 RATES = (1, 10, 100, 1000)
 SEEDS = (1, 2, 3)
@@ -64,6 +64,8 @@
         cap_burst=_RATE,
         cap_version=1,
         fleet_hosts=HOSTS,
+        interval_ms=200,
+        elsewhere_ms=200,
     )
     ask = messages.structs.CapAsk(workspace=1, stamp_ms=1, millionths=1)
     loan = messages.structs.CapLoan(
@@ -83,6 +85,9 @@
         identifiers.HostId(f'host-{number}'): 0.0 for number in range(HOSTS)
     }
     host_shares = shares.create_shares(contacts, lambda: HOSTS)
+    presence = presences.Presence(1.0, 0.2)
+    for host in contacts:
+        host_shares.record(host, presence, 0.0)
     rng = random.Random(1)
     table = quotas.create_quotas(
         caps.Limits(), caps.AllowancePart.REPLICA, host_shares, rng.random
--- a/wagtailspread/entry/capping.py
+++ b/wagtailspread/entry/capping.py
@@ -9,7 +9,7 @@
 
 from wagtailspread.core import clocks
 from wagtailspread.routing import terms
-from wagtailspread.workspaces import caps, quotas, shares
+from wagtailspread.workspaces import caps, presences, quotas, shares
 
 
 class HostCaps:
@@ -45,7 +45,8 @@
 
     :param count_hosts: returns the number of configured hosts of all regions.
     """
-    share = shares.create_lone_share(count_hosts)
+    # Such a host asks no allocator.
+    share = shares.create_lone_share(count_hosts, presences.create_log())
     share.start(clock.now())
     host_quotas = quotas.create_quotas(
         caps.Limits(),
--- a/wagtailspread/gateway/conversions.py
+++ b/wagtailspread/gateway/conversions.py
@@ -4,12 +4,15 @@
 (1500, 0)
 """
 
+import math
+
 import logbook
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import messages
 from wagtailspread.registry import records
 from wagtailspread.wire import messages as wire
+from wagtailspread.workspaces import presences
 
 _MILLISECONDS = 1000
 
@@ -61,6 +64,13 @@
         encoded.fleet_hosts = fleet_hosts or None
 
 
+def add_presence(encoded: wire.Struct, presence: presences.Presence) -> None:
+    """Add what a host states about its contact to a ``PlaceRequest``."""
+    encoded.interval_ms = max(1, encode_seconds(presence.interval_seconds))
+    if math.isfinite(presence.elsewhere_seconds):
+        encoded.elsewhere_ms = encode_seconds(presence.elsewhere_seconds)
+
+
 def create_withdrawal(
     placement_request: messages.PlacementRequest,
 ) -> wire.Struct:
--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -92,6 +92,7 @@
         self._prefix = f'{self._incarnation:x}'
         self._numbers = itertools.count()
         self._allocators: list[identifiers.Address] = []
+        self._has_caps = False
         self._settler = settlements.create_settler(host, pool, clock)
 
     def update_allocators(
@@ -318,16 +319,20 @@
     ) -> messages.Answer | None:
         """Return an allocator's answer, or ``None`` if it fails."""
         learn_until = self._clock.now() + MAX_LEARN_SECONDS
+        placement_request = self._add_presence(allocator, placement_request)
         try:
             while True:
                 answer = await self._call(allocator, placement_request)
                 placement_request = dataclasses.replace(
-                    placement_request, is_counted=True
+                    placement_request, is_counted=True, presence=None
                 )
                 if answer is None:
                     self._withdraw(allocator, placement_request)
                     self._settler.record_failure(allocator)
                     return None
+                self._permits.presences.record_answer(
+                    allocator, self._clock.now()
+                )
                 if await self._must_ask_again(
                     placement_request, answer, learn_until
                 ):
@@ -340,6 +345,22 @@
             self._withdraw(allocator, placement_request)
             raise
 
+    def _add_presence(
+        self,
+        allocator: identifiers.Address,
+        placement_request: messages.PlacementRequest,
+    ) -> messages.PlacementRequest:
+        """State the contact of this host with an allocator in a request.
+
+        Repeats of the request don't state it again, since the allocator
+        compares the requests that it gets with the rate that is stated.
+        """
+        self._has_caps = self._has_caps or placement_request.cap.is_limited
+        if not self._has_caps:
+            return placement_request
+        presence = self._permits.presences.state(allocator, self._clock.now())
+        return dataclasses.replace(placement_request, presence=presence)
+
     async def _must_ask_again(
         self,
         placement_request: messages.PlacementRequest,
@@ -424,6 +445,8 @@
         conversions.add_workspace(
             encoded, placement_request, self._permits.fleet.sustained
         )
+        if placement_request.presence is not None:
+            conversions.add_presence(encoded, placement_request.presence)
         return encoded
 
 
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 from wagtailspread.core import identifiers
@@ -406,6 +407,30 @@
     await listener.close()
 
 
+async def test_a_host_states_its_presence_from_the_first_cap_on():
+    """Guards against hosts that two allocators count, and against new fields
+    in fleets without caps.
+    """
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    stated = []
+    allocator.permits._shares.record = lambda _host, presence, _now: (
+        stated.append(presence)
+    )
+    for workspace in ({}, {'workspace': 'friolink', 'cap': caps.Cap(9, 9, 1)}):
+        request = dataclasses.replace(
+            create_placement_request(placer), **workspace
+        )
+        placed = await placer.place(request)
+        placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+        await asyncio.sleep(0.05)
+    assert len(stated) == 1
+    assert math.isinf(stated[0].elsewhere_seconds)
+    assert stated[0].interval_seconds > 0
+    await placer.close()
+    await listener.close()
+
+
 async def test_a_host_without_an_allocator_enforces_its_part_of_a_cap():
     """Guards against a cap that ends when no allocator answers."""
     placer = create_placer()
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -72,6 +72,7 @@
         :param now: seconds on the allocator's clock.
         """
         self._open.record_contact(request.host, now)
+        self.permits.record_presence(request, now)
         if request.request_id in self._withdrawn:
             return messages.Answer(messages.Decision.NO_ROOM)
         waiting = self._waiting.get(request.request_id)
--- a/wagtailspread/placement/messages.py
+++ b/wagtailspread/placement/messages.py
@@ -6,7 +6,7 @@
 from wagtailspread.core import identifiers
 from wagtailspread.placement import crashes
 from wagtailspread.registry import records
-from wagtailspread.workspaces import caps
+from wagtailspread.workspaces import caps, presences
 
 
 class Decision(enum.IntEnum):
@@ -81,6 +81,8 @@
         cap includes it already.
     :param fleet_hosts: number of hosts of the fleet that the host knows of; 0
         if it is unknown.
+    :param presence: what the host states about its contact with the allocator;
+        ``None`` for nothing.
     """
 
     request_id: identifiers.RequestId
@@ -101,6 +103,7 @@
     route_class: int = 0
     is_permitted: bool = False
     fleet_hosts: int = 0
+    presence: presences.Presence | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -17,7 +17,8 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import messages
-from wagtailspread.workspaces import caps, fleets, loans, quotas, shares
+from wagtailspread.workspaces import caps, fleets, loans, presences, quotas
+from wagtailspread.workspaces import shares
 
 #: Interval between two records of the share, in seconds.
 OBSERVE_SECONDS = 0.25
@@ -70,6 +71,13 @@
         self._asked_at = -math.inf
         self._asks: list[loans.Ask] = []
 
+    def record_presence(
+        self, request: messages.PlacementRequest, now: float
+    ) -> None:
+        """Record what a host states about its contact with this allocator."""
+        if self._shares is not None and request.presence is not None:
+            self._shares.record(request.host, request.presence, now)
+
     def take(
         self, request: messages.PlacementRequest, now: float
     ) -> messages.Answer | None:
@@ -173,6 +181,7 @@
     Use :func:`create_lone_permits`.
 
     :param fleet: the number of hosts of the fleet.
+    :param presences: requests of the host to allocators.
     """
 
     def __init__(
@@ -183,7 +192,8 @@
     ) -> None:
         """Create permits without requests."""
         self.fleet = fleet
-        self._share = shares.create_lone_share(fleet.estimate)
+        self.presences = presences.create_log()
+        self._share = shares.create_lone_share(fleet.estimate, self.presences)
         self._permits = Permits(
             quotas.create_quotas(
                 limits, caps.AllowancePart.HOST, self._share, draw
@@ -202,6 +212,7 @@
             self._permits.quotas.clear()
             self._share.start(now)
         self._used_at = now
+        self.presences.record_answer(presences.ALONE, now)
         self._permits.quotas.prune(now)
         refusal = self._permits.take(request, now)
         if refusal is not None:
--- a/wagtailspread/placement/services.py
+++ b/wagtailspread/placement/services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import typing
 
 import logbook
@@ -15,7 +16,7 @@
 from wagtailspread.registry import coverage as region_coverage
 from wagtailspread.wire import listeners
 from wagtailspread.wire import messages as wire
-from wagtailspread.workspaces import caps
+from wagtailspread.workspaces import caps, presences
 
 #: Interval between checks for overdue requests, in seconds.
 TICK_SECONDS = 0.05
@@ -294,6 +295,7 @@
         route_class=request.route_class or 0,
         is_permitted=bool(request.is_permitted),
         fleet_hosts=request.fleet_hosts or 0,
+        presence=_decode_presence(request),
     )
 
 
@@ -305,6 +307,17 @@
     )
 
 
+def _decode_presence(request: wire.Struct) -> presences.Presence | None:
+    if request.interval_ms is None:
+        return None
+    elsewhere = math.inf
+    if request.elsewhere_ms is not None:
+        elsewhere = request.elsewhere_ms / _MILLISECONDS
+    # Probabilities are computed with the quotient by the interval.
+    interval = max(request.interval_ms, 1) / _MILLISECONDS
+    return presences.Presence(elsewhere, interval)
+
+
 def encode_answer(answer: messages.Answer) -> wire.Struct:
     """Return an answer as a thrift ``PlaceAnswer``."""
     row = None if answer.record is None else records.to_row(answer.record)
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -687,6 +687,12 @@
   21: optional bool is_permitted
   // Number of hosts of the fleet that the host knows of; only with a cap.
   22: optional i32 fleet_hosts
+  // Mean time between the requests of the host to any allocator. Only from hosts
+  // that have placed a request with a cap, and not in repeats of a request.
+  23: optional i32 interval_ms
+  // Time since the host asked another allocator; absent if it has not, or if it
+  // has turned only once lately.
+  24: optional i32 elsewhere_ms
 }
 
 struct PlaceAnswer {
--- a/wagtailspread/workspaces/scenarios.py
+++ b/wagtailspread/workspaces/scenarios.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import hashlib
 
 from wagtailspread.workspaces import simulations
 
@@ -25,6 +26,10 @@
 #: loan may arrive after its end.
 LATE_SECONDS = 0.2
 TOO_LATE_SECONDS = 0.8
+#: Part of the messages that a lossy link loses.
+LOST_PART = 0.3
+#: Mean time between the placement of a request and the report of its end.
+WORK_SECONDS = 0.4
 
 
 def _demand_near(_now: float) -> float:
@@ -81,6 +86,31 @@
     return allocator != 'a1' or int(now) % 6 < 3
 
 
+def _draw_fraction(*seeds: object) -> float:
+    """Return a number from 0 to 1 that depends on the arguments only."""
+    digest = hashlib.blake2b(repr(seeds).encode(), digest_size=4).digest()
+    return int.from_bytes(digest, 'big') / (1 << 32)
+
+
+def _turn_each_time(host: int, now: float) -> bool:
+    """Half of the requests of each host go to the second allocator."""
+    return now >= FAILURE_START and _draw_fraction(host, now) < 0.5
+
+
+def _lose_messages(host: int, allocator: str, now: float) -> bool:
+    is_lost = _draw_fraction(host, allocator, now) < LOST_PART
+    return not (is_lost and _is_failure(now))
+
+
+def _lose_some_messages(host: int, allocator: str, now: float) -> bool:
+    return host % 4 > 1 or _lose_messages(host, allocator, now)
+
+
+def _ask_few(host: int, now: float) -> bool:
+    """Two hosts of each region ask the second allocator."""
+    return host < 4
+
+
 def _reach_none(_host: int, _allocator: str, _now: float) -> bool:
     return False
 
@@ -136,4 +166,38 @@
             region_part=NEAR,
             loan_delay=TOO_LATE_SECONDS,
         ),
+        *_list_turns(),
+    ]
+
+
+def _list_turns() -> list[simulations.Scenario]:
+    """Return scenarios in which hosts turn to other allocators.
+
+    Hosts report the ends of requests to the allocators that placed them, also
+    after they have turned elsewhere.
+    """
+    near = functools.partial(
+        simulations.Scenario, demand=_demand_near, work_seconds=WORK_SECONDS
+    )
+    twice = functools.partial(
+        simulations.Scenario, demand=_demand_twice, work_seconds=WORK_SECONDS
+    )
+    return [
+        twice(name='each-request', is_turned=_turn_each_time),
+        near(name='each-request-near', is_turned=_turn_each_time),
+        twice(
+            name='each-request-low',
+            is_turned=_turn_each_time,
+            other_rate=LOW_RATE,
+        ),
+        twice(name='lossy', reach=_lose_messages),
+        near(name='lossy-near', reach=_lose_messages),
+        twice(name='lossy-low', reach=_lose_messages, other_rate=LOW_RATE),
+        twice(name='lossy-half', reach=_lose_some_messages),
+        near(name='turned-at-once', reach=_change_allocator),
+        twice(name='turned-at-once-twice', reach=_change_allocator),
+        near(name='restart', restart_at=FAILURE_START),
+        twice(name='restart-twice', restart_at=FAILURE_START),
+        near(name='few-hosts', is_turned=_ask_few),
+        near(name='few-hosts-low', is_turned=_ask_few, other_rate=LOW_RATE),
     ]
--- a/wagtailspread/workspaces/shares.py
+++ b/wagtailspread/workspaces/shares.py
@@ -2,7 +2,9 @@
 
 Each host brings one part of a cap to the allocator that it asks. An allocator
 counts the hosts that asked it recently, so one that a few hosts can reach
-admits their part only.
+admits their part only. Hosts that state their :mod:`presence
+<wagtailspread.workspaces.presences>` are counted by it, and others by the ages
+of their messages.
 
 >>> contacts = {f'h{number}': 10.0 for number in range(60)}
 >>> shares = create_shares(contacts, lambda: 120)
@@ -18,7 +20,7 @@
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.workspaces import caps, fleets
+from wagtailspread.workspaces import caps, fleets, presences
 
 #: Bounds of the time after which a silent host is not counted, in seconds, and
 #: the steps in between; each step is computed once for all workspaces.
@@ -44,6 +46,22 @@
 #: Lowest part of the hosts that is taken to be heard from within the limit.
 #: With fewer, the ages of the messages do not show the part.
 MIN_HEARD_PART = 0.33
+#: Lowest probability to hear within the limit from a host that states its
+#: presence. With a lower one, the count would depend on a few hosts.
+MIN_HEARD_PROBABILITY = 0.2
+#: The count of heard hosts is limited to the known hosts and a part of the
+#: square root of their number, which is the size of its variation by chance.
+#: The factor for hosts that have not turned makes up for what the limit cuts
+#: off, 2 to 5% in simulations of quiet fleets.
+CHANCE_FACTOR = 0.25
+STEADY_FACTOR = 1.05
+#: Part of a host that has asked another allocator lately.
+DIVIDED_PART = 0.5
+#: Intervals between the requests of a host that turns often after which it has
+#: probably turned: it does not count when it has been silent for so long, and
+#: counts as a whole when it has asked no other allocator for so long. Of hosts
+#: that choose between two allocators at random, 1 in 16 asks one for so long.
+TURNED_INTERVALS = 4.0
 #: Lengths of the intervals for which the lowest share is kept, in seconds.
 HORIZONS = (2.0, 10.0, 60.0, 600.0)
 _INFLATION_STEPS = tuple(step / 20 for step in range(1, 400))
@@ -56,6 +74,13 @@
     share: float
 
 
+class _Stated(typing.NamedTuple):
+    """A host that states its presence, by the age of its last request."""
+
+    age: float
+    presence: presences.Presence
+
+
 class ShareSource(typing.Protocol):
     """Share of a process in the caps."""
 
@@ -118,6 +143,11 @@
         self.fleet = fleets.create_size()
         self._refreshed_at = -math.inf
         self._declared = 0
+        self._presences: dict[
+            identifiers.HostId, tuple[float, presences.Presence]
+        ] = {}
+        self._stated: list[_Stated] = []
+        self._stated_since = math.inf
         self._ages: list[float] = []
         self._sums: list[float] = []
         self._computed: dict[float, float] = {}
@@ -125,7 +155,22 @@
 
     def count_hosts(self) -> int:
         """Return the number of hosts of the fleet."""
-        return max(self.fleet.estimate(), len(self._ages), 1)
+        known = len(self._ages) + len(self._stated)
+        return max(self.fleet.estimate(), known, 1)
+
+    def record(
+        self,
+        host: identifiers.HostId,
+        presence: presences.Presence,
+        now: float,
+    ) -> None:
+        """Record what a host states with a request.
+
+        From then on only its requests count. Its reports of ended requests go
+        to the allocators that it asked before, also after it has left them.
+        """
+        self._presences[host] = (now, presence)
+        self._stated_since = min(self._stated_since, now)
 
     def hear(self, now: float) -> None:
         """Count the hosts again if none has been heard from for a while.
@@ -133,7 +178,10 @@
         A host that has just asked would otherwise bring no part of a cap to an
         allocator that was idle before.
         """
-        if not self._ages or self._ages[0] + now - self._refreshed_at > (
+        newest = self._ages[0] if self._ages else math.inf
+        if self._stated:
+            newest = min(newest, self._stated[0].age)
+        if newest + now - self._refreshed_at > (
             SILENCE_STEPS[0] - REFRESH_SECONDS
         ):
             self._refresh(now)
@@ -174,14 +222,43 @@
         self._refreshed_at = now
         self.fleet.record(self._count_hosts(), now)
         self._declared = self._count_declared()
+        self._refresh_stated(now)
         self._ages = sorted(
             max(0.0, now - contact_at)
-            for contact_at in self._contacts.values()
-            if now - contact_at <= KNOWN_SECONDS
+            for host, contact_at in self._contacts.items()
+            if now - contact_at <= KNOWN_SECONDS and host not in self._presences
         )
         self._sums = list(itertools.accumulate(self._ages))
         self._computed.clear()
 
+    def _refresh_stated(self, now: float) -> None:
+        self._presences = {
+            host: known
+            for host, known in self._presences.items()
+            if now - known[0] <= KNOWN_SECONDS
+        }
+        if not self._presences:
+            self._stated_since = math.inf
+        self._stated = sorted(
+            _Stated(max(0.0, now - stated_at), presence)
+            for stated_at, presence in self._presences.values()
+        )
+
+    def _count_stated(self, silence: float) -> float:
+        """Return how many of the hosts ask that state their presence.
+
+        Each that is heard from stands for as many as its rate tells to be
+        silent for so long (Horvitz-Thompson estimator).
+        """
+        known_for = self._refreshed_at - self._stated_since
+        counted = 0.0
+        for stated in self._stated:
+            if stated.age > silence:
+                break
+            counted += _weigh(stated, silence, known_for)
+        known = len(self._stated)
+        return min(counted, known + CHANCE_FACTOR * math.sqrt(known))
+
     def _compute_step(self, silence: float) -> float:
         heard = bisect.bisect_right(self._ages, silence)
         total = self._sums[heard - 1] if heard else 0.0
@@ -190,6 +267,7 @@
         mean_age = total / silence + ASSUMED_MESSAGES / 2
         part = estimate_heard_part(mean_age / messages)
         counted = min(heard / part, len(self._ages))
+        counted += self._count_stated(silence)
         counted = max(counted, self._count_quiet_hosts())
         return min(1.0, counted / self.count_hosts())
 
@@ -198,6 +276,9 @@
         if not self._declared:
             return 0.0
         active = bisect.bisect_right(self._ages, DECLARED_SECONDS)
+        active += bisect.bisect_right(
+            self._stated, DECLARED_SECONDS, key=_get_age
+        )
         active_part = active / self._declared
         weight = (BUSY_PART - active_part) / (BUSY_PART - QUIET_PART)
         return self._declared * min(max(weight, 0.0), 1.0)
@@ -206,9 +287,18 @@
 class LoneShare:
     """Share of a host that decides alone. Use :func:`create_lone_share`."""
 
-    def __init__(self, count_hosts: typing.Callable[[], int]) -> None:
-        """Store the source of the number of hosts."""
+    def __init__(
+        self,
+        count_hosts: typing.Callable[[], int],
+        log: presences.PresenceLog,
+    ) -> None:
+        """Store the source of the number of hosts.
+
+        :param log: requests of the host to allocators, which may still count
+            the host.
+        """
         self._count_hosts = count_hosts
+        self._log = log
         self._started_at = math.inf
 
     def start(self, now: float) -> None:
@@ -216,8 +306,10 @@
         self._started_at = now
 
     def compute(self, silence: float, now: float) -> float:
-        """Return one part for this host."""
-        return 1.0 / max(self._count_hosts(), 1)
+        """Return one part for this host, or less if it turns often."""
+        elsewhere = self._log.find_elsewhere(presences.ALONE, now)
+        part = DIVIDED_PART if elsewhere < silence else 1.0
+        return part / max(self._count_hosts(), 1)
 
     def list_steady(self, now: float) -> list[SteadyShare]:
         """Return the share since the host decides alone."""
@@ -238,6 +330,30 @@
     return allowance / (MAX_MOVED_SHARE * cap.rate)
 
 
+def _get_age(stated: _Stated) -> float:
+    return stated.age
+
+
+def _weigh(stated: _Stated, silence: float, known_for: float) -> float:
+    """Return how many hosts one that was heard from stands for.
+
+    :param known_for: time in which hosts have been heard from.
+    """
+    elsewhere, interval = stated.presence
+    counted, asked = STEADY_FACTOR, 1.0
+    if math.isfinite(elsewhere):
+        usual = TURNED_INTERVALS * interval
+        silence = min(silence, max(usual, SILENCE_STEPS[0]))
+        if stated.age > silence:
+            return 0.0
+        is_divided = elsewhere < max(silence, usual)
+        asked = DIVIDED_PART if is_divided else 1.0
+        counted = asked
+    limit = min(silence, known_for)
+    probability = -math.expm1(-asked * limit / interval)
+    return counted / max(probability, MIN_HEARD_PROBABILITY)
+
+
 def estimate_heard_part(mean_age: float) -> float:
     """Return which part of the hosts sent a message within a limit.
 
@@ -279,6 +395,8 @@
     return HostShares(contacts, count_hosts, count_declared)
 
 
-def create_lone_share(count_hosts: typing.Callable[[], int]) -> LoneShare:
+def create_lone_share(
+    count_hosts: typing.Callable[[], int], log: presences.PresenceLog
+) -> LoneShare:
     """Return the share of a host that has not decided alone yet."""
-    return LoneShare(count_hosts)
+    return LoneShare(count_hosts, log)
--- a/wagtailspread/workspaces/simulations.py
+++ b/wagtailspread/workspaces/simulations.py
@@ -9,11 +9,19 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random as random_module
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.workspaces import caps, fleets, loans, quotas, shares
+from wagtailspread.workspaces import (
+    caps,
+    fleets,
+    loans,
+    presences,
+    quotas,
+    shares,
+)
 
 #: Time that a host waits for an allocator that it can't reach, in seconds.
 TIMEOUT_SECONDS = 0.27
@@ -29,6 +37,8 @@
 WARM_UP_SECONDS = 12.0
 #: Time for which a host that decides alone keeps its state, in seconds.
 LONE_IDLE_SECONDS = 10.0
+#: Time for which allocators that restart don't answer, in seconds.
+RESTART_SECONDS = 1.5
 ALLOCATORS = ('a1', 'a2', 'b1', 'b2')
 _REGIONS = ('a', 'b')
 _WORKSPACE = identifiers.WorkspaceName('friolink')
@@ -45,6 +55,10 @@
     return True
 
 
+def _is_never_turned(host: int, now: float) -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """Load and failures; times are in seconds since the first request.
@@ -55,6 +69,12 @@
     :param reach: tells whether a host reaches an allocator at a time.
     :param is_alive: tells whether a host runs at a time.
     :param loan_delay: of messages between allocators, in seconds.
+    :param is_turned: tells whether a host asks the allocators of its region in
+        reverse order at a time.
+    :param restart_at: when all allocators lose their state and don't answer
+        for :data:`RESTART_SECONDS`.
+    :param work_seconds: mean time after which a host reports the end of a
+        request to the allocator that placed it; 0 for no reports.
     """
 
     name: str
@@ -66,6 +86,9 @@
     reach: _Reach = _reach_all
     is_alive: typing.Callable[[int, float], bool] = _is_alive
     loan_delay: float = 0.04
+    is_turned: typing.Callable[[int, float], bool] = _is_never_turned
+    restart_at: float = math.inf
+    work_seconds: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +117,17 @@
         return highest
 
 
+class _Ask(typing.NamedTuple):
+    """Message of a host to an allocator; ``None`` if it decides alone."""
+
+    at: float
+    number: int
+    host: int
+    allocator: str | None
+    kind: str
+    presence: presences.Presence | None
+
+
 class _Allocator:
     def __init__(
         self,
@@ -118,7 +152,8 @@
         fleet: fleets.FleetSize,
         draw: typing.Callable[[], float],
     ) -> None:
-        self.share = shares.create_lone_share(fleet.estimate)
+        self.presences = presences.create_log()
+        self.share = shares.create_lone_share(fleet.estimate, self.presences)
         self.quotas = quotas.create_quotas(
             limits, caps.AllowancePart.HOST, self.share, draw
         )
@@ -129,6 +164,7 @@
             self.quotas.clear()
             self.share.start(now)
         self.used_at = now
+        self.presences.record_answer(presences.ALONE, now)
         return self.quotas.admit(_WORKSPACE, cap, now)
 
 
@@ -148,17 +184,16 @@
         self._random = random
         self._fleet = fleets.create_size()
         self._fleet.raise_to(scenario.hosts, 0.0)
-        self._allocators = {
-            name: _Allocator(limits, self._fleet.estimate, random.random)
-            for name in ALLOCATORS
-        }
+        self._limits = limits
+        self._allocators = self._create_allocators()
+        self._restart_at = scenario.restart_at
         self._lone = [
             _LoneHost(limits, self._fleet, random.random)
             for _ in range(scenario.hosts)
         ]
         self._failed: dict[tuple[int, str], float] = {}
         self._messages: list[tuple[float, int, str, str, typing.Any]] = []
-        self._delayed: list[tuple[float, int, int, str | None, str]] = []
+        self._delayed: list[_Ask] = []
         self._numbers = itertools.count()
         self.admitted: list[float] = []
         self.arrived: list[float] = []
@@ -188,12 +223,23 @@
         )
         for now, kind in events:
             self._deliver(now)
+            if now >= self._restart_at:
+                self._restart_at = math.inf
+                self._allocators = self._create_allocators()
             if kind == 'tick':
                 self._tick(now)
             else:
                 self._send(kind, now)
             self._ask(now)
 
+    def _create_allocators(self) -> dict[str, _Allocator]:
+        return {
+            name: _Allocator(
+                self._limits, self._fleet.estimate, self._random.random
+            )
+            for name in ALLOCATORS
+        }
+
     def _send(self, kind: str, now: float) -> None:
         host = self._choose_host(kind, now)
         if host is None:
@@ -201,24 +247,46 @@
         if kind == 'own':
             self.arrived.append(now)
         name, asked_at = self._find_allocator(host, now)
-        ask = (asked_at, next(self._numbers), host, name, kind)
+        self._post_ask(asked_at, host, name, kind)
+        if self._scenario.work_seconds and name is not None:
+            work = self._random.expovariate(1 / self._scenario.work_seconds)
+            self._post_ask(asked_at + work, host, name, 'end')
+
+    def _post_ask(
+        self, asked_at: float, host: int, name: str | None, kind: str
+    ) -> None:
+        """Send a request or the report of its end, with what a host states."""
+        presence = None
+        if name is not None and kind != 'end':
+            address = identifiers.Address(name)
+            log = self._lone[host].presences
+            presence = log.state(address, asked_at)
+            log.record_answer(address, asked_at)
+        ask = _Ask(asked_at, next(self._numbers), host, name, kind, presence)
         heapq.heappush(self._delayed, ask)
 
     def _ask(self, now: float) -> None:
         """Deliver the requests that have reached their allocators."""
-        while self._delayed and self._delayed[0][0] <= now:
-            at, _, host, name, kind = heapq.heappop(self._delayed)
-            if name is not None:
-                self._allocators[name].contacts[_Host(str(host))] = at
-            if kind == 'other':
-                continue
-            if name is None:
-                refused = self._lone[host].admit(self._cap, at)
-            else:
-                known = self._allocators[name].quotas
-                refused = known.admit(_WORKSPACE, self._cap, at)
-            if not refused:
-                self.admitted.append(at)
+        while self._delayed and self._delayed[0].at <= now:
+            ask = heapq.heappop(self._delayed)
+            if ask.allocator is not None:
+                self._record_contact(self._allocators[ask.allocator], ask)
+            if ask.kind == 'own' and not self._admit(ask):
+                self.admitted.append(ask.at)
+
+    def _record_contact(self, allocator: _Allocator, ask: _Ask) -> None:
+        host = _Host(str(ask.host))
+        allocator.contacts[host] = ask.at
+        if ask.presence is not None:
+            allocator.shares.record(host, ask.presence, ask.at)
+
+    def _admit(self, ask: _Ask) -> float:
+        """Return 0, or the time until the caller may return."""
+        if ask.allocator is None:
+            return self._lone[ask.host].admit(self._cap, ask.at)
+        allocator = self._allocators[ask.allocator]
+        allocator.shares.hear(ask.at)
+        return allocator.quotas.admit(_WORKSPACE, self._cap, ask.at)
 
     def _choose_host(self, kind: str, now: float) -> int | None:
         """Return a live host; even numbers are in the first region.
@@ -235,15 +303,23 @@
         self, host: int, now: float
     ) -> tuple[str | None, float]:
         """Return the allocator that answers, and when it is asked."""
-        for name in _list_allocators(host):
+        names = _list_allocators(host)
+        if self._scenario.is_turned(host, now):
+            names.reverse()
+        for name in names:
             if self._failed.get((host, name), now) > now:
                 continue
-            if self._scenario.reach(host, name, now):
+            if self._is_reached(host, name, now):
                 return name, now
             self._failed[host, name] = now + PROBE_SECONDS
             now += TIMEOUT_SECONDS
         return None, now
 
+    def _is_reached(self, host: int, name: str, now: float) -> bool:
+        passed = now - self._scenario.restart_at
+        is_down = 0 <= passed < RESTART_SECONDS
+        return not is_down and self._scenario.reach(host, name, now)
+
     def _declare(self, now: float) -> None:
         """Count the hosts that would ask each allocator, with a delay."""
         for allocator in self._allocators.values():
--- a/wagtailspread/workspaces/tests/test_shares.py
+++ b/wagtailspread/workspaces/tests/test_shares.py
@@ -2,7 +2,9 @@
 
 import random
 
-from wagtailspread.workspaces import caps, fleets, shares
+import pytest
+
+from wagtailspread.workspaces import caps, fleets, presences, shares
 
 
 def create_contacts(hosts, rate, now, seed=1):
@@ -26,6 +28,60 @@
     assert 0.2 <= source.compute(0.85, 100.0) <= 0.3
 
 
+@pytest.mark.parametrize('rate', [1.0, 10.0, 100.0, 1000.0])
+@pytest.mark.parametrize('turn_seconds', [0.0, 1.0, 3.0, 6.0])
+def test_hosts_that_alternate_count_once(rate, turn_seconds):
+    """Guards against a part of a cap that two allocators use.
+
+    The bound is what the cap allows in a window, as a multiple of its rate.
+    """
+    limits, cap = caps.Limits(), caps.Cap(rate, rate / 2)
+    silence = shares.compute_silence(limits, cap)
+    rng = random.Random(1)
+    logs = {f'h{one}': presences.create_log() for one in range(50)}
+    pair = [shares.create_shares({}, lambda: 50) for _ in range(2)]
+    starts = {host: rng.random() for host in logs}
+    sums = []
+    for step in range(4000):
+        now = step / 200
+        host = rng.choice(list(logs))
+        chosen = rng.randrange(2)
+        if turn_seconds:
+            chosen = int(now / turn_seconds + starts[host]) % 2
+        pair[chosen].record(host, logs[host].state(f'r{chosen}', now), now)
+        logs[host].record_answer(f'r{chosen}', now)
+        if now > 10:
+            sums.append(sum(one.compute(silence, now) for one in pair))
+    allowance = limits.compute_allowance(cap) / (limits.window * cap.rate)
+    assert sum(sums) / len(sums) <= 1 + allowance
+
+
+def test_reports_of_ended_requests_do_not_keep_a_host():
+    """Guards against hosts that count at the allocator that they have left."""
+    contacts = {}
+    source = shares.create_shares(contacts, lambda: 1)
+    presence = presences.Presence(0.0, 0.2)
+    source.record('h1', presence, 100.0)
+    contacts['h1'] = 101.0
+    assert source.compute(0.85, 101.0) == 0
+
+
+def test_hosts_of_an_allocator_that_starts_count_at_once():
+    """Guards against requests refused while hosts are not yet heard from."""
+    rng = random.Random(1)
+    source = shares.create_shares({}, lambda: 50)
+    logs = {f'h{one}': presences.create_log() for one in range(50)}
+    for step in range(3000):
+        now = step / 250
+        host = rng.choice(list(logs))
+        presence = logs[host].state('r1', now)
+        if now > 10:
+            source.record(host, presence, now)
+        if now > 10.3:
+            break
+    assert source.compute(0.85, now) >= 0.8
+
+
 def test_declared_hosts_count_in_a_quiet_fleet_only():
     """Guards against a first burst that is refused for want of messages."""
     quiet = shares.create_shares({'h1': 100.0}, lambda: 100, lambda: 50)
--- a/wagtailspread/workspaces/tests/test_simulations.py
+++ b/wagtailspread/workspaces/tests/test_simulations.py
@@ -37,6 +37,12 @@
     assert outcome.missed <= 0.05 * outcome.ideal + 2
 
 
+def test_a_workspace_alone_in_a_quiet_fleet_keeps_its_cap():
+    """Guards against a count that takes few requests for lost hosts."""
+    outcome = simulations.simulate(_SCENARIOS['quiet'], create_cap(100))
+    assert outcome.missed <= 0.05 * outcome.ideal
+
+
 @pytest.mark.parametrize('rate', _RATES)
 def test_a_changed_allocator_has_the_rate_without_a_burst(rate):
     """Guards against refusing everything after the loss of an allocator."""
