--- a/wagtailspread/workspaces/shares.py
+++ b/wagtailspread/workspaces/shares.py
@@ -17,6 +17,7 @@
 import bisect
 import itertools
 import math
+import operator
 import typing
 
 from wagtailspread.core import identifiers
@@ -277,7 +278,7 @@
             return 0.0
         active = bisect.bisect_right(self._ages, DECLARED_SECONDS)
         active += bisect.bisect_right(
-            self._stated, DECLARED_SECONDS, key=_get_age
+            self._stated, DECLARED_SECONDS, key=operator.attrgetter('age')
         )
         active_part = active / self._declared
         weight = (BUSY_PART - active_part) / (BUSY_PART - QUIET_PART)
@@ -330,10 +331,6 @@
     return allowance / (MAX_MOVED_SHARE * cap.rate)
 
 
-def _get_age(stated: _Stated) -> float:
-    return stated.age
-
-
 def _weigh(stated: _Stated, silence: float, known_for: float) -> float:
     """Return how many hosts one that was heard from stands for.
 
