--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -43,6 +43,15 @@
 #: Maximum number of allocators that are tried for one request.
 MAX_ALLOCATORS = 2
 
+#: Time after which a request asks again that a host without an answering
+#: allocator has refused over its part of the cap, and the time for which it
+#: does so, in seconds. Most objectives are above one second.
+HOLD_SECONDS = 0.25
+MAX_HOLD_SECONDS = 1.0
+#: Maximum number of such requests, so that a workspace far above its cap does
+#: not fill the memory of the host.
+MAX_HELD = 64
+
 _MILLISECONDS = 1000
 #: Each start of a host is identified by a random number below this.
 _MAX_INCARNATION = 1 << 40
@@ -54,12 +63,15 @@
     """Upstream to send a request to, or why there is none.
 
     :param allocator: that decided; ``None`` if the host decided itself.
-    :param request: for which the host decided itself.
+    :param request: as it was placed; ``None`` if nobody was asked.
+    :param counted_by: allocator that keeps the permit of a request for which
+        the host decided itself, if there is one.
     """
 
     answer: messages.Answer
     allocator: identifiers.Address | None
     request: messages.PlacementRequest | None = None
+    counted_by: identifiers.Address | None = None
 
 
 class Placer:
@@ -98,6 +110,8 @@
         self._prefix = f'{self._incarnation:x}'
         self._numbers = itertools.count()
         self._allocators: list[identifiers.Address] = []
+        self._has_caps = False
+        self._held = 0
         self._settler = settlements.create_settler(host, pool, clock)
 
     def update_allocators(
@@ -153,8 +167,40 @@
         number = self._lone.create_number()
         while True:
             placed = await self._place(placement_request, number)
-            if placed.answer.decision is not messages.Decision.WAITING:
+            if self._may_hold(placed, now):
+                await self._hold()
+            elif placed.answer.decision is not messages.Decision.WAITING:
                 return placed
+            # The withdrawal of this id may reach an allocator at any time.
+            placement_request = dataclasses.replace(
+                placement_request, request_id=self.create_id()
+            )
+
+    def _may_hold(self, placed: Placement, asked_at: float) -> bool:
+        """Tell whether a refusal over the cap may be taken back soon.
+
+        The part of a host is below one request at most times. It grows, and an
+        allocator that failed may answer again.
+
+        :param asked_at: when the request was placed first.
+        """
+        is_over_cap = placed.answer.decision is messages.Decision.OVER_CAP
+        if not is_over_cap or placed.allocator is not None:
+            return False
+        if not self._allocators or self._held >= MAX_HELD or not placed.request:
+            return False
+        now = self._clock.now()
+        end = now + HOLD_SECONDS + lone_placements.MIN_ATTEMPT_SECONDS
+        return now - asked_at < MAX_HOLD_SECONDS and end < (
+            placed.request.deadline
+        )
+
+    async def _hold(self) -> None:
+        self._held += 1
+        try:
+            await asyncio.sleep(HOLD_SECONDS)
+        finally:
+            self._held -= 1
 
     async def _place(
         self, placement_request: messages.PlacementRequest, number: int
@@ -171,10 +217,10 @@
             if answer is None:
                 continue
             if answer.record is None:
-                return Placement(answer, allocator)
+                return Placement(answer, allocator, placement_request)
             if self._may_send(answer.record):
                 self._selector.start(answer.record.upstream)
-                return Placement(answer, allocator)
+                return Placement(answer, allocator, placement_request)
             # The allocator does not know yet what the upstream asked this
             # host, for example since it has just taken over.
             return self._place_elsewhere(
@@ -203,12 +249,12 @@
         if answer.decision is messages.Decision.WAITING:
             # It would lose its place at the allocator while it waits here.
             answer = messages.Answer(messages.Decision.NO_ROOM)
-        if is_counted and answer.record is not None:
-            release = conversions.create_release(placement_request, record)
-            self._settler.start(allocator, release)
-        else:
+        if not is_counted or answer.record is None:
             self._withdraw(allocator, placement_request)
-        return Placement(answer, None, placed)
+            return Placement(answer, None, placed)
+        release = conversions.create_release(placement_request, record)
+        self._settler.start(allocator, release)
+        return Placement(answer, None, placed, allocator)
 
     def _may_send(self, record: records.UpstreamRecord) -> bool:
         """Tell whether an upstream has not asked this host to stop sending."""
@@ -258,13 +304,13 @@
             seconds,
             self._clock.now(),
         )
-        if placement.request is not None:
-            self._permits.settle(placement.request, evidence, self._clock.now())
+        placed = placement.request
         if placement.allocator is None:
+            self._settle_alone(placement, evidence)
             self._record_alone(record, evidence, fingerprint, is_reset=is_reset)
         else:
             settlement = wire.structs.Settlement(
-                request=request,
+                request=request if placed is None else placed.request_id,
                 upstream=record.upstream,
                 evidence=int(evidence),
                 took_ms=conversions.encode_seconds(seconds),
@@ -288,10 +334,23 @@
         if placement.answer.record is None:
             return
         self._finish(placement.answer.record)
-        if placement.allocator is not None:
-            self._withdraw(placement.allocator, placement_request)
-        elif placement.request is not None:
-            self._permits.give_back(placement.request, self._clock.now())
+        if placement.allocator is None:
+            self._settle_alone(placement, messages.Evidence.SHED)
+        else:
+            self._withdraw(
+                placement.allocator, placement.request or placement_request
+            )
+
+    def _settle_alone(
+        self, placement: Placement, evidence: messages.Evidence
+    ) -> None:
+        """Return the permit of a request that did not run, where it is kept."""
+        if placement.request is None:
+            return
+        if placement.counted_by is None:
+            self._permits.settle(placement.request, evidence, self._clock.now())
+        elif evidence in permits.NOT_RUN:
+            self._withdraw(placement.counted_by, placement.request)
 
     def _finish(self, record: records.UpstreamRecord) -> None:
         """Free the slot of an upstream for a request that waits."""
@@ -324,16 +383,20 @@
     ) -> messages.Answer | None:
         """Return an allocator's answer, or ``None`` if it fails."""
         learn_until = self._clock.now() + MAX_LEARN_SECONDS
+        placement_request = self._add_presence(allocator, placement_request)
         try:
             while True:
                 answer = await self._call_twice(allocator, placement_request)
                 placement_request = dataclasses.replace(
-                    placement_request, is_counted=True
+                    placement_request, is_counted=True, presence=None
                 )
                 if answer is None:
                     self._withdraw(allocator, placement_request)
                     self._settler.record_failure(allocator)
                     return None
+                self._permits.presences.record_answer(
+                    allocator, self._clock.now()
+                )
                 if await self._must_ask_again(
                     placement_request, answer, learn_until
                 ):
@@ -346,6 +409,22 @@
             self._withdraw(allocator, placement_request)
             raise
 
+    def _add_presence(
+        self,
+        allocator: identifiers.Address,
+        placement_request: messages.PlacementRequest,
+    ) -> messages.PlacementRequest:
+        """State the contact of this host with an allocator in a request.
+
+        Repeats of the request don't state it again, since the allocator
+        compares the requests that it gets with the rate that is stated.
+        """
+        self._has_caps = self._has_caps or placement_request.cap.is_limited
+        if not self._has_caps:
+            return placement_request
+        presence = self._permits.presences.state(allocator, self._clock.now())
+        return dataclasses.replace(placement_request, presence=presence)
+
     async def _must_ask_again(
         self,
         placement_request: messages.PlacementRequest,
@@ -455,6 +534,8 @@
         conversions.add_workspace(
             encoded, placement_request, self._permits.fleet.sustained
         )
+        if placement_request.presence is not None:
+            conversions.add_presence(encoded, placement_request.presence)
         return encoded
 
 
--- a/wagtailspread/gateway/tests/test_placements.py
+++ b/wagtailspread/gateway/tests/test_placements.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 from wagtailspread.core import identifiers
@@ -440,6 +441,30 @@
     await listener.close()
 
 
+async def test_a_host_states_its_presence_from_the_first_cap_on():
+    """Guards against hosts that two allocators count, and against new fields
+    in fleets without caps.
+    """
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    stated = []
+    allocator.permits._shares.record = lambda _host, presence, _now: (
+        stated.append(presence)
+    )
+    for workspace in ({}, {'workspace': 'friolink', 'cap': caps.Cap(9, 9, 1)}):
+        request = dataclasses.replace(
+            create_placement_request(placer), **workspace
+        )
+        placed = await placer.place(request)
+        placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+        await asyncio.sleep(0.05)
+    assert len(stated) == 1
+    assert math.isinf(stated[0].elsewhere_seconds)
+    assert stated[0].interval_seconds > 0
+    await placer.close()
+    await listener.close()
+
+
 async def test_a_host_without_an_allocator_enforces_its_part_of_a_cap():
     """Guards against a cap that ends when no allocator answers."""
     placer = create_placer()
@@ -493,6 +518,78 @@
     await listener.close()
 
 
+async def test_a_shed_request_returns_the_permit_that_an_allocator_keeps():
+    """Guards against a permit lost at the second upstream.
+
+    Load pattern: an upstream has asked this host for a pause, and the one that
+    the host chooses in its place sheds the request.
+    """
+    listener, address, allocator = await start_allocator()
+    placer = create_placer(address)
+    placer._may_send = lambda _record: False
+    request = dataclasses.replace(
+        create_placement_request(placer),
+        workspace='friolink',
+        cap=caps.Cap(100.0, 20.0, 1),
+    )
+    placed = await placer.place(request)
+    await asyncio.sleep(0.05)
+    placer.settle(request.request_id, placed, messages.Evidence.SHED, 0.1)
+    await placer.close()
+    assert allocator.permits.quotas._states['friolink'].admitted == 0
+    await listener.close()
+
+
+async def test_a_refusal_by_a_lone_host_waits_for_an_allocator():
+    """Guards against requests within the cap refused in an allocator's restart.
+
+    Load pattern: the only allocator is lost, the part of the host is used up,
+    and then the allocator answers.
+    """
+    listener, address, _ = await start_allocator()
+    placer = create_placer(address)
+    over_cap = messages.Answer(messages.Decision.OVER_CAP)
+    placer._permits.take = lambda _request, _now: over_cap
+    usable = iter([[], [], [address]])
+    placer._list_usable = lambda: next(usable)
+    request = dataclasses.replace(
+        create_placement_request(placer),
+        workspace='friolink',
+        cap=caps.Cap(1.0, 1.0, 1),
+    )
+    placed = await placer.place(request)
+    assert placed.allocator == address
+    assert placed.answer.decision is messages.Decision.GRANTED
+    placer.settle(request.request_id, placed, messages.Evidence.GOOD, 0.1)
+    placer._list_usable = list
+    refused = await placer.place(
+        dataclasses.replace(request, request_id=placer.create_id())
+    )
+    assert refused.answer.decision is messages.Decision.OVER_CAP
+    await placer.close()
+    await listener.close()
+
+
+async def test_a_request_is_asked_again_under_another_id():
+    """Guards against a refusal by a withdrawal that comes late.
+
+    Load pattern: no allocator answers and no slot is free, so the request is
+    withdrawn and asked again.
+    """
+    placer = create_placer()
+    asked = []
+
+    async def decide(request, _number):
+        asked.append(request.request_id)
+        decisions = [messages.Decision.WAITING, messages.Decision.NO_ROOM]
+        return messages.Answer(decisions[len(asked) - 1])
+
+    placer._lone.place = decide
+    placed = await placer.place(create_placement_request(placer))
+    assert len(set(asked)) == 2
+    assert placed.request.request_id == asked[-1]
+
+
 async def test_an_objective_below_a_millisecond_is_placed():
     """Guards against an exception in the allocator, which then seems lost."""
     listener, address, _ = await start_allocator()
--- a/wagtailspread/placement/allocators.py
+++ b/wagtailspread/placement/allocators.py
@@ -73,6 +73,7 @@
         :param now: seconds on the allocator's clock.
         """
         self._open.record_contact(request.host, now)
+        self.permits.record_presence(request, now)
         if request.request_id in self._withdrawn:
             return messages.Answer(messages.Decision.NO_ROOM)
         waiting = self._waiting.get(request.request_id)
@@ -160,7 +161,9 @@
     ) -> leases.Lease | None:
         """Remove a request; return its lease, if it was granted."""
         lease = self._open.close(request_id)
-        if lease is not None:
+        if lease is None:
+            self.permits.settle_released(request_id, evidence, now)
+        else:
             self.permits.settle(lease.request, evidence, now)
         waiting = self._waiting.get(request_id)
         if waiting is not None:
--- a/wagtailspread/placement/permits.py
+++ b/wagtailspread/placement/permits.py
@@ -17,7 +17,8 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import messages
-from wagtailspread.workspaces import caps, fleets, loans, quotas, shares
+from wagtailspread.workspaces import caps, fleets, loans, presences, quotas
+from wagtailspread.workspaces import shares
 
 #: Interval between two records of the share, in seconds.
 OBSERVE_SECONDS = 0.25
@@ -26,6 +27,10 @@
 #: Time without a decision after which a host that decides alone starts with an
 #: empty bucket, in seconds; an allocator has counted its requests meanwhile.
 LONE_IDLE_SECONDS = 10.0
+#: Time for which the permit of a request is returned that its host has sent to
+#: another upstream than the granted one, in seconds. A later return would add
+#: to the burst of another window of the caps.
+RELEASED_SECONDS = 5.0
 #: Maximum number of workspaces whose counts are logged at a time.
 MAX_LOGGED = 20
 
@@ -66,10 +71,20 @@
         self.quotas = workspace_quotas
         self._shares = host_shares
         self._waiting: set[identifiers.RequestId] = set()
+        self._released: dict[
+            identifiers.RequestId, tuple[messages.PlacementRequest, float]
+        ] = {}
         self._observed_at = -math.inf
         self._asked_at = -math.inf
         self._asks: list[loans.Ask] = []
 
+    def record_presence(
+        self, request: messages.PlacementRequest, now: float
+    ) -> None:
+        """Record what a host states about its contact with this allocator."""
+        if self._shares is not None and request.presence is not None:
+            self._shares.record(request.host, request.presence, now)
+
     def take(
         self, request: messages.PlacementRequest, now: float
     ) -> messages.Answer | None:
@@ -107,8 +122,28 @@
         evidence: messages.Evidence,
         now: float,
     ) -> None:
-        """Return the permit of a request that its upstream did not run."""
-        if evidence in _NOT_RUN:
+        """Return the permit of a request that its upstream did not run.
+
+        One without evidence may have gone to another upstream, which its host
+        has chosen and which may not run it either. A host that decides alone
+        knows which one it has chosen.
+        """
+        if evidence in NOT_RUN:
+            self.give_back(request, now)
+            return
+        is_released = evidence is messages.Evidence.NONE
+        if is_released and self._shares is not None and needs_permit(request):
+            self._released[request.request_id] = (request, now)
+
+    def settle_released(
+        self,
+        request_id: identifiers.RequestId,
+        evidence: messages.Evidence,
+        now: float,
+    ) -> None:
+        """Return the permit of a released request that did not run either."""
+        if evidence in NOT_RUN and request_id in self._released:
+            request, _ = self._released.pop(request_id)
             self.give_back(request, now)
 
     def record_queued(
@@ -135,6 +170,7 @@
 
     def tick(self, now: float) -> None:
         """Record the share of this allocator, some times a second."""
+        self._prune_released(now)
         if self._shares is None or now - self._observed_at < OBSERVE_SECONDS:
             return
         self._observed_at = now
@@ -142,6 +178,12 @@
         # An allocator without requests of workspaces lends as well.
         self.quotas.prune(now)
 
+    def _prune_released(self, now: float) -> None:
+        for request_id, (_, released_at) in list(self._released.items()):
+            if now - released_at <= RELEASED_SECONDS:
+                break
+            self._released.pop(request_id)
+
     def exchange(self, loan_exchange: 'LoanExchange', now: float) -> None:
         """Lend to other allocators, and ask them for loans."""
         is_changed = False
@@ -173,6 +215,7 @@
     Use :func:`create_lone_permits`.
 
     :param fleet: the number of hosts of the fleet.
+    :param presences: requests of the host to allocators.
     """
 
     def __init__(
@@ -183,7 +226,8 @@
     ) -> None:
         """Create permits without requests."""
         self.fleet = fleet
-        self._share = shares.create_lone_share(fleet.estimate)
+        self.presences = presences.create_log()
+        self._share = shares.create_lone_share(fleet.estimate, self.presences)
         self._permits = Permits(
             quotas.create_quotas(
                 limits, caps.AllowancePart.HOST, self._share, draw
@@ -202,6 +246,7 @@
             self._permits.quotas.clear()
             self._share.start(now)
         self._used_at = now
+        self.presences.record_answer(presences.ALONE, now)
         self._permits.quotas.prune(now)
         refusal = self._permits.take(request, now)
         if refusal is not None:
@@ -248,7 +293,7 @@
 
 
 #: Evidence of exchanges whose request did not run.
-_NOT_RUN = frozenset(
+NOT_RUN = frozenset(
     (messages.Evidence.SHED, messages.Evidence.UNREACHABLE),
 )
 
