Bound the responses that clients do not read

Cause: a host kept each response until its client had read it, without a limit. A kept connection also held its last response after it had been sent, the transport copied what the kernel did not take, and responses to pipelined requests were limited only before they were asked for. A stop did not wait for responses that were being sent.

Bodies are sent in pieces and released when they are sent. A stop waits for clients that read, and gives up the others at its end.

--- a/wagtailspread/entry/guarded_servers.py
+++ b/wagtailspread/entry/guarded_servers.py
@@ -6,7 +6,8 @@
 
 import logbook
 
-from wagtailspread.entry import heads, holdings, pipelines, protections, web
+from wagtailspread.entry import deliveries, heads, holdings, pipelines
+from wagtailspread.entry import protections, web
 
 #: Interval between checks for late heads and idle connections, in seconds.
 SWEEP_SECONDS = 0.25
@@ -22,6 +23,7 @@
     :param read_buffer: takes the bytes of all connections as they are read.
     :param handle_ahead: handles a pipelined request; its response is sent when
         the turn of the request has come.
+    :param deliveries: memory budget for responses that are not read, if any.
     :param is_pipelining: whether pipelined requests are handled concurrently.
     :param usage: of the pipelined requests of all connections.
     """
@@ -33,12 +35,14 @@
         budget: holdings.HoldingBudget,
         max_connections: int,
         handle_ahead: protections.Handler | None = None,
+        unread_budget: deliveries.DeliveryBudget | None = None,
     ) -> None:
         """Start the periodic timeout checks in the running event loop."""
         super().__init__(handler)
         self._max_connections = max_connections
         self.window = window
         self.budget = budget
+        self.deliveries = unread_budget
         self.read_buffer = memoryview(bytearray(protections.READ_BYTES))
         self.handle_ahead = handle_ahead or handler
         self.is_pipelining = handle_ahead is not None
@@ -105,6 +109,13 @@
         ]
         return len(left)
 
+    def abort_unread(self) -> None:
+        """Close the connections whose clients have not read a response."""
+        for protocol in list(self.connections):
+            if isinstance(protocol, protections.GuardedProtocol):
+                if protocol.is_unread:
+                    protocol.abort()
+
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections."""
         self._sweep_task.cancel()
@@ -116,7 +127,10 @@
             now = asyncio.get_running_loop().time()
             for protocol in self.connections:
                 if isinstance(protocol, protections.GuardedProtocol):
+                    protocol.check_reading(now)
                     protocol.enforce_timeouts(now)
+            if self.deliveries is not None:
+                self.deliveries.end_stalled(now)
 
 
 def create_server(
@@ -125,6 +139,7 @@
     budget: holdings.HoldingBudget,
     max_connections: int,
     handle_ahead: protections.Handler | None = None,
+    unread_budget: deliveries.DeliveryBudget | None = None,
     *,
     is_cancelling: bool,
 ) -> GuardedServer:
@@ -132,10 +147,12 @@
 
     :param handle_ahead: handles pipelined requests concurrently; ``None`` to
         handle them one after another.
+    :param unread_budget: memory for responses that clients do not read;
+        ``None`` for handlers that send them piece by piece.
     :param is_cancelling: whether a handler is cancelled when its caller leaves.
     """
     server = GuardedServer(
-        handler, window, budget, max_connections, handle_ahead
+        handler, window, budget, max_connections, handle_ahead, unread_budget
     )
     server.handler_cancellation = is_cancelling
     return server
--- a/wagtailspread/entry/pipelines.py
+++ b/wagtailspread/entry/pipelines.py
@@ -18,7 +18,7 @@
 
 from aiohttp import hdrs, http
 
-from wagtailspread.entry import web
+from wagtailspread.entry import unread_responses, web
 
 #: Maximum number of requests of one connection that are handled ahead.
 WINDOW = 8
@@ -81,13 +81,17 @@
             [http.RawRequestMessage], web.BaseRequest | None
         ],
         usage: PipelineUsage,
+        report: typing.Callable[[int], None],
     ) -> None:
         """Create a pipeline without requests.
 
         :param handler: returns responses that have not been sent.
         :param create_request: returns the request of a parsed message, or
             ``None`` if its refusal closes the connection.
+        :param report: is called with the bytes of the responses that wait for
+            their turn when they change.
         """
+        self._report = report
         self._handler = handler
         self._create_request = create_request
         self._usage = usage
@@ -122,7 +126,10 @@
         self, message: typing.Any
     ) -> asyncio.Task[web.StreamResponse] | None:
         """Return the handling of a request whose turn has come, if any."""
-        self._usage.held_bytes -= self._sizes.pop(id(message), 0)
+        size = self._sizes.pop(id(message), 0)
+        if size:
+            self._usage.held_bytes -= size
+            self._report(sum(self._sizes.values()))
         return self._tasks.pop(id(message), None)
 
     def close(self) -> None:
@@ -156,6 +163,7 @@
             size = _measure(task)
             self._sizes[key] = size
             self._usage.held_bytes += size
+            self._report(sum(self._sizes.values()))
         elif not task.cancelled():
             # Marks an exception as retrieved: nobody awaits the task any more.
             task.exception()
@@ -185,5 +193,4 @@
     """Return the bytes that a finished handling holds."""
     if task.cancelled() or task.exception() is not None:
         return 0
-    body = getattr(task.result(), 'body', None)
-    return len(body) if isinstance(body, bytes | bytearray) else 0
+    return unread_responses.measure(task.result())
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -16,7 +16,8 @@
 from aiohttp import http, streams
 
 from wagtailspread.core import outcomes
-from wagtailspread.entry import heads, parsers, pipelines, web
+from wagtailspread.entry import deliveries, heads, parsers, pipelines
+from wagtailspread.entry import unread_responses, web
 
 #: Bytes that are read from a connection at once. All connections may be read
 #: before the first handler runs, and 200 times 64 KB are more than the budget
@@ -80,6 +81,7 @@
         '_pipeline',
         '_received_at',
         '_server',
+        '_unread',
     )
 
     def __init__(
@@ -105,8 +107,12 @@
         self._is_busy = False
         self._idle_since: float | None = None
         self._pipeline = pipelines.Pipeline(
-            manager.handle_ahead, self._create_request, manager.usage
+            manager.handle_ahead,
+            self._create_request,
+            manager.usage,
+            self._hold_responses,
         )
+        self._unread: unread_responses.UnreadResponses | None = None
 
     @property
     def is_active(self) -> bool:
@@ -125,10 +131,17 @@
         is_handling = self._waiter is None or self._waiter.done()
         return not self.is_active and not is_handling
 
+    @property
+    def is_unread(self) -> bool:
+        """Return whether a response waits for the client."""
+        return self._unread is not None and self._unread.is_waiting
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what the connection holds."""
         self._guarded_parser.discard_input()
         self._pipeline.close()
+        if self._unread is not None:
+            self._unread.close()
         super().connection_lost(exc)
         self._server.budget.release(self)
 
@@ -155,6 +168,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection; close another one if there are too many."""
         super().connection_made(transport)
+        if self._server.deliveries is not None:
+            self._unread = unread_responses.UnreadResponses(
+                self,
+                self._server.deliveries,
+                typing.cast(asyncio.Transport, transport),
+            )
         self._server.limit_connections(self)
 
     def resume(self) -> None:
@@ -183,6 +202,24 @@
         # The parser may be at work for this connection.
         asyncio.get_running_loop().call_soon(self.resume)
 
+    def abort(self, cause: deliveries.EndCause | None = None) -> None:
+        """Close the connection and discard what its client has not read.
+
+        :param cause: for the log; ``None`` if the host stops.
+        """
+        if self._unread is None:
+            return
+        if cause is not None:
+            _log.info(
+                'response not read',
+                extra={
+                    'reason': cause.value,
+                    **self._unread.describe(),
+                    **self.describe(),
+                },
+            )
+        self._unread.abort()
+
     @property
     def has_pipelined(self) -> bool:
         """Return whether a request that follows is being handled already."""
@@ -204,6 +241,14 @@
         """Mark the request as answered."""
         self._is_busy = False
 
+    def check_reading(self, now: float) -> None:
+        """Record whether the client reads its responses.
+
+        :param now: seconds of the event loop.
+        """
+        if self._unread is not None:
+            self._unread.check(now)
+
     def enforce_timeouts(self, now: float) -> None:
         """Refuse a head that is late; close an idle connection.
 
@@ -238,7 +283,15 @@
             self.close()
             if not resp.prepared:
                 resp.force_close()
-        finished = await super().finish_response(request, resp, start_time)
+        unread = self._unread
+        if unread is not None:
+            unread.begin(request, resp)
+        try:
+            finished = await super().finish_response(request, resp, start_time)
+        finally:
+            if unread is not None:
+                unread.finish()
+        unread_responses.release(resp)
         parser.finish_request()
         self.recount()
         is_unread = parser.is_failed or not request.content.is_eof()
@@ -300,6 +353,11 @@
         response.force_close()
         return response
 
+    def _hold_responses(self, size: int) -> None:
+        """Count the responses whose turn has not come."""
+        if self._unread is not None:
+            self._unread.hold(size)
+
     def _bound_queue(self) -> None:
         """Pause reading while as many requests as allowed are parsed.
 
@@ -370,9 +428,10 @@
         is_idle = now - self._received_at >= STOP_IDLE_SECONDS
         if self.is_waiting and is_idle:
             self._close_idle()
-        return self.transport is not None and (
+        is_used = self.transport is not None and (
             self.is_active or self.is_waiting
         )
+        return is_used or self.is_unread
 
     def _close_idle(self) -> None:
         """Close the connection unless its socket has unread bytes."""
--- a/wagtailspread/entry/sites.py
+++ b/wagtailspread/entry/sites.py
@@ -4,8 +4,8 @@
 import typing
 
 from wagtailspread.core import identifiers
-from wagtailspread.entry import guarded_servers, heads, holdings, listening
-from wagtailspread.entry import protections, web
+from wagtailspread.entry import deliveries, guarded_servers, heads, holdings
+from wagtailspread.entry import listening, protections, web
 
 #: Maximum number of new connections that wait to be accepted.
 BACKLOG = 1024
@@ -24,6 +24,8 @@
     """Serves callers at one address. Use :func:`create_site`.
 
     :param budget: memory budget for what all connections hold.
+    :param deliveries: memory budget for responses that clients do not read, if
+        responses are held in full.
     :param address: where it listens; empty before the start.
     """
 
@@ -35,12 +37,14 @@
         *,
         is_cancelling: bool = True,
         is_pipelining: bool = False,
+        unread_budget: deliveries.DeliveryBudget | None = None,
     ) -> None:
         """Start without opening a socket."""
         self._max_connections = max_connections or find_max_connections()
         self._is_cancelling = is_cancelling
         self._is_pipelining = is_pipelining
         self.budget = holdings.HoldingBudget(holdings.compute_total())
+        self.deliveries = unread_budget
         self._handler = handler
         self._window = window
         self._listener: listening.HttpListener | None = None
@@ -56,6 +60,7 @@
             self.budget,
             self._max_connections,
             self._handle_checked if self._is_pipelining else None,
+            self.deliveries,
             is_cancelling=self._is_cancelling,
         )
         self._listener = listening.create_listener(self._server, BACKLOG)
@@ -105,6 +110,11 @@
         """Return the number of requests being received or handled."""
         return 0 if self._server is None else self._server.count_active()
 
+    def abort_unread(self) -> None:
+        """Close the connections whose clients have not read a response."""
+        if self._server is not None:
+            self._server.abort_unread()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._listener is not None:
@@ -150,6 +160,7 @@
     *,
     is_cancelling: bool = True,
     is_pipelining: bool = False,
+    unread_budget: deliveries.DeliveryBudget | None = None,
 ) -> GuardedSite:
     """Return a listener that is not started.
 
@@ -161,6 +172,8 @@
     :param is_cancelling: whether a handler is cancelled when its caller leaves.
     :param is_pipelining: whether pipelined requests are handled concurrently;
         the handler must return responses that have not been sent.
+    :param unread_budget: memory for responses that clients do not read;
+        ``None`` for handlers that send them piece by piece.
     """
     return GuardedSite(
         handler,
@@ -168,6 +181,7 @@
         max_connections,
         is_cancelling=is_cancelling,
         is_pipelining=is_pipelining,
+        unread_budget=unread_budget,
     )
 
 
--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -8,7 +8,7 @@
 import logbook
 
 from wagtailspread.core import clocks, identifiers, packages, tasks
-from wagtailspread.entry import holdings
+from wagtailspread.entry import deliveries, holdings
 from wagtailspread.gateway import attempts, buffers, exchanges, headers
 from wagtailspread.gateway import placements, readiness, servers, stops
 from wagtailspread.placement import budgets, costs, permits, selection
@@ -56,6 +56,7 @@
     :param key_seconds: time for which keys of workspaces are accepted after a
         replica last confirmed the active version; ``None`` for no limit.
     :param caller_bytes: memory that all callers together may hold.
+    :param unread_bytes: memory for responses that clients do not read.
     :param cap_limits: how far the caps of workspaces may be exceeded.
     """
 
@@ -74,6 +75,7 @@
     response_limits: buffers.ResponseLimits
     key_seconds: float | None = None
     caller_bytes: int = holdings.compute_total()
+    unread_bytes: int = deliveries.compute_total()
     cap_limits: caps.Limits = caps.Limits()
 
 
@@ -143,6 +145,7 @@
             lambda: self.follower.lag.is_behind,
         )
         self.server.site.budget.total_bytes = settings.caller_bytes
+        self.server.deliveries.total_bytes = settings.unread_bytes
         self._readiness = readiness.ReadinessServer(
             settings.ready_path,
             self.is_ready,
@@ -214,6 +217,8 @@
         while site.close_idle() and loop.time() < schedule.close_at:
             await asyncio.sleep(STOP_POLL_SECONDS)
         left = site.count_active()
+        # Their handlers would otherwise delay the stop beyond its end.
+        site.abort_unread()
         await site.close()
         for task in self._tasks:
             task.cancel()
@@ -231,6 +236,8 @@
                 'open_requests': left,
                 'counts': dict(counts),
                 'pipelined_requests': site.count_pipelined(),
+                'unread_ends': dict(self.server.deliveries.ended),
+                'most_unread_bytes': self.server.deliveries.most_bytes,
             },
         )
 
--- a/wagtailspread/gateway/responses.py
+++ b/wagtailspread/gateway/responses.py
@@ -12,6 +12,9 @@
 #: ``Retry-After`` of a request that a stopping host refuses, in seconds. The
 #: caller reaches another host over a new connection.
 STOPPING_RETRY_SECONDS = 0.0
+#: Bytes of a body that are passed to the connection at once. It copies what the
+#: client does not take at once.
+PIECE_BYTES = 65_536
 
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
@@ -33,6 +36,33 @@
 Details = dict[str, typing.Any]
 
 
+class ForwardedResponse(web.Response):
+    """Response of an upstream that is sent in pieces.
+
+    The connection holds a piece in addition to the body, and not a copy of the
+    whole body.
+    """
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Send the body, each piece after the one before it."""
+        body = self.body
+        if (
+            isinstance(body, bytes | bytearray)
+            and len(body) > PIECE_BYTES
+            and not self._must_be_empty_body
+        ):
+            self.body = None
+            rest = memoryview(body)
+            # The traceback of an aborted connection refers to this frame and
+            # to the piece, and would keep the body until it is collected.
+            del body
+            with rest:
+                for start in range(0, len(rest), PIECE_BYTES):
+                    with rest[start : start + PIECE_BYTES] as piece:
+                        await self.write(piece)
+        await super().write_eof(data)
+
+
 class Responder:
     """Creates responses; logs and counts those that are not successful.
 
@@ -83,7 +113,7 @@
             )
         if claims_not_run:
             return web.Response(status=_BAD_GATEWAY)
-        return web.Response(
+        return ForwardedResponse(
             status=response.status,
             reason=response.reason,
             headers=requests.copy_headers(response.headers),
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -5,7 +5,8 @@
 import functools
 import typing
 
-from wagtailspread.entry import bodies, heads, requests, sites, web
+from wagtailspread.entry import bodies, deliveries, heads, requests, sites
+from wagtailspread.entry import web
 from wagtailspread.gateway import admissions, attempts, exchanges, fingerprints
 from wagtailspread.gateway import headers, limits, response_logs, responses
 from wagtailspread.gateway import revocations, route_waits, stops
@@ -38,6 +39,7 @@
     :param routes: active routes; ``None`` until a configuration is known.
     :param is_current: tells whether the routes are of the newest version.
     :param site: listener for callers.
+    :param deliveries: memory budget for responses that clients do not read.
     :param response_log: log lines and counts of unsuccessful responses.
     """
 
@@ -62,11 +64,13 @@
         self._runner = runner
         self._names = names
         self._splits = splits
+        self.deliveries = deliveries.DeliveryBudget(deliveries.compute_total())
         self.site = sites.create_site(
             self.handle,
             heads.UNKNOWN_LIMITS,
             is_current,
             is_pipelining=True,
+            unread_budget=self.deliveries,
         )
 
     def apply_settings(self, settings: terms.RoutingSettings) -> None:
--- a/wagtailspread/platform/entries.py
+++ b/wagtailspread/platform/entries.py
@@ -1,6 +1,6 @@
 """The program of the hosts that accept the requests of callers."""
 
-from wagtailspread.entry import holdings
+from wagtailspread.entry import deliveries, holdings
 from wagtailspread.gateway import buffers, hosts
 from wagtailspread.placement import costs
 from wagtailspread.platform import documents, names, processes, settings
@@ -53,6 +53,7 @@
         ),
         key_seconds=_find_key_seconds(boot.bounds),
         caller_bytes=holdings.compute_total(boot.memory_bytes),
+        unread_bytes=deliveries.compute_total(boot.memory_bytes),
         cap_limits=processes.create_cap_limits(boot),
     )
 
