Close connections to slow upstreams at the deadline

Cause: after its deadline an upload that its upstream did not read kept its connection, since the transport stays open until all that it holds is read. 200 uploads to an upstream that reads 1 kB/s left connections open for more than 60 s.

--- a/wagtailspread/gateway/response_readers.py
+++ b/wagtailspread/gateway/response_readers.py
@@ -263,6 +263,18 @@
                 self.reader.finish_head(message.headers, payload)
         super().feed_data(data, size)
 
+    def close(self) -> None:
+        """Close the connection; discard what the upstream has not taken.
+
+        The transport would otherwise stay open until a slow upstream has read
+        the rest of an upload that was given up.
+        """
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            self.abort()
+        else:
+            super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record that the connection ended with an error, such as a reset."""
         if exc is not None and self.record is not None:
