Replay uneven demand with the allocators of two regions

Cause: nothing measured what two allocators lose against one that knows all requests when one region is short of capacity.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -26,6 +26,8 @@
     overload_loads,
     overload_measures,
     queue_costs,
+    uneven_loads,
+    uneven_measures,
     workspace_measures,
 )
 
@@ -56,6 +58,10 @@
         functools.partial(overload_measures.measure_scenario, scenario)
         for scenario in overload_loads.SCENARIOS
     )
+    measurements.extend(
+        functools.partial(uneven_measures.measure_scenario, uneven)
+        for uneven in uneven_loads.SCENARIOS
+    )
     if is_full:
         measurements.append(membership_measures.measure_membership)
         measurements.append(health_costs.measure_costs)
--- /dev/null
+++ b/benchmarks/uneven_products.py
@@ -0,0 +1,187 @@
+"""Allocators of the product in the replays of uneven demand."""
+
+import dataclasses
+import random as random_module
+
+from collections import abc
+
+from benchmarks import overload_loads, overload_policies, uneven_loads
+from wagtailspread.core import identifiers
+from wagtailspread.placement import allocators, messages, selection
+from wagtailspread.registry import records, tables
+
+SERVICE = identifiers.ServiceName('service')
+#: Answers of each upstream before the replay.
+_EARLIER_ANSWERS = 20
+_HOSTS_PER_DOMAIN = 25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """What an allocator decides on a request.
+
+    :param upstream: to send it to, ``None`` if it is refused.
+    :param retry_after: seconds after which the caller may come again.
+    """
+
+    job: overload_loads.Job
+    upstream: int | None
+    retry_after: float = 0.0
+
+
+class Desk:
+    """An allocator with polls of its hosts. Use :func:`create_desk`."""
+
+    def __init__(
+        self, scenario: uneven_loads.Scenario, allocator: allocators.Allocator
+    ) -> None:
+        """Start without requests."""
+        self.allocator = allocator
+        self._sizes = scenario.sizes
+        self._classes = {
+            kind.name: number for number, kind in enumerate(scenario.kinds, 1)
+        }
+        self._jobs: dict[
+            identifiers.RequestId,
+            tuple[overload_loads.Job, messages.PlacementRequest],
+        ] = {}
+
+    def submit(self, job: overload_loads.Job, now: float) -> list[Decision]:
+        """Ask the allocator, as the host of the request does."""
+        request = self._create_request(job)
+        answer = self.allocator.submit(request, now)
+        self._jobs[request.request_id] = (job, request)
+        return self._read(request.request_id, answer)
+
+    def settle(
+        self,
+        request_id: identifiers.RequestId,
+        upstream: int,
+        seconds: float,
+        now: float,
+        *,
+        is_shed: bool,
+    ) -> list[Decision]:
+        """Report an end, after which the allocator checks its queue."""
+        evidence = messages.Evidence.GOOD
+        if is_shed:
+            evidence = messages.Evidence.SHED
+        self.allocator.settle(
+            request_id, name_upstream(upstream), evidence, seconds, now
+        )
+        if self.allocator.count_waiting():
+            return self._check(now)
+        return []
+
+    def tick(self, now: float) -> list[Decision]:
+        """Poll for all requests that wait, and check the queue."""
+        for _, request in list(self._jobs.values()):
+            self.allocator.submit(request, now)
+        return self._check(now)
+
+    def replace_out(
+        self, out: abc.Container[int], incarnation: int, now: float
+    ) -> None:
+        """Let upstreams leave, and come back as new incarnations."""
+        table = self.allocator.selector.registry
+        for row in list(table.rows.values()):
+            number = find_number(row.record.upstream)
+            state = records.UpstreamState.READY
+            if number in out:
+                state = records.UpstreamState.DRAINING
+            if row.record.state is not state:
+                record = dataclasses.replace(
+                    row.record, state=state, born_ms=incarnation
+                )
+                table.merge(record, now)
+
+    def _check(self, now: float) -> list[Decision]:
+        decisions = []
+        for request_id in self.allocator.tick(now):
+            answer = self.allocator.pop_decision(request_id)
+            if answer is not None:
+                decisions.extend(self._read(request_id, answer))
+        return decisions
+
+    def _read(
+        self, request_id: identifiers.RequestId, answer: messages.Answer
+    ) -> list[Decision]:
+        if answer.decision is messages.Decision.WAITING:
+            return []
+        job, _ = self._jobs.pop(request_id)
+        if answer.record is None:
+            return [Decision(job, None, answer.retry_after)]
+        return [Decision(job, find_number(answer.record.upstream))]
+
+    def _create_request(
+        self, job: overload_loads.Job
+    ) -> messages.PlacementRequest:
+        host = job.number % _HOSTS_PER_DOMAIN
+        return messages.PlacementRequest(
+            request_id=name_request(job),
+            host=identifiers.HostId(f'h{job.domain}.{host}'),
+            domain=uneven_loads.DOMAINS[job.domain],
+            service=SERVICE,
+            deadline=job.deadline,
+            objective=job.kind.objective,
+            size=self._sizes.get(job.kind.name, 0),
+            excluded=frozenset(map(name_upstream, job.excluded)),
+            is_repeat=job.attempts > 0,
+            is_repeatable=job.kind.is_repeatable and job.attempts < 2,
+            is_counted=job.attempts > 0,
+            fingerprint=job.number + 1,
+            route_class=self._classes[job.kind.name],
+        )
+
+
+def create_desk(scenario: uneven_loads.Scenario, seed: int) -> Desk:
+    """Return an allocator whose upstreams have answered some requests."""
+    rows = [
+        _create_record(number, scenario.slots)
+        for number in range(scenario.upstreams)
+    ]
+    selector = selection.create_selector(
+        tables.create_table(rows),
+        uneven_loads.REGIONS,
+        random_module.Random(seed),
+    )
+    mean = sum(kind.work * kind.rate for kind in scenario.kinds)
+    mean /= sum(kind.rate for kind in scenario.kinds)
+    for row in rows:
+        selector.risk_table.add_successes(
+            row.upstream, _EARLIER_ANSWERS, _EARLIER_ANSWERS * mean, 0.0
+        )
+    return Desk(
+        scenario,
+        allocators.create_allocator(
+            selector, overload_policies.create_budget()
+        ),
+    )
+
+
+def name_request(job: overload_loads.Job) -> identifiers.RequestId:
+    """Return the id of the present attempt of a request."""
+    return identifiers.RequestId(f'{job.number}.{job.refusals}.{job.attempts}')
+
+
+def name_upstream(number: int) -> identifiers.UpstreamId:
+    """Return the id of an upstream."""
+    return identifiers.UpstreamId(f'u{number}')
+
+
+def find_number(upstream: identifiers.UpstreamId) -> int:
+    """Return the number of an upstream."""
+    return int(upstream[1:])
+
+
+def _create_record(number: int, slots: int) -> records.UpstreamRecord:
+    return records.UpstreamRecord(
+        upstream=name_upstream(number),
+        service=SERVICE,
+        address=identifiers.Address(f'10.0.0.{number}:80'),
+        domain=uneven_loads.DOMAINS[number % 4],
+        slots=slots,
+        state=records.UpstreamState.READY,
+        born_ms=1,
+        sequence=1,
+    )
