Exchange the spare capacity of regions between replicas

Cause: an allocator knows its own requests only. It sends requests to upstreams of another region whose slots are in use there.

Change: registry.spares publishes slots, offered work, queue and loans of a service to the other replicas, as an optional field of ChangeBatch.

--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -13,7 +13,7 @@
 from wagtailspread.core import clocks, identifiers
 from wagtailspread.registry import blocked, coverage, feeds, followers, groups
 from wagtailspread.registry import places, positions, publications, quotas
-from wagtailspread.registry import records
+from wagtailspread.registry import records, spares
 from wagtailspread.wire import links, listeners, messages
 
 #: Time for which changes are batched before a follower gets them, in seconds.
@@ -67,6 +67,9 @@
         self.quotas = quotas.create_exchange(
             address, self.feed, self._peer_batches
         )
+        self.spares = spares.create_exchange(
+            self.feed, self._find_replica_region
+        )
 
     def attach(
         self,
@@ -308,6 +311,7 @@
         now = self._clock.now()
         self._blocked.receive(batch, now)
         self.quotas.receive(address, batch)
+        self.spares.receive(address, batch, now)
         for replica in batch.replicas:
             reported = identifiers.Address(replica.address)
             if reported == address:
@@ -380,6 +384,7 @@
             batch.underused = sorted(self._underused)
         self._blocked.add_rows(batch, now, is_replica=request.is_replica)
         self.quotas.add_rows(batch, hosts, is_replica=request.is_replica)
+        self.spares.add_rows(batch, is_replica=request.is_replica)
         batch.substitutes = self._list_substitutes(hosts, request)
         batch.replicas = self._list_replica_places(request)
         batch.document_version = documents.NO_VERSION
@@ -427,6 +432,12 @@
             return None
         return self._regions.get(identifiers.FailureDomain(request.domain))
 
+    def _find_replica_region(
+        self, address: identifiers.Address
+    ) -> identifiers.RegionName | None:
+        domain = self._replica_domains.get(address)
+        return None if domain is None else self._regions.get(domain)
+
     def _list_replica_places(
         self, request: messages.Struct
     ) -> list[messages.Struct]:
--- a/wagtailspread/testing/fuzz_targets.py
+++ b/wagtailspread/testing/fuzz_targets.py
@@ -364,6 +364,17 @@
         substitutes=[place],
         strained=['sa'],
         underused=['sa'],
+        spares=[
+            structs.SpareCapacity(
+                service_name='sa',
+                slots=6,
+                load_thousandths=4500,
+                queued_ms=200,
+                borrower='region',
+                lent=2,
+                heard=['region'],
+            )
+        ],
         is_up_to_date=True,
     )
 
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -618,6 +618,23 @@
   4: i32 millionths
 }
 
+// Slots and work of a service at the allocator of a replica, and what its region
+// lends to another one.
+struct SpareCapacity {
+  1: string service_name
+  // Slots of the upstreams of the region.
+  2: i32 slots
+  // Thousandths of the slots that the offered work needs.
+  3: i32 load_thousandths
+  // Expected work of the queue.
+  4: i32 queued_ms
+  // Region to which slots are lent; absent for none.
+  5: optional string borrower
+  6: optional i32 lent
+  // Regions of which the replica knows such rows of the service.
+  7: optional list<string> heard
+}
+
 struct ChangeBatch {
   1: i64 epoch
   2: i64 position
@@ -650,6 +667,8 @@
   19: optional list<CapLoan> cap_loans
   // Hosts that follow this replica, by the allocator that they would ask.
   20: optional list<AllocatorHosts> allocator_hosts
+  // Services that are short of slots in some region; for replicas only.
+  21: optional list<SpareCapacity> spares
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
