--- a/wagtailspread/registry/spares.py
+++ b/wagtailspread/registry/spares.py
@@ -128,8 +128,11 @@
     def list_remote_spares(self, now: float) -> list[RemoteReport]:
         """Return what other allocators told last."""
         found: list[RemoteReport] = []
-        for address, received in self._received.items():
+        for address, received in list(self._received.items()):
             region = self._find_region(address)
+            if now - received.at > MAX_AGE_SECONDS:
+                self._received.pop(address)
+                continue
             if region is not None:
                 found.extend(
                     RemoteReport(address, region, one, now - received.at)
--- a/wagtailspread/registry/tests/test_services.py
+++ b/wagtailspread/registry/tests/test_services.py
@@ -7,7 +7,7 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.registry import blocked, feeds, followers, records
-from wagtailspread.registry import services
+from wagtailspread.registry import services, spares
 from wagtailspread.wire import listeners, messages
 from wagtailspread.workspaces import loans
 
@@ -322,6 +322,18 @@
     assert not second.quotas.pop_remote_loans()
 
 
+async def test_reports_of_spare_capacity_pass_between_replicas():
+    """Guards against a region that never learns of the slots of another."""
+    first = create_service('r1:1', 'far')
+    second = create_service('r2:1', 'north')
+    report = spares.Report('columns', spares.State(60, 30.0, 0.0), 'r1', 5)
+    first.spares.publish_spares([report])
+    batch = await follow(first, 'r2:1', 'north', is_replica=True)
+    second._process_batch('r1:1', batch)
+    (told,) = second.spares.list_remote_spares(101.0)
+    assert told == spares.RemoteReport('r1:1', 'r2', report, 1.0)
+
+
 async def test_malformed_loans_are_skipped():
     """Guards against a replica that stops following for one odd row."""
     service = create_service('r1:1', 'north')
--- a/wagtailspread/registry/tests/test_spares.py
+++ b/wagtailspread/registry/tests/test_spares.py
@@ -72,6 +72,14 @@
     assert not receive(messages.structs.ChangeBatch(), exchange)
 
 
+def test_reports_expire_when_the_link_fails():
+    """Guards against decisions on the state of a region that was lost."""
+    exchange = create_exchange()
+    receive(send(_REPORT), exchange)
+    assert exchange.list_remote_spares(2.9)
+    assert not exchange.list_remote_spares(3.1)
+
+
 def test_a_replica_of_an_unknown_region_is_left_out():
     """Guards against a loan to a region that has no upstreams."""
     assert not receive(send(_REPORT), create_exchange(region=None))
