Keep the module statistics unimported by hosts and replicas

Cause: the selector of upstreams imported it for a median, and test_startup failed for entry and replica.

Change: the median is computed in place, as before.

--- a/wagtailspread/placement/selection.py
+++ b/wagtailspread/placement/selection.py
@@ -8,7 +8,6 @@
 import dataclasses
 import math
 import random as random_module
-import statistics
 import typing
 
 from wagtailspread.core import identifiers
@@ -304,7 +303,9 @@
             if (mean := self.risk_table.find_mean_seconds(row.record.upstream))
             > 0
         ]
-        seconds = statistics.median(means) if means else 0.0
+        means.sort()
+        middle = len(means) // 2
+        seconds = (means[middle] + means[~middle]) / 2 if means else 0.0
         self._typical_durations[service] = _TypicalDuration(seconds, now)
         return seconds
 
