Fuzz the streams of clients and upstreams, and refuse what reads differently

Cause: the fuzz targets covered decoders of data only. New targets send split and changed streams to the real connection layer and to the response reader, and compare them with a strict reading of RFC 9112. They found: - Trailers of a chunked body became fields of the next request of the connection, Authorization included: aiohttp's parser keeps them. - A request line without a version, or without the space before it, was read as HTTP/0.9 with the version in the target; several spaces and a single CR before a request were skipped. - HTTP/1.0 with both close and keep-alive kept the connection. - A client that resets during the refusal of its request made the server log an unhandled OSError of write_eof. - A response body with an unknown transfer coding was passed on encoded, and a reason with control characters was passed on. - A chunk of a response that ends with LF in place of CR LF is passed on.

Change: each request behind a chunked body gets a new parser; the other requests are refused with 400 or close; the responses are lost responses.

--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -12,9 +12,11 @@
 import asyncio
 import collections
 import enum
+import re
 import typing
 
-from aiohttp import base_protocol, http_exceptions, http_parser, streams
+from aiohttp import base_protocol, http, http_exceptions, http_parser
+from aiohttp import streams
 
 from wagtailspread.entry import heads, holdings, intakes, pipelines, web
 
@@ -34,6 +36,9 @@
 _BLANK_LINE = b'\r\n\r\n'
 _LINE_ENDS = b'\r\n'
 _BUFFER_BYTES = 65_536
+#: aiohttp's parser also accepts a request line without a version, so that one
+#: without the last space has the version in its target, and several spaces.
+_REQUEST_LINE = re.compile(rb'[!-~]+ [!-~\x80-\xff]+ HTTP/1\.[01]\r\n')
 
 _Message = tuple[typing.Any, streams.StreamReader]
 ParserOutput = tuple[typing.Sequence[typing.Any], bool, bytes]
@@ -116,6 +121,8 @@
         #: Bytes of the incomplete head that hold no blank line.
         self._searched = 0
         self._body: _IncompleteBody | None = None
+        #: Whether the body may end with trailers, and a request may follow.
+        self._has_trailers = False
         self._unhandled = 0
         #: Memory of the heads of the requests without a response.
         self._costs: collections.deque[int] = collections.deque()
@@ -236,10 +243,11 @@
         return self._parse_head(messages)
 
     def _parse_head(self, messages: list[_Message]) -> bool:
-        # Line ends between two requests belong to neither.
-        while self._pending and self._pending[0] in _LINE_ENDS:
-            del self._pending[0]
-        if not self._pending:
+        # Empty lines between two requests belong to neither. Single CRs do not
+        # end lines, so others may take what follows for one line.
+        while self._pending.startswith(_LINE_ENDS):
+            del self._pending[: len(_LINE_ENDS)]
+        if not self._pending or self._pending == _LINE_ENDS[:1]:
             return False
         if self.head_started_at is None:
             self.head_started_at = asyncio.get_running_loop().time()
@@ -286,6 +294,8 @@
         self.head_started_at = None
         self._reserve(head)
         try:
+            if _REQUEST_LINE.match(head) is None:
+                raise http_exceptions.BadStatusLine('malformed request line')
             parsed, is_upgraded, _ = self._inner.feed_data(head)
         except http_exceptions.HttpProcessingError as error:
             if size > self._window.compute_loosest().head_bytes:
@@ -294,6 +304,8 @@
         if not parsed:
             raise http_exceptions.BadHttpMessage('head without an end')
         message, content = parsed[0]
+        if _has_closing_option(message):
+            message = message._replace(should_close=True)
         self._unhandled += 1
         self._is_upgraded = is_upgraded
         if content is not streams.EMPTY_PAYLOAD:
@@ -325,6 +337,7 @@
             declared = message.headers.get('Content-Length')
             left = None if declared is None else int(declared)
             self._body = _IncompleteBody(content, intake, left)
+            self._has_trailers = left is None and not message.should_close
         return intake
 
     def _parse_body(self, body: '_IncompleteBody') -> bool:
@@ -340,6 +353,10 @@
             return False
         if body.forward():
             self._body = None
+            if self._has_trailers:
+                # aiohttp's parser adds the trailers of a chunked body to the
+                # fields of the next request.
+                self._inner = _create_inner()
         return True
 
     def _fail(self) -> None:
@@ -397,6 +414,17 @@
         return self._content.is_eof()
 
 
+def _has_closing_option(message: typing.Any) -> bool:
+    """Tell whether an HTTP/1.0 request closes and keeps its connection.
+
+    aiohttp's parser keeps it then; ``close`` takes precedence.
+    """
+    if message.version >= http.HttpVersion11:
+        return False
+    options = ','.join(message.headers.getall('Connection', ())).lower()
+    return 'close' in {option.strip() for option in options.split(',')}
+
+
 def _create_inner() -> http_parser.HttpRequestParser:
     loop = asyncio.get_running_loop()
     return http_parser.HttpRequestParser(
--- a/wagtailspread/entry/protections.py
+++ b/wagtailspread/entry/protections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import select
 import types
@@ -346,7 +347,9 @@
         self.recount()
         if self.transport is None:
             return
-        self.transport.write_eof()
+        # The client may have reset the connection, which is reported later.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
         # The buffered body may have paused reading.
         self._buffer_paused = False
         self.resume_reading(resume_parser=False)
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import re
 import typing
 
 import logbook
@@ -15,7 +16,7 @@
 
 from aiohttp import client, cookiejar
 
-from wagtailspread.entry import bodies, connections, executions
+from wagtailspread.entry import bodies, connections, executions, requests
 from wagtailspread.gateway import buffers, headers, notices, response_readers
 from wagtailspread.placement import crashes
 from wagtailspread.placement import messages as placement_messages
@@ -44,6 +45,7 @@
 #: The exchange enforces the deadline of the request itself.
 _TIMEOUT = client.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
+_CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 _log = logbook.Logger('exchanges')
 
 
@@ -282,8 +284,9 @@
     def _find_fault(self, response: client.ClientResponse) -> str:
         """Return why a response head is invalid, or an empty string."""
         found = response.headers
-        if 'Content-Encoding' in found:
-            return 'encoded body'
+        fault = _find_syntax_fault(response)
+        if fault:
+            return fault
         if response.status < _FIRST_SUCCESS:
             return 'no final answer'
         # A caller does not repeat a refused request, so a refusal needs a
@@ -308,6 +311,19 @@
     return Exchanger(names, limits or buffers.create_limits())
 
 
+def _find_syntax_fault(response: client.ClientResponse) -> str:
+    """Return what a client may read in another way, or an empty string."""
+    if 'Content-Encoding' in response.headers:
+        return 'encoded body'
+    # The client library reads a body with an unknown coding up to the end of
+    # the connection, and would pass it on encoded.
+    if requests.check_framing(response.headers):
+        return 'framing of the body'
+    if _CONTROL_CHARACTER.search(response.reason or ''):
+        return 'control character in the reason'
+    return ''
+
+
 def _log_cut(
     record: records.UpstreamRecord,
     outgoing: OutgoingRequest,
--- a/wagtailspread/testing/fuzz_targets.py
+++ b/wagtailspread/testing/fuzz_targets.py
@@ -22,7 +22,8 @@
 from wagtailspread.registry import feeds, places, positions, records, tables
 from wagtailspread.replica import machines, packing, peers
 from wagtailspread.routing import tables as routes
-from wagtailspread.testing import mutations
+from wagtailspread.testing import mutations, request_targets
+from wagtailspread.testing import response_targets, stream_inputs
 from wagtailspread.wire import messages
 
 structs = messages.structs
@@ -272,7 +273,10 @@
 
 
 def list_targets() -> list[FuzzTarget]:
-    """Return all decoders of data that one party writes and others read."""
+    """Return all decoders of data that one party writes and others read.
+
+    The last two read the streams of clients and of upstreams.
+    """
     bodies = {
         run_heartbeat: _HEARTBEAT,
         run_document: _DOCUMENT,
@@ -297,6 +301,16 @@
         for run, struct in payloads.items()
     )
     found.append(_create_target(run_consensus, _mutate_consensus))
+    found.append(
+        _create_target(
+            request_targets.run_requests, stream_inputs.mutate_requests
+        )
+    )
+    found.append(
+        _create_target(
+            response_targets.run_response, stream_inputs.mutate_response
+        )
+    )
     return found
 
 
