Refuse an unknown key only with the newest configuration

Cause: on the product's own request path a host that lags answered 401 to a key that only a newer version has, and a refused key left neither a log line nor a count.

Change: before 401 the host asks a replica for a newer version, for at most 0.5 s; all clients share one call a second. If none answers, the client gets 503 not-current with Retry-After. Refused keys have the log line "key refused" and the metric refused_keys by status, without the key. A replica that lags itself can confirm an old version.

Result: 6 new test cases.

--- a/wagtailspread/core/outcomes.py
+++ b/wagtailspread/core/outcomes.py
@@ -76,6 +76,8 @@
     UNSUPPORTED_METHOD = 'unsupported-method'
     #: The request has no key of a workspace, or the key was taken away.
     UNKNOWN_KEY = 'unknown-key'
+    #: The key of the request is not known, and the host may lag.
+    NOT_CURRENT = 'not-current'
     #: A newer configuration has another workspace for the request.
     WORKSPACE_CHANGED = 'workspace-changed'
     #: The share of this host in the cap of the workspace is used up.
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -69,6 +69,7 @@
     :param read_status: returns additional fields of the status page.
     :param read_metrics: returns the metrics in the text exposition format.
     :param host_caps: caps of the workspaces at this host.
+    :param key_guard: is asked before an unknown key is refused.
     """
 
     routing: lookups.Routing
@@ -90,6 +91,7 @@
     read_status: typing.Callable[[], dict[str, typing.Any]] = dict
     read_metrics: typing.Callable[[], bytes] = bytes
     host_caps: capping.HostCaps | None = None
+    key_guard: servers.KeyGuard | None = None
 
 
 #: Creates the components once the links and the listener of the host exist.
@@ -172,6 +174,7 @@
             self.drain,
             self._read_status,
             read_metrics=components.read_metrics,
+            key_guard=components.key_guard,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/wagtailspread/entry/servers.py
+++ b/wagtailspread/entry/servers.py
@@ -33,6 +33,11 @@
 }
 _BODY_ERRORS = tuple(_BODY_STATUSES)
 _OLDEST_VERSION = http.HttpVersion10
+_LAGGING = requests.RequestFault(
+    bodies.UNAVAILABLE,
+    outcomes.RefusalReason.NOT_CURRENT,
+    'the key is not known, and the host may lag',
+)
 
 
 class Readiness(typing.Protocol):
@@ -42,6 +47,33 @@
         """Return whether this host accepts new callers."""
 
 
+class KeyGuard(typing.Protocol):
+    """Decides whether the host may refuse an unknown key, and records it."""
+
+    async def confirm(self) -> bool:
+        """Make sure, within a short time, that the host has all keys.
+
+        :returns: whether it has; the active keys may have changed.
+        """
+
+    def record_refused_key(self, status: int) -> None:
+        """Log and count a request that was refused for its key.
+
+        :param status: of the response.
+        """
+
+
+class TrustedKeys:
+    """Guard of a host whose configuration is always the newest one."""
+
+    async def confirm(self) -> bool:
+        """Return that the host has all keys."""
+        return True
+
+    def record_refused_key(self, status: int) -> None:
+        """Record nothing."""
+
+
 class EntryServer:
     """Serves HTTP. Use :func:`create_server`."""
 
@@ -54,8 +86,10 @@
         read_status: typing.Callable[[], dict[str, typing.Any]],
         limits: heads.RequestLimits,
         read_metrics: typing.Callable[[], bytes] = bytes,
+        key_guard: KeyGuard | None = None,
     ) -> None:
         """Store the collaborators; nothing is opened yet."""
+        self._key_guard = key_guard or TrustedKeys()
         self._routing = routing
         self._forwarder = forwarder
         self._receiver = receiver
@@ -91,12 +125,7 @@
             return await self._handle_internal(request, target)
         if request.version < _OLDEST_VERSION:
             return _refuse_version(request.version)
-        checked = requests.check_head(
-            request.method,
-            target,
-            request.headers,
-            self._routing,
-        )
+        checked = await self._check_head(request)
         execution = executions.ExecutionRecord()
         if isinstance(checked, result.Success):
             head = checked.unwrap()
@@ -104,6 +133,30 @@
         proof = execution.prove_not_run()
         return answers.create_fault(checked.failure(), proof).to_response()
 
+    async def _check_head(
+        self, request: web.BaseRequest
+    ) -> requests.HeadResult:
+        """Return the validated head of a request, or its fault.
+
+        A key that is not known may be that of a newer version.
+        """
+        checked = self._check_once(request)
+        if not _has_unknown_key(checked):
+            return checked
+        if await self._key_guard.confirm():
+            checked = self._check_once(request)
+            if not _has_unknown_key(checked):
+                return checked
+        else:
+            checked = result.Failure(_LAGGING)
+        self._key_guard.record_refused_key(checked.failure().status)
+        return checked
+
+    def _check_once(self, request: web.BaseRequest) -> requests.HeadResult:
+        return requests.check_head(
+            request.method, request.raw_path, request.headers, self._routing
+        )
+
     async def _handle_internal(
         self,
         request: web.BaseRequest,
@@ -146,6 +199,12 @@
         return web.Response(status=fault.status, text=fault.detail)
 
 
+def _has_unknown_key(checked: requests.HeadResult) -> bool:
+    if isinstance(checked, result.Success):
+        return False
+    return checked.failure().reason is outcomes.RefusalReason.UNKNOWN_KEY
+
+
 def _refuse_version(version: http.HttpVersion) -> web.StreamResponse:
     fault = requests.RequestFault(
         _BAD_REQUEST,
@@ -166,8 +225,13 @@
     read_status: typing.Callable[[], dict[str, typing.Any]],
     limits: heads.RequestLimits = heads.DEFAULT_LIMITS,
     read_metrics: typing.Callable[[], bytes] = bytes,
+    key_guard: KeyGuard | None = None,
 ) -> EntryServer:
-    """Return a server that is not started."""
+    """Return a server that is not started.
+
+    :param key_guard: is asked before an unknown key is refused; ``None`` for a
+        configuration that never changes.
+    """
     return EntryServer(
         routing,
         forwarder,
@@ -176,4 +240,5 @@
         read_status,
         limits,
         read_metrics,
+        key_guard,
     )
--- a/wagtailspread/entry/subscriptions.py
+++ b/wagtailspread/entry/subscriptions.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import typing
@@ -23,6 +24,12 @@
 RETRY_SECONDS = 0.5
 #: Time without an answer after which a host is no longer ready, in seconds.
 CONTACT_SECONDS = 5.0
+#: Longest time in which a host makes sure that its copy is the newest version,
+#: in seconds. A replica in another region answers within 0.1 s.
+CONFIRM_SECONDS = 0.5
+#: Age of an answer of a replica up to which it proves that, in seconds. Any
+#: number of clients with unknown keys leads to one call in this time.
+CONFIRMATION_AGE_SECONDS = 1.0
 _CALL_SECONDS = 2.0
 _COPY_NAME = 'configuration.bin'
 
@@ -126,6 +133,8 @@
         self._clock = clock
         self._copy = copy
         self._last_contact_at = float('-inf')
+        self._confirmed_at = float('-inf')
+        self._confirming: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         saved = None if copy is None else copy.read()
         if saved is not None:
@@ -190,6 +199,21 @@
             return True
         return self._clock.now() - self._last_contact_at < CONTACT_SECONDS
 
+    async def confirm(self) -> bool:
+        """Make sure that the copy is the newest version that a replica has.
+
+        Concurrent calls share one call of a replica.
+
+        :returns: ``False`` if no replica confirms it within
+            :data:`CONFIRM_SECONDS`.
+        """
+        if self._is_confirmed():
+            return True
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.create_task(self._ask_replica())
+        await asyncio.wait((self._confirming,))
+        return self._is_confirmed()
+
     def register(self, listener: listeners.Listener) -> None:
         """Serve the copy to peers."""
         listener.add(
@@ -218,6 +242,24 @@
                 return result.Success(self._holder.read_delta(known))
         return result.Success(self._holder.read_delta(known))
 
+    def _is_confirmed(self) -> bool:
+        age = self._clock.now() - self._confirmed_at
+        return bool(self._holder.version) and age < CONFIRMATION_AGE_SECONDS
+
+    async def _ask_replica(self) -> None:
+        asked_at = self._clock.now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_SECONDS):
+                answer = await self._source.fetch_configuration(
+                    self._holder.version, 0.0
+                )
+            if not isinstance(answer, result.Success):
+                return
+            delta = answer.unwrap()
+            self._apply(delta)
+            if self._holder.version >= (delta.to_version or 0):
+                self._confirmed_at = asked_at
+
     def _apply(self, delta: messages.Struct) -> None:
         if (delta.to_version or 0) <= self._holder.version:
             return
--- a/wagtailspread/entry/tests/test_subscriptions.py
+++ b/wagtailspread/entry/tests/test_subscriptions.py
@@ -130,3 +130,42 @@
     clock.advance(subscriptions.CONTACT_SECONDS)
     assert not subscription.is_current()
     assert create_subscription(Holder(1), Source(), clock=clock).is_current()
+
+
+async def test_a_copy_is_confirmed_only_by_a_replica():
+    """Guards against refusing a key that a newer version has."""
+    lagging = create_subscription(Holder(3), Source())
+    assert not await lagging.confirm()
+    holder = Holder(3)
+    assert await create_subscription(holder, Source(4)).confirm()
+    assert holder.version == 4
+
+
+async def test_a_confirmation_does_not_wait_for_a_silent_replica():
+    """Guards against clients that wait long for a refusal."""
+
+    class Silent:
+        async def fetch_configuration(self, known_version, wait):
+            await asyncio.Event().wait()
+
+    async with asyncio.timeout(20 * subscriptions.CONFIRM_SECONDS):
+        assert not await create_subscription(Holder(3), Silent()).confirm()
+
+
+async def test_confirmations_share_a_call_of_a_replica():
+    """Guards against unknown keys that load the replicas."""
+    calls = []
+
+    class Counting(Source):
+        async def fetch_configuration(self, known_version, wait):
+            calls.append(known_version)
+            await asyncio.sleep(0)
+            return await super().fetch_configuration(known_version, wait)
+
+    subscription = create_subscription(Holder(3), Counting(3))
+    confirmed = await asyncio.gather(
+        *(subscription.confirm() for _ in range(50))
+    )
+    assert all(confirmed)
+    assert await subscription.confirm()
+    assert len(calls) == 1
--- a/wagtailspread/entry/tests/test_workspaces.py
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -347,3 +347,39 @@
         async with asyncio.timeout(5):
             while len(heads) < len(waiting):
                 await fleets.wait_briefly()
+
+
+class Guard:
+    """Guard of a host that learns of workspaces, or that lags."""
+
+    def __init__(self, host, *newer, is_confirmed=True):
+        self.refused = []
+        self._host = host
+        self._newer = newer
+        self._is_confirmed = is_confirmed
+
+    async def confirm(self):
+        set_workspaces(self._host, FIRST, *self._newer)
+        return self._is_confirmed
+
+    def record_refused_key(self, status):
+        self.refused.append(status)
+
+
+@pytest.mark.parametrize(
+    ('newer', 'is_confirmed', 'status'),
+    [((SECOND,), True, 200), ((), True, 401), ((), False, 503)],
+    ids=['newer', 'unknown', 'lagging'],
+)
+async def test_an_unknown_key_is_refused_only_by_a_current_host(
+    newer, is_confirmed, status
+):
+    """Guards against 401 for a key that a newer version has."""
+    async with start_host(FIRST) as (host, _, heads):
+        guard = Guard(host, *newer, is_confirmed=is_confirmed)
+        host.server._key_guard = guard
+        answer = await send(host, headers={'Authorization': 'Token k2'})
+    assert answer.status == status
+    assert guard.refused == ([] if status == 200 else [status])
+    assert len(heads) == (1 if status == 200 else 0)
+    assert ('Retry-After' in answer.headers) == (status == 503)
--- a/wagtailspread/observability/metrics.py
+++ b/wagtailspread/observability/metrics.py
@@ -82,6 +82,11 @@
                 'Refused requests by priority and reason.',
                 ('priority', 'reason'),
             ),
+            'refused_keys': self._create_counter(
+                'refused_keys',
+                'Requests refused for their key by status.',
+                ('status',),
+            ),
             'exchanges': self._create_counter(
                 'exchanges',
                 'Results by service; an overdue exchange adds a timeout.',
@@ -105,8 +110,8 @@
     def count(self, name: str, *labels: str, amount: float = 1) -> None:
         """Increment a counter.
 
-        :param name: ``requests``, ``refusals``, ``exchanges``, ``ejections``
-            or ``region_bytes``.
+        :param name: ``requests``, ``refusals``, ``refused_keys``,
+            ``exchanges``, ``ejections`` or ``region_bytes``.
         :param labels: values of the labels of this counter except the host.
         """
         child = self._children.get((name, *labels))
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -149,6 +149,7 @@
             read_status=self._read_status,
             read_metrics=self.metrics.render,
             host_caps=capping.create_caps(self._count_hosts, self._clock),
+            key_guard=observers.KeyGuard(subscription, self.metrics),
         )
 
     def _apply_settings(self, applied: schemas.Settings) -> None:
--- a/wagtailspread/processes/observers.py
+++ b/wagtailspread/processes/observers.py
@@ -1,13 +1,38 @@
 """Writes finished requests to the log and the metrics."""
 
 from wagtailspread.core import outcomes, priorities
-from wagtailspread.entry import interfaces
+from wagtailspread.entry import interfaces, subscriptions
 from wagtailspread.observability import logs, metrics
 
 _LOGGER = logs.get_logger('request')
 _BROKEN_OUTCOME = 'broken'
 
 
+class KeyGuard:
+    """Confirms the configuration of the host; logs and counts refused keys.
+
+    Neither has the key or any other header of the request.
+    """
+
+    def __init__(
+        self,
+        subscription: subscriptions.Subscription,
+        host_metrics: metrics.Metrics,
+    ) -> None:
+        """Create a guard that counts in ``host_metrics``."""
+        self._subscription = subscription
+        self._metrics = host_metrics
+
+    async def confirm(self) -> bool:
+        """Make sure that the host has the newest configuration."""
+        return await self._subscription.confirm()
+
+    def record_refused_key(self, status: int) -> None:
+        """Log and count a request that was refused for its key."""
+        self._metrics.count('refused_keys', str(status))
+        _LOGGER.info('key refused', extra={'status': status})
+
+
 class RequestObserver:
     """Logs and counts finished requests.
 
