End waiting requests of the entry host when their key is revoked

Cause: on the product's own request path a revoked key was only checked before the send, so its request held a place in the queue, or its body was read on, until then.

Change: RevocationWatch is moved to workspaces, and the entry host uses it as the gateway does: a new version interrupts the bodies and the waits for a slot whose key it does not admit. The client gets 401, or 503 if the key belongs to another workspace; the request has not run.

Result: 3 new test cases pass (a queue for both kinds of route, a body).

--- a/wagtailspread/entry/attempts.py
+++ b/wagtailspread/entry/attempts.py
@@ -14,6 +14,7 @@
 from wagtailspread.core import priorities
 from wagtailspread.entry import admissions, exchanges, executions
 from wagtailspread.entry import interfaces, slots
+from wagtailspread.workspaces import revocations
 
 #: Maximum number of attempts per request.
 MAX_ATTEMPTS = 3
@@ -103,6 +104,7 @@
 
     :param source: grants slots.
     :param tracer: creates a span for each step of a sampled request.
+    :param watch: interrupts requests that wait while their key is revoked.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         self._source = source
         self._exchanger = exchanger
         self._clock = clock
+        self.watch = revocations.RevocationWatch()
 
     async def run(
         self,
@@ -175,11 +178,11 @@
         with self._tracer.start_span(name, header):
             return await step
 
-    def _acquire(
+    async def _acquire(
         self,
         prepared: PreparedRequest,
         state: _RunState,
-    ) -> typing.Awaitable[result.Result[slots.Grant, failures.Refusal]]:
+    ) -> result.Result[slots.Grant, failures.Refusal]:
         request = slots.SlotRequest(
             prepared.request,
             self._host,
@@ -190,7 +193,15 @@
             prepared.fingerprint,
             state.excluded,
         )
-        return self._source.acquire(prepared.service, request)
+        if prepared.admission.workspace is None:
+            return await self._source.acquire(prepared.service, request)
+        try:
+            async with self.watch.interrupt(
+                lambda: not prepared.admission.is_valid()
+            ):
+                return await self._source.acquire(prepared.service, request)
+        except revocations.KeyRevoked:
+            return result.Failure(_create_refusal(prepared))
 
     async def _attempt(
         self,
--- a/wagtailspread/entry/forwarding.py
+++ b/wagtailspread/entry/forwarding.py
@@ -15,6 +15,7 @@
 from wagtailspread.entry import capping, exchanges, executions
 from wagtailspread.entry import interfaces, keys
 from wagtailspread.entry import requests, streaming
+from wagtailspread.workspaces import revocations
 
 #: ``User-Agent`` for callers that send none; the HTTP client would insert a
 #: default otherwise.
@@ -117,7 +118,7 @@
         deadline = started + checked.deadline
         body: bodies.RequestBody | None = None
         if checked.length != 0:
-            received = await bodies.read_body(request, checked, deadline)
+            received = await self._read_body(request, checked, deadline)
             if not isinstance(received, result.Success):
                 fault = received.failure()
                 proof = execution.prove_not_run()
@@ -136,11 +137,33 @@
             prepared = self._prepare_request(checked, headers, body, deadline)
             return await self._answer(request, checked, prepared, execution)
 
+    def revoke_keys(self) -> None:
+        """Interrupt the requests that wait with a key no longer known."""
+        self._runner.watch.apply()
+
     async def close(self) -> None:
         """Wait for the detached attempts and for open key releases."""
         await asyncio.gather(*self._detached, return_exceptions=True)
         await self._key_client.close()
 
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        checked: requests.CheckedRequest,
+        deadline: float,
+    ) -> result.Result[bodies.RequestBody, requests.RequestFault]:
+        """Return the body, or a fault also if the key is revoked meanwhile."""
+        admission = checked.admission
+        if admission.workspace is None:
+            return await bodies.read_body(request, checked, deadline)
+        try:
+            async with self._runner.watch.interrupt(
+                lambda: not admission.is_valid()
+            ):
+                return await bodies.read_body(request, checked, deadline)
+        except revocations.KeyRevoked:
+            return result.Failure(requests.create_key_fault(admission))
+
     async def _answer(
         self,
         request: web.BaseRequest,
--- a/wagtailspread/entry/hosts.py
+++ b/wagtailspread/entry/hosts.py
@@ -206,6 +206,10 @@
         self.owners.close()
         await self._links.close()
 
+    def revoke_keys(self) -> None:
+        """Interrupt the requests that wait with a key no longer known."""
+        self._forwarder.revoke_keys()
+
     def change_link(
         self,
         regions: typing.Iterable[identifiers.RegionName],
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -50,6 +50,7 @@
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
 _TOO_LARGE = 413
+_UNAVAILABLE = 503
 
 _DIGITS = re.compile('[0-9]{1,9}')
 _LENGTH_DIGITS = re.compile('[0-9]{1,18}')
@@ -141,6 +142,14 @@
     return _check_key(method, target, headers, route, limits, routing)
 
 
+def create_key_fault(admission: admissions.Admission) -> RequestFault:
+    """Return the fault of a request whose key is revoked in its body."""
+    reason = admission.find_refusal() or outcomes.RefusalReason.UNKNOWN_KEY
+    is_unknown = reason is outcomes.RefusalReason.UNKNOWN_KEY
+    status = _UNAUTHORIZED if is_unknown else _UNAVAILABLE
+    return RequestFault(status, reason, _KEY_FAULT, closes=True)
+
+
 def copy_headers(headers: typing.Any) -> Headers:
     """Return a copy of the headers without hop-by-hop headers.
 
--- a/wagtailspread/entry/tests/test_workspaces.py
+++ b/wagtailspread/entry/tests/test_workspaces.py
@@ -383,3 +383,51 @@
     assert guard.refused == ([] if status == 200 else [status])
     assert len(heads) == (1 if status == 200 else 0)
     assert ('Retry-After' in answer.headers) == (status == 503)
+
+
+def take_key_away(host):
+    set_workspaces(host, SECOND)
+    host.forwarder.revoke_keys()
+
+
+@pytest.mark.parametrize(
+    ('path', 'method'), [('/vitrina/a', 'GET'), ('/contratos/1', 'POST')]
+)
+async def test_a_request_in_a_queue_ends_when_its_key_is_taken_away(
+    path, method
+):
+    """Guards against requests that wait for a slot without a known key."""
+    async with start_host(FIRST) as (host, _, heads):
+        is_queued = asyncio.Event()
+        host.coordinator.submit = lambda request, now: is_queued.set()
+        headers = {**KEYS, **ORDER, outcomes.DEADLINE_HEADER: '60000'}
+        sending = asyncio.create_task(send(host, path, method, headers=headers))
+        await is_queued.wait()
+        take_key_away(host)
+        async with asyncio.timeout(20):
+            assert_unknown_key(await sending)
+        assert not heads
+
+
+async def test_a_body_ends_when_the_key_of_its_request_is_taken_away():
+    """Guards against bodies that are read on without a known key."""
+    async with start_host(FIRST) as (host, _, heads):
+        is_sent = asyncio.Event()
+
+        async def send_slowly():
+            yield b'part'
+            is_sent.set()
+            await asyncio.Event().wait()
+
+        options = {'headers': {**KEYS, **ORDER}, 'data': send_slowly()}
+        sending = asyncio.create_task(
+            send(host, '/contratos/1', 'POST', **options)
+        )
+        await is_sent.wait()
+        # The host has begun to read the body when it holds the request.
+        while not host.forwarder._runner.watch._open:
+            await asyncio.sleep(0.01)
+        take_key_away(host)
+        async with asyncio.timeout(3):
+            assert_unknown_key(await sending)
+        assert not heads
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -10,11 +10,12 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.entry import executions
-from wagtailspread.gateway import evidence, exchanges, placements, revocations
+from wagtailspread.gateway import evidence, exchanges, placements
 from wagtailspread.gateway import route_waits, stops
 from wagtailspread.placement import messages, retries
 from wagtailspread.routing import terms
 from wagtailspread.workspaces import caps
+from wagtailspread.workspaces import revocations
 
 #: Latency objective of a route that sets none, in seconds.
 DEFAULT_OBJECTIVE_SECONDS = 2.0
--- a/wagtailspread/gateway/servers.py
+++ b/wagtailspread/gateway/servers.py
@@ -8,8 +8,9 @@
 from wagtailspread.entry import bodies, heads, requests, sites, web
 from wagtailspread.gateway import admissions, attempts, exchanges, fingerprints
 from wagtailspread.gateway import headers, limits, response_logs, responses
-from wagtailspread.gateway import revocations, route_waits, stops
+from wagtailspread.gateway import route_waits, stops
 from wagtailspread.routing import tables, terms
+from wagtailspread.workspaces import revocations
 
 #: Bytes of a request body that are buffered before it is sent. A body that
 #: fits can be sent to a second upstream if the first one does not run it.
--- a/wagtailspread/gateway/tests/test_revocations.py
+++ b/wagtailspread/gateway/tests/test_revocations.py
@@ -6,11 +6,11 @@
 import pytest
 
 from wagtailspread.entry.tests import connections
-from wagtailspread.gateway import revocations
 from wagtailspread.gateway.tests import raw_upstreams, test_admissions
 from wagtailspread.gateway.tests import test_response_logs, test_servers
 from wagtailspread.placement import messages
 from wagtailspread.routing import terms
+from wagtailspread.workspaces import revocations
 
 _KEY = 'Authorization: Token k3'
 _NOT_RUN = raw_upstreams.reply(503, headers=['Not-Executed: 1'])
--- a/wagtailspread/processes/entries.py
+++ b/wagtailspread/processes/entries.py
@@ -165,6 +165,7 @@
             if local_region is None or name != local_region.name
         ]
         self.host.change_link(other_regions, rate)
+        self.host.revoke_keys()
 
     def _create_subscription(
         self,
--- a/wagtailspread/gateway/revocations.py
+++ b/wagtailspread/workspaces/revocations.py
@@ -22,12 +22,14 @@
 
     def apply(self) -> None:
         """Interrupt the requests whose keys are revoked."""
-        now = asyncio.get_running_loop().time()
         revoked = [
             timeout
             for timeout, is_revoked in self._open.items()
             if is_revoked()
         ]
+        if not revoked:
+            return
+        now = asyncio.get_running_loop().time()
         for timeout in revoked:
             # A timeout that has expired cannot be changed again, which the
             # next version would attempt.
