Reserve the ports of the entry host processes of the tests

Cause: test_stopping_host_finishes_a_long_request failed once beside a fuzz run: its host could not bind a port that an outgoing connection had taken after the test had found it free.

Change: the addresses come from testing.ports, below the range of outgoing connections, as for the other tests with processes.

--- a/wagtailspread/entry/tests/test_processes.py
+++ b/wagtailspread/entry/tests/test_processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import socket
 import sys
 
 import pytest
@@ -11,7 +10,7 @@
 from aiohttp import client
 
 from wagtailspread.entry.tests import fleets, stand_in_host, test_exchanges
-from wagtailspread.testing import load_generators, upstreams
+from wagtailspread.testing import load_generators, ports, upstreams
 from wagtailspread.wire import signing
 
 SETTINGS = """
@@ -36,16 +35,6 @@
         self.process = process
 
 
-def choose_addresses(count):
-    """Return free loopback addresses, which are not reserved."""
-    with contextlib.ExitStack() as stack:
-        opened = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(count)
-        ]
-        return [f'127.0.0.1:{one.getsockname()[1]}' for one in opened]
-
-
 async def start_process(folder, host, caller, control, endpoints):
     path = folder / f'{host}.ini'
     key = folder / 'key.pem'
@@ -67,7 +56,7 @@
 async def start_processes(folder, count, service_seconds=0.005):
     """Yield host processes, of which the first owns the service."""
     (folder / 'key.pem').write_bytes(signing.dump_key(fleets.KEY))
-    addresses = choose_addresses(2 * count)
+    addresses = ports.reserve_addresses(2 * count)
     controls = addresses[count:]
     endpoints = [
         f'h{number}={control}' for number, control in enumerate(controls)
