Refuse transfer codings in HTTP/1.0 requests

RFC 9112, section 6.1, has its framing treated as faulty.

Change: such a request gets 400, and its connection closes.

Result: the new case of test_stream_faults.py passes.

--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -304,8 +304,8 @@
         if not parsed:
             raise http_exceptions.BadHttpMessage('head without an end')
         message, content = parsed[0]
-        if _has_closing_option(message):
-            message = message._replace(should_close=True)
+        if message.version < http.HttpVersion11:
+            message = _restrict_old(message)
         self._unhandled += 1
         self._is_upgraded = is_upgraded
         if content is not streams.EMPTY_PAYLOAD:
@@ -414,15 +414,20 @@
         return self._content.is_eof()
 
 
-def _has_closing_option(message: typing.Any) -> bool:
-    """Tell whether an HTTP/1.0 request closes and keeps its connection.
+def _restrict_old(message: typing.Any) -> typing.Any:
+    """Return an HTTP/1.0 request as RFC 9112 reads it (sections 6.1 and 9.3).
 
-    aiohttp's parser keeps it then; ``close`` takes precedence.
+    aiohttp's parser accepts chunked bodies, and keeps a connection that has
+    both ``close`` and ``keep-alive``.
+
+    :raises HttpProcessingError: if it has a transfer coding.
     """
-    if message.version >= http.HttpVersion11:
-        return False
+    if 'Transfer-Encoding' in message.headers:
+        raise http_exceptions.BadHttpMessage('transfer coding in HTTP/1.0')
     options = ','.join(message.headers.getall('Connection', ())).lower()
-    return 'close' in {option.strip() for option in options.split(',')}
+    if 'close' in {option.strip() for option in options.split(',')}:
+        return message._replace(should_close=True)
+    return message
 
 
 def _create_inner() -> http_parser.HttpRequestParser:
--- a/wagtailspread/testing/tests/test_stream_faults.py
+++ b/wagtailspread/testing/tests/test_stream_faults.py
@@ -25,8 +25,17 @@
         b'\r' + _NEXT,
         b'GET /a HTTP/1.0\r\nConnection: close\r\nConnection: keep-alive\r\n'
         b'\r\n' + _NEXT,
+        b'POST /a HTTP/1.0\r\nConnection: keep-alive\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n' + _NEXT,
+    ],
+    ids=[
+        'trailers',
+        'no-version',
+        'two-spaces',
+        'lone-cr',
+        'close-and-keep',
+        'old-chunked',
     ],
-    ids=['trailers', 'no-version', 'two-spaces', 'lone-cr', 'close-and-keep'],
 )
 def test_requests_are_read_as_a_strict_reading_does(stream):
     """Guards against requests that a proxy before the host reads differently.
