--- a/wagtailspread/testing/tests/test_stream_faults.py
+++ b/wagtailspread/testing/tests/test_stream_faults.py
@@ -61,6 +61,20 @@
     assert not response_targets.run_response(stream_inputs.CLOSED + stream)
 
 
+@pytest.mark.parametrize(
+    'field',
+    [b' Response-Signature: s1\r\n', b'Response-Signature:\r s1\r\n'],
+    ids=['leading-space', 'lone-cr'],
+)
+def test_a_head_that_is_read_in_two_ways_is_not_passed_on(field):
+    """Guards against fields that other recipients ignore or split."""
+    stream = (
+        b'HTTP/1.1 200 OK\r\n' + field + b'Attempt-Id: a1\r\n'
+        b'Content-Length: 5\r\n\r\nwhole'
+    )
+    assert not response_targets.run_response(stream_inputs.CLOSED + stream)
+
+
 def test_a_chunk_that_is_too_short_is_not_passed_on():
     """Guards against a shifted body if a line feed ends a chunk."""
     stream = _HEAD + b'chunked\r\n\r\n5\r\nwhol\r\n0\r\n\r\n'
