Keep the objective of a retry, and set no limit for chance sheds

Cause: a retry had its whole objective again, so it waited like a request in time.

Change: a host sends what is left of the objective with a retry. Results before the first shed of the window do not count for a limit, and a limit ends if a part is shed at each number.

--- a/benchmarks/overload_loads.py
+++ b/benchmarks/overload_loads.py
@@ -215,6 +215,14 @@
         seconds=8.0,
         shed_share=1 / 3,
     ),
+    Scenario(
+        'sheds-half',
+        upstreams=86,
+        slots=3,
+        kinds=_FRIOLINK,
+        seconds=8.0,
+        shed_share=0.55,
+    ),
     Scenario(
         'sheds-above-limit',
         upstreams=48,
--- a/benchmarks/overload_products.py
+++ b/benchmarks/overload_products.py
@@ -6,6 +6,7 @@
 from benchmarks import overload_loads, overload_policies
 from benchmarks import overload_replays as replays
 from wagtailspread.core import identifiers
+from wagtailspread.gateway import attempts
 from wagtailspread.placement import allocators, messages, selection
 from wagtailspread.registry import records, tables
 
@@ -54,7 +55,7 @@
         self, job: overload_loads.Job, now: float
     ) -> list[replays.Decision]:
         """Ask the allocator, as the host of the request does."""
-        request = self._create_request(job)
+        request = self._create_request(job, now)
         answer = self._allocator.submit(request, now)
         self._jobs[request.request_id] = (job, request)
         return self._read(request.request_id, answer)
@@ -112,7 +113,7 @@
         return [replays.Decision(job, self._rows[answer.record.upstream])]
 
     def _create_request(
-        self, job: overload_loads.Job
+        self, job: overload_loads.Job, now: float
     ) -> messages.PlacementRequest:
         request_id = identifiers.RequestId(
             f'{job.number}.{job.refusals}.{job.attempts}'
@@ -124,7 +125,7 @@
             domain=DOMAINS[job.domain],
             service=SERVICE,
             deadline=job.deadline,
-            objective=job.kind.objective,
+            objective=_find_objective(job, now),
             priority=job.kind.rank,
             excluded=frozenset(map(_name, job.excluded)),
             is_repeat=job.attempts > 0,
@@ -138,6 +139,12 @@
         )
 
 
+def _find_objective(job: overload_loads.Job, now: float) -> float:
+    """Return what is left of the objective, as the host of a retry does."""
+    left = job.asked_at + job.kind.objective - now
+    return max(left, attempts.MIN_OBJECTIVE_SECONDS)
+
+
 def create_record(number: int, slots: int) -> records.UpstreamRecord:
     """Return the record of an upstream that is ready."""
     return records.UpstreamRecord(
--- a/wagtailspread/gateway/attempts.py
+++ b/wagtailspread/gateway/attempts.py
@@ -18,6 +18,9 @@
 
 #: Latency objective of a route that sets none, in seconds.
 DEFAULT_OBJECTIVE_SECONDS = 2.0
+#: What a retry has left of its objective at least, in seconds. It is late and
+#: takes any upstream that has a free slot.
+MIN_OBJECTIVE_SECONDS = 0.001
 
 _NO_WORKSPACE = identifiers.WorkspaceName('')
 #: Route classes are non-negative numbers of 31 bits.
@@ -119,6 +122,15 @@
         self.response: exchanges.UpstreamResponse | None = None
         self.upstream: identifiers.UpstreamId | None = None
         self.is_counted = False
+        self._started_at = _now()
+
+    def find_objective(self) -> float:
+        """Return the seconds that are left of the objective for an attempt."""
+        objective = self.routed.route.objective or DEFAULT_OBJECTIVE_SECONDS
+        if not self.send_attempts.sends:
+            return objective
+        left = objective - (_now() - self._started_at)
+        return max(left, min(objective, MIN_OBJECTIVE_SECONDS))
 
     def can_send(self) -> bool:
         """Tell whether the request may be sent to a further upstream."""
@@ -281,7 +293,7 @@
             domain=self._domain,
             service=routed.service,
             deadline=routed.outgoing.deadline,
-            objective=routed.route.objective or DEFAULT_OBJECTIVE_SECONDS,
+            objective=state.find_objective(),
             size=routed.size,
             priority=routed.priority,
             excluded=frozenset(state.excluded),
--- a/wagtailspread/gateway/tests/test_attempts.py
+++ b/wagtailspread/gateway/tests/test_attempts.py
@@ -155,3 +155,24 @@
         assert outcome.refusal is attempts.Refusal.NOT_CURRENT
     states = region.allocator.permits.quotas._states
     assert states['friolink'].admitted == 0
+
+
+async def test_a_retry_keeps_the_objective_of_its_first_arrival(monkeypatch):
+    """Guards against a late retry that waits like a request in time."""
+    region = regions.Region(upstreams=4)
+    placer = LocalPlacer(region)
+    runner = attempts.AttemptRunner(
+        'h1',
+        'north',
+        placer,
+        FailingExchanger(exchanges.LostResponse('reset')),
+    )
+    routed = create_routed_request()
+    times = itertools.count(asyncio.get_running_loop().time(), 0.1)
+    monkeypatch.setattr(attempts, '_now', lambda: next(times))
+    await runner.run(routed)
+    first, second, third = (one.objective for one in placer.requests)
+    assert first == attempts.DEFAULT_OBJECTIVE_SECONDS
+    assert second <= first - 0.1
+    assert third <= second - 0.1
+    assert third >= attempts.MIN_OBJECTIVE_SECONDS
--- a/wagtailspread/placement/sheds.py
+++ b/wagtailspread/placement/sheds.py
@@ -16,6 +16,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 
 from wagtailspread.core import identifiers
@@ -125,8 +126,12 @@
             return
         if state.limit and _find_share(state) <= TOLERATED_SHARE:
             return
-        limit = _find_accepted(state.results)
-        if limit and (not state.limit or limit < state.limit):
+        limit = _find_accepted(_list_since_first_shed(state.results))
+        if not limit:
+            # A part is shed at each number, so that waiting does not help.
+            state.limit = 0
+            state.accepted = 0
+        elif not state.limit or limit < state.limit:
             state.limit = limit
             state.accepted = limit
         if state.limit:
@@ -147,7 +152,20 @@
     return sum(below) / max(len(below), 1)
 
 
-def _find_accepted(results: collections.deque[_Result]) -> int:
+def _list_since_first_shed(
+    results: collections.deque[_Result],
+) -> list[_Result]:
+    """Return the results without those before the upstreams began to shed.
+
+    Those were accepted at each number, so they would hide that a part is shed
+    at each number now.
+    """
+    return list(
+        itertools.dropwhile(lambda one: not one[2], results),
+    )
+
+
+def _find_accepted(results: list[_Result]) -> int:
     """Return the most open requests that are accepted in full, 0 if none."""
     levels = sorted({level for _, level, _ in results})
     found = 0
