Keep a part of the retry budget for callers that came again

Cause: while upstreams shed by chance, the first seconds used up the retry budget, mostly for requests whose callers can come again. Those that had come again, and hardly come a third time, found none left.

Change: while a service sheds and no limit of open requests is in force, requests that were not refused before use at most 0.4 of the budget (placement.retry_shares). This holds for a second from the first sheds on, and then while callers are seen to come again when they were told to.

--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -17,8 +17,8 @@
 
 from wagtailspread.core import identifiers
 from wagtailspread.placement import commitments, estimates, leases, margins
-from wagtailspread.placement import messages, queues, returns, selection
-from wagtailspread.placement import shares, sheds, tallies, works
+from wagtailspread.placement import messages, queues, retry_shares, returns
+from wagtailspread.placement import selection, shares, sheds, tallies, works
 
 #: Requests of lower ranks that go first, for each grant.
 PROMOTED_SHARE = 0.25
@@ -33,8 +33,6 @@
 #: that come later and can end within their objectives go first. With 3, the
 #: value of the replay ``workspace-burst`` was 0.702, with 4 0.714.
 LATE_WAIT_FACTOR = 4.0
-#: Share of the retry budget that lower ranks may use.
-LOWER_RANK_BUDGET_SHARE = 0.75
 #: Interval between two checks of a whole queue, in seconds, and what each
 #: queued request adds. Checking 5,000 requests takes about 8 ms.
 SWEEP_SECONDS = 0.2
@@ -171,13 +169,10 @@
     def find_budget_share(
         self, request: messages.PlacementRequest, now: float
     ) -> float:
-        """Return the share of the retry budget that a request may use.
-
-        The remainder is kept for higher ranks, if there are any.
-        """
-        if self.shares.has_higher(request.service, request.priority):
-            return LOWER_RANK_BUDGET_SHARE
-        return 1.0
+        """Return the share of the retry budget that a request may use."""
+        return retry_shares.find_share(
+            request, self.shares, self.returns, self.sheds, now
+        )
 
     def record_refusal(
         self,
--- a/wagtailspread/placement/returns.py
+++ b/wagtailspread/placement/returns.py
@@ -52,6 +52,8 @@
     def __init__(self) -> None:
         """Create a table without requests."""
         self._returns: dict[crashes.Fingerprint, _Return] = {}
+        self._claimed_at: dict[crashes.Fingerprint, float] = {}
+        self._last_claim = -math.inf
 
     def __len__(self) -> int:
         """Return the number of requests."""
@@ -80,10 +82,28 @@
         if known is None or now < known.back_at - TOLERANCE_SECONDS:
             return None
         self._returns.pop(fingerprint)
-        return known if now <= known.back_at + KEEP_SECONDS else None
+        if now > known.back_at + KEEP_SECONDS:
+            return None
+        self._claimed_at[fingerprint] = now
+        self._last_claim = now
+        return known
+
+    def has_back(self, now: float) -> bool:
+        """Tell whether callers come again when they are told to."""
+        return now <= self._last_claim + KEEP_SECONDS
+
+    def is_back(self, fingerprint: crashes.Fingerprint, now: float) -> bool:
+        """Tell whether a caller has come again when it was told to."""
+        claimed_at = self._claimed_at.get(fingerprint, -math.inf)
+        return now <= claimed_at + KEEP_SECONDS
 
     def prune(self, now: float) -> None:
         """Drop requests whose callers did not come again."""
+        self._claimed_at = {
+            fingerprint: claimed_at
+            for fingerprint, claimed_at in self._claimed_at.items()
+            if now <= claimed_at + KEEP_SECONDS
+        }
         self._returns = {
             fingerprint: entry
             for fingerprint, entry in self._returns.items()
--- a/wagtailspread/placement/sheds.py
+++ b/wagtailspread/placement/sheds.py
@@ -31,6 +31,8 @@
 CHECK_SECONDS = 0.1
 #: Number of sheds in the window from which a limit is set.
 MIN_SHEDS = 6
+#: Share of the results from which a service counts as one that sheds.
+SHEDDING_SHARE = 0.1
 #: Number of accepted requests at or below a limit from which it is known to be
 #: accepted.
 MIN_ACCEPTED = 10
@@ -49,6 +51,8 @@
     """Results and limit of one service.
 
     :param results: time, open requests and whether it was shed, of each.
+    :param sheds: number of results that were sheds.
+    :param shed_since: when they became a considerable share.
     :param limit: 0 for none.
     :param accepted: the limit up to which all was accepted. A higher one is
         being tried, and ends with the first shed.
@@ -57,6 +61,8 @@
     """
 
     results: collections.deque[_Result]
+    sheds: int = 0
+    shed_since: float | None = None
     limit: int = 0
     accepted: int = 0
     holds_until: float = -math.inf
@@ -87,6 +93,7 @@
             state = _ServiceState(collections.deque())
             self._states[service] = state
         state.results.append((now, open_requests, is_shed))
+        state.sheds += is_shed
         state.most = max(state.most, open_requests)
         if not is_shed:
             return
@@ -112,6 +119,25 @@
                 state.accepted = 0
         return state.limit
 
+    def find_shed_seconds(
+        self, service: identifiers.ServiceName, now: float
+    ) -> float | None:
+        """Return for how long a service has shed work, ``None`` if it doesn't.
+
+        It counts from ``MIN_SHEDS`` sheds on that are a considerable share.
+        """
+        state = self._states.get(service)
+        if state is None:
+            return None
+        _drop_old(state, now)
+        least = max(MIN_SHEDS, SHEDDING_SHARE * len(state.results))
+        if state.sheds < least:
+            state.shed_since = None
+            return None
+        if state.shed_since is None:
+            state.shed_since = now
+        return now - state.shed_since
+
     def describe(self, now: float) -> dict[identifiers.ServiceName, int]:
         """Return the limits in force, for logs."""
         return {
@@ -122,7 +148,7 @@
 
     def _lower(self, state: _ServiceState, now: float) -> None:
         _drop_old(state, now)
-        if sum(is_shed for _, _, is_shed in state.results) < MIN_SHEDS:
+        if state.sheds < MIN_SHEDS:
             return
         if state.limit and _find_share(state) <= TOLERATED_SHARE:
             return
@@ -141,7 +167,8 @@
 def _drop_old(state: _ServiceState, now: float) -> None:
     results = state.results
     while results and results[0][0] < now - WINDOW_SECONDS:
-        results.popleft()
+        _, _, is_shed = results.popleft()
+        state.sheds -= is_shed
 
 
 def _find_share(state: _ServiceState) -> float:
--- a/wagtailspread/placement/tests/test_admissions.py
+++ b/wagtailspread/placement/tests/test_admissions.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtailspread.placement import estimates, messages, returns
+from wagtailspread.placement import estimates, messages, returns, sheds
 from wagtailspread.placement.tests import regions
 
 _GRANTED = messages.Decision.GRANTED
@@ -355,3 +355,42 @@
     ]
     assert low.count(_GRANTED) == 13
     assert high.count(_GRANTED) == 5
+
+
+@pytest.mark.parametrize(('is_back', 'granted'), [(False, 7), (True, 18)])
+def test_callers_that_came_again_find_a_part_of_the_retry_budget(
+    is_back, granted
+):
+    """Guards against a budget that the first seconds of a fault use up."""
+    region = regions.Region(upstreams=30, slots=6, ratio=0.2)
+    for number in range(100):
+        request_id, answer = region.submit()
+        if number % 2:
+            region.settle(request_id, answer, messages.Evidence.SHED)
+        else:
+            region.settle(request_id, answer)
+    if is_back:
+        known = returns.create_return(0.0, 0.0, 0.0)
+        region.allocator.admission.returns.add(7, known)
+        region.allocator.admission.returns.claim(7, region.now)
+    decisions = [
+        region.submit(is_repeat=True, fingerprint=7)[1].decision
+        for _ in range(20)
+    ]
+    assert decisions.count(_GRANTED) == granted
+
+
+def test_upstreams_that_begin_to_shed_by_chance_get_no_limit():
+    """Guards against waiting where a send succeeds as often now as later.
+
+    Load pattern: all is accepted at first; then a part is shed at each number
+    of open requests, and by chance most at the highest ones.
+    """
+    limits = sheds.create_limits()
+    for number in range(300):
+        limits.record('columns', 1 + number % 5, False, number / 300)
+    for number in range(60):
+        level = 1 + number % 6
+        is_shed = number % 3 == 0 or level == 6
+        limits.record('columns', level, is_shed, 1.0 + number / 300)
+    assert not limits.find('columns', 1.2)
