Refuse nothing while slots are free for the whole queue

Cause: while most slots are free, requests wait behind the first one, which may wait for a better upstream. A new allocator takes 0.5 s as their work, so their estimated wait was too long and some were refused with free slots.

Change: a request is admitted if more slots are free than requests are queued.

Result: with one upload that waits for its domain and 38 look-ups behind it, none is refused; without the change some are.

--- a/wagtailspread/placement/admissions.py
+++ b/wagtailspread/placement/admissions.py
@@ -103,7 +103,9 @@
         """
         request = entry.request
         margin = self._find_margin(entry, now)
-        if self._starts_by(entry, entry.due, margin, now):
+        if self._starts_by(entry, entry.due, margin, now) or self._has_slot(
+            entry, now
+        ):
             return True
         self._find_late_place(entry)
         if self._starts_by(entry, entry.latest, LATE_WAIT_FACTOR, now):
@@ -315,6 +317,14 @@
             margin *= margins.UNFAIR_MARGIN
         return margin
 
+    def _has_slot(self, entry: leases.WaitingRequest, now: float) -> bool:
+        """Tell whether slots are free for a request and all queued ones."""
+        if self.is_too_late(entry, now):
+            return False
+        service = entry.request.service
+        queued = len(self._queues.find(service))
+        return self.capacities.count_free(service, now) > queued
+
     def _starts_by(
         self,
         entry: leases.WaitingRequest,
--- a/wagtailspread/placement/estimates.py
+++ b/wagtailspread/placement/estimates.py
@@ -177,6 +177,15 @@
             count_open(upstream) < usable for upstream, usable in slots.items()
         )
 
+    def count_free(self, service: identifiers.ServiceName, now: float) -> int:
+        """Return the number of free slots of a service."""
+        count_open = self._selector.count_open
+        slots = self._find_slots(service, now)
+        return sum(
+            max(usable - count_open(upstream), 0)
+            for upstream, usable in slots.items()
+        )
+
     def is_short(self, service: identifiers.ServiceName, now: float) -> bool:
         """Tell whether most slots are in use, so that capacity is short."""
         slots = self._find_slots(service, now)
--- a/wagtailspread/placement/queues.py
+++ b/wagtailspread/placement/queues.py
@@ -61,12 +61,11 @@
 
     def list_behind(
         self, order: leases.QueueOrder
-    ) -> list[leases.WaitingRequest]:
-        """Return the requests that come after a place, the first one first."""
+    ) -> typing.Iterator[leases.WaitingRequest]:
+        """Yield the requests that come after a place, the first one first."""
         position = bisect.bisect_left(self._orders, order)
-        return [
-            self._entries[number] for _, _, number in self._orders[position:]
-        ]
+        for _, _, number in self._orders[position:]:
+            yield self._entries[number]
 
     def add(self, entry: leases.WaitingRequest, now: float) -> None:
         """Add a request at the place of its order."""
@@ -111,7 +110,9 @@
     def estimate_ahead(self, order: leases.QueueOrder) -> float:
         """Return the expected work of the requests that come first."""
         position = bisect.bisect_left(self._orders, order)
-        return math.fsum(self._works[:position])
+        if 2 * position < len(self._works):
+            return sum(self._works[:position])
+        return max(self._work - sum(self._works[position:]), 0.0)
 
     def has_ahead(
         self, entry: leases.WaitingRequest, *, is_short: bool
--- a/wagtailspread/placement/tests/test_admissions.py
+++ b/wagtailspread/placement/tests/test_admissions.py
@@ -394,3 +394,22 @@
         is_shed = number % 3 == 0 or level == 6
         limits.record('columns', level, is_shed, 1.0 + number / 300)
     assert not limits.find('columns', 1.2)
+
+
+def test_nothing_is_refused_while_slots_are_free_for_the_queue():
+    """Guards against refusals in a calm region with an unusual first request.
+
+    Load pattern: an upload waits for the slot of its failure domain, and
+    look-ups come behind it; a new allocator knows no durations.
+    """
+    region = regions.Region(upstreams=1, slots=1)
+    region.selector.registry.merge(
+        regions.create_record('away', 'south', 40), 0.0
+    )
+    for upstream in ('u0', 'away'):
+        region.selector.risk_table.add_successes(upstream, 30, 15.0, 0.0)
+    region.submit(size=60_000)
+    times = {'objective': 0.8, 'deadline': region.now + 1.6}
+    assert region.submit(size=60_000, **times)[1].decision is _WAITING
+    decisions = [region.submit(**times)[1].decision for _ in range(38)]
+    assert _NO_ROOM not in decisions
