--- a/wagtailspread/placement/sheds.py
+++ b/wagtailspread/placement/sheds.py
@@ -16,6 +16,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 
 from wagtailspread.core import identifiers
@@ -30,6 +31,8 @@
 CHECK_SECONDS = 0.1
 #: Number of sheds in the window from which a limit is set.
 MIN_SHEDS = 6
+#: Share of the results from which a service counts as one that sheds.
+SHEDDING_SHARE = 0.1
 #: Number of accepted requests at or below a limit from which it is known to be
 #: accepted.
 MIN_ACCEPTED = 10
@@ -39,10 +42,6 @@
 #: Share of sheds at or below a limit that does not lower it further. Requests
 #: that take long count as ended after some time, so a few more are open.
 TOLERATED_SHARE = 0.1
-#: Share of sheds at or below a limit from which it is dropped, if no lower one
-#: is accepted in full. Upstreams that began to shed by chance while there was a
-#: limit of 1 got one request at a time for 10 s.
-USELESS_SHARE = 0.25
 
 _Result = tuple[float, int, bool]
 
@@ -52,6 +51,8 @@
     """Results and limit of one service.
 
     :param results: time, open requests and whether it was shed, of each.
+    :param sheds: number of results that were sheds.
+    :param shed_since: when they became a considerable share.
     :param limit: 0 for none.
     :param accepted: the limit up to which all was accepted. A higher one is
         being tried, and ends with the first shed.
@@ -60,6 +61,8 @@
     """
 
     results: collections.deque[_Result]
+    sheds: int = 0
+    shed_since: float | None = None
     limit: int = 0
     accepted: int = 0
     holds_until: float = -math.inf
@@ -94,6 +97,7 @@
             state = _ServiceState(collections.deque())
             self._states[service] = state
         state.results.append((now, open_requests, is_shed))
+        state.sheds += is_shed
         state.most = max(state.most, open_requests)
         if not is_shed:
             return
@@ -119,6 +123,25 @@
                 state.accepted = 0
         return state.limit
 
+    def find_shed_seconds(
+        self, service: identifiers.ServiceName, now: float
+    ) -> float | None:
+        """Return for how long a service has shed work, ``None`` if it doesn't.
+
+        It counts from ``MIN_SHEDS`` sheds on that are a considerable share.
+        """
+        state = self._states.get(service)
+        if state is None:
+            return None
+        _drop_old(state, now)
+        least = max(MIN_SHEDS, SHEDDING_SHARE * len(state.results))
+        if state.sheds < least:
+            state.shed_since = None
+            return None
+        if state.shed_since is None:
+            state.shed_since = now
+        return now - state.shed_since
+
     def describe(self, now: float) -> dict[identifiers.ServiceName, int]:
         """Return the limits in force, for logs."""
         return {
@@ -129,16 +152,16 @@
 
     def _lower(self, state: _ServiceState, now: float) -> None:
         _drop_old(state, now)
-        if sum(is_shed for _, _, is_shed in state.results) < MIN_SHEDS:
+        if state.sheds < MIN_SHEDS:
             return
         if state.limit and _find_share(state) <= TOLERATED_SHARE:
             return
-        limit = _find_accepted(state.results)
-        if not limit and _find_share(state) >= USELESS_SHARE:
-            # Sheds no longer depend on what an upstream runs.
+        limit = _find_accepted(_list_since_first_shed(state.results))
+        if not limit:
+            # A part is shed at each number, so that waiting does not help.
             state.limit = 0
             state.accepted = 0
-        elif limit and (not state.limit or limit < state.limit):
+        elif not state.limit or limit < state.limit:
             state.limit = limit
             state.accepted = limit
         if state.limit:
@@ -148,7 +171,8 @@
 def _drop_old(state: _ServiceState, now: float) -> None:
     results = state.results
     while results and results[0][0] < now - WINDOW_SECONDS:
-        results.popleft()
+        _, _, is_shed = results.popleft()
+        state.sheds -= is_shed
 
 
 def _find_share(state: _ServiceState) -> float:
@@ -159,7 +183,20 @@
     return sum(below) / max(len(below), 1)
 
 
-def _find_accepted(results: collections.deque[_Result]) -> int:
+def _list_since_first_shed(
+    results: collections.deque[_Result],
+) -> list[_Result]:
+    """Return the results without those before the upstreams began to shed.
+
+    Those were accepted at each number, so they would hide that a part is shed
+    at each number now.
+    """
+    return list(
+        itertools.dropwhile(lambda one: not one[2], results),
+    )
+
+
+def _find_accepted(results: list[_Result]) -> int:
     """Return the most open requests that are accepted in full, 0 if none."""
     levels = sorted({level for _, level, _ in results})
     found = 0
