--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -4,7 +4,7 @@
 
 from wagtailspread.core import clocks, identifiers, tasks
 from wagtailspread.placement import allocators, budgets, coverage
-from wagtailspread.placement import lendings, permits, selection
+from wagtailspread.placement import permits, selection
 from wagtailspread.placement import services as placement_services
 from wagtailspread.platform import controls, processes, settings, values
 from wagtailspread.processes import machines
@@ -70,7 +70,6 @@
             count_hosts=lambda: registry.quotas.count_hosts(clock.now()),
             count_declared=lambda: registry.quotas.count_declared(clock.now()),
         ),
-        lending=_create_lending(boot, selector),
     )
     return placement_services.create_service(
         allocator,
@@ -79,20 +78,9 @@
         registry,
         coverage.create_monitor(selector, allocator.floor, _list_domains(boot)),
         registry.quotas,
-        registry.spares,
     )
 
 
-def _create_lending(
-    boot: settings.BootSettings, selector: selection.Selector
-) -> lendings.Lending | None:
-    """Return the loans of the replica's region, if there is another one."""
-    own = boot.regions.get(boot.domain)
-    if own is None or len(set(boot.regions.values())) < 2:
-        return None
-    return lendings.create_lending(selector, own, boot.regions)
-
-
 def _list_domains(
     boot: settings.BootSettings,
 ) -> frozenset[identifiers.FailureDomain]:
