--- a/wagtailspread/gateway/placements.py
+++ b/wagtailspread/gateway/placements.py
@@ -110,7 +110,6 @@
         self._prefix = f'{self._incarnation:x}'
         self._numbers = itertools.count()
         self._allocators: list[identifiers.Address] = []
-        self._substitutes: frozenset[identifiers.Address] = frozenset()
         self._has_caps = False
         self._held = 0
         self._settler = settlements.create_settler(host, pool, clock)
@@ -124,9 +123,6 @@
 
         All hosts of a region use the same order.
         """
-        self._substitutes = frozenset(
-            identifiers.Address(one.address) for one in substitutes
-        )
         ordered = sorted(replicas, key=lambda one: str(one.address))
         ordered.extend(substitutes)
         self._allocators = [
@@ -467,16 +463,12 @@
         """Return the answer of an allocator, also if the first one is late.
 
         It is not asked again if it has failed for another request meanwhile.
-        Nor is a substitute: it is a small machine, and twice the calls of all
-        hosts would keep it too busy to answer any.
         """
         answer = await self._call(
             allocator, placement_request, MAX_WAIT_SECONDS
         )
-        if answer is not None or allocator in self._substitutes:
+        if answer is not None or self._settler.is_failed(allocator):
             return answer
-        if self._settler.is_failed(allocator):
-            return None
         return await self._call(
             allocator, placement_request, 0, LATE_TIMEOUT_SECONDS
         )
