--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,25 +1,63 @@
-"""Check-ins of another writer take sound targets out of use for good."""
+"""Clients get a success with a body that is not the target's whole body."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import harness_2 as harness
 
 TARGETS = 10
-#: Number of targets whose address another writer states.
-STATED = 5
-RATE = 70
-#: 10 targets of 3 slots run 100 of these requests a second.
-PATH = '/lepu270/ms300'
-DEADLINE_MS = 2000
-LOAD_SECONDS = 20
-TROUBLE_AT = 6
-WINDOW_SECONDS = 2.0
-FLOOR_SHARE = 0.7
+#: Part of the targets that spoil answers, and one of how many answers.
+SPOILING = 4
+EVERY = 44
+REQUESTS = 1600
+PARALLEL = 20
+PATH = '/lepu270/2f/ms20'
+DEADLINE_MS = 4000
+#: Sizes of the chunks of an answer.
+CHUNKS = (200, 150, 50)
+
+
+class ChunkingTarget(harness.Target):
+    """A target that answers in chunks, as HTTP/1.1 allows.
+
+    A faulty one leaves out the last byte of a chunk in some of its answers: the
+    answer is truncated within.
+    """
+
+    def __init__(self, *settings, spoils):
+        super().__init__(*settings)
+        self.spoils = spoils
+        self.count = 0
+        self.bodies = {}
+
+    def answer(self, writer, attempt):
+        body = create_body(attempt)
+        self.count += 1
+        is_spoilt = self.spoils and self.count % EVERY == 0
+        lines = [
+            'HTTP/1.1 200 OK',
+            f'Attempt-Id: {attempt}',
+            f'Response-Signature: s.{attempt}',
+            'Transfer-Encoding: chunked',
+        ]
+        writer.write('\r\n'.join((*lines, '', '')).encode())
+        start = 0
+        for number, size in enumerate(CHUNKS):
+            piece = body[start : start + size]
+            start += size
+            if is_spoilt and number == 1:
+                piece = piece[:-1]
+            writer.write(f'{size:x}\r\n'.encode() + piece + b'\r\n')
+        writer.write(b'0\r\n\r\n')
+        return 'spoilt' if is_spoilt else 'answered'
+
+
+def create_body(attempt):
+    """Return the body of the whole answer to a request."""
+    return (f'{attempt}:' + 'layout ' * 80).encode()[: sum(CHUNKS)]
 
 
 async def play(record, has_trouble):
@@ -27,13 +65,15 @@
     arrivals = []
     zones = list(harness.ZONES)
     targets = [
-        harness.Target(
+        ChunkingTarget(
             f'i-{number}',
             'huvo11a',
             f'127.{fleet.network}.3.{number + 1}',
             zones[number % len(zones)],
             record,
             arrivals,
+            6,
+            spoils=has_trouble and number < SPOILING,
         )
         for number in range(TARGETS)
     ]
@@ -41,105 +81,95 @@
         'r-lookup', '/lepu270/', 'safe', 'huvo11a', 2000, 800
     )
     configuration = harness.create_configuration(7, [route], ['huvo11a'])
+    answers = {}
     try:
         await harness.set_up(
-            record,
-            fleet,
-            configuration,
-            targets,
-            2 * harness.CONTACT_SECONDS + 1,
+            record, fleet, configuration, targets, harness.CONTACT_SECONDS + 1
+        )
+        numbers = iter(range(REQUESTS))
+        await asyncio.gather(
+            *(ask_all(record, fleet, numbers, answers) for _ in range(PARALLEL))
         )
-        requests = []
-        load = asyncio.create_task(send_all(record, fleet, requests))
-        await asyncio.sleep(TROUBLE_AT)
-        confirmed = [target.confirmed for target in targets]
-        if has_trouble:
-            await send_foreign_check_ins(record, fleet, targets)
-        await load
     finally:
         fleet.close()
-    for target, before in zip(targets, confirmed, strict=True):
-        record.say(
-            target.name,
-            'check-ins confirmed later:',
-            target.confirmed - before,
-            'requests in the last 8 s:',
-            sum(
-                one['target'] == target.name
-                and one['at'] > requests[-1]['at'] - 8
-                for one in arrivals
-            ),
-        )
-    return find_break(record, requests, arrivals)
+    return find_break(record, answers, arrivals)
 
 
-async def send_all(record, fleet, requests):
-    """Send requests at a steady rate, and wait for all answers."""
-    tasks = []
-    start = time.monotonic()
-    for number in range(RATE * LOAD_SECONDS):
-        await asyncio.sleep(max(0, start + number / RATE - time.monotonic()))
+async def ask_all(record, fleet, numbers, answers):
+    for number in numbers:
+        attempt = f'a{number:06d}'
         ip = fleet.hosts[number % len(fleet.hosts)]
-        tasks.append(
-            asyncio.create_task(send_one(record, ip, number, requests))
-        )
-    await asyncio.gather(*tasks)
+        record.add('sent', attempt, 'GET', PATH, 'to', ip)
+        answers[attempt] = await ask(ip, attempt)
+        status, body, _ = answers[attempt]
+        record.add('answered', attempt, status, len(body), 'bytes')
 
 
-async def send_one(record, ip, number, requests):
-    request = {'at': record.now(), 'status': 0}
-    requests.append(request)
-    request['status'] = await harness.send(
-        record, ip, 'GET', PATH, f'a{number:06d}', DEADLINE_MS
-    )
-
-
-async def send_foreign_check_ins(record, fleet, targets):
-    """Send one check-in for each of some addresses of sound targets.
-
-    Its service is not named in the configuration.
-    """
-    for number, target in enumerate(targets[:STATED]):
-        fields = harness.create_check_in(
-            target,
-            service='nagios-agent',
-            seq=1,
-            born=int(time.time() * 1000),
+async def ask(ip, attempt):
+    """Return status, body and signature of an answer; the status 0 if none."""
+    try:
+        async with asyncio.timeout(DEADLINE_MS / 1000):
+            reader, writer = await asyncio.open_connection(
+                ip, harness.FRONT_PORT
+            )
+            try:
+                writer.write(
+                    harness.create_head('GET', PATH, attempt, DEADLINE_MS)
+                )
+                head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+                headers = harness.read_headers(head)
+                body = await harness.read_body(reader, headers)
+                signature = headers.get('response-signature', '')
+                return int(head.split()[1]), body, signature
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0, b'', ''
+
+
+def find_break(record, answers, arrivals):
+    """Tell whether the rule MIXED is broken."""
+    wrong = [
+        attempt
+        for attempt, (status, body, _) in answers.items()
+        if 200 <= status < 300 and body != create_body(attempt)
+    ]
+    for attempt in wrong[:3]:
+        status, body, signature = answers[attempt]
+        whole = create_body(attempt)
+        at = next(
+            (
+                n
+                for n, pair in enumerate(zip(body, whole))
+                if len(set(pair)) > 1
+            ),
+            min(len(body), len(whole)),
+        )
+        record.say(
+            attempt,
+            'got',
+            status,
+            'with the signature',
+            signature,
+            'and, from byte',
+            at,
+            'on,',
+            body[at : at + 12],
+            'in place of',
+            whole[at : at + 12],
         )
-        ip = fleet.replicas[number % len(fleet.replicas)]
-        path = f'/wagtailspread/instances/agent-{number}/heartbeat'
-        status, body = await harness.call(ip, 'POST', path, fields)
-        record.say('foreign check-in for', target.address, status, body)
-
-
-def find_break(record, requests, arrivals):
-    """Tell whether the rule FLOOR is broken in some window."""
-    end = max(request['at'] for request in requests) - WINDOW_SECONDS
-    at = requests[0]['at'] + 1
-    worst = None
-    while at <= end:
-        until = at + WINDOW_SECONDS
-        sent = [one for one in requests if at <= one['at'] < until]
-        unserved = sum(one['status'] != 200 for one in sent) / len(sent)
-        used = {one['target'] for one in arrivals if at <= one['at'] < until}
-        share = len(used) / TARGETS
-        is_broken = 0 < share < FLOOR_SHARE and 0.1 < unserved < 0.5
-        if is_broken and (worst is None or unserved > worst[2]):
-            worst = (round(at, 1), share, round(unserved, 2), len(sent))
-        at += 0.1
-    statuses = [request['status'] for request in requests]
+    spoilt = sum(one['how'] == 'spoilt' for one in arrivals)
+    statuses = [status for status, _, _ in answers.values()]
     counts = {one: statuses.count(one) for one in sorted(set(statuses))}
     record.say('answers by status:', counts)
-    if worst is None:
-        record.say('FLOOR holds')
-        return False
     record.say(
-        'FLOOR broken: 2 s from {} on, a share of {} of the sound targets got'
-        ' requests, and a share of {} of {} requests was not served'.format(
-            *worst
-        )
+        'MIXED broken:' if wrong else 'MIXED holds:',
+        len(wrong),
+        'clients got a success with a body that is not whole;',
+        spoilt,
+        'answers of targets were spoilt',
     )
-    return True
+    return bool(wrong)
 
 
 harness.run(pathlib.Path(__file__).resolve().parent, play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,7 @@
-"""After all processes were killed, a hot tenant gets far more than its cap."""
+"""Check-ins of another writer take sound targets out of use for good."""
 
 import asyncio
 import pathlib
-import random
 import sys
 import time
 
@@ -10,54 +9,23 @@
 
 import harness_2 as harness
 
-#: Traffic starts so long after the machines do, in seconds.
-LEAD_SECONDS = 12.0
-#: From the start of traffic on, in seconds: when all processes are killed, when
-#: the tenant begins to send many times its usual, how long, and the end.
-KILLED_AT = 8.0
-HOT_AT = 13.5
-HOT_SECONDS = 6.9
-END_AT = 22.0
-#: The processes are back within a second.
-DOWN_SECONDS = 0.6
-#: Requests a second, and at once, that the tenant may send.
-RATE = 50
-BURST = 50
-#: The cap is 1.6 times what the tenant usually sends, and a hot tenant sends
-#: 7.5 times its usual. Both are values of the site file.
-USUAL_RATE = RATE / 1.6
-HOT_FACTOR = 7.5
-WINDOW_SECONDS = 5.0
-OVERAGE = 0.1
-SLACK = 20
-ZONES = {
-    'recife-a': 'recife',
-    'recife-b': 'recife',
-    'fortaleza-a': 'fortaleza',
-    'fortaleza-b': 'fortaleza',
-}
-KEY = '42q492cqf75rjvz48wua'
-PATH = '/lepu270/log/ms20'
-DEADLINE_MS = 3000
+TARGETS = 10
+#: Number of targets whose address another writer states.
+STATED = 5
+RATE = 70
+#: 10 targets of 3 slots run 100 of these requests a second.
+PATH = '/lepu270/ms300'
+DEADLINE_MS = 2000
+LOAD_SECONDS = 20
+TROUBLE_AT = 6
+WINDOW_SECONDS = 2.0
+FLOOR_SHARE = 0.7
 
 
 async def play(record, has_trouble):
-    started = time.monotonic()
-    fleet = harness.Fleet(
-        replicas=5,
-        hosts=12,
-        bounds=[
-            'quotaWindow=5s',
-            f'quotaOverage={OVERAGE}',
-            f'quotaSlack={SLACK}',
-            'revokeEverywhere=false',
-            'revoke=5000ms',
-        ],
-        contracts=['tenants', 'quota'],
-        zones=ZONES,
-    )
+    fleet = harness.Fleet(replicas=3, hosts=2)
     arrivals = []
-    zones = list(ZONES)
+    zones = list(harness.ZONES)
     targets = [
         harness.Target(
             f'i-{number}',
@@ -66,100 +34,112 @@
             zones[number % len(zones)],
             record,
             arrivals,
-            30,
         )
-        for number in range(6)
+        for number in range(TARGETS)
     ]
     route = harness.create_route(
-        'r-log', '/lepu270/', 'safe', 'huvo11a', 2000, 964
-    )
-    tenant = {
-        'name': 'kaje80',
-        'apiKeys': [KEY],
-        'ratePerS': RATE,
-        'burst': BURST,
-    }
-    configuration = harness.create_configuration(
-        7, [route], ['huvo11a'], tenants=[tenant]
+        'r-lookup', '/lepu270/', 'safe', 'huvo11a', 2000, 800
     )
-    sent = {}
+    configuration = harness.create_configuration(7, [route], ['huvo11a'])
     try:
-        await harness.set_up(record, fleet, configuration, targets, 1.0)
-        await asyncio.sleep(started + LEAD_SECONDS - time.monotonic())
-        load = asyncio.create_task(send_all(record, fleet, sent))
-        await asyncio.sleep(KILLED_AT)
+        await harness.set_up(
+            record,
+            fleet,
+            configuration,
+            targets,
+            2 * harness.CONTACT_SECONDS + 1,
+        )
+        requests = []
+        load = asyncio.create_task(send_all(record, fleet, requests))
+        await asyncio.sleep(TROUBLE_AT)
+        confirmed = [target.confirmed for target in targets]
         if has_trouble:
-            await kill_all(record, fleet)
+            await send_foreign_check_ins(record, fleet, targets)
         await load
     finally:
         fleet.close()
-    return find_break(record, sent, arrivals)
-
-
-async def kill_all(record, fleet):
-    """Kill all processes at once, and start them again on their disks."""
-    record.say('all processes are killed')
-    for process in fleet.processes.values():
-        process.kill()
-    for process in fleet.processes.values():
-        process.wait()
-    await asyncio.sleep(DOWN_SECONDS)
-    fleet.start(is_first=False)
-    record.say('all processes are started again')
+    for target, before in zip(targets, confirmed, strict=True):
+        record.say(
+            target.name,
+            'check-ins confirmed later:',
+            target.confirmed - before,
+            'requests in the last 8 s:',
+            sum(
+                one['target'] == target.name
+                and one['at'] > requests[-1]['at'] - 8
+                for one in arrivals
+            ),
+        )
+    return find_break(record, requests, arrivals)
 
 
-async def send_all(record, fleet, sent):
-    """Send requests of the tenant to random hosts; note when."""
+async def send_all(record, fleet, requests):
+    """Send requests at a steady rate, and wait for all answers."""
     tasks = []
-    start = next_at = time.monotonic()
-    record.say('traffic starts')
-    while next_at < start + END_AT:
-        is_hot = 0 <= next_at - start - HOT_AT < HOT_SECONDS
-        attempt = f'a{len(sent):06d}'
-        sent[attempt] = record.now()
-        request = harness.send(
-            record,
-            random.choice(fleet.hosts),
-            'GET',
-            PATH,
-            attempt,
-            DEADLINE_MS,
-            key=KEY,
+    start = time.monotonic()
+    for number in range(RATE * LOAD_SECONDS):
+        await asyncio.sleep(max(0, start + number / RATE - time.monotonic()))
+        ip = fleet.hosts[number % len(fleet.hosts)]
+        tasks.append(
+            asyncio.create_task(send_one(record, ip, number, requests))
         )
-        tasks.append(asyncio.create_task(request))
-        next_at += random.expovariate(
-            USUAL_RATE * (HOT_FACTOR if is_hot else 1)
+    await asyncio.gather(*tasks)
+
+
+async def send_one(record, ip, number, requests):
+    request = {'at': record.now(), 'status': 0}
+    requests.append(request)
+    request['status'] = await harness.send(
+        record, ip, 'GET', PATH, f'a{number:06d}', DEADLINE_MS
+    )
+
+
+async def send_foreign_check_ins(record, fleet, targets):
+    """Send one check-in for each of some addresses of sound targets.
+
+    Its service is not named in the configuration.
+    """
+    for number, target in enumerate(targets[:STATED]):
+        fields = harness.create_check_in(
+            target,
+            service='nagios-agent',
+            seq=1,
+            born=int(time.time() * 1000),
         )
-        await asyncio.sleep(max(0, next_at - time.monotonic()))
-    statuses = await asyncio.gather(*tasks)
-    counts = {one: statuses.count(one) for one in sorted(set(statuses))}
-    record.say('answers by status:', counts)
+        ip = fleet.replicas[number % len(fleet.replicas)]
+        path = f'/wagtailspread/instances/agent-{number}/heartbeat'
+        status, body = await harness.call(ip, 'POST', path, fields)
+        record.say('foreign check-in for', target.address, status, body)
 
 
-def find_break(record, sent, arrivals):
-    """Tell whether the rule QUOTA is broken in some window."""
-    allowed = (RATE * WINDOW_SECONDS + BURST) * (1 + OVERAGE) + SLACK
-    ran = {}
-    for one in arrivals:
-        if one['has_run']:
-            ran.setdefault(one['attempt'], one['at'])
-    pairs = [(sent[attempt], at) for attempt, at in ran.items()]
-    most, most_at = 0, 0.0
-    for start, _ in pairs:
-        end = start + WINDOW_SECONDS
-        count = sum(start <= sent_at and at <= end for sent_at, at in pairs)
-        if count > most:
-            most, most_at = count, start
-    is_broken = most > allowed
+def find_break(record, requests, arrivals):
+    """Tell whether the rule FLOOR is broken in some window."""
+    end = max(request['at'] for request in requests) - WINDOW_SECONDS
+    at = requests[0]['at'] + 1
+    worst = None
+    while at <= end:
+        until = at + WINDOW_SECONDS
+        sent = [one for one in requests if at <= one['at'] < until]
+        unserved = sum(one['status'] != 200 for one in sent) / len(sent)
+        used = {one['target'] for one in arrivals if at <= one['at'] < until}
+        share = len(used) / TARGETS
+        is_broken = 0 < share < FLOOR_SHARE and 0.1 < unserved < 0.5
+        if is_broken and (worst is None or unserved > worst[2]):
+            worst = (round(at, 1), share, round(unserved, 2), len(sent))
+        at += 0.1
+    statuses = [request['status'] for request in requests]
+    counts = {one: statuses.count(one) for one in sorted(set(statuses))}
+    record.say('answers by status:', counts)
+    if worst is None:
+        record.say('FLOOR holds')
+        return False
     record.say(
-        'QUOTA broken:' if is_broken else 'QUOTA holds:',
-        most,
-        'requests of the tenant were sent and run in the 5 s from',
-        round(most_at, 2),
-        'on; allowed are',
-        round(allowed, 1),
+        'FLOOR broken: 2 s from {} on, a share of {} of the sound targets got'
+        ' requests, and a share of {} of {} requests was not served'.format(
+            *worst
+        )
     )
-    return is_broken
+    return True
 
 
 harness.run(pathlib.Path(__file__).resolve().parent, play)
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -342,11 +342,14 @@
         if done:
             arrival['how'] = 'dropped'
             return False
-        arrival['how'] = 'answered'
-        attempt = arrival['attempt']
+        arrival['how'] = self.answer(writer, arrival['attempt'])
+        return True
+
+    def answer(self, writer, attempt):
+        """Write the answer to a request; return a word for the record."""
         signature = f'Response-Signature: s.{attempt}'
         reply(writer, 200, attempt, (signature,), attempt.encode())
-        return True
+        return 'answered'
 
 
 def create_check_in(target, **changes):
