--- a/review/8/case.py
+++ b/review/8/case.py
@@ -102,7 +102,7 @@
     for number, target in enumerate(targets[:STATED]):
         fields = harness.create_check_in(
             target,
-            service='nagios-agent',
+            service='monitor',
             seq=1,
             born=int(time.time() * 1000),
         )
