Refuse answers with malformed chunks

Cause: aiohttp's parser of responses accepts a bare LF behind the content of a chunk, and has no option for it. The hosts bounded what it gets and did not check the framing.

Change: entry.framing reads the framing of chunks before the parser does, on both request paths and for requests of callers. A malformed answer is evidence against its upstream and no crash. A head is parsed as one piece; if the parser finds its end elsewhere, the answer is refused.

--- a/wagtailspread/entry/exchanges.py
+++ b/wagtailspread/entry/exchanges.py
@@ -13,7 +13,8 @@
 from returns import result
 
 from wagtailspread.core import clocks, failures, outcomes
-from wagtailspread.entry import bodies, connections, executions, silence
+from wagtailspread.entry import bodies, connections, executions, protocols
+from wagtailspread.entry import silence
 
 #: Answers up to this size, in bytes, are buffered before they are sent on.
 MAX_BUFFERED_BYTES = 65536
@@ -219,7 +220,8 @@
         reply: Reply | None = None
         try:
             reply = await self._receive(pool, generation, outgoing, progress)
-        except aiohttp.ClientPayloadError:
+        except (aiohttp.ClientPayloadError, protocols.MalformedAnswer) as error:
+            _log.debug('answer not whole', extra={'reason': repr(error)})
             return _fail(outcomes.ExchangeResult.TRUNCATED)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             _log.debug('exchange failed', extra={'reason': repr(error)})
--- a/wagtailspread/entry/parsers.py
+++ b/wagtailspread/entry/parsers.py
@@ -5,8 +5,9 @@
 received until it is complete, and is parsed when the request can be handled
 soon. Bytes of a body are parsed only while the body's buffer has room.
 
-Both ends are found without parsing: a head ends with an empty line, and so
-does a chunked body. aiohttp's parser accepts no other line end than CR and LF.
+Both ends are found without parsing: a head ends with an empty line, and the end
+of a chunked body is found by its framing, which is checked as that of responses
+is. aiohttp's parser of requests accepts no other line end than CR and LF.
 """
 
 import asyncio
@@ -18,7 +19,8 @@
 from aiohttp import base_protocol, http, http_exceptions, http_parser
 from aiohttp import streams
 
-from wagtailspread.entry import heads, holdings, intakes, pipelines, web
+from wagtailspread.entry import framing, heads, holdings, intakes, pipelines
+from wagtailspread.entry import web
 
 #: Requests of a connection that are parsed and not handled yet. Further
 #: requests are kept as received.
@@ -40,6 +42,8 @@
 #: without the last space has the version in its target, and several spaces.
 _REQUEST_LINE = re.compile(rb'[!-~]+ [!-~\x80-\xff]+ HTTP/1\.[01]\r\n')
 
+_BODY_FAULTS = (http_exceptions.HttpProcessingError, framing.FramingFault)
+
 _Message = tuple[typing.Any, streams.StreamReader]
 ParserOutput = tuple[typing.Sequence[typing.Any], bool, bytes]
 
@@ -343,15 +347,16 @@
     def _parse_body(self, body: '_IncompleteBody') -> bool:
         if not self._pending or body.intake.is_full:
             return False
-        piece = body.take_piece(self._pending)
         try:
+            piece = body.take_piece(self._pending)
             self._is_upgraded = self._inner.feed_data(piece)[1]
-        except http_exceptions.HttpProcessingError as error:
+            is_complete = body.forward()
+        except _BODY_FAULTS as error:
             fault = web.RequestPayloadError(str(error))
             body.intake.set_exception(fault, error)
             self._fail()
             return False
-        if body.forward():
+        if is_complete:
             self._body = None
             if self._has_trailers:
                 # aiohttp's parser adds the trailers of a chunked body to the
@@ -384,34 +389,34 @@
         self.intake = intake
         self._content = content
         self._left = left
-        #: The last bytes taken, in which a blank line may have begun.
-        self._last = b''
+        self._chunks = framing.ChunkScanner(framing.MessageKind.REQUEST)
 
     def take_piece(self, pending: bytearray) -> bytes:
-        """Remove the next piece, which ends with the body at the latest."""
-        size = PIECE_BYTES
+        """Remove the next piece, which ends with the body at the latest.
+
+        :raises FramingFault: if the framing of its chunks is malformed.
+        """
         if self._left is None:
-            # Only a blank line ends a chunked body.
-            searched = self._last + pending[:size]
-            found = searched.find(_BLANK_LINE)
-            if found >= 0:
-                size = found + len(_BLANK_LINE) - len(self._last)
+            size = self._chunks.scan(bytes(pending[:PIECE_BYTES]))
         else:
-            size = min(size, self._left)
+            size = min(PIECE_BYTES, self._left)
+            self._left -= min(size, len(pending))
         piece = bytes(pending[:size])
         del pending[:size]
-        if self._left is None:
-            self._last = (self._last + piece)[1 - len(_BLANK_LINE) :]
-        else:
-            self._left -= len(piece)
         return piece
 
     def forward(self) -> bool:
-        """Forward parsed content as one piece; return whether it was all."""
+        """Forward parsed content as one piece; return whether it was all.
+
+        :raises FramingFault: if the parser and the framing differ in the end.
+        """
         self.intake.feed_data(self._content.read_nowait())
-        if self._content.is_eof():
+        has_ended = self._content.is_eof()
+        if self._left is None and has_ended != self._chunks.is_complete:
+            raise framing.FramingFault('end of the body is ambiguous')
+        if has_ended:
             self.intake.feed_eof()
-        return self._content.is_eof()
+        return has_ended
 
 
 def _restrict_old(message: typing.Any) -> typing.Any:
--- a/wagtailspread/entry/protocols.py
+++ b/wagtailspread/entry/protocols.py
@@ -2,13 +2,17 @@
 
 The client library bounds single lines and the body of an answer that is being
 read. It does not bound interim responses, the framing of chunks, or whole
-answers that arrive on a connection without an exchange.
+answers that arrive on a connection without an exchange. It also accepts
+malformed framing, which is checked before it gets the bytes.
 """
 
+import asyncio
 import typing
 
 from aiohttp import client, client_proto, streams
 
+from wagtailspread.entry import framing
+
 #: Maximum size of a head with the interim responses before it, in bytes.
 #: Regular heads have a few hundred bytes.
 MAX_HEAD_BYTES = 64 * 1024
@@ -16,9 +20,6 @@
 #: This is more than one read from a socket, which may not be parsed yet.
 FRAMING_BYTES = 1024 * 1024
 
-#: Bytes of a head that are parsed at once, so that a body which arrives with
-#: its head does not count as a part of it.
-_HEAD_PIECE_BYTES = 4096
 _FIRST_INTERIM = 100
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL = 200
@@ -28,6 +29,10 @@
     """An upstream sent too many bytes that are no content of an answer."""
 
 
+class MalformedAnswer(client.ClientError):
+    """An upstream sent an answer whose framing is malformed."""
+
+
 def is_interim(status: int) -> bool:
     """Tell whether another head follows the one with this status."""
     is_informational = _FIRST_INTERIM <= status < _FIRST_FINAL
@@ -35,7 +40,51 @@
 
 
 class UpstreamProtocol(client_proto.ResponseHandler):
-    """A connection to an upstream that can be closed with an error."""
+    """A connection to an upstream that can be closed with an error.
+
+    Its bytes are counted and checked before they are parsed.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Create the protocol of a new connection."""
+        super().__init__(loop)
+        self._framing = framing.ResponseFraming()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes up to a bound or a fault.
+
+        The client library also calls this without bytes, and before its
+        parser is set up; it passes such early bytes in again later.
+        """
+        if not data or self._parser is None:
+            super().data_received(data)
+            return
+        try:
+            for piece in self._divide(data):
+                super().data_received(piece)
+                self.finish_piece(piece)
+        except framing.FramingFault as fault:
+            self.close_with_error(MalformedAnswer(str(fault)))
+
+    def feed_data(self, data: typing.Any, size: int = 0) -> None:
+        """Process the end of a head."""
+        message, payload = data
+        is_followed = is_interim(message.code)
+        self._framing.finish_head(
+            is_interim=is_followed,
+            is_chunked=message.chunked and payload is not streams.EMPTY_PAYLOAD,
+        )
+        super().feed_data(data, size)
+
+    def count(self, piece: bytes) -> bool:
+        """Count bytes; close the connection if they exceed a bound.
+
+        :returns: whether they may be parsed.
+        """
+        return True
+
+    def finish_piece(self, piece: bytes) -> None:
+        """Process the end of a piece that was parsed."""
 
     def close_with_error(self, error: client.ClientError) -> None:
         """Close the connection at once; raise the error in waiting readers."""
@@ -59,6 +108,22 @@
             payload.set_exception(fault, exc)
         super().connection_lost(exc)
 
+    def _divide(self, received: bytes) -> typing.Iterator[bytes]:
+        """Yield the pieces to be parsed while the connection is open.
+
+        :raises FramingFault: if they are malformed.
+        """
+        start = 0
+        is_open = True
+        while start < len(received) and is_open:
+            end = self._framing.find_end(received, start)
+            piece = received[start:end]
+            if not self.count(piece):
+                return
+            yield piece
+            start = end
+            is_open = self.is_connected()
+
 
 class PooledProtocol(UpstreamProtocol):
     """A connection that is kept between exchanges.
@@ -67,14 +132,13 @@
     """
 
     _is_kept = False
-    _is_head_complete = False
     _received = 0
     _content: streams.StreamReader = streams.EMPTY_PAYLOAD
 
     def begin_exchange(self) -> None:
         """Count the bytes of a new answer."""
         self._is_kept = False
-        self._is_head_complete = False
+        self._framing = framing.ResponseFraming()
         self._received = 0
         self._content = streams.EMPTY_PAYLOAD
 
@@ -82,46 +146,26 @@
         """Accept no bytes until the next exchange."""
         self._is_kept = True
 
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes unless they exceed a bound."""
-        start = 0
-        while start < len(data) and not self._is_head_complete:
-            piece = data[start : start + _HEAD_PIECE_BYTES]
-            start += len(piece)
-            if not self._count(piece):
-                return
-            super().data_received(piece)
-            if not self.is_connected():
-                return
-        rest = data[start:] if start else data
-        # The client library also calls this without bytes.
-        if not data or (rest and self._count(rest)):
-            super().data_received(rest)
+    def count(self, piece: bytes) -> bool:
+        """Count bytes; close the connection if they exceed a bound."""
+        self._received += len(piece)
+        fault = self._find_fault()
+        if fault:
+            self.close_with_error(UnboundedAnswer(fault))
+        return not fault
 
     def feed_data(self, data: typing.Any, size: int = 0) -> None:
         """Process the end of a head."""
         message, payload = data
         if not is_interim(message.code):
-            self._is_head_complete = True
             self._content = payload
         super().feed_data(data, size)
 
-    def _count(self, piece: bytes) -> bool:
-        """Count bytes; close the connection if they exceed a bound.
-
-        :returns: whether they may be parsed.
-        """
-        self._received += len(piece)
-        fault = self._find_fault()
-        if fault:
-            self.close_with_error(UnboundedAnswer(fault))
-        return not fault
-
     def _find_fault(self) -> str:
         """Return which bound the received bytes exceed, or an empty string."""
         if self._is_kept:
             return 'bytes without an exchange'
-        if not self._is_head_complete:
+        if not self._framing.is_final_head_complete:
             return 'head too large' if self._received > MAX_HEAD_BYTES else ''
         # Content counts twice, since every byte of it may have framing.
         limit = FRAMING_BYTES + 2 * self._content.total_bytes
--- a/wagtailspread/gateway/response_readers.py
+++ b/wagtailspread/gateway/response_readers.py
@@ -14,9 +14,6 @@
 from wagtailspread.entry import connections, executions, protocols
 from wagtailspread.gateway import buffers
 
-#: Bytes of a head that are parsed at once. The parser creates objects for all
-#: interim responses in its input before any of them can be counted.
-_HEAD_PIECE_BYTES = 4096
 #: Ends of a blank line, which terminates a head.
 _BLANK_LINES = (b'\n\r\n', b'\n\n')
 _LONGEST_BLANK_LINE = 3
@@ -229,33 +226,22 @@
     record: executions.ConnectionRecord | None = None
     reader: ResponseReader | None = None
 
-    def data_received(self, data: bytes) -> None:
-        """Count and parse bytes; bytes beyond a limit are not parsed.
+    def count(self, piece: bytes) -> bool:
+        """Count bytes; bytes beyond a limit are not parsed."""
+        if self.reader is None:
+            return True
+        if self.reader.is_head_complete:
+            return self.reader.count_body(len(piece))
+        return self.reader.count_head(piece)
 
-        The client library also calls this without bytes, and before its
-        parser is set up; it passes such early bytes in again later.
-        """
-        reader = self.reader
-        if reader is None or not data or self._parser is None:
-            super().data_received(data)
-            return
-        start = 0
-        while start < len(data) and not reader.is_head_complete:
-            piece = data[start : start + _HEAD_PIECE_BYTES]
-            start += len(piece)
-            if not reader.count_head(piece):
-                return
-            super().data_received(piece)
-            reader.update_head_timer(piece)
-            if not self.is_connected():
-                return
-        rest = data[start:] if start else data
-        if rest and reader.count_body(len(rest)):
-            super().data_received(rest)
+    def finish_piece(self, piece: bytes) -> None:
+        """Start or stop the timer of the head."""
+        if self.reader is not None and not self.reader.is_head_complete:
+            self.reader.update_head_timer(piece)
 
     def feed_data(self, data: typing.Any, size: int = 0) -> None:
         """Process the end of a head."""
-        if self.reader is not None:
+        if self.reader is not None and not self.reader.is_head_complete:
             message, payload = data
             if protocols.is_interim(message.code):
                 self.reader.finish_interim()
--- a/wagtailspread/gateway/tests/test_odd_answers.py
+++ b/wagtailspread/gateway/tests/test_odd_answers.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from wagtailspread.gateway import exchanges
+from wagtailspread.gateway import evidence, exchanges
 from wagtailspread.gateway.tests import raw_upstreams, test_exchanges
+from wagtailspread.placement import messages
 
 _HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\n'
 _CUT_ANSWERS = {
@@ -70,6 +71,27 @@
     assert progress.may_have_run
 
 
+@pytest.mark.parametrize('size', [1, 1000], ids=['bytes', 'whole'])
+@pytest.mark.parametrize(
+    'chunks',
+    [b'5\r\nwhol\r\n0\r\n\r\n', b'6\r\nwhole\r\n0\r\n\r\n'],
+    ids=['byte-missing', 'size-too-large'],
+)
+async def test_a_malformed_chunk_is_evidence_of_a_fault(chunks, size):
+    """Guards against a fault that counts as a crash of the upstream.
+
+    An upstream that crashes may have been crashed by the request.
+    """
+    stream = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n' + chunks
+    pieces = [stream[at : at + size] for at in range(0, len(stream), size)]
+    async with raw_upstreams.RawUpstream(write(*pieces)) as upstream:
+        outcome, progress = await test_exchanges.send(upstream)
+    assert evidence.classify(outcome, 0.1) is messages.Evidence.BAD
+    assert not evidence.is_reset(outcome)
+    assert outcome.reason == 'MalformedAnswer'
+    assert progress.may_have_run
+
+
 @pytest.mark.parametrize('attempt', [None, b'a0', b'', b'A1', b'a1, a0'])
 @pytest.mark.parametrize('order', ['before', 'with', 'instead'])
 async def test_a_repeated_refusal_is_no_proof(attempt, order):
--- a/wagtailspread/testing/invalid_responses.py
+++ b/wagtailspread/testing/invalid_responses.py
@@ -46,6 +46,23 @@
     'short-body': InvalidResponse(_OK, _SIZED, b'who'),
     'cut-chunk': InvalidResponse(_OK, _CHUNKED, b'5\r\nwho'),
     'no-last-chunk': InvalidResponse(_OK, _CHUNKED, b'5\r\nwhole\r\n'),
+    # A bare LF must not end a chunk: the CR would become its last byte.
+    'chunk-without-last-byte': InvalidResponse(
+        _OK, _CHUNKED, b'2\r\nan\r\n5\r\nwhol\r\n1\r\nx\r\n0\r\n\r\n'
+    ),
+    'last-chunk-without-last-byte': InvalidResponse(
+        _OK, _CHUNKED, b'2\r\nan\r\n5\r\nwhol\r\n0\r\n\r\n'
+    ),
+    'chunk-size-too-large': InvalidResponse(
+        _OK, _CHUNKED, b'6\r\nwhole\r\n0\r\n\r\n'
+    ),
+    # More than a host buffers before it passes a response on.
+    'long-chunk-without-last-byte': InvalidResponse(
+        _OK,
+        _CHUNKED,
+        b'f000\r\n' + b'x' * 0xF000 + b'\r\n'
+        b'f000\r\n' + b'x' * 0xF000 + b'\r\n5\r\nwhol\r\n0\r\n\r\n',
+    ),
 }
 
 
--- a/wagtailspread/testing/stream_inputs.py
+++ b/wagtailspread/testing/stream_inputs.py
@@ -32,6 +32,8 @@
 _RESPONSES = (
     _HEAD + b'Content-Length: 5\r\n\r\nwhole',
     _HEAD + b'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n',
+    _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+    b'3\r\nwho\r\n2;x=1\r\nle\r\n0\r\nT: 1\r\n\r\n',
     _HEAD + b'\r\nwhole',
     b'HTTP/1.1 100 Continue\r\n\r\n' + _HEAD + b'Content-Length: 2\r\n\r\nok',
     b'HTTP/1.1 103 Early\r\nLink: x\r\n\r\n' + _HEAD + b'\r\nok',
@@ -43,6 +45,10 @@
     _HEAD + b'\r\n' + b'x' * 30_000,
     _HEAD + b'a:\r\n' * 20_000 + b'\r\n',
 )
+_BODIES = (
+    b'5\r\nwhole\r\n0\r\n\r\n',
+    b'3;a=b\r\nwho\r\n2 \r\nle\r\n00\r\nT: 1\r\nU:\r\n\r\nHTTP/1.1 200 OK\r\n',
+)
 #: Texts on which parsers differ.
 _ODD_TEXTS = (
     b'\r',
@@ -89,6 +95,11 @@
     return end + _mutate(random.choice(_RESPONSES), random)
 
 
+def mutate_body(random: random_module.Random) -> bytes:
+    """Return a changed chunked body."""
+    return _mutate(random.choice(_BODIES), random)
+
+
 def split(stream: bytes) -> list[bytes]:
     """Return the pieces of a stream, which its bytes determine."""
     random = random_module.Random(zlib.crc32(stream))
