Refuse heads of responses that recipients read in two ways

What callers could get: an answer whose signature or length a recipient before them ignores or reads in another way. Found by the fuzz target of responses.

Change: entry.framing.HeadScanner refuses both before the parser gets them. Folded fields and bare LFs are accepted as before, since a proxy may repair them.

--- a/wagtailspread/entry/framing.py
+++ b/wagtailspread/entry/framing.py
@@ -1,10 +1,11 @@
 """Framing of HTTP/1.1 messages, read without tolerance (RFC 9112).
 
 aiohttp's parser of responses accepts a bare LF at the end of a chunk, so that a
-chunk without its last byte passes with the CR in its place. So the framing is
-checked before the parser gets the bytes. The results do not depend on how the
-bytes are divided, and only the current line is held, without the extensions of
-a chunk.
+chunk without its last byte passes with the CR in its place. In a head, it
+accepts a single CR and space before the first field, which other recipients
+ignore or refuse. So the framing is checked before the parser gets the bytes.
+The results do not depend on how the bytes are divided, and only the current
+line is held, without the extensions of a chunk.
 """
 
 import enum
@@ -18,7 +19,7 @@
 _LF = b'\n'
 _CR = b'\r'
 _LINE_END = b'\r\n'
-_WHITESPACE = b'\t '
+_WHITESPACE = (b'\t', b' ')
 _HEXADECIMAL = 16
 #: Whitespace behind the size is not part of the grammar. It has no effect on
 #: the body, and some servers pad all sizes to the same width.
@@ -124,7 +125,9 @@
         end = _CR if self._line.endswith(_CR) else b''
         size, extensions = _match_size(self._line.removesuffix(end))
         # The first byte tells what may follow; the others are not held.
-        extensions = extensions.lstrip(_WHITESPACE)[:1] or extensions[:1]
+        extensions = (
+            extensions.lstrip(b''.join(_WHITESPACE))[:1] or extensions[:1]
+        )
         self._line = bytearray(size + extensions + end)
 
     def _process(self, line: bytearray) -> None:
@@ -157,6 +160,8 @@
 class HeadScanner:
     r"""Finds the end of the head of a response, the first empty line.
 
+    It also refuses lines that recipients divide in different ways.
+
     >>> scanner = HeadScanner()
     >>> scanner.scan(b'HTTP/1.1 200 OK\nA: b\r\n\r\nbody')
     24
@@ -173,28 +178,45 @@
         self._line_count = 0
         #: Bytes of the current line without its end.
         self._line_bytes = 0
+        #: Whether the last byte is a CR, behind which only an LF may follow.
+        self._has_cr = False
 
     def scan(self, received: bytes, start: int = 0) -> int:
         """Return where the head ends, or the size of what was received.
 
         :param start: of the bytes that have not been scanned.
+        :raises FramingFault: if the head is malformed.
         """
         while start < len(received) and not self.is_complete:
             end = received.find(_LF, start) + 1
-            self._add(received[start : end or None], has_ended=end > 0)
+            if end:
+                self._add(received[start : end - 1])
+                self._end_line()
+            else:
+                self._add(received[start:])
             start = end or len(received)
         return start
 
-    def _add(self, piece: bytes, *, has_ended: bool) -> None:
-        """Process bytes of the current line, which they may end."""
-        self._line_bytes += len(piece.rstrip(_LINE_END))
-        if not has_ended:
+    def _add(self, text: bytes) -> None:
+        """Add bytes of the current line, without the LF at its end."""
+        if not text:
             return
+        content = text.removesuffix(_CR)
+        if self._has_cr or _CR in content:
+            raise FramingFault('CR within a line of the head')
+        self._has_cr = len(content) < len(text)
+        is_first_field = self._line_count == 1 and not self._line_bytes
+        if is_first_field and content.startswith(_WHITESPACE):
+            raise FramingFault('space before the first field')
+        self._line_bytes += len(content)
+
+    def _end_line(self) -> None:
         if self._line_bytes:
             self._line_count += 1
         elif self._line_count:
             self.is_complete = True
         self._line_bytes = 0
+        self._has_cr = False
 
 
 class ResponseFraming:
--- a/wagtailspread/entry/tests/test_framing.py
+++ b/wagtailspread/entry/tests/test_framing.py
@@ -118,6 +118,36 @@
     assert start == len(head)
 
 
+@pytest.mark.parametrize(
+    'field',
+    [
+        b' A: b\r\n',
+        b'\tA: b\r\n',
+        b' \r\n',
+        b'A:\r b\r\n',
+        b'A: b\r\r\n',
+        b'\rA: b\r\n',
+        b'A: b\r\n\rB: c\r\n',
+    ],
+)
+@pytest.mark.parametrize('size', [1, 100])
+def test_lines_that_are_read_in_two_ways_are_refused(field, size):
+    """Guards against fields that other recipients ignore or split."""
+    stream = b'HTTP/1.1 200 OK\r\n' + field
+    scanner = framing.HeadScanner()
+    with pytest.raises(framing.FramingFault):
+        for start in range(0, len(stream), size):
+            scanner.scan(stream[start : start + size])
+
+
+def test_folded_fields_and_bare_line_feeds_are_accepted():
+    """Guards against the refusal of a head that a proxy may repair."""
+    head = b'HTTP/1.1 200 OK\nA: b\r\n c\n\td\r\n\r\n'
+    scanner = framing.HeadScanner()
+    assert scanner.scan(head + b'body') == len(head)
+    assert scanner.is_complete
+
+
 def test_head_of_another_size_than_the_parsed_one_is_refused():
     """Guards against a parser that finds the end of a head elsewhere."""
     response = framing.ResponseFraming()
