Keep sound upstreams in use when another writer states their address or id

Cause: the table believed that a heartbeat is of the upstream whose id and address it states, and stored the inference that an earlier start at an address is gone as if the upstream had said so.

Change: a record of a service that the configuration does not name takes nothing from an upstream of a service that it names; it applies once a configuration names it. That another upstream has taken an address is concluded by each process and not stored; two later heartbeats of the displaced upstream undo it, and replicas report that to hosts. Departures that change nothing are not confirmed.

--- a/wagtailspread/gateway/hosts.py
+++ b/wagtailspread/gateway/hosts.py
@@ -308,6 +308,7 @@
         if batch.rows:
             registry.remove_expired_tombstones(now)
             self.selector.prune(now)
+        registry.replace_upheld(frozenset(batch.upheld or ()))
         self.selector.silent = frozenset(batch.silent)
         # A replica that has just started knows of few hosts.
         self._host_count = max(self._host_count, batch.hosts)
@@ -327,6 +328,9 @@
             )
             return
         self.server.apply_settings(settings)
+        self.selector.registry.replace_services(
+            settings.connections, self._clock.now()
+        )
         self._has_caps = any(
             workspace.cap.is_limited for workspace in settings.workspaces
         )
--- a/wagtailspread/platform/documents.py
+++ b/wagtailspread/platform/documents.py
@@ -56,6 +56,15 @@
     return settings if terms.find_fault(settings) is None else None
 
 
+def list_services(body: bytes) -> frozenset[identifiers.ServiceName] | None:
+    """Return the services that a document names, ``None`` if malformed."""
+    try:
+        services = values.read_objects(values.read_object(body), 'services')
+        return frozenset(dict(map(_decode_service, services)))
+    except values.FormatError:
+        return None
+
+
 def _decode_service(
     fields: dict[str, typing.Any],
 ) -> tuple[identifiers.ServiceName, int]:
--- a/wagtailspread/platform/replicas.py
+++ b/wagtailspread/platform/replicas.py
@@ -6,7 +6,8 @@
 from wagtailspread.placement import allocators, budgets, coverage
 from wagtailspread.placement import permits, selection
 from wagtailspread.placement import services as placement_services
-from wagtailspread.platform import controls, processes, settings, values
+from wagtailspread.platform import controls, documents, processes
+from wagtailspread.platform import settings, values
 from wagtailspread.processes import machines
 from wagtailspread.registry import services
 from wagtailspread.replica import supervision
@@ -21,6 +22,7 @@
         boot.domain,
         boot.regions,
         clock,
+        documents.list_services,
     )
     placement = _create_placement(boot, registry, clock)
     supervisor = supervision.create_supervisor(
--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import typing
 
 from wagtailspread.core import identifiers
 from wagtailspread.registry import digests, positions, records, tables
@@ -69,18 +70,28 @@
         """Position of the last change."""
         return self.table.position
 
-    def register(self, record: records.UpstreamRecord, now: float) -> None:
-        """Apply a record that an upstream sent to this replica."""
+    def register(self, record: records.UpstreamRecord, now: float) -> bool:
+        """Apply a record that an upstream sent to this replica.
+
+        :returns: whether it is of the known incarnation and service.
+        """
+        known = self.table.rows.get(record.upstream)
+        sequence = -1 if known is None else known.record.sequence
         if self.table.merge(record, now):
             self._local_position = self.table.position
             self.wake()
-        row = self.table.rows.get(record.upstream)
-        if row is not None and row.record.born_ms != record.born_ms:
-            # A late message of an earlier incarnation.
-            return
-        self.table.record_heartbeat(record.upstream, now)
+        row = self.table.rows[record.upstream]
+        if not _is_same_start(row.record, record):
+            # A late message of an earlier incarnation, or another writer.
+            return False
+        if row.is_displaced and record.sequence <= sequence:
+            # A copy of an earlier message proves nothing.
+            return True
+        if self.table.record_heartbeat(record.upstream, now):
+            self.publish_local_change()
         self.table.position += 1
         self._heartbeats.append((self.table.position, record.upstream))
+        return True
 
     def merge_batch(self, batch: messages.Struct, now: float) -> None:
         """Apply the rows and heartbeats in a batch of another replica."""
@@ -89,10 +100,18 @@
             if self.table.merge(record, now):
                 is_changed = True
         for upstream in batch.heard or ():
-            self.table.record_heartbeat(upstream, now)
+            if self.table.record_heartbeat(upstream, now):
+                is_changed = True
         if is_changed:
             self.wake()
 
+    def replace_services(
+        self, services: typing.Iterable[identifiers.ServiceName], now: float
+    ) -> None:
+        """Apply the services of a configuration."""
+        if self.table.replace_services(services, now):
+            self.publish_local_change()
+
     def publish_local_change(self) -> None:
         """Send a change that this process made in the table to all followers.
 
@@ -225,6 +244,7 @@
             if request.is_replica
             else [],
             silent=self.table.list_silent(now),
+            upheld=self.table.list_upheld(now),
         )
 
     def _list_changed(
@@ -254,6 +274,14 @@
         return sorted(upstreams)
 
 
+def _is_same_start(
+    known: records.UpstreamRecord, record: records.UpstreamRecord
+) -> bool:
+    """Tell whether two records are of one incarnation in one service."""
+    is_same_service = known.service == record.service
+    return is_same_service and known.born_ms == record.born_ms
+
+
 def _update_warm_up(
     row: tables.RegistryRow,
     now: float,
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -36,6 +36,19 @@
 _log = logbook.Logger('registry')
 
 
+class ServiceReader(typing.Protocol):
+    """Parses the configuration document of the platform."""
+
+    def __call__(
+        self, body: bytes
+    ) -> frozenset[identifiers.ServiceName] | None:
+        """Return the services that it names, ``None`` if it is invalid."""
+
+
+def read_no_services(body: bytes) -> None:
+    """Return ``None``: the services of the configuration are not known."""
+
+
 class RegistryService:
     """Maintains the registry of one replica. Use :func:`create_service`."""
 
@@ -45,11 +58,14 @@
         domain: identifiers.FailureDomain,
         regions: dict[identifiers.FailureDomain, identifiers.RegionName],
         clock: clocks.Clock,
+        read_services: ServiceReader,
     ) -> None:
         """Start empty.
 
         :param regions: the region of each failure domain.
         """
+        self._read_services = read_services
+        self._services_version = documents.NO_VERSION
         self._regions = regions
         self.feed = feeds.ChangeFeed(random.randrange(1, _MAX_EPOCH))
         self._address = address
@@ -89,7 +105,8 @@
 
     def register(self, record: records.UpstreamRecord) -> None:
         """Apply a heartbeat of an upstream that accepts work."""
-        self.feed.register(record, self._clock.now())
+        if not self.feed.register(record, self._clock.now()):
+            _log_not_applied(record)
 
     async def register_departure(self, record: records.UpstreamRecord) -> bool:
         """Register that an upstream is draining or has left.
@@ -97,7 +114,10 @@
         :returns: whether the departure may be confirmed: a majority of the
             replicas has seen it and, before the timeout, all live followers.
         """
-        self.feed.register(record, self._clock.now())
+        is_applied = self.feed.register(record, self._clock.now())
+        if not is_applied and not self._is_earlier(record):
+            _log_not_applied(record)
+            return False
         position = self.feed.position
         until = self._clock.now() + PROPAGATION_TIMEOUT_SECONDS
         if self._group is None or not self._group.list_replicas():
@@ -211,6 +231,7 @@
         try:
             while True:
                 self._follow_new_peers(pool)
+                self._update_services()
                 self.feed.table.remove_expired_tombstones(self._clock.now())
                 await asyncio.sleep(PEER_REFRESH_SECONDS)
         finally:
@@ -218,6 +239,23 @@
                 task.cancel()
             self._peer_tasks.clear()
 
+    def _is_earlier(self, record: records.UpstreamRecord) -> bool:
+        """Tell whether a later incarnation of an upstream is known."""
+        row = self.feed.table.rows.get(record.upstream)
+        return row is not None and record.born_ms < row.record.born_ms
+
+    def _update_services(self) -> None:
+        """Apply the services of a new configuration."""
+        if self._group is None:
+            return
+        document = self._group.read_document()
+        if document.version == self._services_version:
+            return
+        self._services_version = document.version
+        services = self._read_services(document.body)
+        if services is not None:
+            self.feed.replace_services(services, self._clock.now())
+
     def _is_majority_at(self, position: int) -> bool:
         """Tell whether a majority of the replicas has seen ``position``.
 
@@ -459,6 +497,19 @@
     domain: identifiers.FailureDomain,
     regions: dict[identifiers.FailureDomain, identifiers.RegionName],
     clock: clocks.Clock,
+    read_services: ServiceReader = read_no_services,
 ) -> RegistryService:
     """Return a registry service without upstreams."""
-    return RegistryService(address, domain, regions, clock)
+    return RegistryService(address, domain, regions, clock, read_services)
+
+
+def _log_not_applied(record: records.UpstreamRecord) -> None:
+    _log.info(
+        'heartbeat not applied',
+        extra={
+            'upstream': record.upstream,
+            'service': record.service,
+            'address': record.address,
+            'state': record.state.name,
+        },
+    )
--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -14,10 +14,13 @@
 """
 
 import dataclasses
+import math
 import typing
 
+import logbook
+
 from wagtailspread.core import identifiers
-from wagtailspread.registry import digests, records
+from wagtailspread.registry import addresses, digests, records
 
 #: An upstream without a heartbeat for this long counts as silent, in seconds.
 #: This is three heartbeat intervals of 1.5 s each.
@@ -25,31 +28,99 @@
 #: Retention of the row of an upstream that is gone, in seconds. Heartbeats
 #: that a partition delayed arrive within this time and are recognized as old.
 TOMBSTONE_RETENTION_SECONDS = 120.0
+#: Number of heartbeats after which a displaced upstream is known to run. A
+#: single one may have been delayed since before the upstream crashed.
+PROOF_HEARTBEATS = 2
+#: Time between two heartbeats that count, in seconds. Delayed ones arrive
+#: together.
+PROOF_INTERVAL_SECONDS = 0.5
+#: Maximum number of records that wait for a configuration with their service.
+MAX_DEFERRED = 1024
+
+_log = logbook.Logger('registry')
 
 
 @dataclasses.dataclass(slots=True)
 class RegistryRow:
     """One upstream.
 
+    An upstream whose address another one has taken is displaced, unless its
+    own heartbeats show that it still runs.
+
     :param position: position of its last change in this table.
     :param heartbeat_at: time of the last heartbeat at any replica, in seconds.
     :param warm_at: time at which its warm-up ends, in seconds.
+    :param displaced_at: time at which another upstream took its address, in
+        seconds; ``None`` if it has the address.
+    :param is_upheld: whether it still runs although it is displaced.
+    :param proofs: number of its heartbeats since then.
+    :param proved_at: time of the last one of them, in seconds.
     """
 
     record: records.UpstreamRecord
     position: int
     heartbeat_at: float
     warm_at: float
+    displaced_at: float | None = None
+    is_upheld: bool = False
+    proofs: int = 0
+    proved_at: float = -math.inf
+
+    @property
+    def is_displaced(self) -> bool:
+        """Whether another upstream has its address."""
+        return self.displaced_at is not None and not self.is_upheld
 
     @property
     def is_ready(self) -> bool:
         """Whether the upstream accepts new work."""
-        return self.record.state is records.UpstreamState.READY
+        is_ready = self.record.state is records.UpstreamState.READY
+        return is_ready and not self.is_displaced
+
+    def find_end(self) -> float:
+        """Return the time at which it left or was displaced, in seconds."""
+        if self.record.state is records.UpstreamState.GONE:
+            return self.heartbeat_at
+        if self.displaced_at is None or self.is_upheld:
+            return math.inf
+        return self.displaced_at
+
+    def restore(self) -> None:
+        """Forget that another upstream had its address."""
+        self.displaced_at = None
+        self.withdraw_proof()
+
+    def withdraw_proof(self) -> None:
+        """Forget the heartbeats that show that it still runs."""
+        self.is_upheld = False
+        self.proofs = 0
+
+    def copy_proof(self, other: 'RegistryRow') -> None:
+        """Take over what another row of this incarnation knows of its place."""
+        self.displaced_at = other.displaced_at
+        self.is_upheld = other.is_upheld
+        self.proofs = other.proofs
+        self.proved_at = other.proved_at
+
+    def add_proof(self, now: float) -> None:
+        """Count a heartbeat of a displaced upstream."""
+        elapsed = now - self.proved_at
+        if elapsed < PROOF_INTERVAL_SECONDS:
+            return
+        self.proofs = 1 + (
+            self.proofs if elapsed < SILENCE_TIMEOUT_SECONDS else 0
+        )
+        self.proved_at = now
+        self.is_upheld = self.proofs >= PROOF_HEARTBEATS
 
 
 class RegistryTable:
     """Upstreams by id. Each change is assigned the next position.
 
+    A record may come from another writer. So a record of a service that the
+    configuration does not name takes nothing from an upstream of one that it
+    names, neither its id nor its address.
+
     :param position: position of the last change.
     :param digest: sum over all rows, equal for equal tables.
     :param buckets: the same for each part of the table.
@@ -61,35 +132,90 @@
         self.digest = 0
         self.buckets = digests.BucketDigests()
         self.rows: dict[identifiers.UpstreamId, RegistryRow] = {}
-        self._upstreams_by_address: dict[
-            identifiers.Address, identifiers.UpstreamId
+        self._upstreams_by_address = addresses.AddressIndex()
+        self._displaced: set[identifiers.UpstreamId] = set()
+        #: ``None`` while the configuration is not known.
+        self._services: frozenset[identifiers.ServiceName] | None = None
+        #: Newer records that took nothing, by upstream.
+        self._deferred: dict[
+            identifiers.UpstreamId, records.UpstreamRecord
         ] = {}
 
     def merge(self, record: records.UpstreamRecord, now: float) -> bool:
-        """Apply a record if it is newer; tell whether the table changed.
+        """Apply a record if it takes precedence; tell if the table changed.
 
-        If two upstreams have the same address, the one that started earlier is
-        marked as gone, since its messages may still arrive later.
+        If several upstreams have the same address, those that started earlier
+        are displaced, since their messages may still arrive later.
         """
         known = self.rows.get(record.upstream)
         if known is not None:
-            if record.rank() <= known.record.rank():
+            if self._rank(record) <= self._rank(known.record):
+                self._defer(record, known.record)
                 return False
             if record.matches_except_sequence(known.record):
                 known.record = record
                 known.heartbeat_at = now
                 return False
+            self._defer(known.record, record)
         self._store(record, now)
-        self._resolve_address_conflict(record, now)
+        self._resolve_address(record.address, now)
         return True
 
+    def replace_services(
+        self,
+        services: typing.Iterable[identifiers.ServiceName],
+        now: float,
+    ) -> bool:
+        """Apply the services of a configuration; tell if the table changed."""
+        self._services = frozenset(services)
+        position = self.position
+        deferred, self._deferred = self._deferred, {}
+        for record in deferred.values():
+            self.merge(record, now)
+        for address in self._upstreams_by_address.list_shared():
+            self._resolve_address(address, now)
+        return self.position > position
+
     def record_heartbeat(
         self, upstream: identifiers.UpstreamId, now: float
-    ) -> None:
-        """Record that a replica received a heartbeat of an upstream."""
+    ) -> bool:
+        """Record that a replica received a heartbeat of an upstream.
+
+        :returns: whether it shows that a displaced upstream still runs.
+        """
         row = self.rows.get(upstream)
-        if row is not None:
-            row.heartbeat_at = now
+        if row is None:
+            return False
+        row.heartbeat_at = now
+        if not row.is_displaced:
+            return False
+        row.add_proof(now)
+        if row.is_upheld:
+            self._touch(row)
+            _log.warning(
+                'upstream upheld',
+                extra={'upstream': upstream, 'address': row.record.address},
+            )
+        return row.is_upheld
+
+    def list_upheld(self, now: float) -> list[identifiers.UpstreamId]:
+        """Return the displaced upstreams whose heartbeats go on."""
+        cutoff = now - SILENCE_TIMEOUT_SECONDS
+        upheld = []
+        for upstream in self._displaced:
+            row = self.rows[upstream]
+            if row.heartbeat_at < cutoff:
+                row.withdraw_proof()
+            elif row.is_upheld:
+                upheld.append(upstream)
+        return sorted(upheld)
+
+    def replace_upheld(
+        self, upheld: typing.Container[identifiers.UpstreamId]
+    ) -> None:
+        """Apply what a replica reports of the displaced upstreams."""
+        for upstream in self._displaced:
+            self.rows[upstream].is_upheld = upstream in upheld
 
     def list_changed(self, position: int) -> list[RegistryRow]:
         """Return the rows that changed after ``position``."""
@@ -118,19 +244,23 @@
         ]
 
     def remove_expired_tombstones(self, now: float) -> None:
-        """Remove upstreams whose departure is past the retention time."""
+        """Remove upstreams that were gone or displaced long enough."""
         cutoff = now - TOMBSTONE_RETENTION_SECONDS
         for upstream, row in list(self.rows.items()):
-            is_gone = row.record.state is records.UpstreamState.GONE
-            if is_gone and row.heartbeat_at < cutoff:
-                self.rows.pop(upstream)
-                self._add_to_digest(row.record, -1)
-                self._release_address(row.record)
+            if row.find_end() < cutoff:
+                self._remove(upstream, now)
+
+    def _remove(self, upstream: identifiers.UpstreamId, now: float) -> None:
+        record = self.rows.pop(upstream).record
+        self._displaced.discard(upstream)
+        self._add_to_digest(record, -1)
+        self._release_address(record, now)
 
-    def _release_address(self, record: records.UpstreamRecord) -> None:
-        """Forget the address of an upstream, unless another one has it."""
-        if self._upstreams_by_address.get(record.address) == record.upstream:
-            self._upstreams_by_address.pop(record.address)
+    def _release_address(
+        self, record: records.UpstreamRecord, now: float
+    ) -> None:
+        self._upstreams_by_address.remove(record.address, record.upstream)
+        self._resolve_address(record.address, now)
 
     def _add_to_digest(
         self, record: records.UpstreamRecord, factor: int
@@ -139,40 +269,79 @@
         self.digest = (self.digest + added) % digests.MODULUS
         self.buckets.add(record.upstream, added)
 
+    def _rank(self, record: records.UpstreamRecord) -> tuple[typing.Any, ...]:
+        """Return the sort key that orders the records of one upstream."""
+        return self._is_named(record.service), *record.rank()
+
+    def _is_named(self, service: identifiers.ServiceName) -> bool:
+        """Tell whether the configuration names a service.
+
+        An upstream that left before it was known has no service.
+        """
+        if self._services is None or not service:
+            return True
+        return service in self._services
+
+    def _defer(
+        self, record: records.UpstreamRecord, other: records.UpstreamRecord
+    ) -> None:
+        """Keep a newer record until a configuration names its service."""
+        if record.service == other.service or record.rank() <= other.rank():
+            return
+        self._deferred.pop(record.upstream, None)
+        self._deferred[record.upstream] = record
+        if len(self._deferred) > MAX_DEFERRED:
+            self._deferred.pop(next(iter(self._deferred)))
+
     def _store(self, record: records.UpstreamRecord, now: float) -> None:
         known = self.rows.get(record.upstream)
         if known is not None:
             self._add_to_digest(known.record, -1)
-            if known.record.address != record.address:
-                self._release_address(known.record)
         self._add_to_digest(record, 1)
-        self.position += 1
         warm_at = now + record.warm_seconds
         row = RegistryRow(record, self.position, now, warm_at)
+        if known is not None and _is_same_place(known.record, record):
+            row.copy_proof(known)
+        else:
+            self._displaced.discard(record.upstream)
+        self._touch(row)
         self.rows[record.upstream] = row
+        self._upstreams_by_address.add(record.address, record.upstream)
+        if known is not None and known.record.address != record.address:
+            self._release_address(known.record, now)
 
-    def _resolve_address_conflict(
-        self,
-        record: records.UpstreamRecord,
-        now: float,
+    def _touch(self, row: RegistryRow) -> None:
+        """Assign the next position to a row that changed."""
+        self.position += 1
+        row.position = self.position
+
+    def _resolve_address(
+        self, address: identifiers.Address, now: float
     ) -> None:
-        """Mark the upstream that started earlier at an address as gone."""
-        if record.state is records.UpstreamState.GONE:
-            return
-        owner = self._upstreams_by_address.get(record.address)
-        other = None if owner is None else self.rows.get(owner)
-        if other is None or owner == record.upstream:
-            self._upstreams_by_address[record.address] = record.upstream
-            return
-        older = other.record
-        if older.born_ms > record.born_ms:
-            older = record
-        else:
-            self._upstreams_by_address[record.address] = record.upstream
-        if older.state is not records.UpstreamState.GONE:
-            if older.address == record.address:
-                gone = records.UpstreamState.GONE
-                self._store(dataclasses.replace(older, state=gone), now)
+        """Displace the upstreams that started earlier at an address."""
+        known = self._upstreams_by_address.list_upstreams(address)
+        rows = [self.rows[upstream] for upstream in known]
+        named = [row for row in rows if self._is_named(row.record.service)]
+        latest = max(
+            named,
+            key=lambda row: (row.record.born_ms, row.position),
+            default=None,
+        )
+        for row in rows:
+            if row is latest or row not in named:
+                self._displaced.discard(row.record.upstream)
+                row.restore()
+            elif row.displaced_at is None:
+                self._displaced.add(row.record.upstream)
+                row.displaced_at = now
+
+
+def _is_same_place(
+    first: records.UpstreamRecord, second: records.UpstreamRecord
+) -> bool:
+    """Tell whether two records are of one incarnation at one address."""
+    is_same_start = first.born_ms == second.born_ms
+    return is_same_start and first.address == second.address
 
 
 def create_table(
--- a/wagtailspread/wire/wagtailspread.thrift
+++ b/wagtailspread/wire/wagtailspread.thrift
@@ -672,6 +672,8 @@
   20: optional list<AllocatorHosts> allocator_hosts
   // Services that are short of slots in some region; for replicas only.
   21: optional list<SpareCapacity> spares
+  // Upstreams that still run although another one has taken their address.
+  22: optional list<string> upheld
 }
 
 // A host requests an upstream for a request, or repeats this while it waits.
