Bound the upstreams of services that the configuration does not name

Cause: each id that another writer invents became a row at every process, and rows of upstreams that fall silent are kept.

Change: at most 4,096 rows of services that the configuration does not name; the first known is dropped and comes back with its next heartbeat. The rows of a service that a configuration names for the first time are sent to followers again, since those may have dropped them.

Result: three cases of registry/tests/test_claims.py, of which the two for the number of rows fail without the bound.

--- a/wagtailspread/registry/feeds.py
+++ b/wagtailspread/registry/feeds.py
@@ -80,8 +80,8 @@
         if self.table.merge(record, now):
             self._local_position = self.table.position
             self.wake()
-        row = self.table.rows[record.upstream]
-        if not _is_same_start(row.record, record):
+        row = self.table.rows.get(record.upstream)
+        if row is None or not _is_same_start(row.record, record):
             # A late message of an earlier incarnation, or another writer.
             return False
         if row.is_displaced and record.sequence <= sequence:
--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -36,6 +36,8 @@
 PROOF_INTERVAL_SECONDS = 0.5
 #: Maximum number of records that wait for a configuration with their service.
 MAX_DEFERRED = 1024
+#: Maximum number of upstreams of services that the configuration does not name.
+MAX_UNNAMED = 4096
 
 _log = logbook.Logger('registry')
 
@@ -136,6 +138,8 @@
         self._displaced: set[identifiers.UpstreamId] = set()
         #: ``None`` while the configuration is not known.
         self._services: frozenset[identifiers.ServiceName] | None = None
+        #: Upstreams of services that it does not name, the first known first.
+        self._unnamed: dict[identifiers.UpstreamId, None] = {}
         #: Newer records that took nothing, by upstream.
         self._deferred: dict[
             identifiers.UpstreamId, records.UpstreamRecord
@@ -159,6 +163,7 @@
             self._defer(known.record, record)
         self._store(record, now)
         self._resolve_address(record.address, now)
+        self._limit_unnamed(now)
         return True
 
     def replace_services(
@@ -166,14 +171,28 @@
         services: typing.Iterable[identifiers.ServiceName],
         now: float,
     ) -> bool:
-        """Apply the services of a configuration; tell if the table changed."""
+        """Apply the services of a configuration; tell if the table changed.
+
+        The rows of services that it names for the first time count as changed,
+        since followers may have dropped them.
+        """
         self._services = frozenset(services)
         position = self.position
+        waiting = self._unnamed
+        self._unnamed = {
+            upstream: None
+            for upstream, row in self.rows.items()
+            if not self._is_named(row.record.service)
+        }
+        for upstream in waiting:
+            if upstream not in self._unnamed:
+                self._touch(self.rows[upstream])
         deferred, self._deferred = self._deferred, {}
         for record in deferred.values():
             self.merge(record, now)
         for address in self._upstreams_by_address.list_shared():
             self._resolve_address(address, now)
+        self._limit_unnamed(now)
         return self.position > position
 
     def record_heartbeat(
@@ -253,6 +272,7 @@
     def _remove(self, upstream: identifiers.UpstreamId, now: float) -> None:
         record = self.rows.pop(upstream).record
         self._displaced.discard(upstream)
+        self._unnamed.pop(upstream, None)
         self._add_to_digest(record, -1)
         self._release_address(record, now)
 
@@ -282,6 +302,10 @@
             return True
         return service in self._services
 
+    def _limit_unnamed(self, now: float) -> None:
+        while len(self._unnamed) > MAX_UNNAMED:
+            self._remove(next(iter(self._unnamed)), now)
+
     def _defer(
         self, record: records.UpstreamRecord, other: records.UpstreamRecord
     ) -> None:
@@ -306,6 +330,10 @@
             self._displaced.discard(record.upstream)
         self._touch(row)
         self.rows[record.upstream] = row
+        if self._is_named(record.service):
+            self._unnamed.pop(record.upstream, None)
+        else:
+            self._unnamed[record.upstream] = None
         self._upstreams_by_address.add(record.address, record.upstream)
         if known is not None and known.record.address != record.address:
             self._release_address(known.record, now)
--- a/wagtailspread/registry/tests/test_claims.py
+++ b/wagtailspread/registry/tests/test_claims.py
@@ -227,6 +227,29 @@
     assert len(table._deferred) == tables.MAX_DEFERRED
 
 
+@pytest.mark.parametrize('has_services', [True, False])
+def test_upstreams_of_services_that_are_not_named_are_bounded(has_services):
+    """Guards against ids that another writer invents without end."""
+    table = create_table(_SOUND) if has_services else tables.create_table()
+    for number in range(tables.MAX_UNNAMED + 100):
+        place = {'upstream': f'a{number}', 'address': f'10.0.1.1:{number + 1}'}
+        table.merge(dataclasses.replace(_TAKER, **place), 0.0)
+    table.replace_services(_NAMED, 1.0)
+    table.merge(_SOUND, 2.0)
+    assert len(table.list_ready('monitor')) == tables.MAX_UNNAMED
+    assert list_ready_ids(table) == ['u1']
+    assert len(table._upstreams_by_address) == tables.MAX_UNNAMED + 1
+
+
+def test_rows_of_a_service_are_sent_again_when_it_is_named():
+    """Guards against a host that has dropped the upstreams of a new service."""
+    feed = create_feed(_TAKER)
+    position = feed.position
+    feed.replace_services(_NAMED | {'monitor'}, 1.0)
+    batch = feed.collect(test_feeds.create_request(feed, position), 1.0)
+    assert [row.upstream for row in batch.rows] == ['agent']
+
+
 @pytest.mark.parametrize(
     'order', list(itertools.permutations(range(4))), ids=str
 )
