Refuse responses whose head states the framing in an odd way

What callers could get: a success with the sizes of chunks within the body, for a coding behind a vertical tab, or for an unknown one on the product's path; and bodies of HTTP/1.0 responses in chunks, or of an unknown version, which other recipients read in another way.

Change: entry.protocols checks version and framing when the head of a response is parsed, on both paths; only spaces and tabs are stripped.

The strict reading refuses chunks in HTTP/1.0, and the fuzz target has new texts.

--- a/wagtailspread/entry/protocols.py
+++ b/wagtailspread/entry/protocols.py
@@ -9,9 +9,9 @@
 import asyncio
 import typing
 
-from aiohttp import client, client_proto, streams
+from aiohttp import client, client_proto, http, streams
 
-from wagtailspread.entry import framing
+from wagtailspread.entry import framing, requests
 
 #: Maximum size of a head with the interim responses before it, in bytes.
 #: Regular heads have a few hundred bytes.
@@ -20,6 +20,7 @@
 #: This is more than one read from a socket, which may not be parsed yet.
 FRAMING_BYTES = 1024 * 1024
 
+_VERSIONS = (http.HttpVersion10, http.HttpVersion11)
 _FIRST_INTERIM = 100
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL = 200
@@ -39,6 +40,25 @@
     return is_informational and status != _SWITCHING_PROTOCOLS
 
 
+def _check_head(message: typing.Any) -> None:
+    """Check the version of a response and the fields that delimit its body.
+
+    The client library accepts every version. It reads a body with an unknown
+    coding up to the end of the connection, and would pass it on encoded.
+
+    :raises FramingFault: if recipients may differ in the body.
+    """
+    if message.version not in _VERSIONS:
+        raise framing.FramingFault('unknown version')
+    if message.version != http.HttpVersion11:
+        # RFC 9112, section 6.1.
+        if 'Transfer-Encoding' in message.headers:
+            raise framing.FramingFault('transfer coding in HTTP/1.0')
+    fault = requests.check_framing(message.headers)
+    if fault:
+        raise framing.FramingFault(fault)
+
+
 class UpstreamProtocol(client_proto.ResponseHandler):
     """A connection to an upstream that can be closed with an error.
 
@@ -70,6 +90,8 @@
         """Process the end of a head."""
         message, payload = data
         is_followed = is_interim(message.code)
+        if not is_followed:
+            _check_head(message)
         self._framing.finish_head(
             is_interim=is_followed,
             is_chunked=message.chunked and payload is not streams.EMPTY_PAYLOAD,
--- a/wagtailspread/entry/requests.py
+++ b/wagtailspread/entry/requests.py
@@ -54,6 +54,8 @@
 
 _DIGITS = re.compile('[0-9]{1,9}')
 _LENGTH_DIGITS = re.compile('[0-9]{1,18}')
+#: Optional whitespace around the value of a field (RFC 9110, section 5.6.3).
+_WHITESPACE = '\t '
 _VISIBLE = re.compile('[!-~]+')
 #: A dot segment, which an upstream may resolve to another path.
 _DOT_SEGMENT = re.compile(r'/(?:\.|%2e){1,2}(?=/|$)', re.IGNORECASE)
@@ -255,7 +257,8 @@
             'Content-Length and Transfer-Encoding: expected at most one of'
             ' them, got both'
         )
-    if codings and [name.strip().lower() for name in codings] != ['chunked']:
+    names = [name.strip(_WHITESPACE).lower() for name in codings]
+    if codings and names != ['chunked']:
         excerpt = reprlib.repr(', '.join(codings))
         return f'Transfer-Encoding: expected chunked, got {excerpt}'
     if len(lengths) > 1 or not all(map(_LENGTH_DIGITS.fullmatch, lengths)):
--- a/wagtailspread/gateway/exchanges.py
+++ b/wagtailspread/gateway/exchanges.py
@@ -16,7 +16,7 @@
 
 from aiohttp import client, cookiejar
 
-from wagtailspread.entry import bodies, connections, executions, requests
+from wagtailspread.entry import bodies, connections, executions
 from wagtailspread.gateway import buffers, headers, notices, response_readers
 from wagtailspread.placement import crashes
 from wagtailspread.placement import messages as placement_messages
@@ -315,10 +315,6 @@
     """Return what a client may read in another way, or an empty string."""
     if 'Content-Encoding' in response.headers:
         return 'encoded body'
-    # The client library reads a body with an unknown coding up to the end of
-    # the connection, and would pass it on encoded.
-    if requests.check_framing(response.headers):
-        return 'framing of the body'
     if _CONTROL_CHARACTER.search(response.reason or ''):
         return 'control character in the reason'
     return ''
--- a/wagtailspread/testing/invalid_responses.py
+++ b/wagtailspread/testing/invalid_responses.py
@@ -56,6 +56,21 @@
     'chunk-size-too-large': InvalidResponse(
         _OK, _CHUNKED, b'6\r\nwhole\r\n0\r\n\r\n'
     ),
+    'unknown-coding': InvalidResponse(
+        _OK, b'Transfer-Encoding: odd\r\n', b'5\r\nwhole\r\n0\r\n\r\n'
+    ),
+    # Other recipients take the vertical tab for a part of the name.
+    'vertical-tab-in-coding': InvalidResponse(
+        _OK,
+        b'Transfer-Encoding: \x0bchunked\r\n',
+        b'5\r\nwhole\r\n0\r\n\r\n',
+    ),
+    'chunks-in-old-version': InvalidResponse(
+        b'HTTP/1.0 200 OK\r\n', _CHUNKED, b'5\r\nwhole\r\n0\r\n\r\n'
+    ),
+    'unknown-version': InvalidResponse(
+        b'HTTP/2.0 200 OK\r\n', _SIZED, b'whole'
+    ),
     # More than a host buffers before it passes a response on.
     'long-chunk-without-last-byte': InvalidResponse(
         _OK,
--- a/wagtailspread/testing/stream_inputs.py
+++ b/wagtailspread/testing/stream_inputs.py
@@ -58,6 +58,7 @@
     b' ',
     b'\t',
     b'\0',
+    b'\x0b',
     b':',
     b';',
     b'\xff',
@@ -79,6 +80,8 @@
     b'0\r\n',
     b'ffffffffffffffffff\r\n',
     b'HTTP/1.2',
+    b'HTTP/2.0',
+    b'HTTP/1.0',
     b'1xx',
 )
 
--- a/wagtailspread/testing/strict_messages.py
+++ b/wagtailspread/testing/strict_messages.py
@@ -13,7 +13,7 @@
 
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _REQUEST_LINE = re.compile(rb'(%s) ([!-~]+) HTTP/1\.([01])' % _TOKEN)
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] ([0-9]{3})(?: [^\0\r\n]*)?')
+_STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([0-9]{3})(?: [^\0\r\n]*)?')
 _FIELD = re.compile(rb'(%s):([\t -~\x80-\xff]*)' % _TOKEN)
 _RESPONSE_FIELD = re.compile(rb'(%s)[\t ]*:([^\0\r\n]*)' % _TOKEN)
 _CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]+)[\t ]*(?:;[\t -~\x80-\xff]*)?')
@@ -152,7 +152,10 @@
         raise Incomplete
     line, *lines = re.split(rb'\r?\n', stream[: end.start()])
     fields = _read_fields(_unfold(lines), _RESPONSE_FIELD)
-    return int(_match(_STATUS_LINE, line)[1]), fields, stream[end.end() :]
+    minor, status = _match(_STATUS_LINE, line).groups()
+    if minor == b'0' and _find(fields, b'transfer-encoding'):
+        raise Malformed
+    return int(status), fields, stream[end.end() :]
 
 
 def _read_head(head: bytes) -> tuple[StrictRequest, bool]:
