--- a/wagtailspread/platform/tests/test_documents.py
+++ b/wagtailspread/platform/tests/test_documents.py
@@ -246,3 +246,15 @@
     with pytest.raises(ValueError, match='apiKeys') as caught:
         documents.decode(encode_tenants(create_tenant(apiKeys=found)))
     assert 'secret' not in str(caught.value)
+
+
+@pytest.mark.parametrize('timeout_ms', range(100, 10_000, 50))
+def test_an_objective_a_minute_above_the_timeout_is_invalid(timeout_ms):
+    """Guards against an invalid configuration that rounding makes valid."""
+    objective_ms = timeout_ms + 60_000
+    for excess_ms, is_valid in ((0, False), (-1, True)):
+        body = encode(
+            timeout=f'{timeout_ms}ms',
+            sloLatency=f'{objective_ms + excess_ms}ms',
+        )
+        assert (documents.read_valid(body) is not None) == is_valid
--- a/wagtailspread/routing/terms.py
+++ b/wagtailspread/routing/terms.py
@@ -9,6 +9,7 @@
 #: Bound of the time by which an objective may exceed its route's timeout, in
 #: seconds; an excess of this much is a fault.
 MAX_OBJECTIVE_EXCESS_SECONDS = 60.0
+_MICROSECONDS = 1_000_000
 
 
 class RequestKind(enum.Enum):
@@ -178,12 +179,17 @@
     if route.timeout is not None and route.timeout <= 0:
         return FaultKind.NO_TIMEOUT
     if route.objective is not None and route.timeout is not None:
-        excess = route.objective - route.timeout
-        if excess >= MAX_OBJECTIVE_EXCESS_SECONDS:
+        # A difference of seconds may be rounded to less than the bound.
+        excess = _count_microseconds(route.objective - route.timeout)
+        if excess >= _count_microseconds(MAX_OBJECTIVE_EXCESS_SECONDS):
             return FaultKind.OBJECTIVE_BEYOND_TIMEOUT
     return _check_parts(route.parts, settings)
 
 
+def _count_microseconds(seconds: float) -> int:
+    return round(seconds * _MICROSECONDS)
+
+
 def _check_parts(
     parts: tuple[SplitPart, ...],
     settings: RoutingSettings,
