Remove displaced upstreams together with the one that took their address

Cause: the removal of an expired departure restored an upstream that it had displaced, if that one came later in the table.

Result: one of the two cases of the new test in registry/tests/test_claims.py depends on the order.

--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -265,9 +265,13 @@
     def remove_expired_tombstones(self, now: float) -> None:
         """Remove upstreams that were gone or displaced long enough."""
         cutoff = now - TOMBSTONE_RETENTION_SECONDS
-        for upstream, row in list(self.rows.items()):
-            if row.find_end() < cutoff:
-                self._remove(upstream, now)
+        expired = [
+            upstream
+            for upstream, row in self.rows.items()
+            if row.find_end() < cutoff
+        ]
+        for upstream in expired:
+            self._remove(upstream, now)
 
     def _remove(self, upstream: identifiers.UpstreamId, now: float) -> None:
         record = self.rows.pop(upstream).record
--- a/wagtailspread/registry/tests/test_claims.py
+++ b/wagtailspread/registry/tests/test_claims.py
@@ -217,6 +217,19 @@
     assert set(table.rows) == {'agent'}
 
 
+@pytest.mark.parametrize('order', [1, -1])
+def test_displaced_upstreams_do_not_return_when_the_other_one_left(order):
+    """Guards against a crashed upstream in use behind an expired tombstone."""
+    taker = dataclasses.replace(_TAKER, service='orders')
+    table = create_table(*(_SOUND, taker)[::order])
+    table.merge(
+        dataclasses.replace(taker, state=records.UpstreamState.GONE), 1.0
+    )
+    assert list_ready_ids(table) == []
+    table.remove_expired_tombstones(200.0)
+    assert not table.rows
+
+
 def test_deferred_records_are_bounded():
     """Guards against memory that another writer fills."""
     table = create_table()
