--- a/wagtailspread/registry/tables.py
+++ b/wagtailspread/registry/tables.py
@@ -352,6 +352,8 @@
     ) -> None:
         """Displace the upstreams that started earlier at an address."""
         known = self._upstreams_by_address.list_upstreams(address)
+        if len(known) == 1 and known[0] not in self._displaced:
+            return
         rows = [self.rows[upstream] for upstream in known]
         named = [row for row in rows if self._is_named(row.record.service)]
         latest = max(
