Move the services of the configuration out of the registry service

Change: registry.configurations reads the services of each new configuration; records logs a record that is not applied. No change in behaviour.

--- a/wagtailspread/entry/framing.py
+++ b/wagtailspread/entry/framing.py
@@ -19,7 +19,7 @@
 _LF = b'\n'
 _CR = b'\r'
 _LINE_END = b'\r\n'
-_WHITESPACE = (b'\t', b' ')
+_WHITESPACE = b'\t '
 _HEXADECIMAL = 16
 #: Whitespace behind the size is not part of the grammar. It has no effect on
 #: the body, and some servers pad all sizes to the same width.
@@ -125,9 +125,7 @@
         end = _CR if self._line.endswith(_CR) else b''
         size, extensions = _match_size(self._line.removesuffix(end))
         # The first byte tells what may follow; the others are not held.
-        extensions = (
-            extensions.lstrip(b''.join(_WHITESPACE))[:1] or extensions[:1]
-        )
+        extensions = extensions.lstrip(_WHITESPACE)[:1] or extensions[:1]
         self._line = bytearray(size + extensions + end)
 
     def _process(self, line: bytearray) -> None:
@@ -206,7 +204,7 @@
             raise FramingFault('CR within a line of the head')
         self._has_cr = len(content) < len(text)
         is_first_field = self._line_count == 1 and not self._line_bytes
-        if is_first_field and content.startswith(_WHITESPACE):
+        if is_first_field and content != content.lstrip(_WHITESPACE):
             raise FramingFault('space before the first field')
         self._line_bytes += len(content)
 
--- a/wagtailspread/registry/records.py
+++ b/wagtailspread/registry/records.py
@@ -245,6 +245,19 @@
     return found
 
 
+def log_not_applied(record: UpstreamRecord) -> None:
+    """Log a record that takes no precedence over the known one."""
+    _log.info(
+        'heartbeat not applied',
+        extra={
+            'upstream': record.upstream,
+            'service': record.service,
+            'address': record.address,
+            'state': record.state.name,
+        },
+    )
+
+
 def _log_skipped(upstream: typing.Any, reason: str) -> None:
     _log.warning(
         'registry row skipped',
--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -11,8 +11,9 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import blocked, coverage, feeds, followers, groups
-from wagtailspread.registry import places, positions, publications, quotas
+from wagtailspread.registry import blocked, configurations, coverage, feeds
+from wagtailspread.registry import followers, groups, places, positions
+from wagtailspread.registry import publications, quotas
 from wagtailspread.registry import records, spares
 from wagtailspread.wire import links, listeners, messages
 
@@ -36,19 +37,6 @@
 _log = logbook.Logger('registry')
 
 
-class ServiceReader(typing.Protocol):
-    """Parses the configuration document of the platform."""
-
-    def __call__(
-        self, body: bytes
-    ) -> frozenset[identifiers.ServiceName] | None:
-        """Return the services that it names, ``None`` if it is invalid."""
-
-
-def read_no_services(body: bytes) -> None:
-    """Return ``None``: the services of the configuration are not known."""
-
-
 class RegistryService:
     """Maintains the registry of one replica. Use :func:`create_service`."""
 
@@ -58,14 +46,13 @@
         domain: identifiers.FailureDomain,
         regions: dict[identifiers.FailureDomain, identifiers.RegionName],
         clock: clocks.Clock,
-        read_services: ServiceReader,
+        read_services: configurations.ServiceReader,
     ) -> None:
         """Start empty.
 
         :param regions: the region of each failure domain.
         """
-        self._read_services = read_services
-        self._services_version = documents.NO_VERSION
+        self._service_watch = configurations.ServiceWatch(read_services)
         self._regions = regions
         self.feed = feeds.ChangeFeed(random.randrange(1, _MAX_EPOCH))
         self._address = address
@@ -106,7 +93,7 @@
     def register(self, record: records.UpstreamRecord) -> None:
         """Apply a heartbeat of an upstream that accepts work."""
         if not self.feed.register(record, self._clock.now()):
-            _log_not_applied(record)
+            records.log_not_applied(record)
 
     async def register_departure(self, record: records.UpstreamRecord) -> bool:
         """Register that an upstream is draining or has left.
@@ -116,7 +103,7 @@
         """
         is_applied = self.feed.register(record, self._clock.now())
         if not is_applied and not self._is_earlier(record):
-            _log_not_applied(record)
+            records.log_not_applied(record)
             return False
         position = self.feed.position
         until = self._clock.now() + PROPAGATION_TIMEOUT_SECONDS
@@ -246,13 +233,7 @@
 
     def _update_services(self) -> None:
         """Apply the services of a new configuration."""
-        if self._group is None:
-            return
-        document = self._group.read_document()
-        if document.version == self._services_version:
-            return
-        self._services_version = document.version
-        services = self._read_services(document.body)
+        services = self._service_watch.find_change(self._group)
         if services is not None:
             self.feed.replace_services(services, self._clock.now())
 
@@ -497,19 +478,9 @@
     domain: identifiers.FailureDomain,
     regions: dict[identifiers.FailureDomain, identifiers.RegionName],
     clock: clocks.Clock,
-    read_services: ServiceReader = read_no_services,
+    read_services: configurations.ServiceReader = (
+        configurations.read_no_services
+    ),
 ) -> RegistryService:
     """Return a registry service without upstreams."""
     return RegistryService(address, domain, regions, clock, read_services)
-
-
-def _log_not_applied(record: records.UpstreamRecord) -> None:
-    _log.info(
-        'heartbeat not applied',
-        extra={
-            'upstream': record.upstream,
-            'service': record.service,
-            'address': record.address,
-            'state': record.state.name,
-        },
-    )
