Scan whole heads and chunks with one expression each

Cause: reading them line by line took 71 us for a head of ten fields and 18 us for a chunk of 100 bytes, where a request takes 620 us in all.

Change: a head or chunk that is received whole is matched at once; the others are read line by line as before.

The tests compare both ways on changed bodies and, new, on changed heads.

--- a/wagtailspread/entry/framing.py
+++ b/wagtailspread/entry/framing.py
@@ -26,6 +26,14 @@
 _SIZE_LINE = re.compile(
     rb'([0-9A-Fa-f]{1,%d})([\t ]*(?:;[\t -~\x80-\xff]*)?)' % MAX_SIZE_DIGITS,
 )
+#: The same with its end.
+_WHOLE_SIZE_LINE = re.compile(
+    rb'([0-9A-Fa-f]{1,%d})[\t ]*(?:;[\t -~\x80-\xff]*)?\r\n' % MAX_SIZE_DIGITS,
+)
+#: A complete head that :class:`HeadScanner` accepts.
+_WHOLE_HEAD = re.compile(
+    rb'(?:\r?\n)*[^\r\n]+\r?\n(?![\t ])(?:[^\r\n]+\r?\n)*\r?\n',
+)
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TRAILER = re.compile(rb'%s:[\t -~\x80-\xff]*' % _TOKEN)
 #: A proxy does not forward trailers, so those of responses may have what a
@@ -82,6 +90,8 @@
         :param start: of the bytes that have not been scanned.
         :raises FramingFault: if the body is malformed.
         """
+        if self._part is _ChunkPart.SIZE_LINE and not self._line:
+            start = self._skip_whole_chunks(received, start)
         while start < len(received) and not self.is_complete:
             if self._part is _ChunkPart.CONTENT:
                 start = self._skip_content(received, start)
@@ -89,6 +99,22 @@
                 start = self._take_line(received, start)
         return start
 
+    def _skip_whole_chunks(self, received: bytes, start: int) -> int:
+        """Return where the first chunk starts that is not whole.
+
+        Most are received whole, and reading them line by line takes longer.
+        """
+        found = _WHOLE_SIZE_LINE.match(received, start)
+        while found is not None:
+            size = int(found[1], _HEXADECIMAL)
+            end = found.end() + size
+            next_start = end + len(_LINE_END)
+            if not size or received[end:next_start] != _LINE_END:
+                break
+            start = next_start
+            found = _WHOLE_SIZE_LINE.match(received, start)
+        return start
+
     def _skip_content(self, received: bytes, start: int) -> int:
         size = min(self._left, len(received) - start)
         self._left -= size
@@ -172,6 +198,7 @@
     def __init__(self) -> None:
         """Start before the first line."""
         self.is_complete = False
+        self._has_begun = False
         #: Lines that have ended, without the empty lines before the first one.
         self._line_count = 0
         #: Bytes of the current line without its end.
@@ -185,6 +212,11 @@
         :param start: of the bytes that have not been scanned.
         :raises FramingFault: if the head is malformed.
         """
+        whole = None if self._has_begun else _WHOLE_HEAD.match(received, start)
+        if whole is not None:
+            self.is_complete = True
+            return whole.end()
+        self._has_begun = True
         while start < len(received) and not self.is_complete:
             end = received.find(_LF, start) + 1
             if end:
--- a/wagtailspread/entry/tests/test_framing.py
+++ b/wagtailspread/entry/tests/test_framing.py
@@ -148,6 +148,30 @@
     assert scanner.is_complete
 
 
+@hypothesis.given(
+    st.integers(0, 2**32), st.lists(st.integers(1, 9), max_size=60)
+)
+def test_head_does_not_depend_on_division(seed, sizes):
+    """Guards against a head that is read differently at the end of a read."""
+    stream = stream_inputs.mutate_response(random.Random(seed))[1:]
+    assert scan_head(stream, sizes) == scan_head(stream, [])
+    assert scan_head(stream, itertools.repeat(1)) == scan_head(stream, [])
+
+
+def scan_head(stream, sizes):
+    """Return the size of the head, -1 if incomplete, ``None`` if malformed."""
+    scanner = framing.HeadScanner()
+    start = 0
+    sizes = iter(sizes)
+    while start < len(stream) and not scanner.is_complete:
+        piece = stream[start : start + next(sizes, len(stream))]
+        try:
+            start += scanner.scan(piece)
+        except framing.FramingFault:
+            return None
+    return start if scanner.is_complete else -1
+
+
 def test_head_of_another_size_than_the_parsed_one_is_refused():
     """Guards against a parser that finds the end of a head elsewhere."""
     response = framing.ResponseFraming()
