Refuse a NUL anywhere in the head of a response

What a caller could get: a final response behind an interim one that a strict reading refuses.

Cause: aiohttp's parser checks the fields and the final reason for a NUL, not the reason of an interim response.

Change: entry.framing.HeadScanner refuses a NUL before the parser gets the head.

--- a/wagtailspread/entry/framing.py
+++ b/wagtailspread/entry/framing.py
@@ -18,6 +18,7 @@
 
 _LF = b'\n'
 _CR = b'\r'
+_NUL = b'\0'
 _LINE_END = b'\r\n'
 _WHITESPACE = b'\t '
 _HEXADECIMAL = 16
@@ -32,7 +33,7 @@
 )
 #: A complete head that :class:`HeadScanner` accepts.
 _WHOLE_HEAD = re.compile(
-    rb'(?:\r?\n)*[^\r\n]+\r?\n(?![\t ])(?:[^\r\n]+\r?\n)*\r?\n',
+    rb'(?:\r?\n)*[^\0\r\n]+\r?\n(?![\t ])(?:[^\0\r\n]+\r?\n)*\r?\n',
 )
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TRAILER = re.compile(rb'%s:[\t -~\x80-\xff]*' % _TOKEN)
@@ -184,7 +185,8 @@
 class HeadScanner:
     r"""Finds the end of the head of a response, the first empty line.
 
-    It also refuses lines that recipients divide in different ways.
+    It also refuses lines that recipients divide in different ways, and a NUL,
+    which the parser accepts in the reason of an interim response.
 
     >>> scanner = HeadScanner()
     >>> scanner.scan(b'HTTP/1.1 200 OK\nA: b\r\n\r\nbody')
@@ -234,6 +236,8 @@
         content = text.removesuffix(_CR)
         if self._has_cr or _CR in content:
             raise FramingFault('CR within a line of the head')
+        if _NUL in content:
+            raise FramingFault('NUL in the head')
         self._has_cr = len(content) < len(text)
         is_first_field = self._line_count == 1 and not self._line_bytes
         if is_first_field and content != content.lstrip(_WHITESPACE):
--- a/wagtailspread/entry/tests/test_framing.py
+++ b/wagtailspread/entry/tests/test_framing.py
@@ -128,6 +128,8 @@
         b'A: b\r\r\n',
         b'\rA: b\r\n',
         b'A: b\r\n\rB: c\r\n',
+        b'A: b\0c\r\n',
+        b'A: b\r\n c\0\r\n',
     ],
 )
 @pytest.mark.parametrize('size', [1, 100])
@@ -140,6 +142,19 @@
             scanner.scan(stream[start : start + size])
 
 
+@pytest.mark.parametrize('size', [1, 100])
+def test_status_line_with_a_nul_is_refused(size):
+    """Guards against an interim response that a strict reading refuses.
+
+    The parser does not check the reason of one.
+    """
+    stream = b'HTTP/1.1 103 \0Early\r\n\r\n'
+    scanner = framing.HeadScanner()
+    with pytest.raises(framing.FramingFault):
+        for start in range(0, len(stream), size):
+            scanner.scan(stream[start : start + size])
+
+
 def test_folded_fields_and_bare_line_feeds_are_accepted():
     """Guards against the refusal of a head that a proxy may repair."""
     head = b'HTTP/1.1 200 OK\nA: b\r\n c\n\td\r\n\r\n'
--- a/wagtailspread/testing/tests/test_stream_faults.py
+++ b/wagtailspread/testing/tests/test_stream_faults.py
@@ -75,6 +75,15 @@
     assert not response_targets.run_response(stream_inputs.CLOSED + stream)
 
 
+def test_an_interim_reason_with_a_nul_is_not_passed_on():
+    """Guards against a stream that is malformed before its final response."""
+    stream = (
+        b'HTTP/1.1 103 \0Early\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n'
+        b'Response-Signature: s1\r\n\r\nok'
+    )
+    assert not response_targets.run_response(stream_inputs.CLOSED + stream)
+
+
 def test_a_chunk_that_is_too_short_is_not_passed_on():
     """Guards against a shifted body if a line feed ends a chunk."""
     stream = _HEAD + b'chunked\r\n\r\n5\r\nwhol\r\n0\r\n\r\n'
