Count failures once, and keep queued requests in their order

Change: the tracker counts failures as they enter and leave its window; the queue has a list of its requests in order. No decision changes.

The placement tests pass.

--- a/wagtailspread/placement/queues.py
+++ b/wagtailspread/placement/queues.py
@@ -41,7 +41,7 @@
         self.slots = 0
         self._orders: list[leases.QueueOrder] = []
         self._works: list[float] = []
-        self._entries: dict[int, leases.WaitingRequest] = {}
+        self._entries: list[leases.WaitingRequest] = []
         self._shapes: dict[leases.Shape, list[leases.QueueOrder]] = {}
         self._tried_at: dict[leases.Shape, float] = {}
         self._work = 0.0
@@ -57,15 +57,14 @@
 
     def list_ordered(self) -> list[leases.WaitingRequest]:
         """Return the requests, the first one first."""
-        return [self._entries[number] for _, _, number in self._orders]
+        return self._entries.copy()
 
     def list_behind(
         self, order: leases.QueueOrder
-    ) -> typing.Iterator[leases.WaitingRequest]:
-        """Yield the requests that come after a place, the first one first."""
+    ) -> list[leases.WaitingRequest]:
+        """Return the requests that come after a place, the first one first."""
         position = bisect.bisect_left(self._orders, order)
-        for _, _, number in self._orders[position:]:
-            yield self._entries[number]
+        return self._entries[position:]
 
     def add(self, entry: leases.WaitingRequest, now: float) -> None:
         """Add a request at the place of its order."""
@@ -79,7 +78,7 @@
         position = bisect.bisect_left(self._orders, entry.order)
         self._orders.insert(position, entry.order)
         self._works.insert(position, entry.work)
-        self._entries[number] = entry
+        self._entries.insert(position, entry)
         shape = find_shape(entry)
         bisect.insort(self._shapes.setdefault(shape, []), entry.order)
         self._work += entry.work
@@ -91,9 +90,9 @@
         self.repeats -= entry.request.is_repeat
         if self.held.pop(number, None) is not None:
             return
-        self._entries.pop(number)
-        position = bisect.bisect_left(self._orders, entry.order)
+        position = self._locate(entry.order)
         self._orders.pop(position)
+        self._entries.pop(position)
         self._works.pop(position)
         shape = find_shape(entry)
         _remove(self._shapes[shape], entry.order)
@@ -139,7 +138,7 @@
             if self._tried_at.get(shape, -math.inf) + RETRY_SECONDS <= now
         ]
         first = min(orders, default=None)
-        return None if first is None else self._entries[first[2]]
+        return None if first is None else self._entries[self._locate(first)]
 
     def record_try(self, entry: leases.WaitingRequest, now: float) -> None:
         """Record that no upstream took a request of this shape."""
@@ -148,8 +147,17 @@
     def allow_first(self) -> None:
         """Let the first request of the queue be tried again at once."""
         if self._orders:
-            first = self._entries[self._orders[0][2]]
-            self._tried_at.pop(find_shape(first), None)
+            self._tried_at.pop(find_shape(self._entries[0]), None)
+
+    def _locate(self, order: leases.QueueOrder) -> int:
+        """Return the position of a request.
+
+        :raises LookupError: if it is not in the queue.
+        """
+        position = bisect.bisect_left(self._orders, order)
+        if self._orders[position : position + 1] != [order]:
+            raise LookupError(f'no request at {order}')
+        return position
 
 
 class QueueTable:
--- a/wagtailspread/placement/strains.py
+++ b/wagtailspread/placement/strains.py
@@ -31,7 +31,31 @@
 
 _log = logbook.Logger('placement')
 
-_Completions = collections.deque[tuple[float, bool]]
+
+class _Completions:
+    """Completions of a service in the sliding window."""
+
+    def __init__(self) -> None:
+        """Create an empty window."""
+        self.failed = 0
+        self._recent: collections.deque[tuple[float, bool]] = (
+            collections.deque()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of completions."""
+        return len(self._recent)
+
+    def add(self, is_served: bool, now: float) -> None:
+        """Add a completion."""
+        self._recent.append((now, is_served))
+        self.failed += not is_served
+
+    def drop_old(self, now: float) -> None:
+        """Drop the completions that have left the window."""
+        while self._recent and self._recent[0][0] < now - WINDOW_SECONDS:
+            _, is_served = self._recent.popleft()
+            self.failed -= not is_served
 
 
 class StrainTracker:
@@ -83,7 +107,7 @@
         The caller omits trials: they fail because they go to suspect upstreams,
         and would keep the service strained by themselves.
         """
-        self._list_recent(service, now).append((now, is_served))
+        self._find_recent(service, now).add(is_served, now)
 
     def is_strained(
         self,
@@ -96,14 +120,13 @@
         return self._is_failing(service, now)
 
     def _log_strain(self, service: identifiers.ServiceName, now: float) -> None:
-        recent = self._list_recent(service, now)
-        failed = sum(not is_served for _, is_served in recent)
+        recent = self._find_recent(service, now)
         _log.info(
             'service strained',
             extra={
                 'service': service,
                 'completions': len(recent),
-                'failed': failed,
+                'failed': recent.failed,
             },
         )
 
@@ -112,20 +135,22 @@
         service: identifiers.ServiceName,
         now: float,
     ) -> bool:
-        completions = self._list_recent(service, now)
-        failed = sum(not is_served for _, is_served in completions)
-        min_failed = max(MIN_FAILURES, STRAINED_SHARE * len(completions))
-        return len(completions) >= MIN_COMPLETIONS and failed >= min_failed
+        completions = self._find_recent(service, now)
+        count = len(completions)
+        min_failed = max(MIN_FAILURES, STRAINED_SHARE * count)
+        return count >= MIN_COMPLETIONS and completions.failed >= min_failed
 
-    def _list_recent(
+    def _find_recent(
         self,
         service: identifiers.ServiceName,
         now: float,
     ) -> _Completions:
-        """Return the completions in the window; drop older ones."""
-        completions = self._completions.setdefault(service, collections.deque())
-        while completions and completions[0][0] < now - WINDOW_SECONDS:
-            completions.popleft()
+        """Return the completions in the window."""
+        completions = self._completions.get(service)
+        if completions is None:
+            completions = _Completions()
+            self._completions[service] = completions
+        completions.drop_old(now)
         return completions
 
 
