Check the limits of queued requests without a maximum for each

Cause: for each request behind a new one, the later of its two limits was computed, also for the many that have missed both.

Change: the limits are compared one by one. No decision changes.

--- a/wagtailspread/placement/commitments.py
+++ b/wagtailspread/placement/commitments.py
@@ -52,11 +52,15 @@
     start = now + queue.estimate_ahead(entry.order) / capacity
     for other in queue.list_behind(entry.order):
         late_start = start + delay
-        # Both limits are missed at once only if the first one is.
         if late_start > other.due:
-            if start <= other.due and _is_kept_in_time(other, entry):
-                return False
-            if start <= max(other.latest - KEEP_MARGIN, other.due) < late_start:
+            limit = other.latest - KEEP_MARGIN
+            if start > other.due:
+                is_kept = not start <= limit < late_start
+            else:
+                is_kept = limit >= late_start and not _is_kept_in_time(
+                    other, entry
+                )
+            if not is_kept:
                 return False
         start += other.work / capacity
     return True
