Move the places of replicas and substitutes out of the registry service

No behaviour changes. A test that set a private dictionary lets the replicas report their places now.

--- a/wagtailspread/registry/services.py
+++ b/wagtailspread/registry/services.py
@@ -1,7 +1,6 @@
 """Registry service of a replica: registrations, followers, other replicas."""
 
 import asyncio
-import itertools
 import random
 import typing
 
@@ -11,9 +10,9 @@
 
 from wagtailspread.configuration import documents
 from wagtailspread.core import clocks, identifiers
-from wagtailspread.registry import blocked, configurations, coverage, feeds
-from wagtailspread.registry import followers, groups, places, positions
-from wagtailspread.registry import publications, quotas
+from wagtailspread.registry import blocked, configurations, coverage
+from wagtailspread.registry import directories, feeds, followers, groups
+from wagtailspread.registry import places, positions, publications, quotas
 from wagtailspread.registry import records, spares
 from wagtailspread.wire import links, listeners, messages
 
@@ -53,15 +52,12 @@
         :param regions: the region of each failure domain.
         """
         self._service_watch = configurations.ServiceWatch(read_services)
-        self._regions = regions
         self.feed = feeds.ChangeFeed(random.randrange(1, _MAX_EPOCH))
         self._address = address
         self._domain = domain
         self._clock = clock
         self._group: groups.ReplicaGroup | None = None
-        self._replica_domains: dict[
-            identifiers.Address, identifiers.FailureDomain
-        ] = {address: domain}
+        self._directory = directories.create_directory(address, domain, regions)
         self._peer_batches: dict[identifiers.Address, messages.Struct] = {}
         self._peer_tasks: dict[identifiers.Address, asyncio.Task[None]] = {}
         self._strained: frozenset[identifiers.ServiceName] = frozenset()
@@ -71,7 +67,7 @@
             address, self.feed, self._peer_batches
         )
         self.spares = spares.create_exchange(
-            self.feed, self._find_replica_region
+            self.feed, self._directory.find_region
         )
 
     def attach(
@@ -157,9 +153,9 @@
     def find_uncovered(self) -> coverage.UncoveredRegions:
         """Return what the reachable replicas of each region lack."""
         return coverage.combine_reports(
-            (self._regions[domain], coverage.read_report(batch))
+            (region, coverage.read_report(batch))
             for address, batch in self._peer_batches.items()
-            if (domain := self._replica_domains.get(address)) in self._regions
+            if (region := self._directory.find_region(address)) is not None
         )
 
     def publish_departures(self) -> None:
@@ -207,11 +203,7 @@
 
         This replica and those that answered the last poll are reachable.
         """
-        for address, located in sorted(self._replica_domains.items()):
-            is_live = address == self._address or address in self._peer_batches
-            if located == domain and is_live:
-                return address
-        return None
+        return self._directory.find_replica(domain, self._peer_batches)
 
     async def run(self, pool: links.LinkPool) -> None:
         """Follow the other replicas until cancelled."""
@@ -331,11 +323,7 @@
         self._blocked.receive(batch, now)
         self.quotas.receive(address, batch)
         self.spares.receive(address, batch, now)
-        for replica in batch.replicas:
-            reported = identifiers.Address(replica.address)
-            if reported == address:
-                domain = identifiers.FailureDomain(replica.domain)
-                self._replica_domains[reported] = domain
+        self._directory.record(address, batch)
         self.feed.merge_batch(batch, now)
 
     async def _answer_follower(
@@ -404,8 +392,12 @@
         self._blocked.add_rows(batch, now, is_replica=request.is_replica)
         self.quotas.add_rows(batch, hosts, is_replica=request.is_replica)
         self.spares.add_rows(batch, is_replica=request.is_replica)
-        batch.substitutes = self._list_substitutes(hosts, request)
-        batch.replicas = self._list_replica_places(request)
+        batch.substitutes = self._directory.list_substitutes(
+            hosts, request, self._peer_batches.values()
+        )
+        # A replica reports other ones to hosts only.
+        others = [] if request.is_replica else self._list_peers()
+        batch.replicas = self._directory.list_places(others)
         batch.document_version = documents.NO_VERSION
         batch.has_quorum = False
         batch.is_up_to_date = False
@@ -416,62 +408,6 @@
         batch.is_up_to_date = group.is_up_to_date()
         batch.document_version = group.read_document().version
 
-    def _list_substitutes(
-        self,
-        hosts: list[feeds.FollowerState],
-        request: messages.Struct,
-    ) -> list[messages.Struct]:
-        """Return the hosts with the lowest addresses, the same at all replicas.
-
-        A replica gets such hosts of each region that follow this replica. A
-        host gets those of its region that follow any replica.
-        """
-        candidates = [
-            messages.structs.ReplicaPlace(
-                address=one.address,
-                domain=one.domain,
-            )
-            for one in hosts
-        ]
-        region = self._find_region(request)
-        if region is not None:
-            for batch in self._peer_batches.values():
-                candidates.extend(batch.substitutes)
-        chosen = places.choose_substitutes(candidates, self._regions)
-        if region is not None:
-            return chosen.get(region, [])
-        return list(itertools.chain.from_iterable(chosen.values()))
-
-    def _find_region(
-        self,
-        request: messages.Struct,
-    ) -> identifiers.RegionName | None:
-        """Return the region of a following host, ``None`` for a replica."""
-        if request.is_replica:
-            return None
-        return self._regions.get(identifiers.FailureDomain(request.domain))
-
-    def _find_replica_region(
-        self, address: identifiers.Address
-    ) -> identifiers.RegionName | None:
-        domain = self._replica_domains.get(address)
-        return None if domain is None else self._regions.get(domain)
-
-    def _list_replica_places(
-        self, request: messages.Struct
-    ) -> list[messages.Struct]:
-        """Return all replicas, or only this one if a replica asks."""
-        addresses = [self._address]
-        if not request.is_replica:
-            addresses.extend(self._list_peers())
-        return [
-            messages.structs.ReplicaPlace(
-                address=address,
-                domain=self._replica_domains.get(address, ''),
-            )
-            for address in addresses
-        ]
-
 
 def create_service(
     address: identifiers.Address,
--- a/wagtailspread/registry/tests/test_followers.py
+++ b/wagtailspread/registry/tests/test_followers.py
@@ -159,10 +159,16 @@
             )
             for address, domain in _REPLICAS.items()
         }
+        places = [
+            messages.structs.ReplicaPlace(address=address, domain=domain)
+            for address, domain in _REPLICAS.items()
+        ]
         for service in self.services.values():
             listener = listeners.create_listener(None, None)
             service.attach(listener, Group())
-            service._replica_domains.update(_REPLICAS)
+            for place in places:
+                batch = messages.structs.ChangeBatch(replicas=[place])
+                service._directory.record(place.address, batch)
         for number in range(upstreams):
             self.register(create_record(number), *self.services)
         self.table = tables.create_table()
