--- a/wagtailspread/placement/commitments.py
+++ b/wagtailspread/placement/commitments.py
@@ -54,6 +54,7 @@
         late_start = start + delay
         if late_start > other.due:
             limit = other.latest - KEEP_MARGIN
+            # One that is late without the new one may still lose its deadline.
             if start > other.due:
                 is_kept = not start <= limit < late_start
             else:
